Lay out the build, the base library and HTTP with verdicts

Cause: the repository was empty. Change: CMake with warnings as errors, format and lint rules, libs/base (verdicts, reasons, request IDs, checked JSON, prompt hashes, logs) and libs/net (kept-alive HTTP calls that say whether the server may have acted, a listener on a pool that grows on demand). Conclusion: the ground for the thin path.

--- /dev/null
+++ b/libs/base/include/mintknot/base/random.hpp
@@ -0,0 +1,22 @@
+/// @file
+/// Random tokens for request IDs, change IDs and claims.
+#ifndef MINTKNOT_BASE_RANDOM_HPP
+#define MINTKNOT_BASE_RANDOM_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace mintknot::base {
+
+/// @return 64 random bits from the operating system.
+std::uint64_t random_bits();
+
+/// @return 16 lower-case hexadecimal digits.
+std::string random_token();
+
+/// @return a uniform number in [0, bound). Precondition: bound > 0.
+std::uint64_t random_below(std::uint64_t bound);
+
+} // namespace mintknot::base
+
+#endif
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,111 @@
+#include <mintknot/net/http_server.hpp>
+
+#include <mintknot/base/log.hpp>
+#include <mintknot/net/elastic_pool.hpp>
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <thread>
+
+namespace mintknot::net {
+
+namespace {
+
+constexpr std::size_t calls_per_connection = 100000;
+
+/// Adapts the growing pool to the library's interface.
+class pool_queue : public httplib::TaskQueue {
+public:
+    explicit pool_queue(std::size_t most_threads)
+        : pool_(most_threads) {}
+
+    void enqueue(std::function<void()> job) override {
+        pool_.submit(std::move(job));
+    }
+    void shutdown() override { pool_.shutdown(); }
+
+private:
+    elastic_pool pool_;
+};
+
+std::unique_ptr<httplib::Server>
+make_server(const http_server_options& options) {
+    if (options.certificate_file.empty())
+        return std::make_unique<httplib::Server>();
+    return std::make_unique<httplib::SSLServer>(
+        options.certificate_file.c_str(), options.private_key_file.c_str());
+}
+
+} // namespace
+
+struct http_server::impl {
+    std::unique_ptr<httplib::Server> server;
+    std::thread acceptor;
+};
+
+http_server::http_server(const http_server_options& options)
+    : impl_(std::make_unique<impl>()) {
+    impl_->server = make_server(options);
+    httplib::Server& server = *impl_->server;
+    const std::size_t most_threads = options.most_connections;
+    server.new_task_queue = [most_threads] {
+        return new pool_queue(most_threads); // The library deletes it.
+    };
+    server.set_tcp_nodelay(true);
+    server.set_keep_alive_max_count(calls_per_connection);
+    server.set_keep_alive_timeout(options.keep_alive.count());
+    server.set_read_timeout(options.read_timeout);
+    server.set_payload_max_length(options.most_body_bytes);
+    server.set_exception_handler([](const httplib::Request& request,
+                                    httplib::Response& response,
+                                    const std::exception_ptr& thrown) {
+        try {
+            std::rethrow_exception(thrown);
+        } catch (const std::exception& error) {
+            base::logger("http").error(
+                "The handler of {} threw: {}", request.path, error.what());
+        }
+        response.status = 500;
+    });
+}
+
+http_server::~http_server() {
+    stop();
+}
+
+httplib::Server& http_server::routes() {
+    return *impl_->server;
+}
+
+absl::StatusOr<std::uint16_t> http_server::start(const base::address& where) {
+    if (!impl_->server->is_valid())
+        return absl::InvalidArgumentError(
+            "the certificate or the private key cannot be used");
+    int port = where.port;
+    bool bound = true;
+    if (port == 0) {
+        port = impl_->server->bind_to_any_port(where.host);
+        bound = port > 0;
+    } else {
+        bound = impl_->server->bind_to_port(where.host, port);
+    }
+    if (!bound)
+        return absl::UnavailableError(
+            fmt::format("cannot listen on {}", base::to_string(where)));
+    impl_->acceptor =
+        std::thread([this] { impl_->server->listen_after_bind(); });
+    // stop() has no effect on a server that has not begun to accept.
+    while (!impl_->server->is_running())
+        std::this_thread::yield();
+    return static_cast<std::uint16_t>(port);
+}
+
+void http_server::stop() {
+    if (!impl_->acceptor.joinable())
+        return;
+    impl_->server->stop();
+    impl_->acceptor.join();
+}
+
+} // namespace mintknot::net
