Add stand-in engine and platform, their adapters and the configuration

Cause: the path needs engines and a platform to run against, and a checked configuration that only moves forward. Change: fake-engine (batching, prefill, export and import, expiry, prefix cache, fences), fake-platform (conditional tables with outages and lost answers), thin adapters, typed resources, an immutable catalogue, one transaction for each change with read-back by change ID.

--- a/libs/base/include/mintknot/base/json_reader.hpp
+++ b/libs/base/include/mintknot/base/json_reader.hpp
@@ -97,6 +97,23 @@
     std::set<std::string, std::less<>> seen_;
 };
 
+/// Reads a field of another program's answer, which may be malformed.
+/// @return the fallback if the field is missing or of another type.
+template<class Value>
+Value field_or(
+    const nlohmann::json& document, const char* field, Value fallback) {
+    if (!document.is_object())
+        return fallback;
+    const auto position = document.find(field);
+    if (position == document.end())
+        return fallback;
+    try {
+        return position->template get<Value>();
+    } catch (const nlohmann::json::exception&) {
+        return fallback;
+    }
+}
+
 /// @return a short rendering of a JSON value for an error message.
 std::string describe(const nlohmann::json& value);
 
--- a/libs/base/include/mintknot/base/prompt_blocks.hpp
+++ b/libs/base/include/mintknot/base/prompt_blocks.hpp
@@ -11,11 +11,11 @@
 namespace mintknot::base {
 
 /// Bytes of prompt text in one cached block.
-constexpr std::size_t block_bytes = 256;
+inline constexpr std::size_t block_bytes = 256;
 /// Bytes of prompt text that count as one token.
-constexpr std::size_t token_bytes = 4;
+inline constexpr std::size_t token_bytes = 4;
 /// Tokens in one cached block.
-constexpr std::size_t block_tokens = block_bytes / token_bytes;
+inline constexpr std::size_t block_tokens = block_bytes / token_bytes;
 
 /// The hash of the first `blocks` blocks of a prompt.
 struct prefix_hash {
--- /dev/null
+++ b/libs/config/src/catalogue.cpp
@@ -0,0 +1,287 @@
+#include <mintknot/config/catalogue.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace mintknot::config {
+
+/// One shared map for each kind, with the indexes that requests use.
+struct catalogue::kinds {
+    template<class Spec>
+    using shared_map = std::shared_ptr<const entry_map<Spec>>;
+
+    shared_map<service_spec> services =
+        std::make_shared<entry_map<service_spec>>();
+    shared_map<pool_spec> pools = std::make_shared<entry_map<pool_spec>>();
+    shared_map<backend_server_spec> servers =
+        std::make_shared<entry_map<backend_server_spec>>();
+    shared_map<request_class_spec> classes =
+        std::make_shared<entry_map<request_class_spec>>();
+    shared_map<organisation_spec> organisations =
+        std::make_shared<entry_map<organisation_spec>>();
+    shared_map<planned_change_spec> changes =
+        std::make_shared<entry_map<planned_change_spec>>();
+    std::shared_ptr<
+        const std::unordered_map<std::string, entry_ptr<organisation_spec>>>
+        digests = std::make_shared<
+            std::unordered_map<std::string, entry_ptr<organisation_spec>>>();
+};
+
+namespace {
+
+/// Copies a kind's map, changes it in place and shares the copy.
+template<class Spec> class map_editor {
+public:
+    using parser = absl::StatusOr<Spec> (*)(const nlohmann::json&);
+
+    map_editor(std::shared_ptr<const entry_map<Spec>>& shared, parser parse)
+        : shared_(shared)
+        , parse_(parse) {}
+
+    void apply(const change& next) {
+        if (!copy_)
+            copy_ = std::make_shared<entry_map<Spec>>(*shared_);
+        const auto current = copy_->find(next.name);
+        // A start-up scan may have seen a later state of this resource.
+        if (current != copy_->end() &&
+            current->second->revision >= next.revision)
+            return;
+        if (next.erased) {
+            copy_->erase(next.name);
+            return;
+        }
+        auto spec = parse_(next.spec);
+        if (!spec.ok())
+            return;
+        (*copy_)[next.name] = std::make_shared<const entry<Spec>>(
+            entry<Spec>{next.name, next.revision, *std::move(spec), next.spec});
+    }
+
+    ~map_editor() {
+        if (copy_)
+            shared_ = std::move(copy_);
+    }
+    map_editor(const map_editor&) = delete;
+    map_editor& operator=(const map_editor&) = delete;
+
+private:
+    std::shared_ptr<const entry_map<Spec>>& shared_;
+    parser parse_;
+    std::shared_ptr<entry_map<Spec>> copy_;
+};
+
+template<class Spec>
+entry_ptr<Spec> find(const entry_map<Spec>& map, std::string_view name) {
+    const auto position = map.find(name);
+    return position == map.end() ? nullptr : position->second;
+}
+
+template<class Spec>
+resource as_resource(resource_kind kind, const entry<Spec>& item) {
+    return {kind, item.name, item.revision, item.document};
+}
+
+template<class Spec>
+std::vector<resource>
+as_resources(resource_kind kind, const entry_map<Spec>& map) {
+    std::vector<resource> result;
+    result.reserve(map.size());
+    for (const auto& [name, item] : map)
+        result.push_back(as_resource(kind, *item));
+    return result;
+}
+
+template<class Spec>
+resource get_from(
+    resource_kind kind, const entry_map<Spec>& map, std::string_view name) {
+    const auto item = find(map, name);
+    if (!item)
+        return {kind, std::string(name), 0, {}};
+    return as_resource(kind, *item);
+}
+
+auto index_digests(const entry_map<organisation_spec>& organisations) {
+    auto digests = std::make_shared<
+        std::unordered_map<std::string, entry_ptr<organisation_spec>>>();
+    for (const auto& [name, item] : organisations)
+        for (const std::string& digest : item->spec.key_digests)
+            digests->emplace(digest, item);
+    return digests;
+}
+
+} // namespace
+
+catalogue::catalogue()
+    : kinds_(std::make_shared<kinds>()) {}
+
+catalogue catalogue::with(const std::vector<change>& changes) const {
+    auto next = std::make_shared<kinds>(*kinds_);
+    catalogue result;
+    result.revision_ = revision_;
+    {
+        map_editor<service_spec> services(next->services, parse_service);
+        map_editor<pool_spec> pools(next->pools, parse_pool);
+        map_editor<backend_server_spec> servers(
+            next->servers, parse_backend_server);
+        map_editor<request_class_spec> classes(
+            next->classes, parse_request_class);
+        map_editor<organisation_spec> organisations(
+            next->organisations, parse_organisation);
+        map_editor<planned_change_spec> planned(
+            next->changes, parse_planned_change);
+        for (const change& item : changes) {
+            if (item.revision <= result.revision_)
+                continue;
+            result.revision_ = item.revision;
+            switch (item.kind) {
+            case resource_kind::service:
+                services.apply(item);
+                break;
+            case resource_kind::pool:
+                pools.apply(item);
+                break;
+            case resource_kind::backend_server:
+                servers.apply(item);
+                break;
+            case resource_kind::request_class:
+                classes.apply(item);
+                break;
+            case resource_kind::organisation:
+                organisations.apply(item);
+                break;
+            case resource_kind::planned_change:
+                planned.apply(item);
+                break;
+            }
+        }
+    }
+    if (next->organisations != kinds_->organisations)
+        next->digests = index_digests(*next->organisations);
+    result.kinds_ = std::move(next);
+    return result;
+}
+
+catalogue catalogue::from(
+    const std::vector<resource>& resources, std::uint64_t revision) {
+    std::vector<change> changes;
+    changes.reserve(resources.size());
+    for (const resource& item : resources)
+        changes.push_back(
+            {item.revision, {}, {}, item.kind, item.name, false, item.spec});
+    // Revisions are unique, and with() takes changes in their order.
+    std::sort(
+        changes.begin(), changes.end(), [](const change& a, const change& b) {
+            return a.revision < b.revision;
+        });
+    catalogue result = catalogue().with(changes);
+    result.revision_ = revision;
+    return result;
+}
+
+entry_ptr<service_spec> catalogue::service(std::string_view name) const {
+    return find(*kinds_->services, name);
+}
+
+entry_ptr<service_spec>
+catalogue::service_for_model(std::string_view model) const {
+    for (const auto& [name, item] : *kinds_->services)
+        if (item->spec.type == service_type::model && item->spec.model == model)
+            return item;
+    return nullptr;
+}
+
+entry_ptr<pool_spec> catalogue::pool(std::string_view name) const {
+    return find(*kinds_->pools, name);
+}
+
+entry_ptr<request_class_spec>
+catalogue::request_class(std::string_view name) const {
+    return find(*kinds_->classes, name);
+}
+
+entry_ptr<organisation_spec>
+catalogue::organisation_for_digest(const std::string& key_digest) const {
+    const auto position = kinds_->digests->find(key_digest);
+    return position == kinds_->digests->end() ? nullptr : position->second;
+}
+
+const entry_map<backend_server_spec>& catalogue::backend_servers() const {
+    return *kinds_->servers;
+}
+
+const entry_map<service_spec>& catalogue::services() const {
+    return *kinds_->services;
+}
+
+std::vector<resource> catalogue::list(resource_kind kind) const {
+    switch (kind) {
+    case resource_kind::service:
+        return as_resources(kind, *kinds_->services);
+    case resource_kind::pool:
+        return as_resources(kind, *kinds_->pools);
+    case resource_kind::backend_server:
+        return as_resources(kind, *kinds_->servers);
+    case resource_kind::request_class:
+        return as_resources(kind, *kinds_->classes);
+    case resource_kind::organisation:
+        return as_resources(kind, *kinds_->organisations);
+    case resource_kind::planned_change:
+        return as_resources(kind, *kinds_->changes);
+    }
+    return {};
+}
+
+resource catalogue::get(resource_kind kind, std::string_view name) const {
+    switch (kind) {
+    case resource_kind::service:
+        return get_from(kind, *kinds_->services, name);
+    case resource_kind::pool:
+        return get_from(kind, *kinds_->pools, name);
+    case resource_kind::backend_server:
+        return get_from(kind, *kinds_->servers, name);
+    case resource_kind::request_class:
+        return get_from(kind, *kinds_->classes, name);
+    case resource_kind::organisation:
+        return get_from(kind, *kinds_->organisations, name);
+    case resource_kind::planned_change:
+        return get_from(kind, *kinds_->changes, name);
+    }
+    return {};
+}
+
+std::string catalogue::broken_reference(const change& wanted) const {
+    if (!wanted.erased) {
+        if (wanted.kind == resource_kind::pool) {
+            const auto pool = parse_pool(wanted.spec);
+            if (pool.ok() && !service(pool->service))
+                return fmt::format(
+                    "spec.service: there is no service '{}'", pool->service);
+        }
+        if (wanted.kind == resource_kind::backend_server) {
+            const auto server = parse_backend_server(wanted.spec);
+            if (server.ok() && !pool(server->pool))
+                return fmt::format(
+                    "spec.pool: there is no pool '{}'", server->pool);
+        }
+        if (wanted.kind == resource_kind::planned_change) {
+            const auto planned = parse_planned_change(wanted.spec);
+            if (planned.ok() && !pool(planned->pool))
+                return fmt::format(
+                    "spec.pool: there is no pool '{}'", planned->pool);
+        }
+        return {};
+    }
+    if (wanted.kind == resource_kind::service)
+        for (const auto& [name, item] : *kinds_->pools)
+            if (item->spec.service == wanted.name)
+                return fmt::format("pool '{}' still refers to it", name);
+    if (wanted.kind == resource_kind::pool)
+        for (const auto& [name, item] : *kinds_->servers)
+            if (item->spec.pool == wanted.name)
+                return fmt::format(
+                    "backend_server '{}' still refers to it", name);
+    return {};
+}
+
+} // namespace mintknot::config
--- /dev/null
+++ b/libs/platform/include/mintknot/platform/platform_client.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// The interface to the operators' platform: tables, objects, instances.
+#ifndef MINTKNOT_PLATFORM_PLATFORM_CLIENT_HPP
+#define MINTKNOT_PLATFORM_PLATFORM_CLIENT_HPP
+
+#include <mintknot/platform/transaction.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+namespace mintknot::platform {
+
+/// An entry of the platform's own list of instances; the list lags.
+struct listed_instance {
+    std::string name;
+    std::string data_centre;
+    bool leaving = false;
+};
+
+/// What mintknot needs of the platform. Implementations are thin adapters, so
+/// that a platform with another dialect costs one class. Calls block; safe
+/// from every thread. Unavailable means that the platform is out of reach.
+class platform_client {
+public:
+    platform_client() = default;
+    platform_client(const platform_client&) = delete;
+    platform_client& operator=(const platform_client&) = delete;
+    virtual ~platform_client() = default;
+
+    virtual commit_result commit(const transaction& writes) = 0;
+
+    /// @return the row; its revision is 0 if there is none.
+    virtual absl::StatusOr<table_row> read(const std::string& key) = 0;
+
+    /// @return rows with the prefix and with keys after `after`, in the order
+    /// of keys, at most `limit`.
+    virtual absl::StatusOr<std::vector<table_row>> scan(
+        const std::string& prefix, const std::string& after,
+        std::size_t limit) = 0;
+
+    virtual absl::Status
+    put_object(const std::string& name, const std::string& bytes) = 0;
+
+    /// @return NotFound if there is no such object.
+    virtual absl::StatusOr<std::string> get_object(const std::string& name) = 0;
+
+    virtual absl::StatusOr<std::vector<listed_instance>> list_instances() = 0;
+};
+
+/// Reads all rows with a prefix, page by page.
+absl::StatusOr<std::vector<table_row>>
+scan_all(platform_client& platform, const std::string& prefix);
+
+} // namespace mintknot::platform
+
+#endif
