--- /dev/null
+++ b/libs/routing/benchmarks/bench_placement.cpp
@@ -0,0 +1,52 @@
+// Processor time of one placement decision, over the number of engines.
+#include "../tests/engine_fixture.hpp"
+
+#include <mintknot/base/random.hpp>
+
+#include <benchmark/benchmark.h>
+
+using namespace mintknot;
+using namespace mintknot::routing;
+using namespace mintknot::routing::tests;
+
+namespace {
+
+constexpr std::size_t prefixes = 20000;
+
+scheduler full_scheduler(std::int64_t engines) {
+    scheduler state({});
+    for (std::int64_t i = 0; i < engines; ++i)
+        add_engine(
+            state.table, "e" + std::to_string(i), config::pool_role::both,
+            100'000'000);
+    for (std::int64_t i = 0; i < engines; ++i)
+        for (std::size_t n = 0; n < prefixes; ++n)
+            state.prefixes.add(
+                static_cast<engine_number>(i), {{1, base::random_bits()}});
+    return state;
+}
+
+void place_and_finish(benchmark::State& run) {
+    scheduler state = full_scheduler(run.range(0));
+    auto query = query_of(8000, 300);
+    std::uint64_t number = 1U << 30U;
+    for (auto _ : run) {
+        query.prefix.clear();
+        for (std::uint32_t blocks = 1; blocks <= 128; blocks *= 2)
+            query.prefix.push_back({blocks, ++number});
+        const auto answer = place(state, query, {}, start);
+        take_progress(state, {answer.attempt, progress_phase::finished}, start);
+        benchmark::DoNotOptimize(answer.attempt.data());
+    }
+    run.counters["engines"] = static_cast<double>(run.range(0));
+}
+
+} // namespace
+
+BENCHMARK(place_and_finish)
+    ->Arg(12)
+    ->Arg(25)
+    ->Arg(50)
+    ->Arg(100)
+    ->Arg(200)
+    ->Unit(benchmark::kMicrosecond);
--- /dev/null
+++ b/libs/routing/src/rendezvous.cpp
@@ -0,0 +1,26 @@
+#include <mintknot/routing/rendezvous.hpp>
+
+#include <xxhash.h>
+
+namespace mintknot::routing {
+
+std::string
+rendezvous(std::string_view job, const std::vector<std::string>& nodes) {
+    const std::uint64_t seed = XXH3_64bits(job.data(), job.size());
+    const std::string* best = nullptr;
+    std::uint64_t highest = 0;
+    for (const std::string& node : nodes) {
+        const std::uint64_t weight =
+            XXH3_64bits_withSeed(node.data(), node.size(), seed);
+        // Equal hashes are settled by name, so that all agree.
+        const bool better = best == nullptr || weight > highest ||
+                            (weight == highest && node < *best);
+        if (!better)
+            continue;
+        best = &node;
+        highest = weight;
+    }
+    return best == nullptr ? std::string{} : *best;
+}
+
+} // namespace mintknot::routing
--- /dev/null
+++ b/libs/routing/tests/test_rendezvous.cpp
@@ -0,0 +1,28 @@
+#include <mintknot/routing/rendezvous.hpp>
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace mintknot;
+
+Test(rendezvous, does_not_depend_on_the_order) {
+    const auto chosen = routing::rendezvous("job", {"a", "b", "c"});
+    cr_assert(chosen == routing::rendezvous("job", {"c", "a", "b"}));
+    cr_assert(routing::rendezvous("job", {}).empty());
+}
+
+Test(rendezvous, a_node_that_goes_moves_only_its_own_jobs) {
+    const std::vector<std::string> all{"a", "b", "c", "d"};
+    const std::vector<std::string> rest{"a", "b", "c"};
+    std::map<std::string, int> jobs;
+    for (int i = 0; i < 1000; ++i) {
+        const auto job = std::to_string(i);
+        const auto before = routing::rendezvous(job, all);
+        ++jobs[before];
+        if (before != "d")
+            cr_assert(routing::rendezvous(job, rest) == before);
+    }
+    for (const auto& [node, count] : jobs)
+        cr_assert(count > 150 && count < 350, "%s", node.c_str());
+}
