--- a/libs/routing/include/mintknot/routing/engine_table.hpp
+++ b/libs/routing/include/mintknot/routing/engine_table.hpp
@@ -35,7 +35,6 @@
     std::string name;
     base::address where;
     std::string pool;
-    std::string data_centre;
     config::pool_role role = config::pool_role::both;
     double link_tokens_per_second = 0.0;
     double most_ejected = 0.5;
@@ -57,7 +56,8 @@
     base::steady_time ejected_until;
 };
 
-/// All engines of one service. Numbers stay with a name for the table's life.
+/// The engines of one service in one data centre. Numbers stay with a name for
+/// the table's life.
 struct engine_table {
     std::vector<engine_entry> engines;
     std::unordered_map<std::string, engine_number> by_name;
@@ -66,7 +66,7 @@
 /// Brings the table in line with the configuration.
 void follow_configuration(
     engine_table& table, const config::catalogue& current,
-    const std::string& service);
+    const std::string& service, const std::string& data_centre);
 
 /// @return the engine of that name, or nullptr.
 engine_entry* find_engine(engine_table& table, const std::string& name);
--- a/libs/routing/include/mintknot/routing/placement.hpp
+++ b/libs/routing/include/mintknot/routing/placement.hpp
@@ -19,12 +19,12 @@
     std::string service;
     std::string request_class;
     std::string organisation;
-    std::string data_centre; ///< Where the caller came in.
     std::uint64_t prompt_tokens = 0;
     std::uint64_t max_tokens = 0;
     std::vector<base::prefix_hash> prefix;
     std::vector<std::string> excluded; ///< Engines that failed it before.
     base::milliseconds time_left{0};   ///< Until its deadline.
+    bool may_wait = true; ///< false: be refused rather than queued.
     /// Set when a kept prefill result only needs another decode engine.
     std::string prefilled_on;
 };
@@ -56,8 +56,8 @@
 
 /// Chooses the pair with the lowest cost: predicted latencies relative to
 /// their targets, weighed by the goodput weight, and the share of the prompt
-/// that has to be computed, weighed by the wasted-prefill weight. Prefill and
-/// decode are in the same data centre; other data centres cost extra.
+/// that has to be computed, weighed by the wasted-prefill weight. The table
+/// holds the engines of one data centre, so that no transfer leaves it.
 /// Processor time is linear in the number of engines.
 place_choice choose(
     const engine_table& table, const prefix_index& prefixes,
--- a/libs/routing/src/engine_table.cpp
+++ b/libs/routing/src/engine_table.cpp
@@ -42,17 +42,17 @@
 
 void follow_configuration(
     engine_table& table, const config::catalogue& current,
-    const std::string& service) {
+    const std::string& service, const std::string& data_centre) {
     for (engine_entry& engine : table.engines)
         engine.listed = false;
     for (const auto& [name, server] : current.backend_servers()) {
         const auto pool = current.pool(server->spec.pool);
-        if (!pool || pool->spec.service != service)
+        if (!pool || pool->spec.service != service ||
+            server->spec.data_centre != data_centre)
             continue;
         engine_entry& engine = entry_for(table, name);
         engine.where = server->spec.where;
         engine.pool = server->spec.pool;
-        engine.data_centre = server->spec.data_centre;
         engine.role = pool->spec.role;
         engine.link_tokens_per_second = server->spec.link_tokens_per_second;
         engine.most_ejected = pool->spec.most_ejected;
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -6,14 +6,11 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
 
 namespace mintknot::routing {
 
 namespace {
 
-/// Cost of leaving the caller's data centre, in units of a latency target.
-constexpr double other_data_centre_cost = 0.5;
 /// Cost of a predicted miss of a target.
 constexpr double missed_target_cost = 4.0;
 /// Weight of memory pressure, so that equal engines fill evenly.
@@ -23,7 +20,7 @@
 /// Candidates kept for the record.
 constexpr std::size_t most_recorded = 8;
 
-/// The best engine for one step within one data centre.
+/// The best engine for one step.
 struct step_choice {
     std::optional<engine_number> engine;
     double cost = std::numeric_limits<double>::infinity();
@@ -31,15 +28,6 @@
     std::uint64_t cached_tokens = 0;
 };
 
-/// The best prefill and decode engine of one data centre.
-struct data_centre_choice {
-    step_choice prefill;
-    step_choice decode;
-
-    bool whole() const { return prefill.engine && decode.engine; }
-    double cost() const { return prefill.cost + decode.cost; }
-};
-
 bool is_excluded(const place_query& query, const engine_entry& engine) {
     return std::find(
                query.excluded.begin(), query.excluded.end(), engine.name) !=
@@ -119,7 +107,8 @@
     const place_query& query_;
     const place_goal& goal_;
     base::steady_time now_;
-    std::map<std::string_view, data_centre_choice> by_data_centre_;
+    step_choice prefill_;
+    step_choice decode_;
     std::size_t usable_prefill_ = 0;
     std::size_t usable_decode_ = 0;
     std::size_t out_of_memory_ = 0;
@@ -160,20 +149,17 @@
     const double wait_ms = kept ? 0.0 : wait_and_prefill_ms(engine, uncached);
     const double predicted = wait_ms + transfer_ms(engine, prompt);
 
-    double cost =
+    const double cost =
         goal_.weights.goodput * latency_cost(predicted, goal_.first_token) +
         goal_.weights.wasted_prefill * uncached / prompt;
-    if (engine.data_centre != query_.data_centre)
-        cost += other_data_centre_cost;
     candidates_.add(
         engine, "prefill", cost,
         fmt::format(
             "queue and prefill {:.0f} ms, transfer {:.0f} ms, {} of {} tokens "
             "cached",
             wait_ms, predicted - wait_ms, cached, query_.prompt_tokens));
-    step_choice& best = by_data_centre_[engine.data_centre].prefill;
-    if (cost < best.cost)
-        best = {number, cost, predicted, cached};
+    if (cost < prefill_.cost)
+        prefill_ = {number, cost, predicted, cached};
 }
 
 void chooser::weigh_decode(engine_number number) {
@@ -200,9 +186,8 @@
         fmt::format(
             "{:.1f} ms per token, {:.0f}% of the memory used", predicted,
             100.0 * fullness));
-    step_choice& best = by_data_centre_[engine.data_centre].decode;
-    if (cost < best.cost)
-        best = {number, cost, predicted, 0};
+    if (cost < decode_.cost)
+        decode_ = {number, cost, predicted, 0};
 }
 
 place_choice chooser::none() const {
@@ -222,28 +207,22 @@
 }
 
 place_choice chooser::result() {
-    const data_centre_choice* best = nullptr;
-    for (const auto& [name, choice] : by_data_centre_)
-        if (choice.whole() && (best == nullptr || choice.cost() < best->cost()))
-            best = &choice;
-    if (best == nullptr) {
+    if (!prefill_.engine || !decode_.engine) {
         place_choice choice = none();
         choice.candidates = candidates_.best();
         return choice;
     }
     place_choice choice;
     choice.chosen = placement{
-        *best->prefill.engine, *best->decode.engine,
-        best->prefill.cached_tokens,
-        best->prefill.predicted_ms + best->decode.predicted_ms,
-        best->decode.predicted_ms};
+        *prefill_.engine, *decode_.engine, prefill_.cached_tokens,
+        prefill_.predicted_ms + decode_.predicted_ms, decode_.predicted_ms};
     choice.candidates = candidates_.best();
     choice.sentence = fmt::format(
         "prefill on {}, decode on {}: first token expected in {:.0f} ms, then "
         "{:.1f} ms per token",
-        table_.engines[*best->prefill.engine].name,
-        table_.engines[*best->decode.engine].name,
-        choice.chosen->first_token_ms, choice.chosen->per_token_ms);
+        table_.engines[*prefill_.engine].name,
+        table_.engines[*decode_.engine].name, choice.chosen->first_token_ms,
+        choice.chosen->per_token_ms);
     return choice;
 }
 
--- a/libs/routing/src/scheduler.cpp
+++ b/libs/routing/src/scheduler.cpp
@@ -255,6 +255,13 @@
     if (answer.end != place_answer::state::queued)
         return answer;
 
+    if (!query.may_wait) {
+        place_choice no_room;
+        no_room.code = answer.record.code;
+        no_room.sentence = answer.record.sentence;
+        no_room.candidates = answer.record.candidates;
+        return refuse(query, std::move(no_room), goal.first_token);
+    }
     if (state.queue.size() >= state.options.most_queued) {
         place_choice full;
         full.code = base::reason::queue_full;
