--- a/libs/routing/benchmarks/bench_placement.cpp
+++ b/libs/routing/benchmarks/bench_placement.cpp
@@ -34,6 +34,7 @@
         query.prefix.clear();
         for (std::uint32_t blocks = 1; blocks <= 128; blocks *= 2)
             query.prefix.push_back({blocks, ++number});
+        query.attempt = std::to_string(number);
         const auto answer = place(state, query, {}, start);
         take_progress(state, {answer.attempt, progress_phase::finished}, start);
         benchmark::DoNotOptimize(answer.attempt.data());
--- a/libs/routing/include/mintknot/routing/placement.hpp
+++ b/libs/routing/include/mintknot/routing/placement.hpp
@@ -16,6 +16,7 @@
 /// What a placement has to know of a request.
 struct place_query {
     std::string request; ///< Request ID, for the record.
+    std::string attempt; ///< Unique name of this try, chosen by the entry.
     std::string service;
     std::string request_class;
     std::string organisation;
--- a/libs/routing/src/scheduler.cpp
+++ b/libs/routing/src/scheduler.cpp
@@ -1,7 +1,5 @@
 #include <mintknot/routing/scheduler.hpp>
 
-#include <mintknot/base/random.hpp>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -135,6 +133,12 @@
     const engine_entry& prefill = state.table.engines[where.prefill];
     const engine_entry& decode = state.table.engines[where.decode];
 
+    // The same try may be asked for twice, after a lost answer.
+    const auto earlier = state.reservations.find(query.attempt);
+    if (earlier != state.reservations.end()) {
+        release(state, earlier->second);
+        state.reservations.erase(earlier);
+    }
     reservation held;
     held.query = query;
     held.where = where;
@@ -148,7 +152,7 @@
 
     place_answer answer;
     answer.end = place_answer::state::placed;
-    answer.attempt = base::random_token();
+    answer.attempt = query.attempt;
     answer.where = where;
     answer.prefill_name = prefill.name;
     answer.decode_name = decode.name;
--- a/libs/routing/tests/engine_fixture.hpp
+++ b/libs/routing/tests/engine_fixture.hpp
@@ -2,6 +2,7 @@
 #ifndef MINTKNOT_ROUTING_TESTS_ENGINE_FIXTURE_HPP
 #define MINTKNOT_ROUTING_TESTS_ENGINE_FIXTURE_HPP
 
+#include <mintknot/base/random.hpp>
 #include <mintknot/routing/scheduler.hpp>
 
 namespace mintknot::routing::tests {
@@ -30,6 +31,7 @@
 inline place_query query_of(std::uint64_t prompt, std::uint64_t output) {
     place_query query;
     query.request = "r";
+    query.attempt = base::random_token();
     query.prompt_tokens = prompt;
     query.max_tokens = output;
     query.time_left = base::milliseconds{60000};
--- a/libs/routing/tests/test_scheduler.cpp
+++ b/libs/routing/tests/test_scheduler.cpp
@@ -129,6 +129,7 @@
     state.prefixes.add(0, query.prefix);
     auto now = start;
     for (int i = 0; i < 30; ++i) {
+        query.attempt = std::to_string(i);
         const auto answer = place(state, query, goal, now);
         cr_assert(answer.end == end::placed);
         now += second; // 4000 tokens in a second, and nothing was cached.
@@ -149,3 +150,14 @@
     cr_assert_eq(state.table.engines[1].failures, 1);
     cr_assert(holds_nothing(state));
 }
+
+Test(scheduler, the_same_attempt_reserves_once) {
+    auto state = small_scheduler();
+    const auto query = query_of(1000, 100);
+    place(state, query, goal, start);
+    const auto again = place(state, query, goal, start);
+    cr_assert(again.end == end::placed);
+    cr_assert_eq(state.table.engines[1].reserved, 1100U);
+    take_progress(state, {again.attempt, progress_phase::finished}, start);
+    cr_assert(holds_nothing(state));
+}
--- a/libs/rpc/src/codec.cpp
+++ b/libs/rpc/src/codec.cpp
@@ -41,6 +41,7 @@
 
 void fill(wire::place_query& target, const routing::place_query& source) {
     target.set_request(source.request);
+    target.set_attempt(source.attempt);
     target.set_service(source.service);
     target.set_request_class(source.request_class);
     target.set_organisation(source.organisation);
@@ -61,6 +62,7 @@
 routing::place_query query_from(const wire::place_query& source) {
     routing::place_query result;
     result.request = source.request();
+    result.attempt = source.attempt();
     result.service = source.service();
     result.request_class = source.request_class();
     result.organisation = source.organisation();
