Add the whole path as one process: mintknotd

Cause: requests need an entry that carries them from placement to the last token, and operators an interface.

--- a/libs/audit/include/mintknot/audit/decision.hpp
+++ b/libs/audit/include/mintknot/audit/decision.hpp
@@ -62,6 +62,10 @@
 
 nlohmann::json to_json(const decision& value);
 
+/// Reads a record that another instance wrote. Fields that cannot be read keep
+/// their defaults: a record is for people, never for decisions.
+decision decision_from_json(const std::string& text);
+
 } // namespace mintknot::audit
 
 #endif
--- a/libs/audit/src/decision.cpp
+++ b/libs/audit/src/decision.cpp
@@ -1,5 +1,8 @@
 #include <mintknot/audit/decision.hpp>
 
+#include <mintknot/base/json_reader.hpp>
+
+#include <algorithm>
 #include <array>
 
 namespace mintknot::audit {
@@ -15,6 +18,13 @@
     std::string_view("finish"),       std::string_view("order"),
     std::string_view("config_change")};
 
+decision_kind kind_from(const std::string& name) {
+    const auto position = std::find(kind_names.begin(), kind_names.end(), name);
+    if (position == kind_names.end())
+        return decision_kind::placement;
+    return static_cast<decision_kind>(position - kind_names.begin());
+}
+
 } // namespace
 
 std::string_view to_string(decision_kind kind) noexcept {
@@ -45,4 +55,32 @@
     return document;
 }
 
+decision decision_from_json(const std::string& text) {
+    using base::field_or;
+    using nlohmann::json;
+    const json document = json::parse(text, nullptr, false);
+    decision value;
+    value.when = base::wall_time(
+        base::milliseconds{field_or(document, "time_ms", std::int64_t{0})});
+    value.request = field_or(document, "request", std::string());
+    value.kind = kind_from(field_or(document, "kind", std::string()));
+    value.code =
+        base::parse_reason(field_or(document, "reason", std::string()));
+    value.sentence = field_or(document, "sentence", std::string());
+    value.choice = field_or(document, "choice", std::string());
+    value.config_revision =
+        field_or(document, "config_revision", std::uint64_t{0});
+    for (const json& item : field_or(document, "candidates", json::array()))
+        value.candidates.push_back(
+            {field_or(item, "name", std::string()),
+             field_or(item, "score", 0.0),
+             field_or(item, "note", std::string())});
+    for (const json& item : field_or(document, "inputs", json::array()))
+        value.inputs.push_back(
+            {field_or(item, "name", std::string()),
+             field_or(item, "value", std::string()),
+             base::milliseconds{field_or(item, "age_ms", std::int64_t{0})}});
+    return value;
+}
+
 } // namespace mintknot::audit
--- a/libs/audit/tests/test_decision_log.cpp
+++ b/libs/audit/tests/test_decision_log.cpp
@@ -37,3 +37,15 @@
     cr_assert_eq(log.recent(2).size(), 2U);
     cr_assert_str_eq(log.recent(2)[0].choice.c_str(), "8");
 }
+
+Test(decision, survives_a_round_trip) {
+    audit::decision value = about("r", "e1");
+    value.kind = audit::decision_kind::refusal;
+    value.code = base::reason::queue_full;
+    value.candidates = {{"e1", 1.5, "full"}};
+    value.inputs = {{"load", "7", base::milliseconds{30}}};
+    const auto document = audit::to_json(value);
+    const auto read = audit::decision_from_json(document.dump());
+    cr_assert(audit::to_json(read) == document);
+    cr_assert(audit::decision_from_json("garbage").request.empty());
+}
--- a/libs/base/include/mintknot/base/reason.hpp
+++ b/libs/base/include/mintknot/base/reason.hpp
@@ -44,6 +44,8 @@
     caller_gone,
     orphaned,
     conflict,
+    history_gone,
+    still_referenced,
     platform_unreachable,
     outcome_unknown,
     internal,
@@ -52,6 +54,9 @@
 /// @return the code as it is written in answers and records.
 std::string_view to_string(reason value) noexcept;
 
+/// @return the reason with that code; internal if there is none.
+reason parse_reason(std::string_view text) noexcept;
+
 /// @return the HTTP status that a refusal for this reason carries.
 int http_status(reason value) noexcept;
 
--- a/libs/base/src/reason.cpp
+++ b/libs/base/src/reason.cpp
@@ -53,6 +53,8 @@
     reason_row{reason::caller_gone, "caller_gone", 499, false},
     reason_row{reason::orphaned, "orphaned", 499, false},
     reason_row{reason::conflict, "conflict", 409, false},
+    reason_row{reason::history_gone, "history_gone", 410, false},
+    reason_row{reason::still_referenced, "still_referenced", 409, false},
     reason_row{reason::platform_unreachable, "platform_unreachable", 503, true},
     reason_row{reason::outcome_unknown, "outcome_unknown", 503, false},
     reason_row{reason::internal, "internal", 500, false},
@@ -73,6 +75,13 @@
     return row_of(value).name;
 }
 
+reason parse_reason(std::string_view text) noexcept {
+    for (const reason_row& row : reason_table)
+        if (row.name == text)
+            return row.code;
+    return reason::internal;
+}
+
 int http_status(reason value) noexcept {
     return row_of(value).status;
 }
--- a/libs/config/include/mintknot/config/catalogue.hpp
+++ b/libs/config/include/mintknot/config/catalogue.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,6 +64,9 @@
     const entry_map<backend_server_spec>& backend_servers() const;
     const entry_map<service_spec>& services() const;
 
+    /// @return the data centres that have backend servers.
+    std::set<std::string> data_centres() const;
+
     /// @return every resource of a kind, in the order of names.
     std::vector<resource> list(resource_kind kind) const;
     /// @return the resource; its revision is 0 if there is none.
--- a/libs/config/src/catalogue.cpp
+++ b/libs/config/src/catalogue.cpp
@@ -214,6 +214,13 @@
     return *kinds_->services;
 }
 
+std::set<std::string> catalogue::data_centres() const {
+    std::set<std::string> found;
+    for (const auto& [name, item] : *kinds_->servers)
+        found.insert(item->spec.data_centre);
+    return found;
+}
+
 std::vector<resource> catalogue::list(resource_kind kind) const {
     switch (kind) {
     case resource_kind::service:
--- a/libs/engine/include/mintknot/engine/orders.hpp
+++ b/libs/engine/include/mintknot/engine/orders.hpp
@@ -54,7 +54,8 @@
     finish_reason finish = finish_reason::none; ///< For end.
 };
 
-/// A stream that an engine holds, as its report tells.
+/// An attempt for which an engine holds something (a queued prefill, a kept
+/// result, a stream), as its report tells.
 struct held_stream {
     std::string attempt;
     std::string holder;
--- /dev/null
+++ b/libs/operators/src/operator_api.cpp
@@ -0,0 +1,201 @@
+#include <mintknot/operators/operator_api.hpp>
+
+#include "resource_handlers.hpp"
+#include "status_report.hpp"
+
+#include <mintknot/base/sha256.hpp>
+#include <mintknot/base/status_text.hpp>
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <algorithm>
+
+namespace mintknot::operators {
+
+namespace {
+
+using base::reason;
+using nlohmann::json;
+using request = httplib::Request;
+using response = httplib::Response;
+
+constexpr std::string_view bearer = "Bearer ";
+constexpr std::size_t recent_decisions = 100;
+
+} // namespace
+
+struct operator_api::impl {
+    explicit impl(operator_parts given)
+        : parts(std::move(given)) {}
+
+    using handler = std::function<void(
+        const std::string& author, const request&, response&)>;
+
+    const operator_parts parts;
+
+    std::string author_of(const request& in) const;
+    httplib::Server::Handler guarded(handler inner) const;
+    void explain(const request& in, response& out) const;
+    json records_of(const base::request_id& id, json& unreachable) const;
+};
+
+/// @return the name of the operator's key, or an empty text.
+std::string operator_api::impl::author_of(const request& in) const {
+    const std::string header = in.get_header_value("Authorization");
+    if (!header.starts_with(bearer))
+        return {};
+    const std::string digest = base::sha256_hex(header.substr(bearer.size()));
+    const auto position = std::find_if(
+        parts.keys.begin(), parts.keys.end(),
+        [&](const config::operator_key& key) {
+            return key.key_digest == digest;
+        });
+    return position == parts.keys.end() ? std::string{} : position->name;
+}
+
+httplib::Server::Handler operator_api::impl::guarded(handler inner) const {
+    return [this, inner = std::move(inner)](const request& in, response& out) {
+        const std::string author = author_of(in);
+        if (!author.empty())
+            return inner(author, in, out);
+        const bool sent = in.has_header("Authorization");
+        send_refusal(
+            out, {sent ? reason::unknown_key : reason::missing_key,
+                  sent ? "the key is not an operator's"
+                       : "the header 'Authorization: Bearer KEY' is needed"});
+    };
+}
+
+/// Records are kept by the instance that holds the request.
+json operator_api::impl::records_of(
+    const base::request_id& id, json& unreachable) const {
+    const std::string name = base::to_string(id);
+    const auto view = parts.control.view();
+    json records = json::array();
+    if (id.holder == view->self) {
+        for (const auto& record : parts.decisions.find(name))
+            records.push_back(audit::to_json(record));
+        return records;
+    }
+    const auto holder = control::find_live(*view, id.holder);
+    if (!holder) {
+        unreachable = base::to_string(id.holder);
+        return records;
+    }
+    const auto answer = parts.peers.explain(holder->rpc, name);
+    if (!answer.ok()) {
+        unreachable = base::to_string(id.holder);
+        return records;
+    }
+    return json::parse(*answer, nullptr, false);
+}
+
+void operator_api::impl::explain(const request& in, response& out) const {
+    const std::string text = in.matches[1];
+    const auto id = base::parse_request_id(text);
+    if (!id.ok())
+        return send_refusal(
+            out,
+            {reason::bad_field, fmt::format("'{}' is not a request ID", text)});
+    json unreachable;
+    const json records = records_of(*id, unreachable);
+    if (!unreachable.is_null())
+        return send_refusal(
+            out, {reason::not_found,
+                  fmt::format(
+                      "the instance {} that held the request is gone or out "
+                      "of reach, and with it its records",
+                      unreachable.get<std::string>())});
+    if (records.empty())
+        return send_refusal(
+            out, {reason::not_found,
+                  "no record of that request is kept (any more)"});
+    send_json(out, 200, {{"request", text}, {"decisions", records}});
+}
+
+operator_api::operator_api(operator_parts parts)
+    : impl_(std::make_unique<impl>(std::move(parts))) {}
+
+operator_api::~operator_api() = default;
+
+void operator_api::add_health_routes(httplib::Server& routes) {
+    routes.Get("/healthz", [](const request&, response& out) {
+        out.set_content("ok\n", "text/plain");
+    });
+    routes.Get("/readyz", [this](const request&, response& out) {
+        const readiness state = impl_->parts.is_ready();
+        out.status = state.ready ? 200 : 503;
+        out.set_content(state.sentence + "\n", "text/plain");
+    });
+}
+
+void operator_api::add_routes(httplib::Server& routes) {
+    const operator_parts& parts = impl_->parts;
+    const std::string one = "/v1/resources/([^/]+)/([^/]+)";
+    add_health_routes(routes);
+    routes.Get("/metrics", [&parts](const request&, response& out) {
+        out.set_content(parts.metrics.text(), "text/plain; version=0.0.4");
+    });
+    const auto list = impl_->guarded(
+        [&parts](const std::string&, const request& in, response& out) {
+            list_resources(parts, in, out);
+        });
+    routes.Get("/v1/resources", list);
+    routes.Get("/v1/resources/([^/]+)", list);
+    routes.Get(
+        one,
+        impl_->guarded(
+            [&parts](const std::string&, const request& in, response& out) {
+                get_resource(parts, in, out);
+            }));
+    routes.Put(
+        one, impl_->guarded(
+                 [&parts](
+                     const std::string& author, const request& in,
+                     response& out) { put_resource(parts, author, in, out); }));
+    routes.Delete(
+        one, impl_->guarded([&parts](
+                                const std::string& author, const request& in,
+                                response& out) {
+            delete_resource(parts, author, in, out);
+        }));
+    routes.Get(
+        "/v1/changes/([^/]+)",
+        impl_->guarded(
+            [&parts](const std::string&, const request& in, response& out) {
+                get_change(parts, in, out);
+            }));
+    routes.Get(
+        "/v1/why/([^/]+)",
+        impl_->guarded(
+            [this](const std::string&, const request& in, response& out) {
+                impl_->explain(in, out);
+            }));
+    routes.Get(
+        "/v1/decisions",
+        impl_->guarded([&parts](
+                           const std::string&, const request&, response& out) {
+            json records = json::array();
+            for (const auto& record : parts.decisions.recent(recent_decisions))
+                records.push_back(audit::to_json(record));
+            send_json(out, 200, {{"decisions", records}});
+        }));
+    routes.Get(
+        "/v1/status",
+        impl_->guarded(
+            [&parts](const std::string&, const request&, response& out) {
+                send_json(out, 200, status_report(parts));
+            }));
+    routes.set_error_handler([](const request& in, response& out) {
+        if (!out.body.empty())
+            return;
+        const int status = out.status;
+        send_refusal(
+            out, {status == 404 ? reason::not_found : reason::bad_field,
+                  fmt::format("{} {}: not understood", in.method, in.path)});
+        out.status = status;
+    });
+}
+
+} // namespace mintknot::operators
--- a/libs/routing/include/mintknot/routing/engine_table.hpp
+++ b/libs/routing/include/mintknot/routing/engine_table.hpp
@@ -68,6 +68,11 @@
     engine_table& table, const config::catalogue& current,
     const std::string& service, const std::string& data_centre);
 
+/// Adds the servers of one more data centre to those that are listed.
+void add_listed(
+    engine_table& table, const config::catalogue& current,
+    const std::string& service, const std::string& data_centre);
+
 /// @return the engine of that name, or nullptr.
 engine_entry* find_engine(engine_table& table, const std::string& name);
 
--- a/libs/routing/src/engine_table.cpp
+++ b/libs/routing/src/engine_table.cpp
@@ -45,6 +45,12 @@
     const std::string& service, const std::string& data_centre) {
     for (engine_entry& engine : table.engines)
         engine.listed = false;
+    add_listed(table, current, service, data_centre);
+}
+
+void add_listed(
+    engine_table& table, const config::catalogue& current,
+    const std::string& service, const std::string& data_centre) {
     for (const auto& [name, server] : current.backend_servers()) {
         const auto pool = current.pool(server->spec.pool);
         if (!pool || pool->spec.service != service ||
@@ -112,6 +118,9 @@
         return "leaving";
     if (engine.ejected_until > now)
         return "ejected after failures";
+    // Plain servers make no reports.
+    if (engine.role == config::pool_role::plain)
+        return {};
     if (engine.load.read_at == base::steady_time{})
         return "no report yet";
     if (!engine.load.reachable)
--- a/testing/standins/src/engine_model.cpp
+++ b/testing/standins/src/engine_model.cpp
@@ -28,6 +28,7 @@
     engine::prefill_order order;
     std::uint64_t tokens = 0;
     std::uint64_t queue_number = 0;
+    steady_time taken_at = steady_clock::now();
     bool running = false;
     bool cancelled = false;
     std::optional<prefill_end> end;
@@ -36,6 +37,8 @@
 
 struct kept_result {
     std::string attempt;
+    std::string holder;
+    steady_time taken_at;
     std::string prompt;
     std::uint64_t tokens = 0;
     std::uint64_t computed = 0;
@@ -178,7 +181,12 @@
         cache.store(hashes);
         const std::string handle = base::random_token();
         results[handle] = {
-            job->order.header.attempt, job->order.prompt, job->tokens, computed,
+            job->order.header.attempt,
+            job->order.header.holder,
+            job->taken_at,
+            job->order.prompt,
+            job->tokens,
+            computed,
             steady_clock::now() + options.result_kept};
         result.end = prefill_end::state::done;
         result.result = {handle, job->tokens, cached, options.result_kept};
@@ -278,6 +286,15 @@
     report.queued_prefill = queued_prefill;
     report.step_ms = last_step_ms;
     report.leaving = leaving;
+    const auto age = [now](steady_time since) {
+        return std::chrono::duration_cast<base::milliseconds>(now - since);
+    };
+    for (const auto& [attempt, job] : jobs)
+        report.streams.push_back(
+            {attempt, job->order.header.holder, false, age(job->taken_at)});
+    for (const auto& [handle, result] : results)
+        report.streams.push_back(
+            {result.attempt, result.holder, false, age(result.taken_at)});
     for (const auto& [attempt, entry] : streams) {
         const bool read = entry->readers > 0;
         const auto unread =
