--- a/libs/cluster/include/mintknot/cluster/membership.hpp
+++ b/libs/cluster/include/mintknot/cluster/membership.hpp
@@ -55,6 +55,9 @@
     /// heartbeat, to be passed on within the own data centre.
     std::vector<member> to_relay;
     std::uint64_t beats = 0;
+    /// Set when the own state has changed: the next beat tells every data
+    /// centre at once, whoever the delegate is.
+    bool announce = false;
 };
 
 /// A datagram to be sent.
@@ -87,8 +90,9 @@
     const membership& state, const base::instance_id& id,
     base::steady_time now);
 
-/// @return names ("data-centre.name") of ready instances of a data centre; of
-/// all data centres if it has none.
+/// @return names ("data-centre.name") of ready instances of a data centre; if
+/// it has none, of those that were starting; if none either, of ready ones of
+/// all data centres.
 std::vector<std::string>
 ready_names(const std::vector<member>& members, const std::string& data_centre);
 
--- a/libs/cluster/src/membership.cpp
+++ b/libs/cluster/src/membership.cpp
@@ -115,7 +115,9 @@
 
     for (auto& [data_centre, members] : remote) {
         const std::string job = state.self.id.data_centre + ">" + data_centre;
-        if (routing::rendezvous(job, candidates) != name_of(state.self))
+        const bool delegate =
+            routing::rendezvous(job, candidates) == name_of(state.self);
+        if (!delegate && !state.announce)
             continue;
         // Their own members too: some of them may share nothing but a seed.
         heartbeat digest;
@@ -185,8 +187,9 @@
             if (!is_fresh(state, other, now))
                 add_datagrams(result, other.heartbeat, hello);
     }
-    if (state.beats % beats_between_digests == 1)
+    if (state.announce || state.beats % beats_between_digests == 1)
         add_digests(state, result, local, now);
+    state.announce = false;
     return result;
 }
 
@@ -231,16 +234,23 @@
 
 std::vector<std::string> ready_names(
     const std::vector<member>& members, const std::string& data_centre) {
-    std::vector<std::string> local;
-    std::vector<std::string> all;
+    std::vector<std::string> ready;
+    std::vector<std::string> starting;
+    std::vector<std::string> elsewhere;
     for (const member& item : members) {
-        if (item.state != member_state::ready)
-            continue;
-        all.push_back(name_of(item));
-        if (item.id.data_centre == data_centre)
-            local.push_back(name_of(item));
+        const bool here = item.id.data_centre == data_centre;
+        const bool is_ready = item.state == member_state::ready;
+        if (here && is_ready)
+            ready.push_back(name_of(item));
+        else if (here && item.state == member_state::starting)
+            starting.push_back(name_of(item));
+        else if (is_ready)
+            elsewhere.push_back(name_of(item));
     }
-    return local.empty() ? all : local;
+    if (!ready.empty())
+        return ready;
+    // News from other data centres lags: who was starting may be ready now.
+    return starting.empty() ? elsewhere : starting;
 }
 
 } // namespace mintknot::cluster
--- a/libs/cluster/tests/test_membership.cpp
+++ b/libs/cluster/tests/test_membership.cpp
@@ -122,6 +122,24 @@
     cr_assert(all.sent < 4 * 60 * 14 * 2, "%zu", all.sent);
 }
 
+Test(membership, a_change_of_state_is_told_everywhere_at_once) {
+    small_cluster all;
+    for (int i = 1; i <= 9; ++i)
+        all.add(
+            "dc" + std::to_string((i - 1) / 3 + 1), i,
+            {small_cluster::address_of(1)});
+    all.run(41);
+    all.nodes[4].self.state = member_state::leaving;
+    all.nodes[4].announce = true;
+    // One beat to tell a member of each data centre, one to pass it on there.
+    all.run(2);
+    for (std::size_t n = 0; n < 9; ++n)
+        for (const member& item : live(all.nodes[n], all.now))
+            cr_assert(
+                item.id.name != "e5" || item.state == member_state::leaving,
+                "%zu", n);
+}
+
 Test(membership, ready_instances_of_the_data_centre_come_first) {
     std::vector<member> members(3);
     members[0].id = {"dc1", "a", 1};
--- a/libs/control/src/control_loop.cpp
+++ b/libs/control/src/control_loop.cpp
@@ -193,6 +193,7 @@
 
 void control_loop::impl::handle(state_message& item, base::steady_time now) {
     members.self.state = item.state;
+    members.announce = true;
     next_beat = now; // Everyone should know at once.
     publish(now);
 }
--- a/libs/entry/include/mintknot/entry/placer.hpp
+++ b/libs/entry/include/mintknot/entry/placer.hpp
@@ -40,7 +40,8 @@
     absl::StatusOr<rpc::placed_request>
     ask(const routing::place_query& query, const std::string& data_centre,
         std::optional<scheduler_location>& scheduler);
-    placed place_alone(const routing::place_query& query) const;
+    placed place_alone(
+        const routing::place_query& query, const std::string& why) const;
     std::vector<std::string> data_centres_of(const std::string& service) const;
 
     const config::change_feed& feed_;
--- a/libs/entry/src/placer.cpp
+++ b/libs/entry/src/placer.cpp
@@ -1,5 +1,9 @@
 #include <mintknot/entry/placer.hpp>
 
+#include <mintknot/base/status_text.hpp>
+
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <future>
 #include <set>
@@ -76,7 +80,8 @@
     return peers_.place(chosen->rpc, query, timeout);
 }
 
-placed placer::place_alone(const routing::place_query& query) const {
+placed placer::place_alone(
+    const routing::place_query& query, const std::string& why) const {
     const auto view = control_.view();
     routing::engine_table table;
     routing::follow_configuration(
@@ -92,7 +97,8 @@
     record.kind = choice.chosen ? audit::decision_kind::placement
                                 : audit::decision_kind::refusal;
     record.code = choice.code;
-    record.sentence = choice.sentence;
+    record.sentence =
+        fmt::format("{} (no scheduler answered: {})", choice.sentence, why);
     result.records.push_back(audit::to_json(record).dump());
     if (!choice.chosen) {
         result.request.refused = base::refusal{
@@ -123,12 +129,15 @@
     const bool may_move = query.prefilled_on.empty();
     const std::size_t asked = may_move ? data_centres.size() : 1;
     bool any_answer = false;
+    std::string last_error;
     const auto try_one = [&](const std::string& data_centre, bool may_wait) {
         query.may_wait = may_wait;
         std::optional<scheduler_location> scheduler;
         const auto answer = ask(query, data_centre, scheduler);
-        if (!answer.ok())
+        if (!answer.ok()) {
+            last_error = base::text_of(answer.status());
             return false;
+        }
         any_answer = true;
         if (!answer->record.empty())
             result.records.push_back(answer->record);
@@ -140,7 +149,7 @@
         if (try_one(data_centres[i], false))
             return result;
     if (!any_answer)
-        return place_alone(query);
+        return place_alone(query, last_error);
     // Waiting helps only where memory is short, not where time is.
     const bool worth_waiting =
         result.request.refused->code == base::reason::no_capacity;
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 #include <httplib.h>
+#include <sys/socket.h>
 
 #include <thread>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::size_t calls_per_connection = 100000;
+constexpr int accept_backlog = 1024;
 
 /// Adapts the growing pool to the library's interface.
 class pool_queue : public httplib::TaskQueue {
@@ -41,6 +43,7 @@
 
 struct http_server::impl {
     std::unique_ptr<httplib::Server> server;
+    int listener = -1;
     std::thread acceptor;
 };
 
@@ -53,6 +56,13 @@
         return new pool_queue(most_threads); // The library deletes it.
     };
     server.set_tcp_nodelay(true);
+    // The library's own choice, SO_REUSEPORT, would let two programs share a
+    // port without an error.
+    server.set_socket_options([this](int socket) {
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        impl_->listener = socket;
+    });
     server.set_keep_alive_max_count(calls_per_connection);
     server.set_keep_alive_timeout(options.keep_alive.count());
     server.set_read_timeout(options.read_timeout);
@@ -93,6 +103,9 @@
     if (!bound)
         return absl::UnavailableError(
             fmt::format("cannot listen on {}", base::to_string(where)));
+    // The library listens with a backlog of 5: in a burst of callers most
+    // would wait a second for their next try to connect.
+    listen(impl_->listener, accept_backlog);
     impl_->acceptor =
         std::thread([this] { impl_->server->listen_after_bind(); });
     // stop() has no effect on a server that has not begun to accept.
--- a/libs/net/tests/test_http.cpp
+++ b/libs/net/tests/test_http.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <httplib.h>
 
+#include <atomic>
 #include <latch>
 #include <thread>
 
@@ -94,3 +95,32 @@
     cr_assert_eq(bad.status, 503);
     cr_assert_str_eq(bad.body.c_str(), "full");
 }
+
+Test(http, a_taken_port_is_refused) {
+    net::http_server first({});
+    const auto where = start(first);
+    net::http_server second({});
+    cr_assert(!second.start(where).ok());
+}
+
+Test(http, a_burst_of_callers_all_connect) {
+    constexpr int callers = 200;
+    net::http_server server({.most_connections = callers});
+    std::latch all_here(callers);
+    server.routes().Get(
+        "/", [&](const auto&, auto&) { all_here.arrive_and_wait(); });
+    const auto where = start(server);
+    std::atomic<int> answered{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i)
+        threads.emplace_back([&] {
+            net::http_client client;
+            const auto answer = client.call(
+                where,
+                {.path = "/", .connect_timeout = base::milliseconds{900}});
+            answered += answer.answered() ? 1 : 0;
+        });
+    for (auto& thread : threads)
+        thread.join();
+    cr_assert_eq(answered.load(), callers);
+}
