--- a/libs/config/include/mintknot/config/settings.hpp
+++ b/libs/config/include/mintknot/config/settings.hpp
@@ -74,6 +74,9 @@
     peer_settings peers;
     platform_settings platform;
     engine_settings engines;
+    /// How long after SIGTERM new requests are still taken, for balancers
+    /// that notice late.
+    base::milliseconds stop_accept{0};
     /// Longest wait for open requests after SIGTERM.
     base::milliseconds stop_deadline{30000};
     /// Decision records kept in memory.
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -102,6 +102,8 @@
     result.data_centre = reader.required_name("data_centre");
     result.log_level = reader.choice(
         "log_level", result.log_level, {"debug", "info", "warning", "error"});
+    result.stop_accept =
+        reader.duration("stop_accept_ms", result.stop_accept, {0, 600000});
     result.stop_deadline = reader.duration(
         "stop_deadline_ms", result.stop_deadline, milliseconds_range);
     result.decisions_kept =
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -129,6 +129,7 @@
     std::optional<std::uint64_t> incarnation_of(const std::string& engine);
     control::watcher_parts watcher_parts_for();
     operators::operator_parts operator_parts_for();
+    void wait_for_balancers(const std::function<bool()>& hurry) const;
     bool wait_for_requests(const std::function<bool()>& hurry);
 };
 
@@ -298,7 +299,7 @@
 operators::readiness instance::impl::is_ready() const {
     if (callers.current_admission() == entry::admission::not_ready)
         return {false, "no configuration yet"};
-    if (callers.current_admission() == entry::admission::stopping)
+    if (callers.current_admission() != entry::admission::open)
         return {false, "stopping"};
     for (const supervise::child_status& child : status())
         if (child.state == supervise::child_state::hung ||
@@ -307,6 +308,15 @@
     return {true, "ready"};
 }
 
+/// Takes requests for a while longer: balancers notice late that the instance
+/// is not ready any more.
+void instance::impl::wait_for_balancers(
+    const std::function<bool()>& hurry) const {
+    const auto until = base::steady_clock::now() + chosen.stop_accept;
+    while (base::steady_clock::now() < until && !hurry())
+        std::this_thread::sleep_for(stop_look_period);
+}
+
 bool instance::impl::wait_for_requests(const std::function<bool()>& hurry) {
     const auto deadline = base::steady_clock::now() + chosen.stop_deadline;
     while (registry.open() > 0 || cancels.size() > 0) {
@@ -351,8 +361,10 @@
 
 bool instance::stop(const std::function<bool()>& hurry) {
     impl_->log.info("Stopping: {} requests are open.", impl_->registry.open());
-    impl_->callers.set_admission(entry::admission::stopping);
     impl_->control.set_state(cluster::member_state::leaving);
+    impl_->callers.set_admission(entry::admission::closing);
+    impl_->wait_for_balancers(hurry);
+    impl_->callers.set_admission(entry::admission::stopping);
     const bool whole = impl_->wait_for_requests(hurry);
     if (!whole)
         for (const auto& request : impl_->registry.all())
--- a/libs/entry/include/mintknot/entry/caller_api.hpp
+++ b/libs/entry/include/mintknot/entry/caller_api.hpp
@@ -24,8 +24,9 @@
 
 namespace mintknot::entry {
 
-/// Whether new requests are taken in.
-enum class admission { not_ready, open, stopping };
+/// Whether new requests are taken in. Closing: they are, but the instance
+/// tells balancers that it is not ready.
+enum class admission { not_ready, open, closing, stopping };
 
 /// What the interface works with. All must outlive it.
 struct caller_parts {
--- a/libs/load/include/mintknot/load/overhead.hpp
+++ b/libs/load/include/mintknot/load/overhead.hpp
@@ -16,6 +16,7 @@
 struct overhead_options {
     std::size_t streams = 1; ///< Concurrent calls.
     std::size_t rounds = 5;  ///< Each: once straight, once through mintknot.
+    std::size_t least_samples = 60; ///< More rounds if there are fewer calls.
     std::uint64_t prompt_tokens = 200;
     std::uint64_t output_tokens = 60;
     /// Start of the calls of a round, so that prefills do not queue up.
@@ -23,7 +24,6 @@
     mix_part part;
     /// Process of one instance, to read its memory; 0: none.
     pid_t instance = 0;
-    std::size_t instances = 1; ///< That share the calls.
 };
 
 /// Runs both ways in turn, round after round.
--- a/libs/load/src/overhead.cpp
+++ b/libs/load/src/overhead.cpp
@@ -104,7 +104,9 @@
     run_round(straight, options, warm_up);
     run_round(routed, options, warm_up);
     memory_peak memory(options.instance);
-    for (std::size_t round = 0; round < options.rounds; ++round) {
+    const std::size_t rounds =
+        std::max(options.rounds, options.least_samples / options.streams);
+    for (std::size_t round = 0; round < rounds; ++round) {
         run_round(straight, options, direct);
         run_round(routed, options, through);
     }
@@ -116,7 +118,7 @@
           "per_token_p99"})
         added[name] = right[name].get<double>() - left[name].get<double>();
     return {{"streams", options.streams},
-            {"rounds", options.rounds},
+            {"samples", rounds * options.streams},
             {"straight_ms", left},
             {"through_mintknot_ms", right},
             {"added_ms", added},
--- a/libs/operators/src/resource_handlers.cpp
+++ b/libs/operators/src/resource_handlers.cpp
@@ -21,6 +21,8 @@
 
 constexpr base::milliseconds watch_comment_period{1000};
 constexpr base::milliseconds outage_retry{1000};
+constexpr base::milliseconds read_own_write{1000};
+constexpr base::milliseconds look_again{300};
 const std::string json_type = "application/json";
 
 std::string dump(const json& document) {
@@ -87,7 +89,9 @@
     out.set_header("X-Change-Id", wanted.change_id);
     if (outcome.refused)
         return send_refusal(out, *outcome.refused, outcome.current);
+    // The next change at this instance may refer to this one.
     parts.hurry_reader();
+    parts.feed.wait_beyond(outcome.revision - 1, read_own_write);
     out.set_header("ETag", fmt::format("\"{}\"", outcome.revision));
     send_json(
         out, 200,
@@ -97,13 +101,25 @@
          {"change_id", wanted.change_id}});
 }
 
+/// Looks twice: a change accepted elsewhere may not be in force here yet.
+std::string
+broken_reference(const operator_parts& parts, const config::change& wanted) {
+    const auto current = parts.feed.current();
+    const std::string broken = current->broken_reference(wanted);
+    if (broken.empty())
+        return broken;
+    parts.hurry_reader();
+    parts.feed.wait_beyond(current->revision(), look_again);
+    return parts.feed.current()->broken_reference(wanted);
+}
+
 void write_change(
     const operator_parts& parts, const httplib::Request& in,
     config::change wanted, httplib::Response& out) {
     const auto expected = expected_revision(in);
     if (!expected)
         return send_refusal(out, expected.error());
-    const std::string broken = parts.feed.current()->broken_reference(wanted);
+    const std::string broken = broken_reference(parts, wanted);
     if (!broken.empty())
         return send_refusal(
             out, {wanted.erased ? reason::still_referenced : reason::bad_field,
--- a/libs/routing/benchmarks/bench_placement.cpp
+++ b/libs/routing/benchmarks/bench_placement.cpp
@@ -39,7 +39,7 @@
         take_progress(state, {answer.attempt, progress_phase::finished}, start);
         benchmark::DoNotOptimize(answer.attempt.data());
     }
-    run.counters["engines"] = static_cast<double>(run.range(0));
+    run.counters["size"] = static_cast<double>(run.range(0));
 }
 
 } // namespace
--- a/testing/e2e/test_operators.cpp
+++ b/testing/e2e/test_operators.cpp
@@ -98,6 +98,21 @@
     cr_assert_eq(conflicts.load(), 5);
 }
 
+Test(operators, a_reference_to_a_change_made_elsewhere_is_found) {
+    test_cluster cluster({});
+    for (std::size_t i = 0; i < 6; ++i) {
+        const std::string name = fmt::format("s{}", i);
+        const auto service = cluster.operate(
+            cluster.instances()[i % 3], "PUT", "/v1/resources/service/" + name,
+            json{{"model", name}}.dump());
+        cr_assert(service.ok(), "%s", service.body.c_str());
+        const auto pool = cluster.operate(
+            cluster.instances()[(i + 1) % 3], "PUT",
+            "/v1/resources/pool/" + name, json{{"service", name}}.dump());
+        cr_assert(pool.ok(), "%s", pool.body.c_str());
+    }
+}
+
 Test(operators, a_lost_answer_of_the_platform_is_read_back) {
     test_cluster cluster({});
     cluster.platform_faults({{"lose_answers", 1}});
--- a/testing/harness/include/mintknot/harness/test_cluster.hpp
+++ b/testing/harness/include/mintknot/harness/test_cluster.hpp
@@ -28,6 +28,8 @@
     nlohmann::json settings = nlohmann::json::object();
     /// Further resources to be applied.
     nlohmann::json resources = nlohmann::json::array();
+    /// false: start everything, but leave the configuration empty.
+    bool apply = true;
 };
 
 /// Keys of the organisations "norrvik" and "school", and of the operator.
@@ -84,15 +86,22 @@
     /// Sets the faults of the platform: see docs/STAND_INS.md.
     void platform_faults(const nlohmann::json& faults);
 
+    /// Writes the resources of this system as a file for `mintknot apply`.
+    /// @return its path.
+    std::string write_resources() const;
+
     /// @return the logs of all processes; printed when a test fails.
     std::string logs() const;
 
 private:
     void write_settings(const cluster_options& options);
-    void apply(const cluster_options& options);
+    void apply();
+    bool is_settled(const cluster_instance& instance, std::size_t revision);
+    void wait_until_up();
 
     std::string directory_;
     std::vector<std::string> engine_arguments_;
+    nlohmann::json resources_ = nlohmann::json::array();
     std::unique_ptr<child_process> platform_;
     base::address platform_at_;
     std::vector<cluster_engine> engines_;
--- a/testing/harness/src/test_cluster.cpp
+++ b/testing/harness/src/test_cluster.cpp
@@ -104,9 +104,20 @@
         start_engine(engines_.back());
     }
     write_settings(options);
+    resources_ = first_resources();
+    for (const cluster_engine& engine : engines_)
+        resources_.push_back(resource(
+            "backend_server", engine.name,
+            server(
+                engine.name.front() == 'p' ? "prefill" : "decode", engine.where,
+                options.data_centres.front())));
+    resources_.insert(
+        resources_.end(), options.resources.begin(), options.resources.end());
     for (cluster_instance& instance : instances_)
         start_instance(instance);
-    apply(options);
+    wait_until_up();
+    if (options.apply)
+        apply();
 }
 
 test_cluster::~test_cluster() {
@@ -175,47 +186,50 @@
     }
 }
 
-void test_cluster::apply(const cluster_options& options) {
-    json resources = first_resources();
-    for (const cluster_engine& engine : engines_)
-        resources.push_back(resource(
-            "backend_server", engine.name,
-            server(
-                engine.name.front() == 'p' ? "prefill" : "decode", engine.where,
-                options.data_centres.front())));
-    resources.insert(
-        resources.end(), options.resources.begin(), options.resources.end());
-    const bool up = eventually([this] {
-        return client_.call(instances_[0].operators, {.path = "/healthz"}).ok();
-    });
-    if (!up)
-        throw std::runtime_error("the first instance does not come up");
-    for (const json& item : resources)
-        put(item["kind"], item["name"], item["spec"]);
-    const std::size_t revision = resources.size();
+void test_cluster::wait_until_up() {
     for (const cluster_instance& instance : instances_) {
-        const bool ready = eventually([&] {
-            const auto answer = operate(instance, "GET", "/v1/status");
-            const json status = json::parse(answer.body, nullptr, false);
-            const json engines =
-                base::field_or(status, "engines", json::array());
-            const bool all_read = std::all_of(
-                engines.begin(), engines.end(), [&](const json& item) {
-                    // Plain servers make no reports, and loads stay within
-                    // their data centre.
-                    return base::field_or(item, "reachable", false) ||
-                           item["pool"] == "plain" ||
-                           item["data_centre"] != instance.data_centre;
-                });
-            return base::field_or(status, "ready", false) && all_read &&
-                   base::field_or(status, "config_revision", 0U) >= revision &&
-                   base::field_or(status, "instances", json::array()).size() ==
-                       instances_.size();
+        const bool up = eventually([&] {
+            return client_.call(instance.operators, {.path = "/healthz"}).ok();
         });
-        if (!ready)
+        if (!up)
+            throw std::runtime_error(instance.name + " does not come up");
+    }
+}
+
+/// Ready with the revision, all instances known, its engines read.
+bool test_cluster::is_settled(
+    const cluster_instance& instance, std::size_t revision) {
+    const auto answer = operate(instance, "GET", "/v1/status");
+    const json status = json::parse(answer.body, nullptr, false);
+    const json engines = base::field_or(status, "engines", json::array());
+    const bool all_read =
+        std::all_of(engines.begin(), engines.end(), [&](const json& item) {
+            // Plain servers make no reports, and loads stay within their data
+            // centre.
+            return base::field_or(item, "reachable", false) ||
+                   item["pool"] == "plain" ||
+                   item["data_centre"] != instance.data_centre;
+        });
+    const json known = base::field_or(status, "instances", json::array());
+    return base::field_or(status, "ready", false) && all_read &&
+           base::field_or(status, "config_revision", 0U) >= revision &&
+           known.size() == instances_.size();
+}
+
+void test_cluster::apply() {
+    for (const json& item : resources_)
+        put(item["kind"], item["name"], item["spec"]);
+    const std::size_t revision = resources_.size();
+    for (const cluster_instance& instance : instances_)
+        if (!eventually([&] { return is_settled(instance, revision); }))
             throw std::runtime_error(
                 instance.name + " does not become ready:\n" + logs());
-    }
+}
+
+std::string test_cluster::write_resources() const {
+    const std::string file = directory_ + "/resources.json";
+    std::ofstream(file) << json{{"resources", resources_}}.dump(2) << "\n";
+    return file;
 }
 
 net::http_response test_cluster::operate(
@@ -236,13 +250,8 @@
 void test_cluster::put(
     const std::string& kind, const std::string& name, const json& spec) {
     const std::string path = "/v1/resources/" + kind + "/" + name;
-    // A resource may refer to one whose change is not in force here yet.
-    net::http_response answer;
-    const bool accepted = eventually([&] {
-        answer = operate(instances_[0], "PUT", path, spec.dump(), "*");
-        return answer.ok();
-    });
-    if (!accepted)
+    const auto answer = operate(instances_[0], "PUT", path, spec.dump(), "*");
+    if (!answer.ok())
         throw std::runtime_error("put " + path + ": " + answer.body);
 }
 
--- a/tools/mintknot-load/main.cpp
+++ b/tools/mintknot-load/main.cpp
@@ -97,7 +97,6 @@
     options.part.request_class = request_class;
     options.rounds = rounds;
     options.instance = process;
-    options.instances = routers->size();
     for (const auto& count :
          absl::StrSplit(streams.getValue(), ',', absl::SkipEmpty())) {
         options.streams = std::stoul(std::string(count));
