Write notes only for the options that are recorded

Cause: a placement formatted a text for every engine that it weighed, and kept eight of them. Change: options keep their figures; the eight best are turned into text.

--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -60,30 +60,65 @@
     return predict(engine.step_time, running + 1.0, default_step_ms);
 }
 
-/// Collects what is written down of the options.
-class candidate_list {
-public:
-    void
-    add(const engine_entry& engine, std::string_view step, double cost,
-        std::string note) {
-        list_.push_back(
-            {fmt::format("{} {}", step, engine.name), cost, std::move(note)});
-    }
-    /// @return the best ones; engines that were ruled out come last.
-    std::vector<audit::candidate> best() {
-        const std::size_t kept = std::min(most_recorded, list_.size());
-        std::partial_sort(
-            list_.begin(), list_.begin() + static_cast<std::ptrdiff_t>(kept),
-            list_.end(),
-            [](const auto& a, const auto& b) { return a.score < b.score; });
-        list_.resize(kept);
-        return std::move(list_);
-    }
+/// One option, with the figures that its note is made of. Notes are written
+/// only for the options that are recorded: text costs more than the choice.
+struct weighed_option {
+    enum class kind { prefill, decode, out_of_memory, ruled_out };
 
-private:
-    std::vector<audit::candidate> list_;
+    kind what = kind::ruled_out;
+    engine_number engine = 0;
+    double cost = std::numeric_limits<double>::max();
+    double first = 0.0;
+    double second = 0.0;
+    std::string_view why;
 };
 
+std::string note_of(const weighed_option& option, double prompt_tokens) {
+    switch (option.what) {
+    case weighed_option::kind::prefill:
+        return fmt::format(
+            "queue, prefill and transfer {:.0f} ms, {:.0f} of {:.0f} tokens "
+            "cached",
+            option.first, option.second, prompt_tokens);
+    case weighed_option::kind::decode:
+        return fmt::format(
+            "{:.1f} ms per token, {:.0f}% of the memory used", option.first,
+            100.0 * option.second);
+    case weighed_option::kind::out_of_memory:
+        return fmt::format(
+            "{:.0f} tokens free, {:.0f} needed", option.first, option.second);
+    case weighed_option::kind::ruled_out:
+        return std::string(option.why);
+    }
+    return {};
+}
+
+std::string_view step_of(weighed_option::kind what) {
+    if (what == weighed_option::kind::prefill)
+        return "prefill";
+    return what == weighed_option::kind::ruled_out ? "any" : "decode";
+}
+
+/// @return the best options as they are recorded; those ruled out come last.
+std::vector<audit::candidate> best_of(
+    std::vector<weighed_option>& options, const engine_table& table,
+    double prompt_tokens) {
+    const std::size_t kept = std::min(most_recorded, options.size());
+    std::partial_sort(
+        options.begin(), options.begin() + static_cast<std::ptrdiff_t>(kept),
+        options.end(),
+        [](const auto& x, const auto& y) { return x.cost < y.cost; });
+    std::vector<audit::candidate> result;
+    result.reserve(kept);
+    for (std::size_t i = 0; i < kept; ++i)
+        result.push_back(
+            {fmt::format(
+                 "{} {}", step_of(options[i].what),
+                 table.engines[options[i].engine].name),
+             options[i].cost, note_of(options[i], prompt_tokens)});
+    return result;
+}
+
 /// Weighs one request against all engines.
 class chooser {
 public:
@@ -93,7 +128,9 @@
         : table_(table)
         , query_(query)
         , goal_(goal)
-        , now_(now) {}
+        , now_(now) {
+        options_.reserve(2 * table.engines.size());
+    }
 
     void weigh(engine_number number, std::uint32_t cached_blocks);
     place_choice result();
@@ -102,6 +139,10 @@
     void weigh_prefill(engine_number number, std::uint32_t cached_blocks);
     void weigh_decode(engine_number number);
     place_choice none() const;
+    std::vector<audit::candidate> recorded() {
+        return best_of(
+            options_, table_, static_cast<double>(query_.prompt_tokens));
+    }
 
     const engine_table& table_;
     const place_query& query_;
@@ -112,23 +153,24 @@
     std::size_t usable_prefill_ = 0;
     std::size_t usable_decode_ = 0;
     std::size_t out_of_memory_ = 0;
-    candidate_list candidates_;
+    std::vector<weighed_option> options_;
 };
 
 void chooser::weigh(engine_number number, std::uint32_t cached_blocks) {
     const engine_entry& engine = table_.engines[number];
-    constexpr double ruled_out = std::numeric_limits<double>::max();
     // A kept result can be read from an engine that takes no new work.
     if (engine.name == query_.prefilled_on)
         weigh_prefill(number, cached_blocks);
-    const auto unusable = unusable_because(engine, now_);
-    if (!unusable.empty()) {
-        if (engine.listed)
-            candidates_.add(engine, "any", ruled_out, std::string(unusable));
+    if (!engine.listed)
         return;
-    }
-    if (is_excluded(query_, engine)) {
-        candidates_.add(engine, "any", ruled_out, "failed this request before");
+    std::string_view unusable = unusable_because(engine, now_);
+    if (unusable.empty() && is_excluded(query_, engine))
+        unusable = "failed this request before";
+    if (!unusable.empty()) {
+        weighed_option option;
+        option.engine = number;
+        option.why = unusable;
+        options_.push_back(option);
         return;
     }
     if (query_.prefilled_on.empty() && can_prefill(engine))
@@ -152,12 +194,13 @@
     const double cost =
         goal_.weights.goodput * latency_cost(predicted, goal_.first_token) +
         goal_.weights.wasted_prefill * uncached / prompt;
-    candidates_.add(
-        engine, "prefill", cost,
-        fmt::format(
-            "queue and prefill {:.0f} ms, transfer {:.0f} ms, {} of {} tokens "
-            "cached",
-            wait_ms, predicted - wait_ms, cached, query_.prompt_tokens));
+    options_.push_back(
+        {weighed_option::kind::prefill,
+         number,
+         cost,
+         predicted,
+         static_cast<double>(cached),
+         {}});
     if (cost < prefill_.cost)
         prefill_ = {number, cost, predicted, cached};
 }
@@ -167,27 +210,26 @@
     ++usable_decode_;
     const std::uint64_t wanted = query_.prompt_tokens + query_.max_tokens;
     const std::uint64_t free = free_memory(engine);
+    weighed_option option;
+    option.engine = number;
     if (free < wanted) {
         ++out_of_memory_;
-        candidates_.add(
-            engine, "decode", std::numeric_limits<double>::max(),
-            fmt::format("{} tokens free, {} needed", free, wanted));
+        option.what = weighed_option::kind::out_of_memory;
+        option.first = static_cast<double>(free);
+        option.second = static_cast<double>(wanted);
+        options_.push_back(option);
         return;
     }
-    const double predicted = step_ms(engine);
-    const double fullness =
-        1.0 - static_cast<double>(free - wanted) /
-                  static_cast<double>(engine.load.kv_capacity);
-    const double cost =
-        goal_.weights.goodput * latency_cost(predicted, goal_.per_token) +
-        fullness_weight * fullness;
-    candidates_.add(
-        engine, "decode", cost,
-        fmt::format(
-            "{:.1f} ms per token, {:.0f}% of the memory used", predicted,
-            100.0 * fullness));
-    if (cost < decode_.cost)
-        decode_ = {number, cost, predicted, 0};
+    option.what = weighed_option::kind::decode;
+    option.first = step_ms(engine);
+    option.second = 1.0 - static_cast<double>(free - wanted) /
+                              static_cast<double>(engine.load.kv_capacity);
+    option.cost =
+        goal_.weights.goodput * latency_cost(option.first, goal_.per_token) +
+        fullness_weight * option.second;
+    options_.push_back(option);
+    if (option.cost < decode_.cost)
+        decode_ = {number, option.cost, option.first, 0};
 }
 
 place_choice chooser::none() const {
@@ -209,14 +251,14 @@
 place_choice chooser::result() {
     if (!prefill_.engine || !decode_.engine) {
         place_choice choice = none();
-        choice.candidates = candidates_.best();
+        choice.candidates = recorded();
         return choice;
     }
     place_choice choice;
     choice.chosen = placement{
         *prefill_.engine, *decode_.engine, prefill_.cached_tokens,
         prefill_.predicted_ms + decode_.predicted_ms, decode_.predicted_ms};
-    choice.candidates = candidates_.best();
+    choice.candidates = recorded();
     choice.sentence = fmt::format(
         "prefill on {}, decode on {}: first token expected in {:.0f} ms, then "
         "{:.1f} ms per token",
