--- a/libs/control/src/control_loop.cpp
+++ b/libs/control/src/control_loop.cpp
@@ -4,6 +4,7 @@
 #include <mintknot/control/mailbox.hpp>
 #include <mintknot/rpc/heartbeat_codec.hpp>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <variant>
@@ -13,8 +14,9 @@
 namespace {
 
 constexpr std::size_t most_messages = 100000;
-/// Longest time between two looks at queues and timers.
-constexpr base::milliseconds tick{20};
+/// Time between two looks at timers, and at queues while requests wait.
+constexpr base::milliseconds idle_tick{100};
+constexpr base::milliseconds busy_tick{20};
 /// Schedulers that nobody asked for so long are dropped.
 constexpr std::chrono::seconds idle_scheduler{60};
 
@@ -125,6 +127,7 @@
     void answer_queued(service_scheduler& entry, base::steady_time now);
     void advance_all(base::steady_time now);
     void beat_if_due(base::steady_time now);
+    bool anyone_waits() const;
     void publish(base::steady_time now);
 };
 
@@ -242,6 +245,12 @@
     next_beat = now + cluster::beat_interval(members);
 }
 
+bool control_loop::impl::anyone_waits() const {
+    return std::any_of(
+        schedulers.begin(), schedulers.end(),
+        [](const auto& item) { return !item.second.waiting.empty(); });
+}
+
 void control_loop::impl::publish(base::steady_time now) {
     auto next = std::make_shared<cluster_view>();
     next->self = members.self.id;
@@ -266,13 +275,14 @@
     auto next_publish = base::steady_clock::now();
     auto next_tick = base::steady_clock::now();
     while (!stop.stop_requested()) {
-        auto taken = impl_->messages.take_all(next_tick);
+        auto taken =
+            impl_->messages.take_all(std::min(next_tick, impl_->next_beat));
         const auto now = base::steady_clock::now();
         for (message& item : taken)
             std::visit([&](auto& one) { impl_->handle(one, now); }, item);
-        if (now < next_tick)
+        if (now < next_tick && now < impl_->next_beat)
             continue;
-        next_tick = now + tick;
+        next_tick = now + (impl_->anyone_waits() ? busy_tick : idle_tick);
         impl_->advance_all(now);
         impl_->beat_if_due(now);
         if (now >= next_publish) {
--- a/libs/entry/src/progress_reporter.cpp
+++ b/libs/entry/src/progress_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include <tbb/concurrent_queue.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -43,11 +44,15 @@
     tbb::concurrent_queue<reported_line> lines;
     std::unordered_map<std::string, reported_line> running; ///< By attempt.
     std::mutex mutex;
-    std::condition_variable_any stopped;
+    std::condition_variable_any woken;
+    std::atomic<bool> pending{false}; ///< Lines wait to be sent.
 
     batches take_lines();
     batches all_running() const;
     void send(const batches& taken);
+    void wait_for_lines(
+        std::unique_lock<std::mutex>& lock, const std::stop_token& stop,
+        base::steady_time until);
 };
 
 progress_reporter::impl::batches progress_reporter::impl::take_lines() {
@@ -81,6 +86,18 @@
     }
 }
 
+/// Sleeps while there is nothing to tell, then gives a batch time to gather.
+void progress_reporter::impl::wait_for_lines(
+    std::unique_lock<std::mutex>& lock, const std::stop_token& stop,
+    base::steady_time until) {
+    woken.wait_until(lock, stop, until, [this] { return pending.load(); });
+    if (!pending)
+        return;
+    const auto gathered = base::steady_clock::now() + batch_period;
+    woken.wait_until(lock, stop, gathered, [] { return false; });
+    pending = false;
+}
+
 progress_reporter::progress_reporter(
     control::control_loop& control, rpc::peer_client& peers)
     : impl_(std::make_unique<impl>(control, peers)) {}
@@ -89,6 +106,11 @@
 
 void progress_reporter::report(const scheduler_location& where, progress line) {
     impl_->lines.push({where, std::move(line)});
+    if (impl_->pending.exchange(true))
+        return;
+    // The lock closes the gap between the reader's look and its sleep.
+    const std::lock_guard lock(impl_->mutex);
+    impl_->woken.notify_all();
 }
 
 void progress_reporter::run(
@@ -96,13 +118,15 @@
     auto next_keep_alive = base::steady_clock::now() + keep_alive_period;
     std::unique_lock lock(impl_->mutex);
     while (!stop.stop_requested()) {
-        impl_->stopped.wait_for(lock, stop, batch_period, [] { return false; });
+        impl_->wait_for_lines(lock, stop, next_keep_alive);
+        lock.unlock();
         impl_->send(impl_->take_lines());
         if (base::steady_clock::now() >= next_keep_alive) {
             impl_->send(impl_->all_running());
             next_keep_alive = base::steady_clock::now() + keep_alive_period;
         }
         alive();
+        lock.lock();
     }
     impl_->send(impl_->take_lines());
 }
