--- a/testing/harness/include/mintknot/harness/test_cluster.hpp
+++ b/testing/harness/include/mintknot/harness/test_cluster.hpp
@@ -28,6 +28,8 @@
     nlohmann::json settings = nlohmann::json::object();
     /// Further resources to be applied.
     nlohmann::json resources = nlohmann::json::array();
+    /// Put the fault proxy between the instances and the engines and platform.
+    bool proxied = false;
     /// false: start everything, but leave the configuration empty.
     bool apply = true;
 };
@@ -49,6 +51,7 @@
 struct cluster_engine {
     std::string name;
     base::address where;
+    base::address seen_at; ///< By instances: the proxy's link, if there is one.
     std::unique_ptr<child_process> process;
 };
 
@@ -86,6 +89,9 @@
     /// Sets the faults of the platform: see docs/STAND_INS.md.
     void platform_faults(const nlohmann::json& faults);
 
+    /// Sets the fault of a link: the name of an engine, or "platform".
+    void link_fault(const std::string& link, const nlohmann::json& fault);
+
     /// Writes the resources of this system as a file for `mintknot apply`.
     /// @return its path.
     std::string write_resources() const;
@@ -95,6 +101,7 @@
 
 private:
     void write_settings(const cluster_options& options);
+    base::address add_link(const std::string& name, const base::address& to);
     void apply();
     bool is_settled(const cluster_instance& instance, std::size_t revision);
     void wait_until_up();
@@ -103,7 +110,9 @@
     std::vector<std::string> engine_arguments_;
     nlohmann::json resources_ = nlohmann::json::array();
     std::unique_ptr<child_process> platform_;
+    std::unique_ptr<child_process> proxy_;
     base::address platform_at_;
+    base::address proxy_control_;
     std::vector<cluster_engine> engines_;
     std::vector<cluster_instance> instances_;
     net::http_client client_;
--- a/testing/harness/src/test_cluster.cpp
+++ b/testing/harness/src/test_cluster.cpp
@@ -92,6 +92,12 @@
         "fake-platform", std::vector<std::string>{},
         directory_ + "/platform.log");
     platform_at_ = loopback(platform_->wait_for_port());
+    if (options.proxied) {
+        proxy_ = std::make_unique<child_process>(
+            "fault-proxy", std::vector<std::string>{},
+            directory_ + "/proxy.log");
+        proxy_control_ = loopback(proxy_->wait_for_port());
+    }
     const std::size_t engines =
         options.prefill_engines + options.decode_engines;
     for (std::size_t i = 0; i < engines; ++i) {
@@ -100,8 +106,12 @@
             prefill ? i + 1 : i + 1 - options.prefill_engines;
         engines_.push_back(
             {fmt::format("{}{}", prefill ? "p" : "d", number),
-             loopback(free_port()), nullptr});
+             loopback(free_port()),
+             {},
+             nullptr});
         start_engine(engines_.back());
+        engines_.back().seen_at =
+            add_link(engines_.back().name, engines_.back().where);
     }
     write_settings(options);
     resources_ = first_resources();
@@ -109,8 +119,8 @@
         resources_.push_back(resource(
             "backend_server", engine.name,
             server(
-                engine.name.front() == 'p' ? "prefill" : "decode", engine.where,
-                options.data_centres.front())));
+                engine.name.front() == 'p' ? "prefill" : "decode",
+                engine.seen_at, options.data_centres.front())));
     resources_.insert(
         resources_.end(), options.resources.begin(), options.resources.end());
     for (cluster_instance& instance : instances_)
@@ -123,6 +133,7 @@
 test_cluster::~test_cluster() {
     instances_.clear();
     engines_.clear();
+    proxy_.reset();
     platform_.reset();
     std::error_code ignored;
     std::filesystem::remove_all(directory_, ignored);
@@ -144,7 +155,30 @@
         directory_ + "/" + instance.name + ".log");
 }
 
+base::address
+test_cluster::add_link(const std::string& name, const base::address& to) {
+    if (!proxy_)
+        return to;
+    const auto answer = client_.call(
+        proxy_control_,
+        {.method = "POST",
+         .path = "/links",
+         .body = json{{"name", name}, {"to", base::to_string(to)}}.dump()});
+    return loopback(base::field_or(
+        json::parse(answer.body, nullptr, false), "port", std::uint16_t{0}));
+}
+
+void test_cluster::link_fault(const std::string& link, const json& fault) {
+    const auto answer = client_.call(
+        proxy_control_,
+        {.method = "POST", .path = "/links/" + link, .body = fault.dump()});
+    if (!answer.ok())
+        throw std::runtime_error("link " + link + ": " + answer.body);
+}
+
 void test_cluster::write_settings(const cluster_options& options) {
+    const std::string platform =
+        base::to_string(add_link("platform", platform_at_));
     std::vector<json> all;
     json seeds = json::array();
     for (std::size_t i = 0; i < options.instances; ++i) {
@@ -172,9 +206,7 @@
               {"heartbeat", heartbeat},
               {"heartbeat_interval_ms", 100},
               {"gone_after_ms", 1000}}},
-            {"platform",
-             {{"address", base::to_string(platform_at_)},
-              {"poll_interval_ms", 200}}},
+            {"platform", {{"address", platform}, {"poll_interval_ms", 200}}},
             {"engines", {{"report_interval_ms", 50}}}};
         settings.merge_patch(options.settings);
         all.push_back(std::move(settings));
