Split what had grown large

A pool that a planned change refers to can no longer be deleted either (found while splitting; with a test).

--- a/libs/config/include/mintknot/config/catalogue.hpp
+++ b/libs/config/include/mintknot/config/catalogue.hpp
@@ -79,6 +79,9 @@
 private:
     struct kinds;
 
+    std::string missing_target(const change& wanted) const;
+    std::string remaining_reference(const change& wanted) const;
+
     std::uint64_t revision_ = 0;
     std::shared_ptr<const kinds> kinds_;
 };
--- a/libs/config/src/catalogue.cpp
+++ b/libs/config/src/catalogue.cpp
@@ -257,38 +257,43 @@
     return {};
 }
 
-std::string catalogue::broken_reference(const change& wanted) const {
-    if (!wanted.erased) {
-        if (wanted.kind == resource_kind::pool) {
-            const auto pool = parse_pool(wanted.spec);
-            if (pool.ok() && !service(pool->service))
-                return fmt::format(
-                    "spec.service: there is no service '{}'", pool->service);
-        }
-        if (wanted.kind == resource_kind::backend_server) {
-            const auto server = parse_backend_server(wanted.spec);
-            if (server.ok() && !pool(server->pool))
-                return fmt::format(
-                    "spec.pool: there is no pool '{}'", server->pool);
-        }
-        if (wanted.kind == resource_kind::planned_change) {
-            const auto planned = parse_planned_change(wanted.spec);
-            if (planned.ok() && !pool(planned->pool))
-                return fmt::format(
-                    "spec.pool: there is no pool '{}'", planned->pool);
-        }
-        return {};
+std::string catalogue::missing_target(const change& wanted) const {
+    std::string wanted_pool;
+    if (wanted.kind == resource_kind::pool) {
+        const auto spec = parse_pool(wanted.spec);
+        if (spec.ok() && !service(spec->service))
+            return fmt::format(
+                "spec.service: there is no service '{}'", spec->service);
+    } else if (wanted.kind == resource_kind::backend_server) {
+        const auto spec = parse_backend_server(wanted.spec);
+        wanted_pool = spec.ok() ? spec->pool : std::string{};
+    } else if (wanted.kind == resource_kind::planned_change) {
+        const auto spec = parse_planned_change(wanted.spec);
+        wanted_pool = spec.ok() ? spec->pool : std::string{};
     }
+    if (!wanted_pool.empty() && !pool(wanted_pool))
+        return fmt::format("spec.pool: there is no pool '{}'", wanted_pool);
+    return {};
+}
+
+std::string catalogue::remaining_reference(const change& wanted) const {
     if (wanted.kind == resource_kind::service)
         for (const auto& [name, item] : *kinds_->pools)
             if (item->spec.service == wanted.name)
                 return fmt::format("pool '{}' still refers to it", name);
-    if (wanted.kind == resource_kind::pool)
-        for (const auto& [name, item] : *kinds_->servers)
-            if (item->spec.pool == wanted.name)
-                return fmt::format(
-                    "backend_server '{}' still refers to it", name);
+    if (wanted.kind != resource_kind::pool)
+        return {};
+    for (const auto& [name, item] : *kinds_->servers)
+        if (item->spec.pool == wanted.name)
+            return fmt::format("backend_server '{}' still refers to it", name);
+    for (const auto& [name, item] : *kinds_->changes)
+        if (item->spec.pool == wanted.name)
+            return fmt::format("planned_change '{}' still refers to it", name);
     return {};
 }
 
+std::string catalogue::broken_reference(const change& wanted) const {
+    return wanted.erased ? remaining_reference(wanted) : missing_target(wanted);
+}
+
 } // namespace mintknot::config
--- a/libs/config/tests/test_catalogue.cpp
+++ b/libs/config/tests/test_catalogue.cpp
@@ -68,4 +68,9 @@
                    .empty());
     cr_assert(
         current.broken_reference(erase(0, resource_kind::pool, "p")).empty());
+    const auto planned = current.with({put(
+        3, resource_kind::planned_change, "c",
+        {{"pool", "p"}, {"value", "v2"}})});
+    cr_assert(
+        !planned.broken_reference(erase(0, resource_kind::pool, "p")).empty());
 }
--- a/testing/scenario/src/scenario_run.cpp
+++ b/testing/scenario/src/scenario_run.cpp
@@ -1,22 +1,14 @@
 #include "scenario_run.hpp"
 
-#include "order_desk.hpp"
+#include "scenario_runner.hpp"
 
 #include <mintknot/base/json_reader.hpp>
-#include <mintknot/harness/caller.hpp>
-#include <mintknot/harness/test_cluster.hpp>
-#include <mintknot/standins/prompt_writer.hpp>
 
 #include <fmt/format.h>
 
 #include <signal.h>
 
-#include <algorithm>
-#include <atomic>
-#include <map>
 #include <sstream>
-#include <stdexcept>
-#include <thread>
 
 namespace mintknot::scenario {
 
@@ -25,71 +17,11 @@
 using harness::eventually;
 using nlohmann::json;
 
-/// A step that did not hold.
-class step_failure : public std::runtime_error {
-public:
-    using std::runtime_error::runtime_error;
-};
-
-/// A completion or a plain call under way or ended.
-struct running_call {
-    harness::completion_options options;
-    harness::received_answer answer;
-    std::uint64_t first_offset = 0; ///< Of a resumed answer.
-    std::atomic<std::size_t> tokens{0};
-    std::atomic<bool> ended{false};
-    std::thread thread;
-
-    ~running_call() {
-        if (thread.joinable())
-            thread.join();
-    }
-};
-
 json resource(const char* kind, const std::string& name, const json& spec) {
     return {{"kind", kind}, {"name", name}, {"spec", spec}};
 }
 
-class scenario_run {
-public:
-    std::string run(const std::vector<step>& steps);
-
-private:
-    void act(const step& now);
-    void prepare(const step& now);
-    harness::test_cluster& cluster();
-    harness::cluster_instance& instance(const std::string& name);
-    harness::child_process& process(const std::string& name);
-    running_call& call_named(const std::string& name);
-
-    void act_on_process(const step& now);
-    void start(const step& now);
-    void set_link(const step& now);
-    void set_store(const step& now);
-    void drain(const step& now);
-    void send(const step& now);
-    void call_desk(const step& now);
-    void resume(const step& now);
-    void put(const step& now);
-    void wait(const step& now);
-    void expect(const step& now, base::milliseconds patience);
-    void expect_call(const step& now);
-    std::string problem_with(const step& now);
-    bool is_seen(const std::string& name);
-    bool has_record(const std::string& request, const std::string& kind);
-    std::uint64_t revision_of(const std::string& name);
-    std::string records();
-
-    harness::cluster_options options_;
-    order_desk desk_;
-    std::unique_ptr<harness::test_cluster> cluster_;
-    std::map<std::string, std::unique_ptr<running_call>> calls_;
-};
-
-void require(bool holds, const std::string& what) {
-    if (!holds)
-        throw step_failure(what);
-}
+} // namespace
 
 void scenario_run::prepare(const step& now) {
     require(cluster_ == nullptr, "the system runs already");
@@ -291,121 +223,6 @@
         fmt::format("it ended after {} tokens", call.tokens.load()));
 }
 
-bool scenario_run::has_record(
-    const std::string& request, const std::string& kind) {
-    for (auto& item : cluster().instances()) {
-        if (!item.process->running())
-            continue;
-        const auto why = cluster().operate(item, "GET", "/v1/why/" + request);
-        if (why.body.find(fmt::format("\"kind\":\"{}\"", kind)) !=
-            std::string::npos)
-            return true;
-    }
-    return false;
-}
-
-std::uint64_t scenario_run::revision_of(const std::string& name) {
-    const auto answer = cluster().operate(instance(name), "GET", "/v1/status");
-    return base::field_or(
-        json::parse(answer.body, nullptr, false), "config_revision",
-        std::uint64_t{0});
-}
-
-/// @return whether any other instance counts it as live.
-bool scenario_run::is_seen(const std::string& name) {
-    const std::string entry =
-        fmt::format("\"name\":\"{}\",\"silent_ms\"", name);
-    return std::any_of(
-        cluster().instances().begin(), cluster().instances().end(),
-        [&](auto& other) {
-            if (other.name == name || !other.process->running())
-                return false;
-            const auto status = cluster().operate(other, "GET", "/v1/status");
-            return status.body.find(entry) != std::string::npos;
-        });
-}
-
-/// Checks what a call has got. Waits for its end first.
-void scenario_run::expect_call(const step& now) {
-    running_call& call = call_named(now.subject);
-    require(eventually([&] { return call.ended.load(); }), "it does not end");
-    const auto& answer = call.answer;
-    if (now.has("whole")) {
-        auto expected = standins::expected_answer(
-            call.options.prompt, call.options.max_tokens);
-        expected.erase(
-            expected.begin(),
-            expected.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                   call.first_offset, expected.size())));
-        require(
-            answer.done && answer.tokens == expected,
-            fmt::format(
-                "{} of {} tokens, done {}, status {}, code '{}'",
-                answer.tokens.size(), expected.size(), answer.done,
-                answer.status, answer.error_code));
-    }
-    const auto compare = [&](const char* option, const std::string& found) {
-        require(
-            !now.has(option) || now.text_of(option) == found,
-            fmt::format("{} is '{}'", option, found));
-    };
-    compare("code", answer.error_code);
-    compare("verdict", answer.error_verdict);
-    compare("status", std::to_string(answer.status));
-    compare("tokens", std::to_string(answer.tokens.size()));
-    if (!answer.tokens.empty())
-        compare("is", answer.tokens.front());
-    if (now.has("without"))
-        require(
-            !has_record(answer.request_id, now.text_of("without")),
-            "there is such a record");
-    if (now.has("record"))
-        require(
-            eventually([&] {
-                return has_record(answer.request_id, now.text_of("record"));
-            }),
-            "no such record");
-}
-
-/// @return an empty text if the step about the system holds now.
-std::string scenario_run::problem_with(const step& now) {
-    if (now.has("idle")) {
-        const auto held = cluster().truth("kv_used");
-        const auto attempts = cluster().truth("attempts");
-        if (held != 0 || attempts != 0)
-            return fmt::format("{} tokens, {} attempts held", held, attempts);
-    }
-    if (now.has("orders") && desk_.orders() != now.number("orders"))
-        return fmt::format("{} orders were run", desk_.orders());
-    if (now.has("revision") &&
-        revision_of(now.subject) < now.number("revision"))
-        return "revision " + std::to_string(revision_of(now.subject));
-    if (now.has("unseen") && is_seen(now.subject))
-        return "another instance still counts it as live";
-    if (now.has("running") && !process(now.subject).running())
-        return "it has ended";
-    if (now.has("exited")) {
-        if (process(now.subject).running())
-            return "it still runs";
-        if (const int code = process(now.subject).wait(); code != 0)
-            return fmt::format("its exit code is {}", code);
-    }
-    return {};
-}
-
-void scenario_run::expect(const step& now, base::milliseconds patience) {
-    if (calls_.contains(now.subject))
-        return expect_call(now);
-    std::string problem;
-    eventually(
-        [&] {
-            problem = problem_with(now);
-            return problem.empty();
-        },
-        patience);
-    require(problem.empty(), problem);
-}
-
 void scenario_run::act(const step& now) {
     using handler = void (scenario_run::*)(const step&);
     static const std::map<std::string, handler> handlers{
@@ -469,8 +286,6 @@
     return {};
 }
 
-} // namespace
-
 std::string run_script(const std::vector<step>& steps) {
     return scenario_run().run(steps);
 }
