Find the stream of a dead instance's request through the watchers

Cause: a caller whose entry instance had died got unknown_request, although the engine still held its answer; the promise of the whole answer had a gap there. Change: engines report the organisation of a stream; watchers remember the streams of the last reports; an instance that is asked to resume for a dead holder searches them and reads the rest from the engine, unless tokens of an earlier attempt are missing. why shows what others decided about a request whose holder is gone.

--- a/libs/cli/src/commands.cpp
+++ b/libs/cli/src/commands.cpp
@@ -216,6 +216,9 @@
         return exit_code::ok;
     }
     fmt::print("Request {}\n", request);
+    if (field_or(answer.body, "holder_gone", false))
+        fmt::print(
+            "The instance that held it is gone; this is what others know.\n");
     for (const json& record : field_or(answer.body, "decisions", json::array()))
         print_decision(record);
     return exit_code::ok;
--- a/libs/control/include/mintknot/control/engine_watcher.hpp
+++ b/libs/control/include/mintknot/control/engine_watcher.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <stop_token>
 #include <string>
 #include <vector>
@@ -50,6 +51,11 @@
 
     void run(const std::stop_token& stop, const std::function<void()>& alive);
 
+    /// Looks for a request's newest decode stream in the last reports of the
+    /// engines that this instance watches.
+    std::optional<rpc::found_stream>
+    find_stream(const std::string& request) const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/libs/control/src/engine_watcher.cpp
+++ b/libs/control/src/engine_watcher.cpp
@@ -22,6 +22,7 @@
     bool busy = false;
     int failures = 0;
     routing::engine_load last;
+    std::vector<engine::held_stream> streams; ///< Of the last report.
 };
 
 } // namespace
@@ -35,7 +36,7 @@
     const watcher_parts parts;
     const watcher_options options;
     const base::logger log{"watcher"};
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::condition_variable_any woken;
     std::map<std::string, watched_engine> engines; ///< By name.
     net::elastic_pool pool; ///< Last: its jobs use everything above.
@@ -105,6 +106,7 @@
             log.info("Engine {} answers again.", name);
         entry.failures = 0;
         entry.last = load;
+        entry.streams = report.streams;
     }
     parts.control.take_load({name, load});
 }
@@ -167,6 +169,28 @@
 
 engine_watcher::~engine_watcher() = default;
 
+std::optional<rpc::found_stream>
+engine_watcher::find_stream(const std::string& request) const {
+    const std::string prefix = request + ".";
+    const std::lock_guard lock(impl_->mutex);
+    std::optional<rpc::found_stream> newest;
+    for (const auto& [name, entry] : impl_->engines)
+        for (const engine::held_stream& held : entry.streams) {
+            const bool decode = held.attempt.ends_with("d");
+            if (!decode || !held.attempt.starts_with(prefix))
+                continue;
+            // A later attempt has a larger number: more digits, or greater.
+            const bool newer = !newest ||
+                               held.attempt.size() > newest->attempt.size() ||
+                               (held.attempt.size() == newest->attempt.size() &&
+                                held.attempt > newest->attempt);
+            if (newer)
+                newest = rpc::found_stream{
+                    held.attempt, name, entry.where, held.organisation};
+        }
+    return newest;
+}
+
 void engine_watcher::run(
     const std::stop_token& stop, const std::function<void()>& alive) {
     while (!stop.stop_requested()) {
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -107,6 +107,7 @@
     entry::request_runner runner;
     entry::plain_router plain;
     control::engine_watcher watcher;
+    entry::remote_streams remote;
     net::elastic_pool workers;
     entry::caller_api callers;
     operators::operator_api operators;
@@ -167,11 +168,17 @@
     , watcher(
           watcher_parts_for(),
           {given.engines.report_interval, given.engines.orphan_grace})
+    , remote(
+          {control, peers, engines, decisions,
+           [this](const std::string& request) {
+               return watcher.find_stream(request);
+           },
+           given.engines.idle_timeout})
     , workers(2 * given.caller.most_open_requests)
     , callers(
-          {feed, control, peers, registry, runner, plain, decisions, workers})
+          {feed, control, remote, registry, runner, plain, decisions, workers})
     , operators(operator_parts_for())
-    , answers(control, feed, decisions, registry, callers)
+    , answers(control, feed, decisions, registry, watcher, callers)
     , peer_server(answers)
     , caller_server(caller_options(given))
     , operator_server(operator_options(given)) {
--- a/libs/daemon/src/peer_answers.cpp
+++ b/libs/daemon/src/peer_answers.cpp
@@ -7,11 +7,13 @@
 peer_answers::peer_answers(
     control::control_loop& control, const config::change_feed& feed,
     const audit::decision_log& decisions,
-    const entry::request_registry& registry, entry::caller_api& callers)
+    const entry::request_registry& registry,
+    const control::engine_watcher& watcher, entry::caller_api& callers)
     : control_(control)
     , feed_(feed)
     , decisions_(decisions)
     , registry_(registry)
+    , watcher_(watcher)
     , callers_(callers) {}
 
 void peer_answers::place(
@@ -68,4 +70,9 @@
     return unknown;
 }
 
+std::optional<rpc::found_stream>
+peer_answers::find_stream(const std::string& request) {
+    return watcher_.find_stream(request);
+}
+
 } // namespace mintknot::daemon
--- a/libs/daemon/src/peer_answers.hpp
+++ b/libs/daemon/src/peer_answers.hpp
@@ -6,6 +6,7 @@
 #include <mintknot/audit/decision_log.hpp>
 #include <mintknot/config/change_feed.hpp>
 #include <mintknot/control/control_loop.hpp>
+#include <mintknot/control/engine_watcher.hpp>
 #include <mintknot/entry/caller_api.hpp>
 #include <mintknot/entry/request_registry.hpp>
 #include <mintknot/rpc/peer_server.hpp>
@@ -18,7 +19,8 @@
     peer_answers(
         control::control_loop& control, const config::change_feed& feed,
         const audit::decision_log& decisions,
-        const entry::request_registry& registry, entry::caller_api& callers);
+        const entry::request_registry& registry,
+        const control::engine_watcher& watcher, entry::caller_api& callers);
 
     void place(
         const routing::place_query& query, rpc::placed_callback done) override;
@@ -30,12 +32,15 @@
     rpc::config_page changes_since(std::uint64_t revision) override;
     std::vector<std::string>
     unknown_streams(const std::vector<std::string>& attempts) override;
+    std::optional<rpc::found_stream>
+    find_stream(const std::string& request) override;
 
 private:
     control::control_loop& control_;
     const config::change_feed& feed_;
     const audit::decision_log& decisions_;
     const entry::request_registry& registry_;
+    const control::engine_watcher& watcher_;
     entry::caller_api& callers_;
 };
 
--- a/libs/engine/include/mintknot/engine/orders.hpp
+++ b/libs/engine/include/mintknot/engine/orders.hpp
@@ -18,6 +18,9 @@
     std::string holder;  ///< Instance ID of the entry that reads the answer.
     std::string model;
     int priority = 0; ///< Larger goes first.
+    /// Whose request it is; reported back with the stream, so that a caller
+    /// whose instance died can be checked.
+    std::string organisation;
 };
 
 struct prefill_order {
@@ -61,6 +64,7 @@
     std::string holder;
     bool has_reader = false;
     base::milliseconds unread_for{0};
+    std::string organisation;
 };
 
 /// A load report; it lags behind the engine by up to a second or so.
--- a/libs/engine/src/http_engine.cpp
+++ b/libs/engine/src/http_engine.cpp
@@ -57,7 +57,8 @@
         {"attempt", header.attempt},
         {"holder", header.holder},
         {"model", header.model},
-        {"priority", header.priority}};
+        {"priority", header.priority},
+        {"organisation", header.organisation}};
 }
 
 std::string dump(const nlohmann::json& document) {
@@ -70,7 +71,8 @@
         base::field_or(item, "attempt", std::string()),
         base::field_or(item, "holder", std::string()),
         base::field_or(item, "has_reader", false),
-        base::milliseconds{base::field_or(item, "unread_ms", std::int64_t{0})}};
+        base::milliseconds{base::field_or(item, "unread_ms", std::int64_t{0})},
+        base::field_or(item, "organisation", std::string())};
 }
 
 } // namespace
--- a/libs/entry/include/mintknot/entry/caller_api.hpp
+++ b/libs/entry/include/mintknot/entry/caller_api.hpp
@@ -8,10 +8,10 @@
 #include <mintknot/control/control_loop.hpp>
 #include <mintknot/entry/call_parser.hpp>
 #include <mintknot/entry/plain_router.hpp>
+#include <mintknot/entry/remote_streams.hpp>
 #include <mintknot/entry/request_registry.hpp>
 #include <mintknot/entry/request_runner.hpp>
 #include <mintknot/net/elastic_pool.hpp>
-#include <mintknot/rpc/peer_client.hpp>
 
 #include <atomic>
 #include <string>
@@ -32,7 +32,7 @@
 struct caller_parts {
     const config::change_feed& feed;
     const control::control_loop& control;
-    rpc::peer_client& peers;
+    remote_streams& remote;
     request_registry& registry;
     request_runner& runner;
     plain_router& plain;
--- a/libs/entry/src/caller_api.cpp
+++ b/libs/entry/src/caller_api.cpp
@@ -77,33 +77,6 @@
         fmt::format("there is no request '{}' (any more)", id)};
 }
 
-/// Feeds a local stand-in for a request that another instance holds.
-void relay(
-    rpc::peer_client& peers, const base::address& holder,
-    const rpc::attach_request& wanted, live_request& copy) {
-    const std::string& attempt = wanted.request;
-    const auto status =
-        peers.attach(holder, wanted, [&](const rpc::attach_event& event) {
-            if (event.failed)
-                copy.fail(*event.failed);
-            else if (!event.finish.empty())
-                copy.complete(
-                    attempt, event.finish == "length"
-                                 ? engine::finish_reason::length
-                                 : engine::finish_reason::stop);
-            else
-                copy.accept_token(attempt, event.offset, event.text);
-            const bool left = copy.unread_for() > stopping_retry;
-            return !copy.ended() && !left;
-        });
-    if (!copy.ended())
-        copy.fail(
-            {reason::engine_unreachable,
-             "the instance that holds the request went out of reach: " +
-                 std::string(status.message()),
-             base::verdict::may_have_run, stopping_retry});
-}
-
 } // namespace
 
 caller_api::caller_api(caller_parts parts)
@@ -251,23 +224,12 @@
 void caller_api::resume_elsewhere(
     const request& in, response& out, const caller_identity& caller,
     const base::request_id& id, std::uint64_t offset) {
-    const std::string name = base::to_string(id);
-    const auto holder = control::find_live(*parts_.control.view(), id.holder);
-    if (!holder)
-        return refuse(
-            out, name,
-            {reason::unknown_request,
-             "the instance that held the request has gone",
-             base::verdict::may_have_run});
     completion_call call;
     call.id = id;
     call.organisation = caller.organisation->name;
     auto copy = std::make_shared<live_request>(std::move(call), offset);
-    copy->begin_attempt(name);
-    const rpc::attach_request wanted{name, caller.organisation->name, offset};
-    parts_.workers.submit([this, copy, wanted, where = holder->rpc] {
-        relay(parts_.peers, where, wanted, *copy);
-    });
+    parts_.workers.submit(
+        [this, copy, id] { parts_.remote.follow(id, *copy); });
     send_answer(in, out, copy, offset, true);
 }
 
--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -270,7 +270,7 @@
 engine::order_header request_run::header(char step) const {
     return {
         attempt_ + step, runner_.options_.holder, call_.model,
-        call_.request_class.priority};
+        call_.request_class.priority, call_.organisation};
 }
 
 } // namespace mintknot::entry
--- a/libs/operators/src/operator_api.cpp
+++ b/libs/operators/src/operator_api.cpp
@@ -37,7 +37,11 @@
     std::string author_of(const request& in) const;
     httplib::Server::Handler guarded(handler inner) const;
     void explain(const request& in, response& out) const;
-    json records_of(const base::request_id& id, json& unreachable) const;
+    json records_of(const base::request_id& id, bool& holder_gone) const;
+    json own_records(const std::string& request) const;
+    json records_of_others(const std::string& request) const;
+    std::optional<json>
+    records_at(const cluster::member& peer, const std::string& request) const;
 };
 
 /// @return the name of the operator's key, or an empty text.
@@ -67,28 +71,55 @@
     };
 }
 
+json operator_api::impl::own_records(const std::string& request) const {
+    json records = json::array();
+    for (const auto& record : parts.decisions.find(request))
+        records.push_back(audit::to_json(record));
+    return records;
+}
+
+/// @return a peer's records; nothing if it is out of reach.
+std::optional<json> operator_api::impl::records_at(
+    const cluster::member& peer, const std::string& request) const {
+    const auto answer = parts.peers.explain(peer.rpc, request);
+    if (!answer.ok())
+        return std::nullopt;
+    const json records = json::parse(*answer, nullptr, false);
+    return records.is_array() ? records : json::array();
+}
+
+/// What others have decided about a request whose holder is gone: orphans
+/// that were cancelled, streams that were resumed.
+json operator_api::impl::records_of_others(const std::string& request) const {
+    json records = own_records(request);
+    const auto view = parts.control.view();
+    for (const cluster::member& peer : view->live) {
+        if (peer.id == view->self)
+            continue;
+        const auto found = records_at(peer, request);
+        if (found)
+            records.insert(records.end(), found->begin(), found->end());
+    }
+    std::sort(records.begin(), records.end(), [](const json& x, const json& y) {
+        return x.value("time_ms", std::int64_t{0}) <
+               y.value("time_ms", std::int64_t{0});
+    });
+    return records;
+}
+
 /// Records are kept by the instance that holds the request.
 json operator_api::impl::records_of(
-    const base::request_id& id, json& unreachable) const {
+    const base::request_id& id, bool& holder_gone) const {
     const std::string name = base::to_string(id);
     const auto view = parts.control.view();
-    json records = json::array();
-    if (id.holder == view->self) {
-        for (const auto& record : parts.decisions.find(name))
-            records.push_back(audit::to_json(record));
-        return records;
-    }
+    if (id.holder == view->self)
+        return own_records(name);
     const auto holder = control::find_live(*view, id.holder);
-    if (!holder) {
-        unreachable = base::to_string(id.holder);
-        return records;
-    }
-    const auto answer = parts.peers.explain(holder->rpc, name);
-    if (!answer.ok()) {
-        unreachable = base::to_string(id.holder);
-        return records;
-    }
-    return json::parse(*answer, nullptr, false);
+    if (holder)
+        if (const auto records = records_at(*holder, name))
+            return *records;
+    holder_gone = true;
+    return records_of_others(name);
 }
 
 void operator_api::impl::explain(const request& in, response& out) const {
@@ -98,20 +129,24 @@
         return send_refusal(
             out,
             {reason::bad_field, fmt::format("'{}' is not a request ID", text)});
-    json unreachable;
-    const json records = records_of(*id, unreachable);
-    if (!unreachable.is_null())
+    bool holder_gone = false;
+    const json records = records_of(*id, holder_gone);
+    if (records.empty() && holder_gone)
         return send_refusal(
             out, {reason::not_found,
                   fmt::format(
                       "the instance {} that held the request is gone or out "
                       "of reach, and with it its records",
-                      unreachable.get<std::string>())});
+                      base::to_string(id->holder))});
     if (records.empty())
         return send_refusal(
             out, {reason::not_found,
                   "no record of that request is kept (any more)"});
-    send_json(out, 200, {{"request", text}, {"decisions", records}});
+    send_json(
+        out, 200,
+        {{"request", text},
+         {"holder_gone", holder_gone},
+         {"decisions", records}});
 }
 
 operator_api::operator_api(operator_parts parts)
--- a/libs/rpc/include/mintknot/rpc/peer_client.hpp
+++ b/libs/rpc/include/mintknot/rpc/peer_client.hpp
@@ -46,6 +46,11 @@
     absl::StatusOr<std::vector<std::string>> check_streams(
         const base::address& where, const std::vector<std::string>& attempts);
 
+    /// @return a request's stream on an engine that the instance watches, or
+    /// NotFound.
+    absl::StatusOr<found_stream>
+    find_stream(const base::address& where, const std::string& request);
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/libs/rpc/include/mintknot/rpc/peer_messages.hpp
+++ b/libs/rpc/include/mintknot/rpc/peer_messages.hpp
@@ -53,6 +53,14 @@
 /// @return false to leave the stream.
 using attach_sink = std::function<bool(const attach_event&)>;
 
+/// A decode stream that an engine still holds for a request.
+struct found_stream {
+    std::string attempt;
+    std::string engine;
+    base::address where;
+    std::string organisation;
+};
+
 /// Configuration from a peer.
 struct config_page {
     bool ready = false;
--- a/libs/rpc/include/mintknot/rpc/peer_server.hpp
+++ b/libs/rpc/include/mintknot/rpc/peer_server.hpp
@@ -33,6 +33,8 @@
     virtual config_page changes_since(std::uint64_t revision) = 0;
     virtual std::vector<std::string>
     unknown_streams(const std::vector<std::string>& attempts) = 0;
+    virtual std::optional<found_stream>
+    find_stream(const std::string& request) = 0;
 };
 
 /// Lifetime: the handler must outlive the server.
--- a/libs/rpc/src/peer_client.cpp
+++ b/libs/rpc/src/peer_client.cpp
@@ -178,4 +178,22 @@
         reply.unknown().begin(), reply.unknown().end());
 }
 
+absl::StatusOr<found_stream> peer_client::find_stream(
+    const base::address& where, const std::string& request) {
+    wire::find_stream_request message;
+    message.set_request(request);
+    wire::find_stream_reply reply;
+    grpc::ClientContext context;
+    set_timeout(context, short_call);
+    const auto status =
+        impl_->stub(where)->find_stream(&context, message, &reply);
+    if (!status.ok())
+        return to_status(status);
+    const auto engine_at = base::parse_address(reply.where());
+    if (!reply.found() || !engine_at.ok())
+        return absl::NotFoundError("no such stream");
+    return found_stream{
+        reply.attempt(), reply.engine(), *engine_at, reply.organisation()};
+}
+
 } // namespace mintknot::rpc
--- a/libs/rpc/src/peer_server.cpp
+++ b/libs/rpc/src/peer_server.cpp
@@ -102,6 +102,20 @@
         return grpc::Status::OK;
     }
 
+    grpc::Status find_stream(
+        grpc::ServerContext*, const wire::find_stream_request* message,
+        wire::find_stream_reply* reply) override {
+        const auto found = handler_.find_stream(message->request());
+        reply->set_found(found.has_value());
+        if (!found)
+            return grpc::Status::OK;
+        reply->set_attempt(found->attempt);
+        reply->set_engine(found->engine);
+        reply->set_where(base::to_string(found->where));
+        reply->set_organisation(found->organisation);
+        return grpc::Status::OK;
+    }
+
 private:
     peer_handler& handler_;
 };
--- a/libs/rpc/tests/test_peer.cpp
+++ b/libs/rpc/tests/test_peer.cpp
@@ -49,6 +49,12 @@
     unknown_streams(const std::vector<std::string>& attempts) override {
         return {attempts.back()};
     }
+    std::optional<rpc::found_stream>
+    find_stream(const std::string& request) override {
+        if (request != "known")
+            return std::nullopt;
+        return rpc::found_stream{"known.1d", "d1", {"127.0.0.1", 5}, "o"};
+    }
 
     rpc::placed_request answer;
     routing::place_query last_query;
@@ -139,6 +145,16 @@
         routing::progress_phase::decoding);
 }
 
+Test(peer, streams_on_engines_are_found) {
+    served_peer peer;
+    const auto found = peer.client.find_stream(peer.where, "known");
+    cr_assert(found.ok());
+    cr_assert(found->attempt == "known.1d" && found->organisation == "o");
+    cr_assert(found->where == (base::address{"127.0.0.1", 5}));
+    cr_assert(absl::IsNotFound(
+        peer.client.find_stream(peer.where, "other").status()));
+}
+
 Test(peer, an_absent_peer_is_unavailable) {
     rpc::peer_client client;
     cr_assert(
--- a/testing/e2e/test_resume.cpp
+++ b/testing/e2e/test_resume.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <signal.h>
+
 #include <thread>
 
 using namespace mintknot;
@@ -87,3 +89,25 @@
     cr_assert(first.tokens == second.tokens);
     cr_assert_eq(cluster.truth("decoded"), first.tokens.size());
 }
+
+Test(resume, a_dead_holders_stream_is_only_for_its_own_organisation) {
+    test_cluster cluster({});
+    auto& holder = cluster.instances()[0];
+    completion_options call{
+        .key = norrvik_key, .prompt = prompt, .max_tokens = 400};
+    call.on_token = [&](std::size_t tokens) {
+        if (tokens == 5)
+            holder.process->signal(SIGKILL);
+    };
+    const auto first = complete(holder.caller, call);
+    cr_assert(!first.done);
+    const auto& other = cluster.instances()[2];
+    const auto stolen = resume(other.caller, school_key, first.request_id, "5");
+    cr_assert(stolen.tokens.empty());
+    cr_assert(stolen.error_code == "unknown_request");
+    const auto rest = resume(
+        other.caller, norrvik_key, first.request_id,
+        std::to_string(first.tokens.size()));
+    cr_assert(rest.done, "%s", cluster.logs().c_str());
+    cr_assert_eq(first.tokens.size() + rest.tokens.size(), 400U);
+}
--- a/testing/standins/src/engine_loops.cpp
+++ b/testing/standins/src/engine_loops.cpp
@@ -199,7 +199,8 @@
                  : std::chrono::duration_cast<base::milliseconds>(
                        now - entry->unread_since);
         report.streams.push_back(
-            {attempt, entry->order.header.holder, read, unread});
+            {attempt, entry->order.header.holder, read, unread,
+             entry->order.header.organisation});
     }
     return report;
 }
--- a/testing/standins/src/fake_engine.cpp
+++ b/testing/standins/src/fake_engine.cpp
@@ -37,7 +37,8 @@
     return {
         field_or(body, "attempt", std::string()),
         field_or(body, "holder", std::string()),
-        field_or(body, "model", std::string()), field_or(body, "priority", 0)};
+        field_or(body, "model", std::string()), field_or(body, "priority", 0),
+        field_or(body, "organisation", std::string())};
 }
 
 /// @return nothing, after a refusal, if the body is no order.
@@ -196,7 +197,8 @@
             {{"attempt", held.attempt},
              {"holder", held.holder},
              {"has_reader", held.has_reader},
-             {"unread_ms", held.unread_for.count()}});
+             {"unread_ms", held.unread_for.count()},
+             {"organisation", held.organisation}});
     answer(
         response, 200,
         {{"incarnation", report.incarnation},
