Give the command line its documented exit codes; mend drain

Change: both programs handle the library's errors themselves; a test runs the verbs as processes and checks their codes. Measured: the test failed on drain before, and passes now.

--- a/libs/cli/src/verbs.cpp
+++ b/libs/cli/src/verbs.cpp
@@ -23,7 +23,10 @@
 public:
     verb_line(const std::string& verb, const std::string& purpose)
         : line_(purpose, ' ', "")
-        , verb_(verb) {}
+        , verb_(verb) {
+        // The library's own handler would exit with a code of its own.
+        line_.setExceptionHandling(false);
+    }
 
     void add_server() {
         server_.emplace(
@@ -176,7 +179,7 @@
     verb.add_server();
     TCLAP::SwitchArg undo("", "undo", "let it take work again", verb.line());
     text_argument name(
-        "server", "backend server", true, "", "server", verb.line());
+        "name", "backend server", true, "", "name", verb.line());
     verb.parse(given);
     const auto common = verb.common();
     return common ? drain(*common, name, undo) : exit_code::usage;
@@ -235,7 +238,16 @@
         return static_cast<int>(exit_code::usage);
     }
     const arguments given(argv + 2, argv + argc);
-    return static_cast<int>(position->second.run(given));
+    try {
+        return static_cast<int>(position->second.run(given));
+    } catch (const TCLAP::ArgException& error) {
+        fmt::print(
+            stderr, "mintknot {}: {}: {}\n", verb, error.argId(),
+            error.error());
+        return static_cast<int>(exit_code::usage);
+    } catch (const TCLAP::ExitException& asked) {
+        return asked.getExitStatus(); // After --help.
+    }
 }
 
 } // namespace mintknot::cli
--- a/testing/e2e/test_operators.cpp
+++ b/testing/e2e/test_operators.cpp
@@ -179,3 +179,32 @@
         cr_assert(records[1]["candidates"].size() >= 4);
     }
 }
+
+Test(operators, the_command_line_has_the_documented_exit_codes) {
+    cluster_options options;
+    options.instances = 1;
+    test_cluster cluster(options);
+    const auto run = [](const std::vector<std::string>& arguments) {
+        child_process program("mintknot", arguments, "/dev/null");
+        return program.wait();
+    };
+    const std::string server =
+        base::to_string(cluster.instances()[0].operators);
+    const std::vector<std::string> common{
+        "--server", server, "--key", operator_key};
+    const auto with = [&](std::vector<std::string> arguments) {
+        arguments.insert(arguments.begin() + 1, common.begin(), common.end());
+        return arguments;
+    };
+    cr_expect_eq(run(with({"status"})), 0);
+    cr_expect_eq(run(with({"get", "service", "assistant"})), 0);
+    cr_expect_eq(run(with({"get", "service", "none"})), 1);
+    cr_expect_eq(run({"apply"}), 2);
+    cr_expect_eq(run({"status", "--help"}), 0);
+    cr_expect_eq(run({"nonsense"}), 2);
+    cr_expect_eq(run({"validate", "-f", "/nonexistent"}), 2);
+    cr_expect_eq(
+        run(with({"delete", "--revision", "99", "pool", "decode"})), 3);
+    cr_expect_eq(run({"status", "--server", "127.0.0.1:1", "--key", "k"}), 4);
+    cr_expect_eq(run(with({"drain", "d1"})), 0);
+}
--- a/tools/mintknotd/main.cpp
+++ b/tools/mintknotd/main.cpp
@@ -15,7 +15,7 @@
 
 constexpr int exit_ok = 0;
 constexpr int exit_failed = 1;
-constexpr int exit_bad_settings = 2;
+constexpr int exit_bad_usage = 2; ///< Of the command line or the settings.
 
 struct command_line {
     std::string settings_file;
@@ -26,6 +26,8 @@
     TCLAP::CmdLine line(
         "Routes requests to prefill and decode pools and to plain services",
         ' ', MINTKNOT_VERSION);
+    // The library's own handler would exit with 1, as a failed start does.
+    line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> settings(
         "", "settings", "settings file (docs/SETTINGS.md)", true, "", "file",
         line);
@@ -58,16 +60,12 @@
     return word == "error" ? base::log_level::error : base::log_level::info;
 }
 
-} // namespace
-
-int main(int argc, char** argv) {
-    const sigset_t signals = block_signals();
-    const command_line line = parse(argc, argv);
+int serve(const command_line& line, const sigset_t& signals) {
     const base::logger log("main");
     const auto chosen = config::load_settings(line.settings_file);
     if (!chosen.ok()) {
         log.error("Bad settings:\n{}", base::text_of(chosen.status()));
-        return exit_bad_settings;
+        return exit_bad_usage;
     }
     if (line.check_only)
         return exit_ok;
@@ -84,3 +82,17 @@
         instance.stop([&signals] { return signal_pending(signals); });
     return whole ? exit_ok : exit_failed;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const sigset_t signals = block_signals();
+    try {
+        return serve(parse(argc, argv), signals);
+    } catch (const TCLAP::ArgException& error) {
+        base::logger("main").error("{}: {}.", error.argId(), error.error());
+        return exit_bad_usage;
+    } catch (const TCLAP::ExitException& asked) {
+        return asked.getExitStatus(); // After --help or --version.
+    }
+}
