--- a/libs/config/include/mintknot/config/settings.hpp
+++ b/libs/config/include/mintknot/config/settings.hpp
@@ -55,6 +55,8 @@
     base::milliseconds timeout{1000};
     base::milliseconds poll_interval{1000};
     std::size_t log_kept = 10000; ///< Changes kept in the table.
+    /// How long claims of non-repeatable calls, and their answers, are kept.
+    std::chrono::hours claims_kept{168};
 };
 
 struct engine_settings {
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -86,6 +86,8 @@
         "poll_interval_ms", platform.poll_interval, milliseconds_range);
     platform.log_kept =
         read_size(reader, "log_kept", platform.log_kept, {100, 1'000'000});
+    platform.claims_kept = std::chrono::hours{reader.number(
+        "claims_kept_hours", platform.claims_kept.count(), {1, 24 * 365})};
 }
 
 void read_engines(json_reader& reader, engine_settings& engines) {
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include <mintknot/base/log.hpp>
 #include <mintknot/claims/claim_ledger.hpp>
+#include <mintknot/claims/claim_sweeper.hpp>
 #include <mintknot/cluster/datagram_socket.hpp>
 #include <mintknot/control/config_reader.hpp>
 #include <mintknot/control/engine_watcher.hpp>
@@ -95,6 +96,7 @@
     config::config_store store;
     claims::claim_writer claim_writer;
     claims::claim_ledger ledger;
+    claims::claim_sweeper sweeper;
     engine::http_engine engines;
     rpc::peer_client peers;
     cluster::datagram_socket datagrams;
@@ -141,6 +143,7 @@
     , store(platform, given.platform.log_kept)
     , claim_writer(platform, {})
     , ledger(platform, claim_writer)
+    , sweeper(platform, {given.platform.claims_kept})
     , control(
           control_options_of(given), feed,
           [this](const base::address& where, const std::string& bytes) {
@@ -248,6 +251,12 @@
         {"claim-writer", [this](const std::stop_token& stop, pulse&) {
              claim_writer.run(stop);
          }});
+    platform_group.add(
+        {"claim-sweeper", [this](const std::stop_token& stop, pulse&) {
+             sweeper.run(stop, [this] {
+                 return control::does_job(*control.view(), "claim-sweeper");
+             });
+         }});
     traffic_group.add(child_for("engine-watcher", watcher));
     traffic_group.add(child_for("cancels", cancels));
     traffic_group.add(
