--- a/libs/entry/tests/test_request_runner.cpp
+++ b/libs/entry/tests/test_request_runner.cpp
@@ -16,11 +16,12 @@
     scripted_run()
         : runner(
               {engines,
-               [this](routing::place_query query) {
+               [this](const routing::place_query& query) {
                    queries.push_back(query);
                    return placement_for(query);
                },
-               [this](const scheduler_location&, routing::progress line) {
+               [this](
+                   const scheduler_location&, const routing::progress& line) {
                    phases.push_back(line.phase);
                },
                cancels, decisions, metrics},
