Tell every caller that may try again when to do so

Cause: refusals without a reckoned time (a passed deadline, a failed engine) carried no Retry-After although the same call may succeed later. Change: one second where nobody has reckoned a time; a test. Measured: a call with a deadline of 1 ms had no Retry-After before, has one now.

--- a/libs/entry/src/stream_sender.cpp
+++ b/libs/entry/src/stream_sender.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr base::milliseconds look_period{100};
-constexpr std::int64_t ms_per_second = 1000;
+constexpr base::milliseconds default_retry{1000};
 const std::string event_stream = "text/event-stream";
 const std::string json_type = "application/json";
 
@@ -94,17 +94,22 @@
 void send_refusal(
     httplib::Response& response, const std::string& id,
     const base::refusal& why) {
-    response.status = base::http_status(why.code);
+    base::refusal shown = why;
+    // Whoever may try again is told when, even if nobody has reckoned it.
+    if (shown.retry_after.count() == 0 && base::is_transient(why.code))
+        shown.retry_after = default_retry;
+    response.status = base::http_status(shown.code);
     if (!id.empty())
         response.set_header("X-Request-Id", id);
-    response.set_header("X-Run-Verdict", std::string(base::to_string(why.run)));
-    if (why.retry_after.count() > 0) {
+    response.set_header(
+        "X-Run-Verdict", std::string(base::to_string(shown.run)));
+    if (shown.retry_after.count() > 0) {
         // Whole seconds, rounded up: the header knows nothing finer.
         const auto seconds =
-            (why.retry_after.count() + ms_per_second - 1) / ms_per_second;
-        response.set_header("Retry-After", std::to_string(seconds));
+            std::chrono::ceil<std::chrono::seconds>(shown.retry_after);
+        response.set_header("Retry-After", std::to_string(seconds.count()));
     }
-    response.set_content(refusal_body(id, why), json_type);
+    response.set_content(refusal_body(id, shown), json_type);
 }
 
 void send_answer(
--- a/testing/e2e/test_bad_input.cpp
+++ b/testing/e2e/test_bad_input.cpp
@@ -158,6 +158,13 @@
             answer.body.c_str());
         cr_expect(answer.header("X-Run-Verdict") == "not_run", "%s", call.what);
     }
+    const auto late = client.call(
+        where, {.method = "POST",
+                .path = "/v1/completions",
+                .headers = {good_key, {"X-Deadline-Ms", "1"}},
+                .body = R"({"model": "m1", "prompt": "a"})"});
+    cr_expect(!late.ok());
+    cr_expect(!late.header("Retry-After").empty(), "%s", late.body.c_str());
     const auto unknown = client.call(where, {.path = "/v2/nothing"});
     cr_expect_eq(unknown.status, 404);
     cr_expect(code_of(unknown) == "not_found");
