--- a/libs/cli/src/verbs.cpp
+++ b/libs/cli/src/verbs.cpp
@@ -178,8 +178,7 @@
     verb_line verb("drain", "Stops new work for a backend server");
     verb.add_server();
     TCLAP::SwitchArg undo("", "undo", "let it take work again", verb.line());
-    text_argument name(
-        "name", "backend server", true, "", "name", verb.line());
+    text_argument name("name", "backend server", true, "", "name", verb.line());
     verb.parse(given);
     const auto common = verb.common();
     return common ? drain(*common, name, undo) : exit_code::usage;
