Give a kept prefill result up when no decode engine can take it

Cause: read in the code: a retry with a kept result asks the own data centre only, and only for decode engines beside the engine that holds it. If there is none (the result lies in another data centre, or all others are full), the request failed although a fresh prefill would have found room. Change: the result is given up, on the record, and the request placed anew.

--- a/libs/entry/src/request_run.cpp
+++ b/libs/entry/src/request_run.cpp
@@ -39,10 +39,7 @@
         for (const std::string& record : where.records)
             parts_.decisions.record(audit::decision_from_json(record));
         failure = where.request.refused;
-        if (failure && failure->code == reason::no_engine &&
-            !excluded_.empty()) {
-            // Rather an engine that failed once than none at all.
-            excluded_.clear();
+        if (failure && may_ask_again(*failure)) {
             failure = may_start();
             continue;
         }
@@ -58,6 +55,22 @@
     request_.fail(*failure);
 }
 
+/// Eases what stood in the way of a placement. @return false if nothing did.
+bool request_run::may_ask_again(const refusal& why) {
+    const bool none_fits =
+        why.code == reason::no_engine || why.code == reason::no_capacity;
+    if (none_fits && kept_) {
+        // The kept result binds the request to engines that cannot take it.
+        give_up_prefill(why.code, "no decode engine can take it");
+        return true;
+    }
+    if (why.code != reason::no_engine || excluded_.empty())
+        return false;
+    // Rather an engine that failed once than none at all.
+    excluded_.clear();
+    return true;
+}
+
 std::optional<refusal> request_run::may_start() const {
     const reason cancelled = request_.cancelled();
     if (cancelled != reason::none)
--- a/libs/entry/src/request_run.hpp
+++ b/libs/entry/src/request_run.hpp
@@ -39,6 +39,7 @@
 
     std::optional<base::refusal> may_start() const;
     bool may_retry(const base::refusal& why);
+    bool may_ask_again(const base::refusal& why);
     routing::place_query next_query();
     void give_up_prefill(base::reason why, const std::string& sentence);
     void cancel_decode(const placed& where, const base::refusal& why);
--- a/libs/entry/tests/test_request_runner.cpp
+++ b/libs/entry/tests/test_request_runner.cpp
@@ -33,7 +33,7 @@
         where.request.prefill_name = "p";
         where.request.decode_name = query.excluded.empty() ? "d1" : "d2";
         where.scheduler = scheduler_location{"s", std::nullopt};
-        if (no_room)
+        if (no_room || (only_fresh && !query.prefilled_on.empty()))
             where.request.refused = base::refusal{
                 base::reason::no_capacity, "full", base::verdict::not_run};
         return where;
@@ -66,6 +66,7 @@
     std::vector<routing::place_query> queries;
     std::vector<routing::progress_phase> phases;
     bool no_room = false;
+    bool only_fresh = false; ///< A kept result finds no decode engine.
     base::milliseconds deadline{60000};
     std::unique_ptr<live_request> request;
     request_runner runner;
@@ -95,6 +96,17 @@
     cr_assert_eq(run.cancels.size(), 0U);
 }
 
+Test(request_runner, a_kept_result_that_nobody_can_take_is_given_up) {
+    scripted_run run;
+    run.only_fresh = true;
+    run.engines.scripts = {
+        {0, base::reason::engine_rejected, base::verdict::not_run, false}};
+    cr_assert(run.run(2).text() == "0,1,");
+    cr_assert_eq(run.engines.prefills.size(), 2U);
+    cr_assert_eq(run.cancels.size(), 1U);
+    cr_assert(run.kinds() == "retry give_up finish ");
+}
+
 Test(request_runner, tokens_that_come_twice_are_sent_once) {
     scripted_run run;
     run.engines.scripts = {
