Refuse what cannot meet its first-token target

Cause: at twice the load that the pools carry, requests up to three targets late were served; their answers count for nothing and delay those that still could. Change: the limit is one target (one constant).

--- a/libs/routing/include/mintknot/routing/scheduler.hpp
+++ b/libs/routing/include/mintknot/routing/scheduler.hpp
@@ -67,8 +67,8 @@
 struct scheduler_options {
     std::size_t most_queued = 256;
     /// An answer later than this many first-token targets is not worth its
-    /// prefill; such a request is refused at once.
-    double latest_first_token = 3.0;
+    /// prefill; such a request is refused at once (docs/EXPERIMENTS.md).
+    double latest_first_token = 1.0;
     /// Reservations of a silent entry are released after this.
     base::milliseconds keep_alive{3000};
     /// Prefixes known of all engines together; some 40 MB (docs/CAPACITY.md).
