Read resources from JSON in one place; drop an unused function

Cause: re-reading the change: the configuration store and the peer client each read a resource from JSON, the latter in a way that throws on a field of a wrong type; http_client::forget was never called. Change: config::resource_from_json serves both; the unused function is gone. The whole suite was not run again. Conclusion: behaviour as before.

--- a/libs/config/include/mintknot/config/resource.hpp
+++ b/libs/config/include/mintknot/config/resource.hpp
@@ -43,6 +43,9 @@
 /// @return {"kind", "name", "revision", "spec"}.
 nlohmann::json to_json(const resource& value);
 
+/// @return nothing if the document is not a resource of a known kind.
+std::optional<resource> resource_from_json(const nlohmann::json& document);
+
 } // namespace mintknot::config
 
 #endif
--- a/libs/config/src/config_store.cpp
+++ b/libs/config/src/config_store.cpp
@@ -33,16 +33,6 @@
     return field_or(row.value, "revision", std::uint64_t{0});
 }
 
-std::optional<resource> resource_of(const table_row& row) {
-    const auto kind = parse_kind(field_or(row.value, "kind", std::string()));
-    if (!kind)
-        return std::nullopt;
-    return resource{
-        *kind, field_or(row.value, "name", std::string()),
-        field_or(row.value, "revision", std::uint64_t{0}),
-        field_or(row.value, "spec", nlohmann::json())};
-}
-
 change_outcome
 refused(base::reason code, base::verdict run, const std::string& sentence) {
     change_outcome outcome;
@@ -55,8 +45,8 @@
         base::reason::conflict, base::verdict::not_run,
         row.revision == 0 ? "the resource does not exist"
                           : "the resource has another revision");
-    outcome.current =
-        resource_of(row).value_or(resource{wanted.kind, wanted.name, 0, {}});
+    outcome.current = resource_from_json(row.value).value_or(
+        resource{wanted.kind, wanted.name, 0, {}});
     return outcome;
 }
 
@@ -198,7 +188,7 @@
         return rows.status();
     std::vector<resource> resources;
     for (const table_row& row : *rows)
-        if (auto item = resource_of(row))
+        if (auto item = resource_from_json(row.value))
             resources.push_back(*std::move(item));
     return catalogue::from(resources, *revision);
 }
--- a/libs/config/src/resource.cpp
+++ b/libs/config/src/resource.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/config/resource.hpp>
 
+#include <mintknot/base/json_reader.hpp>
+
 namespace mintknot::config {
 
 std::string_view to_string(resource_kind kind) noexcept {
@@ -35,4 +37,15 @@
         {"spec", value.spec}};
 }
 
+std::optional<resource> resource_from_json(const nlohmann::json& document) {
+    using base::field_or;
+    const auto kind = parse_kind(field_or(document, "kind", std::string()));
+    if (!kind)
+        return std::nullopt;
+    return resource{
+        *kind, field_or(document, "name", std::string()),
+        field_or(document, "revision", std::uint64_t{0}),
+        field_or(document, "spec", nlohmann::json())};
+}
+
 } // namespace mintknot::config
--- a/libs/net/include/mintknot/net/http_client.hpp
+++ b/libs/net/include/mintknot/net/http_client.hpp
@@ -96,9 +96,6 @@
         const base::address& server, const http_request& request,
         const data_receiver& on_data, call_canceller* canceller = nullptr);
 
-    /// Closes the idle connections to an address.
-    void forget(const base::address& server);
-
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -206,9 +206,4 @@
     return impl_->send(server, request, &on_data, canceller);
 }
 
-void http_client::forget(const base::address& server) {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->idle.erase(server);
-}
-
 } // namespace mintknot::net
--- a/libs/rpc/src/peer_client.cpp
+++ b/libs/rpc/src/peer_client.cpp
@@ -25,19 +25,6 @@
     context.set_deadline(std::chrono::system_clock::now() + timeout);
 }
 
-std::optional<config::resource> resource_from(const std::string& text) {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_object())
-        return std::nullopt;
-    const auto kind = config::parse_kind(document.value("kind", ""));
-    if (!kind)
-        return std::nullopt;
-    return config::resource{
-        *kind, document.value("name", ""),
-        document.value("revision", std::uint64_t{0}),
-        document.value("spec", nlohmann::json())};
-}
-
 config_page page_from(const wire::changes_reply& reply) {
     config_page page;
     page.ready = reply.ready();
@@ -48,9 +35,11 @@
         if (auto change = config::change_from_json(document))
             page.changes.push_back(*std::move(change));
     }
-    for (const std::string& text : reply.resources())
-        if (auto resource = resource_from(text))
+    for (const std::string& text : reply.resources()) {
+        const auto document = nlohmann::json::parse(text, nullptr, false);
+        if (auto resource = config::resource_from_json(document))
             page.resources.push_back(*std::move(resource));
+    }
     return page;
 }
 
