--- /dev/null
+++ b/libs/event/include/mintknot/event/connection.hpp
@@ -0,0 +1,91 @@
+/// @file
+/// A TCP connection on the event loop.
+#ifndef MINTKNOT_EVENT_CONNECTION_HPP
+#define MINTKNOT_EVENT_CONNECTION_HPP
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/event/loop.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace mintknot::event {
+
+/// How the other side ended a connection.
+enum class connection_end {
+    orderly, ///< It has sent everything that it wanted to send.
+    broken,  ///< Reset, unreachable or silent for too long.
+};
+
+/// What a connection tells its owner. Handlers run on the loop and never from
+/// within a call to the connection.
+struct connection_handlers {
+    std::function<void(std::string_view bytes)> on_data;
+    /// At most once, after the last on_data. Nothing is called later.
+    std::function<void(connection_end)> on_end;
+    /// The write queue has become empty after it had grown. Optional.
+    std::function<void()> on_drained;
+};
+
+/// Reads are always pending unless paused, so that the other side's leaving
+/// is noticed at once. Writes are queued without a bound: the owner looks at
+/// queued_bytes() and stops producing.
+///
+/// Lifetime: held by shared_ptr; after close() or reset() no handler runs.
+class connection : public std::enable_shared_from_this<connection> {
+public:
+    struct impl;
+    explicit connection(std::unique_ptr<impl> state);
+    ~connection();
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    /// Begins to read, or hands the connection to another owner.
+    void set_handlers(connection_handlers handlers);
+
+    void write(std::string bytes);
+    std::size_t queued_bytes() const noexcept;
+
+    void pause_reading();
+    void resume_reading();
+
+    /// Closes once everything queued has been handed to the system; then
+    /// waits a moment for the other side, so that unread bytes cannot turn
+    /// the close into a reset.
+    void close();
+    /// Closes at once, dropping what is queued. The other side sees a reset
+    /// if it has sent bytes that were not read.
+    void abort();
+    /// Closes at once with a reset, so that what was sent cannot be taken
+    /// for a whole message.
+    void reset();
+
+    /// @return the address of the other side.
+    const base::address& peer() const noexcept;
+
+private:
+    void read_next();
+    void on_readable();
+    void write_next();
+    void finish(connection_end how);
+    void linger();
+    void drop_handlers();
+    void abort_after(base::milliseconds delay);
+
+    std::unique_ptr<impl> impl_;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+/// Opens a connection. The handler gets null if there was none in time.
+/// The attempt cannot be taken back; drop the connection if it comes late.
+void connect(
+    loop& owner, const base::address& where, base::milliseconds timeout,
+    std::function<void(connection_ptr)> on_done);
+
+} // namespace mintknot::event
+
+#endif
--- /dev/null
+++ b/libs/event/include/mintknot/event/listener.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// Accepts TCP connections on the event loop.
+#ifndef MINTKNOT_EVENT_LISTENER_HPP
+#define MINTKNOT_EVENT_LISTENER_HPP
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/event/connection.hpp>
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+
+namespace mintknot::event {
+
+/// Accepts until it is closed or destroyed.
+class listener {
+public:
+    explicit listener(loop& owner);
+    ~listener();
+    listener(const listener&) = delete;
+    listener& operator=(const listener&) = delete;
+
+    /// @return Unavailable if the address cannot be bound.
+    absl::Status open(
+        const base::address& where,
+        std::function<void(connection_ptr)> on_connection);
+    /// @return the bound port; useful after binding port 0.
+    std::uint16_t port() const;
+    void close();
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace mintknot::event
+
+#endif
--- /dev/null
+++ b/libs/event/include/mintknot/event/loop.hpp
@@ -0,0 +1,66 @@
+/// @file
+/// The event loop that all traffic of a process runs on.
+#ifndef MINTKNOT_EVENT_LOOP_HPP
+#define MINTKNOT_EVENT_LOOP_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace mintknot::event {
+
+/// Runs handlers one after another on the thread that calls run(). Nothing
+/// in this library may be called from another thread.
+class loop {
+public:
+    loop();
+    ~loop();
+    loop(const loop&) = delete;
+    loop& operator=(const loop&) = delete;
+
+    /// Returns after stop(), once the current handler is done.
+    void run();
+    void stop();
+
+    /// Calls the handler soon, not from within post().
+    void post(std::function<void()> handler);
+
+    base::steady_time now() const;
+
+    /// Calls the handler whenever the process gets one of these signals.
+    void on_signals(
+        const std::vector<int>& numbers, std::function<void(int)> handler);
+
+    struct impl;
+    /// For the other classes of this library.
+    impl& native() { return *impl_; }
+
+private:
+    std::unique_ptr<impl> impl_;
+};
+
+/// Calls a handler once at a time, or never if it is stopped or destroyed.
+/// Lifetime: the loop must outlive the timer.
+class timer {
+public:
+    explicit timer(loop& owner);
+    ~timer();
+    timer(const timer&) = delete;
+    timer& operator=(const timer&) = delete;
+
+    /// Replaces what was set before. The handler may destroy the timer.
+    void start(base::steady_time when, std::function<void()> handler);
+    void start(base::milliseconds delay, std::function<void()> handler);
+    void stop();
+    bool active() const noexcept;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace mintknot::event
+
+#endif
--- /dev/null
+++ b/libs/event/src/connection.cpp
@@ -0,0 +1,279 @@
+#include "connection_impl.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace mintknot::event {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr int silent_after_s = 1;
+constexpr int silent_probe_s = 1;
+constexpr int silent_probes = 2;
+constexpr int unacknowledged_ms = 3000;
+constexpr base::milliseconds linger_time{1000};
+/// Longest time that a peer may take to read what is queued at a close.
+constexpr base::milliseconds flush_time{10000};
+
+void set_number(int socket, int level, int option, int value) {
+    ::setsockopt(socket, level, option, &value, sizeof value);
+}
+
+} // namespace
+
+void set_options(tcp::socket& socket) {
+    const int native = socket.native_handle();
+    set_number(native, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_number(native, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_number(native, IPPROTO_TCP, TCP_KEEPIDLE, silent_after_s);
+    set_number(native, IPPROTO_TCP, TCP_KEEPINTVL, silent_probe_s);
+    set_number(native, IPPROTO_TCP, TCP_KEEPCNT, silent_probes);
+}
+
+void bound_unacknowledged_time(tcp::socket& socket) {
+    set_number(
+        socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+        unacknowledged_ms);
+}
+
+connection::connection(std::unique_ptr<impl> state)
+    : impl_(std::move(state)) {
+    boost::system::error_code code;
+    impl_->socket.non_blocking(true, code);
+    const auto endpoint = impl_->socket.remote_endpoint(code);
+    if (!code)
+        impl_->peer = address_of(endpoint);
+}
+
+connection::~connection() = default;
+
+void connection::set_handlers(connection_handlers handlers) {
+    // A handler of the former owner may be running: let it go later.
+    impl_->owner.post([former = std::move(impl_->handlers)] {});
+    impl_->handlers = std::move(handlers);
+    impl_->paused = false;
+    read_next();
+}
+
+const base::address& connection::peer() const noexcept { return impl_->peer; }
+
+std::size_t connection::queued_bytes() const noexcept { return impl_->queued; }
+
+void connection::read_next() {
+    if (impl_->reading || impl_->paused || !impl_->socket.is_open())
+        return;
+    impl_->reading = true;
+    impl_->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& code) {
+            self->impl_->reading = false;
+            if (code || self->impl_->paused || !self->impl_->socket.is_open())
+                return;
+            self->on_readable();
+        });
+}
+
+void connection::on_readable() {
+    boost::system::error_code code;
+    auto& buffer = impl_->owner.native().read_buffer;
+    const std::size_t count =
+        impl_->socket.read_some(asio::buffer(buffer), code);
+    if (code == asio::error::would_block) {
+        read_next();
+        return;
+    }
+    if (code) {
+        finish(
+            code == asio::error::eof ? connection_end::orderly
+                                     : connection_end::broken);
+        return;
+    }
+    if (!impl_->ended && impl_->handlers.on_data)
+        impl_->handlers.on_data({buffer.data(), count});
+    read_next();
+}
+
+void connection::finish(connection_end how) {
+    const bool lingering = impl_->ended;
+    impl_->ended = true;
+    if (lingering || how == connection_end::broken || impl_->closing) {
+        impl_->linger_timer.stop();
+        boost::system::error_code code;
+        impl_->socket.close(code);
+    }
+    // The handlers may own this connection: let them go only after the call.
+    const connection_handlers handlers = std::move(impl_->handlers);
+    impl_->handlers = {};
+    if (!lingering && handlers.on_end)
+        handlers.on_end(how);
+}
+
+void connection::write(std::string bytes) {
+    if (bytes.empty() || impl_->closing || !impl_->socket.is_open())
+        return;
+    impl_->queued += bytes.size();
+    impl_->queue.push_back(std::move(bytes));
+    if (!impl_->writing)
+        write_next();
+}
+
+void connection::write_next() {
+    boost::system::error_code code;
+    while (!impl_->queue.empty()) {
+        const std::string& front = impl_->queue.front();
+        const std::size_t count = impl_->socket.write_some(
+            asio::buffer(
+                front.data() + impl_->front_sent,
+                front.size() - impl_->front_sent),
+            code);
+        if (code)
+            break;
+        impl_->front_sent += count;
+        impl_->queued -= count;
+        if (impl_->front_sent < front.size())
+            continue;
+        impl_->queue.pop_front();
+        impl_->front_sent = 0;
+    }
+    if (code && code != asio::error::would_block) {
+        // The pending read reports the end of the connection.
+        impl_->queue.clear();
+        impl_->queued = 0;
+        return;
+    }
+    if (impl_->queue.empty()) {
+        if (impl_->closing)
+            linger();
+        return;
+    }
+    impl_->writing = true;
+    impl_->socket.async_wait(
+        tcp::socket::wait_write,
+        [self = shared_from_this()](const boost::system::error_code& failed) {
+            self->impl_->writing = false;
+            if (failed || !self->impl_->socket.is_open())
+                return;
+            self->write_next();
+            if (self->impl_->queue.empty() && !self->impl_->ended &&
+                self->impl_->handlers.on_drained)
+                self->impl_->handlers.on_drained();
+        });
+}
+
+void connection::pause_reading() { impl_->paused = true; }
+
+void connection::resume_reading() {
+    impl_->paused = false;
+    read_next();
+}
+
+void connection::drop_handlers() {
+    // One of them may be running: let them go after it.
+    impl_->owner.post([dropped = std::move(impl_->handlers)] {});
+    impl_->handlers = {};
+}
+
+void connection::close() {
+    if (impl_->closing)
+        return;
+    impl_->closing = true;
+    impl_->ended = true;
+    drop_handlers();
+    if (impl_->queue.empty())
+        linger();
+    else
+        abort_after(flush_time);
+}
+
+void connection::abort_after(base::milliseconds delay) {
+    impl_->linger_timer.start(delay, [weak = weak_from_this()] {
+        if (const connection_ptr self = weak.lock())
+            self->abort();
+    });
+}
+
+void connection::linger() {
+    boost::system::error_code code;
+    impl_->socket.shutdown(tcp::socket::shutdown_send, code);
+    if (code) {
+        abort();
+        return;
+    }
+    impl_->paused = false;
+    read_next();
+    abort_after(linger_time);
+}
+
+void connection::abort() {
+    impl_->ended = true;
+    impl_->closing = true;
+    impl_->linger_timer.stop();
+    drop_handlers();
+    impl_->queue.clear();
+    impl_->queued = 0;
+    boost::system::error_code code;
+    impl_->socket.close(code);
+}
+
+void connection::reset() {
+    boost::system::error_code code;
+    impl_->socket.set_option(asio::socket_base::linger(true, 0), code);
+    abort();
+}
+
+namespace {
+
+/// One attempt to connect; kept alive by its pending handlers.
+struct connect_attempt {
+    explicit connect_attempt(loop& owner_loop)
+        : owner(owner_loop)
+        , socket(owner_loop.native().context)
+        , limit(owner_loop) {}
+
+    void finish(connection_ptr result) {
+        if (!on_done)
+            return;
+        limit.stop();
+        const auto handler = std::move(on_done);
+        on_done = nullptr;
+        handler(std::move(result));
+    }
+
+    loop& owner;
+    tcp::socket socket;
+    timer limit;
+    std::function<void(connection_ptr)> on_done;
+};
+
+} // namespace
+
+void connect(
+    loop& owner, const base::address& where, base::milliseconds timeout,
+    std::function<void(connection_ptr)> on_done) {
+    const auto attempt = std::make_shared<connect_attempt>(owner);
+    attempt->on_done = std::move(on_done);
+    attempt->limit.start(timeout, [attempt] {
+        boost::system::error_code code;
+        attempt->socket.close(code);
+        attempt->finish(nullptr);
+    });
+    attempt->socket.async_connect(
+        endpoint_of<tcp>(where),
+        [attempt](const boost::system::error_code& code) {
+            if (code || !attempt->socket.is_open()) {
+                attempt->finish(nullptr);
+                return;
+            }
+            set_options(attempt->socket);
+            bound_unacknowledged_time(attempt->socket);
+            attempt->finish(std::make_shared<connection>(
+                std::make_unique<connection::impl>(
+                    attempt->owner, std::move(attempt->socket))));
+        });
+}
+
+} // namespace mintknot::event
--- /dev/null
+++ b/libs/event/src/connection_impl.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// State of a connection, shared with whoever creates connections.
+#ifndef MINTKNOT_EVENT_CONNECTION_IMPL_HPP
+#define MINTKNOT_EVENT_CONNECTION_IMPL_HPP
+
+#include "loop_impl.hpp"
+
+#include <mintknot/event/connection.hpp>
+
+#include <deque>
+
+namespace mintknot::event {
+
+struct connection::impl {
+    impl(loop& owner_loop, boost::asio::ip::tcp::socket&& connected)
+        : owner(owner_loop)
+        , socket(std::move(connected))
+        , linger_timer(owner_loop) {}
+
+    loop& owner;
+    boost::asio::ip::tcp::socket socket;
+    connection_handlers handlers;
+    base::address peer;
+    std::deque<std::string> queue;
+    std::size_t front_sent = 0; ///< Of the first queued string.
+    std::size_t queued = 0;
+    bool reading = false; ///< A wait is pending.
+    bool paused = false;
+    bool writing = false; ///< A wait is pending.
+    bool closing = false; ///< close() was called.
+    bool ended = false;   ///< No handler runs any more.
+    timer linger_timer;
+};
+
+/// Sets the options that every connection has: no delay, and probes that tell
+/// within some seconds that an idle peer is gone.
+void set_options(boost::asio::ip::tcp::socket& socket);
+
+/// Bounds the time that sent bytes may stay unacknowledged. Not for callers:
+/// one that reads slowly is not gone.
+void bound_unacknowledged_time(boost::asio::ip::tcp::socket& socket);
+
+} // namespace mintknot::event
+
+#endif
--- /dev/null
+++ b/libs/event/src/listener.cpp
@@ -0,0 +1,87 @@
+#include <mintknot/event/listener.hpp>
+
+#include "connection_impl.hpp"
+
+#include <fmt/format.h>
+
+namespace mintknot::event {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr int backlog = 1024;
+/// Pause after a failed accept, which mostly means too few descriptors.
+constexpr base::milliseconds accept_pause{20};
+
+} // namespace
+
+struct listener::impl : std::enable_shared_from_this<listener::impl> {
+    explicit impl(loop& owner_loop)
+        : owner(owner_loop)
+        , acceptor(owner_loop.native().context)
+        , pause(owner_loop) {}
+
+    void accept_next() {
+        acceptor.async_accept([self = shared_from_this()](
+                                  const boost::system::error_code& code,
+                                  tcp::socket socket) {
+            if (!self->acceptor.is_open())
+                return;
+            if (code) {
+                self->pause.start(
+                    accept_pause, [self] { self->accept_next(); });
+                return;
+            }
+            set_options(socket);
+            self->on_connection(std::make_shared<connection>(
+                std::make_unique<connection::impl>(
+                    self->owner, std::move(socket))));
+            self->accept_next();
+        });
+    }
+
+    loop& owner;
+    tcp::acceptor acceptor;
+    timer pause;
+    std::function<void(connection_ptr)> on_connection;
+};
+
+listener::listener(loop& owner)
+    : impl_(std::make_shared<impl>(owner)) {}
+
+listener::~listener() { close(); }
+
+absl::Status listener::open(
+    const base::address& where,
+    std::function<void(connection_ptr)> on_connection) {
+    boost::system::error_code code;
+    const tcp::endpoint endpoint = endpoint_of<tcp>(where);
+    impl_->acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        impl_->acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        impl_->acceptor.bind(endpoint, code);
+    if (!code)
+        impl_->acceptor.listen(backlog, code);
+    if (code)
+        return absl::UnavailableError(fmt::format(
+            "cannot listen on {}: {}", base::to_string(where),
+            code.message()));
+    impl_->on_connection = std::move(on_connection);
+    impl_->accept_next();
+    return absl::OkStatus();
+}
+
+std::uint16_t listener::port() const {
+    boost::system::error_code code;
+    return impl_->acceptor.local_endpoint(code).port();
+}
+
+void listener::close() {
+    boost::system::error_code code;
+    impl_->pause.stop();
+    impl_->acceptor.close(code);
+}
+
+} // namespace mintknot::event
--- /dev/null
+++ b/libs/event/src/loop.cpp
@@ -0,0 +1,90 @@
+#include "loop_impl.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace mintknot::event {
+
+namespace {
+
+void wait_for_signal(
+    boost::asio::signal_set& signals,
+    const std::shared_ptr<std::function<void(int)>>& handler) {
+    signals.async_wait(
+        [&signals, handler](const boost::system::error_code& code, int number) {
+            if (code)
+                return;
+            (*handler)(number);
+            wait_for_signal(signals, handler);
+        });
+}
+
+} // namespace
+
+loop::loop()
+    : impl_(std::make_unique<impl>()) {}
+
+loop::~loop() = default;
+
+void loop::run() {
+    const auto work = boost::asio::make_work_guard(impl_->context);
+    impl_->context.run();
+}
+
+void loop::stop() { impl_->context.stop(); }
+
+void loop::post(std::function<void()> handler) {
+    boost::asio::post(impl_->context, std::move(handler));
+}
+
+base::steady_time loop::now() const { return base::steady_clock::now(); }
+
+void loop::on_signals(
+    const std::vector<int>& numbers, std::function<void(int)> handler) {
+    for (int number : numbers)
+        impl_->signals.add(number);
+    wait_for_signal(
+        impl_->signals,
+        std::make_shared<std::function<void(int)>>(std::move(handler)));
+}
+
+struct timer::impl {
+    explicit impl(loop& owner)
+        : native(owner.native().context) {}
+    boost::asio::steady_timer native;
+    std::uint64_t generation = 0;
+    bool active = false;
+};
+
+timer::timer(loop& owner)
+    : impl_(std::make_shared<impl>(owner)) {}
+
+timer::~timer() { stop(); }
+
+void timer::start(base::steady_time when, std::function<void()> handler) {
+    const std::uint64_t generation = ++impl_->generation;
+    impl_->active = true;
+    impl_->native.expires_at(when);
+    impl_->native.async_wait(
+        [state = impl_, generation, handler = std::move(handler)](
+            const boost::system::error_code& code) {
+            if (code || state->generation != generation)
+                return;
+            state->active = false;
+            handler();
+        });
+}
+
+void timer::start(base::milliseconds delay, std::function<void()> handler) {
+    start(base::steady_clock::now() + delay, std::move(handler));
+}
+
+void timer::stop() {
+    ++impl_->generation;
+    impl_->active = false;
+    impl_->native.cancel();
+}
+
+bool timer::active() const noexcept { return impl_->active; }
+
+} // namespace mintknot::event
--- /dev/null
+++ b/libs/event/src/loop_impl.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// What the classes of this library share: Asio's context and a read buffer.
+#ifndef MINTKNOT_EVENT_LOOP_IMPL_HPP
+#define MINTKNOT_EVENT_LOOP_IMPL_HPP
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/event/loop.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <array>
+
+namespace mintknot::event {
+
+inline constexpr std::size_t read_buffer_bytes = 64 * 1024;
+
+struct loop::impl {
+    boost::asio::io_context context{1};
+    boost::asio::signal_set signals{context};
+    /// Handlers run one after another, so that one buffer serves all reads.
+    std::array<char, read_buffer_bytes> read_buffer{};
+};
+
+/// @return the endpoint, with the unspecified address for a bad host.
+template<class Protocol>
+typename Protocol::endpoint endpoint_of(const base::address& where) {
+    boost::system::error_code code;
+    const auto host = boost::asio::ip::make_address(where.host, code);
+    return {host, where.port};
+}
+
+template<class Endpoint> base::address address_of(const Endpoint& endpoint) {
+    return {endpoint.address().to_string(), endpoint.port()};
+}
+
+} // namespace mintknot::event
+
+#endif
--- /dev/null
+++ b/libs/peers/include/mintknot/peers/heartbeat.hpp
@@ -0,0 +1,44 @@
+/// @file
+/// The datagram that instances send each other.
+#ifndef MINTKNOT_PEERS_HEARTBEAT_HPP
+#define MINTKNOT_PEERS_HEARTBEAT_HPP
+
+#include <mintknot/base/time.hpp>
+#include <mintknot/traffic/load_view.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mintknot::peers {
+
+/// A server that the sender avoids, and for how much longer.
+struct server_warning {
+    std::string server_id;
+    base::milliseconds left{0};
+};
+
+/// What one instance tells all others.
+struct heartbeat {
+    std::uint64_t incarnation = 0; ///< Random; another one after a restart.
+    std::uint64_t sequence = 0;    ///< Rises within an incarnation.
+    std::uint64_t configuration = 0; ///< Newest version that it knows.
+    std::uint64_t servers = 0;       ///< Likewise.
+    bool leaving = false;
+    traffic::load_map loads;
+    std::vector<server_warning> warnings;
+    std::vector<std::string> hosts; ///< Some instances that it hears.
+};
+
+/// @return the heartbeat in MessagePack.
+std::string encode(const heartbeat& value);
+
+/// @return InvalidArgument if the datagram is no heartbeat.
+absl::StatusOr<heartbeat> decode(std::string_view datagram);
+
+} // namespace mintknot::peers
+
+#endif
--- /dev/null
+++ b/libs/peers/include/mintknot/peers/peer_group.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// Sends and receives heartbeats.
+#ifndef MINTKNOT_PEERS_PEER_GROUP_HPP
+#define MINTKNOT_PEERS_PEER_GROUP_HPP
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/event/loop.hpp>
+#include <mintknot/logging/line_log.hpp>
+#include <mintknot/peers/peer_table.hpp>
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mintknot::peers {
+
+/// Settings of a group. All instances use the same port.
+struct group_options {
+    base::address own;
+    std::vector<std::string> seeds; ///< Hosts; stale ones do no harm.
+    base::milliseconds calm_period{500};
+    base::milliseconds shortest_gap{60};
+    base::milliseconds search_period{1000};
+};
+
+/// How the group gets and gives what heartbeats tell.
+struct group_handlers {
+    /// Fills in everything but incarnation, sequence and hosts.
+    std::function<heartbeat()> describe;
+    std::function<void(const std::string& host, const heartbeat&)> on_heartbeat;
+};
+
+/// Tells all instances that are heard of this one's state: at once when it
+/// changes, but not more often than `shortest_gap`, else periodically.
+class peer_group {
+public:
+    peer_group(
+        event::loop& owner, logging::line_log& log, group_options options,
+        group_handlers handlers);
+    ~peer_group();
+    peer_group(const peer_group&) = delete;
+    peer_group& operator=(const peer_group&) = delete;
+
+    absl::Status open();
+    /// The own state has changed.
+    void changed();
+    const peer_table& table() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mintknot::peers
+
+#endif
--- /dev/null
+++ b/libs/peers/include/mintknot/peers/peer_table.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// Which instances are heard, as plain data.
+#ifndef MINTKNOT_PEERS_PEER_TABLE_HPP
+#define MINTKNOT_PEERS_PEER_TABLE_HPP
+
+#include <mintknot/peers/heartbeat.hpp>
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mintknot::peers {
+
+/// What is known of one other instance, by its host.
+struct peer {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    base::steady_time heard{};
+    std::uint64_t configuration = 0;
+    std::uint64_t servers = 0;
+    bool leaving = false;
+};
+
+/// Instances that are heard, and hosts that are only known by name.
+struct peer_table {
+    std::string own_host;
+    std::map<std::string, peer> heard;
+    /// Hosts from the settings and from peers, with the last time they were
+    /// told of.
+    std::map<std::string, base::steady_time> candidates;
+    std::set<std::string> seeds;
+    std::size_t most_seen = 1; ///< Most instances that lived at once.
+};
+
+/// After this time without a heartbeat an instance is taken for gone.
+inline constexpr base::milliseconds peer_life{4000};
+/// A host that nobody hears is forgotten after this time.
+inline constexpr base::milliseconds candidate_life{20000};
+
+/// Takes a heartbeat. @return false if it is older than what was heard.
+bool note(
+    peer_table& table, const std::string& host, const heartbeat& value,
+    base::steady_time now);
+
+/// Drops instances that have fallen silent. @return their hosts.
+std::vector<std::string> expire(peer_table& table, base::steady_time now);
+
+/// @return hosts that a heartbeat goes to now. @param all true: also those
+/// that are not heard, to find them.
+std::vector<std::string> recipients(const peer_table& table, bool all);
+
+/// @return instances that may exist: the most that were heard at once, with
+/// this one.
+std::size_t instances(const peer_table& table);
+
+} // namespace mintknot::peers
+
+#endif
--- /dev/null
+++ b/libs/peers/src/heartbeat.cpp
@@ -0,0 +1,86 @@
+#include <mintknot/peers/heartbeat.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace mintknot::peers {
+
+namespace {
+
+using nlohmann::json;
+
+/// First element; tells heartbeats of other formats apart.
+constexpr int format = 1;
+constexpr std::size_t fields = 9;
+constexpr std::size_t most_entries = 4096;
+
+json loads_to_json(const traffic::load_map& loads) {
+    json rows = json::array();
+    for (const auto& [id, load] : loads)
+        rows.push_back(
+            {id, load.calls, static_cast<std::int64_t>(load.prefill_tokens),
+             static_cast<std::int64_t>(load.memory_tokens)});
+    return rows;
+}
+
+traffic::load_map loads_from(const json& rows) {
+    traffic::load_map loads;
+    if (rows.size() > most_entries)
+        return loads;
+    for (const json& row : rows)
+        loads[row.at(0).get<std::string>()] = {
+            row.at(1).get<int>(),
+            static_cast<double>(row.at(2).get<std::int64_t>()),
+            static_cast<double>(row.at(3).get<std::int64_t>())};
+    return loads;
+}
+
+json warnings_to_json(const std::vector<server_warning>& warnings) {
+    json rows = json::array();
+    for (const server_warning& warning : warnings)
+        rows.push_back({warning.server_id, warning.left.count()});
+    return rows;
+}
+
+std::vector<server_warning> warnings_from(const json& rows) {
+    std::vector<server_warning> warnings;
+    for (const json& row : rows)
+        warnings.push_back(
+            {row.at(0).get<std::string>(),
+             base::milliseconds(row.at(1).get<std::int64_t>())});
+    return warnings;
+}
+
+} // namespace
+
+std::string encode(const heartbeat& value) {
+    const json row = {
+        format,          value.incarnation, value.sequence,
+        value.configuration, value.servers, value.leaving,
+        loads_to_json(value.loads), warnings_to_json(value.warnings),
+        value.hosts};
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
+    return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<heartbeat> decode(std::string_view datagram) {
+    const json row = json::from_msgpack(
+        datagram.begin(), datagram.end(), true, false);
+    if (!row.is_array() || row.size() != fields || row[0] != format)
+        return absl::InvalidArgumentError("no heartbeat of this format");
+    try {
+        heartbeat value;
+        value.incarnation = row[1].get<std::uint64_t>();
+        value.sequence = row[2].get<std::uint64_t>();
+        value.configuration = row[3].get<std::uint64_t>();
+        value.servers = row[4].get<std::uint64_t>();
+        value.leaving = row[5].get<bool>();
+        value.loads = loads_from(row[6]);
+        value.warnings = warnings_from(row[7]);
+        value.hosts = row[8].get<std::vector<std::string>>();
+        return value;
+    } catch (const json::exception&) {
+        return absl::InvalidArgumentError("a field has a wrong type");
+    }
+}
+
+} // namespace mintknot::peers
--- /dev/null
+++ b/libs/peers/src/peer_table.cpp
@@ -0,0 +1,58 @@
+#include <mintknot/peers/peer_table.hpp>
+
+#include <algorithm>
+
+namespace mintknot::peers {
+
+bool note(
+    peer_table& table, const std::string& host, const heartbeat& value,
+    base::steady_time now) {
+    if (host == table.own_host)
+        return false;
+    peer& known = table.heard[host];
+    if (known.incarnation == value.incarnation &&
+        known.sequence >= value.sequence)
+        return false;
+    known = {value.incarnation,   value.sequence, now,
+             value.configuration, value.servers,  value.leaving};
+    table.candidates[host] = now;
+    for (const std::string& other : value.hosts)
+        if (other != table.own_host)
+            table.candidates.emplace(other, now);
+    table.most_seen = std::max(table.most_seen, table.heard.size() + 1);
+    return true;
+}
+
+std::vector<std::string> expire(peer_table& table, base::steady_time now) {
+    std::vector<std::string> gone;
+    for (auto it = table.heard.begin(); it != table.heard.end();) {
+        if (now - it->second.heard <= peer_life) {
+            ++it;
+            continue;
+        }
+        gone.push_back(it->first);
+        it = table.heard.erase(it);
+    }
+    std::erase_if(table.candidates, [&](const auto& item) {
+        return now - item.second > candidate_life &&
+               !table.heard.contains(item.first);
+    });
+    return gone;
+}
+
+std::vector<std::string> recipients(const peer_table& table, bool all) {
+    std::set<std::string> hosts;
+    for (const auto& [host, known] : table.heard)
+        hosts.insert(host);
+    if (all) {
+        for (const auto& [host, told] : table.candidates)
+            hosts.insert(host);
+        hosts.insert(table.seeds.begin(), table.seeds.end());
+    }
+    hosts.erase(table.own_host);
+    return {hosts.begin(), hosts.end()};
+}
+
+std::size_t instances(const peer_table& table) { return table.most_seen; }
+
+} // namespace mintknot::peers
--- /dev/null
+++ b/libs/relay/include/mintknot/relay/dialect.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// What the relay must know of the protocol that callers and servers speak.
+#ifndef MINTKNOT_RELAY_DIALECT_HPP
+#define MINTKNOT_RELAY_DIALECT_HPP
+
+#include <mintknot/base/time.hpp>
+#include <mintknot/http1/message.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mintknot::relay {
+
+/// What a caller tells of a request in its head.
+struct request_terms {
+    std::string id; ///< Empty if the caller named none.
+    std::optional<base::milliseconds> deadline; ///< From its arrival.
+    double prompt_tokens = 0.0;
+    double most_output_tokens = 0.0;
+};
+
+/// What an outgoing call is to do with a prompt.
+enum class call_stage {
+    whole,   ///< Run the request.
+    prefill, ///< Only read the prompt and keep the result.
+};
+
+/// What the router adds to an outgoing call.
+struct call_terms {
+    std::string server_id; ///< Only this server may run it.
+    base::milliseconds time_left{0};
+    call_stage stage = call_stage::whole;
+    std::string prefill_result; ///< Where a prompt's KV cache lies; or empty.
+    std::optional<std::uint64_t> resume_after; ///< Last event passed on.
+};
+
+/// What the head of a server's answer says.
+struct answer_terms {
+    std::string request_id;
+    bool not_executed = false; ///< It states that the request has not run.
+    bool sealed = false;       ///< It carries the server's signature.
+    bool encoded = false;      ///< The body is not the one that was asked for.
+    bool event_stream = false;
+};
+
+/// The kept result of a prefill call.
+struct prefill_result {
+    std::string handle;
+    double tokens = 0.0;
+};
+
+/// Names and formats of a protocol. Implementations keep no state and decide
+/// nothing.
+class dialect {
+public:
+    virtual ~dialect() = default;
+
+    virtual request_terms
+    read_request(const http1::request_head& head) const = 0;
+    virtual answer_terms
+    read_answer(const http1::response_head& head) const = 0;
+    /// @return nothing if the body is no proper result.
+    virtual std::optional<prefill_result>
+    read_prefill(std::string_view body) const = 0;
+
+    /// @return the caller's request with what the router adds, and without
+    /// fields that only the router may set.
+    virtual http1::request_head outgoing(
+        const http1::request_head& caller, const call_terms& terms) const = 0;
+    /// @return the call that frees a kept prefill result.
+    virtual http1::request_head
+    release(const std::string& handle, const std::string& server_id) const = 0;
+    /// @return where a result lies, as call_terms::prefill_result takes it.
+    virtual std::string result_place(
+        const std::string& server_address, const std::string& handle) const = 0;
+    /// @return the fields of an answer that the router itself gives.
+    virtual http1::field_list own_answer(
+        const std::string& request_id,
+        std::optional<base::milliseconds> retry_after) const = 0;
+};
+
+} // namespace mintknot::relay
+
+#endif
--- /dev/null
+++ b/libs/relay/include/mintknot/relay/exchange.hpp
@@ -0,0 +1,122 @@
+/// @file
+/// One request of a caller, from its arrival to the end of its answer.
+#ifndef MINTKNOT_RELAY_EXCHANGE_HPP
+#define MINTKNOT_RELAY_EXCHANGE_HPP
+
+#include <mintknot/base/verdict.hpp>
+#include <mintknot/event/loop.hpp>
+#include <mintknot/relay/router_state.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace mintknot::relay {
+
+/// A caller's request, read whole.
+struct caller_request {
+    http1::request_head head;
+    std::shared_ptr<const std::string> body;
+    request_terms terms;
+    base::steady_time arrived;
+};
+
+/// Where an answer goes. Exactly one of whole(), end() and break_off() is
+/// called last; nothing is called after caller_left().
+class answer_sink {
+public:
+    virtual ~answer_sink() = default;
+
+    /// Sends an answer that is complete.
+    virtual void whole(http1::response_head head, std::string body) = 0;
+    /// Sends a head; data() and end() follow. The framing is chosen here,
+    /// unless the head says framing::close.
+    virtual void begin(http1::response_head head) = 0;
+    virtual void data(std::string_view bytes) = 0;
+    virtual void end() = 0;
+    /// Ends an answer so that it cannot be taken for a complete one.
+    virtual void break_off() = 0;
+    /// @return true if the caller reads too slowly; drained() follows.
+    virtual bool congested() const = 0;
+};
+
+/// Common part of the kinds of exchanges. The sink outlives the exchange.
+class exchange {
+public:
+    virtual ~exchange();
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    /// Begins; the sink may be called from within.
+    void start();
+    /// The caller's connection has ended.
+    void caller_left();
+    /// The sink is no longer congested.
+    virtual void drained() = 0;
+
+protected:
+    exchange(
+        router& owner, answer_sink& sink, caller_request request,
+        std::shared_ptr<const traffic::catalogue> config,
+        const traffic::route& route, const traffic::service& service);
+
+    virtual void run() = 0;
+    /// Cancels what is in flight at servers.
+    virtual void cancel_calls() = 0;
+    /// @return true if a call is in flight that may run the request.
+    virtual bool may_be_running() const = 0;
+
+    base::milliseconds time_left() const;
+    base::milliseconds since_arrival() const;
+    /// Raises the verdict; it is never lowered.
+    void raise(base::verdict seen);
+
+    /// Ends the exchange with an answer of the router's own. The status
+    /// follows from the verdict: only `not_run` promises that it has not run.
+    void give_up(std::string_view reason);
+    /// Ends the exchange with a server's answer.
+    void answer_whole(http1::response_head head, std::string body);
+    void note_first_byte();
+    void end_answer(std::string_view outcome);
+    void break_answer(std::string_view reason);
+
+    call_terms terms_for(const traffic::server& server) const;
+    upstream::call_request
+    call_for(const call_terms& terms) const;
+
+    router& owner_;
+    answer_sink& sink_;
+    caller_request request_;
+    std::shared_ptr<const traffic::catalogue> config_;
+    const traffic::route& route_;
+    const traffic::service& service_;
+    base::verdict verdict_ = base::verdict::not_run;
+    bool head_sent_ = false;
+    bool finished_ = false;
+    int sends_ = 0; ///< Calls that may have reached a server.
+
+private:
+    void on_deadline();
+    void finish(std::string_view outcome);
+
+    event::timer deadline_timer_;
+    base::steady_time deadline_;
+    base::milliseconds first_byte_{0};
+};
+
+/// @return an exchange for a request of the route.
+std::unique_ptr<exchange> make_exchange(
+    router& owner, answer_sink& sink, caller_request request,
+    const std::shared_ptr<const traffic::catalogue>& config,
+    const traffic::route& route, const traffic::service& service);
+
+/// @return the answer to a request that no exchange was made for.
+std::string refusal_text(
+    const router& owner, int status, const std::string& request_id,
+    std::string_view reason, std::optional<base::milliseconds> retry_after,
+    bool keep_alive);
+
+} // namespace mintknot::relay
+
+#endif
--- /dev/null
+++ b/libs/relay/include/mintknot/relay/release_queue.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// Frees kept prefill results that will not be used.
+#ifndef MINTKNOT_RELAY_RELEASE_QUEUE_HPP
+#define MINTKNOT_RELAY_RELEASE_QUEUE_HPP
+
+#include <mintknot/relay/dialect.hpp>
+#include <mintknot/traffic/server_table.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace mintknot::relay {
+
+/// Sends each release once; a result lapses by itself soon after. The number
+/// of releases in flight is bounded, further ones are left to lapse.
+class release_queue {
+public:
+    release_queue(upstream::connection_pool& pool, const dialect& protocol);
+
+    void add(const traffic::server& engine, const std::string& handle);
+
+private:
+    void finish(std::uint64_t number);
+
+    upstream::connection_pool& pool_;
+    const dialect& protocol_;
+    std::uint64_t last_ = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<upstream::call>> open_;
+};
+
+} // namespace mintknot::relay
+
+#endif
--- /dev/null
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// Everything that the requests of one instance share.
+#ifndef MINTKNOT_RELAY_ROUTER_STATE_HPP
+#define MINTKNOT_RELAY_ROUTER_STATE_HPP
+
+#include <mintknot/event/loop.hpp>
+#include <mintknot/logging/line_log.hpp>
+#include <mintknot/relay/dialect.hpp>
+#include <mintknot/relay/relay_metrics.hpp>
+#include <mintknot/relay/release_queue.hpp>
+#include <mintknot/traffic/catalogue.hpp>
+#include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/retry_allowance.hpp>
+#include <mintknot/traffic/selection.hpp>
+#include <mintknot/traffic/server_health.hpp>
+#include <mintknot/traffic/server_table.hpp>
+#include <mintknot/upstream/connection_pool.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace mintknot::relay {
+
+/// How generation requests use the two pools.
+enum class prefill_policy {
+    separate, ///< Prefill engines read prompts, decode engines go on.
+    inline_   ///< Decode engines read prompts themselves.
+};
+
+/// Settings of the relay.
+struct relay_options {
+    std::string data_centre;
+    std::size_t most_callers = 1500; ///< Open connections of callers.
+    std::size_t most_body_bytes = 24 * 1024 * 1024; ///< Of all open requests.
+    traffic::selection_policy selection =
+        traffic::selection_policy::least_loaded;
+    prefill_policy prefill = prefill_policy::separate;
+    bool repeats = true; ///< Whether requests are ever sent again.
+};
+
+/// What is believed at present. Changed only on the loop's thread.
+struct router_state {
+    std::shared_ptr<const traffic::catalogue> config; ///< Null at first.
+    traffic::server_table servers;
+    traffic::load_view loads;
+    traffic::health_view health;
+    traffic::read_rates rates;
+    std::unordered_map<std::string, traffic::retry_allowance> allowances;
+    traffic::retry_bounds retry_bounds;
+    std::size_t instances = 1; ///< How many instances there may be.
+    std::size_t open_requests = 0;
+    std::size_t open_body_bytes = 0;
+    bool stopping = false;
+    /// Called when own loads or health have changed.
+    std::function<void()> on_load_change;
+};
+
+/// What every request works with. References outlive all requests.
+struct router {
+    event::loop& loop;
+    upstream::connection_pool& pool;
+    const dialect& protocol;
+    logging::line_log& log;
+    relay_metrics& metrics;
+    release_queue& releases;
+    relay_options options;
+    router_state state{};
+    std::minstd_rand random{std::random_device{}()};
+
+    double draw() {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+    }
+};
+
+/// Adds work in flight at a server, and tells peers of it.
+void add_load(
+    router& owner, const std::string& server_id,
+    const traffic::server_load& load);
+void remove_load(
+    router& owner, const std::string& server_id,
+    const traffic::server_load& load);
+
+/// Takes the result of a call; logs when a server is avoided from now on.
+void note_result(
+    router& owner, const std::string& server_id, traffic::call_result result,
+    const std::string& request_id);
+
+/// @return true if one more send for the service is within the allowance.
+bool spend_repeat(router& owner, const std::string& service);
+
+/// @return the inputs of a selection, valid while the router is not changed.
+traffic::selection_inputs
+selection_for(router& owner, const traffic::service& target);
+
+} // namespace mintknot::relay
+
+#endif
--- /dev/null
+++ b/libs/relay/src/caller_session.cpp
@@ -0,0 +1,338 @@
+#include "caller_session.hpp"
+
+#include <mintknot/http1/serialize.hpp>
+
+namespace mintknot::relay {
+
+namespace {
+
+/// Bytes behind the request at hand that are kept; more wait in the system.
+constexpr std::size_t most_pending_bytes = 64 * 1024;
+/// Unsent bytes of an answer above which its server is no longer read.
+constexpr std::size_t congested_bytes = 128 * 1024;
+/// How long a body may take beyond the time for its head.
+constexpr base::milliseconds body_time{20000};
+constexpr base::milliseconds come_back{300};
+
+} // namespace
+
+caller_session::caller_session(
+    router& owner, event::connection_ptr link,
+    std::function<void(caller_session*)> on_end)
+    : owner_(owner)
+    , link_(std::move(link))
+    , on_end_(std::move(on_end))
+    , timer_(owner.loop) {}
+
+caller_session::~caller_session() { release_body(); }
+
+void caller_session::start() {
+    next_request();
+    link_->set_handlers(
+        {[self = shared_from_this()](std::string_view bytes) {
+             self->on_data(bytes);
+         },
+         [self = shared_from_this()](event::connection_end) {
+             self->on_end();
+         },
+         [self = shared_from_this()] {
+             if (self->exchange_ != nullptr)
+                 self->exchange_->drained();
+         }});
+}
+
+bool caller_session::idle() const noexcept {
+    return !answering_ && pending_.empty() && !head_seen_;
+}
+
+traffic::caller_limits caller_session::limits() const {
+    return owner_.state.config == nullptr ? traffic::caller_limits{}
+                                          : owner_.state.config->limits;
+}
+
+void caller_session::next_request() {
+    const traffic::caller_limits bounds = limits();
+    parser_ = std::make_unique<http1::request_parser>(
+        http1::message_limits{bounds.header_bytes, bounds.body_bytes});
+    head_seen_ = false;
+    body_.clear();
+    arm_idle_timer();
+}
+
+void caller_session::arm_idle_timer() {
+    // A little longer than what callers rely on.
+    const base::milliseconds time = limits().idle_timeout * 11 / 10;
+    timer_.start(time, [this] { close(); });
+}
+
+void caller_session::arm_request_timer() {
+    timer_.start(limits().header_timeout, [this] {
+        if (head_seen_) {
+            timer_.start(body_time, [this] {
+                refuse(408, "body_too_slow", std::nullopt);
+            });
+            return;
+        }
+        refuse(408, "header_too_slow", std::nullopt);
+    });
+}
+
+void caller_session::on_data(std::string_view bytes) {
+    if (closed_)
+        return;
+    if (idle()) {
+        began_ = owner_.loop.now();
+        arm_request_timer();
+    }
+    pending_.append(bytes);
+    if (answering_) {
+        if (pending_.size() > most_pending_bytes)
+            link_->pause_reading();
+        return;
+    }
+    read_on();
+}
+
+void caller_session::read_on() {
+    while (!closed_ && !answering_ && !pending_.empty()) {
+        const std::size_t used =
+            parser_->put(pending_, [this](std::string_view piece) {
+                reserve_body(piece.size());
+                body_.append(piece);
+            });
+        pending_.erase(0, used);
+        if (!head_seen_ && parser_->has_head())
+            on_head();
+        if (parser_->error() != http1::parse_error::none) {
+            refuse_bad_request();
+            return;
+        }
+        if (parser_->done()) {
+            on_request();
+            continue;
+        }
+        if (used == 0)
+            return;
+    }
+}
+
+void caller_session::on_head() {
+    head_seen_ = true;
+    const http1::request_head& head = parser_->head();
+    request_keep_alive_ = head.keep_alive;
+    minor_version_ = head.minor_version;
+    if (head.expects_continue && !parser_->done())
+        link_->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void caller_session::refuse_bad_request() {
+    switch (parser_->error()) {
+    case http1::parse_error::header_too_large:
+        refuse(431, "header_too_large", std::nullopt);
+        return;
+    case http1::parse_error::body_too_large:
+        refuse(413, "body_too_large", std::nullopt);
+        return;
+    default:
+        refuse(400, "malformed_request", std::nullopt);
+    }
+}
+
+void caller_session::refuse(
+    int status, std::string_view reason,
+    std::optional<base::milliseconds> retry_after) {
+    if (closed_)
+        return;
+    std::string id;
+    if (parser_->has_head())
+        id = owner_.protocol.read_request(parser_->head()).id;
+    owner_.log.write(
+        "refused", {{"request", id},
+                    {"reason", reason},
+                    {"status", std::int64_t{status}},
+                    {"caller", base::to_string(link_->peer())}});
+    owner_.metrics.count_request({"", std::string(reason), {}, {}});
+    link_->write(
+        refusal_text(owner_, status, id, reason, retry_after, false));
+    close();
+}
+
+void caller_session::reserve_body(std::size_t bytes) {
+    reserved_body_ += bytes;
+    owner_.state.open_body_bytes += bytes;
+}
+
+void caller_session::release_body() {
+    owner_.state.open_body_bytes -= reserved_body_;
+    reserved_body_ = 0;
+}
+
+void caller_session::on_request() {
+    timer_.stop();
+    answering_ = true;
+    caller_request request;
+    request.head = std::move(parser_->head());
+    request.terms = owner_.protocol.read_request(request.head);
+    request.arrived = began_;
+    const std::string id = request.terms.id;
+    const auto answer = [&](int status, std::string_view reason,
+                            std::optional<base::milliseconds> retry_after) {
+        owner_.log.write(
+            "refused", {{"request", id},
+                        {"reason", reason},
+                        {"status", std::int64_t{status}},
+                        {"target", request.head.target}});
+        owner_.metrics.count_request({"", std::string(reason), {}, {}});
+        link_->write(refusal_text(
+            owner_, status, id, reason, retry_after, keep_alive()));
+        answer_done();
+    };
+    const auto config = owner_.state.config;
+    if (config == nullptr) {
+        answer(503, "no_configuration", come_back);
+        return;
+    }
+    const std::string* host = http1::find_field(request.head.fields, "Host");
+    const traffic::route* route = traffic::find_route(
+        *config, host == nullptr ? std::string_view{} : *host,
+        request.head.target);
+    if (route == nullptr) {
+        answer(404, "no_route", std::nullopt);
+        return;
+    }
+    if (owner_.state.open_body_bytes > owner_.options.most_body_bytes) {
+        answer(503, "memory_full", come_back);
+        return;
+    }
+    const auto service =
+        config->services.find(traffic::choose_service(*route, owner_.draw()));
+    if (service == config->services.end()) {
+        answer(503, "unknown_service", come_back);
+        return;
+    }
+    if (!body_.empty())
+        request.body = std::make_shared<const std::string>(std::move(body_));
+    body_.clear();
+    exchange_ = make_exchange(
+        owner_, *this, std::move(request), config, *route, service->second);
+    exchange_->start();
+}
+
+bool caller_session::keep_alive() const {
+    return request_keep_alive_ && !owner_.state.stopping;
+}
+
+void caller_session::whole(http1::response_head head, std::string body) {
+    const bool until_close = head.body == http1::framing::close;
+    head.length = body.size();
+    head.keep_alive = keep_alive() && !until_close;
+    request_keep_alive_ = head.keep_alive;
+    head.body =
+        until_close ? http1::framing::close : http1::framing::length;
+    link_->write(http1::serialize(head));
+    link_->write(std::move(body));
+    answer_done();
+}
+
+void caller_session::begin(http1::response_head head) {
+    const bool until_close =
+        head.body == http1::framing::close || minor_version_ == 0;
+    if (until_close)
+        framing_ = body_framing::close;
+    else if (head.body == http1::framing::length)
+        framing_ = body_framing::length;
+    else
+        framing_ = body_framing::chunked;
+    if (framing_ == body_framing::chunked)
+        head.body = http1::framing::chunked;
+    else if (framing_ == body_framing::close)
+        head.body = http1::framing::close;
+    head.keep_alive = keep_alive() && !until_close;
+    request_keep_alive_ = head.keep_alive;
+    link_->write(http1::serialize(head));
+}
+
+void caller_session::data(std::string_view bytes) {
+    if (bytes.empty())
+        return;
+    link_->write(
+        framing_ == body_framing::chunked ? http1::chunk(bytes)
+                                          : std::string(bytes));
+}
+
+void caller_session::end() {
+    if (framing_ == body_framing::chunked)
+        link_->write(std::string(http1::last_chunk));
+    answer_done();
+}
+
+void caller_session::break_off() {
+    if (closed_)
+        return;
+    closed_ = true;
+    timer_.stop();
+    // Where only the end of the connection would end the body, it must not
+    // look orderly.
+    if (framing_ == body_framing::close)
+        link_->reset();
+    else
+        link_->close();
+    owner_.loop.post([self = shared_from_this()] {
+        self->exchange_.reset();
+        self->on_end_(self.get());
+    });
+}
+
+bool caller_session::congested() const {
+    return link_->queued_bytes() > congested_bytes;
+}
+
+void caller_session::answer_done() {
+    release_body();
+    if (!request_keep_alive_ || owner_.state.stopping) {
+        close();
+        return;
+    }
+    // The exchange is on the stack: let it go afterwards.
+    owner_.loop.post([self = shared_from_this()] {
+        self->exchange_.reset();
+        if (self->closed_)
+            return;
+        self->answering_ = false;
+        self->next_request();
+        if (!self->pending_.empty()) {
+            self->began_ = self->owner_.loop.now();
+            self->arm_request_timer();
+        }
+        self->link_->resume_reading();
+        self->read_on();
+    });
+}
+
+void caller_session::on_end() {
+    if (closed_)
+        return;
+    closed_ = true;
+    timer_.stop();
+    link_->abort();
+    owner_.loop.post([self = shared_from_this()] {
+        if (self->exchange_ != nullptr)
+            self->exchange_->caller_left();
+        self->exchange_.reset();
+        self->on_end_(self.get());
+    });
+}
+
+void caller_session::close() {
+    if (closed_)
+        return;
+    closed_ = true;
+    timer_.stop();
+    link_->close();
+    owner_.loop.post([self = shared_from_this()] {
+        self->exchange_.reset();
+        self->on_end_(self.get());
+    });
+}
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/relay/src/caller_session.hpp
@@ -0,0 +1,81 @@
+/// @file
+/// One connection of a caller.
+#ifndef MINTKNOT_RELAY_CALLER_SESSION_HPP
+#define MINTKNOT_RELAY_CALLER_SESSION_HPP
+
+#include <mintknot/event/connection.hpp>
+#include <mintknot/http1/message_parser.hpp>
+#include <mintknot/relay/exchange.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mintknot::relay {
+
+/// Reads one request after another, strictly in turn. The connection is
+/// always read, so that a caller's leaving is noticed at once.
+class caller_session final
+    : public answer_sink
+    , public std::enable_shared_from_this<caller_session> {
+public:
+    caller_session(
+        router& owner, event::connection_ptr link,
+        std::function<void(caller_session*)> on_end);
+    ~caller_session() override;
+
+    void start();
+    /// @return true if no byte of a request is being dealt with.
+    bool idle() const noexcept;
+    void close();
+
+    void whole(http1::response_head head, std::string body) override;
+    void begin(http1::response_head head) override;
+    void data(std::string_view bytes) override;
+    void end() override;
+    void break_off() override;
+    bool congested() const override;
+
+private:
+    enum class body_framing { none, length, chunked, close };
+
+    void on_data(std::string_view bytes);
+    void on_end();
+    void read_on();
+    void on_head();
+    void on_request();
+    /// Answers without an exchange and closes the connection.
+    void refuse(
+        int status, std::string_view reason,
+        std::optional<base::milliseconds> retry_after);
+    void refuse_bad_request();
+    void reserve_body(std::size_t bytes);
+    void release_body();
+    void answer_done();
+    void next_request();
+    void arm_idle_timer();
+    void arm_request_timer();
+    bool keep_alive() const;
+    traffic::caller_limits limits() const;
+
+    router& owner_;
+    event::connection_ptr link_;
+    std::function<void(caller_session*)> on_end_;
+    std::unique_ptr<http1::request_parser> parser_;
+    std::string pending_; ///< Received, not yet parsed.
+    std::string body_;
+    bool head_seen_ = false;
+    bool answering_ = false; ///< A whole request is being dealt with.
+    bool request_keep_alive_ = true;
+    int minor_version_ = 1;
+    std::size_t reserved_body_ = 0;
+    base::steady_time began_;
+    std::unique_ptr<exchange> exchange_;
+    body_framing framing_ = body_framing::none;
+    bool closed_ = false;
+    event::timer timer_;
+};
+
+} // namespace mintknot::relay
+
+#endif
--- /dev/null
+++ b/libs/relay/src/entry_server.cpp
@@ -0,0 +1,73 @@
+#include <mintknot/relay/entry_server.hpp>
+
+#include "caller_session.hpp"
+
+#include <mintknot/event/listener.hpp>
+
+#include <unordered_map>
+
+namespace mintknot::relay {
+
+struct entry_server::impl {
+    explicit impl(router& shared)
+        : owner(shared)
+        , listener(shared.loop) {}
+
+    void accept(event::connection_ptr link) {
+        if (sessions.size() >= owner.options.most_callers) {
+            // Closed unread: the caller knows that nothing has run.
+            link->abort();
+            owner.log.write("caller_turned_away", {{"reason", "too_many"}});
+            return;
+        }
+        auto session = std::make_shared<caller_session>(
+            owner, std::move(link),
+            [this](caller_session* ended) { sessions.erase(ended); });
+        sessions.emplace(session.get(), session);
+        session->start();
+    }
+
+    router& owner;
+    event::listener listener;
+    std::unordered_map<caller_session*, std::shared_ptr<caller_session>>
+        sessions;
+};
+
+entry_server::entry_server(router& owner)
+    : impl_(std::make_unique<impl>(owner)) {}
+
+entry_server::~entry_server() = default;
+
+absl::Status entry_server::open(const base::address& where) {
+    return impl_->listener.open(where, [this](event::connection_ptr link) {
+        impl_->accept(std::move(link));
+    });
+}
+
+std::uint16_t entry_server::port() const { return impl_->listener.port(); }
+
+void entry_server::begin_drain() { impl_->owner.state.stopping = true; }
+
+void entry_server::close_idle() {
+    std::vector<std::shared_ptr<caller_session>> idle;
+    for (const auto& [key, session] : impl_->sessions)
+        if (session->idle())
+            idle.push_back(session);
+    for (const auto& session : idle)
+        session->close();
+}
+
+std::size_t entry_server::busy() const {
+    std::size_t count = 0;
+    for (const auto& [key, session] : impl_->sessions)
+        count += session->idle() ? 0 : 1;
+    return count;
+}
+
+std::size_t entry_server::connections() const {
+    return impl_->sessions.size();
+}
+
+void entry_server::close() { impl_->listener.close(); }
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/relay/src/exchange.cpp
@@ -0,0 +1,188 @@
+#include <mintknot/relay/exchange.hpp>
+
+#include "generation_exchange.hpp"
+#include "plain_exchange.hpp"
+
+#include <mintknot/http1/serialize.hpp>
+
+#include <algorithm>
+
+namespace mintknot::relay {
+
+namespace {
+
+constexpr base::milliseconds default_deadline{60000};
+/// When a caller whose request has not run may come back.
+constexpr base::milliseconds come_back{250};
+
+int status_of(base::verdict verdict, bool out_of_time) {
+    if (verdict == base::verdict::not_run)
+        return 503;
+    return out_of_time ? 504 : 502;
+}
+
+} // namespace
+
+exchange::exchange(
+    router& owner, answer_sink& sink, caller_request request,
+    std::shared_ptr<const traffic::catalogue> config,
+    const traffic::route& route, const traffic::service& service)
+    : owner_(owner)
+    , sink_(sink)
+    , request_(std::move(request))
+    , config_(std::move(config))
+    , route_(route)
+    , service_(service)
+    , deadline_timer_(owner.loop)
+    , deadline_(
+          request_.arrived +
+          std::min(
+              route.timeout,
+              request_.terms.deadline.value_or(default_deadline))) {
+    ++owner_.state.open_requests;
+}
+
+exchange::~exchange() { --owner_.state.open_requests; }
+
+void exchange::start() {
+    traffic::earn(
+        owner_.state.allowances[service_.name], owner_.state.retry_bounds);
+    deadline_timer_.start(deadline_, [this] { on_deadline(); });
+    run();
+}
+
+void exchange::caller_left() {
+    if (finished_)
+        return;
+    cancel_calls();
+    finish("caller_left");
+}
+
+void exchange::on_deadline() {
+    if (may_be_running())
+        raise(base::verdict::may_have_run);
+    cancel_calls();
+    if (head_sent_)
+        break_answer("deadline_passed");
+    else
+        give_up("deadline_passed");
+}
+
+base::milliseconds exchange::time_left() const {
+    return base::time_left(deadline_, owner_.loop.now());
+}
+
+base::milliseconds exchange::since_arrival() const {
+    return std::chrono::duration_cast<base::milliseconds>(
+        owner_.loop.now() - request_.arrived);
+}
+
+void exchange::raise(base::verdict seen) {
+    verdict_ = base::raised(verdict_, seen);
+}
+
+void exchange::give_up(std::string_view reason) {
+    if (finished_)
+        return;
+    const bool out_of_time = time_left() <= base::milliseconds{0};
+    const int status = status_of(verdict_, out_of_time);
+    std::optional<base::milliseconds> retry_after;
+    if (verdict_ == base::verdict::not_run)
+        retry_after = come_back;
+    http1::response_head head;
+    head.status = status;
+    head.fields = owner_.protocol.own_answer(request_.terms.id, retry_after);
+    note_first_byte();
+    owner_.log.write(
+        "given_up", {{"request", request_.terms.id},
+                     {"route", route_.name},
+                     {"reason", reason},
+                     {"status", std::int64_t{status}},
+                     {"verdict", base::to_string(verdict_)},
+                     {"sends", std::int64_t{sends_}},
+                     {"config", static_cast<std::int64_t>(config_->version)},
+                     {"after_ms", since_arrival().count()}});
+    finish(reason);
+    sink_.whole(std::move(head), std::string(reason) + "\n");
+}
+
+void exchange::answer_whole(http1::response_head head, std::string body) {
+    if (finished_)
+        return;
+    note_first_byte();
+    http1::erase_hop_fields(head.fields);
+    finish(head.status < 400 ? "answered" : "server_failure");
+    sink_.whole(std::move(head), std::move(body));
+}
+
+void exchange::note_first_byte() {
+    if (first_byte_ == base::milliseconds{0})
+        first_byte_ = since_arrival();
+}
+
+void exchange::end_answer(std::string_view outcome) {
+    if (finished_)
+        return;
+    finish(outcome);
+    sink_.end();
+}
+
+void exchange::break_answer(std::string_view reason) {
+    if (finished_)
+        return;
+    owner_.log.write(
+        "broken_off", {{"request", request_.terms.id},
+                       {"route", route_.name},
+                       {"reason", reason},
+                       {"sends", std::int64_t{sends_}},
+                       {"after_ms", since_arrival().count()}});
+    finish(reason);
+    sink_.break_off();
+}
+
+void exchange::finish(std::string_view outcome) {
+    finished_ = true;
+    deadline_timer_.stop();
+    owner_.metrics.count_request(
+        {route_.name, std::string(outcome), first_byte_, since_arrival()});
+    owner_.log.write(
+        "finished", {{"request", request_.terms.id},
+                     {"route", route_.name},
+                     {"outcome", outcome},
+                     {"sends", std::int64_t{sends_}},
+                     {"first_byte_ms", first_byte_.count()},
+                     {"total_ms", since_arrival().count()}});
+}
+
+call_terms exchange::terms_for(const traffic::server& server) const {
+    call_terms terms;
+    terms.server_id = server.id;
+    terms.time_left = time_left();
+    return terms;
+}
+
+upstream::call_request exchange::call_for(const call_terms& terms) const {
+    return {owner_.protocol.outgoing(request_.head, terms), request_.body};
+}
+
+std::unique_ptr<exchange> make_exchange(
+    router& owner, answer_sink& sink, caller_request request,
+    const std::shared_ptr<const traffic::catalogue>& config,
+    const traffic::route& route, const traffic::service& service) {
+    if (service.engine && route.kind == traffic::route_kind::streaming)
+        return std::make_unique<generation_exchange>(
+            owner, sink, std::move(request), config, route, service);
+    return std::make_unique<plain_exchange>(
+        owner, sink, std::move(request), config, route, service);
+}
+
+std::string refusal_text(
+    const router& owner, int status, const std::string& request_id,
+    std::string_view reason, std::optional<base::milliseconds> retry_after,
+    bool keep_alive) {
+    return http1::text_response(
+        status, owner.protocol.own_answer(request_id, retry_after),
+        std::string(reason) + "\n", keep_alive);
+}
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/relay/src/generation_exchange.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// A request whose prompt one engine reads and whose answer another makes.
+#ifndef MINTKNOT_RELAY_GENERATION_EXCHANGE_HPP
+#define MINTKNOT_RELAY_GENERATION_EXCHANGE_HPP
+
+#include <mintknot/relay/exchange.hpp>
+#include <mintknot/traffic/event_splitter.hpp>
+
+namespace mintknot::relay {
+
+/// Chooses a decode engine with room, has a prefill engine read the prompt,
+/// hands the result over and passes the events on. Reading may be repeated
+/// freely; decoding is what runs the request. A resumable stream goes on at
+/// another engine behind the last event that was passed on.
+class generation_exchange final : public exchange {
+public:
+    generation_exchange(
+        router& owner, answer_sink& sink, caller_request request,
+        std::shared_ptr<const traffic::catalogue> config,
+        const traffic::route& route, const traffic::service& service);
+    ~generation_exchange() override;
+
+    void drained() override;
+
+private:
+    /// A KV cache that a prefill engine keeps for this request.
+    struct kept_result {
+        std::string server; ///< Empty: there is none.
+        std::string handle;
+        std::string place;
+        base::steady_time until;
+    };
+
+    void run() override;
+    void cancel_calls() override;
+    bool may_be_running() const override;
+
+    /// Places the request, or waits for room for a moment.
+    void place();
+    void wait_for_room();
+    /// @return true if a kept result can still be handed over.
+    bool result_usable() const;
+    bool reserve_decode(const std::string& data_centre);
+    void release_decode();
+    double memory_needed() const;
+
+    void start_prefill(const traffic::server& engine);
+    void on_prefill_done();
+    void on_prefill_failure(upstream::call_failure why);
+    void on_prefill_silence();
+    void after_failed_prefill(
+        traffic::call_result result, std::string_view reason);
+    void end_prefill();
+
+    void start_decode();
+    void on_decode_head(http1::response_head& head);
+    void on_decode_body(std::string_view piece);
+    void on_decode_done();
+    void on_decode_failure(upstream::call_failure why);
+    void on_decode_silence();
+    void after_rejected_decode();
+    void watch_silence();
+    void go_on_elsewhere(traffic::call_result result, std::string_view reason);
+    bool may_resume() const;
+
+    void pass_on(std::string events);
+    /// Frees a kept result that will not be used.
+    void drop_result();
+
+    std::unique_ptr<upstream::call> prefill_call_;
+    std::string prefill_server_;
+    std::string prefill_body_;
+    int prefill_status_ = 0;
+    answer_terms prefill_terms_;
+    base::steady_time prefill_started_;
+    base::milliseconds prefill_expected_{0};
+    traffic::excluded_servers prefill_tried_;
+    int prefills_ = 0;
+    kept_result kept_;
+
+    std::unique_ptr<upstream::call> decode_call_;
+    std::string decode_server_;
+    double decode_reserved_ = 0.0;
+    traffic::excluded_servers decode_tried_;
+    http1::response_head answer_;
+    answer_terms answer_terms_;
+    std::string failure_body_;
+    bool streaming_ = false; ///< The answer at hand is the stream.
+    traffic::event_splitter splitter_;
+    std::optional<std::uint64_t> last_event_;
+    int runs_ = 0;
+    int rejected_ = 0;
+
+    event::timer wait_timer_;
+    event::timer silence_timer_;
+};
+
+} // namespace mintknot::relay
+
+#endif
--- /dev/null
+++ b/libs/relay/src/relay_metrics.cpp
@@ -0,0 +1,106 @@
+#include <mintknot/relay/relay_metrics.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <set>
+
+namespace mintknot::relay {
+
+namespace {
+
+constexpr std::size_t most_routes = 64;
+
+const prometheus::Histogram::BucketBoundaries& latency_buckets() {
+    static const prometheus::Histogram::BucketBoundaries bounds = {
+        0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.9, 1.5, 3, 6, 14};
+    return bounds;
+}
+
+double seconds(base::milliseconds time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+struct relay_metrics::impl {
+    std::string route_label(const std::string& route) {
+        if (routes.contains(route))
+            return route;
+        if (routes.size() >= most_routes)
+            return "other";
+        routes.insert(route);
+        return route;
+    }
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests =
+        prometheus::BuildCounter()
+            .Name("mintknot_requests_total")
+            .Help("Requests by route and outcome.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& calls =
+        prometheus::BuildCounter()
+            .Name("mintknot_calls_total")
+            .Help("Calls to backend servers by result.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& repeats =
+        prometheus::BuildCounter()
+            .Name("mintknot_repeats_total")
+            .Help("Requests sent again, by reason.")
+            .Register(registry);
+    prometheus::Family<prometheus::Histogram>& first_bytes =
+        prometheus::BuildHistogram()
+            .Name("mintknot_first_byte_seconds")
+            .Help("From arrival to the first byte of the answer.")
+            .Register(registry);
+    prometheus::Family<prometheus::Histogram>& totals =
+        prometheus::BuildHistogram()
+            .Name("mintknot_request_seconds")
+            .Help("From arrival to the end of the answer.")
+            .Register(registry);
+    prometheus::Family<prometheus::Gauge>& gauges =
+        prometheus::BuildGauge()
+            .Name("mintknot_state")
+            .Help("What the instance believes at present.")
+            .Register(registry);
+    std::set<std::string> routes;
+};
+
+relay_metrics::relay_metrics()
+    : impl_(std::make_unique<impl>()) {}
+
+relay_metrics::~relay_metrics() = default;
+
+void relay_metrics::count_request(const finished_request& request) {
+    const std::string route = impl_->route_label(request.route);
+    impl_->requests.Add({{"route", route}, {"outcome", request.outcome}})
+        .Increment();
+    impl_->first_bytes.Add({{"route", route}}, latency_buckets())
+        .Observe(seconds(request.first_byte));
+    impl_->totals.Add({{"route", route}}, latency_buckets())
+        .Observe(seconds(request.total));
+}
+
+void relay_metrics::count_call(traffic::call_result result) {
+    impl_->calls.Add({{"result", std::string(traffic::to_string(result))}})
+        .Increment();
+}
+
+void relay_metrics::count_repeat(std::string_view reason) {
+    impl_->repeats.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void relay_metrics::set_gauge(std::string_view name, double value) {
+    impl_->gauges.Add({{"name", std::string(name)}}).Set(value);
+}
+
+std::string relay_metrics::text() const {
+    return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/relay/src/release_queue.cpp
@@ -0,0 +1,31 @@
+#include <mintknot/relay/release_queue.hpp>
+
+namespace mintknot::relay {
+
+namespace {
+
+constexpr std::size_t most_open = 64;
+
+} // namespace
+
+release_queue::release_queue(
+    upstream::connection_pool& pool, const dialect& protocol)
+    : pool_(pool)
+    , protocol_(protocol) {}
+
+void release_queue::add(
+    const traffic::server& engine, const std::string& handle) {
+    if (open_.size() >= most_open)
+        return;
+    const std::uint64_t number = ++last_;
+    open_[number] = upstream::call::start(
+        pool_, {engine.id, engine.where},
+        {protocol_.release(handle, engine.id), nullptr}, {},
+        {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
+         [this, number] { finish(number); },
+         [this, number](upstream::call_failure) { finish(number); }});
+}
+
+void release_queue::finish(std::uint64_t number) { open_.erase(number); }
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/relay/src/router_state.cpp
@@ -0,0 +1,63 @@
+#include <mintknot/relay/router_state.hpp>
+
+namespace mintknot::relay {
+
+namespace {
+
+void tell_load_change(router& owner) {
+    if (owner.state.on_load_change)
+        owner.state.on_load_change();
+}
+
+} // namespace
+
+void add_load(
+    router& owner, const std::string& server_id,
+    const traffic::server_load& load) {
+    traffic::add(owner.state.loads, server_id, load);
+    tell_load_change(owner);
+}
+
+void remove_load(
+    router& owner, const std::string& server_id,
+    const traffic::server_load& load) {
+    traffic::remove(owner.state.loads, server_id, load);
+    tell_load_change(owner);
+}
+
+void note_result(
+    router& owner, const std::string& server_id, traffic::call_result result,
+    const std::string& request_id) {
+    owner.metrics.count_call(result);
+    const base::steady_time now = owner.loop.now();
+    if (!traffic::note(owner.state.health, server_id, result, now))
+        return;
+    const auto left = base::time_left(
+        traffic::avoided_until(owner.state.health, server_id), now);
+    owner.log.write(
+        "server_avoided", {{"request", request_id},
+                           {"server", server_id},
+                           {"because", traffic::to_string(result)},
+                           {"for_ms", left.count()}});
+    tell_load_change(owner);
+}
+
+bool spend_repeat(router& owner, const std::string& service) {
+    return owner.options.repeats &&
+           traffic::spend(
+               owner.state.allowances[service], owner.state.retry_bounds,
+               owner.state.instances, owner.loop.now());
+}
+
+traffic::selection_inputs
+selection_for(router& owner, const traffic::service& target) {
+    return {
+        owner.state.servers, owner.state.loads,
+        owner.state.health,  owner.state.rates,
+        target,              owner.options.data_centre,
+        owner.options.selection,
+        owner.state.instances,
+        owner.loop.now(),    [&owner] { return owner.draw(); }};
+}
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/runtime/include/mintknot/runtime/instance.hpp
@@ -0,0 +1,71 @@
+/// @file
+/// One instance of the router on the event loop.
+#ifndef MINTKNOT_RUNTIME_INSTANCE_HPP
+#define MINTKNOT_RUNTIME_INSTANCE_HPP
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/event/loop.hpp>
+#include <mintknot/relay/dialect.hpp>
+#include <mintknot/relay/router_state.hpp>
+#include <mintknot/state/replica.hpp>
+#include <mintknot/state/store.hpp>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mintknot::runtime {
+
+/// Settings of an instance, in the product's own words.
+struct instance_settings {
+    std::string name;
+    std::string data_centre;
+    base::address entry;
+    base::address readiness;
+    std::optional<base::address> metrics;
+    /// For heartbeats and snapshots; all instances use the same port.
+    base::address peer;
+    std::vector<std::string> seed_hosts;
+    base::milliseconds grace{8000}; ///< From SIGTERM until it must be gone.
+    traffic::retry_bounds retry_bounds;
+    relay::relay_options relay;
+};
+
+/// What the outside world is reached through. Everything outlives the
+/// instance.
+struct instance_ports {
+    event::loop& loop;
+    const relay::dialect& protocol;
+    const state::document_codec& codec;
+    state::store& store;
+    /// Reads the settings again.
+    std::function<absl::StatusOr<instance_settings>()> reload;
+};
+
+/// Serves until SIGTERM or SIGINT: then it is not ready any more, finishes
+/// what it has begun, and stops the loop before its grace is over. SIGHUP, or
+/// a change of the settings, makes it read them again; what has become wrong
+/// leaves in force what was.
+class instance {
+public:
+    instance(instance_settings settings, instance_ports ports);
+    ~instance();
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+
+    /// @return Unavailable if an address cannot be bound.
+    absl::Status start();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mintknot::runtime
+
+#endif
--- /dev/null
+++ b/libs/runtime/src/drain.cpp
@@ -0,0 +1,31 @@
+#include <mintknot/runtime/drain.hpp>
+
+#include <algorithm>
+
+namespace mintknot::runtime {
+
+namespace {
+
+/// How long new connections may still arrive: the balancer asks once a second
+/// and believes the second refusal.
+constexpr base::milliseconds arrivals{2600};
+constexpr base::milliseconds before_close_idle{1300};
+/// Kept free at the end of the grace.
+constexpr base::milliseconds margin{400};
+
+} // namespace
+
+drain_step next_step(
+    base::milliseconds since, base::milliseconds grace, std::size_t busy) {
+    const base::milliseconds last =
+        std::max(base::milliseconds{0}, grace - margin);
+    if (since >= last)
+        return drain_step::leave;
+    if (since >= std::min(arrivals, last / 2) && busy == 0)
+        return drain_step::leave;
+    if (since >= std::min(before_close_idle, last / 4))
+        return drain_step::close_idle;
+    return drain_step::serve;
+}
+
+} // namespace mintknot::runtime
--- /dev/null
+++ b/libs/runtime/src/instance.cpp
@@ -0,0 +1,296 @@
+#include <mintknot/runtime/instance.hpp>
+
+#include "snapshot_fetcher.hpp"
+
+#include <mintknot/peers/peer_group.hpp>
+#include <mintknot/relay/entry_server.hpp>
+#include <mintknot/relay/local_server.hpp>
+#include <mintknot/runtime/drain.hpp>
+#include <mintknot/state/store_reader.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <unistd.h>
+
+namespace mintknot::runtime {
+
+namespace {
+
+constexpr base::milliseconds drain_poll{50};
+constexpr base::milliseconds reload_period{1000};
+constexpr base::milliseconds last_words{60};
+/// Instances that are assumed until more have been heard.
+constexpr std::size_t least_instances = 10;
+
+} // namespace
+
+struct instance::impl {
+    impl(instance_settings given, instance_ports outside)
+        : settings(std::move(given))
+        , ports(std::move(outside))
+        , log(STDOUT_FILENO, settings.name, {})
+        , pool(ports.loop)
+        , releases(pool, ports.protocol)
+        , shared{ports.loop, pool, ports.protocol, log, metrics, releases,
+                 settings.relay}
+        , entry(shared)
+        , readiness(
+              ports.loop,
+              [this](const http1::request_head&) { return readiness_answer(); })
+        , metrics_server(
+              ports.loop,
+              [this](const http1::request_head&) { return metrics_answer(); })
+        , peer_server(
+              ports.loop,
+              [this](const http1::request_head& head) {
+                  return peer_answer(head);
+              })
+        , replica(ports.codec, log, replica_functions())
+        , configuration_reader(
+              ports.loop, ports.store, replica,
+              state::collection::configuration, log, {},
+              [this] { return shared.draw(); })
+        , server_reader(
+              ports.loop, ports.store, replica, state::collection::servers,
+              log, {}, [this] { return shared.draw(); })
+        , fetcher(
+              ports.loop, pool, replica, log, settings.peer.port)
+        , group(
+              ports.loop, log, {settings.peer, settings.seed_hosts},
+              group_functions())
+        , drain_timer(ports.loop)
+        , reload_timer(ports.loop) {
+        shared.state.retry_bounds = settings.retry_bounds;
+        shared.state.instances = least_instances;
+        shared.state.on_load_change = [this] { group.changed(); };
+    }
+
+    state::replica_handlers replica_functions() {
+        return {
+            [this](std::shared_ptr<const traffic::catalogue> config) {
+                shared.state.config = std::move(config);
+                group.changed();
+            },
+            [this](
+                const std::string& id, std::uint64_t version,
+                std::optional<traffic::server> server) {
+                on_server(id, version, std::move(server));
+            }};
+    }
+
+    void on_server(
+        const std::string& id, std::uint64_t version,
+        std::optional<traffic::server> server) {
+        const bool gone = !server;
+        if (!traffic::apply(
+                shared.state.servers, id, version, std::move(server)))
+            return;
+        if (gone) {
+            pool.drop(id);
+            traffic::forget(shared.state.health, id);
+            shared.state.rates.by_id.erase(id);
+        }
+        group.changed();
+    }
+
+    peers::group_handlers group_functions() {
+        return {
+            [this] { return describe(); },
+            [this](
+                const std::string& host, const peers::heartbeat& heartbeat) {
+                on_heartbeat(host, heartbeat);
+            }};
+    }
+
+    peers::heartbeat describe() {
+        const base::steady_time now = ports.loop.now();
+        peers::heartbeat own;
+        own.configuration = replica.version(state::collection::configuration);
+        own.servers = replica.version(state::collection::servers);
+        own.leaving = shared.state.stopping;
+        own.loads = shared.state.loads.own;
+        for (const auto& [id, record] : shared.state.health.own)
+            if (record.avoid_until > now)
+                own.warnings.push_back(
+                    {id, base::time_left(record.avoid_until, now)});
+        return own;
+    }
+
+    void on_heartbeat(
+        const std::string& host, const peers::heartbeat& heartbeat) {
+        const base::steady_time now = ports.loop.now();
+        traffic::set_peer(shared.state.loads, host, heartbeat.loads, now);
+        for (const peers::server_warning& warning : heartbeat.warnings)
+            traffic::warn(
+                shared.state.health, warning.server_id, now + warning.left,
+                now);
+        shared.state.instances =
+            std::max(least_instances, peers::instances(group.table()));
+        fetcher.on_heartbeat(host, heartbeat);
+    }
+
+    bool ready() const {
+        return !shared.state.stopping && shared.state.config != nullptr &&
+               replica.known(state::collection::servers);
+    }
+
+    relay::local_answer readiness_answer() const {
+        if (ready())
+            return {200, "text/plain", "ready\n"};
+        return {503, "text/plain", "not ready\n"};
+    }
+
+    relay::local_answer metrics_answer() {
+        metrics.set_gauge("ready", ready() ? 1 : 0);
+        metrics.set_gauge(
+            "open_requests", static_cast<double>(shared.state.open_requests));
+        metrics.set_gauge(
+            "caller_connections", static_cast<double>(entry.connections()));
+        metrics.set_gauge(
+            "idle_upstream_connections",
+            static_cast<double>(pool.idle_total()));
+        metrics.set_gauge(
+            "upstream_connections_opened",
+            static_cast<double>(pool.counters().opened));
+        metrics.set_gauge(
+            "peers", static_cast<double>(group.table().heard.size()));
+        metrics.set_gauge(
+            "store_silence_seconds",
+            std::chrono::duration<double>(configuration_reader.silence())
+                .count());
+        metrics.set_gauge(
+            "configuration_version",
+            shared.state.config == nullptr
+                ? 0.0
+                : static_cast<double>(shared.state.config->version));
+        metrics.set_gauge(
+            "log_lines_left_out", static_cast<double>(log.left_out()));
+        return {200, "text/plain; version=0.0.4", metrics.text()};
+    }
+
+    relay::local_answer peer_answer(const http1::request_head& head) const {
+        if (head.target != snapshot_path)
+            return {404, "text/plain", "unknown path\n"};
+        return {200, "application/json", replica.snapshot()};
+    }
+
+    absl::Status open_addresses() {
+        absl::Status status = readiness.open(settings.readiness);
+        if (status.ok())
+            status = entry.open(settings.entry);
+        if (status.ok() && settings.metrics)
+            status = metrics_server.open(*settings.metrics);
+        if (status.ok())
+            status = peer_server.open(settings.peer);
+        if (status.ok())
+            status = group.open();
+        return status;
+    }
+
+    void on_signal(int number) {
+        if (number == SIGHUP) {
+            reload("signal");
+            return;
+        }
+        begin_drain();
+    }
+
+    void reload(std::string_view cause) {
+        const auto fresh = ports.reload();
+        if (!fresh.ok()) {
+            log.write(
+                "reload_rejected",
+                {{"cause", cause},
+                 {"because", std::string_view(
+                                 fresh.status().message().data(),
+                                 fresh.status().message().size())}});
+            return;
+        }
+        shared.state.retry_bounds = fresh->retry_bounds;
+        settings.grace = fresh->grace;
+        log.write("reloaded", {{"cause", cause}});
+    }
+
+    void begin_drain() {
+        if (shared.state.stopping)
+            return;
+        stop_began = ports.loop.now();
+        entry.begin_drain();
+        log.write(
+            "stopping", {{"busy", static_cast<std::int64_t>(entry.busy())},
+                         {"grace_ms", settings.grace.count()}});
+        group.changed();
+        drain();
+    }
+
+    void drain() {
+        const auto since = std::chrono::duration_cast<base::milliseconds>(
+            ports.loop.now() - stop_began);
+        switch (next_step(since, settings.grace, entry.busy())) {
+        case drain_step::serve:
+            break;
+        case drain_step::close_idle:
+            entry.close_idle();
+            break;
+        case drain_step::leave:
+            leave(since);
+            return;
+        }
+        drain_timer.start(drain_poll, [this] { drain(); });
+    }
+
+    void leave(base::milliseconds since) {
+        entry.close();
+        entry.close_idle();
+        configuration_reader.stop();
+        server_reader.stop();
+        log.write(
+            "stopped",
+            {{"after_ms", since.count()},
+             {"unfinished", static_cast<std::int64_t>(entry.busy())}});
+        drain_timer.start(last_words, [this] { ports.loop.stop(); });
+    }
+
+    instance_settings settings;
+    instance_ports ports;
+    logging::line_log log;
+    relay::relay_metrics metrics;
+    upstream::connection_pool pool;
+    relay::release_queue releases;
+    relay::router shared;
+    relay::entry_server entry;
+    relay::local_server readiness;
+    relay::local_server metrics_server;
+    relay::local_server peer_server;
+    state::replica replica;
+    state::store_reader configuration_reader;
+    state::store_reader server_reader;
+    snapshot_fetcher fetcher;
+    peers::peer_group group;
+    event::timer drain_timer;
+    event::timer reload_timer;
+    base::steady_time stop_began{};
+};
+
+instance::instance(instance_settings settings, instance_ports ports)
+    : impl_(std::make_unique<impl>(std::move(settings), std::move(ports))) {}
+
+instance::~instance() = default;
+
+absl::Status instance::start() {
+    std::signal(SIGPIPE, SIG_IGN);
+    const absl::Status opened = impl_->open_addresses();
+    if (!opened.ok())
+        return opened;
+    impl_->ports.loop.on_signals(
+        {SIGTERM, SIGINT, SIGHUP},
+        [this](int number) { impl_->on_signal(number); });
+    impl_->log.write(
+        "started", {{"data_centre", impl_->settings.data_centre},
+                    {"entry", base::to_string(impl_->settings.entry)}});
+    impl_->configuration_reader.start();
+    impl_->server_reader.start();
+    return absl::OkStatus();
+}
+
+} // namespace mintknot::runtime
--- /dev/null
+++ b/libs/runtime/src/snapshot_fetcher.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// Fetches what a peer knows better.
+#ifndef MINTKNOT_RUNTIME_SNAPSHOT_FETCHER_HPP
+#define MINTKNOT_RUNTIME_SNAPSHOT_FETCHER_HPP
+
+#include <mintknot/peers/heartbeat.hpp>
+#include <mintknot/state/replica.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <memory>
+#include <string>
+
+namespace mintknot::runtime {
+
+/// The path under which instances give each other their snapshots.
+inline constexpr std::string_view snapshot_path = "/mintknot/v1/snapshot";
+
+/// Compares versions in heartbeats with the own ones. A peer that stays ahead
+/// for a moment is asked for its snapshot: normally the store's own news come
+/// first, and nothing is fetched.
+class snapshot_fetcher {
+public:
+    snapshot_fetcher(
+        event::loop& owner, upstream::connection_pool& pool,
+        state::replica& target, logging::line_log& log, std::uint16_t port);
+
+    void
+    on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
+
+private:
+    bool behind(const peers::heartbeat& heartbeat) const;
+    void fetch(const std::string& host);
+    void finish(const std::string& host, bool whole);
+
+    event::loop& owner_;
+    upstream::connection_pool& pool_;
+    state::replica& target_;
+    logging::line_log& log_;
+    std::uint16_t port_;
+    std::unique_ptr<upstream::call> call_;
+    event::timer limit_;
+    std::string body_;
+    int status_ = 0;
+    base::steady_time behind_since_{};
+    base::steady_time last_fetch_{};
+};
+
+} // namespace mintknot::runtime
+
+#endif
--- /dev/null
+++ b/libs/state/include/mintknot/state/replica.hpp
@@ -0,0 +1,93 @@
+/// @file
+/// This instance's copy of what the store holds.
+#ifndef MINTKNOT_STATE_REPLICA_HPP
+#define MINTKNOT_STATE_REPLICA_HPP
+
+#include <mintknot/logging/line_log.hpp>
+#include <mintknot/state/store.hpp>
+#include <mintknot/traffic/catalogue.hpp>
+#include <mintknot/traffic/server_table.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace mintknot::state {
+
+/// Reads documents. Implementations keep no state and decide nothing.
+class document_codec {
+public:
+    virtual ~document_codec() = default;
+    virtual absl::StatusOr<traffic::catalogue>
+    read_configuration(std::string_view text) const = 0;
+    virtual absl::StatusOr<traffic::server>
+    read_server(const std::string& id, std::string_view text) const = 0;
+};
+
+/// Whom the replica tells of changes.
+struct replica_handlers {
+    std::function<void(std::shared_ptr<const traffic::catalogue>)>
+        on_configuration;
+    std::function<void(
+        const std::string& id, std::uint64_t version,
+        std::optional<traffic::server>)>
+        on_server;
+};
+
+/// Documents in memory, by version: news from the store and from peers may
+/// come in any order and never lead back. A document that cannot be read
+/// leaves in force what was.
+class replica {
+public:
+    replica(
+        const document_codec& codec, logging::line_log& log,
+        replica_handlers handlers);
+
+    /// Takes changes. @param source names where they come from, for the log.
+    void apply(
+        collection what, const std::vector<document>& changes,
+        std::string_view source);
+    /// Takes all documents as of a version: others are gone by then.
+    void apply_whole(
+        collection what, const std::vector<document>& all,
+        std::uint64_t version, std::string_view source);
+
+    /// @return the newest version of any document that was taken.
+    std::uint64_t version(collection what) const noexcept;
+    /// @return true once the documents have been read at least once.
+    bool known(collection what) const noexcept;
+
+    /// @return everything as text, for a peer.
+    std::string snapshot() const;
+    /// Takes a peer's snapshot. @return InvalidArgument if it is malformed;
+    /// nothing is taken then.
+    absl::Status apply_snapshot(std::string_view text, std::string_view source);
+
+private:
+    struct documents {
+        std::unordered_map<std::string, document> by_key;
+        std::uint64_t newest = 0;
+        bool known = false;
+    };
+
+    documents& of(collection what);
+    const documents& of(collection what) const;
+    void take(collection what, const document& change, std::string_view source);
+    bool decode(
+        collection what, const document& change, std::string_view source);
+
+    const document_codec& codec_;
+    logging::line_log& log_;
+    replica_handlers handlers_;
+    documents configuration_;
+    documents servers_;
+};
+
+} // namespace mintknot::state
+
+#endif
--- /dev/null
+++ b/libs/state/include/mintknot/state/store.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// The platform's store, as far as the router reads it.
+#ifndef MINTKNOT_STATE_STORE_HPP
+#define MINTKNOT_STATE_STORE_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mintknot::state {
+
+/// What is read from the store.
+enum class collection {
+    configuration, ///< One document: the operator's configuration.
+    servers,       ///< One document for each backend server.
+};
+
+std::string_view to_string(collection value) noexcept;
+
+/// One row. Versions come from one counter of the store and only rise.
+struct document {
+    std::string key;
+    std::uint64_t version = 0;
+    std::optional<std::string> text; ///< Nothing: the row was removed.
+};
+
+enum class store_result {
+    ok,
+    history_gone, ///< The changes asked for are no longer kept.
+    refused,      ///< The store answered that it did nothing.
+    unreachable,  ///< No answer, or none that could be read.
+};
+
+std::string_view to_string(store_result value) noexcept;
+
+struct store_answer {
+    store_result result = store_result::unreachable;
+    std::vector<document> documents;
+    std::uint64_t version = 0; ///< The store's newest at that moment.
+};
+
+using store_handler = std::function<void(store_answer)>;
+
+/// Calls are answered on the loop, never from within, and always once: an
+/// implementation bounds the time of every call.
+class store {
+public:
+    virtual ~store() = default;
+
+    /// Reads all documents as of one moment.
+    virtual void read(collection what, store_handler on_answer) = 0;
+    /// Waits for changes behind a version, at most for `wait`.
+    virtual void watch(
+        collection what, std::uint64_t after, base::milliseconds wait,
+        store_handler on_answer) = 0;
+};
+
+} // namespace mintknot::state
+
+#endif
--- /dev/null
+++ b/libs/state/include/mintknot/state/store_reader.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// Follows one collection of the store.
+#ifndef MINTKNOT_STATE_STORE_READER_HPP
+#define MINTKNOT_STATE_STORE_READER_HPP
+
+#include <mintknot/event/loop.hpp>
+#include <mintknot/state/replica.hpp>
+
+#include <functional>
+
+namespace mintknot::state {
+
+/// Times of a reader.
+struct reader_options {
+    /// How long one watch is held. It bounds how long a watch whose answer
+    /// was lost keeps the reader blind.
+    base::milliseconds wait{6000};
+    base::milliseconds first_backoff{60};
+    base::milliseconds longest_backoff{800};
+};
+
+/// Reads everything once, then follows the changes; reads everything again
+/// only where the store has forgotten them. Calls that fail are repeated
+/// after a growing pause.
+class store_reader {
+public:
+    /// @param draw uniform in [0, 1), spreads the pauses of instances.
+    store_reader(
+        event::loop& owner, store& source, replica& target, collection what,
+        logging::line_log& log, const reader_options& options,
+        std::function<double()> draw);
+
+    void start();
+    void stop();
+    /// @return how long ago the store last answered.
+    base::milliseconds silence() const;
+
+private:
+    void next();
+    void on_read(store_answer answer);
+    void on_watch(store_answer answer);
+    void on_good_answer();
+    void pause(store_result why);
+
+    event::loop& owner_;
+    store& source_;
+    replica& target_;
+    collection what_;
+    logging::line_log& log_;
+    reader_options options_;
+    std::function<double()> draw_;
+    event::timer timer_;
+    bool stopped_ = false;
+    bool whole_read_ = false;
+    std::uint64_t seen_ = 0; ///< Changes up to here have been taken.
+    base::milliseconds backoff_{0};
+    bool reachable_ = true;
+    base::steady_time heard_{};
+};
+
+} // namespace mintknot::state
+
+#endif
--- /dev/null
+++ b/libs/state/src/store_reader.cpp
@@ -0,0 +1,110 @@
+#include <mintknot/state/store_reader.hpp>
+
+#include <algorithm>
+
+namespace mintknot::state {
+
+store_reader::store_reader(
+    event::loop& owner, store& source, replica& target, collection what,
+    logging::line_log& log, const reader_options& options,
+    std::function<double()> draw)
+    : owner_(owner)
+    , source_(source)
+    , target_(target)
+    , what_(what)
+    , log_(log)
+    , options_(options)
+    , draw_(std::move(draw))
+    , timer_(owner) {}
+
+void store_reader::start() {
+    heard_ = owner_.now();
+    next();
+}
+
+void store_reader::stop() {
+    stopped_ = true;
+    timer_.stop();
+}
+
+base::milliseconds store_reader::silence() const {
+    return std::chrono::duration_cast<base::milliseconds>(
+        owner_.now() - heard_);
+}
+
+void store_reader::next() {
+    if (stopped_)
+        return;
+    if (!whole_read_)
+        source_.read(what_, [this](store_answer answer) {
+            on_read(std::move(answer));
+        });
+    else
+        source_.watch(what_, seen_, options_.wait, [this](store_answer answer) {
+            on_watch(std::move(answer));
+        });
+}
+
+void store_reader::on_read(store_answer answer) {
+    if (stopped_)
+        return;
+    // A read that is older than what is known already would lead back.
+    if (answer.result != store_result::ok || answer.version < seen_) {
+        pause(answer.result);
+        return;
+    }
+    on_good_answer();
+    whole_read_ = true;
+    seen_ = answer.version;
+    target_.apply_whole(what_, answer.documents, answer.version, "store_read");
+    next();
+}
+
+void store_reader::on_watch(store_answer answer) {
+    if (stopped_)
+        return;
+    if (answer.result == store_result::history_gone) {
+        log_.write(
+            "history_gone",
+            {{"collection", to_string(what_)},
+             {"after", static_cast<std::int64_t>(seen_)}});
+        on_good_answer();
+        whole_read_ = false;
+        next();
+        return;
+    }
+    if (answer.result != store_result::ok) {
+        pause(answer.result);
+        return;
+    }
+    on_good_answer();
+    seen_ = std::max(seen_, answer.version);
+    target_.apply(what_, answer.documents, "store_watch");
+    next();
+}
+
+void store_reader::on_good_answer() {
+    heard_ = owner_.now();
+    backoff_ = base::milliseconds{0};
+    if (!reachable_)
+        log_.write("store_regained", {{"collection", to_string(what_)}});
+    reachable_ = true;
+}
+
+void store_reader::pause(store_result why) {
+    if (reachable_)
+        log_.write(
+            "store_lost", {{"collection", to_string(what_)},
+                           {"because", to_string(why)},
+                           {"silent_ms", silence().count()}});
+    reachable_ = false;
+    backoff_ = std::clamp(
+        backoff_ * 2, options_.first_backoff, options_.longest_backoff);
+    const double spread = 0.5 + draw_();
+    timer_.start(
+        base::milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(backoff_.count()) * spread)),
+        [this] { next(); });
+}
+
+} // namespace mintknot::state
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/catalogue.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// Routes, services and limits: the configuration in force for traffic.
+#ifndef MINTKNOT_TRAFFIC_CATALOGUE_HPP
+#define MINTKNOT_TRAFFIC_CATALOGUE_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace mintknot::traffic {
+
+/// What may be repeated on a route.
+enum class route_kind {
+    safe,      ///< May run more than once.
+    unsafe,    ///< Runs at most once.
+    streaming, ///< A series of events; runs once unless it is resumable.
+};
+
+std::string_view to_string(route_kind value) noexcept;
+
+/// A service's share of a route.
+struct weighted_service {
+    std::string name;
+    double weight = 1.0;
+};
+
+/// One route: which requests, to which service, under which terms.
+struct route {
+    std::string name;
+    std::string host;
+    std::string path_prefix; ///< Begins and ends with a slash.
+    route_kind kind = route_kind::unsafe;
+    base::milliseconds timeout{30000};
+    base::milliseconds target_latency{1000};
+    base::milliseconds target_gap{0}; ///< Longest pause between events.
+    int priority = 0;                 ///< 0 is the highest.
+    int most_attempts = 1;
+    bool resumable = false;
+    std::vector<weighted_service> services;
+
+    /// @return true if a request may run on more than one server.
+    bool repeatable() const noexcept {
+        return kind == route_kind::safe || resumable;
+    }
+};
+
+/// What the configuration tells of the model engines of a service.
+struct engine_spec {
+    std::uint64_t memory_tokens = 0;
+    base::milliseconds handle_life{500};
+};
+
+/// A service: servers of one kind.
+struct service {
+    std::string name;
+    std::string health_path;
+    std::size_t most_connections = 100; ///< At one server, from all callers.
+    std::optional<engine_spec> engine;  ///< Only for model engines.
+};
+
+/// Bounds on what a caller may send, and how long it may take.
+struct caller_limits {
+    std::size_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+    base::milliseconds header_timeout{3000};
+    base::milliseconds idle_timeout{15000};
+};
+
+/// One version of the configuration, immutable once it is indexed.
+struct catalogue {
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::unordered_map<std::string, service> services;
+    caller_limits limits;
+    /// Position in `routes` by host and prefix; see index().
+    std::unordered_map<std::string, std::size_t> by_place;
+};
+
+/// Builds `by_place`. To be called once, after the routes are complete.
+void index(catalogue& value);
+
+/// @return the route with the longest prefix that begins the path, or null.
+/// @param host as in the Host field; a port and the case do not matter.
+/// @param target the request target; a query does not matter.
+const route* find_route(
+    const catalogue& value, std::string_view host, std::string_view target);
+
+/// @return the service for a request of the route. @param draw uniform in
+/// [0, 1). Precondition: the route has a service.
+const std::string& choose_service(const route& value, double draw);
+
+} // namespace mintknot::traffic
+
+#endif
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/event_splitter.hpp
@@ -0,0 +1,31 @@
+/// @file
+/// Whole events out of a stream that arrives in arbitrary pieces.
+#ifndef MINTKNOT_TRAFFIC_EVENT_SPLITTER_HPP
+#define MINTKNOT_TRAFFIC_EVENT_SPLITTER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mintknot::traffic {
+
+/// Collects pieces of a text/event-stream. Events end with an empty line.
+struct event_splitter {
+    std::string rest; ///< The event that is not whole yet.
+};
+
+/// Adds a piece. @return all events that are whole now, byte for byte.
+std::string push(event_splitter& splitter, std::string_view piece);
+
+/// @return the ID of the last event in a text of whole events, if it has one
+/// that is a number.
+std::optional<std::uint64_t> last_event_id(std::string_view events);
+
+/// @return the ID of the first event, if it has one that is a number.
+std::optional<std::uint64_t> first_event_id(std::string_view events);
+
+} // namespace mintknot::traffic
+
+#endif
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/selection.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// Which backend server gets a request.
+#ifndef MINTKNOT_TRAFFIC_SELECTION_HPP
+#define MINTKNOT_TRAFFIC_SELECTION_HPP
+
+#include <mintknot/traffic/catalogue.hpp>
+#include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/server_health.hpp>
+#include <mintknot/traffic/server_table.hpp>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace mintknot::traffic {
+
+/// How servers are chosen; switchable, so that policies can be compared.
+enum class selection_policy {
+    random,      ///< Any server that takes requests: the baseline.
+    least_loaded ///< By the work that all instances have in flight.
+};
+
+/// How fast prefill engines have been seen to read, in tokens a millisecond.
+struct read_rates {
+    std::unordered_map<std::string, double> by_id;
+    double typical = 20.0;
+};
+
+/// Takes an observation: tokens read and how long it took.
+void note_read(
+    read_rates& rates, const std::string& id, double tokens,
+    base::milliseconds took);
+
+/// @return the expected rate of an engine.
+double rate_of(const read_rates& rates, const std::string& id);
+
+/// Everything that a choice looks at. References must outlive the call.
+struct selection_inputs {
+    const server_table& servers;
+    const load_view& loads;
+    const health_view& health;
+    const read_rates& rates;
+    const service& target;
+    std::string own_data_centre;
+    selection_policy policy = selection_policy::least_loaded;
+    std::size_t instances = 1; ///< How many share a server's connections.
+    base::steady_time now;
+    std::function<double()> draw; ///< Uniform in [0, 1).
+};
+
+/// Servers that a request has been to, or that are ruled out otherwise.
+using excluded_servers = std::set<std::string>;
+
+/// @return a server of a plain service, or null if none takes requests.
+const server*
+select_plain(const selection_inputs& inputs, const excluded_servers& excluded);
+
+/// @return the prefill engine that would be done first, or null.
+const server* select_prefill(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    double prompt_tokens);
+
+/// @return the decode engine with the most room for the request, or null if
+/// none has enough. @param data_centre of the prefill engine, or empty.
+const server* select_decode(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    double memory_tokens, const std::string& data_centre);
+
+/// @return how long a prefill engine needs until it has read a prompt.
+base::milliseconds expected_read_time(
+    const selection_inputs& inputs, const server& engine,
+    double prompt_tokens);
+
+} // namespace mintknot::traffic
+
+#endif
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/server_health.hpp
@@ -0,0 +1,73 @@
+/// @file
+/// What calls have shown of each backend server, and which ones to avoid.
+#ifndef MINTKNOT_TRAFFIC_SERVER_HEALTH_HPP
+#define MINTKNOT_TRAFFIC_SERVER_HEALTH_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace mintknot::traffic {
+
+/// What became of one call, as far as it says something of the server.
+enum class call_result {
+    good,        ///< A proper answer.
+    failed,      ///< Its own failure, a broken or a wrong answer.
+    rejected,    ///< It said that it did not run the request.
+    unreachable, ///< No connection.
+    silent,      ///< No sign for longer than can be expected.
+    misdirected, ///< Another server has its address.
+};
+
+std::string_view to_string(call_result value) noexcept;
+
+/// Recent results of one server, weighed down with age.
+struct health_record {
+    double good = 0.0;
+    double bad = 0.0;
+    int failures_in_a_row = 0;
+    int ejections = 0; ///< Since it was last trusted.
+    base::steady_time changed{};
+    base::steady_time avoid_until{};
+    base::steady_time good_at{};
+};
+
+/// Records by server ID, and peers' warnings.
+struct health_view {
+    std::unordered_map<std::string, health_record> own;
+    /// Until when a peer advises to avoid a server.
+    std::unordered_map<std::string, base::steady_time> warned_until;
+};
+
+/// Takes the result of a call. @return true if the server is avoided from now
+/// on and was not before.
+bool note(
+    health_view& view, const std::string& id, call_result result,
+    base::steady_time now);
+
+/// Takes a peer's warning, unless own calls have just shown otherwise.
+void warn(
+    health_view& view, const std::string& id, base::steady_time until,
+    base::steady_time now);
+
+/// @return true if a server is to be chosen only where there is no other.
+bool avoided(
+    const health_view& view, const std::string& id, base::steady_time now);
+
+/// @return until when this instance itself avoids a server, or the epoch.
+base::steady_time
+avoided_until(const health_view& view, const std::string& id);
+
+/// @return the share of recent calls that failed, in [0, 1].
+double
+failure_share(const health_view& view, const std::string& id);
+
+/// Drops what is known of a server.
+void forget(health_view& view, const std::string& id);
+
+} // namespace mintknot::traffic
+
+#endif
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/server_table.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// The backend servers that are known, by ID and by service.
+#ifndef MINTKNOT_TRAFFIC_SERVER_TABLE_HPP
+#define MINTKNOT_TRAFFIC_SERVER_TABLE_HPP
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/base/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace mintknot::traffic {
+
+/// What a model engine does at present.
+enum class engine_phase { none, prefill, decode };
+
+std::string_view to_string(engine_phase value) noexcept;
+
+/// One backend server. A restart of it has another ID.
+struct server {
+    std::string id;
+    std::string service;
+    base::address where;
+    std::string data_centre;
+    int slots = 1;
+    bool draining = false;
+    engine_phase phase = engine_phase::none;
+};
+
+/// Entries carry the version of the row that told of them. A version never
+/// goes back, whatever order news arrives in.
+struct server_table {
+    struct entry {
+        std::optional<server> value; ///< Nothing: the server has gone.
+        std::uint64_t version = 0;
+    };
+    std::unordered_map<std::string, entry> by_id;
+    /// Servers that take new requests: neither gone nor draining.
+    std::map<std::string, std::vector<const server*>> open_by_service;
+    std::uint64_t newest = 0; ///< The highest version seen.
+};
+
+/// Takes news of one server. @return false if the table knew newer things.
+bool apply(
+    server_table& table, const std::string& id, std::uint64_t version,
+    std::optional<server> value);
+
+/// @return the server if it is known and has not gone, else null.
+const server* find(const server_table& table, const std::string& id);
+
+/// @return the servers of a service that take new requests.
+const std::vector<const server*>&
+open_servers(const server_table& table, const std::string& service);
+
+} // namespace mintknot::traffic
+
+#endif
--- /dev/null
+++ b/libs/traffic/src/selection.cpp
@@ -0,0 +1,163 @@
+#include <mintknot/traffic/selection.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace mintknot::traffic {
+
+namespace {
+
+constexpr double learning_rate = 0.2;
+/// Cost of another data centre, in shares of a server's capacity.
+constexpr double plain_distance_cost = 0.2;
+constexpr double decode_distance_cost = 0.1;
+/// Cost of another data centre, in milliseconds of reading.
+constexpr double prefill_distance_cost = 15.0;
+/// Random part of a score, so that instances do not all choose alike.
+constexpr double jitter = 0.08;
+constexpr double prefill_jitter_ms = 10.0;
+/// Cost of a server all of whose recent calls have failed.
+constexpr double failure_cost = 2.0;
+constexpr double prefill_failure_cost_ms = 400.0;
+/// Part of an engine's memory that is given out.
+constexpr double used_memory = 0.97;
+
+/// Scores a server; lower is better, infinite if it cannot take the request.
+using score_function = std::function<double(const server&)>;
+
+constexpr double impossible = std::numeric_limits<double>::infinity();
+
+bool connections_left(const selection_inputs& inputs, const server& candidate) {
+    const std::size_t share =
+        std::max<std::size_t>(
+            2, inputs.target.most_connections /
+                   std::max<std::size_t>(inputs.instances, 1));
+    return static_cast<std::size_t>(own(inputs.loads, candidate.id).calls) <
+           share;
+}
+
+const server* best_of(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    const score_function& score, bool with_avoided) {
+    const server* best = nullptr;
+    double lowest = impossible;
+    for (const server* candidate :
+         open_servers(inputs.servers, inputs.target.name)) {
+        if (excluded.contains(candidate->id))
+            continue;
+        if (!with_avoided && avoided(inputs.health, candidate->id, inputs.now))
+            continue;
+        if (!connections_left(inputs, *candidate))
+            continue;
+        const double value = score(*candidate);
+        if (value >= lowest)
+            continue;
+        lowest = value;
+        best = candidate;
+    }
+    return best;
+}
+
+/// Servers that are to be avoided come last, but before none at all.
+const server* best_of(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    const score_function& score) {
+    const server* found = best_of(inputs, excluded, score, false);
+    return found != nullptr ? found : best_of(inputs, excluded, score, true);
+}
+
+bool is_random(const selection_inputs& inputs) {
+    return inputs.policy == selection_policy::random;
+}
+
+} // namespace
+
+void note_read(
+    read_rates& rates, const std::string& id, double tokens,
+    base::milliseconds took) {
+    if (tokens <= 0.0 || took <= base::milliseconds{0})
+        return;
+    const double rate = tokens / static_cast<double>(took.count());
+    const auto [entry, fresh] = rates.by_id.emplace(id, rate);
+    if (!fresh)
+        entry->second += learning_rate * (rate - entry->second);
+    rates.typical += learning_rate * 0.25 * (rate - rates.typical);
+}
+
+double rate_of(const read_rates& rates, const std::string& id) {
+    const auto found = rates.by_id.find(id);
+    const double rate =
+        found == rates.by_id.end() ? rates.typical : found->second;
+    return std::max(rate, 0.1);
+}
+
+const server*
+select_plain(const selection_inputs& inputs, const excluded_servers& excluded) {
+    return best_of(inputs, excluded, [&inputs](const server& candidate) {
+        if (is_random(inputs))
+            return inputs.draw();
+        const server_load load = total(inputs.loads, candidate.id, inputs.now);
+        double score = static_cast<double>(load.calls) /
+                       std::max(candidate.slots, 1);
+        if (candidate.data_centre != inputs.own_data_centre)
+            score += plain_distance_cost;
+        score += failure_cost * failure_share(inputs.health, candidate.id);
+        return score + jitter * inputs.draw();
+    });
+}
+
+base::milliseconds expected_read_time(
+    const selection_inputs& inputs, const server& engine,
+    double prompt_tokens) {
+    const server_load load = total(inputs.loads, engine.id, inputs.now);
+    const double time = (load.prefill_tokens + prompt_tokens) /
+                        rate_of(inputs.rates, engine.id);
+    return base::milliseconds(static_cast<std::int64_t>(time));
+}
+
+const server* select_prefill(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    double prompt_tokens) {
+    return best_of(inputs, excluded, [&](const server& candidate) {
+        if (candidate.phase != engine_phase::prefill)
+            return impossible;
+        if (is_random(inputs))
+            return inputs.draw();
+        double score = static_cast<double>(
+            expected_read_time(inputs, candidate, prompt_tokens).count());
+        if (candidate.data_centre != inputs.own_data_centre)
+            score += prefill_distance_cost;
+        score += prefill_failure_cost_ms *
+                 failure_share(inputs.health, candidate.id);
+        return score + prefill_jitter_ms * inputs.draw();
+    });
+}
+
+const server* select_decode(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    double memory_tokens, const std::string& data_centre) {
+    const double memory =
+        inputs.target.engine
+            ? static_cast<double>(inputs.target.engine->memory_tokens)
+            : 0.0;
+    return best_of(inputs, excluded, [&](const server& candidate) {
+        if (candidate.phase == engine_phase::prefill)
+            return impossible;
+        if (is_random(inputs))
+            return inputs.draw();
+        const server_load load = total(inputs.loads, candidate.id, inputs.now);
+        if (load.calls >= candidate.slots)
+            return impossible;
+        const double after = load.memory_tokens + memory_tokens;
+        if (memory > 0.0 && load.memory_tokens > 0.0 &&
+            after > memory * used_memory)
+            return impossible;
+        double score = memory > 0.0 ? after / memory : load.calls;
+        if (!data_centre.empty() && candidate.data_centre != data_centre)
+            score += decode_distance_cost;
+        score += failure_cost * failure_share(inputs.health, candidate.id);
+        return score + jitter * inputs.draw();
+    });
+}
+
+} // namespace mintknot::traffic
--- /dev/null
+++ b/libs/traffic/src/server_health.cpp
@@ -0,0 +1,137 @@
+#include <mintknot/traffic/server_health.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mintknot::traffic {
+
+namespace {
+
+constexpr std::chrono::duration<double> half_life{6.0};
+constexpr base::milliseconds first_ejection{1500};
+constexpr base::milliseconds longest_ejection{8000};
+constexpr int most_doublings = 3;
+/// Failures in a row after which a server is avoided.
+constexpr int failures_to_eject = 3;
+/// Share of failures above which a server is avoided, with enough calls.
+constexpr double share_to_eject = 0.5;
+constexpr double calls_to_judge = 4.0;
+/// A peer's warning does not count so soon after an own good call.
+constexpr base::milliseconds own_trust{700};
+
+void decay(health_record& record, base::steady_time now) {
+    const std::chrono::duration<double> passed = now - record.changed;
+    const double factor = std::exp2(-passed / half_life);
+    record.good *= factor;
+    record.bad *= factor;
+    record.changed = now;
+}
+
+bool eject(health_record& record, base::steady_time now) {
+    const bool fresh = record.avoid_until <= now;
+    const int doublings = std::min(record.ejections, most_doublings);
+    const base::milliseconds time =
+        std::min(longest_ejection, first_ejection * (1 << doublings));
+    record.avoid_until = std::max(record.avoid_until, now + time);
+    if (fresh)
+        ++record.ejections;
+    return fresh;
+}
+
+bool to_be_ejected(const health_record& record, call_result result) {
+    if (result == call_result::unreachable || result == call_result::silent ||
+        result == call_result::misdirected)
+        return true;
+    if (result != call_result::failed)
+        return false;
+    if (record.failures_in_a_row >= failures_to_eject)
+        return true;
+    const double calls = record.good + record.bad;
+    return calls >= calls_to_judge && record.bad > share_to_eject * calls;
+}
+
+void note_good(health_record& record, base::steady_time now) {
+    record.good += 1.0;
+    record.failures_in_a_row = 0;
+    record.good_at = now;
+    if (record.avoid_until <= now)
+        record.ejections = std::max(0, record.ejections - 1);
+}
+
+} // namespace
+
+std::string_view to_string(call_result value) noexcept {
+    switch (value) {
+    case call_result::good:
+        return "good";
+    case call_result::failed:
+        return "failed";
+    case call_result::rejected:
+        return "rejected";
+    case call_result::unreachable:
+        return "unreachable";
+    case call_result::silent:
+        return "silent";
+    case call_result::misdirected:
+        return "misdirected";
+    }
+    return "unknown";
+}
+
+bool note(
+    health_view& view, const std::string& id, call_result result,
+    base::steady_time now) {
+    health_record& record = view.own[id];
+    decay(record, now);
+    if (result == call_result::good) {
+        note_good(record, now);
+        return false;
+    }
+    if (result == call_result::rejected)
+        return false;
+    record.bad += 1.0;
+    ++record.failures_in_a_row;
+    return to_be_ejected(record, result) && eject(record, now);
+}
+
+void warn(
+    health_view& view, const std::string& id, base::steady_time until,
+    base::steady_time now) {
+    const auto found = view.own.find(id);
+    if (found != view.own.end() && now - found->second.good_at < own_trust)
+        return;
+    base::steady_time& warned = view.warned_until[id];
+    warned = std::max(warned, until);
+}
+
+bool avoided(
+    const health_view& view, const std::string& id, base::steady_time now) {
+    if (avoided_until(view, id) > now)
+        return true;
+    const auto warned = view.warned_until.find(id);
+    return warned != view.warned_until.end() && warned->second > now;
+}
+
+base::steady_time
+avoided_until(const health_view& view, const std::string& id) {
+    const auto found = view.own.find(id);
+    return found == view.own.end() ? base::steady_time{}
+                                   : found->second.avoid_until;
+}
+
+double failure_share(const health_view& view, const std::string& id) {
+    const auto found = view.own.find(id);
+    if (found == view.own.end())
+        return 0.0;
+    const health_record& record = found->second;
+    // One good call is taken for granted, so that a single failure does not
+    // condemn a server.
+    return record.bad / (record.good + record.bad + 1.0);
+}
+
+void forget(health_view& view, const std::string& id) {
+    view.own.erase(id);
+    view.warned_until.erase(id);
+}
+
+} // namespace mintknot::traffic
--- /dev/null
+++ b/libs/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// Idle connections to backend servers, kept for their next call.
+#ifndef MINTKNOT_UPSTREAM_CONNECTION_POOL_HPP
+#define MINTKNOT_UPSTREAM_CONNECTION_POOL_HPP
+
+#include <mintknot/base/time.hpp>
+#include <mintknot/event/connection.hpp>
+#include <mintknot/event/loop.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace mintknot::upstream {
+
+/// One backend server. Connections are pooled by ID, never by address: an
+/// address may pass on to another server.
+struct target {
+    std::string id;
+    base::address where;
+};
+
+/// Counters since the start of the process.
+struct pool_counters {
+    std::uint64_t opened = 0;
+    std::uint64_t reused = 0;
+    std::uint64_t failed = 0; ///< Connections that did not come up.
+};
+
+/// Keeps idle connections. One that ends or says anything while it is idle is
+/// dropped: bytes that nobody asked for belong to no request.
+class connection_pool {
+public:
+    explicit connection_pool(event::loop& owner);
+    ~connection_pool();
+    connection_pool(const connection_pool&) = delete;
+    connection_pool& operator=(const connection_pool&) = delete;
+
+    /// @return an idle connection that has not been started, or null. The
+    /// caller must attach its own handlers with connection::set_handlers.
+    event::connection_ptr take(const std::string& id);
+
+    /// Keeps a connection for at most `idle_for`.
+    void
+    give(const std::string& id, event::connection_ptr connection,
+         base::milliseconds idle_for);
+
+    /// Closes the idle connections to a server.
+    void drop(const std::string& id);
+
+    std::size_t idle(const std::string& id) const;
+    std::size_t idle_total() const noexcept;
+    pool_counters& counters() noexcept;
+    event::loop& owner() noexcept;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mintknot::upstream
+
+#endif
--- /dev/null
+++ b/libs/upstream/src/call.cpp
@@ -0,0 +1,284 @@
+#include <mintknot/upstream/call.hpp>
+
+#include <mintknot/http1/message_parser.hpp>
+#include <mintknot/http1/serialize.hpp>
+
+#include <limits>
+
+namespace mintknot::upstream {
+
+namespace {
+
+/// How long a connection is kept whose server names no time of its own.
+constexpr base::milliseconds default_idle{12000};
+/// Distance kept from the end of the time that a server names.
+constexpr base::milliseconds idle_margin{700};
+constexpr base::milliseconds shortest_named_idle{250};
+
+base::milliseconds idle_time(const http1::response_head& head) {
+    const std::string* text = http1::find_field(head.fields, "Keep-Alive");
+    if (text == nullptr)
+        return default_idle;
+    const std::size_t start = text->find("timeout=");
+    if (start == std::string::npos)
+        return default_idle;
+    const int named = std::atoi(text->c_str() + start + 8);
+    const base::milliseconds whole = std::chrono::seconds(named);
+    if (whole <= base::milliseconds{0})
+        return base::milliseconds{0};
+    return std::min(
+        default_idle, std::max(shortest_named_idle, whole - idle_margin));
+}
+
+} // namespace
+
+std::string_view to_string(call_failure value) noexcept {
+    switch (value) {
+    case call_failure::unreachable:
+        return "unreachable";
+    case call_failure::ended:
+        return "ended";
+    case call_failure::bad_answer:
+        return "bad_answer";
+    }
+    return "unknown";
+}
+
+struct call::impl : std::enable_shared_from_this<call::impl> {
+    impl(
+        connection_pool& connections, target server, call_request what,
+        const call_options& bounds, call_handlers told)
+        : pool(connections)
+        , where(std::move(server))
+        , request(std::move(what))
+        , options(bounds)
+        , handlers(std::move(told)) {}
+
+    void begin() {
+        if (event::connection_ptr idle = pool.take(where.id)) {
+            // Handlers must not run from within start().
+            pool.owner().post([self = shared_from_this(), idle] {
+                if (self->finished) {
+                    idle->close();
+                    return;
+                }
+                self->send_on(idle);
+            });
+            return;
+        }
+        event::connect(
+            pool.owner(), where.where, options.connect_timeout,
+            [self = shared_from_this()](event::connection_ptr opened) {
+                self->on_connected(std::move(opened));
+            });
+    }
+
+    void on_connected(event::connection_ptr opened) {
+        if (opened == nullptr)
+            ++pool.counters().failed;
+        else
+            ++pool.counters().opened;
+        if (finished) {
+            if (opened != nullptr)
+                pool.give(where.id, std::move(opened), default_idle);
+            return;
+        }
+        if (opened == nullptr) {
+            fail(call_failure::unreachable);
+            return;
+        }
+        send_on(std::move(opened));
+    }
+
+    void send_on(event::connection_ptr open) {
+        link = std::move(open);
+        link->set_handlers(
+            {[self = shared_from_this()](std::string_view bytes) {
+                 self->on_data(bytes);
+             },
+             [self = shared_from_this()](event::connection_end how) {
+                 self->on_end(how);
+             },
+             nullptr});
+        new_parser();
+        was_sent = true;
+        const std::string_view body =
+            request.body == nullptr ? std::string_view{} : *request.body;
+        link->write(http1::serialize(request.head, body));
+    }
+
+    void new_parser() {
+        http1::message_limits limits;
+        limits.header_bytes = options.answer_header_bytes;
+        limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
+        parser = std::make_unique<http1::response_parser>(
+            limits, request.head.method == "HEAD");
+        head_told = false;
+        skipping = false;
+    }
+
+    void on_data(std::string_view bytes) {
+        // The handlers may destroy the call.
+        const std::shared_ptr<impl> self = shared_from_this();
+        pending.append(bytes);
+        while (!finished && !pending.empty()) {
+            const std::size_t used = parser->put(
+                pending, [this](std::string_view piece) { on_body(piece); });
+            if (finished)
+                return;
+            pending.erase(0, used);
+            if (!note_head())
+                return;
+            flush_body();
+            if (finished)
+                return;
+            if (parser->error() != http1::parse_error::none) {
+                fail(call_failure::bad_answer);
+                return;
+            }
+            if (parser->done()) {
+                if (!on_message_end())
+                    return;
+            } else if (used == 0) {
+                return;
+            }
+        }
+    }
+
+    /// @return false if the call has finished.
+    bool note_head() {
+        if (head_told || !parser->has_head())
+            return true;
+        head_told = true;
+        http1::response_head& head = parser->head();
+        const bool informational = head.status < 200;
+        if (informational || (handlers.belongs && !handlers.belongs(head))) {
+            skipping = true;
+            body.clear();
+            reusable = reusable && informational;
+            return true;
+        }
+        handlers.on_head(head);
+        return !finished;
+    }
+
+    void on_body(std::string_view piece) { body.append(piece); }
+
+    void flush_body() {
+        if (body.empty() || !head_told)
+            return;
+        const std::string piece = std::move(body);
+        body.clear();
+        if (!skipping)
+            handlers.on_body(piece);
+    }
+
+    /// @return true if another answer is waited for.
+    bool on_message_end() {
+        if (skipping) {
+            if (!parser->head().keep_alive) {
+                fail(call_failure::ended);
+                return false;
+            }
+            new_parser();
+            return true;
+        }
+        succeed();
+        return false;
+    }
+
+    void succeed() {
+        finished = true;
+        const bool keep = reusable && pending.empty() &&
+                          parser->head().keep_alive &&
+                          link->queued_bytes() == 0;
+        if (keep)
+            pool.give(where.id, std::move(link), idle_time(parser->head()));
+        else
+            link->abort();
+        link = nullptr;
+        const call_handlers last = std::move(handlers);
+        last.on_done();
+    }
+
+    void on_end(event::connection_end how) {
+        if (finished)
+            return;
+        const std::shared_ptr<impl> self = shared_from_this();
+        if (how == event::connection_end::orderly && head_told && !skipping) {
+            parser->put_end();
+            if (parser->done()) {
+                succeed();
+                return;
+            }
+        }
+        fail(call_failure::ended);
+    }
+
+    void fail(call_failure why) {
+        finished = true;
+        if (link != nullptr)
+            link->abort();
+        link = nullptr;
+        const call_handlers last = std::move(handlers);
+        last.on_failure(why);
+    }
+
+    void cancel() {
+        if (finished)
+            return;
+        finished = true;
+        if (link != nullptr)
+            link->abort();
+        link = nullptr;
+        // A handler may be running: let the closures go after it.
+        pool.owner().post([dropped = std::move(handlers)] {});
+        handlers = {};
+    }
+
+    connection_pool& pool;
+    target where;
+    call_request request;
+    call_options options;
+    call_handlers handlers;
+    event::connection_ptr link;
+    std::unique_ptr<http1::response_parser> parser;
+    std::string pending; ///< Received, not yet parsed.
+    std::string body;    ///< Parsed, not yet handed on.
+    bool head_told = false;
+    bool skipping = false; ///< The answer at hand is not for this call.
+    bool reusable = true;
+    bool was_sent = false;
+    bool finished = false;
+};
+
+call::call(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+
+call::~call() { impl_->cancel(); }
+
+std::unique_ptr<call> call::start(
+    connection_pool& pool, const target& where, call_request request,
+    const call_options& options, call_handlers handlers) {
+    auto state = std::make_shared<impl>(
+        pool, where, std::move(request), options, std::move(handlers));
+    std::unique_ptr<call> result(new call(state));
+    state->begin();
+    return result;
+}
+
+void call::cancel() { impl_->cancel(); }
+
+void call::pause() {
+    if (impl_->link != nullptr)
+        impl_->link->pause_reading();
+}
+
+void call::resume() {
+    if (impl_->link != nullptr)
+        impl_->link->resume_reading();
+}
+
+bool call::sent() const noexcept { return impl_->was_sent; }
+
+} // namespace mintknot::upstream
--- /dev/null
+++ b/libs/upstream/src/connection_pool.cpp
@@ -0,0 +1,131 @@
+#include <mintknot/upstream/connection_pool.hpp>
+
+#include <list>
+#include <unordered_map>
+
+namespace mintknot::upstream {
+
+namespace {
+
+constexpr base::milliseconds sweep_period{1000};
+
+struct idle_connection {
+    event::connection_ptr link;
+    base::steady_time until;
+};
+
+} // namespace
+
+struct connection_pool::impl {
+    explicit impl(event::loop& loop)
+        : owner(loop)
+        , sweep_timer(loop) {}
+
+    void forget(const std::string& id, const event::connection* link) {
+        const auto found = idle.find(id);
+        if (found == idle.end())
+            return;
+        for (auto it = found->second.begin(); it != found->second.end(); ++it)
+            if (it->link.get() == link) {
+                const event::connection_ptr dropped = it->link;
+                found->second.erase(it);
+                --total;
+                dropped->abort();
+                break;
+            }
+        if (found->second.empty())
+            idle.erase(found);
+    }
+
+    void sweep() {
+        const base::steady_time now = owner.now();
+        for (auto it = idle.begin(); it != idle.end();) {
+            total -= it->second.remove_if([&](const idle_connection& entry) {
+                if (entry.until > now)
+                    return false;
+                entry.link->close();
+                return true;
+            });
+            it = it->second.empty() ? idle.erase(it) : std::next(it);
+        }
+        if (total > 0)
+            sweep_timer.start(sweep_period, [this] { sweep(); });
+    }
+
+    event::loop& owner;
+    event::timer sweep_timer;
+    std::unordered_map<std::string, std::list<idle_connection>> idle;
+    std::size_t total = 0;
+    pool_counters counters;
+};
+
+connection_pool::connection_pool(event::loop& owner)
+    : impl_(std::make_unique<impl>(owner)) {}
+
+connection_pool::~connection_pool() = default;
+
+event::connection_ptr connection_pool::take(const std::string& id) {
+    const auto found = impl_->idle.find(id);
+    if (found == impl_->idle.end())
+        return nullptr;
+    const base::steady_time now = impl_->owner.now();
+    event::connection_ptr taken;
+    while (taken == nullptr && !found->second.empty()) {
+        const idle_connection last = found->second.back();
+        found->second.pop_back();
+        --impl_->total;
+        if (last.until > now)
+            taken = last.link;
+        else
+            last.link->close();
+    }
+    if (found->second.empty())
+        impl_->idle.erase(found);
+    if (taken != nullptr)
+        ++impl_->counters.reused;
+    return taken;
+}
+
+void connection_pool::give(
+    const std::string& id, event::connection_ptr connection,
+    base::milliseconds idle_for) {
+    if (idle_for <= base::milliseconds{0}) {
+        connection->close();
+        return;
+    }
+    event::connection* raw = connection.get();
+    connection->set_handlers(
+        {[this, id, raw](std::string_view) { impl_->forget(id, raw); },
+         [this, id, raw](event::connection_end) { impl_->forget(id, raw); },
+         nullptr});
+    impl_->idle[id].push_back(
+        {std::move(connection), impl_->owner.now() + idle_for});
+    ++impl_->total;
+    if (!impl_->sweep_timer.active())
+        impl_->sweep_timer.start(sweep_period, [this] { impl_->sweep(); });
+}
+
+void connection_pool::drop(const std::string& id) {
+    const auto found = impl_->idle.find(id);
+    if (found == impl_->idle.end())
+        return;
+    impl_->total -= found->second.size();
+    for (const idle_connection& entry : found->second)
+        entry.link->close();
+    impl_->idle.erase(found);
+}
+
+std::size_t connection_pool::idle(const std::string& id) const {
+    const auto found = impl_->idle.find(id);
+    return found == impl_->idle.end() ? 0 : found->second.size();
+}
+
+std::size_t connection_pool::idle_total() const noexcept {
+    return impl_->total;
+}
+
+pool_counters& connection_pool::counters() noexcept { return impl_->counters; }
+
+event::loop& connection_pool::owner() noexcept { return impl_->owner; }
+
+} // namespace mintknot::upstream
