--- a/libs/event/src/connection.cpp
+++ b/libs/event/src/connection.cpp
@@ -59,9 +59,13 @@
     read_next();
 }
 
-const base::address& connection::peer() const noexcept { return impl_->peer; }
+const base::address& connection::peer() const noexcept {
+    return impl_->peer;
+}
 
-std::size_t connection::queued_bytes() const noexcept { return impl_->queued; }
+std::size_t connection::queued_bytes() const noexcept {
+    return impl_->queued;
+}
 
 void connection::read_next() {
     if (impl_->reading || impl_->paused || !impl_->socket.is_open())
@@ -164,7 +168,9 @@
         });
 }
 
-void connection::pause_reading() { impl_->paused = true; }
+void connection::pause_reading() {
+    impl_->paused = true;
+}
 
 void connection::resume_reading() {
     impl_->paused = false;
@@ -270,8 +276,8 @@
             }
             set_options(attempt->socket);
             bound_unacknowledged_time(attempt->socket);
-            attempt->finish(std::make_shared<connection>(
-                std::make_unique<connection::impl>(
+            attempt->finish(
+                std::make_shared<connection>(std::make_unique<connection::impl>(
                     attempt->owner, std::move(attempt->socket))));
         });
 }
--- a/libs/event/src/datagrams.cpp
+++ b/libs/event/src/datagrams.cpp
@@ -15,8 +15,8 @@
 
     void wait() {
         socket.async_wait(
-            udp::socket::wait_read, [self = shared_from_this()](
-                                        const boost::system::error_code& code) {
+            udp::socket::wait_read,
+            [self = shared_from_this()](const boost::system::error_code& code) {
                 if (code || !self->socket.is_open())
                     return;
                 self->receive_all();
@@ -29,8 +29,8 @@
         while (socket.is_open()) {
             boost::system::error_code code;
             udp::endpoint from;
-            const std::size_t count = socket.receive_from(
-                boost::asio::buffer(buffer), from, 0, code);
+            const std::size_t count =
+                socket.receive_from(boost::asio::buffer(buffer), from, 0, code);
             if (code)
                 return;
             on_datagram(address_of(from), {buffer.data(), count});
@@ -45,10 +45,11 @@
 datagrams::datagrams(loop& owner)
     : impl_(std::make_shared<impl>(owner)) {}
 
-datagrams::~datagrams() { close(); }
+datagrams::~datagrams() {
+    close();
+}
 
-absl::Status
-datagrams::open(const base::address& where, receiver on_datagram) {
+absl::Status datagrams::open(const base::address& where, receiver on_datagram) {
     boost::system::error_code code;
     const udp::endpoint endpoint = endpoint_of<udp>(where);
     impl_->socket.open(endpoint.protocol(), code);
--- a/libs/event/src/listener.cpp
+++ b/libs/event/src/listener.cpp
@@ -34,8 +34,8 @@
                 return;
             }
             set_options(socket);
-            self->on_connection(std::make_shared<connection>(
-                std::make_unique<connection::impl>(
+            self->on_connection(
+                std::make_shared<connection>(std::make_unique<connection::impl>(
                     self->owner, std::move(socket))));
             self->accept_next();
         });
@@ -50,7 +50,9 @@
 listener::listener(loop& owner)
     : impl_(std::make_shared<impl>(owner)) {}
 
-listener::~listener() { close(); }
+listener::~listener() {
+    close();
+}
 
 absl::Status listener::open(
     const base::address& where,
@@ -66,8 +68,7 @@
         impl_->acceptor.listen(backlog, code);
     if (code)
         return absl::UnavailableError(fmt::format(
-            "cannot listen on {}: {}", base::to_string(where),
-            code.message()));
+            "cannot listen on {}: {}", base::to_string(where), code.message()));
     impl_->on_connection = std::move(on_connection);
     impl_->accept_next();
     return absl::OkStatus();
--- a/libs/event/src/loop.cpp
+++ b/libs/event/src/loop.cpp
@@ -28,16 +28,21 @@
 
 void loop::run() {
     const auto work = boost::asio::make_work_guard(impl_->context);
+    impl_->context.restart();
     impl_->context.run();
 }
 
-void loop::stop() { impl_->context.stop(); }
+void loop::stop() {
+    impl_->context.stop();
+}
 
 void loop::post(std::function<void()> handler) {
     boost::asio::post(impl_->context, std::move(handler));
 }
 
-base::steady_time loop::now() const { return base::steady_clock::now(); }
+base::steady_time loop::now() const {
+    return base::steady_clock::now();
+}
 
 void loop::on_signals(
     const std::vector<int>& numbers, std::function<void(int)> handler) {
@@ -59,15 +64,17 @@
 timer::timer(loop& owner)
     : impl_(std::make_shared<impl>(owner)) {}
 
-timer::~timer() { stop(); }
+timer::~timer() {
+    stop();
+}
 
 void timer::start(base::steady_time when, std::function<void()> handler) {
     const std::uint64_t generation = ++impl_->generation;
     impl_->active = true;
     impl_->native.expires_at(when);
     impl_->native.async_wait(
-        [state = impl_, generation, handler = std::move(handler)](
-            const boost::system::error_code& code) {
+        [state = impl_, generation,
+         handler = std::move(handler)](const boost::system::error_code& code) {
             if (code || state->generation != generation)
                 return;
             state->active = false;
@@ -85,6 +92,8 @@
     impl_->native.cancel();
 }
 
-bool timer::active() const noexcept { return impl_->active; }
+bool timer::active() const noexcept {
+    return impl_->active;
+}
 
 } // namespace mintknot::event
--- /dev/null
+++ b/libs/event/tests/test_connection.cpp
@@ -0,0 +1,186 @@
+#include <mintknot/event/connection.hpp>
+#include <mintknot/event/datagrams.hpp>
+#include <mintknot/event/listener.hpp>
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace mintknot;
+using namespace mintknot::event;
+
+namespace {
+
+constexpr base::milliseconds test_limit{10000};
+
+/// A connection to a listener on the same loop.
+struct pair_of_connections {
+    pair_of_connections()
+        : accepting(owner)
+        , limit(owner) {
+        cr_assert(accepting
+                      .open(
+                          {"127.0.0.1", 0},
+                          [this](connection_ptr link) {
+                              accepted = std::move(link);
+                              if (connected)
+                                  owner.stop();
+                          })
+                      .ok());
+        connect(
+            owner, {"127.0.0.1", accepting.port()}, test_limit,
+            [this](connection_ptr link) {
+                connected = std::move(link);
+                if (accepted)
+                    owner.stop();
+            });
+        run();
+        cr_assert(accepted != nullptr);
+        cr_assert(connected != nullptr);
+    }
+    /// Runs until somebody stops the loop.
+    void run() {
+        bool late = false;
+        limit.start(test_limit, [&] {
+            late = true;
+            owner.stop();
+        });
+        owner.run();
+        limit.stop();
+        cr_assert(!late);
+    }
+
+    loop owner;
+    listener accepting;
+    timer limit;
+    connection_ptr accepted;
+    connection_ptr connected;
+};
+
+connection_handlers ignoring_data(std::function<void(connection_end)> on_end) {
+    return {[](std::string_view) {}, std::move(on_end), nullptr};
+}
+
+} // namespace
+
+Test(connection, carries_bytes_and_an_orderly_end) {
+    pair_of_connections both;
+    std::string seen;
+    connection_end how = connection_end::broken;
+    both.accepted->set_handlers(
+        {[&](std::string_view bytes) { seen += bytes; },
+         [&](connection_end end) {
+             how = end;
+             both.owner.stop();
+         },
+         nullptr});
+    both.connected->write(std::string(300000, 'x'));
+    both.connected->close();
+    both.run();
+    cr_assert(seen.size() == 300000);
+    cr_assert(how == connection_end::orderly);
+}
+
+Test(connection, a_reset_is_no_orderly_end) {
+    pair_of_connections both;
+    connection_end how = connection_end::orderly;
+    both.accepted->set_handlers(ignoring_data([&](connection_end end) {
+        how = end;
+        both.owner.stop();
+    }));
+    both.connected->reset();
+    both.run();
+    cr_assert(how == connection_end::broken);
+}
+
+Test(connection, queues_for_a_slow_reader_and_tells_when_it_has_caught_up) {
+    pair_of_connections both;
+    std::size_t seen = 0;
+    bool drained = false;
+    both.connected->set_handlers(
+        {[](std::string_view) {}, [](connection_end) {},
+         [&] {
+             drained = true;
+             both.owner.stop();
+         }});
+    both.connected->write(std::string(20 * 1024 * 1024, 'x'));
+    cr_assert(both.connected->queued_bytes() > 0);
+    both.accepted->set_handlers(
+        {[&](std::string_view bytes) { seen += bytes.size(); },
+         [](connection_end) {}, nullptr});
+    both.run();
+    cr_assert(drained);
+    cr_assert(both.connected->queued_bytes() == 0);
+}
+
+Test(connection, no_handler_runs_after_an_abort) {
+    pair_of_connections both;
+    bool called = false;
+    both.accepted->set_handlers(
+        {[&](std::string_view) { called = true; },
+         [&](connection_end) { called = true; }, nullptr});
+    both.connected->write("x");
+    both.accepted->abort();
+    both.connected->set_handlers(
+        ignoring_data([&](connection_end) { both.owner.stop(); }));
+    both.run();
+    cr_assert(!called);
+}
+
+Test(connection, connecting_to_a_closed_port_yields_null) {
+    loop owner;
+    timer limit(owner);
+    bool called = false;
+    std::uint16_t port = 0;
+    {
+        listener gone(owner);
+        cr_assert(
+            gone.open({"127.0.0.1", 0}, [](const connection_ptr&) {}).ok());
+        port = gone.port();
+    }
+    connect(
+        owner, {"127.0.0.1", port}, test_limit,
+        [&](const connection_ptr& link) {
+            called = link == nullptr;
+            owner.stop();
+        });
+    limit.start(test_limit, [&] { owner.stop(); });
+    owner.run();
+    cr_assert(called);
+}
+
+Test(datagrams, are_received_with_their_sender) {
+    loop owner;
+    timer limit(owner);
+    datagrams one(owner);
+    datagrams two(owner);
+    std::string seen;
+    std::uint16_t from_port = 0;
+    cr_assert(
+        one.open({"127.0.0.1", 0}, [](const base::address&, auto) {}).ok());
+    cr_assert(two.open(
+                     {"127.0.0.1", 0},
+                     [&](const base::address& from, std::string_view bytes) {
+                         seen = bytes;
+                         from_port = from.port;
+                         owner.stop();
+                     })
+                  .ok());
+    one.send({"127.0.0.1", two.port()}, "hello");
+    limit.start(test_limit, [&] { owner.stop(); });
+    owner.run();
+    cr_assert(seen == "hello");
+    cr_assert(from_port == one.port());
+}
+
+Test(timer, a_stopped_timer_does_not_fire) {
+    loop owner;
+    timer first(owner);
+    timer second(owner);
+    bool fired = false;
+    first.start(base::milliseconds(1), [&] { fired = true; });
+    first.stop();
+    second.start(base::milliseconds(20), [&] { owner.stop(); });
+    owner.run();
+    cr_assert(!fired);
+}
--- a/libs/http1/include/mintknot/http1/serialize.hpp
+++ b/libs/http1/include/mintknot/http1/serialize.hpp
@@ -12,8 +12,7 @@
 
 /// @return the head of a request with that body, ready to be sent. The
 /// framing fields are written here; the list must hold none.
-std::string
-serialize(const request_head& head, std::string_view body);
+std::string serialize(const request_head& head, std::string_view body);
 
 /// @return the head of an answer, framed as `head.body` says. The list must
 /// hold no framing fields.
--- a/libs/http1/src/fields.cpp
+++ b/libs/http1/src/fields.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> hop_fields = {
-    "Connection",       "Keep-Alive", "Proxy-Connection",
-    "Proxy-Authenticate", "TE",       "Trailer",
-    "Transfer-Encoding", "Upgrade",   "Content-Length"};
+    "Connection",         "Keep-Alive", "Proxy-Connection",
+    "Proxy-Authenticate", "TE",         "Trailer",
+    "Transfer-Encoding",  "Upgrade",    "Content-Length"};
 
 absl::string_view view(std::string_view text) {
     return {text.data(), text.size()};
--- a/libs/http1/src/message_parser.cpp
+++ b/libs/http1/src/message_parser.cpp
@@ -30,8 +30,7 @@
                failure_ == parse_error::none) {
             beast::error_code code;
             const std::size_t step = this->put(
-                boost::asio::buffer(
-                    bytes.data() + used, bytes.size() - used),
+                boost::asio::buffer(bytes.data() + used, bytes.size() - used),
                 code);
             used += step;
             if (code == http::error::need_more)
@@ -179,7 +178,9 @@
     return impl_->core.failure_;
 }
 
-request_head& request_parser::head() { return impl_->core.head_; }
+request_head& request_parser::head() {
+    return impl_->core.head_;
+}
 
 struct response_parser::impl {
     explicit impl(const message_limits& limits)
@@ -221,6 +222,8 @@
     return impl_->core.failure_;
 }
 
-response_head& response_parser::head() { return impl_->core.head_; }
+response_head& response_parser::head() {
+    return impl_->core.head_;
+}
 
 } // namespace mintknot::http1
--- a/libs/http1/src/serialize.cpp
+++ b/libs/http1/src/serialize.cpp
@@ -45,8 +45,7 @@
     else if (head.body == framing::length || head.body == framing::none) {
         if (!bodiless)
             fmt::format_to(
-                std::back_inserter(out), "Content-Length: {}\r\n",
-                head.length);
+                std::back_inserter(out), "Content-Length: {}\r\n", head.length);
     }
     if (!head.keep_alive)
         out += "Connection: close\r\n";
--- /dev/null
+++ b/libs/http1/tests/test_message_parser.cpp
@@ -0,0 +1,148 @@
+#include <mintknot/http1/message_parser.hpp>
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace mintknot::http1;
+
+namespace {
+
+struct parsed {
+    parse_error error = parse_error::none;
+    bool done = false;
+    request_head head;
+    std::string body;
+    std::string rest;
+};
+
+/// Feeds a request in pieces of `step` bytes.
+parsed parse_request(const std::string& text, std::size_t step) {
+    request_parser parser({256, 1024});
+    parsed result;
+    std::string pending;
+    std::size_t fed = 0;
+    while (fed < text.size() && !parser.done() &&
+           parser.error() == parse_error::none) {
+        pending += text.substr(fed, step);
+        fed += std::min(step, text.size() - fed);
+        const std::size_t used = parser.put(
+            pending, [&](std::string_view piece) { result.body += piece; });
+        pending.erase(0, used);
+    }
+    result.error = parser.error();
+    result.done = parser.done();
+    if (parser.has_head())
+        result.head = parser.head();
+    result.rest = pending + text.substr(fed);
+    return result;
+}
+
+parse_error error_of(const std::string& text) {
+    return parse_request(text, text.size()).error;
+}
+
+} // namespace
+
+Test(request_parser, reads_a_request_in_pieces_of_any_size) {
+    const std::string text = "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\n"
+                             "X-One: 1\r\nContent-Length: 5\r\n\r\nhello";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        const parsed seen = parse_request(text, step);
+        cr_assert(seen.done);
+        cr_assert(seen.head.method == "POST");
+        cr_assert(seen.head.target == "/a/b?c=%20d");
+        cr_assert(seen.body == "hello");
+        cr_assert(seen.rest.empty());
+    }
+}
+
+Test(request_parser, leaves_the_bytes_of_the_next_request) {
+    const parsed seen = parse_request(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\nGET /next HTTP/1.1\r\n",
+        1000);
+    cr_assert(seen.done);
+    cr_assert(seen.body == "abc");
+    cr_assert(seen.rest == "GET /next HTTP/1.1\r\n");
+}
+
+Test(request_parser, rejects_ambiguous_framing) {
+    cr_assert(
+        error_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                 "Content-Length: 4\r\n\r\nabcd") == parse_error::malformed);
+    cr_assert(
+        error_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+        parse_error::malformed);
+    cr_assert(
+        error_of("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n") ==
+        parse_error::malformed);
+    cr_assert(
+        error_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n") ==
+        parse_error::malformed);
+}
+
+Test(request_parser, rejects_bare_line_feeds_and_noise) {
+    cr_assert(
+        error_of("GET / HTTP/1.1\nHost: h\n\n\r\n\r\n") ==
+        parse_error::malformed);
+    cr_assert(error_of("\x01\x02\x03\r\n\r\n") == parse_error::malformed);
+}
+
+Test(request_parser, bounds_head_and_body) {
+    cr_assert(
+        error_of(
+            "GET / HTTP/1.1\r\nX: " + std::string(400, 'a') + "\r\n\r\n") ==
+        parse_error::header_too_large);
+    cr_assert(
+        error_of(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" +
+            std::string(2000, 'a')) == parse_error::body_too_large);
+}
+
+Test(response_parser, frames_by_the_end_of_the_connection) {
+    response_parser parser({1024, 1024}, false);
+    std::string body;
+    parser.put("HTTP/1.1 200 OK\r\n\r\nabc", [&](std::string_view piece) {
+        body += piece;
+    });
+    cr_assert(!parser.done());
+    cr_assert(parser.head().body == framing::close);
+    parser.put_end();
+    cr_assert(parser.done());
+    cr_assert(body == "abc");
+}
+
+Test(response_parser, a_short_body_is_cut_off) {
+    response_parser parser({1024, 1024}, false);
+    parser.put("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", nullptr);
+    parser.put_end();
+    cr_assert(!parser.done());
+    cr_assert(parser.error() == parse_error::cut_off);
+}
+
+Test(response_parser, a_cut_chunk_is_cut_off) {
+    response_parser parser({1024, 1024}, false);
+    parser.put(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        nullptr);
+    parser.put_end();
+    cr_assert(!parser.done());
+    cr_assert(parser.error() == parse_error::cut_off);
+}
+
+Test(response_parser, leaves_surplus_bytes) {
+    response_parser parser({1024, 1024}, false);
+    const std::string text =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200";
+    const std::size_t used = parser.put(text, nullptr);
+    cr_assert(parser.done());
+    cr_assert(text.substr(used) == "HTTP/1.1 200");
+}
+
+Test(response_parser, an_answer_to_head_has_no_body) {
+    response_parser parser({1024, 1024}, true);
+    parser.put("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n", nullptr);
+    cr_assert(parser.done());
+}
--- a/libs/logging/include/mintknot/logging/line_log.hpp
+++ b/libs/logging/include/mintknot/logging/line_log.hpp
@@ -41,8 +41,7 @@
     line_log(const line_log&) = delete;
     line_log& operator=(const line_log&) = delete;
 
-    void
-    write(std::string_view event, std::initializer_list<log_field> fields);
+    void write(std::string_view event, std::initializer_list<log_field> fields);
 
     std::uint64_t written() const noexcept;
     std::uint64_t left_out() const noexcept;
--- a/libs/logging/src/line_log.cpp
+++ b/libs/logging/src/line_log.cpp
@@ -90,8 +90,12 @@
     ++impl_->written;
 }
 
-std::uint64_t line_log::written() const noexcept { return impl_->written; }
+std::uint64_t line_log::written() const noexcept {
+    return impl_->written;
+}
 
-std::uint64_t line_log::left_out() const noexcept { return impl_->left_out; }
+std::uint64_t line_log::left_out() const noexcept {
+    return impl_->left_out;
+}
 
 } // namespace mintknot::logging
--- a/libs/peers/include/mintknot/peers/heartbeat.hpp
+++ b/libs/peers/include/mintknot/peers/heartbeat.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/base/time.hpp>
 #include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/retry_allowance.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -23,11 +24,13 @@
 
 /// What one instance tells all others.
 struct heartbeat {
-    std::uint64_t incarnation = 0; ///< Random; another one after a restart.
-    std::uint64_t sequence = 0;    ///< Rises within an incarnation.
+    std::uint64_t incarnation = 0;   ///< Random; another one after a restart.
+    std::uint64_t sequence = 0;      ///< Rises within an incarnation.
     std::uint64_t configuration = 0; ///< Newest version that it knows.
     std::uint64_t servers = 0;       ///< Likewise.
     bool leaving = false;
+    std::string data_centre;  ///< Of the sender.
+    traffic::usage_map usage; ///< Retries within the last window.
     traffic::load_map loads;
     std::vector<server_warning> warnings;
     std::vector<std::string> hosts; ///< Some instances that it hears.
--- a/libs/peers/src/heartbeat.cpp
+++ b/libs/peers/src/heartbeat.cpp
@@ -10,7 +10,7 @@
 
 /// First element; tells heartbeats of other formats apart.
 constexpr int format = 1;
-constexpr std::size_t fields = 9;
+constexpr std::size_t fields = 11;
 constexpr std::size_t most_entries = 4096;
 
 json loads_to_json(const traffic::load_map& loads) {
@@ -34,6 +34,21 @@
     return loads;
 }
 
+json usage_to_json(const traffic::usage_map& usage) {
+    json rows = json::array();
+    for (const auto& [service, used] : usage)
+        rows.push_back({service, used.requests, used.repeats});
+    return rows;
+}
+
+traffic::usage_map usage_from(const json& rows) {
+    traffic::usage_map usage;
+    for (const json& row : rows)
+        usage[row.at(0).get<std::string>()] = {
+            row.at(1).get<std::int64_t>(), row.at(2).get<std::int64_t>()};
+    return usage;
+}
+
 json warnings_to_json(const std::vector<server_warning>& warnings) {
     json rows = json::array();
     for (const server_warning& warning : warnings)
@@ -54,17 +69,24 @@
 
 std::string encode(const heartbeat& value) {
     const json row = {
-        format,          value.incarnation, value.sequence,
-        value.configuration, value.servers, value.leaving,
-        loads_to_json(value.loads), warnings_to_json(value.warnings),
+        format,
+        value.incarnation,
+        value.sequence,
+        value.configuration,
+        value.servers,
+        value.leaving,
+        value.data_centre,
+        usage_to_json(value.usage),
+        loads_to_json(value.loads),
+        warnings_to_json(value.warnings),
         value.hosts};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
     return {bytes.begin(), bytes.end()};
 }
 
 absl::StatusOr<heartbeat> decode(std::string_view datagram) {
-    const json row = json::from_msgpack(
-        datagram.begin(), datagram.end(), true, false);
+    const json row =
+        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
     if (!row.is_array() || row.size() != fields || row[0] != format)
         return absl::InvalidArgumentError("no heartbeat of this format");
     try {
@@ -74,9 +96,11 @@
         value.configuration = row[3].get<std::uint64_t>();
         value.servers = row[4].get<std::uint64_t>();
         value.leaving = row[5].get<bool>();
-        value.loads = loads_from(row[6]);
-        value.warnings = warnings_from(row[7]);
-        value.hosts = row[8].get<std::vector<std::string>>();
+        value.data_centre = row[6].get<std::string>();
+        value.usage = usage_from(row[7]);
+        value.loads = loads_from(row[8]);
+        value.warnings = warnings_from(row[9]);
+        value.hosts = row[10].get<std::vector<std::string>>();
         return value;
     } catch (const json::exception&) {
         return absl::InvalidArgumentError("a field has a wrong type");
--- a/libs/peers/src/peer_group.cpp
+++ b/libs/peers/src/peer_group.cpp
@@ -107,7 +107,7 @@
 peer_group::~peer_group() = default;
 
 absl::Status peer_group::open() {
-    const absl::Status opened = impl_->socket.open(
+    absl::Status opened = impl_->socket.open(
         impl_->options.own,
         [this](const base::address& from, std::string_view datagram) {
             impl_->receive(from, datagram);
@@ -117,8 +117,12 @@
     return opened;
 }
 
-void peer_group::changed() { impl_->changed(); }
+void peer_group::changed() {
+    impl_->changed();
+}
 
-const peer_table& peer_group::table() const { return impl_->table; }
+const peer_table& peer_group::table() const {
+    return impl_->table;
+}
 
 } // namespace mintknot::peers
--- a/libs/peers/src/peer_table.cpp
+++ b/libs/peers/src/peer_table.cpp
@@ -53,6 +53,8 @@
     return {hosts.begin(), hosts.end()};
 }
 
-std::size_t instances(const peer_table& table) { return table.most_seen; }
+std::size_t instances(const peer_table& table) {
+    return table.most_seen;
+}
 
 } // namespace mintknot::peers
--- /dev/null
+++ b/libs/peers/tests/test_heartbeat.cpp
@@ -0,0 +1,50 @@
+#include <mintknot/peers/heartbeat.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::peers;
+
+namespace {
+
+heartbeat full() {
+    heartbeat value;
+    value.incarnation = 0xffffffffffffffffULL;
+    value.sequence = 7;
+    value.configuration = 12;
+    value.servers = 13;
+    value.leaving = true;
+    value.data_centre = "a";
+    value.usage["s"] = {30, 4};
+    value.loads["i"] = {2, 100.0, 200.0};
+    value.warnings.push_back({"j", base::milliseconds(300)});
+    value.hosts = {"10.0.0.1"};
+    return value;
+}
+
+} // namespace
+
+Test(heartbeat, survives_the_wire) {
+    const auto back = decode(encode(full()));
+    cr_assert(back.ok());
+    cr_assert(back->incarnation == 0xffffffffffffffffULL);
+    cr_assert(back->leaving);
+    cr_assert(back->data_centre == "a");
+    cr_assert(back->usage.at("s").repeats == 4);
+    cr_assert(back->loads.at("i").memory_tokens == 200.0);
+    cr_assert(back->warnings.at(0).left == base::milliseconds(300));
+    cr_assert(back->hosts.at(0) == "10.0.0.1");
+}
+
+Test(heartbeat, cut_and_spoiled_datagrams_are_refused) {
+    const std::string whole = encode(full());
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        cr_assert(!decode(whole.substr(0, length)).ok());
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        std::string spoiled = whole;
+        spoiled[at] = static_cast<char>(spoiled[at] ^ 0x55);
+        // Must not crash; it may still be well-formed.
+        (void)decode(spoiled);
+    }
+    cr_assert(!decode("\x93\x01\x02\x03").ok());
+}
--- /dev/null
+++ b/libs/peers/tests/test_peer_group.cpp
@@ -0,0 +1,58 @@
+#include <mintknot/peers/peer_group.hpp>
+
+#include <mintknot/event/datagrams.hpp>
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace mintknot;
+using namespace mintknot::peers;
+
+namespace {
+
+constexpr base::milliseconds test_limit{10000};
+
+/// @return a port that is free on several loopback addresses.
+std::uint16_t free_port(event::loop& owner) {
+    event::datagrams probe(owner);
+    cr_assert(probe.open({"127.0.0.1", 0}, [](auto&, auto) {}).ok());
+    return probe.port();
+}
+
+} // namespace
+
+Test(peer_group, all_find_each_other_through_one_seed) {
+    event::loop owner;
+    logging::line_log log(-1, "test", {});
+    const std::uint16_t port = free_port(owner);
+    const std::vector<std::string> hosts = {
+        "127.0.0.2", "127.0.0.3", "127.0.0.4"};
+    std::vector<std::unique_ptr<peer_group>> groups;
+    const auto all_found = [&] {
+        for (const auto& group : groups)
+            if (group->table().heard.size() + 1 < hosts.size())
+                return false;
+        return groups.size() == hosts.size();
+    };
+    for (const std::string& host : hosts) {
+        group_options options;
+        options.own = {host, port};
+        options.seeds = {hosts[0], "127.0.0.99"};
+        options.calm_period = base::milliseconds(20);
+        options.search_period = base::milliseconds(20);
+        groups.push_back(std::make_unique<peer_group>(
+            owner, log, options,
+            group_handlers{
+                [] { return heartbeat{}; },
+                [&](auto&, auto&) {
+                    if (all_found())
+                        owner.stop();
+                }}));
+        cr_assert(groups.back()->open().ok());
+    }
+    event::timer limit(owner);
+    limit.start(test_limit, [&] { owner.stop(); });
+    owner.run();
+    cr_assert(all_found());
+}
--- a/libs/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/relay/include/mintknot/relay/dialect.hpp
@@ -43,6 +43,7 @@
     bool sealed = false;       ///< It carries the server's signature.
     bool encoded = false;      ///< The body is not the one that was asked for.
     bool event_stream = false;
+    std::string server_id; ///< Only answers to health checks name it.
 };
 
 /// The kept result of a prefill call.
@@ -72,6 +73,9 @@
     /// @return the call that frees a kept prefill result.
     virtual http1::request_head
     release(const std::string& handle, const std::string& server_id) const = 0;
+    /// @return the health check of a server.
+    virtual http1::request_head
+    health(const std::string& path, const std::string& server_id) const = 0;
     /// @return where a result lies, as call_terms::prefill_result takes it.
     virtual std::string result_place(
         const std::string& server_address, const std::string& handle) const = 0;
--- a/libs/runtime/include/mintknot/runtime/drain.hpp
+++ b/libs/relay/include/mintknot/relay/drain.hpp
@@ -1,13 +1,14 @@
 /// @file
 /// The steps of a planned stop.
-#ifndef MINTKNOT_RUNTIME_DRAIN_HPP
-#define MINTKNOT_RUNTIME_DRAIN_HPP
+#ifndef MINTKNOT_RELAY_DRAIN_HPP
+#define MINTKNOT_RELAY_DRAIN_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/traffic/catalogue.hpp>
 
 #include <cstddef>
 
-namespace mintknot::runtime {
+namespace mintknot::relay {
 
 /// What an instance does while it stops. Later steps include earlier ones.
 enum class drain_step {
@@ -19,9 +20,16 @@
 /// @param since how long ago the stop began.
 /// @param grace after which the process is killed.
 /// @param busy requests that are being read or answered.
-drain_step next_step(
-    base::milliseconds since, base::milliseconds grace, std::size_t busy);
+drain_step
+next_step(base::milliseconds since, base::milliseconds grace, std::size_t busy);
 
-} // namespace mintknot::runtime
+/// @return true if a request that arrives during a stop can still be answered
+/// whole. A stream's length is not known: none begins once the balancer has
+/// had time to send its caller elsewhere.
+bool may_begin(
+    const traffic::route& route, base::milliseconds since,
+    base::milliseconds grace);
+
+} // namespace mintknot::relay
 
 #endif
--- a/libs/relay/include/mintknot/relay/entry_server.hpp
+++ b/libs/relay/include/mintknot/relay/entry_server.hpp
@@ -26,8 +26,9 @@
     absl::Status open(const base::address& where);
     std::uint16_t port() const;
 
-    /// From now on every answer closes its connection.
-    void begin_drain();
+    /// From now on every answer closes its connection, and no request is
+    /// begun that cannot end within the grace.
+    void begin_drain(base::milliseconds grace);
     /// Closes connections on which no request is open.
     void close_idle();
     /// @return requests that are being read or answered.
--- a/libs/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/relay/include/mintknot/relay/exchange.hpp
@@ -75,6 +75,8 @@
     /// Ends the exchange with an answer of the router's own. The status
     /// follows from the verdict: only `not_run` promises that it has not run.
     void give_up(std::string_view reason);
+    /// The same with the time after which a caller may come back.
+    void give_up(std::string_view reason, base::milliseconds come_back);
     /// Ends the exchange with a server's answer.
     void answer_whole(http1::response_head head, std::string body);
     void note_first_byte();
@@ -82,8 +84,7 @@
     void break_answer(std::string_view reason);
 
     call_terms terms_for(const traffic::server& server) const;
-    upstream::call_request
-    call_for(const call_terms& terms) const;
+    upstream::call_request call_for(const call_terms& terms) const;
 
     router& owner_;
     answer_sink& sink_;
--- a/libs/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -5,7 +5,9 @@
 
 #include <mintknot/event/loop.hpp>
 #include <mintknot/logging/line_log.hpp>
+#include <mintknot/relay/admission.hpp>
 #include <mintknot/relay/dialect.hpp>
+#include <mintknot/relay/health_prober.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
 #include <mintknot/traffic/catalogue.hpp>
@@ -27,7 +29,7 @@
 /// How generation requests use the two pools.
 enum class prefill_policy {
     separate, ///< Prefill engines read prompts, decode engines go on.
-    inline_   ///< Decode engines read prompts themselves.
+    by_decode ///< Decode engines read prompts themselves.
 };
 
 /// Settings of the relay.
@@ -39,6 +41,14 @@
         traffic::selection_policy::least_loaded;
     prefill_policy prefill = prefill_policy::separate;
     bool repeats = true; ///< Whether requests are ever sent again.
+    /// Whether decode engines get requests that wait in their own queue.
+    bool queue_at_engines = false;
+};
+
+/// What a peer has last told of its retries.
+struct peer_usage {
+    traffic::usage_map by_service;
+    base::steady_time heard;
 };
 
 /// What is believed at present. Changed only on the loop's thread.
@@ -50,10 +60,15 @@
     traffic::read_rates rates;
     std::unordered_map<std::string, traffic::retry_allowance> allowances;
     traffic::retry_bounds retry_bounds;
+    /// What peers have used of the retry bound, by peer.
+    std::unordered_map<std::string, peer_usage> peer_usages;
     std::size_t instances = 1; ///< How many instances there may be.
     std::size_t open_requests = 0;
     std::size_t open_body_bytes = 0;
     bool stopping = false;
+    base::steady_time stop_began{}; ///< With `stopping`.
+    base::milliseconds grace{8000}; ///< From then on.
+    std::unordered_map<std::string, longest_deadline> deadlines; ///< By route.
     /// Called when own loads or health have changed.
     std::function<void()> on_load_change;
 };
@@ -66,6 +81,7 @@
     logging::line_log& log;
     relay_metrics& metrics;
     release_queue& releases;
+    health_prober& prober;
     relay_options options;
     router_state state{};
     std::minstd_rand random{std::random_device{}()};
@@ -88,6 +104,11 @@
     router& owner, const std::string& server_id, traffic::call_result result,
     const std::string& request_id);
 
+/// @return what peers that are heard have used of a service's retry bound.
+traffic::fleet_usage fleet_usage_of(
+    const router_state& state, const std::string& service,
+    base::steady_time now);
+
 /// @return true if one more send for the service is within the allowance.
 bool spend_repeat(router& owner, const std::string& service);
 
--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.hpp"
 
 #include <mintknot/http1/serialize.hpp>
+#include <mintknot/relay/drain.hpp>
 
 namespace mintknot::relay {
 
@@ -24,7 +25,9 @@
     , on_end_(std::move(on_end))
     , timer_(owner.loop) {}
 
-caller_session::~caller_session() { release_body(); }
+caller_session::~caller_session() {
+    release_body();
+}
 
 void caller_session::start() {
     next_request();
@@ -32,9 +35,7 @@
         {[self = shared_from_this()](std::string_view bytes) {
              self->on_data(bytes);
          },
-         [self = shared_from_this()](event::connection_end) {
-             self->on_end();
-         },
+         [self = shared_from_this()](event::connection_end) { self->on_end(); },
          [self = shared_from_this()] {
              if (self->exchange_ != nullptr)
                  self->exchange_->drained();
@@ -152,8 +153,7 @@
                     {"status", std::int64_t{status}},
                     {"caller", base::to_string(link_->peer())}});
     owner_.metrics.count_request({"", std::string(reason), {}, {}});
-    link_->write(
-        refusal_text(owner_, status, id, reason, retry_after, false));
+    link_->write(refusal_text(owner_, status, id, reason, retry_after, false));
     close();
 }
 
@@ -200,6 +200,11 @@
         answer(404, "no_route", std::nullopt);
         return;
     }
+    if (owner_.state.stopping &&
+        !may_begin(*route, since_stop(), owner_.state.grace)) {
+        answer(503, "stopping", come_back);
+        return;
+    }
     if (owner_.state.open_body_bytes > owner_.options.most_body_bytes) {
         answer(503, "memory_full", come_back);
         return;
@@ -218,6 +223,11 @@
     exchange_->start();
 }
 
+base::milliseconds caller_session::since_stop() const {
+    return std::chrono::duration_cast<base::milliseconds>(
+        owner_.loop.now() - owner_.state.stop_began);
+}
+
 bool caller_session::keep_alive() const {
     return request_keep_alive_ && !owner_.state.stopping;
 }
@@ -227,8 +237,7 @@
     head.length = body.size();
     head.keep_alive = keep_alive() && !until_close;
     request_keep_alive_ = head.keep_alive;
-    head.body =
-        until_close ? http1::framing::close : http1::framing::length;
+    head.body = until_close ? http1::framing::close : http1::framing::length;
     link_->write(http1::serialize(head));
     link_->write(std::move(body));
     answer_done();
--- a/libs/relay/src/caller_session.hpp
+++ b/libs/relay/src/caller_session.hpp
@@ -16,8 +16,8 @@
 /// Reads one request after another, strictly in turn. The connection is
 /// always read, so that a caller's leaving is noticed at once.
 class caller_session final
-    : public answer_sink
-    , public std::enable_shared_from_this<caller_session> {
+    : public answer_sink,
+      public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(
         router& owner, event::connection_ptr link,
@@ -56,6 +56,7 @@
     void arm_idle_timer();
     void arm_request_timer();
     bool keep_alive() const;
+    base::milliseconds since_stop() const;
     traffic::caller_limits limits() const;
 
     router& owner_;
--- a/libs/runtime/src/drain.cpp
+++ b/libs/relay/src/drain.cpp
@@ -1,8 +1,8 @@
-#include <mintknot/runtime/drain.hpp>
+#include <mintknot/relay/drain.hpp>
 
 #include <algorithm>
 
-namespace mintknot::runtime {
+namespace mintknot::relay {
 
 namespace {
 
@@ -12,6 +12,8 @@
 constexpr base::milliseconds before_close_idle{1300};
 /// Kept free at the end of the grace.
 constexpr base::milliseconds margin{400};
+/// What a plain request is given at most.
+constexpr base::milliseconds longest_plain{1500};
 
 } // namespace
 
@@ -28,4 +30,13 @@
     return drain_step::serve;
 }
 
-} // namespace mintknot::runtime
+bool may_begin(
+    const traffic::route& route, base::milliseconds since,
+    base::milliseconds grace) {
+    if (route.kind == traffic::route_kind::streaming)
+        return since < std::min(arrivals, grace / 3);
+    const base::milliseconds needed = std::min(route.timeout, longest_plain);
+    return since + needed < grace - margin;
+}
+
+} // namespace mintknot::relay
--- a/libs/relay/src/entry_server.cpp
+++ b/libs/relay/src/entry_server.cpp
@@ -44,9 +44,15 @@
     });
 }
 
-std::uint16_t entry_server::port() const { return impl_->listener.port(); }
+std::uint16_t entry_server::port() const {
+    return impl_->listener.port();
+}
 
-void entry_server::begin_drain() { impl_->owner.state.stopping = true; }
+void entry_server::begin_drain(base::milliseconds grace) {
+    impl_->owner.state.stopping = true;
+    impl_->owner.state.stop_began = impl_->owner.loop.now();
+    impl_->owner.state.grace = grace;
+}
 
 void entry_server::close_idle() {
     std::vector<std::shared_ptr<caller_session>> idle;
@@ -68,6 +74,8 @@
     return impl_->sessions.size();
 }
 
-void entry_server::close() { impl_->listener.close(); }
+void entry_server::close() {
+    impl_->listener.close();
+}
 
 } // namespace mintknot::relay
--- a/libs/relay/src/exchange.cpp
+++ b/libs/relay/src/exchange.cpp
@@ -13,7 +13,7 @@
 
 constexpr base::milliseconds default_deadline{60000};
 /// When a caller whose request has not run may come back.
-constexpr base::milliseconds come_back{250};
+constexpr base::milliseconds soon{250};
 
 int status_of(base::verdict verdict, bool out_of_time) {
     if (verdict == base::verdict::not_run)
@@ -42,11 +42,18 @@
     ++owner_.state.open_requests;
 }
 
-exchange::~exchange() { --owner_.state.open_requests; }
+exchange::~exchange() {
+    --owner_.state.open_requests;
+}
 
 void exchange::start() {
     traffic::earn(
-        owner_.state.allowances[service_.name], owner_.state.retry_bounds);
+        owner_.state.allowances[service_.name], owner_.state.retry_bounds,
+        owner_.loop.now());
+    if (request_.terms.deadline)
+        note_deadline(
+            owner_.state.deadlines[route_.name], *request_.terms.deadline,
+            owner_.loop.now());
     deadline_timer_.start(deadline_, [this] { on_deadline(); });
     run();
 }
@@ -82,6 +89,10 @@
 }
 
 void exchange::give_up(std::string_view reason) {
+    give_up(reason, soon);
+}
+
+void exchange::give_up(std::string_view reason, base::milliseconds come_back) {
     if (finished_)
         return;
     const bool out_of_time = time_left() <= base::milliseconds{0};
@@ -98,6 +109,7 @@
                      {"route", route_.name},
                      {"reason", reason},
                      {"status", std::int64_t{status}},
+                     {"come_back_ms", come_back.count()},
                      {"verdict", base::to_string(verdict_)},
                      {"sends", std::int64_t{sends_}},
                      {"config", static_cast<std::int64_t>(config_->version)},
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -7,11 +7,15 @@
 namespace {
 
 constexpr base::milliseconds room_poll{15};
-/// Part of the target latency for which a request waits for room.
-constexpr int room_wait_part = 5;
 constexpr int most_prefills = 3;
 constexpr int most_rejections = 3;
+/// Connections that may fail before the next one waits a moment.
+constexpr int most_unreachable = 3;
 constexpr int status_misdirected = 421;
+/// Part of an engine's memory that is given out.
+constexpr double free_share = 0.97;
+/// The same with the requests that wait in the engine's own queue.
+constexpr double queued_share = 1.15;
 constexpr std::size_t most_failure_bytes = 64 * 1024;
 /// A kept result is used only while this much of its life is left.
 constexpr base::milliseconds result_margin{60};
@@ -22,7 +26,9 @@
 constexpr base::milliseconds first_event_patience{1000};
 constexpr base::milliseconds next_event_patience{700};
 
-bool is_success(int status) { return status >= 200 && status < 300; }
+bool is_success(int status) {
+    return status >= 200 && status < 300;
+}
 
 } // namespace
 
@@ -35,9 +41,13 @@
     , wait_timer_(owner.loop)
     , silence_timer_(owner.loop) {}
 
-generation_exchange::~generation_exchange() { cancel_calls(); }
+generation_exchange::~generation_exchange() {
+    cancel_calls();
+}
 
-void generation_exchange::run() { place(); }
+void generation_exchange::run() {
+    place();
+}
 
 void generation_exchange::cancel_calls() {
     wait_timer_.stop();
@@ -62,7 +72,7 @@
 
 void generation_exchange::place() {
     if (result_usable() || rejected_ > 1) {
-        if (reserve_decode(""))
+        if (reserve_decode("", free_share))
             start_decode();
         else
             wait_for_room();
@@ -76,38 +86,44 @@
         reads_apart ? traffic::select_prefill(
                           inputs, prefill_tried_, request_.terms.prompt_tokens)
                     : nullptr;
-    if (!reserve_decode(prefill == nullptr ? "" : prefill->data_centre)) {
-        wait_for_room();
+    if (!reserve_decode(
+            prefill == nullptr ? "" : prefill->data_centre, free_share)) {
+        // An engine's own queue holds a few more, which it reads itself.
+        if (owner_.options.queue_at_engines && reserve_decode("", queued_share))
+            start_decode();
+        else
+            wait_for_room();
         return;
     }
-    if (prefill != nullptr && (prefills_ == 0 ||
-                               spend_repeat(owner_, service_.name)))
+    if (prefill != nullptr &&
+        (prefills_ == 0 || spend_repeat(owner_, service_.name)))
         start_prefill(*prefill);
     else
         start_decode();
 }
 
 void generation_exchange::wait_for_room() {
-    const base::milliseconds limit = route_.target_latency / room_wait_part;
-    if (head_sent_ ? time_left() <= base::milliseconds{0}
-                   : since_arrival() >= limit) {
-        if (head_sent_)
-            break_answer("no_capacity");
-        else
-            give_up("no_capacity");
+    const room_terms terms = room_terms_for(
+        owner_.state.deadlines[route_.name], route_.target_latency,
+        request_.terms.deadline, prefills_ > 0, owner_.draw());
+    // A stream that has begun is worth waiting for, whatever its target.
+    if (!head_sent_ && since_arrival() >= terms.wait) {
+        give_up("no_capacity", terms.come_back);
         return;
     }
     wait_timer_.start(room_poll, [this] { place(); });
 }
 
-bool generation_exchange::reserve_decode(const std::string& data_centre) {
+bool generation_exchange::reserve_decode(
+    const std::string& data_centre, double memory_share) {
     release_decode();
     const traffic::selection_inputs inputs = selection_for(owner_, service_);
-    const traffic::server* chosen = traffic::select_decode(
-        inputs, decode_tried_, memory_needed(), data_centre);
+    const traffic::decode_request wanted{
+        memory_needed(), memory_share, data_centre};
+    const traffic::server* chosen =
+        traffic::select_decode(inputs, decode_tried_, wanted);
     if (chosen == nullptr && !decode_tried_.empty() && rejected_ == 0)
-        chosen = traffic::select_decode(
-            inputs, {}, memory_needed(), data_centre);
+        chosen = traffic::select_decode(inputs, {}, wanted);
     if (chosen == nullptr)
         return false;
     decode_server_ = chosen->id;
@@ -194,14 +210,13 @@
         return;
     }
     const base::steady_time now = owner_.loop.now();
-    const auto took = std::chrono::duration_cast<base::milliseconds>(
-        now - prefill_started_);
+    const auto took =
+        std::chrono::duration_cast<base::milliseconds>(now - prefill_started_);
     traffic::note_read(
         owner_.state.rates, prefill_server_, request_.terms.prompt_tokens,
         took);
     note_result(
-        owner_, prefill_server_, traffic::call_result::good,
-        request_.terms.id);
+        owner_, prefill_server_, traffic::call_result::good, request_.terms.id);
     kept_.server = prefill_server_;
     kept_.handle = result->handle;
     kept_.place = owner_.protocol.result_place(kept_.place, result->handle);
@@ -215,8 +230,7 @@
         after_failed_prefill(
             traffic::call_result::unreachable, "prefill_unreachable");
     else
-        after_failed_prefill(
-            traffic::call_result::failed, "prefill_broke_off");
+        after_failed_prefill(traffic::call_result::failed, "prefill_broke_off");
 }
 
 void generation_exchange::on_prefill_silence() {
@@ -240,7 +254,7 @@
     const traffic::server* engine =
         traffic::find(owner_.state.servers, decode_server_);
     if (engine == nullptr || engine->draining) {
-        if (!reserve_decode("")) {
+        if (!reserve_decode("", free_share)) {
             wait_for_room();
             return;
         }
@@ -315,7 +329,7 @@
     pass_on(traffic::push(splitter_, piece));
 }
 
-void generation_exchange::pass_on(std::string events) {
+void generation_exchange::pass_on(const std::string& events) {
     if (events.empty())
         return;
     if (const auto id = traffic::last_event_id(events))
@@ -345,7 +359,8 @@
     silence_timer_.stop();
     if (streaming_) {
         // Whatever follows the last event belongs to the body all the same.
-        pass_on(std::move(splitter_.rest));
+        pass_on(splitter_.rest);
+        splitter_.rest.clear();
         note_result(
             owner_, decode_server_, traffic::call_result::good,
             request_.terms.id);
@@ -421,7 +436,10 @@
             owner_, decode_server_, traffic::call_result::unreachable,
             request_.terms.id);
         release_decode();
-        place();
+        if (++unreachable_ > most_unreachable)
+            wait_for_room();
+        else
+            place();
         return;
     }
     raise(base::verdict::may_have_run);
@@ -457,11 +475,11 @@
         return;
     }
     owner_.log.write(
-        "resumed", {{"request", request_.terms.id},
-                    {"reason", reason},
-                    {"last_event",
-                     static_cast<std::int64_t>(last_event_.value_or(0))},
-                    {"after_ms", since_arrival().count()}});
+        "resumed",
+        {{"request", request_.terms.id},
+         {"reason", reason},
+         {"last_event", static_cast<std::int64_t>(last_event_.value_or(0))},
+         {"after_ms", since_arrival().count()}});
     owner_.metrics.count_repeat(reason);
     prefill_tried_.clear();
     place();
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -40,7 +40,8 @@
     void wait_for_room();
     /// @return true if a kept result can still be handed over.
     bool result_usable() const;
-    bool reserve_decode(const std::string& data_centre);
+    /// @param memory_share of an engine's memory that may be given out.
+    bool reserve_decode(const std::string& data_centre, double memory_share);
     void release_decode();
     double memory_needed() const;
 
@@ -48,8 +49,8 @@
     void on_prefill_done();
     void on_prefill_failure(upstream::call_failure why);
     void on_prefill_silence();
-    void after_failed_prefill(
-        traffic::call_result result, std::string_view reason);
+    void
+    after_failed_prefill(traffic::call_result result, std::string_view reason);
     void end_prefill();
 
     void start_decode();
@@ -63,7 +64,7 @@
     void go_on_elsewhere(traffic::call_result result, std::string_view reason);
     bool may_resume() const;
 
-    void pass_on(std::string events);
+    void pass_on(const std::string& events);
     /// Frees a kept result that will not be used.
     void drop_result();
 
@@ -90,6 +91,7 @@
     std::optional<std::uint64_t> last_event_;
     int runs_ = 0;
     int rejected_ = 0;
+    int unreachable_ = 0;
 
     event::timer wait_timer_;
     event::timer silence_timer_;
--- a/libs/relay/src/local_server.cpp
+++ b/libs/relay/src/local_server.cpp
@@ -39,8 +39,7 @@
         ++open;
         const auto state = std::make_shared<session>(owner);
         state->link = std::move(link);
-        state->parser =
-            std::make_unique<http1::request_parser>(request_limits);
+        state->parser = std::make_unique<http1::request_parser>(request_limits);
         state->link->set_handlers(
             {[self = shared_from_this(), state](std::string_view bytes) {
                  self->on_data(*state, bytes);
@@ -53,10 +52,9 @@
     }
 
     void watch(session& state) {
-        state.idle.start(
-            idle_time, [self = shared_from_this(), &state] {
-                self->end(state);
-            });
+        state.idle.start(idle_time, [self = shared_from_this(), &state] {
+            self->end(state);
+        });
     }
 
     void end(session& state) {
@@ -72,8 +70,7 @@
     void on_data(session& state, std::string_view bytes) {
         state.pending.append(bytes);
         while (state.link != nullptr && !state.pending.empty()) {
-            const std::size_t used =
-                state.parser->put(state.pending, nullptr);
+            const std::size_t used = state.parser->put(state.pending, nullptr);
             state.pending.erase(0, used);
             if (state.parser->error() != http1::parse_error::none) {
                 state.link->write(
@@ -94,8 +91,7 @@
         state.link->write(http1::text_response(
             result.status, {{"Content-Type", result.content_type}},
             head.method == "HEAD" ? "" : result.body, head.keep_alive));
-        state.parser =
-            std::make_unique<http1::request_parser>(request_limits);
+        state.parser = std::make_unique<http1::request_parser>(request_limits);
         if (!head.keep_alive)
             end(state);
         else
@@ -111,7 +107,9 @@
 local_server::local_server(event::loop& owner, handler answer)
     : impl_(std::make_shared<impl>(owner, std::move(answer))) {}
 
-local_server::~local_server() { close(); }
+local_server::~local_server() {
+    close();
+}
 
 absl::Status local_server::open(const base::address& where) {
     return impl_->listener.open(
@@ -121,8 +119,12 @@
         });
 }
 
-std::uint16_t local_server::port() const { return impl_->listener.port(); }
+std::uint16_t local_server::port() const {
+    return impl_->listener.port();
+}
 
-void local_server::close() { impl_->listener.close(); }
+void local_server::close() {
+    impl_->listener.close();
+}
 
 } // namespace mintknot::relay
--- a/libs/relay/src/plain_exchange.cpp
+++ b/libs/relay/src/plain_exchange.cpp
@@ -32,9 +32,13 @@
           owner, sink, std::move(request), std::move(config), route, service)
     , silence_timer_(owner.loop) {}
 
-plain_exchange::~plain_exchange() { release_load(); }
+plain_exchange::~plain_exchange() {
+    release_load();
+}
 
-void plain_exchange::run() { send(); }
+void plain_exchange::run() {
+    send();
+}
 
 void plain_exchange::cancel_calls() {
     call_.reset();
@@ -76,8 +80,8 @@
                  {"config", static_cast<std::int64_t>(config_->version)},
                  {"left_ms", time_left().count()}});
     call_ = upstream::call::start(
-        owner_.pool, {chosen->id, chosen->where},
-        call_for(terms_for(*chosen)), {},
+        owner_.pool, {chosen->id, chosen->where}, call_for(terms_for(*chosen)),
+        {},
         {[this](const http1::response_head& head) {
              const answer_terms terms = owner_.protocol.read_answer(head);
              return terms.request_id == request_.terms.id ||
@@ -206,8 +210,7 @@
 }
 
 void plain_exchange::on_silence() {
-    note_result(
-        owner_, server_, traffic::call_result::silent, request_.terms.id);
+    note_result(owner_, server_, traffic::call_result::slow, request_.terms.id);
     if (!may_repeat_after_run() || !spend_repeat(owner_, service_.name))
         return;
     raise(base::verdict::may_have_run);
@@ -217,9 +220,8 @@
 }
 
 void plain_exchange::send_again(std::string_view reason) {
-    const bool allowed =
-        answer_terms_.not_executed || may_repeat_after_run() ||
-        verdict_ == base::verdict::not_run;
+    const bool allowed = answer_terms_.not_executed || may_repeat_after_run() ||
+                         verdict_ == base::verdict::not_run;
     if (!allowed || !spend_repeat(owner_, service_.name)) {
         give_up(reason);
         return;
--- a/libs/relay/src/release_queue.cpp
+++ b/libs/relay/src/release_queue.cpp
@@ -26,6 +26,8 @@
          [this, number](upstream::call_failure) { finish(number); }});
 }
 
-void release_queue::finish(std::uint64_t number) { open_.erase(number); }
+void release_queue::finish(std::uint64_t number) {
+    open_.erase(number);
+}
 
 } // namespace mintknot::relay
--- a/libs/relay/src/router_state.cpp
+++ b/libs/relay/src/router_state.cpp
@@ -40,24 +40,48 @@
                            {"because", traffic::to_string(result)},
                            {"for_ms", left.count()}});
     tell_load_change(owner);
+    owner.prober.watch(server_id);
+}
+
+traffic::fleet_usage fleet_usage_of(
+    const router_state& state, const std::string& service,
+    base::steady_time now) {
+    traffic::fleet_usage fleet;
+    for (const auto& [peer, told] : state.peer_usages) {
+        if (now - told.heard > traffic::load_life)
+            continue;
+        ++fleet.heard;
+        const auto found = told.by_service.find(service);
+        if (found == told.by_service.end())
+            continue;
+        fleet.peers.requests += found->second.requests;
+        fleet.peers.repeats += found->second.repeats;
+    }
+    return fleet;
 }
 
 bool spend_repeat(router& owner, const std::string& service) {
     return owner.options.repeats &&
            traffic::spend(
                owner.state.allowances[service], owner.state.retry_bounds,
-               owner.state.instances, owner.loop.now());
+               owner.state.instances,
+               fleet_usage_of(owner.state, service, owner.loop.now()),
+               owner.loop.now());
 }
 
 traffic::selection_inputs
 selection_for(router& owner, const traffic::service& target) {
     return {
-        owner.state.servers, owner.state.loads,
-        owner.state.health,  owner.state.rates,
-        target,              owner.options.data_centre,
+        owner.state.servers,
+        owner.state.loads,
+        owner.state.health,
+        owner.state.rates,
+        target,
+        owner.options.data_centre,
         owner.options.selection,
         owner.state.instances,
-        owner.loop.now(),    [&owner] { return owner.draw(); }};
+        owner.loop.now(),
+        [&owner] { return owner.draw(); }};
 }
 
 } // namespace mintknot::relay
--- /dev/null
+++ b/libs/relay/tests/relay_fixture.cpp
@@ -0,0 +1,332 @@
+#include "relay_fixture.hpp"
+
+#include <mintknot/http1/serialize.hpp>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+namespace mintknot::relay::tests {
+
+namespace {
+
+constexpr base::milliseconds test_limit{15000};
+constexpr base::milliseconds poll{2};
+
+std::string text_of(const http1::field_list& fields, std::string_view name) {
+    const std::string* found = http1::find_field(fields, name);
+    return found == nullptr ? "" : *found;
+}
+
+double number_of(const http1::field_list& fields, std::string_view name) {
+    return static_cast<double>(http1::find_number(fields, name).value_or(0));
+}
+
+traffic::route
+route_of(const std::string& name, traffic::route_kind kind, int attempts) {
+    traffic::route route;
+    route.name = name;
+    route.host = "h";
+    route.path_prefix = "/" + name + "/";
+    route.kind = kind;
+    route.timeout = base::milliseconds(5000);
+    route.target_latency = base::milliseconds(1000);
+    route.most_attempts = attempts;
+    route.services = {{name == "stream" || name == "resume" ? "llm" : "app"}};
+    route.resumable = name == "resume";
+    return route;
+}
+
+} // namespace
+
+request_terms
+test_dialect::read_request(const http1::request_head& head) const {
+    request_terms terms;
+    terms.id = text_of(head.fields, "Id");
+    if (const auto deadline = http1::find_number(head.fields, "Deadline"))
+        terms.deadline = base::milliseconds(*deadline);
+    terms.prompt_tokens = number_of(head.fields, "Tokens");
+    return terms;
+}
+
+answer_terms test_dialect::read_answer(const http1::response_head& head) const {
+    answer_terms terms;
+    terms.request_id = text_of(head.fields, "Id");
+    terms.not_executed = !text_of(head.fields, "Not-Run").empty();
+    terms.sealed = !text_of(head.fields, "Seal").empty();
+    terms.encoded = !text_of(head.fields, "Content-Encoding").empty();
+    terms.event_stream = text_of(head.fields, "Content-Type") == "events";
+    return terms;
+}
+
+std::optional<prefill_result>
+test_dialect::read_prefill(std::string_view body) const {
+    if (!body.starts_with("handle "))
+        return std::nullopt;
+    return prefill_result{std::string(body.substr(7)), 0.0};
+}
+
+http1::request_head test_dialect::outgoing(
+    const http1::request_head& caller, const call_terms& terms) const {
+    http1::request_head head = caller;
+    http1::erase_hop_fields(head.fields);
+    head.fields.push_back({"Target", terms.server_id});
+    head.fields.push_back({"Left", std::to_string(terms.time_left.count())});
+    if (terms.stage == call_stage::prefill)
+        head.fields.push_back({"Stage", "prefill"});
+    if (!terms.prefill_result.empty())
+        head.fields.push_back({"From", terms.prefill_result});
+    if (terms.resume_after)
+        head.fields.push_back({"After", std::to_string(*terms.resume_after)});
+    return head;
+}
+
+http1::request_head test_dialect::release(
+    const std::string& handle, const std::string& server_id) const {
+    http1::request_head head;
+    head.method = "DELETE";
+    head.target = "/" + handle;
+    head.fields = {{"Host", "s"}, {"Target", server_id}};
+    return head;
+}
+
+http1::request_head test_dialect::health(
+    const std::string& path, const std::string& server_id) const {
+    http1::request_head head;
+    head.method = "GET";
+    head.target = path;
+    head.fields = {{"Host", "s"}, {"Target", server_id}};
+    return head;
+}
+
+std::string test_dialect::result_place(
+    const std::string&, const std::string& handle) const {
+    return handle;
+}
+
+http1::field_list test_dialect::own_answer(
+    const std::string& request_id,
+    std::optional<base::milliseconds> retry_after) const {
+    http1::field_list fields = {{"Id", request_id}, {"Own", "1"}};
+    if (retry_after)
+        fields.push_back({"Retry-After", std::to_string(retry_after->count())});
+    return fields;
+}
+
+std::string received::field(std::string_view name) const {
+    return text_of(head.fields, name);
+}
+
+std::string caller_view::field(std::string_view name) const {
+    return text_of(fields, name);
+}
+
+scripted_server::scripted_server(event::loop& owner, script function)
+    : behaviour(std::move(function))
+    , accepting_(owner) {
+    cr_assert(
+        accepting_
+            .open(
+                {"127.0.0.1", 0},
+                [this](const event::connection_ptr& link) { accept(link); })
+            .ok());
+}
+
+void scripted_server::accept(const event::connection_ptr& link) {
+    struct state {
+        std::unique_ptr<http1::request_parser> parser =
+            std::make_unique<http1::request_parser>(http1::message_limits{});
+        std::string pending;
+        std::string body;
+    };
+    const auto now = std::make_shared<state>();
+    const std::weak_ptr<event::connection> weak = link;
+    link->set_handlers(
+        {[this, now, link](std::string_view bytes) {
+             now->pending += bytes;
+             const std::size_t used =
+                 now->parser->put(now->pending, [&](std::string_view piece) {
+                     now->body += piece;
+                 });
+             now->pending.erase(0, used);
+             if (!now->parser->done())
+                 return;
+             requests.push_back({now->parser->head(), now->body});
+             now->parser = std::make_unique<http1::request_parser>(
+                 http1::message_limits{});
+             now->body.clear();
+             const received request = requests.back();
+             behaviour(request, link);
+         },
+         [this](event::connection_end) { ++ended; }, nullptr});
+}
+
+relay_fixture::relay_fixture()
+    : log(-1, "test", {})
+    , pool(owner)
+    , releases(pool, protocol)
+    , prober(
+          owner, pool, protocol, log,
+          [](const std::string&) { return std::nullopt; },
+          [](const std::string&, bool) {})
+    , shared{owner, pool, protocol, log, metrics, releases, prober, {}} {
+    config.version = 1;
+    config.routes = {
+        route_of("safe", traffic::route_kind::safe, 2),
+        route_of("unsafe", traffic::route_kind::unsafe, 1),
+        route_of("stream", traffic::route_kind::streaming, 1),
+        route_of("resume", traffic::route_kind::streaming, 2)};
+    config.services["app"] = {"app", "/health", 1000, std::nullopt};
+    config.services["llm"] = {
+        "llm", "/health", 1000,
+        traffic::engine_spec{10000, base::milliseconds(2000)}};
+    configure();
+    shared.state.retry_bounds.extra = 1000.0;
+    entry = std::make_unique<entry_server>(shared);
+    cr_assert(entry->open({"127.0.0.1", 0}).ok());
+}
+
+relay_fixture::~relay_fixture() = default;
+
+void relay_fixture::configure() {
+    traffic::index(config);
+    shared.state.config = std::make_shared<traffic::catalogue>(config);
+}
+
+scripted_server& relay_fixture::add_server(
+    const std::string& id, const std::string& service,
+    traffic::engine_phase phase, script behaviour) {
+    scripted_server& added = servers_.emplace_back(owner, std::move(behaviour));
+    add_row(id, service, phase, added.port());
+    return added;
+}
+
+void relay_fixture::add_dead_server(
+    const std::string& id, const std::string& service) {
+    event::listener gone(owner);
+    cr_assert(
+        gone.open({"127.0.0.1", 0}, [](const event::connection_ptr&) {}).ok());
+    const std::uint16_t port = gone.port();
+    gone.close();
+    add_row(id, service, traffic::engine_phase::none, port);
+}
+
+void relay_fixture::add_row(
+    const std::string& id, const std::string& service,
+    traffic::engine_phase phase, std::uint16_t port) {
+    traffic::server row;
+    row.id = id;
+    row.service = service;
+    row.where = {"127.0.0.1", port};
+    row.phase = phase;
+    row.slots = 64;
+    traffic::apply(shared.state.servers, id, ++version_, row);
+}
+
+void relay_fixture::run_until(const std::function<bool()>& condition) {
+    if (condition())
+        return;
+    event::timer polling(owner);
+    event::timer limit(owner);
+    bool late = false;
+    std::function<void()> check = [&] {
+        if (condition())
+            owner.stop();
+        else
+            polling.start(poll, [&] { check(); });
+    };
+    polling.start(poll, [&] { check(); });
+    limit.start(test_limit, [&] {
+        late = true;
+        owner.stop();
+    });
+    owner.run();
+    cr_assert(!late, "a condition was never met");
+}
+
+caller_view
+relay_fixture::ask(const std::string& bytes, std::function<bool()> until) {
+    caller_view seen;
+    bool ended = false;
+    event::connection_ptr link;
+    http1::response_parser parser({64 * 1024, 64 * 1024 * 1024}, false);
+    std::string pending;
+    event::connect(
+        owner, {"127.0.0.1", entry->port()}, test_limit,
+        [&](event::connection_ptr opened) {
+            link = std::move(opened);
+            link->set_handlers(
+                {[&](std::string_view data) {
+                     seen.text += data;
+                     pending += data;
+                     const std::size_t used =
+                         parser.put(pending, [&](std::string_view piece) {
+                             seen.body += piece;
+                         });
+                     pending.erase(0, used);
+                 },
+                 [&](event::connection_end how) {
+                     if (how == event::connection_end::orderly)
+                         parser.put_end();
+                     ended = true;
+                 },
+                 nullptr});
+            link->write(bytes);
+        });
+    run_until([&] { return ended || (until ? until() : parser.done()); });
+    if (parser.has_head()) {
+        seen.status = parser.head().status;
+        seen.fields = parser.head().fields;
+    }
+    seen.whole = parser.done();
+    if (link != nullptr)
+        link->abort();
+    return seen;
+}
+
+std::string request(const std::string& path, const std::string& fields) {
+    return fmt::format(
+        "POST {} HTTP/1.1\r\nHost: h\r\n{}Content-Length: 2\r\n\r\nhi", path,
+        fields);
+}
+
+std::string answer_to(const received& to, const std::string& body, int status) {
+    return fmt::format(
+        "HTTP/1.1 {} X\r\nId: {}\r\nSeal: s\r\nContent-Length: {}\r\n\r\n{}",
+        status, to.field("Id"), body.size(), body);
+}
+
+std::string rejection_of(const received& to) {
+    return fmt::format(
+        "HTTP/1.1 503 X\r\nId: {}\r\nNot-Run: 1\r\nContent-Length: "
+        "0\r\n\r\n",
+        to.field("Id"));
+}
+
+std::string stream_head(const received& to) {
+    return fmt::format(
+        "HTTP/1.1 200 X\r\nId: {}\r\nSeal: s\r\nContent-Type: events\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        to.field("Id"));
+}
+
+std::string event_text(int id) {
+    return fmt::format("id: {}\ndata: token {}\n\n", id, id);
+}
+
+script good_prefill(const std::string& handle) {
+    return [handle](const received& to, const event::connection_ptr& link) {
+        link->write(answer_to(to, "handle " + handle));
+    };
+}
+
+script good_decode() {
+    return [](const received& to, const event::connection_ptr& link) {
+        const std::string after = to.field("After");
+        std::string text = stream_head(to);
+        for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= 3; ++id)
+            text += http1::chunk(event_text(id));
+        link->write(text + std::string(http1::last_chunk));
+    };
+}
+
+} // namespace mintknot::relay::tests
--- /dev/null
+++ b/libs/relay/tests/relay_fixture.hpp
@@ -0,0 +1,136 @@
+/// @file
+/// A router with scripted backend servers and callers, all on one loop.
+#ifndef MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
+#define MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
+
+#include <mintknot/event/listener.hpp>
+#include <mintknot/http1/message_parser.hpp>
+#include <mintknot/relay/entry_server.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mintknot::relay::tests {
+
+/// Short names for the fields that a real dialect has.
+class test_dialect final : public dialect {
+public:
+    request_terms read_request(const http1::request_head& head) const override;
+    answer_terms read_answer(const http1::response_head& head) const override;
+    std::optional<prefill_result>
+    read_prefill(std::string_view body) const override;
+    http1::request_head outgoing(
+        const http1::request_head& caller,
+        const call_terms& terms) const override;
+    http1::request_head release(
+        const std::string& handle, const std::string& server_id) const override;
+    http1::request_head health(
+        const std::string& path, const std::string& server_id) const override;
+    std::string result_place(
+        const std::string& server_address,
+        const std::string& handle) const override;
+    http1::field_list own_answer(
+        const std::string& request_id,
+        std::optional<base::milliseconds> retry_after) const override;
+};
+
+/// A request as a backend server has received it.
+struct received {
+    http1::request_head head;
+    std::string body;
+    std::string field(std::string_view name) const;
+};
+
+/// What a backend server does with a request.
+using script =
+    std::function<void(const received&, const event::connection_ptr&)>;
+
+/// A backend server whose behaviour is a function.
+class scripted_server {
+public:
+    scripted_server(event::loop& owner, script behaviour);
+    std::uint16_t port() const { return accepting_.port(); }
+    void stop() { accepting_.close(); }
+
+    std::vector<received> requests;
+    int ended = 0; ///< Connections that the other side has ended.
+    script behaviour;
+
+private:
+    void accept(const event::connection_ptr& link);
+    event::listener accepting_;
+};
+
+/// What a caller has seen on its connection.
+struct caller_view {
+    std::string text;   ///< Everything, byte for byte.
+    int status = 0;     ///< Of the first answer.
+    std::string body;   ///< Of the first answer.
+    bool whole = false; ///< The first answer was complete.
+    http1::field_list fields;
+    std::string field(std::string_view name) const;
+};
+
+class relay_fixture {
+public:
+    relay_fixture();
+    ~relay_fixture();
+
+    /// Adds a server to the table. @return the scripted server.
+    scripted_server& add_server(
+        const std::string& id, const std::string& service,
+        traffic::engine_phase phase, script behaviour);
+    /// Adds a server that nothing listens for.
+    void add_dead_server(const std::string& id, const std::string& service);
+
+    /// Sends the bytes and waits for the first whole answer, the end of the
+    /// connection or, if given, until the condition holds.
+    caller_view ask(const std::string& bytes, std::function<bool()> until = {});
+    /// Runs the loop until the condition holds.
+    void run_until(const std::function<bool()>& condition);
+
+    event::loop owner;
+    test_dialect protocol;
+    logging::line_log log;
+    relay_metrics metrics;
+    upstream::connection_pool pool;
+    release_queue releases;
+    health_prober prober;
+    router shared;
+    std::unique_ptr<entry_server> entry;
+    traffic::catalogue config;
+    /// Takes over changes of `config`.
+    void configure();
+
+private:
+    void add_row(
+        const std::string& id, const std::string& service,
+        traffic::engine_phase phase, std::uint16_t port);
+    std::list<scripted_server> servers_;
+    std::uint64_t version_ = 0;
+};
+
+/// @return a request of a caller.
+std::string
+request(const std::string& path, const std::string& fields = "Id: r1\r\n");
+
+/// @return a sealed answer to the request.
+std::string
+answer_to(const received& to, const std::string& body, int status = 200);
+/// @return an answer that says that the request has not run.
+std::string rejection_of(const received& to);
+
+/// Answers as an engine of the phase does: a handle, or three events.
+script good_prefill(const std::string& handle);
+script good_decode();
+/// @return the event with that ID.
+std::string event_text(int id);
+std::string stream_head(const received& to);
+
+} // namespace mintknot::relay::tests
+
+#endif
--- /dev/null
+++ b/libs/relay/tests/test_entry_server.cpp
@@ -0,0 +1,163 @@
+#include "relay_fixture.hpp"
+
+#include <mintknot/relay/drain.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::relay;
+using namespace mintknot::relay::tests;
+
+namespace {
+
+constexpr auto plain = traffic::engine_phase::none;
+using std::chrono::seconds;
+
+script echoing() {
+    return [](const received& to, const event::connection_ptr& link) {
+        link->write(answer_to(to, to.field("Id")));
+    };
+}
+
+std::size_t count(const std::string& text, const std::string& part) {
+    std::size_t found = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+Test(entry_server, pipelined_requests_are_answered_in_order) {
+    relay_fixture f;
+    scripted_server& server = f.add_server("i", "app", plain, echoing());
+    const caller_view seen = f.ask(
+        request("/unsafe/1", "Id: a\r\n") + request("/unsafe/2", "Id: b\r\n") +
+            request("/unsafe/3", "Id: c\r\nConnection: close\r\n"),
+        [] { return false; });
+    cr_assert(server.requests.size() == 3);
+    cr_assert(count(seen.text, "HTTP/1.1 200") == 3);
+    cr_assert(seen.text.find("\r\n\r\na") < seen.text.find("\r\n\r\nb"));
+    cr_assert(seen.text.find("\r\n\r\nb") < seen.text.find("\r\n\r\nc"));
+}
+
+Test(entry_server, a_smuggled_request_reaches_no_server) {
+    relay_fixture f;
+    scripted_server& server = f.add_server("i", "app", plain, echoing());
+    const caller_view seen = f.ask(
+        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 5\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        "POST /unsafe/y HTTP/1.1\r\nHost: h\r\nId: b\r\n\r\n");
+    cr_assert(seen.status == 400);
+    cr_assert(server.requests.empty());
+}
+
+Test(entry_server, malformed_requests_get_an_answer_and_a_close) {
+    relay_fixture f;
+    for (const char* bytes :
+         {"nonsense\r\n\r\n", "GET / HTTP/1.1\nHost: h\n\n",
+          "GET / HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n"}) {
+        const caller_view seen = f.ask(bytes, [] { return false; });
+        cr_assert(seen.status == 400);
+    }
+}
+
+Test(entry_server, bounds_what_callers_send) {
+    relay_fixture f;
+    f.config.limits.header_bytes = 200;
+    f.config.limits.body_bytes = 10;
+    f.configure();
+    cr_assert(
+        f.ask("GET /" + std::string(300, 'a') + " HTTP/1.1\r\n").status == 431);
+    cr_assert(
+        f.ask("POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n")
+            .status == 413);
+}
+
+Test(entry_server, a_slow_head_is_ended) {
+    relay_fixture f;
+    f.config.limits.header_timeout = base::milliseconds(50);
+    f.configure();
+    cr_assert(f.ask("GET / HT").status == 408);
+}
+
+Test(entry_server, unknown_routes_and_missing_configuration) {
+    relay_fixture f;
+    cr_assert(f.ask(request("/other/x")).status == 404);
+    f.shared.state.config = nullptr;
+    const caller_view seen = f.ask(request("/unsafe/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(!seen.field("Retry-After").empty());
+}
+
+Test(entry_server, a_body_in_chunks_arrives_whole) {
+    relay_fixture f;
+    scripted_server& server = f.add_server("i", "app", plain, echoing());
+    f.ask("POST /safe/x HTTP/1.1\r\nHost: h\r\nId: a\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    cr_assert(server.requests.at(0).body == "abcde");
+    cr_assert(server.requests.at(0).field("Content-Length") == "5");
+}
+
+Test(entry_server, while_stopping_every_answer_closes) {
+    relay_fixture f;
+    f.add_server("i", "app", plain, echoing());
+    f.entry->begin_drain(seconds(8));
+    const caller_view seen = f.ask(request("/unsafe/x"), [] { return false; });
+    cr_assert(seen.status == 200);
+    cr_assert(seen.field("Connection") == "close");
+}
+
+Test(entry_server, late_in_a_stop_no_stream_begins) {
+    // Found by a hunt: a stream taken five seconds after SIGTERM was cut off
+    // at the end of the grace.
+    relay_fixture f;
+    f.add_server("d", "llm", traffic::engine_phase::decode, good_decode());
+    f.entry->begin_drain(seconds(8));
+    f.shared.state.stop_began -= seconds(5);
+    const caller_view seen = f.ask(request("/stream/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(!seen.field("Retry-After").empty());
+}
+
+Test(entry_server, too_many_bodies_are_refused_unrun) {
+    relay_fixture f;
+    scripted_server& server = f.add_server("i", "app", plain, echoing());
+    f.shared.options.most_body_bytes = 1;
+    cr_assert(f.ask(request("/unsafe/x")).status == 503);
+    cr_assert(server.requests.empty());
+    cr_assert(f.shared.state.open_body_bytes == 0);
+}
+
+Test(drain, leaves_when_nothing_is_left_and_before_the_grace_ends) {
+    cr_assert(next_step(seconds(0), seconds(8), 0) == drain_step::serve);
+    cr_assert(next_step(seconds(2), seconds(8), 0) == drain_step::close_idle);
+    cr_assert(next_step(seconds(3), seconds(8), 0) == drain_step::leave);
+    cr_assert(next_step(seconds(7), seconds(8), 3) == drain_step::close_idle);
+    cr_assert(
+        next_step(base::milliseconds(7700), seconds(8), 3) ==
+        drain_step::leave);
+    cr_assert(next_step(seconds(0), seconds(0), 9) == drain_step::leave);
+}
+
+Test(admission, fresh_requests_are_refused_early_returned_ones_wait) {
+    longest_deadline longest;
+    note_deadline(longest, seconds(14), base::steady_time{});
+    const base::milliseconds target(900);
+    const room_terms fresh =
+        room_terms_for(longest, target, seconds(14), false, 0.5);
+    const room_terms returned =
+        room_terms_for(longest, target, seconds(11), false, 0.5);
+    const room_terms begun =
+        room_terms_for(longest, target, seconds(14), true, 0.5);
+    cr_assert(fresh.wait < target / 4);
+    cr_assert(returned.wait > fresh.wait);
+    cr_assert(begun.wait > fresh.wait);
+    // Callers heed at most a third of their time.
+    const base::milliseconds heeded = base::milliseconds(14000) / 3;
+    cr_assert(fresh.come_back < heeded);
+    cr_assert(
+        room_terms_for(longest, target, seconds(14), false, 0.99).come_back <
+        heeded);
+}
--- /dev/null
+++ b/libs/relay/tests/test_generation_exchange.cpp
@@ -0,0 +1,217 @@
+#include "relay_fixture.hpp"
+
+#include <mintknot/http1/serialize.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::relay;
+using namespace mintknot::relay::tests;
+
+namespace {
+
+constexpr auto prefill = traffic::engine_phase::prefill;
+constexpr auto decode = traffic::engine_phase::decode;
+
+const std::string all_events = event_text(1) + event_text(2) + event_text(3);
+
+script rejecting() {
+    return [](const received& to, const event::connection_ptr& link) {
+        link->write(rejection_of(to));
+    };
+}
+
+/// Sends one event and a part of the next, then ends the connection.
+script breaking_off(bool reset) {
+    return [reset](const received& to, const event::connection_ptr& link) {
+        link->write(
+            stream_head(to) + http1::chunk(event_text(1) + "id: 2\nda"));
+        if (reset)
+            link->reset();
+        else
+            link->close();
+    };
+}
+
+std::string prompt(const std::string& path, int tokens = 100) {
+    return request(
+        path, "Id: r1\r\nTokens: " + std::to_string(tokens) + "\r\n");
+}
+
+} // namespace
+
+Test(generation_exchange, prefill_hand_over_decode) {
+    relay_fixture f;
+    scripted_server& p = f.add_server("p", "llm", prefill, good_prefill("k1"));
+    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
+    const caller_view seen = f.ask(prompt("/stream/x"));
+    cr_assert(seen.status == 200);
+    cr_assert(seen.body == all_events);
+    cr_assert(p.requests.size() == 1);
+    cr_assert(p.requests[0].field("Stage") == "prefill");
+    cr_assert(d.requests.size() == 1);
+    cr_assert(d.requests[0].field("From") == "k1");
+    f.run_until([&] { return f.shared.state.open_requests == 0; });
+    cr_assert(f.shared.state.loads.own.empty());
+}
+
+Test(generation_exchange, reading_may_be_repeated_for_every_kind) {
+    relay_fixture f;
+    const script broken = [](const received&,
+                             const event::connection_ptr& link) {
+        link->reset();
+    };
+    scripted_server& p1 = f.add_server("p1", "llm", prefill, broken);
+    scripted_server& p2 = f.add_server("p2", "llm", prefill, broken);
+    p2.behaviour = good_prefill("k2");
+    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(p1.requests.size() <= 1);
+    cr_assert(d.requests.size() == 1);
+    cr_assert(d.requests[0].field("From") == "k2");
+}
+
+Test(generation_exchange, without_prefill_engines_decode_engines_read) {
+    relay_fixture f;
+    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(d.requests[0].field("From").empty());
+}
+
+Test(generation_exchange, a_rejected_hand_over_goes_to_another_engine) {
+    relay_fixture f;
+    f.add_server("p", "llm", prefill, good_prefill("k1"));
+    scripted_server& d1 = f.add_server("d1", "llm", decode, rejecting());
+    scripted_server& d2 = f.add_server("d2", "llm", decode, rejecting());
+    int rejected = 0;
+    const script first_rejects = [&](const received& to,
+                                     const event::connection_ptr& link) {
+        if (++rejected == 1)
+            link->write(rejection_of(to));
+        else
+            good_decode()(to, link);
+    };
+    d1.behaviour = first_rejects;
+    d2.behaviour = first_rejects;
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(d1.requests.size() == 1);
+    cr_assert(d2.requests.size() == 1);
+    cr_assert(d2.requests[0].field("From") == "k1");
+}
+
+Test(generation_exchange, a_stream_that_may_not_resume_is_broken_off) {
+    for (const bool reset : {true, false}) {
+        relay_fixture f;
+        f.add_server("p", "llm", prefill, good_prefill("k1"));
+        scripted_server& d1 =
+            f.add_server("d1", "llm", decode, breaking_off(reset));
+        scripted_server& d2 =
+            f.add_server("d2", "llm", decode, breaking_off(reset));
+        const caller_view seen = f.ask(prompt("/stream/x"));
+        cr_assert(!seen.whole);
+        cr_assert(d1.requests.size() + d2.requests.size() == 1);
+    }
+}
+
+Test(generation_exchange, a_resumable_stream_goes_on_behind_the_last_event) {
+    for (const bool reset : {true, false}) {
+        relay_fixture f;
+        f.add_server("p", "llm", prefill, good_prefill("k1"));
+        bool broken = false;
+        const script first_breaks = [&](const received& to,
+                                        const event::connection_ptr& link) {
+            if (!broken) {
+                broken = true;
+                breaking_off(reset)(to, link);
+            } else {
+                good_decode()(to, link);
+            }
+        };
+        scripted_server& d1 = f.add_server("d1", "llm", decode, first_breaks);
+        scripted_server& d2 = f.add_server("d2", "llm", decode, first_breaks);
+        const caller_view seen = f.ask(prompt("/resume/x"));
+        cr_assert(seen.whole);
+        cr_assert(seen.body == all_events);
+        cr_assert(d1.requests.size() == 1);
+        cr_assert(d2.requests.size() == 1);
+    }
+}
+
+Test(generation_exchange, no_more_engines_than_attempts) {
+    relay_fixture f;
+    std::vector<scripted_server*> engines;
+    for (const char* id : {"d1", "d2", "d3", "d4"})
+        engines.push_back(&f.add_server(id, "llm", decode, breaking_off(true)));
+    cr_assert(!f.ask(prompt("/resume/x")).whole);
+    std::size_t runs = 0;
+    for (const scripted_server* engine : engines)
+        runs += engine->requests.size();
+    cr_assert(runs == 2);
+}
+
+Test(generation_exchange, without_room_it_is_refused_before_the_prefill) {
+    relay_fixture f;
+    scripted_server& p = f.add_server("p", "llm", prefill, good_prefill("k1"));
+    f.add_server("d", "llm", decode, good_decode());
+    traffic::add(f.shared.state.loads, "d", {1, 0.0, 9000.0});
+    const caller_view seen = f.ask(prompt("/stream/x", 5000));
+    cr_assert(seen.status == 503);
+    cr_assert(!seen.field("Retry-After").empty());
+    cr_assert(p.requests.empty());
+}
+
+Test(generation_exchange, waits_for_room_a_moment) {
+    relay_fixture f;
+    f.add_server("p", "llm", prefill, good_prefill("k1"));
+    f.add_server("d", "llm", decode, good_decode());
+    traffic::add(f.shared.state.loads, "d", {1, 0.0, 9000.0});
+    event::timer soon(f.owner);
+    soon.start(base::milliseconds(60), [&] {
+        traffic::remove(f.shared.state.loads, "d", {1, 0.0, 9000.0});
+    });
+    cr_assert(f.ask(prompt("/stream/x", 5000)).body == all_events);
+}
+
+Test(generation_exchange, a_result_that_is_not_used_is_freed) {
+    relay_fixture f;
+    scripted_server& p = f.add_server("p", "llm", prefill, good_prefill("k1"));
+    f.add_server("d", "llm", decode, rejecting());
+    cr_assert(f.ask(prompt("/stream/x")).status == 503);
+    f.run_until([&] { return p.requests.size() >= 2; });
+    cr_assert(p.requests.back().head.method == "DELETE");
+    cr_assert(p.requests.back().head.target == "/k1");
+}
+
+Test(generation_exchange, a_caller_that_leaves_ends_the_decode) {
+    relay_fixture f;
+    f.add_server("p", "llm", prefill, good_prefill("k1"));
+    scripted_server& d = f.add_server(
+        "d", "llm", decode,
+        [](const received& to, const event::connection_ptr& link) {
+            link->write(stream_head(to) + http1::chunk(event_text(1)));
+        });
+    f.ask(prompt("/stream/x"), [&] { return d.requests.size() == 1; });
+    f.run_until([&] { return d.ended == 1; });
+    cr_assert(f.shared.state.loads.own.empty());
+}
+
+Test(generation_exchange, dead_engines_do_not_make_a_busy_loop) {
+    relay_fixture f;
+    f.add_dead_server("d1", "llm");
+    f.add_dead_server("d2", "llm");
+    const caller_view seen = f.ask(prompt("/stream/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(f.pool.counters().failed < 60);
+}
+
+Test(generation_exchange, an_engines_failure_is_passed_on) {
+    relay_fixture f;
+    f.add_server(
+        "d", "llm", decode,
+        [](const received& to, const event::connection_ptr& link) {
+            link->write(answer_to(to, "oops", 500));
+        });
+    const caller_view seen = f.ask(prompt("/stream/x"));
+    cr_assert(seen.status == 500);
+    cr_assert(seen.body == "oops");
+}
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -3,9 +3,9 @@
 #include "snapshot_fetcher.hpp"
 
 #include <mintknot/peers/peer_group.hpp>
+#include <mintknot/relay/drain.hpp>
 #include <mintknot/relay/entry_server.hpp>
 #include <mintknot/relay/local_server.hpp>
-#include <mintknot/runtime/drain.hpp>
 #include <mintknot/state/store_reader.hpp>
 
 #include <algorithm>
@@ -31,8 +31,15 @@
         , log(STDOUT_FILENO, settings.name, {})
         , pool(ports.loop)
         , releases(pool, ports.protocol)
-        , shared{ports.loop, pool, ports.protocol, log, metrics, releases,
-                 settings.relay}
+        , prober(
+              ports.loop, pool, ports.protocol, log,
+              [this](const std::string& id) { return check_of(id); },
+              [this](const std::string& id, bool passed) {
+                  traffic::note_check(
+                      shared.state.health, id, passed, ports.loop.now());
+              })
+        , shared{ports.loop, pool,     ports.protocol, log,
+                 metrics,    releases, prober,         settings.relay}
         , entry(shared)
         , readiness(
               ports.loop,
@@ -51,10 +58,9 @@
               state::collection::configuration, log, {},
               [this] { return shared.draw(); })
         , server_reader(
-              ports.loop, ports.store, replica, state::collection::servers,
-              log, {}, [this] { return shared.draw(); })
-        , fetcher(
-              ports.loop, pool, replica, log, settings.peer.port)
+              ports.loop, ports.store, replica, state::collection::servers, log,
+              {}, [this] { return shared.draw(); })
+        , fetcher(ports.loop, pool, replica, log, settings.peer.port)
         , group(
               ports.loop, log, {settings.peer, settings.seed_hosts},
               group_functions())
@@ -96,8 +102,7 @@
     peers::group_handlers group_functions() {
         return {
             [this] { return describe(); },
-            [this](
-                const std::string& host, const peers::heartbeat& heartbeat) {
+            [this](const std::string& host, const peers::heartbeat& heartbeat) {
                 on_heartbeat(host, heartbeat);
             }};
     }
@@ -108,6 +113,10 @@
         own.configuration = replica.version(state::collection::configuration);
         own.servers = replica.version(state::collection::servers);
         own.leaving = shared.state.stopping;
+        own.data_centre = settings.data_centre;
+        for (const auto& [service, allowance] : shared.state.allowances)
+            own.usage[service] =
+                traffic::usage(allowance, shared.state.retry_bounds, now);
         own.loads = shared.state.loads.own;
         for (const auto& [id, record] : shared.state.health.own)
             if (record.avoid_until > now)
@@ -116,19 +125,47 @@
         return own;
     }
 
-    void on_heartbeat(
-        const std::string& host, const peers::heartbeat& heartbeat) {
+    void
+    on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat) {
         const base::steady_time now = ports.loop.now();
         traffic::set_peer(shared.state.loads, host, heartbeat.loads, now);
+        shared.state.peer_usages[host] = {heartbeat.usage, now};
         for (const peers::server_warning& warning : heartbeat.warnings)
-            traffic::warn(
-                shared.state.health, warning.server_id, now + warning.left,
-                now);
+            if (concerns_here(heartbeat, warning.server_id))
+                traffic::warn(
+                    shared.state.health, warning.server_id, now + warning.left,
+                    now);
         shared.state.instances =
             std::max(least_instances, peers::instances(group.table()));
         fetcher.on_heartbeat(host, heartbeat);
     }
 
+    /// A sender far from both this instance and the server may be cut off from
+    /// the server without it being so here.
+    bool concerns_here(
+        const peers::heartbeat& heartbeat, const std::string& server_id) const {
+        if (heartbeat.data_centre == settings.data_centre)
+            return true;
+        const traffic::server* server =
+            traffic::find(shared.state.servers, server_id);
+        return server != nullptr &&
+               server->data_centre == heartbeat.data_centre;
+    }
+
+    std::optional<relay::health_check> check_of(const std::string& id) const {
+        const traffic::server* server = traffic::find(shared.state.servers, id);
+        if (server == nullptr || shared.state.config == nullptr)
+            return std::nullopt;
+        const auto service =
+            shared.state.config->services.find(server->service);
+        if (service == shared.state.config->services.end())
+            return std::nullopt;
+        return relay::health_check{
+            {server->id, server->where},
+            service->second.health_path,
+            traffic::avoided_until(shared.state.health, id)};
+    }
+
     bool ready() const {
         return !shared.state.stopping && shared.state.config != nullptr &&
                replica.known(state::collection::servers);
@@ -214,8 +251,7 @@
     void begin_drain() {
         if (shared.state.stopping)
             return;
-        stop_began = ports.loop.now();
-        entry.begin_drain();
+        entry.begin_drain(settings.grace);
         log.write(
             "stopping", {{"busy", static_cast<std::int64_t>(entry.busy())},
                          {"grace_ms", settings.grace.count()}});
@@ -225,14 +261,14 @@
 
     void drain() {
         const auto since = std::chrono::duration_cast<base::milliseconds>(
-            ports.loop.now() - stop_began);
-        switch (next_step(since, settings.grace, entry.busy())) {
-        case drain_step::serve:
+            ports.loop.now() - shared.state.stop_began);
+        switch (relay::next_step(since, settings.grace, entry.busy())) {
+        case relay::drain_step::serve:
             break;
-        case drain_step::close_idle:
+        case relay::drain_step::close_idle:
             entry.close_idle();
             break;
-        case drain_step::leave:
+        case relay::drain_step::leave:
             leave(since);
             return;
         }
@@ -257,6 +293,7 @@
     relay::relay_metrics metrics;
     upstream::connection_pool pool;
     relay::release_queue releases;
+    relay::health_prober prober;
     relay::router shared;
     relay::entry_server entry;
     relay::local_server readiness;
@@ -269,7 +306,6 @@
     peers::peer_group group;
     event::timer drain_timer;
     event::timer reload_timer;
-    base::steady_time stop_began{};
 };
 
 instance::instance(instance_settings settings, instance_ports ports)
@@ -279,12 +315,12 @@
 
 absl::Status instance::start() {
     std::signal(SIGPIPE, SIG_IGN);
-    const absl::Status opened = impl_->open_addresses();
+    absl::Status opened = impl_->open_addresses();
     if (!opened.ok())
         return opened;
-    impl_->ports.loop.on_signals(
-        {SIGTERM, SIGINT, SIGHUP},
-        [this](int number) { impl_->on_signal(number); });
+    impl_->ports.loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [this](int number) {
+        impl_->on_signal(number);
+    });
     impl_->log.write(
         "started", {{"data_centre", impl_->settings.data_centre},
                     {"entry", base::to_string(impl_->settings.entry)}});
--- a/libs/runtime/src/snapshot_fetcher.cpp
+++ b/libs/runtime/src/snapshot_fetcher.cpp
@@ -12,8 +12,8 @@
 } // namespace
 
 snapshot_fetcher::snapshot_fetcher(
-    event::loop& owner, upstream::connection_pool& pool,
-    state::replica& target, logging::line_log& log, std::uint16_t port)
+    event::loop& owner, upstream::connection_pool& pool, state::replica& target,
+    logging::line_log& log, std::uint16_t port)
     : owner_(owner)
     , pool_(pool)
     , target_(target)
@@ -36,8 +36,7 @@
     }
     if (behind_since_ == base::steady_time{})
         behind_since_ = now;
-    const bool nothing_known =
-        !target_.known(state::collection::configuration);
+    const bool nothing_known = !target_.known(state::collection::configuration);
     if (call_ != nullptr || now - last_fetch_ < shortest_gap ||
         (!nothing_known && now - behind_since_ < patience))
         return;
@@ -54,8 +53,7 @@
     request.head.fields = {{"Host", host}};
     call_ = upstream::call::start(
         pool_, {"peer " + host, {host, port_}}, std::move(request), {},
-        {nullptr,
-         [this](http1::response_head& head) { status_ = head.status; },
+        {nullptr, [this](http1::response_head& head) { status_ = head.status; },
          [this](std::string_view piece) { body_.append(piece); },
          [this, host] { finish(host, status_ == 200); },
          [this, host](upstream::call_failure) { finish(host, false); }});
--- a/libs/state/include/mintknot/state/replica.hpp
+++ b/libs/state/include/mintknot/state/replica.hpp
@@ -78,8 +78,8 @@
     documents& of(collection what);
     const documents& of(collection what) const;
     void take(collection what, const document& change, std::string_view source);
-    bool decode(
-        collection what, const document& change, std::string_view source);
+    bool
+    decode(collection what, const document& change, std::string_view source);
 
     const document_codec& codec_;
     logging::line_log& log_;
--- a/libs/state/include/mintknot/state/store_reader.hpp
+++ b/libs/state/include/mintknot/state/store_reader.hpp
@@ -37,8 +37,8 @@
 
 private:
     void next();
-    void on_read(store_answer answer);
-    void on_watch(store_answer answer);
+    void on_read(const store_answer& answer);
+    void on_watch(const store_answer& answer);
     void on_good_answer();
     void pause(store_result why);
 
--- a/libs/state/src/replica.cpp
+++ b/libs/state/src/replica.cpp
@@ -36,7 +36,8 @@
     return value;
 }
 
-std::optional<std::vector<document>> documents_from(const nlohmann::json& rows) {
+std::optional<std::vector<document>>
+documents_from(const nlohmann::json& rows) {
     std::vector<document> result;
     if (!rows.is_array())
         return std::nullopt;
@@ -88,7 +89,9 @@
     return of(what).newest;
 }
 
-bool replica::known(collection what) const noexcept { return of(what).known; }
+bool replica::known(collection what) const noexcept {
+    return of(what).known;
+}
 
 void replica::apply(
     collection what, const std::vector<document>& changes,
@@ -138,9 +141,9 @@
              {"key", change.key},
              {"version", static_cast<std::int64_t>(change.version)},
              {"source", source},
-             {"because", std::string_view(
-                             status.message().data(),
-                             status.message().size())}});
+             {"because",
+              std::string_view(
+                  status.message().data(), status.message().size())}});
         return false;
     };
     if (what == collection::configuration) {
@@ -161,10 +164,9 @@
     }
     if (!change.text) {
         log_.write(
-            "server_gone",
-            {{"server", change.key},
-             {"row", static_cast<std::int64_t>(change.version)},
-             {"source", source}});
+            "server_gone", {{"server", change.key},
+                            {"row", static_cast<std::int64_t>(change.version)},
+                            {"source", source}});
         handlers_.on_server(change.key, change.version, std::nullopt);
         return true;
     }
@@ -206,10 +208,9 @@
         if (!parsed->is_object() || !parsed->contains(name))
             return absl::InvalidArgumentError("a collection is missing");
         const nlohmann::json& part = (*parsed)[name];
-        const auto rows =
-            part.is_object() && part.contains("documents")
-                ? documents_from(part["documents"])
-                : std::nullopt;
+        const auto rows = part.is_object() && part.contains("documents")
+                              ? documents_from(part["documents"])
+                              : std::nullopt;
         if (!rows)
             return absl::InvalidArgumentError("a document is malformed");
         apply(what, *rows, source);
--- a/libs/state/src/store_reader.cpp
+++ b/libs/state/src/store_reader.cpp
@@ -36,16 +36,15 @@
     if (stopped_)
         return;
     if (!whole_read_)
-        source_.read(what_, [this](store_answer answer) {
-            on_read(std::move(answer));
-        });
+        source_.read(
+            what_, [this](const store_answer& answer) { on_read(answer); });
     else
-        source_.watch(what_, seen_, options_.wait, [this](store_answer answer) {
-            on_watch(std::move(answer));
-        });
+        source_.watch(
+            what_, seen_, options_.wait,
+            [this](const store_answer& answer) { on_watch(answer); });
 }
 
-void store_reader::on_read(store_answer answer) {
+void store_reader::on_read(const store_answer& answer) {
     if (stopped_)
         return;
     // A read that is older than what is known already would lead back.
@@ -60,14 +59,13 @@
     next();
 }
 
-void store_reader::on_watch(store_answer answer) {
+void store_reader::on_watch(const store_answer& answer) {
     if (stopped_)
         return;
     if (answer.result == store_result::history_gone) {
         log_.write(
-            "history_gone",
-            {{"collection", to_string(what_)},
-             {"after", static_cast<std::int64_t>(seen_)}});
+            "history_gone", {{"collection", to_string(what_)},
+                             {"after", static_cast<std::int64_t>(seen_)}});
         on_good_answer();
         whole_read_ = false;
         next();
--- /dev/null
+++ b/libs/state/tests/test_replica.cpp
@@ -0,0 +1,112 @@
+#include <mintknot/state/replica.hpp>
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace mintknot;
+using namespace mintknot::state;
+
+namespace {
+
+/// "bad" cannot be read; anything else is a configuration or a server.
+class test_codec final : public document_codec {
+public:
+    absl::StatusOr<traffic::catalogue>
+    read_configuration(std::string_view text) const override {
+        if (text == "bad")
+            return absl::InvalidArgumentError("bad");
+        traffic::catalogue value;
+        value.version = text.size();
+        return value;
+    }
+    absl::StatusOr<traffic::server>
+    read_server(const std::string& id, std::string_view text) const override {
+        if (text == "bad")
+            return absl::InvalidArgumentError("bad");
+        traffic::server value;
+        value.id = id;
+        value.service = std::string(text);
+        return value;
+    }
+};
+
+struct fixture {
+    fixture()
+        : log(-1, "test", {})
+        , copy(
+              codec, log,
+              {[this](auto config) { configured = config->version; },
+               [this](const std::string& id, std::uint64_t, auto server) {
+                   servers[id] = server ? server->service : "gone";
+               }}) {}
+    test_codec codec;
+    logging::line_log log;
+    std::uint64_t configured = 0;
+    std::map<std::string, std::string> servers;
+    replica copy;
+};
+
+const auto configuration = collection::configuration;
+const auto servers = collection::servers;
+
+} // namespace
+
+Test(replica, never_goes_back) {
+    fixture f;
+    f.copy.apply(configuration, {{"c", 5, "12345"}}, "a");
+    f.copy.apply(configuration, {{"c", 4, "1234"}}, "b");
+    cr_assert(f.configured == 5);
+    cr_assert(f.copy.version(configuration) == 5);
+}
+
+Test(replica, what_cannot_be_read_leaves_in_force_what_was) {
+    fixture f;
+    f.copy.apply(configuration, {{"c", 5, "12345"}}, "a");
+    f.copy.apply(configuration, {{"c", 6, "bad"}}, "a");
+    cr_assert(f.configured == 5);
+    cr_assert(f.copy.version(configuration) == 5);
+    f.copy.apply(configuration, {{"c", 7, "1234567"}}, "a");
+    cr_assert(f.configured == 7);
+}
+
+Test(replica, a_whole_read_removes_what_is_not_in_it) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 1, "s"}, {"j", 2, "s"}}, 2, "a");
+    f.copy.apply_whole(servers, {{"j", 2, "s"}}, 9, "a");
+    cr_assert(f.servers["i"] == "gone");
+    cr_assert(f.servers["j"] == "s");
+    // News from before the removal come too late.
+    f.copy.apply(servers, {{"i", 8, "s"}}, "a");
+    cr_assert(f.servers["i"] == "gone");
+}
+
+Test(replica, an_old_whole_read_removes_nothing_newer) {
+    fixture f;
+    f.copy.apply(servers, {{"i", 7, "s"}}, "a");
+    f.copy.apply_whole(servers, {}, 5, "a");
+    cr_assert(f.servers["i"] == "s");
+}
+
+Test(replica, a_snapshot_carries_everything) {
+    fixture one;
+    fixture two;
+    one.copy.apply_whole(configuration, {{"c", 3, "123"}}, 3, "a");
+    one.copy.apply_whole(servers, {{"i", 1, "s"}}, 4, "a");
+    one.copy.apply(servers, {{"i", 6, std::nullopt}}, "a");
+    two.copy.apply(servers, {{"i", 1, "s"}}, "a");
+    cr_assert(two.copy.apply_snapshot(one.copy.snapshot(), "peer").ok());
+    cr_assert(two.configured == 3);
+    cr_assert(two.servers["i"] == "gone");
+    cr_assert(two.copy.known(configuration));
+    cr_assert(two.copy.version(servers) == 6);
+}
+
+Test(replica, a_malformed_snapshot_is_refused) {
+    fixture f;
+    for (const char* text :
+         {"", "[]", "{}", "{\"configuration\":{\"documents\":[{}]}}",
+          "{\"configuration\":{\"documents\":[]},\"servers\":7}"})
+        cr_assert(!f.copy.apply_snapshot(text, "peer").ok());
+    cr_assert(!f.copy.known(configuration));
+}
--- /dev/null
+++ b/libs/state/tests/test_store_reader.cpp
@@ -0,0 +1,122 @@
+#include <mintknot/state/store_reader.hpp>
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace mintknot;
+using namespace mintknot::state;
+
+namespace {
+
+class no_codec final : public document_codec {
+public:
+    absl::StatusOr<traffic::catalogue>
+    read_configuration(std::string_view) const override {
+        return traffic::catalogue{};
+    }
+    absl::StatusOr<traffic::server>
+    read_server(const std::string& id, std::string_view) const override {
+        traffic::server value;
+        value.id = id;
+        return value;
+    }
+};
+
+/// Answers with prepared answers, then never again.
+class scripted_store final : public store {
+public:
+    explicit scripted_store(event::loop& owner)
+        : owner_(owner) {}
+    void read(collection, store_handler on_answer) override {
+        calls.emplace_back("read");
+        answer(on_answer);
+    }
+    void watch(
+        collection, std::uint64_t after, base::milliseconds,
+        store_handler on_answer) override {
+        calls.push_back("watch " + std::to_string(after));
+        answer(on_answer);
+    }
+    std::vector<std::string> calls;
+    std::deque<store_answer> answers;
+
+private:
+    void answer(const store_handler& on_answer) {
+        if (answers.empty()) {
+            owner_.post([this] { owner_.stop(); });
+            return;
+        }
+        owner_.post([on_answer, next = answers.front()] { on_answer(next); });
+        answers.pop_front();
+    }
+    event::loop& owner_;
+};
+
+struct fixture {
+    fixture()
+        : source(owner)
+        , log(-1, "test", {})
+        , copy(codec, log, {[](auto) {}, [](auto&, auto, auto) {}})
+        , reader(
+              owner, source, copy, collection::servers, log,
+              {base::milliseconds(1000), base::milliseconds(1),
+               base::milliseconds(2)},
+              [] { return 0.5; }) {}
+    void run() {
+        reader.start();
+        owner.run();
+    }
+    event::loop owner;
+    scripted_store source;
+    no_codec codec;
+    logging::line_log log;
+    replica copy;
+    store_reader reader;
+};
+
+store_answer good(std::uint64_t version, std::vector<document> rows = {}) {
+    return {store_result::ok, std::move(rows), version};
+}
+
+using calls = std::vector<std::string>;
+
+} // namespace
+
+Test(store_reader, reads_once_and_follows_the_changes) {
+    fixture f;
+    f.source.answers = {good(4, {{"i", 3, "x"}}), good(7, {{"j", 7, "x"}})};
+    f.run();
+    cr_assert(f.source.calls == (calls{"read", "watch 4", "watch 7"}));
+    cr_assert(f.copy.version(collection::servers) == 7);
+}
+
+Test(store_reader, reads_anew_where_history_is_gone) {
+    fixture f;
+    f.source.answers = {good(4), {store_result::history_gone, {}, 0}, good(9)};
+    f.run();
+    cr_assert(f.source.calls == (calls{"read", "watch 4", "read", "watch 9"}));
+}
+
+Test(store_reader, goes_on_where_it_was_after_a_failure) {
+    fixture f;
+    f.source.answers = {
+        good(4),
+        {store_result::unreachable, {}, 0},
+        {store_result::refused, {}, 0},
+        good(5)};
+    f.run();
+    cr_assert(
+        f.source.calls ==
+        (calls{"read", "watch 4", "watch 4", "watch 4", "watch 5"}));
+}
+
+Test(store_reader, a_read_older_than_what_is_known_is_made_again) {
+    fixture f;
+    f.source.answers = {
+        good(8), {store_result::history_gone, {}, 0}, good(6), good(9)};
+    f.run();
+    cr_assert(
+        f.source.calls ==
+        (calls{"read", "watch 8", "read", "read", "watch 9"}));
+}
--- a/libs/traffic/include/mintknot/traffic/load_view.hpp
+++ b/libs/traffic/include/mintknot/traffic/load_view.hpp
@@ -49,8 +49,8 @@
     base::steady_time now);
 
 /// @return own and peers' work at a server.
-server_load total(
-    const load_view& view, const std::string& id, base::steady_time now);
+server_load
+total(const load_view& view, const std::string& id, base::steady_time now);
 
 /// @return own work at a server.
 server_load own(const load_view& view, const std::string& id);
--- a/libs/traffic/include/mintknot/traffic/selection.hpp
+++ b/libs/traffic/include/mintknot/traffic/selection.hpp
@@ -24,7 +24,6 @@
 /// How fast prefill engines have been seen to read, in tokens a millisecond.
 struct read_rates {
     std::unordered_map<std::string, double> by_id;
-    double typical = 20.0;
 };
 
 /// Takes an observation: tokens read and how long it took.
@@ -32,7 +31,8 @@
     read_rates& rates, const std::string& id, double tokens,
     base::milliseconds took);
 
-/// @return the expected rate of an engine.
+/// @return the expected rate of an engine: its own, or the median of all that
+/// are known.
 double rate_of(const read_rates& rates, const std::string& id);
 
 /// Everything that a choice looks at. References must outlive the call.
@@ -61,16 +61,22 @@
     const selection_inputs& inputs, const excluded_servers& excluded,
     double prompt_tokens);
 
+/// What a request needs of a decode engine.
+struct decode_request {
+    double memory_tokens = 0.0;
+    double memory_share = 1.0; ///< Part of an engine's memory to give out.
+    std::string data_centre;   ///< Of the prefill engine, or empty.
+};
+
 /// @return the decode engine with the most room for the request, or null if
-/// none has enough. @param data_centre of the prefill engine, or empty.
+/// none has enough.
 const server* select_decode(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    double memory_tokens, const std::string& data_centre);
+    const decode_request& wanted);
 
 /// @return how long a prefill engine needs until it has read a prompt.
 base::milliseconds expected_read_time(
-    const selection_inputs& inputs, const server& engine,
-    double prompt_tokens);
+    const selection_inputs& inputs, const server& engine, double prompt_tokens);
 
 } // namespace mintknot::traffic
 
--- a/libs/traffic/include/mintknot/traffic/server_health.hpp
+++ b/libs/traffic/include/mintknot/traffic/server_health.hpp
@@ -19,6 +19,7 @@
     rejected,    ///< It said that it did not run the request.
     unreachable, ///< No connection.
     silent,      ///< No sign for longer than can be expected.
+    slow,        ///< No answer for long, which may lie in the request.
     misdirected, ///< Another server has its address.
 };
 
@@ -58,12 +59,16 @@
     const health_view& view, const std::string& id, base::steady_time now);
 
 /// @return until when this instance itself avoids a server, or the epoch.
-base::steady_time
-avoided_until(const health_view& view, const std::string& id);
+base::steady_time avoided_until(const health_view& view, const std::string& id);
 
 /// @return the share of recent calls that failed, in [0, 1].
-double
-failure_share(const health_view& view, const std::string& id);
+double failure_share(const health_view& view, const std::string& id);
+
+/// Takes the result of a health check of an avoided server. One that passes
+/// is trusted again, on trial; else it is avoided for longer.
+void note_check(
+    health_view& view, const std::string& id, bool passed,
+    base::steady_time now);
 
 /// Drops what is known of a server.
 void forget(health_view& view, const std::string& id);
--- a/libs/traffic/src/catalogue.cpp
+++ b/libs/traffic/src/catalogue.cpp
@@ -15,10 +15,9 @@
 
 std::string_view without_port(std::string_view host) {
     const std::size_t colon = host.rfind(':');
-    const bool has_port =
-        colon != std::string_view::npos &&
-        host.find_first_not_of("0123456789", colon + 1) ==
-            std::string_view::npos;
+    const bool has_port = colon != std::string_view::npos &&
+                          host.find_first_not_of("0123456789", colon + 1) ==
+                              std::string_view::npos;
     return has_port ? host.substr(0, colon) : host;
 }
 
--- a/libs/traffic/src/load_view.cpp
+++ b/libs/traffic/src/load_view.cpp
@@ -40,8 +40,8 @@
     });
 }
 
-server_load total(
-    const load_view& view, const std::string& id, base::steady_time now) {
+server_load
+total(const load_view& view, const std::string& id, base::steady_time now) {
     server_load sum = own(view, id);
     for (const auto& [name, peer] : view.peers) {
         if (now - peer.heard > load_life)
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr double learning_rate = 0.2;
+/// Tokens a millisecond of an engine while too few are known.
+constexpr double default_rate = 20.0;
+constexpr double least_rate = 0.1;
+constexpr std::size_t least_known_rates = 2;
 /// Cost of another data centre, in shares of a server's capacity.
 constexpr double plain_distance_cost = 0.2;
 constexpr double decode_distance_cost = 0.1;
@@ -19,19 +23,17 @@
 /// Cost of a server all of whose recent calls have failed.
 constexpr double failure_cost = 2.0;
 constexpr double prefill_failure_cost_ms = 400.0;
-/// Part of an engine's memory that is given out.
-constexpr double used_memory = 0.97;
 
 /// Scores a server; lower is better, infinite if it cannot take the request.
 using score_function = std::function<double(const server&)>;
+using phase_test = bool (*)(engine_phase);
 
 constexpr double impossible = std::numeric_limits<double>::infinity();
 
 bool connections_left(const selection_inputs& inputs, const server& candidate) {
-    const std::size_t share =
-        std::max<std::size_t>(
-            2, inputs.target.most_connections /
-                   std::max<std::size_t>(inputs.instances, 1));
+    const std::size_t share = std::max<std::size_t>(
+        2, inputs.target.most_connections /
+               std::max<std::size_t>(inputs.instances, 1));
     return static_cast<std::size_t>(own(inputs.loads, candidate.id).calls) <
            share;
 }
@@ -58,12 +60,41 @@
     return best;
 }
 
-/// Servers that are to be avoided come last, but before none at all.
+/// @return true if a server is there that need not be avoided, whether it has
+/// room or not.
+bool any_trusted(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    const phase_test& suits) {
+    for (const server* candidate :
+         open_servers(inputs.servers, inputs.target.name))
+        if (suits(candidate->phase) && !excluded.contains(candidate->id) &&
+            !avoided(inputs.health, candidate->id, inputs.now))
+            return true;
+    return false;
+}
+
+/// Servers that are to be avoided are chosen only where there is no other,
+/// not where the others are merely full.
 const server* best_of(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    const score_function& score) {
-    const server* found = best_of(inputs, excluded, score, false);
-    return found != nullptr ? found : best_of(inputs, excluded, score, true);
+    const phase_test& suits, const score_function& score) {
+    const bool with_avoided = !any_trusted(inputs, excluded, suits);
+    const score_function suited = [&](const server& candidate) {
+        return suits(candidate.phase) ? score(candidate) : impossible;
+    };
+    return best_of(inputs, excluded, suited, with_avoided);
+}
+
+bool any_phase(engine_phase) {
+    return true;
+}
+
+bool prefill_phase(engine_phase phase) {
+    return phase == engine_phase::prefill;
+}
+
+bool decode_phase(engine_phase phase) {
+    return phase != engine_phase::prefill;
 }
 
 bool is_random(const selection_inputs& inputs) {
@@ -81,29 +112,46 @@
     const auto [entry, fresh] = rates.by_id.emplace(id, rate);
     if (!fresh)
         entry->second += learning_rate * (rate - entry->second);
-    rates.typical += learning_rate * 0.25 * (rate - rates.typical);
 }
 
+namespace {
+
+double median_rate(const read_rates& rates) {
+    if (rates.by_id.size() < least_known_rates)
+        return default_rate;
+    std::vector<double> sorted;
+    for (const auto& [id, rate] : rates.by_id)
+        sorted.push_back(rate);
+    const auto middle =
+        sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    return *middle;
+}
+
+} // namespace
+
 double rate_of(const read_rates& rates, const std::string& id) {
     const auto found = rates.by_id.find(id);
     const double rate =
-        found == rates.by_id.end() ? rates.typical : found->second;
-    return std::max(rate, 0.1);
+        found == rates.by_id.end() ? median_rate(rates) : found->second;
+    return std::max(rate, least_rate);
 }
 
 const server*
 select_plain(const selection_inputs& inputs, const excluded_servers& excluded) {
-    return best_of(inputs, excluded, [&inputs](const server& candidate) {
-        if (is_random(inputs))
-            return inputs.draw();
-        const server_load load = total(inputs.loads, candidate.id, inputs.now);
-        double score = static_cast<double>(load.calls) /
-                       std::max(candidate.slots, 1);
-        if (candidate.data_centre != inputs.own_data_centre)
-            score += plain_distance_cost;
-        score += failure_cost * failure_share(inputs.health, candidate.id);
-        return score + jitter * inputs.draw();
-    });
+    return best_of(
+        inputs, excluded, any_phase, [&inputs](const server& candidate) {
+            if (is_random(inputs))
+                return inputs.draw();
+            const server_load load =
+                total(inputs.loads, candidate.id, inputs.now);
+            double score =
+                static_cast<double>(load.calls) / std::max(candidate.slots, 1);
+            if (candidate.data_centre != inputs.own_data_centre)
+                score += plain_distance_cost;
+            score += failure_cost * failure_share(inputs.health, candidate.id);
+            return score + jitter * inputs.draw();
+        });
 }
 
 base::milliseconds expected_read_time(
@@ -118,46 +166,46 @@
 const server* select_prefill(
     const selection_inputs& inputs, const excluded_servers& excluded,
     double prompt_tokens) {
-    return best_of(inputs, excluded, [&](const server& candidate) {
-        if (candidate.phase != engine_phase::prefill)
-            return impossible;
-        if (is_random(inputs))
-            return inputs.draw();
-        double score = static_cast<double>(
-            expected_read_time(inputs, candidate, prompt_tokens).count());
-        if (candidate.data_centre != inputs.own_data_centre)
-            score += prefill_distance_cost;
-        score += prefill_failure_cost_ms *
-                 failure_share(inputs.health, candidate.id);
-        return score + prefill_jitter_ms * inputs.draw();
-    });
+    return best_of(
+        inputs, excluded, prefill_phase, [&](const server& candidate) {
+            if (is_random(inputs))
+                return inputs.draw();
+            double score = static_cast<double>(
+                expected_read_time(inputs, candidate, prompt_tokens).count());
+            if (candidate.data_centre != inputs.own_data_centre)
+                score += prefill_distance_cost;
+            score += prefill_failure_cost_ms *
+                     failure_share(inputs.health, candidate.id);
+            return score + prefill_jitter_ms * inputs.draw();
+        });
 }
 
 const server* select_decode(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    double memory_tokens, const std::string& data_centre) {
+    const decode_request& wanted) {
     const double memory =
         inputs.target.engine
             ? static_cast<double>(inputs.target.engine->memory_tokens)
             : 0.0;
-    return best_of(inputs, excluded, [&](const server& candidate) {
-        if (candidate.phase == engine_phase::prefill)
-            return impossible;
-        if (is_random(inputs))
-            return inputs.draw();
-        const server_load load = total(inputs.loads, candidate.id, inputs.now);
-        if (load.calls >= candidate.slots)
-            return impossible;
-        const double after = load.memory_tokens + memory_tokens;
-        if (memory > 0.0 && load.memory_tokens > 0.0 &&
-            after > memory * used_memory)
-            return impossible;
-        double score = memory > 0.0 ? after / memory : load.calls;
-        if (!data_centre.empty() && candidate.data_centre != data_centre)
-            score += decode_distance_cost;
-        score += failure_cost * failure_share(inputs.health, candidate.id);
-        return score + jitter * inputs.draw();
-    });
+    return best_of(
+        inputs, excluded, decode_phase, [&](const server& candidate) {
+            if (is_random(inputs))
+                return inputs.draw();
+            const server_load load =
+                total(inputs.loads, candidate.id, inputs.now);
+            if (load.calls >= candidate.slots)
+                return impossible;
+            const double after = load.memory_tokens + wanted.memory_tokens;
+            if (memory > 0.0 && load.memory_tokens > 0.0 &&
+                after > memory * wanted.memory_share)
+                return impossible;
+            double score = memory > 0.0 ? after / memory : load.calls;
+            if (!wanted.data_centre.empty() &&
+                candidate.data_centre != wanted.data_centre)
+                score += decode_distance_cost;
+            score += failure_cost * failure_share(inputs.health, candidate.id);
+            return score + jitter * inputs.draw();
+        });
 }
 
 } // namespace mintknot::traffic
--- a/libs/traffic/src/server_health.cpp
+++ b/libs/traffic/src/server_health.cpp
@@ -13,6 +13,11 @@
 constexpr int most_doublings = 3;
 /// Failures in a row after which a server is avoided.
 constexpr int failures_to_eject = 3;
+constexpr int slow_calls_to_eject = 2;
+/// How long a server is avoided that is no longer at its address.
+constexpr base::milliseconds misdirected_ejection{10000};
+/// How much longer a server is avoided after a failed health check.
+constexpr base::milliseconds failed_check_ejection{1200};
 /// Share of failures above which a server is avoided, with enough calls.
 constexpr double share_to_eject = 0.5;
 constexpr double calls_to_judge = 4.0;
@@ -27,11 +32,13 @@
     record.changed = now;
 }
 
-bool eject(health_record& record, base::steady_time now) {
+bool eject(health_record& record, call_result result, base::steady_time now) {
     const bool fresh = record.avoid_until <= now;
     const int doublings = std::min(record.ejections, most_doublings);
     const base::milliseconds time =
-        std::min(longest_ejection, first_ejection * (1 << doublings));
+        result == call_result::misdirected
+            ? misdirected_ejection
+            : std::min(longest_ejection, first_ejection * (1 << doublings));
     record.avoid_until = std::max(record.avoid_until, now + time);
     if (fresh)
         ++record.ejections;
@@ -42,6 +49,8 @@
     if (result == call_result::unreachable || result == call_result::silent ||
         result == call_result::misdirected)
         return true;
+    if (result == call_result::slow)
+        return record.failures_in_a_row >= slow_calls_to_eject;
     if (result != call_result::failed)
         return false;
     if (record.failures_in_a_row >= failures_to_eject)
@@ -72,6 +81,8 @@
         return "unreachable";
     case call_result::silent:
         return "silent";
+    case call_result::slow:
+        return "slow";
     case call_result::misdirected:
         return "misdirected";
     }
@@ -91,7 +102,19 @@
         return false;
     record.bad += 1.0;
     ++record.failures_in_a_row;
-    return to_be_ejected(record, result) && eject(record, now);
+    return to_be_ejected(record, result) && eject(record, result, now);
+}
+
+void note_check(
+    health_view& view, const std::string& id, bool passed,
+    base::steady_time now) {
+    health_record& record = view.own[id];
+    if (!passed) {
+        record.avoid_until = now + failed_check_ejection;
+        return;
+    }
+    record.avoid_until = now;
+    record.failures_in_a_row = 0;
 }
 
 void warn(
--- /dev/null
+++ b/libs/traffic/tests/test_event_splitter.cpp
@@ -0,0 +1,33 @@
+#include <mintknot/traffic/event_splitter.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot::traffic;
+
+Test(event_splitter, hands_out_whole_events_byte_for_byte) {
+    const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    for (std::size_t step = 1; step < text.size(); ++step) {
+        event_splitter splitter;
+        std::string whole;
+        for (std::size_t at = 0; at < text.size(); at += step)
+            whole += push(splitter, std::string_view(text).substr(at, step));
+        cr_assert(whole == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        cr_assert(splitter.rest == "id: 3\nda");
+    }
+}
+
+Test(event_splitter, understands_carriage_returns) {
+    event_splitter splitter;
+    cr_assert(
+        push(splitter, "id: 7\r\ndata: a\r\n\r\nid") ==
+        "id: 7\r\ndata: a\r\n\r\n");
+    cr_assert(splitter.rest == "id");
+}
+
+Test(event_splitter, finds_the_ids) {
+    const std::string events = "id: 4\ndata: id: 9\n\nid:5\ndata: x\n\n";
+    cr_assert(first_event_id(events) == 4u);
+    cr_assert(last_event_id(events) == 5u);
+    cr_assert(!last_event_id("data: x\n\n"));
+    cr_assert(!last_event_id("id: abc\n\n"));
+}
--- /dev/null
+++ b/libs/traffic/tests/test_load_view.cpp
@@ -0,0 +1,36 @@
+#include <mintknot/traffic/load_view.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::traffic;
+
+namespace {
+const base::steady_time start = base::steady_time{} + std::chrono::hours(1);
+}
+
+Test(load_view, sums_own_and_peers_loads) {
+    load_view view;
+    add(view, "s", {1, 100.0, 0.0});
+    set_peer(view, "p", {{"s", {2, 0.0, 50.0}}}, start);
+    const server_load sum = total(view, "s", start);
+    cr_assert(sum.calls == 3);
+    cr_assert(sum.prefill_tokens == 100.0);
+    cr_assert(sum.memory_tokens == 50.0);
+}
+
+Test(load_view, a_silent_peers_loads_lapse) {
+    load_view view;
+    set_peer(view, "p", {{"s", {2, 0.0, 0.0}}}, start);
+    cr_assert(total(view, "s", start + load_life).calls == 2);
+    cr_assert(
+        total(view, "s", start + load_life + base::milliseconds(1)).calls == 0);
+}
+
+Test(load_view, taking_back_leaves_nothing) {
+    load_view view;
+    add(view, "s", {1, 0.0, 10.0});
+    remove(view, "s", {1, 0.0, 10.0});
+    remove(view, "s", {1, 0.0, 10.0});
+    cr_assert(view.own.empty());
+}
--- /dev/null
+++ b/libs/traffic/tests/test_selection.cpp
@@ -0,0 +1,136 @@
+#include <mintknot/traffic/selection.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::traffic;
+
+namespace {
+
+const base::steady_time start = base::steady_time{} + std::chrono::hours(1);
+
+/// Engines of one service, and the inputs to choose among them.
+struct small_pool {
+    small_pool() {
+        target.name = "llm";
+        target.most_connections = 1000;
+        target.engine = engine_spec{10000, base::milliseconds(500)};
+    }
+    void add_server(
+        const std::string& id, engine_phase phase,
+        const std::string& data_centre = "a") {
+        server value;
+        value.id = id;
+        value.service = "llm";
+        value.data_centre = data_centre;
+        value.phase = phase;
+        value.slots = 64;
+        apply(servers, id, ++version, value);
+    }
+    selection_inputs inputs() {
+        return {
+            servers,
+            loads,
+            health,
+            rates,
+            target,
+            "a",
+            selection_policy::least_loaded,
+            4,
+            start,
+            [] { return 0.5; }};
+    }
+
+    server_table servers;
+    load_view loads;
+    health_view health;
+    read_rates rates;
+    service target;
+    std::uint64_t version = 0;
+};
+
+std::string name_of(const server* chosen) {
+    return chosen == nullptr ? "none" : chosen->id;
+}
+
+} // namespace
+
+Test(selection, decode_takes_the_engine_with_most_room) {
+    small_pool pool;
+    pool.add_server("d1", engine_phase::decode);
+    pool.add_server("d2", engine_phase::decode);
+    add(pool.loads, "d1", {1, 0.0, 5000.0});
+    cr_assert(
+        name_of(select_decode(pool.inputs(), {}, {3000.0, 1.0, ""})) == "d2");
+}
+
+Test(selection, decode_without_room_is_none) {
+    small_pool pool;
+    pool.add_server("d1", engine_phase::decode);
+    add(pool.loads, "d1", {1, 0.0, 8000.0});
+    cr_assert(select_decode(pool.inputs(), {}, {3000.0, 1.0, ""}) == nullptr);
+}
+
+Test(selection, a_request_larger_than_a_share_goes_to_an_empty_engine) {
+    small_pool pool;
+    pool.add_server("d1", engine_phase::decode);
+    cr_assert(
+        name_of(select_decode(pool.inputs(), {}, {9900.0, 0.9, ""})) == "d1");
+}
+
+Test(selection, phases_are_kept_apart) {
+    small_pool pool;
+    pool.add_server("p", engine_phase::prefill);
+    pool.add_server("d", engine_phase::decode);
+    cr_assert(name_of(select_prefill(pool.inputs(), {}, 100.0)) == "p");
+    cr_assert(name_of(select_decode(pool.inputs(), {}, {1.0, 1.0, ""})) == "d");
+    cr_assert(select_prefill(pool.inputs(), {"p"}, 100.0) == nullptr);
+}
+
+Test(selection, prefill_takes_the_engine_that_is_done_first) {
+    small_pool pool;
+    pool.add_server("p1", engine_phase::prefill);
+    pool.add_server("p2", engine_phase::prefill);
+    add(pool.loads, "p1", {1, 6000.0, 0.0});
+    cr_assert(name_of(select_prefill(pool.inputs(), {}, 100.0)) == "p2");
+    // A slow engine is avoided although nothing waits there.
+    for (int i = 0; i < 50; ++i)
+        note_read(pool.rates, "p2", 100.0, base::milliseconds(1000));
+    cr_assert(name_of(select_prefill(pool.inputs(), {}, 100.0)) == "p1");
+}
+
+Test(selection, an_avoided_server_is_not_chosen_because_others_are_full) {
+    small_pool pool;
+    pool.add_server("d1", engine_phase::decode);
+    pool.add_server("d2", engine_phase::decode);
+    add(pool.loads, "d1", {1, 0.0, 9900.0});
+    note(pool.health, "d2", call_result::unreachable, start);
+    cr_assert(select_decode(pool.inputs(), {}, {3000.0, 1.0, ""}) == nullptr);
+}
+
+Test(selection, an_avoided_server_is_better_than_none) {
+    small_pool pool;
+    pool.add_server("d1", engine_phase::decode);
+    note(pool.health, "d1", call_result::unreachable, start);
+    cr_assert(
+        name_of(select_decode(pool.inputs(), {}, {10.0, 1.0, ""})) == "d1");
+}
+
+Test(selection, plain_prefers_its_own_data_centre_until_it_is_busy) {
+    small_pool pool;
+    pool.target.engine.reset();
+    pool.add_server("near", engine_phase::none, "a");
+    pool.add_server("far", engine_phase::none, "b");
+    cr_assert(name_of(select_plain(pool.inputs(), {})) == "near");
+    add(pool.loads, "near", {40, 0.0, 0.0});
+    cr_assert(name_of(select_plain(pool.inputs(), {})) == "far");
+}
+
+Test(selection, connections_are_shared_among_instances) {
+    small_pool pool;
+    pool.target.most_connections = 8;
+    pool.add_server("s", engine_phase::none);
+    cr_assert(name_of(select_plain(pool.inputs(), {})) == "s");
+    add(pool.loads, "s", {2, 0.0, 0.0});
+    cr_assert(select_plain(pool.inputs(), {}) == nullptr);
+}
--- /dev/null
+++ b/libs/traffic/tests/test_server_health.cpp
@@ -0,0 +1,73 @@
+#include <mintknot/traffic/server_health.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::traffic;
+
+namespace {
+const base::steady_time start = base::steady_time{} + std::chrono::hours(1);
+using std::chrono::seconds;
+} // namespace
+
+Test(server_health, one_failure_does_not_condemn) {
+    health_view view;
+    note(view, "s", call_result::failed, start);
+    cr_assert(!avoided(view, "s", start));
+}
+
+Test(server_health, failures_in_a_row_do) {
+    health_view view;
+    cr_assert(!note(view, "s", call_result::failed, start));
+    cr_assert(!note(view, "s", call_result::failed, start));
+    cr_assert(note(view, "s", call_result::failed, start));
+    cr_assert(avoided(view, "s", start));
+    cr_assert(!avoided(view, "s", start + seconds(10)));
+}
+
+Test(server_health, slowness_counts_only_when_repeated) {
+    health_view view;
+    cr_assert(!note(view, "s", call_result::slow, start));
+    note(view, "s", call_result::good, start);
+    cr_assert(!note(view, "s", call_result::slow, start));
+    cr_assert(note(view, "s", call_result::slow, start));
+}
+
+Test(server_health, rejections_say_nothing_of_health) {
+    health_view view;
+    for (int i = 0; i < 20; ++i)
+        note(view, "s", call_result::rejected, start);
+    cr_assert(!avoided(view, "s", start));
+}
+
+Test(server_health, an_unreachable_server_is_avoided_longer_each_time) {
+    health_view view;
+    base::steady_time now = start;
+    base::milliseconds last{0};
+    for (int i = 0; i < 3; ++i) {
+        cr_assert(note(view, "s", call_result::unreachable, now));
+        const auto time = base::time_left(avoided_until(view, "s"), now);
+        cr_assert(time > last);
+        last = time;
+        now = avoided_until(view, "s") + base::milliseconds(1);
+    }
+}
+
+Test(server_health, a_check_decides_when_a_server_is_back) {
+    health_view view;
+    note(view, "s", call_result::unreachable, start);
+    note_check(view, "s", false, start + seconds(1));
+    cr_assert(avoided(view, "s", start + seconds(2)));
+    note_check(view, "s", true, start + seconds(2));
+    cr_assert(!avoided(view, "s", start + seconds(2)));
+}
+
+Test(server_health, a_warning_does_not_beat_fresh_own_experience) {
+    health_view view;
+    warn(view, "s", start + seconds(5), start);
+    cr_assert(avoided(view, "s", start));
+    health_view other;
+    note(other, "s", call_result::good, start);
+    warn(other, "s", start + seconds(5), start + base::milliseconds(100));
+    cr_assert(!avoided(other, "s", start + base::milliseconds(100)));
+}
--- a/libs/upstream/include/mintknot/upstream/call.hpp
+++ b/libs/upstream/include/mintknot/upstream/call.hpp
@@ -42,7 +42,7 @@
 
 /// Bounds of a call.
 struct call_options {
-    base::milliseconds connect_timeout{400};
+    base::milliseconds connect_timeout{200};
     std::size_t answer_header_bytes = 32 * 1024;
 };
 
--- a/libs/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -42,9 +42,9 @@
     event::connection_ptr take(const std::string& id);
 
     /// Keeps a connection for at most `idle_for`.
-    void
-    give(const std::string& id, event::connection_ptr connection,
-         base::milliseconds idle_for);
+    void give(
+        const std::string& id, event::connection_ptr connection,
+        base::milliseconds idle_for);
 
     /// Closes the idle connections to a server.
     void drop(const std::string& id);
--- a/libs/upstream/src/call.cpp
+++ b/libs/upstream/src/call.cpp
@@ -255,7 +255,9 @@
 call::call(std::shared_ptr<impl> state)
     : impl_(std::move(state)) {}
 
-call::~call() { impl_->cancel(); }
+call::~call() {
+    impl_->cancel();
+}
 
 std::unique_ptr<call> call::start(
     connection_pool& pool, const target& where, call_request request,
@@ -267,7 +269,9 @@
     return result;
 }
 
-void call::cancel() { impl_->cancel(); }
+void call::cancel() {
+    impl_->cancel();
+}
 
 void call::pause() {
     if (impl_->link != nullptr)
@@ -279,6 +283,8 @@
         impl_->link->resume_reading();
 }
 
-bool call::sent() const noexcept { return impl_->was_sent; }
+bool call::sent() const noexcept {
+    return impl_->was_sent;
+}
 
 } // namespace mintknot::upstream
--- a/libs/upstream/src/connection_pool.cpp
+++ b/libs/upstream/src/connection_pool.cpp
@@ -124,8 +124,12 @@
     return impl_->total;
 }
 
-pool_counters& connection_pool::counters() noexcept { return impl_->counters; }
+pool_counters& connection_pool::counters() noexcept {
+    return impl_->counters;
+}
 
-event::loop& connection_pool::owner() noexcept { return impl_->owner; }
+event::loop& connection_pool::owner() noexcept {
+    return impl_->owner;
+}
 
 } // namespace mintknot::upstream
--- /dev/null
+++ b/libs/upstream/tests/test_call.cpp
@@ -0,0 +1,215 @@
+#include <mintknot/event/listener.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace mintknot;
+using namespace mintknot::upstream;
+
+namespace {
+
+constexpr base::milliseconds test_limit{10000};
+
+/// A server that answers the n-th request with the n-th text, whatever the
+/// connection. An empty text closes the connection.
+struct scripted_server {
+    explicit scripted_server(event::loop& owner)
+        : accepting(owner) {
+        cr_assert(
+            accepting
+                .open(
+                    {"127.0.0.1", 0},
+                    [this](const event::connection_ptr& link) {
+                        ++connections;
+                        links.push_back(link);
+                        link->set_handlers(
+                            {[this, link](std::string_view) { answer(link); },
+                             [](event::connection_end) {}, nullptr});
+                    })
+                .ok());
+    }
+    void answer(const event::connection_ptr& link) {
+        const std::string text =
+            answered < answers.size() ? answers[answered] : "";
+        ++answered;
+        if (text.empty())
+            link->close();
+        else
+            link->write(text);
+    }
+    event::listener accepting;
+    std::vector<event::connection_ptr> links;
+    std::vector<std::string> answers;
+    std::size_t answered = 0;
+    int connections = 0;
+};
+
+struct outcome {
+    int status = 0;
+    std::string body;
+    bool done = false;
+    bool failed = false;
+    call_failure why = call_failure::unreachable;
+};
+
+struct client {
+    client()
+        : server(owner)
+        , pool(owner)
+        , limit(owner) {}
+
+    outcome run(std::function<bool(const http1::response_head&)> belongs = {}) {
+        outcome seen;
+        call_request request;
+        request.head.method = "GET";
+        request.head.target = "/";
+        const auto running = call::start(
+            pool, {"s", {"127.0.0.1", server.accepting.port()}},
+            std::move(request), {},
+            {std::move(belongs),
+             [&](http1::response_head& head) { seen.status = head.status; },
+             [&](std::string_view piece) { seen.body += piece; },
+             [&] {
+                 seen.done = true;
+                 owner.stop();
+             },
+             [&](call_failure why) {
+                 seen.failed = true;
+                 seen.why = why;
+                 owner.stop();
+             }});
+        limit.start(test_limit, [&] { owner.stop(); });
+        owner.run();
+        limit.stop();
+        return seen;
+    }
+
+    event::loop owner;
+    scripted_server server;
+    connection_pool pool;
+    event::timer limit;
+};
+
+bool is_ours(const http1::response_head& head) {
+    const std::string* id = http1::find_field(head.fields, "Id");
+    return id != nullptr && *id == "mine";
+}
+
+} // namespace
+
+Test(call, connections_are_used_again) {
+    client caller;
+    caller.server.answers = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 201 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\nc\r\n0\r\n\r\n"};
+    cr_assert(caller.run().body == "ab");
+    const outcome second = caller.run();
+    cr_assert(second.status == 201);
+    cr_assert(second.body == "c");
+    cr_assert(caller.server.connections == 1);
+}
+
+Test(call, a_connection_with_surplus_bytes_is_not_used_again) {
+    client caller;
+    caller.server.answers = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"};
+    cr_assert(caller.run().body == "a");
+    cr_assert(caller.run().body == "b");
+    cr_assert(caller.server.connections == 2);
+}
+
+Test(call, an_answer_to_another_request_is_skipped) {
+    client caller;
+    caller.server.answers = {
+        "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 "
+        "200 OK\r\nId: mine\r\nContent-Length: 3\r\n\r\nnew"};
+    const outcome seen = caller.run(is_ours);
+    cr_assert(seen.done);
+    cr_assert(seen.body == "new");
+    cr_assert(caller.pool.idle("s") == 0);
+}
+
+Test(call, an_answer_that_ends_early_is_a_failure) {
+    client caller;
+    caller.server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"};
+    bool closed = false;
+    event::timer closing(caller.owner);
+    closing.start(base::milliseconds(100), [&] {
+        closed = true;
+        caller.server.links.front()->close();
+    });
+    const outcome seen = caller.run();
+    cr_assert(closed);
+    cr_assert(seen.failed);
+    cr_assert(seen.why == call_failure::ended);
+}
+
+Test(call, an_answer_without_length_is_whole_only_after_an_orderly_end) {
+    for (const bool orderly : {true, false}) {
+        client caller;
+        caller.server.answers = {"HTTP/1.1 200 OK\r\n\r\nab"};
+        event::timer closing(caller.owner);
+        closing.start(base::milliseconds(100), [&] {
+            if (orderly)
+                caller.server.links.front()->close();
+            else
+                caller.server.links.front()->reset();
+        });
+        const outcome seen = caller.run();
+        cr_assert(seen.done == orderly);
+        cr_assert(seen.failed == !orderly);
+    }
+}
+
+Test(call, noise_is_no_answer) {
+    client caller;
+    caller.server.answers = {"garbage without end\r\n\r\n"};
+    const outcome seen = caller.run();
+    cr_assert(seen.failed);
+    cr_assert(seen.why == call_failure::bad_answer);
+}
+
+Test(call, a_closed_connection_is_a_failure_after_sending) {
+    client caller;
+    caller.server.answers = {""};
+    const outcome seen = caller.run();
+    cr_assert(seen.failed);
+    cr_assert(seen.why == call_failure::ended);
+}
+
+Test(call, a_server_that_is_not_there_was_sent_nothing) {
+    client caller;
+    caller.server.accepting.close();
+    const outcome seen = caller.run();
+    cr_assert(seen.failed);
+    cr_assert(seen.why == call_failure::unreachable);
+}
+
+Test(call, informational_answers_are_passed_over) {
+    client caller;
+    caller.server.answers = {
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+        "1\r\n\r\nx"};
+    const outcome seen = caller.run();
+    cr_assert(seen.status == 200);
+    cr_assert(seen.body == "x");
+}
+
+Test(call, a_named_idle_time_of_nothing_is_heeded) {
+    client caller;
+    caller.server.answers = {
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: "
+        "1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\ny"};
+    caller.run();
+    cr_assert(caller.pool.idle("s") == 0);
+    caller.run();
+    cr_assert(caller.pool.idle("s") == 0);
+    cr_assert(caller.server.connections == 2);
+}
