--- /dev/null
+++ b/libs/orders/include/mintknot/orders/phase_plan.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// How many engines of a service read prompts, and how many decode.
+#ifndef MINTKNOT_ORDERS_PHASE_PLAN_HPP
+#define MINTKNOT_ORDERS_PHASE_PLAN_HPP
+
+#include <mintknot/traffic/phase_demand.hpp>
+#include <mintknot/traffic/server_table.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace mintknot::orders {
+
+/// One engine is to do something else from now on.
+struct phase_change {
+    std::string server_id;
+    traffic::engine_phase to = traffic::engine_phase::none;
+};
+
+/// An engine as it will be once all orders under way have been carried out.
+struct planned_engine {
+    const traffic::server* server = nullptr;
+    traffic::engine_phase phase = traffic::engine_phase::none;
+    bool unusable = false; ///< It is changing already, or to be avoided.
+};
+
+/// @return the share of engines that should read prompts: their part of the
+/// engine time that a request takes. A few requests' worth of a common mix
+/// stands in until enough has been observed.
+double prefill_share(const traffic::phase_demand& demand);
+
+/// @param engines all that take requests.
+/// @param work what is in flight at an engine; of those that could change,
+/// the one with the least does.
+/// @return the next change towards the balance, or nothing if the engines are
+/// near it, or as many are changing already as can be spared.
+std::optional<phase_change> plan_change(
+    const std::vector<planned_engine>& engines,
+    const traffic::phase_demand& demand,
+    const std::function<double(const traffic::server&)>& work);
+
+} // namespace mintknot::orders
+
+#endif
--- /dev/null
+++ b/libs/orders/src/phase_balancer.cpp
@@ -0,0 +1,294 @@
+#include <mintknot/orders/phase_balancer.hpp>
+
+namespace mintknot::orders {
+
+namespace {
+
+constexpr base::milliseconds order_time{700};
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+constexpr int status_fenced_off = 412;
+/// Pause after the store or an engine has refused something.
+constexpr base::milliseconds refused_pause{4000};
+
+} // namespace
+
+struct phase_balancer::impl {
+    /// An order whose effect the engine's row does not show yet.
+    struct pending_change {
+        traffic::engine_phase to = traffic::engine_phase::none;
+        base::steady_time until{}; ///< Then it is taken for lost.
+    };
+
+    /// What is under way for one service.
+    struct work {
+        explicit work(event::loop& owner)
+            : notice_timer(owner)
+            , limit(owner) {}
+        bool busy = false;
+        lease_view view;
+        held_lease lease;
+        base::steady_time not_before{};
+        /// Engines that have been ordered to change.
+        std::map<std::string, pending_change> changing;
+        event::timer notice_timer;
+        event::timer limit;
+        std::unique_ptr<upstream::call> call;
+        int status = 0;
+        std::string body;
+    };
+
+    impl(
+        relay::router& shared, state::store& rows, balancer_options settings,
+        std::function<bool()> decide)
+        : router(shared)
+        , store(rows)
+        , options(std::move(settings))
+        , responsible(std::move(decide))
+        , timer(shared.loop) {}
+
+    base::steady_time now() const { return router.loop.now(); }
+
+    void tick() {
+        timer.start(options.period, [this] { tick(); });
+        if (router.state.config == nullptr || router.state.stopping ||
+            !responsible())
+            return;
+        for (const auto& [name, service] : router.state.config->services)
+            if (service.engine)
+                look_after(name);
+    }
+
+    work& work_for(const std::string& service) {
+        auto& entry = works[service];
+        if (entry == nullptr)
+            entry = std::make_unique<work>(router.loop);
+        return *entry;
+    }
+
+    void look_after(const std::string& service) {
+        work& at = work_for(service);
+        if (at.busy || now() < at.not_before)
+            return;
+        const auto change = plan(service, at);
+        if (!change)
+            return;
+        at.busy = true;
+        if (may_take(at.view, options.holder, options.terms, now()))
+            take_lease(service, *change);
+        else
+            read_lease(service);
+    }
+
+    std::optional<phase_change> plan(const std::string& service, work& at) {
+        forget_changed(at);
+        std::vector<planned_engine> engines;
+        for (const traffic::server* engine :
+             traffic::open_servers(router.state.servers, service)) {
+            const auto changing = at.changing.find(engine->id);
+            if (changing != at.changing.end())
+                engines.push_back({engine, changing->second.to, true});
+            else
+                engines.push_back(
+                    {engine, engine->phase,
+                     traffic::avoided(router.state.health, engine->id, now())});
+        }
+        return plan_change(
+            engines, router.state.demands[service],
+            [this](const traffic::server& engine) {
+                const traffic::server_load load =
+                    traffic::total(router.state.loads, engine.id, now());
+                return load.prefill_tokens + load.memory_tokens;
+            });
+    }
+
+    void forget_changed(work& at) {
+        std::erase_if(at.changing, [this](const auto& item) {
+            const traffic::server* engine =
+                traffic::find(router.state.servers, item.first);
+            return now() > item.second.until || engine == nullptr ||
+                   engine->phase == item.second.to;
+        });
+    }
+
+    void rest(work& at, base::milliseconds pause) {
+        at.busy = false;
+        at.not_before = now() + pause;
+    }
+
+    void read_lease(const std::string& service) {
+        store.read(
+            state::collection::leases,
+            [this, service](const state::store_answer& answer) {
+                work& at = work_for(service);
+                if (answer.result != state::store_result::ok) {
+                    rest(at, refused_pause);
+                    return;
+                }
+                std::uint64_t version = 0;
+                std::string holder;
+                for (const state::document& row : answer.documents)
+                    if (row.key == service && row.text) {
+                        version = row.version;
+                        holder = *row.text;
+                    }
+                see(at.view, version, holder, now());
+                rest(
+                    at, may_take(at.view, options.holder, options.terms, now())
+                            ? base::milliseconds{0}
+                            : options.pause);
+            });
+    }
+
+    void take_lease(const std::string& service, const phase_change& change) {
+        const base::steady_time asked = now();
+        store.write(
+            state::collection::leases, service, work_for(service).view.version,
+            options.holder,
+            [this, service, change, asked](const state::write_answer& answer) {
+                on_taken(service, change, asked, answer);
+            });
+    }
+
+    void on_taken(
+        const std::string& service, const phase_change& change,
+        base::steady_time asked, const state::write_answer& answer) {
+        work& at = work_for(service);
+        router.log.write(
+            "lease", {{"service", service},
+                      {"outcome", state::to_string(answer.result)},
+                      {"fence", static_cast<std::int64_t>(answer.version)}});
+        if (answer.result != state::store_result::ok) {
+            // Taken by another, or perhaps by a call whose answer was lost.
+            at.view.read = false;
+            rest(at, refused_pause);
+            return;
+        }
+        see(at.view, answer.version, options.holder, now());
+        at.lease = {answer.version, asked};
+        announce(change.server_id);
+        at.notice_timer.start(options.notice, [this, service, change] {
+            ask_report(service, change);
+        });
+    }
+
+    /// Keeps everybody away from an engine that is about to change.
+    void announce(const std::string& server_id) {
+        traffic::note_change(
+            router.state.health, server_id, now() + options.change_time);
+        if (router.state.on_load_change)
+            router.state.on_load_change();
+    }
+
+    /// Sends a call to the engine; `then` is called once, also without answer.
+    void call_engine(
+        work& at, const traffic::server& engine, relay::own_call request,
+        const std::function<void()>& then) {
+        at.status = 0;
+        at.body.clear();
+        at.limit.start(order_time, then);
+        at.call = upstream::call::start(
+            router.pool, {engine.id, engine.where},
+            {std::move(request.head),
+             std::make_shared<const std::string>(std::move(request.body))},
+            {},
+            {nullptr,
+             [&at](http1::response_head& head) { at.status = head.status; },
+             [&at](std::string_view piece) { at.body.append(piece); }, then,
+             [&at, then](upstream::call_failure) {
+                 at.status = 0;
+                 then();
+             }});
+    }
+
+    void ask_report(const std::string& service, const phase_change& change) {
+        work& at = work_for(service);
+        const traffic::server* engine =
+            traffic::find(router.state.servers, change.server_id);
+        if (engine == nullptr) {
+            rest(at, options.pause);
+            return;
+        }
+        call_engine(
+            at, *engine, {router.protocol.report(engine->id), {}},
+            [this, service, change] { on_report(service, change); });
+    }
+
+    void on_report(const std::string& service, const phase_change& change) {
+        work& at = work_for(service);
+        at.limit.stop();
+        at.call.reset();
+        const auto report = at.status == status_ok
+                                ? router.protocol.read_report(at.body)
+                                : std::nullopt;
+        if (!report || report->busy || report->phase == change.to) {
+            rest(at, options.pause);
+            return;
+        }
+        send_order(service, change, report->orders_taken);
+    }
+
+    void send_order(
+        const std::string& service, const phase_change& change,
+        std::int64_t orders_taken) {
+        work& at = work_for(service);
+        const traffic::server* engine =
+            traffic::find(router.state.servers, change.server_id);
+        if (engine == nullptr || engine->draining ||
+            !may_order(at.lease, options.terms, now())) {
+            rest(at, options.pause);
+            return;
+        }
+        at.changing[change.server_id] = {
+            change.to, now() + options.change_time};
+        const relay::phase_order order{
+            change.to, options.holder, at.lease.fence, orders_taken};
+        call_engine(
+            at, *engine, router.protocol.order(order, engine->id),
+            [this, service, change] { on_ordered(service, change); });
+    }
+
+    void on_ordered(const std::string& service, const phase_change& change) {
+        work& at = work_for(service);
+        at.limit.stop();
+        at.call.reset();
+        router.log.write(
+            "order", {{"service", service},
+                      {"server", change.server_id},
+                      {"phase", traffic::to_string(change.to)},
+                      {"fence", static_cast<std::int64_t>(at.lease.fence)},
+                      {"status", std::int64_t{at.status}},
+                      {"says", at.body}});
+        if (at.status == status_fenced_off)
+            at.view.read = false;
+        const bool taken =
+            at.status == status_ok || at.status == status_accepted;
+        rest(at, taken ? options.pause : refused_pause);
+    }
+
+    relay::router& router;
+    state::store& store;
+    balancer_options options;
+    std::function<bool()> responsible;
+    event::timer timer;
+    std::map<std::string, std::unique_ptr<work>> works;
+};
+
+phase_balancer::phase_balancer(
+    relay::router& router, state::store& store, balancer_options options,
+    std::function<bool()> responsible)
+    : impl_(std::make_unique<impl>(
+          router, store, std::move(options), std::move(responsible))) {}
+
+phase_balancer::~phase_balancer() = default;
+
+void phase_balancer::start() {
+    if (impl_->options.enabled)
+        impl_->tick();
+}
+
+void phase_balancer::stop() {
+    impl_->timer.stop();
+}
+
+} // namespace mintknot::orders
--- /dev/null
+++ b/libs/orders/tests/test_phase_plan.cpp
@@ -0,0 +1,83 @@
+#include <mintknot/orders/phase_plan.hpp>
+
+#include <criterion/criterion.h>
+
+#include <list>
+
+using namespace mintknot;
+using namespace mintknot::orders;
+
+namespace {
+
+constexpr auto prefill = traffic::engine_phase::prefill;
+constexpr auto decode = traffic::engine_phase::decode;
+
+struct engines {
+    engines(int readers, int decoders) {
+        for (int i = 0; i < readers + decoders; ++i) {
+            traffic::server& value = servers.emplace_back();
+            value.id = "e" + std::to_string(i);
+            value.phase = i < readers ? prefill : decode;
+            planned.push_back({&value, value.phase, false});
+        }
+    }
+    std::optional<phase_change> plan() const {
+        return plan_change(planned, demand, [](const traffic::server& engine) {
+            return engine.id == "e1" ? 0.0 : 5.0;
+        });
+    }
+    std::list<traffic::server> servers;
+    std::vector<planned_engine> planned;
+    traffic::phase_demand demand;
+};
+
+/// Demand of requests that take this much engine time.
+traffic::phase_demand demand_of(int prefill_ms, double decode_seconds) {
+    traffic::phase_demand demand;
+    for (int i = 0; i < 300; ++i) {
+        traffic::note_read_alone(
+            demand, 1000 + i % 2, base::milliseconds(prefill_ms));
+        traffic::note_decode(demand, decode_seconds, base::milliseconds(1000));
+    }
+    return demand;
+}
+
+} // namespace
+
+Test(phase_plan, too_many_readers_give_the_idlest_one_away) {
+    const engines all(6, 6);
+    const auto change = all.plan();
+    cr_assert(change.has_value());
+    cr_assert(change->server_id == "e1");
+    cr_assert(change->to == decode);
+}
+
+Test(phase_plan, near_the_balance_nothing_changes) {
+    cr_assert(!engines(4, 8).plan().has_value());
+}
+
+Test(phase_plan, long_prompts_ask_for_readers) {
+    engines all(2, 10);
+    all.demand = demand_of(2000, 0.2);
+    const auto change = all.plan();
+    cr_assert(change.has_value());
+    cr_assert(change->to == prefill);
+}
+
+Test(phase_plan, the_last_reader_stays) {
+    engines all(1, 11);
+    all.demand = demand_of(1, 5.0);
+    cr_assert(!all.plan().has_value());
+}
+
+Test(phase_plan, no_more_change_than_can_be_spared) {
+    engines all(8, 4);
+    cr_assert(all.plan().has_value());
+    all.planned[0].unusable = true;
+    all.planned[2].unusable = true;
+    cr_assert(!all.plan().has_value());
+}
+
+Test(phase_plan, few_engines_are_left_alone) {
+    cr_assert(!engines(2, 0).plan().has_value());
+}
--- a/libs/peers/include/mintknot/peers/heartbeat.hpp
+++ b/libs/peers/include/mintknot/peers/heartbeat.hpp
@@ -33,7 +33,8 @@
     traffic::usage_map usage; ///< Retries within the last window.
     traffic::load_map loads;
     std::vector<server_warning> warnings;
-    std::vector<std::string> hosts; ///< Some instances that it hears.
+    std::vector<server_warning> changes; ///< Engines ordered to change phase.
+    std::vector<std::string> hosts;      ///< Some instances that it hears.
 };
 
 /// @return the heartbeat in MessagePack.
--- a/libs/peers/src/heartbeat.cpp
+++ b/libs/peers/src/heartbeat.cpp
@@ -10,7 +10,7 @@
 
 /// First element; tells heartbeats of other formats apart.
 constexpr int format = 1;
-constexpr std::size_t fields = 11;
+constexpr std::size_t fields = 12;
 constexpr std::size_t most_entries = 4096;
 
 json loads_to_json(const traffic::load_map& loads) {
@@ -79,6 +79,7 @@
         usage_to_json(value.usage),
         loads_to_json(value.loads),
         warnings_to_json(value.warnings),
+        warnings_to_json(value.changes),
         value.hosts};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
     return {bytes.begin(), bytes.end()};
@@ -100,7 +101,8 @@
         value.usage = usage_from(row[7]);
         value.loads = loads_from(row[8]);
         value.warnings = warnings_from(row[9]);
-        value.hosts = row[10].get<std::vector<std::string>>();
+        value.changes = warnings_from(row[10]);
+        value.hosts = row[11].get<std::vector<std::string>>();
         return value;
     } catch (const json::exception&) {
         return absl::InvalidArgumentError("a field has a wrong type");
--- a/libs/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/relay/include/mintknot/relay/dialect.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/base/time.hpp>
 #include <mintknot/http1/message.hpp>
+#include <mintknot/traffic/server_table.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,27 @@
     std::string server_id; ///< Only answers to health checks name it.
 };
 
+/// An order to an engine to do another part of the work from now on.
+struct phase_order {
+    traffic::engine_phase to = traffic::engine_phase::none;
+    std::string holder;
+    std::uint64_t fence = 0;
+    std::int64_t orders_taken = 0; ///< As it reports; else it does nothing.
+};
+
+/// What an engine says of itself when it is asked.
+struct engine_report {
+    traffic::engine_phase phase = traffic::engine_phase::none;
+    std::int64_t orders_taken = 0;
+    bool busy = false; ///< With an order.
+};
+
+/// A call that the router itself makes.
+struct own_call {
+    http1::request_head head;
+    std::string body;
+};
+
 /// The kept result of a prefill call.
 struct prefill_result {
     std::string handle;
@@ -76,6 +98,12 @@
     /// @return the health check of a server.
     virtual http1::request_head
     health(const std::string& path, const std::string& server_id) const = 0;
+    virtual http1::request_head report(const std::string& server_id) const = 0;
+    /// @return nothing if the body is no report.
+    virtual std::optional<engine_report>
+    read_report(std::string_view body) const = 0;
+    virtual own_call
+    order(const phase_order& value, const std::string& server_id) const = 0;
     /// @return where a result lies, as call_terms::prefill_result takes it.
     virtual std::string result_place(
         const std::string& server_address, const std::string& handle) const = 0;
--- a/libs/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -12,6 +12,7 @@
 #include <mintknot/relay/release_queue.hpp>
 #include <mintknot/traffic/catalogue.hpp>
 #include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/phase_demand.hpp>
 #include <mintknot/traffic/retry_allowance.hpp>
 #include <mintknot/traffic/selection.hpp>
 #include <mintknot/traffic/server_health.hpp>
@@ -58,6 +59,7 @@
     traffic::load_view loads;
     traffic::health_view health;
     traffic::read_rates rates;
+    std::unordered_map<std::string, traffic::phase_demand> demands;
     std::unordered_map<std::string, traffic::retry_allowance> allowances;
     traffic::retry_bounds retry_bounds;
     /// What peers have used of the retry bound, by peer.
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -8,6 +8,9 @@
 
 constexpr base::milliseconds room_poll{15};
 constexpr int most_prefills = 3;
+/// Part of the target latency within which a prefill engine must be done;
+/// else the decode engine reads the prompt itself.
+constexpr int read_time_part = 2;
 constexpr int most_rejections = 3;
 /// Connections that may fail before the next one waits a moment.
 constexpr int most_unreachable = 3;
@@ -95,13 +98,30 @@
             wait_for_room();
         return;
     }
-    if (prefill != nullptr &&
-        (prefills_ == 0 || spend_repeat(owner_, service_.name)))
+    if (prefill != nullptr && reads_in_time(*prefill) && may_send())
         start_prefill(*prefill);
     else
         start_decode();
 }
 
+bool generation_exchange::reads_in_time(const traffic::server& engine) const {
+    const traffic::selection_inputs inputs = selection_for(owner_, service_);
+    return traffic::expected_read_time(
+               inputs, engine, request_.terms.prompt_tokens) <
+           route_.target_latency / read_time_part;
+}
+
+bool generation_exchange::may_send() {
+    return arrivals_ == 0 || spend_repeat(owner_, service_.name);
+}
+
+void generation_exchange::note_taken_up() {
+    if (prefill_taken_up_)
+        return;
+    prefill_taken_up_ = true;
+    --arrivals_;
+}
+
 void generation_exchange::wait_for_room() {
     const room_terms terms = room_terms_for(
         owner_.state.deadlines[route_.name], route_.target_latency,
@@ -143,11 +163,14 @@
     const traffic::selection_inputs inputs = selection_for(owner_, service_);
     const double tokens = request_.terms.prompt_tokens;
     prefill_expected_ = traffic::expected_read_time(inputs, engine, tokens);
+    prefill_ahead_ = traffic::total(owner_.state.loads, engine.id, inputs.now)
+                         .prefill_tokens;
     prefill_server_ = engine.id;
     prefill_tried_.insert(engine.id);
     prefill_started_ = owner_.loop.now();
     prefill_body_.clear();
     ++prefills_;
+    ++arrivals_;
     add_load(owner_, prefill_server_, {1, tokens, 0.0});
     owner_.log.write(
         "prefill", {{"request", request_.terms.id},
@@ -213,10 +236,15 @@
     const auto took =
         std::chrono::duration_cast<base::milliseconds>(now - prefill_started_);
     traffic::note_read(
-        owner_.state.rates, prefill_server_, request_.terms.prompt_tokens,
-        took);
+        owner_.state.rates, prefill_server_,
+        request_.terms.prompt_tokens + prefill_ahead_, took);
+    if (prefill_ahead_ <= 0.0)
+        traffic::note_read_alone(
+            owner_.state.demands[service_.name], request_.terms.prompt_tokens,
+            took);
     note_result(
         owner_, prefill_server_, traffic::call_result::good, request_.terms.id);
+    note_taken_up();
     kept_.server = prefill_server_;
     kept_.handle = result->handle;
     kept_.place = owner_.protocol.result_place(kept_.place, result->handle);
@@ -234,12 +262,18 @@
 }
 
 void generation_exchange::on_prefill_silence() {
-    after_failed_prefill(traffic::call_result::silent, "prefill_silent");
+    after_failed_prefill(traffic::call_result::slow, "prefill_silent");
 }
 
 void generation_exchange::after_failed_prefill(
     traffic::call_result result, std::string_view reason) {
     note_result(owner_, prefill_server_, result, request_.terms.id);
+    if (result == traffic::call_result::unreachable)
+        --arrivals_;
+    else if (
+        result == traffic::call_result::failed ||
+        result == traffic::call_result::slow)
+        note_taken_up();
     owner_.log.write(
         "prefill_again", {{"request", request_.terms.id},
                           {"server", prefill_server_},
@@ -260,7 +294,7 @@
         }
         engine = traffic::find(owner_.state.servers, decode_server_);
     }
-    if (sends_ > 0 && !spend_repeat(owner_, service_.name)) {
+    if (!may_send()) {
         if (head_sent_)
             break_answer("retry_allowance_spent");
         else
@@ -269,7 +303,9 @@
     }
     const bool with_result = result_usable();
     decode_tried_.insert(decode_server_);
+    decode_started_ = owner_.loop.now();
     ++sends_;
+    ++arrivals_;
     ++runs_;
     streaming_ = false;
     splitter_ = {};
@@ -364,6 +400,7 @@
         note_result(
             owner_, decode_server_, traffic::call_result::good,
             request_.terms.id);
+        note_demand();
         decode_call_.reset();
         release_decode();
         if (head_sent_)
@@ -394,6 +431,16 @@
         answer_whole(std::move(answer_), std::move(failure_body_));
 }
 
+void generation_exchange::note_demand() {
+    const auto memory = static_cast<double>(service_.engine->memory_tokens);
+    if (memory <= 0.0)
+        return;
+    traffic::note_decode(
+        owner_.state.demands[service_.name], decode_reserved_ / memory,
+        std::chrono::duration_cast<base::milliseconds>(
+            owner_.loop.now() - decode_started_));
+}
+
 void generation_exchange::after_rejected_decode() {
     --runs_;
     ++rejected_;
@@ -432,6 +479,7 @@
     if (why == upstream::call_failure::unreachable) {
         --runs_;
         --sends_;
+        --arrivals_;
         note_result(
             owner_, decode_server_, traffic::call_result::unreachable,
             request_.terms.id);
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -40,6 +40,12 @@
     void wait_for_room();
     /// @return true if a kept result can still be handed over.
     bool result_usable() const;
+    /// @return true if the engine's queue leaves time for the rest.
+    bool reads_in_time(const traffic::server& engine) const;
+    /// @return true if one more call is within the retry allowance. The first
+    /// prefill that an engine takes up does not count.
+    bool may_send();
+    void note_taken_up();
     /// @param memory_share of an engine's memory that may be given out.
     bool reserve_decode(const std::string& data_centre, double memory_share);
     void release_decode();
@@ -61,6 +67,8 @@
     void on_decode_silence();
     void after_rejected_decode();
     void watch_silence();
+    /// Tells how much of the engine a finished decode has taken.
+    void note_demand();
     void go_on_elsewhere(traffic::call_result result, std::string_view reason);
     bool may_resume() const;
 
@@ -75,13 +83,17 @@
     answer_terms prefill_terms_;
     base::steady_time prefill_started_;
     base::milliseconds prefill_expected_{0};
+    double prefill_ahead_ = 0.0; ///< Tokens that were to be read before.
     traffic::excluded_servers prefill_tried_;
     int prefills_ = 0;
+    int arrivals_ = 0; ///< Calls that count against the retry allowance.
+    bool prefill_taken_up_ = false;
     kept_result kept_;
 
     std::unique_ptr<upstream::call> decode_call_;
     std::string decode_server_;
     double decode_reserved_ = 0.0;
+    base::steady_time decode_started_;
     traffic::excluded_servers decode_tried_;
     http1::response_head answer_;
     answer_terms answer_terms_;
--- a/libs/relay/tests/relay_fixture.cpp
+++ b/libs/relay/tests/relay_fixture.cpp
@@ -98,6 +98,35 @@
     return head;
 }
 
+http1::request_head test_dialect::report(const std::string& server_id) const {
+    http1::request_head head;
+    head.method = "GET";
+    head.target = "/report";
+    head.fields = {{"Host", "s"}, {"Target", server_id}};
+    return head;
+}
+
+std::optional<engine_report>
+test_dialect::read_report(std::string_view body) const {
+    if (!body.starts_with("taken "))
+        return std::nullopt;
+    engine_report value;
+    value.orders_taken = std::stoi(std::string(body.substr(6)));
+    return value;
+}
+
+own_call test_dialect::order(
+    const phase_order& value, const std::string& server_id) const {
+    own_call call;
+    call.head.method = "POST";
+    call.head.target = "/order";
+    call.head.fields = {{"Host", "s"}, {"Target", server_id}};
+    call.body = fmt::format(
+        "{} {} {}", traffic::to_string(value.to), value.fence,
+        value.orders_taken);
+    return call;
+}
+
 std::string test_dialect::result_place(
     const std::string&, const std::string& handle) const {
     return handle;
--- a/libs/relay/tests/relay_fixture.hpp
+++ b/libs/relay/tests/relay_fixture.hpp
@@ -30,6 +30,11 @@
         const std::string& handle, const std::string& server_id) const override;
     http1::request_head health(
         const std::string& path, const std::string& server_id) const override;
+    http1::request_head report(const std::string& server_id) const override;
+    std::optional<engine_report>
+    read_report(std::string_view body) const override;
+    own_call order(
+        const phase_order& value, const std::string& server_id) const override;
     std::string result_place(
         const std::string& server_address,
         const std::string& handle) const override;
--- a/libs/relay/tests/test_generation_exchange.cpp
+++ b/libs/relay/tests/test_generation_exchange.cpp
@@ -215,3 +215,33 @@
     cr_assert(seen.status == 500);
     cr_assert(seen.body == "oops");
 }
+
+Test(generation_exchange, a_long_prefill_queue_is_passed_by) {
+    relay_fixture f;
+    scripted_server& p = f.add_server("p", "llm", prefill, good_prefill("k1"));
+    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
+    traffic::add(f.shared.state.loads, "p", {1, 50000.0, 0.0});
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(p.requests.empty());
+    cr_assert(d.requests.size() == 1);
+}
+
+Test(generation_exchange, every_arrival_but_the_first_is_charged) {
+    // Found by a score of fvmcw-proto: a decode after a rejected prefill was
+    // not charged, and the bound of all instances was broken.
+    relay_fixture f;
+    f.shared.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
+    scripted_server& p = f.add_server("p", "llm", prefill, rejecting());
+    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
+    cr_assert(f.ask(prompt("/stream/x")).status == 503);
+    cr_assert(p.requests.size() == 1);
+    cr_assert(d.requests.empty());
+}
+
+Test(generation_exchange, the_prefill_that_is_taken_up_is_free) {
+    relay_fixture f;
+    f.shared.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
+    f.add_server("p", "llm", prefill, good_prefill("k1"));
+    f.add_server("d", "llm", decode, good_decode());
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+}
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -2,12 +2,16 @@
 
 #include "snapshot_fetcher.hpp"
 
+#include <mintknot/base/random.hpp>
+#include <mintknot/orders/phase_balancer.hpp>
 #include <mintknot/peers/peer_group.hpp>
 #include <mintknot/relay/drain.hpp>
 #include <mintknot/relay/entry_server.hpp>
 #include <mintknot/relay/local_server.hpp>
 #include <mintknot/state/store_reader.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <csignal>
 #include <unistd.h>
@@ -64,6 +68,9 @@
         , group(
               ports.loop, log, {settings.peer, settings.seed_hosts},
               group_functions())
+        , balancer(
+              shared, ports.store, balancer_options(),
+              [this] { return looks_after_orders(); })
         , drain_timer(ports.loop)
         , reload_timer(ports.loop) {
         shared.state.retry_bounds = settings.retry_bounds;
@@ -88,9 +95,14 @@
         const std::string& id, std::uint64_t version,
         std::optional<traffic::server> server) {
         const bool gone = !server;
+        const traffic::server* known = traffic::find(shared.state.servers, id);
+        const bool changed = known != nullptr && server.has_value() &&
+                             known->phase != server->phase;
         if (!traffic::apply(
                 shared.state.servers, id, version, std::move(server)))
             return;
+        if (changed)
+            traffic::end_change(shared.state.health, id);
         if (gone) {
             pool.drop(id);
             traffic::forget(shared.state.health, id);
@@ -99,6 +111,15 @@
         group.changed();
     }
 
+    orders::balancer_options balancer_options() const {
+        orders::balancer_options options;
+        options.enabled = settings.balance_phases;
+        options.holder =
+            fmt::format("{}/{}", settings.name, base::random_token());
+        options.terms.length = settings.order_lease;
+        return options;
+    }
+
     peers::group_handlers group_functions() {
         return {
             [this] { return describe(); },
@@ -122,14 +143,29 @@
             if (record.avoid_until > now)
                 own.warnings.push_back(
                     {id, base::time_left(record.avoid_until, now)});
+        for (const auto& [id, until] : shared.state.health.ordered_until)
+            if (until > now)
+                own.changes.push_back({id, base::time_left(until, now)});
         return own;
     }
 
+    /// One instance looks after orders: of those that hear each other, the
+    /// one with the first host.
+    bool looks_after_orders() const {
+        for (const auto& [host, peer] : group.table().heard)
+            if (!peer.leaving && host < settings.peer.host)
+                return false;
+        return true;
+    }
+
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat) {
         const base::steady_time now = ports.loop.now();
         traffic::set_peer(shared.state.loads, host, heartbeat.loads, now);
         shared.state.peer_usages[host] = {heartbeat.usage, now};
+        for (const peers::server_warning& change : heartbeat.changes)
+            traffic::note_peer_change(
+                shared.state.health, change.server_id, now + change.left);
         for (const peers::server_warning& warning : heartbeat.warnings)
             if (concerns_here(heartbeat, warning.server_id))
                 traffic::warn(
@@ -280,6 +316,7 @@
         entry.close_idle();
         configuration_reader.stop();
         server_reader.stop();
+        balancer.stop();
         log.write(
             "stopped",
             {{"after_ms", since.count()},
@@ -304,6 +341,7 @@
     state::store_reader server_reader;
     snapshot_fetcher fetcher;
     peers::peer_group group;
+    orders::phase_balancer balancer;
     event::timer drain_timer;
     event::timer reload_timer;
 };
@@ -326,6 +364,7 @@
                     {"entry", base::to_string(impl_->settings.entry)}});
     impl_->configuration_reader.start();
     impl_->server_reader.start();
+    impl_->balancer.start();
     return absl::OkStatus();
 }
 
--- a/libs/runtime/tests/test_instance.cpp
+++ b/libs/runtime/tests/test_instance.cpp
@@ -42,6 +42,15 @@
     health(const std::string&, const std::string&) const override {
         return {};
     }
+    http1::request_head report(const std::string&) const override { return {}; }
+    std::optional<relay::engine_report>
+    read_report(std::string_view) const override {
+        return std::nullopt;
+    }
+    relay::own_call
+    order(const relay::phase_order&, const std::string&) const override {
+        return {};
+    }
     std::string
     result_place(const std::string&, const std::string&) const override {
         return {};
@@ -86,6 +95,9 @@
     void watch(
         state::collection, std::uint64_t, base::milliseconds,
         state::store_handler) override {}
+    void write(
+        state::collection, const std::string&, std::uint64_t,
+        const std::string&, state::write_handler) override {}
     bool reachable = true;
 
 private:
--- a/libs/state/include/mintknot/state/store.hpp
+++ b/libs/state/include/mintknot/state/store.hpp
@@ -17,6 +17,7 @@
 enum class collection {
     configuration, ///< One document: the operator's configuration.
     servers,       ///< One document for each backend server.
+    leases,        ///< One document for each service whose engines get orders.
 };
 
 std::string_view to_string(collection value) noexcept;
@@ -31,6 +32,7 @@
 enum class store_result {
     ok,
     history_gone, ///< The changes asked for are no longer kept.
+    conflict,     ///< The row has another version; nothing was written.
     refused,      ///< The store answered that it did nothing.
     unreachable,  ///< No answer, or none that could be read.
 };
@@ -43,6 +45,14 @@
     std::uint64_t version = 0; ///< The store's newest at that moment.
 };
 
+/// What became of a conditional write. Without an answer it may have been
+/// done, or may be done later as long as its condition holds.
+struct write_answer {
+    store_result result = store_result::unreachable;
+    std::uint64_t version = 0; ///< Of the row, if it was written.
+};
+
+using write_handler = std::function<void(const write_answer&)>;
 using store_handler = std::function<void(store_answer)>;
 
 /// Calls are answered on the loop, never from within, and always once: an
@@ -57,6 +67,10 @@
     virtual void watch(
         collection what, std::uint64_t after, base::milliseconds wait,
         store_handler on_answer) = 0;
+    /// Writes a row if it has the version; 0: if it is not there.
+    virtual void write(
+        collection what, const std::string& key, std::uint64_t expected,
+        const std::string& text, write_handler on_answer) = 0;
 };
 
 } // namespace mintknot::state
--- a/libs/state/src/replica.cpp
+++ b/libs/state/src/replica.cpp
@@ -53,7 +53,15 @@
 } // namespace
 
 std::string_view to_string(collection value) noexcept {
-    return value == collection::configuration ? "configuration" : "servers";
+    switch (value) {
+    case collection::configuration:
+        return "configuration";
+    case collection::servers:
+        return "servers";
+    case collection::leases:
+        return "leases";
+    }
+    return "unknown";
 }
 
 std::string_view to_string(store_result value) noexcept {
@@ -62,6 +70,8 @@
         return "ok";
     case store_result::history_gone:
         return "history_gone";
+    case store_result::conflict:
+        return "conflict";
     case store_result::refused:
         return "refused";
     case store_result::unreachable:
--- a/libs/state/tests/test_store_reader.cpp
+++ b/libs/state/tests/test_store_reader.cpp
@@ -38,6 +38,9 @@
         calls.push_back("watch " + std::to_string(after));
         answer(on_answer);
     }
+    void write(
+        collection, const std::string&, std::uint64_t, const std::string&,
+        write_handler) override {}
     std::vector<std::string> calls;
     std::deque<store_answer> answers;
 
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/phase_demand.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// How much engine time requests take in each phase.
+#ifndef MINTKNOT_TRAFFIC_PHASE_DEMAND_HPP
+#define MINTKNOT_TRAFFIC_PHASE_DEMAND_HPP
+
+#include <mintknot/base/time.hpp>
+
+namespace mintknot::traffic {
+
+/// Sums over the requests of one service, weighed down with each new one.
+struct phase_demand {
+    double requests = 0.0;
+    double decode_seconds = 0.0; ///< Share of an engine's memory times time.
+    // Sums for a line through prompt length and time to read it, from reads
+    // that waited for nothing. Its slope is what a token costs the engine;
+    // what every read takes besides does not keep the engine busy.
+    double reads = 0.0;
+    double tokens = 0.0;
+    double time = 0.0;
+    double tokens_squared = 0.0;
+    double tokens_times_time = 0.0;
+};
+
+/// Takes a read of a prompt that waited for no other.
+void note_read_alone(
+    phase_demand& demand, double tokens, base::milliseconds took);
+
+/// Takes a finished decode. @param memory_share of the engine.
+void note_decode(
+    phase_demand& demand, double memory_share, base::milliseconds took);
+
+/// @return the engine time for reading a prompt of mean length, in seconds,
+/// or 0 if too little was seen.
+double prefill_seconds(const phase_demand& demand);
+
+} // namespace mintknot::traffic
+
+#endif
--- a/libs/traffic/include/mintknot/traffic/server_health.hpp
+++ b/libs/traffic/include/mintknot/traffic/server_health.hpp
@@ -41,6 +41,10 @@
     std::unordered_map<std::string, health_record> own;
     /// Until when a peer advises to avoid a server.
     std::unordered_map<std::string, base::steady_time> warned_until;
+    /// Until when an engine is not used because it changes its phase, by an
+    /// order of this instance or of a peer.
+    std::unordered_map<std::string, base::steady_time> ordered_until;
+    std::unordered_map<std::string, base::steady_time> peers_ordered_until;
 };
 
 /// Takes the result of a call. @return true if the server is avoided from now
@@ -49,6 +53,21 @@
     health_view& view, const std::string& id, call_result result,
     base::steady_time now);
 
+/// An engine changes its phase until then by an own order; see end_change().
+void note_change(
+    health_view& view, const std::string& id, base::steady_time until);
+
+/// The same by a peer's order. Not believed once its row has shown the change.
+void note_peer_change(
+    health_view& view, const std::string& id, base::steady_time until);
+
+/// @return true if an order for the engine is known to be under way.
+bool changing(
+    const health_view& view, const std::string& id, base::steady_time now);
+
+/// The row of an engine has told something new: it is used again.
+void end_change(health_view& view, const std::string& id);
+
 /// Takes a peer's warning, unless own calls have just shown otherwise.
 void warn(
     health_view& view, const std::string& id, base::steady_time until,
--- /dev/null
+++ b/libs/traffic/src/phase_demand.cpp
@@ -0,0 +1,52 @@
+#include <mintknot/traffic/phase_demand.hpp>
+
+#include <algorithm>
+
+namespace mintknot::traffic {
+
+namespace {
+
+/// Weight of what was known before, for each new observation.
+constexpr double memory = 0.99;
+constexpr double least_reads = 8.0;
+/// Least part of a read's time that keeps the engine busy.
+constexpr double least_slope_share = 0.5;
+constexpr double milliseconds_per_second = 1000.0;
+
+} // namespace
+
+void note_read_alone(
+    phase_demand& demand, double tokens, base::milliseconds took) {
+    const auto time = static_cast<double>(took.count());
+    demand.reads = demand.reads * memory + 1.0;
+    demand.tokens = demand.tokens * memory + tokens;
+    demand.time = demand.time * memory + time;
+    demand.tokens_squared = demand.tokens_squared * memory + tokens * tokens;
+    demand.tokens_times_time =
+        demand.tokens_times_time * memory + tokens * time;
+}
+
+void note_decode(
+    phase_demand& demand, double memory_share, base::milliseconds took) {
+    demand.requests = demand.requests * memory + 1.0;
+    demand.decode_seconds =
+        demand.decode_seconds * memory +
+        memory_share * std::chrono::duration<double>(took).count();
+}
+
+double prefill_seconds(const phase_demand& demand) {
+    if (demand.reads < least_reads)
+        return 0.0;
+    const double mean_tokens = demand.tokens / demand.reads;
+    const double mean_time = demand.time / demand.reads;
+    const double spread =
+        demand.tokens_squared / demand.reads - mean_tokens * mean_tokens;
+    const double together =
+        demand.tokens_times_time / demand.reads - mean_tokens * mean_time;
+    const double slope = spread > 1.0 ? together / spread : 0.0;
+    return std::clamp(
+               slope * mean_tokens, least_slope_share * mean_time, mean_time) /
+           milliseconds_per_second;
+}
+
+} // namespace mintknot::traffic
--- a/libs/traffic/src/retry_allowance.cpp
+++ b/libs/traffic/src/retry_allowance.cpp
@@ -14,9 +14,9 @@
 /// Most earned repeats that are kept.
 constexpr double most_earned = 4.0;
 /// Share of the whole bound up to which an instance spends beyond its part.
-constexpr double common_share = 0.55;
+constexpr double common_share = 0.5;
 /// Share of the whole bound above which not even the own part is spent.
-constexpr double stop_share = 0.85;
+constexpr double stop_share = 0.75;
 
 void refill(
     retry_allowance& allowance, const retry_bounds& bounds, double part,
--- a/libs/traffic/src/server_health.cpp
+++ b/libs/traffic/src/server_health.cpp
@@ -117,6 +117,34 @@
     record.failures_in_a_row = 0;
 }
 
+void note_change(
+    health_view& view, const std::string& id, base::steady_time until) {
+    view.ordered_until[id] = until;
+}
+
+void note_peer_change(
+    health_view& view, const std::string& id, base::steady_time until) {
+    // A later word of the same order must not extend it: a change that has
+    // been seen to end would otherwise begin again.
+    view.peers_ordered_until.emplace(id, until);
+}
+
+bool changing(
+    const health_view& view, const std::string& id, base::steady_time now) {
+    const auto is_later = [&](const auto& times) {
+        const auto found = times.find(id);
+        return found != times.end() && found->second > now;
+    };
+    return is_later(view.ordered_until) || is_later(view.peers_ordered_until);
+}
+
+void end_change(health_view& view, const std::string& id) {
+    view.ordered_until.erase(id);
+    view.warned_until.erase(id);
+    // Kept in the past: a peer may still speak of the change for a while.
+    view.peers_ordered_until[id] = base::steady_time{};
+}
+
 void warn(
     health_view& view, const std::string& id, base::steady_time until,
     base::steady_time now) {
@@ -131,6 +159,8 @@
     const health_view& view, const std::string& id, base::steady_time now) {
     if (avoided_until(view, id) > now)
         return true;
+    if (changing(view, id, now))
+        return true;
     const auto warned = view.warned_until.find(id);
     return warned != view.warned_until.end() && warned->second > now;
 }
@@ -155,6 +185,8 @@
 void forget(health_view& view, const std::string& id) {
     view.own.erase(id);
     view.warned_until.erase(id);
+    view.ordered_until.erase(id);
+    view.peers_ordered_until.erase(id);
 }
 
 } // namespace mintknot::traffic
--- a/libs/traffic/tests/test_server_health.cpp
+++ b/libs/traffic/tests/test_server_health.cpp
@@ -71,3 +71,20 @@
     warn(other, "s", start + seconds(5), start + base::milliseconds(100));
     cr_assert(!avoided(other, "s", start + base::milliseconds(100)));
 }
+
+Test(server_health, an_engine_that_changes_its_phase_is_not_used) {
+    health_view view;
+    note_change(view, "s", start + seconds(9));
+    cr_assert(avoided(view, "s", start));
+    end_change(view, "s");
+    cr_assert(!avoided(view, "s", start));
+}
+
+Test(server_health, a_peers_late_word_does_not_begin_a_change_again) {
+    health_view view;
+    note_peer_change(view, "s", start + seconds(9));
+    cr_assert(changing(view, "s", start));
+    end_change(view, "s");
+    note_peer_change(view, "s", start + seconds(9));
+    cr_assert(!changing(view, "s", start));
+}
