--- a/libs/orders/include/mintknot/orders/phase_plan.hpp
+++ b/libs/orders/include/mintknot/orders/phase_plan.hpp
@@ -26,7 +26,7 @@
 };
 
 /// @return the share of engines that should read prompts: their part of the
-/// engine time that a request takes. A few requests' worth of a common mix
+/// engine time that a request takes. Some requests of a common mix
 /// stands in until enough has been observed.
 double prefill_share(const traffic::phase_demand& demand);
 
--- a/libs/orders/src/phase_plan.cpp
+++ b/libs/orders/src/phase_plan.cpp
@@ -14,7 +14,7 @@
 /// prompt, and some seconds in a tenth of a decode engine's memory.
 constexpr double common_prefill = 0.1;
 constexpr double common_decode = 0.25;
-constexpr double common_requests = 10.0;
+constexpr double common_requests = 60.0;
 /// Prefill engines are kept idler than decode engines: what waits there delays
 /// the first token, what waits for memory is refused early.
 constexpr double prefill_headroom = 1.3;
@@ -22,7 +22,7 @@
 /// an engine for some seconds.
 constexpr double tolerance = 0.6;
 /// The same for more prefill engines: decode engines can read as well.
-constexpr double tolerance_for_more_prefill = 1.0;
+constexpr double tolerance_for_more_prefill = 1.5;
 /// One of so many engines may be changing at a time.
 constexpr std::size_t engines_for_one_change = 6;
 /// Services with fewer engines are left as they are.
