Add a randomized soak of real processes on stand-ins of the platform

Stand-ins for the store (rows, transactions, held watches), model engines and plain servers that speak the platform's protocol; a driver that kills, pauses and stops servers, instances and the store, changes the configuration, and checks the promises from what callers and servers saw.

--- a/libs/relay/tests/relay_fixture.cpp
+++ b/libs/relay/tests/relay_fixture.cpp
@@ -141,54 +141,10 @@
     return fields;
 }
 
-std::string received::field(std::string_view name) const {
-    return text_of(head.fields, name);
-}
-
 std::string caller_view::field(std::string_view name) const {
     return text_of(fields, name);
 }
 
-scripted_server::scripted_server(event::loop& owner, script function)
-    : behaviour(std::move(function))
-    , accepting_(owner) {
-    cr_assert(
-        accepting_
-            .open(
-                {"127.0.0.1", 0},
-                [this](const event::connection_ptr& link) { accept(link); })
-            .ok());
-}
-
-void scripted_server::accept(const event::connection_ptr& link) {
-    struct state {
-        std::unique_ptr<http1::request_parser> parser =
-            std::make_unique<http1::request_parser>(http1::message_limits{});
-        std::string pending;
-        std::string body;
-    };
-    const auto now = std::make_shared<state>();
-    const std::weak_ptr<event::connection> weak = link;
-    link->set_handlers(
-        {[this, now, link](std::string_view bytes) {
-             now->pending += bytes;
-             const std::size_t used =
-                 now->parser->put(now->pending, [&](std::string_view piece) {
-                     now->body += piece;
-                 });
-             now->pending.erase(0, used);
-             if (!now->parser->done())
-                 return;
-             requests.push_back({now->parser->head(), now->body});
-             now->parser = std::make_unique<http1::request_parser>(
-                 http1::message_limits{});
-             now->body.clear();
-             const received request = requests.back();
-             behaviour(request, link);
-         },
-         [this](event::connection_end) { ++ended; }, nullptr});
-}
-
 relay_fixture::relay_fixture()
     : log(-1, "test", {})
     , pool(owner)
--- a/libs/relay/tests/relay_fixture.hpp
+++ b/libs/relay/tests/relay_fixture.hpp
@@ -3,6 +3,8 @@
 #ifndef MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
 #define MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
 
+#include "scripted_server.hpp"
+
 #include <mintknot/event/listener.hpp>
 #include <mintknot/http1/message_parser.hpp>
 #include <mintknot/relay/entry_server.hpp>
@@ -43,33 +45,6 @@
         std::optional<base::milliseconds> retry_after) const override;
 };
 
-/// A request as a backend server has received it.
-struct received {
-    http1::request_head head;
-    std::string body;
-    std::string field(std::string_view name) const;
-};
-
-/// What a backend server does with a request.
-using script =
-    std::function<void(const received&, const event::connection_ptr&)>;
-
-/// A backend server whose behaviour is a function.
-class scripted_server {
-public:
-    scripted_server(event::loop& owner, script behaviour);
-    std::uint16_t port() const { return accepting_.port(); }
-    void stop() { accepting_.close(); }
-
-    std::vector<received> requests;
-    int ended = 0; ///< Connections that the other side has ended.
-    script behaviour;
-
-private:
-    void accept(const event::connection_ptr& link);
-    event::listener accepting_;
-};
-
 /// What a caller has seen on its connection.
 struct caller_view {
     std::string text;   ///< Everything, byte for byte.
--- a/libs/state/include/mintknot/state/store_reader.hpp
+++ b/libs/state/include/mintknot/state/store_reader.hpp
@@ -17,6 +17,9 @@
     base::milliseconds wait{6000};
     base::milliseconds first_backoff{60};
     base::milliseconds longest_backoff{800};
+    /// Changes that follow each other more closely are fetched together: each
+    /// call to the store has a price.
+    base::milliseconds gather{300};
 };
 
 /// Reads everything once, then follows the changes; reads everything again
@@ -56,6 +59,7 @@
     base::milliseconds backoff_{0};
     bool reachable_ = true;
     base::steady_time heard_{};
+    base::steady_time asked_{};
 };
 
 } // namespace mintknot::state
--- a/libs/state/src/store_reader.cpp
+++ b/libs/state/src/store_reader.cpp
@@ -35,6 +35,7 @@
 void store_reader::next() {
     if (stopped_)
         return;
+    asked_ = owner_.now();
     if (!whole_read_)
         source_.read(
             what_, [this](const store_answer& answer) { on_read(answer); });
@@ -78,7 +79,11 @@
     on_good_answer();
     seen_ = std::max(seen_, answer.version);
     target_.apply(what_, answer.documents, "store_watch");
-    next();
+    const base::steady_time now = owner_.now();
+    if (now - asked_ < options_.gather)
+        timer_.start(asked_ + options_.gather, [this] { next(); });
+    else
+        next();
 }
 
 void store_reader::on_good_answer() {
--- a/libs/state/tests/test_store_reader.cpp
+++ b/libs/state/tests/test_store_reader.cpp
@@ -57,14 +57,14 @@
 };
 
 struct fixture {
-    fixture()
+    explicit fixture(base::milliseconds gather = base::milliseconds(1))
         : source(owner)
         , log(-1, "test", {})
         , copy(codec, log, {[](auto) {}, [](auto&, auto, auto) {}})
         , reader(
               owner, source, copy, collection::servers, log,
               {base::milliseconds(1000), base::milliseconds(1),
-               base::milliseconds(2)},
+               base::milliseconds(2), gather},
               [] { return 0.5; }) {}
     void run() {
         reader.start();
@@ -123,3 +123,15 @@
         f.source.calls ==
         (calls{"read", "watch 8", "read", "read", "watch 9"}));
 }
+
+Test(store_reader, changes_in_close_succession_are_fetched_together) {
+    // Ninety servers that start one after another woke every instance ninety
+    // times.
+    constexpr base::milliseconds gather(40);
+    fixture f(gather);
+    f.source.answers = {good(1), good(2), good(3), good(4)};
+    const auto begun = f.owner.now();
+    f.run();
+    cr_assert(f.source.calls.size() == 5);
+    cr_assert(f.owner.now() - begun >= gather * 3);
+}
--- /dev/null
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -0,0 +1,257 @@
+/// @file
+/// Stand-in for a server of the platform: a model engine of one phase, or a
+/// plain server. It notes each run in a ledger before it begins.
+
+#include "scripted_server.hpp"
+
+#include <mintknot/http1/serialize.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <map>
+#include <set>
+#include <string>
+
+namespace {
+
+using namespace mintknot;
+using relay::tests::received;
+
+constexpr base::milliseconds heartbeat{300};
+constexpr base::milliseconds work_time{15};
+constexpr base::milliseconds event_time{12};
+constexpr base::milliseconds handle_life{500};
+constexpr int events_of_a_stream = 20;
+constexpr int status_misdirected = 421;
+
+struct engine_options {
+    base::address store;
+    std::string id;
+    std::string service;
+    std::string phase; ///< Empty: a plain server.
+    std::string ledger;
+};
+
+std::string event_of(const std::string& id, int number) {
+    return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+}
+
+class engine_stand_in {
+public:
+    engine_stand_in(event::loop& owner, engine_options options)
+        : owner_(owner)
+        , options_(std::move(options))
+        , pool_(owner)
+        , beat_timer_(owner)
+        , server_(
+              owner,
+              [this](
+                  const received& request, const event::connection_ptr& link) {
+                  serve(request, link);
+              })
+        , ledger_(::open(
+              options_.ledger.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644)) {}
+
+    ~engine_stand_in() { ::close(ledger_); }
+
+    bool open() {
+        if (ledger_ < 0 || !server_.open({"127.0.0.1", 0}).ok())
+            return false;
+        fmt::print("listening {}\n", server_.port());
+        std::fflush(stdout);
+        beat();
+        return true;
+    }
+
+private:
+    void beat() {
+        const nlohmann::json row = {
+            {"service", options_.service},
+            {"address", fmt::format("127.0.0.1:{}", server_.port())},
+            {"zone", "a"},
+            {"slots", 64},
+            {"state", "ready"},
+            {"phase", options_.phase},
+            {"seq_no", 0}};
+        const nlohmann::json put = {
+            {"put",
+             {{{"table", "servers"},
+               {"part", ""},
+               {"key", options_.id},
+               {"value", absl::Base64Escape(row.dump())}}}}};
+        upstream::call_request request;
+        request.head.method = "POST";
+        request.head.target = "/mintknot/rows-tx";
+        request.head.fields = {{"Host", "store"}};
+        request.body = std::make_shared<const std::string>(put.dump());
+        call_ = upstream::call::start(
+            pool_, {"store", options_.store}, std::move(request), {},
+            {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
+             [] {}, [](upstream::call_failure) {}});
+        beat_timer_.start(heartbeat, [this] { beat(); });
+    }
+
+    void serve(const received& request, const event::connection_ptr& link) {
+        const std::string id = request.field("X-Mintknot-Request-Id");
+        if (request.head.target == "/health") {
+            reply(link, 200, {{"X-Mintknot-Instance-Id", options_.id}}, "ok");
+            return;
+        }
+        if (request.head.target.starts_with("/mintknot/kv-handle/")) {
+            handles_.erase(request.head.target.substr(20));
+            reply(link, 200, {}, "");
+            return;
+        }
+        if (request.head.target == "/mintknot/report") {
+            reply(
+                link, 200, {},
+                R"({"phase":")" + options_.phase +
+                    R"(","seq_no":0,"busy":false})");
+            return;
+        }
+        if (request.field("X-Mintknot-Target-Instance") != options_.id) {
+            reject(link, id, status_misdirected);
+            return;
+        }
+        if (options_.phase.empty())
+            run_plain(id, link);
+        else if (request.field("X-Mintknot-Phase") == "prefill")
+            run_prefill(id, link);
+        else if (options_.phase == "decode")
+            run_decode(request, id, link);
+        else
+            reject(link, id, status_misdirected);
+    }
+
+    void reply(
+        const event::connection_ptr& link, int status,
+        const http1::field_list& fields, const std::string& body) {
+        link->write(http1::text_response(status, fields, body, true));
+    }
+
+    void reject(
+        const event::connection_ptr& link, const std::string& id, int status) {
+        reply(
+            link, status,
+            {{"X-Mintknot-Request-Id", id}, {"X-Mintknot-Not-Executed", "1"}},
+            "");
+    }
+
+    void note_run(const std::string& id) {
+        const std::string line = id + "\n";
+        if (::write(ledger_, line.data(), line.size()) < 0)
+            std::perror("ledger");
+    }
+
+    http1::field_list sealed(const std::string& id) {
+        return {
+            {"X-Mintknot-Request-Id", id}, {"X-Mintknot-Response-Seal", "s"}};
+    }
+
+    void run_plain(const std::string& id, const event::connection_ptr& link) {
+        note_run(id);
+        after(work_time, [this, id, link] {
+            reply(link, 200, sealed(id), "answer to " + id);
+        });
+    }
+
+    void run_prefill(const std::string& id, const event::connection_ptr& link) {
+        if (options_.phase != "prefill") {
+            reject(link, id, status_misdirected);
+            return;
+        }
+        after(work_time, [this, id, link] {
+            const std::string handle = options_.id + "-" + id;
+            handles_.insert(handle);
+            after(handle_life, [this, handle] { handles_.erase(handle); });
+            reply(
+                link, 200, {{"X-Mintknot-Request-Id", id}},
+                R"({"kv_handle":")" + handle + R"(","tokens":1})");
+        });
+    }
+
+    void run_decode(
+        const received& request, const std::string& id,
+        const event::connection_ptr& link) {
+        note_run(id);
+        int from = 0;
+        if (!absl::SimpleAtoi(request.field("Last-Event-Id"), &from))
+            from = 0;
+        http1::response_head head;
+        head.status = 200;
+        head.fields = sealed(id);
+        head.fields.push_back({"Content-Type", "text/event-stream"});
+        head.body = http1::framing::chunked;
+        link->write(http1::serialize(head));
+        send_event(id, from + 1, link);
+    }
+
+    void send_event(
+        const std::string& id, int number, const event::connection_ptr& link) {
+        if (number > events_of_a_stream) {
+            link->write(std::string(http1::last_chunk));
+            return;
+        }
+        link->write(http1::chunk(event_of(id, number)));
+        after(event_time, [this, id, number, link] {
+            send_event(id, number + 1, link);
+        });
+    }
+
+    void after(base::milliseconds delay, std::function<void()> action) {
+        const std::uint64_t number = ++last_timer_;
+        auto& timer = timers_[number];
+        timer = std::make_unique<event::timer>(owner_);
+        timer->start(delay, [this, number, action = std::move(action)] {
+            action();
+            owner_.post([this, number] { timers_.erase(number); });
+        });
+    }
+
+    event::loop& owner_;
+    engine_options options_;
+    upstream::connection_pool pool_;
+    event::timer beat_timer_;
+    relay::tests::scripted_server server_;
+    std::unique_ptr<upstream::call> call_;
+    int ledger_;
+    std::set<std::string> handles_;
+    std::uint64_t last_timer_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<event::timer>> timers_;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    TCLAP::CmdLine line("Stand-in for a server of the platform", ' ', "1");
+    const auto text = [&line](const char* name, const char* what, bool needed) {
+        return std::make_unique<TCLAP::ValueArg<std::string>>(
+            "", name, what, needed, "", "text", line);
+    };
+    const auto store = text("store", "address of the store", true);
+    const auto id = text("id", "its ID", true);
+    const auto service = text("service", "its service", true);
+    const auto phase = text("phase", "prefill or decode", false);
+    const auto ledger = text("ledger", "file that takes the runs", true);
+    line.parse(argc, argv);
+    const auto where = base::parse_address(store->getValue());
+    if (!where.ok())
+        return 2;
+    event::loop owner;
+    engine_stand_in engine(
+        owner, {*where, id->getValue(), service->getValue(), phase->getValue(),
+                ledger->getValue()});
+    if (!engine.open())
+        return 1;
+    owner.run();
+    return 0;
+}
--- /dev/null
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -0,0 +1,46 @@
+/// @file
+/// Runs soaks by hand: one for each seed.
+
+#include "soak_run.hpp"
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+
+int main(int argc, char** argv) {
+    using namespace mintknot;
+    TCLAP::CmdLine line("Randomized soak on stand-ins", ' ', "1");
+    TCLAP::ValueArg<int> seed("s", "seed", "first seed", false, 1, "N", line);
+    TCLAP::ValueArg<int> seeds("n", "seeds", "how many", false, 1, "N", line);
+    TCLAP::ValueArg<int> length(
+        "l", "length", "seconds of faults", false, 8, "S", line);
+    TCLAP::ValueArg<int> instances(
+        "i", "instances", "instances", false, 3, "N", line);
+    TCLAP::SwitchArg planned(
+        "p", "planned", "planned work only: nothing may be cut off", line);
+    TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
+    line.parse(argc, argv);
+    int failed = 0;
+    for (int i = 0; i < seeds.getValue(); ++i) {
+        soak::soak_options options;
+        options.seed = static_cast<std::uint64_t>(seed.getValue() + i);
+        options.length = std::chrono::seconds(length.getValue());
+        options.instances = static_cast<std::size_t>(instances.getValue());
+        options.planned_only = planned.getValue();
+        const soak::soak_result result = soak::run_soak(options);
+        fmt::print(
+            "seed {}: {} requests, {} answered, {} refused, {} faults, {} "
+            "promises broken\n",
+            options.seed, result.requests, result.answered, result.refused,
+            result.faults.size(), result.broken.size());
+        for (const std::string& broken : result.broken)
+            fmt::print("  broken: {}\n", broken);
+        if (verbose.getValue() || !result.broken.empty())
+            for (const std::string& fault : result.faults)
+                fmt::print("  {}\n", fault);
+        std::fflush(stdout);
+        failed += result.broken.empty() ? 0 : 1;
+    }
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/testing/soak/src/soak_clients.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// Callers of a soak.
+#ifndef MINTKNOT_SOAK_SOAK_CLIENTS_HPP
+#define MINTKNOT_SOAK_SOAK_CLIENTS_HPP
+
+#include "soak_checks.hpp"
+
+#include <mintknot/base/address.hpp>
+#include <mintknot/event/loop.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mintknot::soak {
+
+/// Open-loop callers: each sends a request of a random kind to a random
+/// instance now and then, on connections that it keeps while they last.
+class soak_clients {
+public:
+    soak_clients(
+        event::loop& owner, std::vector<base::address> entries,
+        std::uint64_t seed);
+    ~soak_clients();
+    soak_clients(const soak_clients&) = delete;
+    soak_clients& operator=(const soak_clients&) = delete;
+
+    void start(std::size_t callers, base::milliseconds pause);
+    /// No request begins any more; those under way go on.
+    void stop();
+    std::size_t open() const;
+    const std::vector<caller_record>& records() const;
+
+    /// Sends one request. @param on_record told of its end.
+    void send(
+        request_kind kind, std::size_t entry,
+        std::function<void(const caller_record&)> on_record);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mintknot::soak
+
+#endif
--- /dev/null
+++ b/testing/soak/src/soak_run.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// One soak: load, faults from outside, checks.
+#ifndef MINTKNOT_SOAK_SOAK_RUN_HPP
+#define MINTKNOT_SOAK_SOAK_RUN_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mintknot::soak {
+
+struct soak_options {
+    std::uint64_t seed = 1;
+    base::milliseconds length{8000};
+    std::size_t instances = 3;
+    std::size_t callers = 20;
+    /// Only planned work: SIGTERM to instances, SIGHUP, new configurations.
+    bool planned_only = false;
+};
+
+struct soak_result {
+    std::vector<std::string> broken; ///< Promises, a line each.
+    std::vector<std::string> faults; ///< What was done, with its time.
+    std::size_t requests = 0;
+    std::size_t answered = 0; ///< With success and whole.
+    std::size_t refused = 0;  ///< 503.
+};
+
+/// Runs a system under load, does random harm to it, ends the harm, waits
+/// until it serves every kind of request again, and checks the promises.
+soak_result run_soak(const soak_options& options);
+
+} // namespace mintknot::soak
+
+#endif
--- /dev/null
+++ b/testing/soak/src/soak_system.cpp
@@ -0,0 +1,192 @@
+#include "soak_system.hpp"
+
+#include <mintknot/event/datagrams.hpp>
+#include <mintknot/event/loop.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <absl/strings/escaping.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+
+namespace mintknot::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr base::milliseconds call_limit{2000};
+
+std::uint16_t free_port() {
+    event::loop owner;
+    event::datagrams probe(owner);
+    if (!probe.open({"127.0.0.1", 0}, [](auto&, auto) {}).ok())
+        return 0;
+    return probe.port();
+}
+
+json route(
+    const std::string& name, const std::string& kind,
+    const std::string& service, int attempts, bool resumable) {
+    return {
+        {"name", name},
+        {"host", "soak.example"},
+        {"path_prefix", "/" + name + "/"},
+        {"kind", kind},
+        {"timeout_ms", 4000},
+        {"target_latency_ms", 400},
+        {"priority", 1},
+        {"service", service},
+        {"max_attempts", attempts},
+        {"resumable", resumable}};
+}
+
+json configuration(int version) {
+    json routes = {
+        route("safe", "safe", "app", 2, false),
+        route("unsafe", "unsafe", "app", 1, false),
+        route("stream", "streaming", "llm", 1, false),
+        route("resumable", "streaming", "llm", 2, true)};
+    routes.push_back(
+        route(fmt::format("v{}", version), "safe", "app", 2, false));
+    return {
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 200}},
+          {{"name", "llm"},
+           {"health_path", "/health"},
+           {"max_conns", 200},
+           {"engine", {{"kv_tokens", 100000}, {"handle_ttl_s", 0.5}}}}}},
+        {"limits",
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 4194304},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}}};
+}
+
+} // namespace
+
+soak_system::soak_system(std::string directory, std::size_t instances)
+    : directory_(std::move(directory))
+    , port_(free_port()) {
+    store_.program = "platform-store";
+    store_.running = std::make_unique<harness::child_process>(
+        store_.program, store_.arguments, path("store.log"));
+    store_port_ = store_.running->wait_for_port();
+    change_configuration();
+    for (const char* phase :
+         {"prefill", "prefill", "decode", "decode", "decode", "", ""}) {
+        servers_.emplace_back();
+        servers_.back().program = "platform-engine";
+        servers_.back().arguments = {phase};
+        restart_server(servers_.size() - 1);
+    }
+    instances_.resize(instances);
+    for (std::size_t i = 0; i < instances; ++i)
+        restart_instance(i);
+}
+
+std::string soak_system::path(const std::string& name) const {
+    return directory_ + "/" + name;
+}
+
+std::string soak_system::host(std::size_t instance) const {
+    return fmt::format("127.0.0.{}", 11 + instance);
+}
+
+base::address soak_system::entry(std::size_t instance) const {
+    return {host(instance), static_cast<std::uint16_t>(port_ + 1)};
+}
+
+base::address soak_system::readiness(std::size_t instance) const {
+    return {host(instance), static_cast<std::uint16_t>(port_ + 2)};
+}
+
+void soak_system::restart_server(std::size_t index) {
+    soak_process& server = servers_[index];
+    const std::string phase = server.arguments.front();
+    const std::string id = fmt::format("i{}-{}", index, ++server_lives_);
+    std::vector<std::string> arguments = {
+        "--store",   fmt::format("127.0.0.1:{}", store_port_),
+        "--id",      id,
+        "--service", phase.empty() ? "app" : "llm",
+        "--ledger",  path("ledger")};
+    if (!phase.empty()) {
+        arguments.emplace_back("--phase");
+        arguments.push_back(phase);
+    }
+    server.running.reset();
+    server.running = std::make_unique<harness::child_process>(
+        server.program, arguments, path("server.log"));
+    server.running->wait_for_port();
+    server.paused = false;
+}
+
+std::string soak_system::write_settings(std::size_t instance) const {
+    const std::string file = path(fmt::format("settings-{}", instance));
+    std::ofstream out(file);
+    out << fmt::format(
+        "node=e{}\nzone=a\nip={}\nlisten.front={}\nlisten.readiness={}\n"
+        "port_range={},{}\nseeds={}:1,{}:1\nlimits.memory_mb=110\n"
+        "limits.max_fds=900\nbounds.grace_s=4\nbounds.budget_extra=58\n"
+        "platform.address=127.0.0.1:{}\n",
+        instance, host(instance), base::to_string(entry(instance)),
+        base::to_string(readiness(instance)), port_, port_ + 3, host(0),
+        host(1), store_port_);
+    return file;
+}
+
+void soak_system::restart_instance(std::size_t index) {
+    soak_process& instance = instances_[index];
+    instance.program = "mintknotd-platform";
+    instance.arguments = {"--settings", write_settings(index)};
+    instance.running.reset();
+    instance.running = std::make_unique<harness::child_process>(
+        instance.program, instance.arguments, path("instance.log"));
+    instance.paused = false;
+}
+
+bool soak_system::change_configuration() {
+    const json put = {
+        {"put",
+         {{{"table", "op"},
+           {"part", ""},
+           {"key", "config"},
+           {"value",
+            absl::Base64Escape(configuration(++configuration_).dump())}}}}};
+    event::loop owner;
+    upstream::connection_pool pool(owner);
+    event::timer limit(owner);
+    upstream::call_request request;
+    request.head.method = "POST";
+    request.head.target = "/mintknot/rows-tx";
+    request.head.fields = {{"Host", "store"}};
+    request.body = std::make_shared<const std::string>(put.dump());
+    bool done = false;
+    const auto call = upstream::call::start(
+        pool, {"store", {"127.0.0.1", store_port_}}, std::move(request), {},
+        {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
+         [&] {
+             done = true;
+             owner.stop();
+         },
+         [&](upstream::call_failure) { owner.stop(); }});
+    limit.start(call_limit, [&] { owner.stop(); });
+    owner.run();
+    return done;
+}
+
+run_counts soak_system::runs() const {
+    run_counts counts;
+    std::ifstream ledger(path("ledger"));
+    std::string id;
+    while (std::getline(ledger, id))
+        ++counts[id];
+    return counts;
+}
+
+} // namespace mintknot::soak
