Leave servers alone that reject everything; repair the relay's fixture

Two rejections in a row now keep a server out for half a second, longer with each further one. Ruled out: full engines (others had room), lapsed handles (rejections did not follow the prefill engine).

--- a/libs/relay/tests/relay_fixture.cpp
+++ b/libs/relay/tests/relay_fixture.cpp
@@ -181,6 +181,7 @@
     const std::string& id, const std::string& service,
     traffic::engine_phase phase, script behaviour) {
     scripted_server& added = servers_.emplace_back(owner, std::move(behaviour));
+    cr_assert(added.open({"127.0.0.1", 0}).ok());
     add_row(id, service, phase, added.port());
     return added;
 }
--- a/libs/traffic/include/mintknot/traffic/server_health.hpp
+++ b/libs/traffic/include/mintknot/traffic/server_health.hpp
@@ -30,6 +30,7 @@
     double good = 0.0;
     double bad = 0.0;
     int failures_in_a_row = 0;
+    int rejections_in_a_row = 0;
     int ejections = 0; ///< Since it was last trusted.
     base::steady_time changed{};
     base::steady_time avoid_until{};
--- a/libs/traffic/src/server_health.cpp
+++ b/libs/traffic/src/server_health.cpp
@@ -14,6 +14,11 @@
 /// Failures in a row after which a server is avoided.
 constexpr int failures_to_eject = 3;
 constexpr int slow_calls_to_eject = 2;
+/// Rejections in a row after which a server is left alone for a moment, longer
+/// with each further one.
+constexpr int rejections_to_pause = 2;
+constexpr base::milliseconds rejection_pause{500};
+constexpr int most_rejection_pauses = 4;
 /// How long a server is avoided that is no longer at its address.
 constexpr base::milliseconds misdirected_ejection{10000};
 /// How much longer a server is avoided after a failed health check.
@@ -45,6 +50,21 @@
     return fresh;
 }
 
+/// A server that turns everything away has nothing to do and would be chosen
+/// again and again for that.
+bool note_rejection(health_record& record, base::steady_time now) {
+    ++record.rejections_in_a_row;
+    if (record.rejections_in_a_row < rejections_to_pause)
+        return false;
+    const bool fresh = record.avoid_until <= now;
+    const int steps = std::min(
+        record.rejections_in_a_row - rejections_to_pause + 1,
+        most_rejection_pauses);
+    record.avoid_until =
+        std::max(record.avoid_until, now + rejection_pause * steps);
+    return fresh;
+}
+
 bool to_be_ejected(const health_record& record, call_result result) {
     if (result == call_result::unreachable || result == call_result::silent ||
         result == call_result::misdirected)
@@ -62,6 +82,7 @@
 void note_good(health_record& record, base::steady_time now) {
     record.good += 1.0;
     record.failures_in_a_row = 0;
+    record.rejections_in_a_row = 0;
     record.good_at = now;
     if (record.avoid_until <= now)
         record.ejections = std::max(0, record.ejections - 1);
@@ -99,7 +120,7 @@
         return false;
     }
     if (result == call_result::rejected)
-        return false;
+        return note_rejection(record, now);
     record.bad += 1.0;
     ++record.failures_in_a_row;
     return to_be_ejected(record, result) && eject(record, result, now);
--- a/libs/traffic/tests/test_server_health.cpp
+++ b/libs/traffic/tests/test_server_health.cpp
@@ -33,13 +33,30 @@
     cr_assert(note(view, "s", call_result::slow, start));
 }
 
-Test(server_health, rejections_say_nothing_of_health) {
+Test(server_health, one_rejection_says_nothing_of_health) {
     health_view view;
-    for (int i = 0; i < 20; ++i)
-        note(view, "s", call_result::rejected, start);
+    for (int i = 0; i < 20; ++i) {
+        cr_assert(!note(view, "s", call_result::rejected, start));
+        note(view, "s", call_result::good, start);
+    }
     cr_assert(!avoided(view, "s", start));
 }
 
+Test(server_health, a_server_that_rejects_everything_is_left_alone) {
+    // Found in an incident: an engine that was changing its phase was empty,
+    // was chosen for that, and turned 153 requests away.
+    health_view view;
+    cr_assert(!note(view, "s", call_result::rejected, start));
+    cr_assert(note(view, "s", call_result::rejected, start));
+    cr_assert(avoided(view, "s", start));
+    const auto first = avoided_until(view, "s");
+    note(view, "s", call_result::rejected, first);
+    cr_assert(avoided_until(view, "s") - first > first - start);
+    for (int i = 0; i < 50; ++i)
+        note(view, "s", call_result::rejected, start + seconds(9));
+    cr_assert(!avoided(view, "s", start + seconds(12)));
+}
+
 Test(server_health, an_unreachable_server_is_avoided_longer_each_time) {
     health_view view;
     base::steady_time now = start;
