--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -24,7 +24,8 @@
     int failed = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
         soak::soak_options options;
-        options.seed = static_cast<std::uint64_t>(seed.getValue() + i);
+        options.seed = static_cast<std::uint64_t>(seed.getValue()) +
+                       static_cast<std::uint64_t>(i);
         options.length = std::chrono::seconds(length.getValue());
         options.instances = static_cast<std::size_t>(instances.getValue());
         options.planned_only = planned.getValue();
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -127,7 +127,7 @@
 }
 
 std::string soak_system::write_settings(std::size_t instance) const {
-    const std::string file = path(fmt::format("settings-{}", instance));
+    std::string file = path(fmt::format("settings-{}", instance));
     std::ofstream out(file);
     out << fmt::format(
         "node=e{}\nzone=a\nip={}\nlisten.front={}\nlisten.readiness={}\n"
