--- a/libs/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/relay/include/mintknot/relay/exchange.hpp
@@ -83,6 +83,10 @@
     void end_answer(std::string_view outcome);
     void break_answer(std::string_view reason);
 
+    /// @return true if an answer is this request's own: a surplus answer to an
+    /// earlier one may come first. A rejection may lack the ID.
+    bool belongs(const http1::response_head& head) const;
+
     call_terms terms_for(const traffic::server& server) const;
     upstream::call_request call_for(const call_terms& terms) const;
 
--- a/libs/relay/src/exchange.cpp
+++ b/libs/relay/src/exchange.cpp
@@ -166,6 +166,12 @@
                      {"total_ms", since_arrival().count()}});
 }
 
+bool exchange::belongs(const http1::response_head& head) const {
+    const answer_terms terms = owner_.protocol.read_answer(head);
+    return terms.request_id == request_.terms.id ||
+           (terms.request_id.empty() && terms.not_executed);
+}
+
 call_terms exchange::terms_for(const traffic::server& server) const {
     call_terms terms;
     terms.server_id = server.id;
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -23,6 +23,9 @@
     void drained() override;
 
 private:
+    /// Part of a decode engine's memory that is given out.
+    static constexpr double free_share = 0.97;
+
     /// A KV cache that a prefill engine keeps for this request.
     struct kept_result {
         std::string server; ///< Empty: there is none.
--- a/libs/relay/src/health_prober.cpp
+++ b/libs/relay/src/health_prober.cpp
@@ -83,8 +83,14 @@
         plan(id);
         return;
     }
-    // The state holds the handler that is running: let it go afterwards.
-    owner_.post([this, id] { watched_.erase(id); });
+    // The state holds the handler that is running: let it go afterwards. The
+    // server may be avoided again by then.
+    owner_.post([this, id] {
+        watched_.erase(id);
+        const auto again = find_check_(id);
+        if (again && again->due > owner_.now())
+            watch(id);
+    });
 }
 
 } // namespace mintknot::relay
--- a/libs/relay/src/plain_exchange.cpp
+++ b/libs/relay/src/plain_exchange.cpp
@@ -1,5 +1,7 @@
 #include "plain_exchange.hpp"
 
+#include "answer_status.hpp"
+
 #include <algorithm>
 
 namespace mintknot::relay {
@@ -10,7 +12,6 @@
 constexpr std::size_t most_held_bytes = 256 * 1024;
 constexpr int most_rejections = 3;
 constexpr int most_unreachable = 4;
-constexpr int status_misdirected = 421;
 /// Silence after which a server is doubted: some target latencies, but early
 /// enough that a repeatable request can still be answered elsewhere.
 constexpr int patience = 3;
@@ -82,11 +83,7 @@
     call_ = upstream::call::start(
         owner_.pool, {chosen->id, chosen->where}, call_for(terms_for(*chosen)),
         {},
-        {[this](const http1::response_head& head) {
-             const answer_terms terms = owner_.protocol.read_answer(head);
-             return terms.request_id == request_.terms.id ||
-                    (terms.request_id.empty() && terms.not_executed);
-         },
+        {[this](const http1::response_head& head) { return belongs(head); },
          [this](http1::response_head& head) { on_head(head); },
          [this](std::string_view piece) { on_body(piece); },
          [this] { on_done(); },
@@ -108,7 +105,7 @@
         return;
     }
     body_.append(piece);
-    const bool success = answer_.status >= 200 && answer_.status < 300;
+    const bool success = is_success(answer_.status);
     const bool stream = answer_terms_.event_stream && answer_terms_.sealed &&
                         !answer_terms_.encoded && success;
     if (stream || body_.size() > most_held_bytes)
@@ -161,7 +158,7 @@
         return;
     }
     raise(base::verdict::ran);
-    const bool success = answer_.status >= 200 && answer_.status < 300;
+    const bool success = is_success(answer_.status);
     const bool spoiled =
         answer_terms_.encoded || (success && !answer_terms_.sealed);
     const bool failed = spoiled || answer_.status >= 500;
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr base::milliseconds drain_poll{50};
-constexpr base::milliseconds reload_period{1000};
+constexpr base::milliseconds reload_period{2000};
 constexpr base::milliseconds last_words{60};
 /// Instances that are assumed until more have been heard.
 constexpr std::size_t least_instances = 10;
@@ -279,8 +279,24 @@
                                  fresh.status().message().size())}});
             return;
         }
-        shared.state.retry_bounds = fresh->retry_bounds;
-        settings.grace = fresh->grace;
+        take(*fresh, cause);
+    }
+
+    /// The settings file may change without a signal.
+    void watch_settings() {
+        reload_timer.start(reload_period, [this] {
+            const auto fresh = ports.reload();
+            if (fresh.ok() &&
+                (fresh->retry_bounds != shared.state.retry_bounds ||
+                 fresh->grace != settings.grace))
+                take(*fresh, "file");
+            watch_settings();
+        });
+    }
+
+    void take(const instance_settings& fresh, std::string_view cause) {
+        shared.state.retry_bounds = fresh.retry_bounds;
+        settings.grace = fresh.grace;
         log.write("reloaded", {{"cause", cause}});
     }
 
@@ -365,6 +381,7 @@
     impl_->configuration_reader.start();
     impl_->server_reader.start();
     impl_->balancer.start();
+    impl_->watch_settings();
     return absl::OkStatus();
 }
 
--- a/libs/runtime/tests/test_instance.cpp
+++ b/libs/runtime/tests/test_instance.cpp
@@ -241,6 +241,38 @@
     cr_assert(refused);
 }
 
+Test(instance, takes_new_settings_without_a_signal) {
+    // With the longer grace of the new settings the stop is not over at once.
+    fixture f;
+    memory_store store(f.owner);
+    int reads = 0;
+    instance one(
+        settings_for("127.0.0.2", f.port),
+        instance_ports{
+            f.owner, f.protocol, f.codec, store,
+            [&]() -> absl::StatusOr<instance_settings> {
+                ++reads;
+                auto fresh = settings_for("127.0.0.2", f.port);
+                fresh.grace = base::milliseconds(1000);
+                return fresh;
+            }});
+    cr_assert(one.start().ok());
+    event::timer polling(f.owner);
+    base::steady_time stopped{};
+    std::function<void()> wait = [&] {
+        if (reads == 0) {
+            polling.start(base::milliseconds(10), [&] { wait(); });
+            return;
+        }
+        stopped = f.owner.now();
+        std::raise(SIGTERM);
+    };
+    wait();
+    f.owner.run();
+    cr_assert(!f.late);
+    cr_assert(f.owner.now() - stopped >= base::milliseconds(200));
+}
+
 Test(instance, an_address_in_use_is_an_error) {
     fixture f;
     memory_store store(f.owner);
--- a/libs/traffic/include/mintknot/traffic/retry_allowance.hpp
+++ b/libs/traffic/include/mintknot/traffic/retry_allowance.hpp
@@ -19,6 +19,8 @@
     double ratio = 0.2;
     double extra = 20.0;
     base::milliseconds window{10000};
+
+    bool operator==(const retry_bounds&) const = default;
 };
 
 /// Requests and repeats of one service within the last window.
