--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -17,6 +17,9 @@
 constexpr double decode_distance_cost = 0.1;
 /// Cost of another data centre, in milliseconds of reading.
 constexpr double prefill_distance_cost = 15.0;
+/// Services with more servers than this are not looked at as a whole.
+constexpr std::size_t most_to_look_at = 24;
+constexpr double drawn_servers = 12.0;
 /// Random part of a score, so that instances do not all choose alike.
 constexpr double jitter = 0.08;
 constexpr double prefill_jitter_ms = 10.0;
@@ -38,13 +41,16 @@
            share;
 }
 
-const server* best_of(
+/// @param drawn_share of the servers is looked at.
+const server* best_of_drawn(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    const score_function& score, bool with_avoided) {
+    const score_function& score, bool with_avoided, double drawn_share) {
     const server* best = nullptr;
     double lowest = impossible;
     for (const server* candidate :
          open_servers(inputs.servers, inputs.target.name)) {
+        if (drawn_share < 1.0 && inputs.draw() >= drawn_share)
+            continue;
         if (excluded.contains(candidate->id))
             continue;
         if (!with_avoided && avoided(inputs.health, candidate->id, inputs.now))
@@ -60,6 +66,24 @@
     return best;
 }
 
+/// Among many servers, each instance draws a few and takes the best of them:
+/// if all looked at all, they would choose the same ones by loads that are a
+/// moment old.
+const server* best_of(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    const score_function& score, bool with_avoided) {
+    const std::size_t servers =
+        open_servers(inputs.servers, inputs.target.name).size();
+    if (servers > most_to_look_at) {
+        const double share = drawn_servers / static_cast<double>(servers);
+        const server* drawn =
+            best_of_drawn(inputs, excluded, score, with_avoided, share);
+        if (drawn != nullptr)
+            return drawn;
+    }
+    return best_of_drawn(inputs, excluded, score, with_avoided, 1.0);
+}
+
 /// @return true if a server is there that need not be avoided, whether it has
 /// room or not.
 bool any_trusted(
--- a/libs/traffic/tests/test_selection.cpp
+++ b/libs/traffic/tests/test_selection.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <random>
+#include <set>
+
 using namespace mintknot;
 using namespace mintknot::traffic;
 
@@ -134,3 +137,36 @@
     add(pool.loads, "s", {2, 0.0, 0.0});
     cr_assert(select_plain(pool.inputs(), {}) == nullptr);
 }
+
+Test(selection, instances_with_the_same_view_do_not_all_choose_alike) {
+    // Found on the grown site: 86 instances with the same loads, a moment old,
+    // sent their requests to the same few of 90 engines.
+    small_pool pool;
+    for (int i = 0; i < 60; ++i) {
+        const std::string id = "d" + std::to_string(i);
+        pool.add_server(id, engine_phase::decode);
+        add(pool.loads, id, {1, 0.0, 100.0 * i});
+    }
+    std::minstd_rand random(7);
+    std::set<std::string> chosen;
+    for (int instance = 0; instance < 86; ++instance) {
+        selection_inputs inputs = pool.inputs();
+        inputs.draw = [&random] {
+            return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+        };
+        chosen.insert(name_of(select_decode(inputs, {}, {100.0, 1.0, ""})));
+    }
+    cr_assert(chosen.size() > 10);
+}
+
+Test(selection, if_no_drawn_server_has_room_all_are_looked_at) {
+    small_pool pool;
+    for (int i = 0; i < 60; ++i) {
+        const std::string id = "d" + std::to_string(i);
+        pool.add_server(id, engine_phase::decode);
+        if (i != 30)
+            add(pool.loads, id, {1, 0.0, 9990.0});
+    }
+    cr_assert(
+        name_of(select_decode(pool.inputs(), {}, {100.0, 1.0, ""})) == "d30");
+}
