Silence ends no answer that cannot go on elsewhere; one step places a request

The call was dropped first, and only then was the retry allowance asked, which was spent: a healthy answer was cut beside a change of the configuration. Ruled out: the engine (its run ended with our close), the deadline, the route's timeout, a stop of the instance.

Change: the allowance is charged before an engine is left for its silence; where it gives nothing, the exchange goes on waiting. A prefill that counts is sent only where the call that runs the request is still in the allowance.

Test: generation_exchange::silence_without_allowance_does_not_end_an_answer, which fails with the allowance asked late (switched off and tried).

--- a/libs/routing/include/mintknot/routing/rendezvous.hpp
+++ b/libs/base/include/mintknot/base/rendezvous.hpp
@@ -1,13 +1,13 @@
 /// @file
 /// Rendezvous hashing: who does a job, agreed without messages.
-#ifndef MINTKNOT_ROUTING_RENDEZVOUS_HPP
-#define MINTKNOT_ROUTING_RENDEZVOUS_HPP
+#ifndef MINTKNOT_BASE_RENDEZVOUS_HPP
+#define MINTKNOT_BASE_RENDEZVOUS_HPP
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace mintknot::routing {
+namespace mintknot::base {
 
 /// @return the node with the highest hash for the job; an empty text if there
 /// are no nodes. All who know the same nodes choose the same one, and a node
@@ -15,6 +15,6 @@
 std::string
 rendezvous(std::string_view job, const std::vector<std::string>& nodes);
 
-} // namespace mintknot::routing
+} // namespace mintknot::base
 
 #endif
--- a/libs/routing/src/rendezvous.cpp
+++ b/libs/base/src/rendezvous.cpp
@@ -1,8 +1,8 @@
-#include <mintknot/routing/rendezvous.hpp>
+#include <mintknot/base/rendezvous.hpp>
 
 #include <xxhash.h>
 
-namespace mintknot::routing {
+namespace mintknot::base {
 
 std::string
 rendezvous(std::string_view job, const std::vector<std::string>& nodes) {
@@ -23,4 +23,4 @@
     return best == nullptr ? std::string{} : *best;
 }
 
-} // namespace mintknot::routing
+} // namespace mintknot::base
--- a/libs/routing/tests/test_rendezvous.cpp
+++ b/libs/base/tests/test_rendezvous.cpp
@@ -1,4 +1,4 @@
-#include <mintknot/routing/rendezvous.hpp>
+#include <mintknot/base/rendezvous.hpp>
 
 #include <criterion/criterion.h>
 
@@ -7,9 +7,9 @@
 using namespace mintknot;
 
 Test(rendezvous, does_not_depend_on_the_order) {
-    const auto chosen = routing::rendezvous("job", {"a", "b", "c"});
-    cr_assert(chosen == routing::rendezvous("job", {"c", "a", "b"}));
-    cr_assert(routing::rendezvous("job", {}).empty());
+    const auto chosen = base::rendezvous("job", {"a", "b", "c"});
+    cr_assert(chosen == base::rendezvous("job", {"c", "a", "b"}));
+    cr_assert(base::rendezvous("job", {}).empty());
 }
 
 Test(rendezvous, a_node_that_goes_moves_only_its_own_jobs) {
@@ -18,10 +18,10 @@
     std::map<std::string, int> jobs;
     for (int i = 0; i < 1000; ++i) {
         const auto job = std::to_string(i);
-        const auto before = routing::rendezvous(job, all);
+        const auto before = base::rendezvous(job, all);
         ++jobs[before];
         if (before != "d")
-            cr_assert(routing::rendezvous(job, rest) == before);
+            cr_assert(base::rendezvous(job, rest) == before);
     }
     for (const auto& [node, count] : jobs)
         cr_assert(count > 150 && count < 350, "%s", node.c_str());
--- a/libs/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -8,6 +8,7 @@
 #include <mintknot/relay/admission.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/health_prober.hpp>
+#include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
 #include <mintknot/traffic/catalogue.hpp>
@@ -42,8 +43,6 @@
         traffic::selection_policy::least_loaded;
     prefill_policy prefill = prefill_policy::separate;
     bool repeats = true; ///< Whether requests are ever sent again.
-    /// Whether decode engines get requests that wait in their own queue.
-    bool queue_at_engines = false;
     /// Part of the expected output that is reserved in a decode engine's
     /// memory. Requests are at different points of their output: on average
     /// each holds about half of it.
@@ -90,6 +89,7 @@
     health_prober& prober;
     relay_options options;
     router_state state{};
+    placer* placement = nullptr; ///< Null: every request is placed here.
     std::minstd_rand random{std::random_device{}()};
 
     double draw() {
@@ -118,6 +118,12 @@
 /// @return true if one more send for the service is within the allowance.
 bool spend_repeat(router& owner, const std::string& service);
 
+/// Places a request: here and at once, or by asking. @return the question, or
+/// null where `then` has been called already.
+std::unique_ptr<placement_ticket> place_request(
+    router& owner, const traffic::service& target,
+    traffic::placement_query query, const placement_handler& then);
+
 /// @return the inputs of a selection, valid while the router is not changed.
 traffic::selection_inputs
 selection_for(router& owner, const traffic::service& target);
--- a/libs/relay/src/generation_decode.cpp
+++ b/libs/relay/src/generation_decode.cpp
@@ -23,11 +23,8 @@
     const traffic::server* engine =
         traffic::find(owner_.state.servers, decode_server_);
     if (engine == nullptr || engine->draining) {
-        if (!reserve_decode("", free_share)) {
-            wait_for_room();
-            return;
-        }
-        engine = traffic::find(owner_.state.servers, decode_server_);
+        place();
+        return;
     }
     if (!may_send()) {
         if (head_sent_)
@@ -226,7 +223,9 @@
 }
 
 void generation_exchange::on_decode_silence() {
-    if (!may_resume()) {
+    // Silence alone does not end an answer: the engine is left only where the
+    // request may go on elsewhere.
+    if (!may_resume() || !prepay(1)) {
         note_result(
             owner_, decode_server_, traffic::call_result::silent,
             request_.terms.id);
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -7,10 +7,12 @@
 namespace {
 
 constexpr base::milliseconds room_poll{15};
+/// The same where each poll is a message to another instance.
+constexpr base::milliseconds room_poll_by_message{60};
 constexpr int most_prefills = 3;
-/// Part of an engine's memory that is given out with the requests that wait
-/// in the engine's own queue.
-constexpr double queued_share = 1.15;
+/// Part of the target latency within which a prefill engine must be done;
+/// else the decode engine reads the prompt itself.
+constexpr int read_time_part = 2;
 
 } // namespace
 
@@ -32,6 +34,7 @@
 }
 
 void generation_exchange::cancel_calls() {
+    placement_.reset();
     wait_timer_.stop();
     silence_timer_.stop();
     end_prefill();
@@ -56,39 +59,74 @@
     return !kept_.server.empty() && owner_.loop.now() < kept_.until;
 }
 
-void generation_exchange::place() {
-    if (result_usable() || rejected_ > 1) {
-        if (reserve_decode("", free_share))
-            start_decode();
-        else
-            wait_for_room();
-        return;
-    }
-    const traffic::selection_inputs inputs = selection_for(owner_, service_);
+traffic::placement_query generation_exchange::query() const {
     const bool reads_apart =
         owner_.options.prefill == prefill_policy::separate &&
-        prefills_ < most_prefills;
-    const traffic::server* prefill =
-        reads_apart ? traffic::select_prefill(
-                          inputs, prefill_tried_, request_.terms.prompt_tokens)
-                    : nullptr;
-    if (!reserve_decode(
-            prefill == nullptr ? "" : prefill->data_centre, free_share)) {
-        // An engine's own queue holds a few more, which it reads itself.
-        if (owner_.options.queue_at_engines && reserve_decode("", queued_share))
-            start_decode();
-        else
-            wait_for_room();
+        prefills_ < most_prefills && !result_usable() && rejected_ <= 1;
+    traffic::placement_query wanted;
+    wanted.service = service_.name;
+    wanted.kind = reads_apart ? traffic::placement_kind::prefill_and_decode
+                              : traffic::placement_kind::decode;
+    wanted.prompt_tokens = request_.terms.prompt_tokens;
+    wanted.memory_tokens = memory_needed();
+    wanted.read_limit = route_.target_latency / read_time_part;
+    wanted.may_return = rejected_ == 0;
+    wanted.excluded = decode_tried_;
+    wanted.excluded_prefill = prefill_tried_;
+    return wanted;
+}
+
+void generation_exchange::place() {
+    release_decode();
+    placement_ = place_request(
+        owner_, service_, query(),
+        [this](const traffic::placement& placed) { on_placed(placed); });
+}
+
+void generation_exchange::on_placed(const traffic::placement& placed) {
+    const traffic::server* decode =
+        traffic::find(owner_.state.servers, placed.server);
+    if (decode == nullptr || decode->draining) {
+        wait_for_room();
         return;
     }
-    if (prefill != nullptr && reads_in_time(*prefill) && may_send())
-        start_prefill(*prefill);
+    decode_server_ = decode->id;
+    decode_reserved_ = memory_needed();
+    add_load(owner_, decode_server_, {1, 0.0, decode_reserved_});
+    const traffic::server* prefill =
+        traffic::find(owner_.state.servers, placed.prefill);
+    if (prefill != nullptr && may_send_before_decode())
+        start_prefill(*prefill, placed.tokens_ahead);
     else
         start_decode();
 }
 
+bool generation_exchange::prepay(int calls) {
+    while (prepaid_ < calls) {
+        if (!spend_repeat(owner_, service_.name))
+            return false;
+        ++prepaid_;
+    }
+    return true;
+}
+
+bool generation_exchange::may_send_before_decode() {
+    if (arrivals_ == 0)
+        return true;
+    // The call that runs the request must be left.
+    if (!prepay(2))
+        return false;
+    --prepaid_;
+    return true;
+}
+
 bool generation_exchange::may_send() {
-    return arrivals_ == 0 || spend_repeat(owner_, service_.name);
+    if (arrivals_ == 0)
+        return true;
+    if (!prepay(1))
+        return false;
+    --prepaid_;
+    return true;
 }
 
 void generation_exchange::wait_for_room() {
@@ -101,7 +139,11 @@
         give_up("no_capacity", terms.come_back);
         return;
     }
-    wait_timer_.start(room_poll, [this] { place(); });
+    wait_timer_.start(
+        owner_.placement != nullptr && owner_.placement->active()
+            ? room_poll_by_message
+            : room_poll,
+        [this] { place(); });
 }
 
 void generation_exchange::log_room() {
@@ -118,24 +160,6 @@
          {"waited_ms", since_arrival().count()}});
 }
 
-bool generation_exchange::reserve_decode(
-    const std::string& data_centre, double memory_share) {
-    release_decode();
-    const traffic::selection_inputs inputs = selection_for(owner_, service_);
-    const traffic::decode_request wanted{
-        memory_needed(), memory_share, data_centre};
-    const traffic::server* chosen =
-        traffic::select_decode(inputs, decode_tried_, wanted);
-    if (chosen == nullptr && !decode_tried_.empty() && rejected_ == 0)
-        chosen = traffic::select_decode(inputs, {}, wanted);
-    if (chosen == nullptr)
-        return false;
-    decode_server_ = chosen->id;
-    decode_reserved_ = memory_needed();
-    add_load(owner_, decode_server_, {1, 0.0, decode_reserved_});
-    return true;
-}
-
 void generation_exchange::release_decode() {
     if (decode_server_.empty())
         return;
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -23,9 +23,6 @@
     void drained() override;
 
 private:
-    /// Part of a decode engine's memory that is given out.
-    static constexpr double free_share = 0.97;
-
     /// A KV cache that a prefill engine keeps for this request.
     struct kept_result {
         std::string server; ///< Empty: there is none.
@@ -38,24 +35,28 @@
     void cancel_calls() override;
     bool may_be_running() const override;
 
+    /// What the request needs now.
+    traffic::placement_query query() const;
     /// Places the request, or waits for room for a moment.
     void place();
+    void on_placed(const traffic::placement& placed);
     void wait_for_room();
     void log_room();
     /// @return true if a kept result can still be handed over.
     bool result_usable() const;
-    /// @return true if the engine's queue leaves time for the rest.
-    bool reads_in_time(const traffic::server& engine) const;
     /// @return true if one more call is within the retry allowance. The first
     /// prefill that an engine takes up does not count.
     bool may_send();
+    /// The same for a prefill: the call that runs the request must be left.
+    bool may_send_before_decode();
+    /// Takes calls out of the allowance ahead of time.
+    bool prepay(int calls);
     void note_taken_up();
-    /// @param memory_share of an engine's memory that may be given out.
-    bool reserve_decode(const std::string& data_centre, double memory_share);
     void release_decode();
     double memory_needed() const;
 
-    void start_prefill(const traffic::server& engine);
+    /// @param ahead tokens that the engine reads before.
+    void start_prefill(const traffic::server& engine, double ahead);
     void on_prefill_done();
     void on_prefill_failure(upstream::call_failure why);
     void on_prefill_silence();
@@ -80,6 +81,7 @@
     /// Frees a kept result that will not be used.
     void drop_result();
 
+    std::unique_ptr<placement_ticket> placement_;
     std::unique_ptr<upstream::call> prefill_call_;
     std::string prefill_server_;
     std::string prefill_body_;
@@ -91,6 +93,7 @@
     traffic::excluded_servers prefill_tried_;
     int prefills_ = 0;
     int arrivals_ = 0; ///< Calls that count against the retry allowance.
+    int prepaid_ = 0;  ///< Calls that the allowance has been charged for.
     bool prefill_taken_up_ = false;
     kept_result kept_;
 
--- a/libs/relay/src/generation_prefill.cpp
+++ b/libs/relay/src/generation_prefill.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Part of the target latency within which a prefill engine must be done;
-/// else the decode engine reads the prompt itself.
-constexpr int read_time_part = 2;
 constexpr std::size_t most_result_bytes = 64 * 1024;
 /// A kept result is used only while this much of its life is left.
 constexpr base::milliseconds result_margin{60};
@@ -22,13 +19,6 @@
 
 } // namespace
 
-bool generation_exchange::reads_in_time(const traffic::server& engine) const {
-    const traffic::selection_inputs inputs = selection_for(owner_, service_);
-    return traffic::expected_read_time(
-               inputs, engine, request_.terms.prompt_tokens) <
-           route_.target_latency / read_time_part;
-}
-
 void generation_exchange::note_taken_up() {
     if (prefill_taken_up_)
         return;
@@ -36,12 +26,12 @@
     --arrivals_;
 }
 
-void generation_exchange::start_prefill(const traffic::server& engine) {
-    const traffic::selection_inputs inputs = selection_for(owner_, service_);
+void generation_exchange::start_prefill(
+    const traffic::server& engine, double ahead) {
     const double tokens = request_.terms.prompt_tokens;
-    prefill_expected_ = traffic::expected_read_time(inputs, engine, tokens);
-    prefill_ahead_ = traffic::total(owner_.state.loads, engine.id, inputs.now)
-                         .prefill_tokens;
+    prefill_ahead_ = ahead;
+    prefill_expected_ =
+        traffic::read_time(owner_.state.rates, engine.id, ahead + tokens);
     prefill_server_ = engine.id;
     prefill_tried_.insert(engine.id);
     prefill_started_ = owner_.loop.now();
--- a/libs/relay/src/plain_exchange.cpp
+++ b/libs/relay/src/plain_exchange.cpp
@@ -42,6 +42,7 @@
 }
 
 void plain_exchange::cancel_calls() {
+    placement_.reset();
     call_.reset();
     silence_timer_.stop();
     release_load();
@@ -59,9 +60,18 @@
 }
 
 void plain_exchange::send() {
-    const traffic::selection_inputs inputs = selection_for(owner_, service_);
-    const traffic::server* chosen = traffic::select_plain(inputs, tried_);
-    if (chosen == nullptr) {
+    traffic::placement_query wanted;
+    wanted.service = service_.name;
+    wanted.excluded = tried_;
+    placement_ = place_request(
+        owner_, service_, std::move(wanted),
+        [this](const traffic::placement& placed) { on_placed(placed); });
+}
+
+void plain_exchange::on_placed(const traffic::placement& placed) {
+    const traffic::server* chosen =
+        traffic::find(owner_.state.servers, placed.server);
+    if (chosen == nullptr || chosen->draining) {
         give_up("no_backend_server");
         return;
     }
--- a/libs/relay/src/plain_exchange.hpp
+++ b/libs/relay/src/plain_exchange.hpp
@@ -25,6 +25,7 @@
     bool may_be_running() const override;
 
     void send();
+    void on_placed(const traffic::placement& placed);
     void on_head(http1::response_head& head);
     void on_body(std::string_view piece);
     void on_done();
@@ -36,6 +37,7 @@
     bool may_repeat_after_run() const;
     void release_load();
 
+    std::unique_ptr<placement_ticket> placement_;
     std::unique_ptr<upstream::call> call_;
     std::string server_; ///< ID of the one that is working on it.
     traffic::excluded_servers tried_;
--- a/libs/relay/src/router_state.cpp
+++ b/libs/relay/src/router_state.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/relay/router_state.hpp>
 
+#include <utility>
+
 namespace mintknot::relay {
 
 namespace {
@@ -69,6 +71,15 @@
                owner.loop.now());
 }
 
+std::unique_ptr<placement_ticket> place_request(
+    router& owner, const traffic::service& target,
+    traffic::placement_query query, const placement_handler& then) {
+    if (owner.placement != nullptr && owner.placement->active())
+        return owner.placement->ask(std::move(query), then);
+    then(traffic::choose(selection_for(owner, target), query));
+    return nullptr;
+}
+
 traffic::selection_inputs
 selection_for(router& owner, const traffic::service& target) {
     return {
--- a/libs/relay/tests/test_generation_exchange.cpp
+++ b/libs/relay/tests/test_generation_exchange.cpp
@@ -245,3 +245,24 @@
     f.add_server("d", "llm", decode, good_decode());
     cr_assert(f.ask(prompt("/stream/x")).body == all_events);
 }
+
+Test(generation_exchange, silence_without_allowance_does_not_end_an_answer) {
+    relay_fixture f;
+    f.shared.state.retry_bounds.extra = 0.0;
+    f.shared.state.retry_bounds.ratio = 0.0;
+    event::timer later(f.owner);
+    const script pausing =
+        [&later](const received& to, const event::connection_ptr& link) {
+            link->write(stream_head(to) + http1::chunk(event_text(1)));
+            later.start(base::milliseconds(1500), [link] {
+                link->write(
+                    http1::chunk(event_text(2) + event_text(3)) +
+                    std::string(http1::last_chunk));
+            });
+        };
+    f.add_server("d1", "llm", decode, pausing);
+    f.add_server("d2", "llm", decode, pausing);
+    const caller_view seen = f.ask(prompt("/resume/x"));
+    cr_assert(seen.whole);
+    cr_assert(seen.body == all_events);
+}
--- /dev/null
+++ b/libs/traffic/include/mintknot/traffic/placement.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// Which servers one request goes to, chosen in one step.
+#ifndef MINTKNOT_TRAFFIC_PLACEMENT_HPP
+#define MINTKNOT_TRAFFIC_PLACEMENT_HPP
+
+#include <mintknot/traffic/selection.hpp>
+
+#include <string>
+
+namespace mintknot::traffic {
+
+/// What a request needs servers for.
+enum class placement_kind {
+    plain,             ///< A server of a plain service.
+    plain_with_room,   ///< The same, but only one with a free slot.
+    decode,            ///< A decode engine alone.
+    prefill_and_decode ///< An engine of each phase.
+};
+
+/// What a request needs, and where it must not go.
+struct placement_query {
+    std::string service;
+    placement_kind kind = placement_kind::plain;
+    double prompt_tokens = 0.0;
+    double memory_tokens = 0.0; ///< Of the decode engine.
+    /// A prefill engine that needs longer is not worth waiting for.
+    base::milliseconds read_limit{0};
+    /// Whether a server that is ruled out is taken where there is no other.
+    bool may_return = false;
+    excluded_servers excluded;         ///< Plain servers or decode engines.
+    excluded_servers excluded_prefill; ///< Prefill engines.
+};
+
+/// Where a request goes.
+struct placement {
+    std::string server;        ///< Plain or decode; empty: there is no room.
+    std::string prefill;       ///< Empty: the decode engine reads the prompt.
+    double tokens_ahead = 0.0; ///< That the prefill engine reads before.
+};
+
+/// @return the servers for a request. Pure: no load is added.
+placement choose(const selection_inputs& inputs, const placement_query& query);
+
+/// Adds the load of a placed request, as it is until its prompt is read.
+void add_placed(
+    load_map& loads, const placement& placed, const placement_query& query);
+
+} // namespace mintknot::traffic
+
+#endif
--- a/libs/traffic/include/mintknot/traffic/selection.hpp
+++ b/libs/traffic/include/mintknot/traffic/selection.hpp
@@ -35,6 +35,10 @@
 /// are known.
 double rate_of(const read_rates& rates, const std::string& id);
 
+/// @return how long an engine needs to read so many tokens.
+base::milliseconds
+read_time(const read_rates& rates, const std::string& id, double tokens);
+
 /// Everything that a choice looks at. References must outlive the call.
 struct selection_inputs {
     const server_table& servers;
--- /dev/null
+++ b/libs/traffic/src/placement.cpp
@@ -0,0 +1,67 @@
+#include <mintknot/traffic/placement.hpp>
+
+namespace mintknot::traffic {
+
+namespace {
+
+/// Part of a decode engine's memory that is given out.
+constexpr double free_share = 0.97;
+
+const server* choose_decode(
+    const selection_inputs& inputs, const placement_query& query,
+    const server* prefill) {
+    const decode_request wanted{
+        query.memory_tokens, free_share,
+        prefill == nullptr ? std::string() : prefill->data_centre};
+    const server* chosen = select_decode(inputs, query.excluded, wanted);
+    if (chosen == nullptr && query.may_return && !query.excluded.empty())
+        chosen = select_decode(inputs, {}, wanted);
+    return chosen;
+}
+
+placement
+choose_plain(const selection_inputs& inputs, const placement_query& query) {
+    const server* chosen = select_plain(inputs, query.excluded);
+    if (chosen == nullptr)
+        return {};
+    if (query.kind == placement_kind::plain_with_room &&
+        total(inputs.loads, chosen->id, inputs.now).calls >= chosen->slots)
+        return {};
+    return {chosen->id, {}, 0.0};
+}
+
+} // namespace
+
+placement choose(const selection_inputs& inputs, const placement_query& query) {
+    if (query.kind == placement_kind::plain ||
+        query.kind == placement_kind::plain_with_room)
+        return choose_plain(inputs, query);
+    const server* prefill =
+        query.kind == placement_kind::prefill_and_decode
+            ? select_prefill(
+                  inputs, query.excluded_prefill, query.prompt_tokens)
+            : nullptr;
+    const server* decode = choose_decode(inputs, query, prefill);
+    if (decode == nullptr)
+        return {};
+    placement result{decode->id, {}, 0.0};
+    if (prefill != nullptr &&
+        expected_read_time(inputs, *prefill, query.prompt_tokens) <
+            query.read_limit) {
+        result.prefill = prefill->id;
+        result.tokens_ahead =
+            total(inputs.loads, prefill->id, inputs.now).prefill_tokens;
+    }
+    return result;
+}
+
+void add_placed(
+    load_map& loads, const placement& placed, const placement_query& query) {
+    if (placed.server.empty())
+        return;
+    loads[placed.server] += {1, 0.0, query.memory_tokens};
+    if (!placed.prefill.empty())
+        loads[placed.prefill] += {1, query.prompt_tokens, 0.0};
+}
+
+} // namespace mintknot::traffic
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -178,13 +178,18 @@
         });
 }
 
+base::milliseconds
+read_time(const read_rates& rates, const std::string& id, double tokens) {
+    return base::milliseconds(
+        static_cast<std::int64_t>(tokens / rate_of(rates, id)));
+}
+
 base::milliseconds expected_read_time(
     const selection_inputs& inputs, const server& engine,
     double prompt_tokens) {
     const server_load load = total(inputs.loads, engine.id, inputs.now);
-    const double time = (load.prefill_tokens + prompt_tokens) /
-                        rate_of(inputs.rates, engine.id);
-    return base::milliseconds(static_cast<std::int64_t>(time));
+    return read_time(
+        inputs.rates, engine.id, load.prefill_tokens + prompt_tokens);
 }
 
 const server* select_prefill(
