In large groups one instance places the requests for a part of the servers

All-to-all heartbeats were the dearest thing an instance did as well (100 KB/s, 0.023 core).

Change: above 24 instances, each domain (a service, or a service in one data centre where it has many servers) has one scheduler, by rendezvous hashing among the instances heard there. Instances ask it (libs/scheduling); it knows what it has placed, and reports tell it what has ended. Silent schedulers are passed over for 0.8 s, after two the choice is made here: no request waits for an instance that has gone, and nothing needs agreement. Heartbeats of large groups leave out loads and are rarer. Warnings and read rates go to schedulers with the reports.

--- a/libs/orders/src/phase_balancer.cpp
+++ b/libs/orders/src/phase_balancer.cpp
@@ -176,8 +176,8 @@
     void announce(const std::string& server_id) {
         traffic::note_change(
             router.state.health, server_id, now() + options.change_time);
-        if (router.state.on_load_change)
-            router.state.on_load_change();
+        if (router.state.on_order)
+            router.state.on_order();
     }
 
     /// Sends a call to the engine; `then` is called once, also without answer.
--- a/libs/peers/include/mintknot/peers/heartbeat.hpp
+++ b/libs/peers/include/mintknot/peers/heartbeat.hpp
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,7 +32,8 @@
     bool leaving = false;
     std::string data_centre;  ///< Of the sender.
     traffic::usage_map usage; ///< Retries within the last window.
-    traffic::load_map loads;
+    /// Nothing: the sender tells its loads to schedulers only.
+    std::optional<traffic::load_map> loads;
     std::vector<server_warning> warnings;
     std::vector<server_warning> changes; ///< Engines ordered to change phase.
     std::vector<std::string> hosts;      ///< Some instances that it hears.
@@ -40,6 +42,9 @@
 /// @return the heartbeat in MessagePack.
 std::string encode(const heartbeat& value);
 
+/// @return false if the datagram begins as another kind of message.
+bool is_heartbeat(std::string_view datagram);
+
 /// @return InvalidArgument if the datagram is no heartbeat.
 absl::StatusOr<heartbeat> decode(std::string_view datagram);
 
--- a/libs/peers/include/mintknot/peers/peer_group.hpp
+++ b/libs/peers/include/mintknot/peers/peer_group.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mintknot::peers {
@@ -31,6 +32,9 @@
     /// Fills in everything but incarnation, sequence and hosts.
     std::function<heartbeat()> describe;
     std::function<void(const std::string& host, const heartbeat&)> on_heartbeat;
+    /// Takes datagrams that are no heartbeats; may be empty.
+    std::function<void(const std::string& host, std::string_view datagram)>
+        on_other;
 };
 
 /// Tells all instances that are heard of this one's state: at once when it
@@ -48,6 +52,8 @@
     /// The own state has changed.
     void changed();
     const peer_table& table() const;
+    /// Sends another kind of datagram to one instance.
+    void send(const std::string& host, std::string_view datagram);
 
 private:
     struct impl;
--- a/libs/peers/include/mintknot/peers/peer_table.hpp
+++ b/libs/peers/include/mintknot/peers/peer_table.hpp
@@ -21,6 +21,7 @@
     std::uint64_t configuration = 0;
     std::uint64_t servers = 0;
     bool leaving = false;
+    std::string data_centre;
 };
 
 /// Instances that are heard, and hosts that are only known by name.
@@ -51,6 +52,11 @@
 /// that are not heard, to find them.
 std::vector<std::string> recipients(const peer_table& table, bool all);
 
+/// @return hosts of instances in a data centre (empty: in any) that are heard
+/// and not about to stop.
+std::vector<std::string>
+staying(const peer_table& table, const std::string& data_centre);
+
 /// @return instances that may exist: the most that were heard at once, with
 /// this one.
 std::size_t instances(const peer_table& table);
--- a/libs/peers/src/heartbeat.cpp
+++ b/libs/peers/src/heartbeat.cpp
@@ -13,16 +13,20 @@
 constexpr std::size_t fields = 12;
 constexpr std::size_t most_entries = 4096;
 
-json loads_to_json(const traffic::load_map& loads) {
+json loads_to_json(const std::optional<traffic::load_map>& loads) {
+    if (!loads)
+        return nullptr;
     json rows = json::array();
-    for (const auto& [id, load] : loads)
+    for (const auto& [id, load] : *loads)
         rows.push_back(
             {id, load.calls, static_cast<std::int64_t>(load.prefill_tokens),
              static_cast<std::int64_t>(load.memory_tokens)});
     return rows;
 }
 
-traffic::load_map loads_from(const json& rows) {
+std::optional<traffic::load_map> loads_from(const json& rows) {
+    if (rows.is_null())
+        return std::nullopt;
     traffic::load_map loads;
     if (rows.size() > most_entries)
         return loads;
@@ -85,6 +89,14 @@
     return {bytes.begin(), bytes.end()};
 }
 
+bool is_heartbeat(std::string_view datagram) {
+    // MessagePack: an array of up to fifteen elements, then a small number.
+    constexpr unsigned char short_array = 0x90;
+    return datagram.size() >= 2 &&
+           static_cast<unsigned char>(datagram[0]) == short_array + fields &&
+           datagram[1] == format;
+}
+
 absl::StatusOr<heartbeat> decode(std::string_view datagram) {
     const json row =
         json::from_msgpack(datagram.begin(), datagram.end(), true, false);
--- a/libs/peers/src/peer_group.cpp
+++ b/libs/peers/src/peer_group.cpp
@@ -3,12 +3,20 @@
 #include <mintknot/base/random.hpp>
 #include <mintknot/event/datagrams.hpp>
 
+#include <algorithm>
+
 namespace mintknot::peers {
 
 namespace {
 
 /// Hosts that one heartbeat names; a random part of a larger group.
 constexpr std::size_t most_hosts = 16;
+constexpr std::size_t most_hosts_in_large_group = 3;
+constexpr std::size_t large_group = 24;
+/// Groups up to this size are told at the calm period, larger ones more
+/// rarely, so that what an instance sends does not grow with the group.
+constexpr std::size_t group_at_calm_period = 40;
+constexpr base::milliseconds longest_calm_period{1300};
 
 } // namespace
 
@@ -29,7 +37,9 @@
 
     std::vector<std::string> some_hosts() const {
         std::vector<std::string> hosts = recipients(table, false);
-        while (hosts.size() > most_hosts) {
+        const std::size_t most =
+            hosts.size() > large_group ? most_hosts_in_large_group : most_hosts;
+        while (hosts.size() > most) {
             hosts[base::random_below(hosts.size())] = hosts.back();
             hosts.pop_back();
         }
@@ -51,7 +61,17 @@
         for (const std::string& host : recipients(table, search))
             socket.send({host, options.own.port}, datagram);
         sent = now;
-        plan(now + options.calm_period);
+        plan(now + calm_period());
+    }
+
+    base::milliseconds calm_period() const {
+        const std::size_t size = table.heard.size();
+        if (size <= group_at_calm_period)
+            return options.calm_period;
+        return std::min(
+            longest_calm_period,
+            options.calm_period * static_cast<std::int64_t>(size) /
+                static_cast<std::int64_t>(group_at_calm_period));
     }
 
     void plan(base::steady_time when) {
@@ -60,6 +80,11 @@
     }
 
     void receive(const base::address& from, std::string_view datagram) {
+        if (!is_heartbeat(datagram)) {
+            if (handlers.on_other)
+                handlers.on_other(from.host, datagram);
+            return;
+        }
         const auto value = decode(datagram);
         if (!value.ok())
             return;
@@ -117,6 +142,10 @@
     return opened;
 }
 
+void peer_group::send(const std::string& host, std::string_view datagram) {
+    impl_->socket.send({host, impl_->options.own.port}, datagram);
+}
+
 void peer_group::changed() {
     impl_->changed();
 }
--- a/libs/peers/src/peer_table.cpp
+++ b/libs/peers/src/peer_table.cpp
@@ -14,7 +14,8 @@
         known.sequence >= value.sequence)
         return false;
     known = {value.incarnation,   value.sequence, now,
-             value.configuration, value.servers,  value.leaving};
+             value.configuration, value.servers,  value.leaving,
+             value.data_centre};
     table.candidates[host] = now;
     for (const std::string& other : value.hosts)
         if (other != table.own_host)
@@ -53,6 +54,16 @@
     return {hosts.begin(), hosts.end()};
 }
 
+std::vector<std::string>
+staying(const peer_table& table, const std::string& data_centre) {
+    std::vector<std::string> hosts;
+    for (const auto& [host, known] : table.heard)
+        if (!known.leaving &&
+            (data_centre.empty() || known.data_centre == data_centre))
+            hosts.push_back(host);
+    return hosts;
+}
+
 std::size_t instances(const peer_table& table) {
     return table.most_seen;
 }
--- a/libs/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -76,6 +76,8 @@
     std::unordered_map<std::string, longest_deadline> deadlines; ///< By route.
     /// Called when own loads or health have changed.
     std::function<void()> on_load_change;
+    /// Called when an engine is about to be ordered to change its phase.
+    std::function<void()> on_order;
 };
 
 /// What every request works with. References outlive all requests.
--- a/libs/relay/src/router_state.cpp
+++ b/libs/relay/src/router_state.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// How long a peer's word of its retries counts. Large groups speak rarely.
+constexpr base::milliseconds usage_life{4000};
+
 void tell_load_change(router& owner) {
     if (owner.state.on_load_change)
         owner.state.on_load_change();
@@ -50,7 +53,7 @@
     base::steady_time now) {
     traffic::fleet_usage fleet;
     for (const auto& [peer, told] : state.peer_usages) {
-        if (now - told.heard > traffic::load_life)
+        if (now - told.heard > usage_life)
             continue;
         ++fleet.heard;
         const auto found = told.by_service.find(service);
--- a/libs/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/runtime/include/mintknot/runtime/instance.hpp
@@ -21,6 +21,13 @@
 
 namespace mintknot::runtime {
 
+/// Who chooses the servers of a request.
+enum class placement_policy {
+    here,         ///< The instance that has it, by what all tell each other.
+    by_scheduler, ///< One instance for each part of the servers.
+    by_size       ///< Schedulers where there are many instances.
+};
+
 /// Settings of an instance, in the product's own words.
 struct instance_settings {
     std::string name;
@@ -36,6 +43,7 @@
     bool balance_phases = true; ///< Whether engines get orders.
     /// How long another holder of orders must wait after the last one.
     base::milliseconds order_lease{3000};
+    placement_policy placement = placement_policy::by_size;
     relay::relay_options relay;
 };
 
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -8,6 +8,7 @@
 #include <mintknot/relay/drain.hpp>
 #include <mintknot/relay/entry_server.hpp>
 #include <mintknot/relay/local_server.hpp>
+#include <mintknot/scheduling/remote_placer.hpp>
 #include <mintknot/state/store_reader.hpp>
 
 #include <fmt/format.h>
@@ -25,6 +26,8 @@
 constexpr base::milliseconds last_words{60};
 /// Instances that are assumed until more have been heard.
 constexpr std::size_t least_instances = 10;
+/// Up to this size all instances tell each other all they have in flight.
+constexpr std::size_t most_without_schedulers = 24;
 
 } // namespace
 
@@ -68,6 +71,7 @@
         , group(
               ports.loop, log, {settings.peer, settings.seed_hosts},
               group_functions())
+        , placer(shared, placer_functions())
         , balancer(
               shared, ports.store, balancer_options(),
               [this] { return looks_after_orders(); })
@@ -75,7 +79,14 @@
         , reload_timer(ports.loop) {
         shared.state.retry_bounds = settings.retry_bounds;
         shared.state.instances = least_instances;
-        shared.state.on_load_change = [this] { group.changed(); };
+        shared.placement = &placer;
+        shared.state.on_order = [this] { group.changed(); };
+        shared.state.on_load_change = [this] {
+            if (placer.active())
+                placer.loads_changed();
+            else
+                group.changed();
+        };
     }
 
     state::replica_handlers replica_functions() {
@@ -108,7 +119,42 @@
             traffic::forget(shared.state.health, id);
             shared.state.rates.by_id.erase(id);
         }
-        group.changed();
+        if (!placer.active())
+            group.changed();
+    }
+
+    scheduling::placer_ports placer_functions() {
+        return {
+            settings.peer.host,
+            [this](const std::string& host, const std::string& datagram) {
+                group.send(host, datagram);
+            },
+            [this](const std::string& data_centre) {
+                return scheduler_hosts(data_centre);
+            },
+            [this] { return uses_schedulers(); }};
+    }
+
+    std::vector<std::string>
+    scheduler_hosts(const std::string& data_centre) const {
+        std::vector<std::string> hosts =
+            peers::staying(group.table(), data_centre);
+        if (!shared.state.stopping &&
+            (data_centre.empty() || data_centre == settings.data_centre))
+            hosts.push_back(settings.peer.host);
+        return hosts;
+    }
+
+    bool uses_schedulers() const {
+        switch (settings.placement) {
+        case placement_policy::here:
+            return false;
+        case placement_policy::by_scheduler:
+            return true;
+        case placement_policy::by_size:
+            break;
+        }
+        return peers::instances(group.table()) > most_without_schedulers;
     }
 
     orders::balancer_options balancer_options() const {
@@ -125,6 +171,9 @@
             [this] { return describe(); },
             [this](const std::string& host, const peers::heartbeat& heartbeat) {
                 on_heartbeat(host, heartbeat);
+            },
+            [this](const std::string& host, std::string_view datagram) {
+                placer.receive(host, datagram);
             }};
     }
 
@@ -138,7 +187,8 @@
         for (const auto& [service, allowance] : shared.state.allowances)
             own.usage[service] =
                 traffic::usage(allowance, shared.state.retry_bounds, now);
-        own.loads = shared.state.loads.own;
+        if (!placer.active())
+            own.loads = shared.state.loads.own;
         for (const auto& [id, record] : shared.state.health.own)
             if (record.avoid_until > now)
                 own.warnings.push_back(
@@ -161,7 +211,8 @@
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat) {
         const base::steady_time now = ports.loop.now();
-        traffic::set_peer(shared.state.loads, host, heartbeat.loads, now);
+        if (heartbeat.loads)
+            traffic::set_peer(shared.state.loads, host, *heartbeat.loads, now);
         shared.state.peer_usages[host] = {heartbeat.usage, now};
         for (const peers::server_warning& change : heartbeat.changes)
             traffic::note_peer_change(
@@ -357,6 +408,7 @@
     state::store_reader server_reader;
     snapshot_fetcher fetcher;
     peers::peer_group group;
+    scheduling::remote_placer placer;
     orders::phase_balancer balancer;
     event::timer drain_timer;
     event::timer reload_timer;
--- /dev/null
+++ b/libs/scheduling/include/mintknot/scheduling/domain.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// Which servers one scheduler looks after.
+#ifndef MINTKNOT_SCHEDULING_DOMAIN_HPP
+#define MINTKNOT_SCHEDULING_DOMAIN_HPP
+
+#include <mintknot/traffic/server_table.hpp>
+
+#include <string>
+#include <vector>
+
+namespace mintknot::scheduling {
+
+/// The servers of a service that one instance places requests on.
+struct domain {
+    std::string service;
+    std::string data_centre; ///< Empty: those of all data centres.
+
+    friend bool operator==(const domain&, const domain&) = default;
+};
+
+/// Services with more open servers than this have a domain for each data
+/// centre; others have one.
+inline constexpr std::size_t most_in_one_domain = 24;
+
+/// @return the domains of a service, that of the own data centre first.
+std::vector<domain> domains_of(
+    const traffic::server_table& servers, const std::string& service,
+    const std::string& own_data_centre);
+
+/// @return the domain that a server belongs to.
+domain
+domain_of(const traffic::server_table& servers, const traffic::server& server);
+
+/// @return the host that schedules a domain: all that know the same hosts
+/// choose the same one. Empty if there are none.
+std::string
+scheduler_of(const domain& which, const std::vector<std::string>& hosts);
+
+} // namespace mintknot::scheduling
+
+#endif
--- /dev/null
+++ b/libs/scheduling/include/mintknot/scheduling/messages.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// The datagrams between instances that ask and instances that schedule.
+#ifndef MINTKNOT_SCHEDULING_MESSAGES_HPP
+#define MINTKNOT_SCHEDULING_MESSAGES_HPP
+
+#include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/placement.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace mintknot::scheduling {
+
+/// Asks the scheduler of a domain to place a request.
+struct placement_request {
+    std::uint64_t number = 0; ///< The answer repeats it.
+    std::string data_centre;  ///< Of the domain; empty: all.
+    traffic::placement_query query;
+};
+
+/// The answer to it.
+struct placement_answer {
+    std::uint64_t number = 0;
+    bool known = false; ///< Whether the scheduler knows the service at all.
+    traffic::placement placed;
+};
+
+/// A server that the sender avoids, and for how much longer.
+struct avoided_server {
+    std::string id;
+    base::milliseconds left{0};
+};
+
+/// How fast a prefill engine has read, in tokens a millisecond.
+struct observed_rate {
+    std::string id;
+    double rate = 0.0;
+};
+
+/// All that an instance has in flight in the receiver's domains, and what it
+/// has seen of servers.
+struct load_report {
+    traffic::load_map loads;
+    std::vector<avoided_server> avoided;
+    std::vector<observed_rate> rates; ///< Since the last report.
+};
+
+using message = std::variant<placement_request, placement_answer, load_report>;
+
+/// @return the message in MessagePack.
+std::string encode(const message& value);
+
+/// @return InvalidArgument if the datagram is none of these messages.
+absl::StatusOr<message> decode(std::string_view datagram);
+
+} // namespace mintknot::scheduling
+
+#endif
--- /dev/null
+++ b/libs/scheduling/src/domain.cpp
@@ -0,0 +1,48 @@
+#include <mintknot/scheduling/domain.hpp>
+
+#include <mintknot/base/rendezvous.hpp>
+
+#include <algorithm>
+
+namespace mintknot::scheduling {
+
+namespace {
+
+bool is_split(
+    const traffic::server_table& servers, const std::string& service) {
+    return traffic::open_servers(servers, service).size() > most_in_one_domain;
+}
+
+} // namespace
+
+std::vector<domain> domains_of(
+    const traffic::server_table& servers, const std::string& service,
+    const std::string& own_data_centre) {
+    if (!is_split(servers, service))
+        return {{service, {}}};
+    std::vector<domain> found;
+    for (const traffic::server* server :
+         traffic::open_servers(servers, service)) {
+        const domain value{service, server->data_centre};
+        if (std::find(found.begin(), found.end(), value) == found.end())
+            found.push_back(value);
+    }
+    std::stable_partition(found.begin(), found.end(), [&](const domain& value) {
+        return value.data_centre == own_data_centre;
+    });
+    return found;
+}
+
+domain
+domain_of(const traffic::server_table& servers, const traffic::server& server) {
+    if (!is_split(servers, server.service))
+        return {server.service, {}};
+    return {server.service, server.data_centre};
+}
+
+std::string
+scheduler_of(const domain& which, const std::vector<std::string>& hosts) {
+    return base::rendezvous(which.service + "/" + which.data_centre, hosts);
+}
+
+} // namespace mintknot::scheduling
--- /dev/null
+++ b/libs/scheduling/src/messages.cpp
@@ -0,0 +1,161 @@
+#include <mintknot/scheduling/messages.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace mintknot::scheduling {
+
+namespace {
+
+using nlohmann::json;
+
+/// First element of a message; heartbeats have 1.
+constexpr int request_format = 2;
+constexpr int answer_format = 3;
+constexpr int report_format = 4;
+constexpr std::size_t most_entries = 4096;
+/// Rates are told in thousandths.
+constexpr double rate_unit = 1000.0;
+
+std::int64_t whole(double value) {
+    return static_cast<std::int64_t>(std::llround(value));
+}
+
+double number(const json& value) {
+    return static_cast<double>(value.get<std::int64_t>());
+}
+
+/// Bounds what one datagram can make the receiver do.
+const json& bounded(const json& rows) {
+    if (!rows.is_array() || rows.size() > most_entries)
+        throw json::other_error::create(501, "too many entries", &rows);
+    return rows;
+}
+
+json to_json(const traffic::excluded_servers& servers) {
+    json rows = json::array();
+    for (const std::string& id : servers)
+        rows.push_back(id);
+    return rows;
+}
+
+traffic::excluded_servers servers_from(const json& rows) {
+    traffic::excluded_servers servers;
+    for (const json& row : bounded(rows))
+        servers.insert(row.get<std::string>());
+    return servers;
+}
+
+json to_json(const placement_request& value) {
+    const traffic::placement_query& query = value.query;
+    return {
+        request_format,
+        value.number,
+        value.data_centre,
+        query.service,
+        static_cast<int>(query.kind),
+        whole(query.prompt_tokens),
+        whole(query.memory_tokens),
+        query.read_limit.count(),
+        query.may_return,
+        to_json(query.excluded),
+        to_json(query.excluded_prefill)};
+}
+
+placement_request request_from(const json& row) {
+    placement_request value;
+    value.number = row.at(1).get<std::uint64_t>();
+    value.data_centre = row.at(2).get<std::string>();
+    value.query.service = row.at(3).get<std::string>();
+    const int kind = row.at(4).get<int>();
+    if (kind < static_cast<int>(traffic::placement_kind::plain) ||
+        kind > static_cast<int>(traffic::placement_kind::prefill_and_decode))
+        throw json::other_error::create(501, "unknown kind", &row);
+    value.query.kind = static_cast<traffic::placement_kind>(kind);
+    value.query.prompt_tokens = number(row.at(5));
+    value.query.memory_tokens = number(row.at(6));
+    value.query.read_limit = base::milliseconds(row.at(7).get<std::int64_t>());
+    value.query.may_return = row.at(8).get<bool>();
+    value.query.excluded = servers_from(row.at(9));
+    value.query.excluded_prefill = servers_from(row.at(10));
+    return value;
+}
+
+json to_json(const placement_answer& value) {
+    return {answer_format,        value.number,
+            value.known,          value.placed.server,
+            value.placed.prefill, whole(value.placed.tokens_ahead)};
+}
+
+placement_answer answer_from(const json& row) {
+    placement_answer value;
+    value.number = row.at(1).get<std::uint64_t>();
+    value.known = row.at(2).get<bool>();
+    value.placed.server = row.at(3).get<std::string>();
+    value.placed.prefill = row.at(4).get<std::string>();
+    value.placed.tokens_ahead = number(row.at(5));
+    return value;
+}
+
+json to_json(const load_report& value) {
+    json loads = json::array();
+    for (const auto& [id, load] : value.loads)
+        loads.push_back(
+            {id, load.calls, whole(load.prefill_tokens),
+             whole(load.memory_tokens)});
+    json avoided = json::array();
+    for (const avoided_server& server : value.avoided)
+        avoided.push_back({server.id, server.left.count()});
+    json rates = json::array();
+    for (const observed_rate& rate : value.rates)
+        rates.push_back({rate.id, whole(rate.rate * rate_unit)});
+    return {report_format, loads, avoided, rates};
+}
+
+load_report report_from(const json& row) {
+    load_report value;
+    for (const json& entry : bounded(row.at(1)))
+        value.loads[entry.at(0).get<std::string>()] = {
+            entry.at(1).get<int>(), number(entry.at(2)), number(entry.at(3))};
+    for (const json& entry : bounded(row.at(2)))
+        value.avoided.push_back(
+            {entry.at(0).get<std::string>(),
+             base::milliseconds(entry.at(1).get<std::int64_t>())});
+    for (const json& entry : bounded(row.at(3)))
+        value.rates.push_back(
+            {entry.at(0).get<std::string>(), number(entry.at(1)) / rate_unit});
+    return value;
+}
+
+} // namespace
+
+std::string encode(const message& value) {
+    const json row =
+        std::visit([](const auto& known) { return to_json(known); }, value);
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
+    return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<message> decode(std::string_view datagram) {
+    const json row =
+        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
+    if (!row.is_array() || row.empty() || !row[0].is_number_integer())
+        return absl::InvalidArgumentError("no message");
+    try {
+        switch (row[0].get<int>()) {
+        case request_format:
+            return message(request_from(row));
+        case answer_format:
+            return message(answer_from(row));
+        case report_format:
+            return message(report_from(row));
+        default:
+            return absl::InvalidArgumentError("unknown format");
+        }
+    } catch (const json::exception&) {
+        return absl::InvalidArgumentError("a field is malformed");
+    }
+}
+
+} // namespace mintknot::scheduling
--- /dev/null
+++ b/libs/scheduling/src/remote_placer.cpp
@@ -0,0 +1,346 @@
+#include <mintknot/scheduling/remote_placer.hpp>
+
+#include <mintknot/scheduling/domain.hpp>
+#include <mintknot/scheduling/messages.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace mintknot::scheduling {
+
+namespace {
+
+/// Schedulers of one domain that are asked before the choice is made here.
+constexpr int most_tries = 2;
+/// Servers that a question rules out because this instance avoids them.
+constexpr std::size_t most_avoided = 32;
+
+/// A request that waits for its servers.
+struct question {
+    explicit question(event::loop& owner)
+        : patience(owner) {}
+    traffic::placement_query query;
+    relay::placement_handler then;
+    std::vector<domain> left; ///< Domains to be asked, the next one first.
+    std::string asked;        ///< The scheduler that is to answer.
+    int tries = 0;            ///< Within the domain at hand.
+    event::timer patience;
+};
+
+} // namespace
+
+struct remote_placer::impl {
+    impl(relay::router& shared, placer_ports outside, placer_options settings)
+        : router(shared)
+        , ports(std::move(outside))
+        , options(settings)
+        , report_timer(shared.loop) {}
+
+    base::steady_time now() const { return router.loop.now(); }
+
+    /// @return the scheduler of a domain, passing over those that have not
+    /// answered lately; empty if there is none.
+    std::string scheduler(const domain& which) const {
+        std::vector<std::string> hosts = ports.hosts(which.data_centre);
+        std::erase_if(hosts, [this](const std::string& host) {
+            const auto found = suspected.find(host);
+            return found != suspected.end() && found->second > now();
+        });
+        return scheduler_of(which, hosts);
+    }
+
+    /// Rules out what this instance avoids: its way to a server may be broken
+    /// where the scheduler's is not. If it is most of them, the fault is here.
+    void exclude_avoided(traffic::placement_query& query) const {
+        const auto& open =
+            traffic::open_servers(router.state.servers, query.service);
+        traffic::excluded_servers avoided;
+        for (const traffic::server* server : open)
+            if (traffic::avoided(router.state.health, server->id, now()))
+                avoided.insert(server->id);
+        if (avoided.size() > most_avoided || avoided.size() * 2 > open.size())
+            return;
+        query.excluded_prefill.insert(avoided.begin(), avoided.end());
+        query.excluded.insert(avoided.begin(), avoided.end());
+    }
+
+    std::uint64_t
+    begin(traffic::placement_query query, relay::placement_handler then) {
+        const std::uint64_t number = ++last_number;
+        auto entry = std::make_unique<question>(router.loop);
+        entry->left = domains_of(
+            router.state.servers, query.service, router.options.data_centre);
+        if (query.kind == traffic::placement_kind::plain &&
+            entry->left.size() > 1)
+            query.kind = traffic::placement_kind::plain_with_room;
+        exclude_avoided(query);
+        entry->query = std::move(query);
+        entry->then = std::move(then);
+        questions.emplace(number, std::move(entry));
+        // The contract: the answer never comes from within ask().
+        router.loop.post([this, number, alive = std::weak_ptr<bool>(life)] {
+            if (!alive.expired())
+                ask_next(number);
+        });
+        return number;
+    }
+
+    void ask_next(std::uint64_t number) {
+        const auto found = questions.find(number);
+        if (found == questions.end())
+            return;
+        question& entry = *found->second;
+        if (entry.left.empty()) {
+            finish(number, place_anywhere(entry.query));
+            return;
+        }
+        const std::string host = scheduler(entry.left.front());
+        if (host.empty() || host == ports.own_host ||
+            entry.tries >= most_tries) {
+            const bool exact = host == ports.own_host;
+            take(number, decide(entry.query, entry.left.front(), exact));
+            return;
+        }
+        ++entry.tries;
+        entry.asked = host;
+        ports.send(
+            host, encode(placement_request{
+                      number, entry.left.front().data_centre, entry.query}));
+        entry.patience.start(options.patience, [this, number, host] {
+            suspect(host);
+            ask_next(number);
+        });
+    }
+
+    /// Takes what the domain at hand has to offer, or asks the next one.
+    void take(std::uint64_t number, const traffic::placement& placed) {
+        question& entry = *questions.at(number);
+        if (!placed.server.empty()) {
+            finish(number, placed);
+            return;
+        }
+        entry.left.erase(entry.left.begin());
+        entry.tries = 0;
+        ask_next(number);
+    }
+
+    void finish(std::uint64_t number, const traffic::placement& placed) {
+        auto node = questions.extract(number);
+        node.mapped()->patience.stop();
+        const relay::placement_handler then = std::move(node.mapped()->then);
+        then(placed);
+    }
+
+    void suspect(const std::string& host) {
+        suspected[host] = now() + options.suspicion;
+        router.log.write(
+            "scheduler_silent",
+            {{"host", host}, {"for_ms", options.suspicion.count()}});
+        // What it had been told must be told to the next one.
+        loads_changed();
+    }
+
+    /// No domain has room. Plain servers queue: one of them takes it still.
+    traffic::placement place_anywhere(const traffic::placement_query& query) {
+        if (query.kind != traffic::placement_kind::plain_with_room)
+            return {};
+        traffic::placement_query anywhere = query;
+        anywhere.kind = traffic::placement_kind::plain;
+        return decide(anywhere, {query.service, {}}, false);
+    }
+
+    /// @param exact whether this instance schedules the domain, and so knows
+    /// what is in flight there.
+    traffic::placement decide(
+        const traffic::placement_query& query, const domain& which,
+        bool exact) const {
+        const traffic::service* service = service_of(query.service);
+        if (service == nullptr)
+            return {};
+        traffic::selection_inputs inputs =
+            relay::selection_for(router, *service);
+        inputs.only_data_centre = which.data_centre;
+        inputs.all_loads_known = exact;
+        return traffic::choose(inputs, query);
+    }
+
+    const traffic::service* service_of(const std::string& name) const {
+        if (router.state.config == nullptr)
+            return nullptr;
+        const auto found = router.state.config->services.find(name);
+        return found == router.state.config->services.end() ? nullptr
+                                                            : &found->second;
+    }
+
+    void on_message(const std::string& host, const placement_request& request) {
+        placement_answer answer;
+        answer.number = request.number;
+        answer.known = service_of(request.query.service) != nullptr;
+        answer.placed = decide(
+            request.query, {request.query.service, request.data_centre}, true);
+        traffic::load_view::remote& peer = router.state.loads.peers[host];
+        traffic::add_placed(peer.loads, answer.placed, request.query);
+        peer.heard = now();
+        ports.send(host, encode(answer));
+    }
+
+    void on_message(const std::string& host, const placement_answer& answer) {
+        const auto found = questions.find(answer.number);
+        if (found == questions.end() || found->second->asked != host) {
+            // The scheduler counts a request that nobody sends.
+            reported.insert(host);
+            loads_changed();
+            return;
+        }
+        found->second->patience.stop();
+        if (answer.known) {
+            take(answer.number, answer.placed);
+            return;
+        }
+        found->second->tries = most_tries;
+        ask_next(answer.number);
+    }
+
+    void on_message(const std::string& host, const load_report& report) {
+        traffic::set_peer(router.state.loads, host, report.loads, now());
+        for (const avoided_server& server : report.avoided)
+            traffic::warn(
+                router.state.health, server.id, now() + server.left, now());
+        for (const observed_rate& observed : report.rates)
+            traffic::note_rate(router.state.rates, observed.id, observed.rate);
+    }
+
+    void loads_changed() {
+        if (report_due <= now() + options.shortest_gap && report_timer.active())
+            return;
+        plan_report(std::max(now(), reported_at + options.shortest_gap));
+    }
+
+    void plan_report(base::steady_time when) {
+        report_due = when;
+        report_timer.start(when, [this] { send_reports(); });
+    }
+
+    void send_reports() {
+        reported_at = now();
+        std::map<std::string, load_report> reports;
+        for (const std::string& host : reported)
+            reports[host];
+        reported.clear();
+        for (const auto& [id, load] : router.state.loads.own) {
+            const traffic::server* server =
+                traffic::find(router.state.servers, id);
+            if (server == nullptr)
+                continue;
+            const std::string host =
+                scheduler(domain_of(router.state.servers, *server));
+            if (host.empty() || host == ports.own_host)
+                continue;
+            reports[host].loads[id] = load;
+            reported.insert(host);
+        }
+        tell_of_avoided(reports);
+        add_observations(reports);
+        for (const auto& [host, report] : reports)
+            ports.send(host, encode(report));
+        if (!reported.empty())
+            plan_report(now() + options.longest_gap);
+    }
+
+    /// The schedulers of servers that are avoided here are to know it, too.
+    void tell_of_avoided(std::map<std::string, load_report>& reports) const {
+        for (const auto& [id, record] : router.state.health.own) {
+            const traffic::server* server =
+                traffic::find(router.state.servers, id);
+            if (record.avoid_until <= now() || server == nullptr)
+                continue;
+            const std::string host =
+                scheduler(domain_of(router.state.servers, *server));
+            if (!host.empty() && host != ports.own_host)
+                reports[host];
+        }
+    }
+
+    /// Adds what is avoided here and how fast engines were seen to read.
+    void add_observations(std::map<std::string, load_report>& reports) {
+        if (reports.empty())
+            return;
+        std::vector<avoided_server> avoided;
+        for (const auto& [id, record] : router.state.health.own)
+            if (record.avoid_until > now())
+                avoided.push_back(
+                    {id, base::time_left(record.avoid_until, now())});
+        std::vector<observed_rate> rates;
+        for (const std::string& id : router.state.rates.fresh)
+            rates.push_back({id, traffic::rate_of(router.state.rates, id)});
+        router.state.rates.fresh.clear();
+        for (auto& [host, report] : reports) {
+            report.avoided = avoided;
+            report.rates = rates;
+        }
+    }
+
+    relay::router& router;
+    placer_ports ports;
+    placer_options options;
+    std::uint64_t last_number = 0;
+    std::map<std::uint64_t, std::unique_ptr<question>> questions;
+    std::map<std::string, base::steady_time> suspected;
+    std::set<std::string> reported; ///< Hosts that know of loads from here.
+    base::steady_time reported_at{};
+    base::steady_time report_due{};
+    event::timer report_timer;
+    std::shared_ptr<bool> life = std::make_shared<bool>(true);
+};
+
+namespace {
+
+/// Calls a function when the question is withdrawn or answered.
+class ticket final : public relay::placement_ticket {
+public:
+    explicit ticket(std::function<void()> on_end)
+        : on_end_(std::move(on_end)) {}
+    ~ticket() override { on_end_(); }
+
+private:
+    std::function<void()> on_end_;
+};
+
+} // namespace
+
+remote_placer::remote_placer(
+    relay::router& router, placer_ports ports, placer_options options)
+    : impl_(std::make_unique<impl>(router, std::move(ports), options)) {}
+
+remote_placer::~remote_placer() = default;
+
+bool remote_placer::active() const {
+    return impl_->ports.active();
+}
+
+std::unique_ptr<relay::placement_ticket> remote_placer::ask(
+    traffic::placement_query query, relay::placement_handler then) {
+    const std::uint64_t number =
+        impl_->begin(std::move(query), std::move(then));
+    return std::make_unique<ticket>(
+        [this, number, alive = std::weak_ptr<bool>(impl_->life)] {
+            if (!alive.expired())
+                impl_->questions.erase(number);
+        });
+}
+
+void remote_placer::loads_changed() {
+    impl_->loads_changed();
+}
+
+void remote_placer::receive(
+    const std::string& host, std::string_view datagram) {
+    const auto value = decode(datagram);
+    if (!value.ok())
+        return;
+    std::visit(
+        [&](const auto& known) { impl_->on_message(host, known); }, *value);
+}
+
+} // namespace mintknot::scheduling
--- /dev/null
+++ b/libs/scheduling/tests/test_messages.cpp
@@ -0,0 +1,71 @@
+#include <mintknot/scheduling/messages.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::scheduling;
+
+Test(scheduling_messages, a_request_comes_back_whole) {
+    placement_request sent;
+    sent.number = 7;
+    sent.data_centre = "a";
+    sent.query.service = "llm";
+    sent.query.kind = traffic::placement_kind::prefill_and_decode;
+    sent.query.prompt_tokens = 3000.0;
+    sent.query.memory_tokens = 3040.0;
+    sent.query.read_limit = base::milliseconds(450);
+    sent.query.may_return = true;
+    sent.query.excluded = {"d1", "d2"};
+    sent.query.excluded_prefill = {"p1"};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_request>(*value);
+    cr_assert(got.number == 7 && got.data_centre == "a");
+    cr_assert(got.query.service == "llm");
+    cr_assert(got.query.kind == sent.query.kind);
+    cr_assert(got.query.prompt_tokens == 3000.0);
+    cr_assert(got.query.memory_tokens == 3040.0);
+    cr_assert(got.query.read_limit == sent.query.read_limit);
+    cr_assert(got.query.may_return);
+    cr_assert(got.query.excluded == sent.query.excluded);
+    cr_assert(got.query.excluded_prefill == sent.query.excluded_prefill);
+}
+
+Test(scheduling_messages, an_answer_comes_back_whole) {
+    const auto value =
+        decode(encode(placement_answer{9, true, {"d", "p", 500.0}}));
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_answer>(*value);
+    cr_assert(got.number == 9 && got.known);
+    cr_assert(got.placed.server == "d" && got.placed.prefill == "p");
+    cr_assert(got.placed.tokens_ahead == 500.0);
+}
+
+Test(scheduling_messages, a_report_comes_back_whole) {
+    load_report sent;
+    sent.loads["d"] = {2, 0.0, 6000.0};
+    sent.avoided = {{"x", base::milliseconds(1500)}};
+    sent.rates = {{"p", 33.25}};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<load_report>(*value);
+    cr_assert(got.loads.at("d").calls == 2);
+    cr_assert(got.loads.at("d").memory_tokens == 6000.0);
+    cr_assert(got.avoided.at(0).id == "x");
+    cr_assert(got.avoided.at(0).left == base::milliseconds(1500));
+    cr_assert(got.rates.at(0).rate == 33.25);
+}
+
+Test(scheduling_messages, malformed_datagrams_are_errors) {
+    cr_assert(!decode("").ok());
+    cr_assert(!decode("text").ok());
+    const std::string whole =
+        encode(placement_answer{9, true, {"d", "p", 500.0}});
+    cr_assert(!decode(whole.substr(0, whole.size() - 1)).ok());
+    // An answer that stops after its number.
+    cr_assert(!decode("\x92\x03\x07").ok());
+    // A request of a kind that does not exist.
+    std::string unknown = encode(placement_request{});
+    unknown[5] = 99;
+    cr_assert(!decode(unknown).ok());
+}
--- /dev/null
+++ b/libs/scheduling/tests/test_remote_placer.cpp
@@ -0,0 +1,188 @@
+#include "relay_fixture.hpp"
+
+#include <mintknot/scheduling/messages.hpp>
+#include <mintknot/scheduling/remote_placer.hpp>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <deque>
+#include <optional>
+
+using namespace mintknot;
+using namespace mintknot::scheduling;
+using relay::tests::relay_fixture;
+
+namespace {
+
+struct sent_message {
+    std::string host;
+    message value;
+};
+
+/// One placer whose datagrams are kept, among hosts of the test's choice.
+struct bench {
+    explicit bench(std::vector<std::string> all_hosts)
+        : hosts(std::move(all_hosts))
+        , placer(
+              f.shared,
+              {"own",
+               [this](const std::string& host, const std::string& datagram) {
+                   auto value = decode(datagram);
+                   cr_assert(value.ok());
+                   sent.push_back({host, *std::move(value)});
+               },
+               [this](const std::string&) { return hosts; },
+               [] { return true; }}) {}
+
+    void add_engine(
+        const std::string& id, traffic::engine_phase phase,
+        const std::string& data_centre = "a") {
+        traffic::server row;
+        row.id = id;
+        row.service = "llm";
+        row.slots = 64;
+        row.phase = phase;
+        row.data_centre = data_centre;
+        traffic::apply(f.shared.state.servers, id, ++version, row);
+    }
+
+    std::unique_ptr<relay::placement_ticket> ask(double memory_tokens = 100.0) {
+        traffic::placement_query query;
+        query.service = "llm";
+        query.kind = traffic::placement_kind::decode;
+        query.memory_tokens = memory_tokens;
+        return placer.ask(
+            query, [this](const traffic::placement& placed) { got = placed; });
+    }
+
+    /// Lets the placer answer a request of another instance.
+    traffic::placement answer_to(double memory_tokens) {
+        placement_request request;
+        request.number = 1;
+        request.query.service = "llm";
+        request.query.kind = traffic::placement_kind::decode;
+        request.query.memory_tokens = memory_tokens;
+        placer.receive("asker", encode(request));
+        const auto answer = std::get<placement_answer>(sent.back().value);
+        cr_assert(sent.back().host == "asker" && answer.known);
+        return answer.placed;
+    }
+
+    relay_fixture f;
+    std::vector<std::string> hosts;
+    std::deque<sent_message> sent;
+    std::optional<traffic::placement> got;
+    std::uint64_t version = 1000;
+    remote_placer placer;
+};
+
+constexpr auto decode_phase = traffic::engine_phase::decode;
+
+std::uint64_t number_of(const sent_message& asked) {
+    return std::get<placement_request>(asked.value).number;
+}
+
+} // namespace
+
+Test(remote_placer, the_scheduler_is_asked_and_its_answer_taken) {
+    bench b({"x"});
+    b.add_engine("d", decode_phase);
+    const auto ticket = b.ask();
+    cr_assert(!b.got);
+    b.f.run_until([&] { return !b.sent.empty(); });
+    cr_assert(b.sent[0].host == "x");
+    b.placer.receive(
+        "x",
+        encode(placement_answer{number_of(b.sent[0]), true, {"d", "", 0}}));
+    cr_assert(b.got && b.got->server == "d");
+}
+
+Test(remote_placer, the_own_domain_is_placed_without_a_message) {
+    bench b({"own"});
+    b.add_engine("d", decode_phase);
+    const auto ticket = b.ask();
+    b.f.run_until([&] { return b.got.has_value(); });
+    cr_assert(b.got->server == "d");
+    cr_assert(b.sent.empty());
+}
+
+Test(remote_placer, a_silent_scheduler_is_passed_over_then_nobody_waits) {
+    bench b({"x", "y", "z"});
+    b.add_engine("d", decode_phase);
+    auto ticket = b.ask();
+    b.f.run_until([&] { return b.got.has_value(); });
+    cr_assert(b.got->server == "d", "placed here");
+    cr_assert(b.sent.size() == 2);
+    cr_assert(b.sent[0].host != b.sent[1].host);
+    // The next request does not wait for them again.
+    b.got.reset();
+    ticket = b.ask();
+    b.f.run_until([&] { return b.sent.size() == 3; });
+    cr_assert(b.sent[2].host != b.sent[0].host);
+    cr_assert(b.sent[2].host != b.sent[1].host);
+}
+
+Test(remote_placer, a_withdrawn_question_gets_no_answer) {
+    bench b({"x"});
+    b.add_engine("d", decode_phase);
+    auto ticket = b.ask();
+    b.f.run_until([&] { return !b.sent.empty(); });
+    ticket.reset();
+    b.placer.receive(
+        "x",
+        encode(placement_answer{number_of(b.sent[0]), true, {"d", "", 0}}));
+    cr_assert(!b.got);
+    // The scheduler learns that nothing is in flight.
+    b.f.run_until([&] { return b.sent.size() > 1; });
+    cr_assert(b.sent[1].host == "x");
+    cr_assert(std::get<load_report>(b.sent[1].value).loads.empty());
+}
+
+Test(remote_placer, a_scheduler_knows_what_it_has_placed) {
+    bench b({"own"});
+    b.add_engine("d1", decode_phase);
+    b.add_engine("d2", decode_phase);
+    const auto first = b.answer_to(6000.0);
+    const auto second = b.answer_to(6000.0);
+    cr_assert(!first.server.empty() && !second.server.empty());
+    cr_assert(first.server != second.server);
+    cr_assert(b.answer_to(6000.0).server.empty(), "both are full");
+    // A report tells what is left.
+    load_report report;
+    report.loads[first.server] = {1, 0.0, 6000.0};
+    b.placer.receive("asker", encode(report));
+    cr_assert(b.answer_to(6000.0).server == second.server);
+}
+
+Test(remote_placer, a_full_data_centre_leads_to_the_next) {
+    bench b({"x"});
+    b.f.shared.options.data_centre = "a";
+    for (int i = 0; i < 13; ++i) {
+        b.add_engine(fmt::format("a{}", i), decode_phase, "a");
+        b.add_engine(fmt::format("b{}", i), decode_phase, "b");
+    }
+    const auto ticket = b.ask();
+    b.f.run_until([&] { return !b.sent.empty(); });
+    const auto& first = std::get<placement_request>(b.sent[0].value);
+    cr_assert(first.data_centre == "a");
+    b.placer.receive("x", encode(placement_answer{first.number, true, {}}));
+    cr_assert(b.sent.size() == 2);
+    const auto& second = std::get<placement_request>(b.sent[1].value);
+    cr_assert(second.data_centre == "b");
+    b.placer.receive("x", encode(placement_answer{second.number, true, {}}));
+    cr_assert(b.got && b.got->server.empty(), "no room anywhere");
+}
+
+Test(remote_placer, servers_avoided_here_are_ruled_out) {
+    bench b({"x"});
+    for (const char* id : {"d1", "d2", "d3"})
+        b.add_engine(id, decode_phase);
+    traffic::note(
+        b.f.shared.state.health, "d2", traffic::call_result::unreachable,
+        b.f.owner.now());
+    const auto ticket = b.ask();
+    b.f.run_until([&] { return !b.sent.empty(); });
+    const auto& asked = std::get<placement_request>(b.sent[0].value);
+    cr_assert(asked.query.excluded == traffic::excluded_servers{"d2"});
+}
--- a/libs/traffic/include/mintknot/traffic/selection.hpp
+++ b/libs/traffic/include/mintknot/traffic/selection.hpp
@@ -24,6 +24,7 @@
 /// How fast prefill engines have been seen to read, in tokens a millisecond.
 struct read_rates {
     std::unordered_map<std::string, double> by_id;
+    std::set<std::string> fresh; ///< Observed here and not told to others yet.
 };
 
 /// Takes an observation: tokens read and how long it took.
@@ -31,6 +32,9 @@
     read_rates& rates, const std::string& id, double tokens,
     base::milliseconds took);
 
+/// Takes a rate that another instance has observed.
+void note_rate(read_rates& rates, const std::string& id, double rate);
+
 /// @return the expected rate of an engine: its own, or the median of all that
 /// are known.
 double rate_of(const read_rates& rates, const std::string& id);
@@ -50,7 +54,10 @@
     selection_policy policy = selection_policy::least_loaded;
     std::size_t instances = 1; ///< How many share a server's connections.
     base::steady_time now;
-    std::function<double()> draw; ///< Uniform in [0, 1).
+    std::function<double()> draw;   ///< Uniform in [0, 1).
+    std::string only_data_centre{}; ///< Empty: servers everywhere.
+    /// Whether loads are exact, so that all servers may be compared.
+    bool all_loads_known = false;
 };
 
 /// Servers that a request has been to, or that are ruled out otherwise.
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -41,6 +41,11 @@
            share;
 }
 
+bool in_scope(const selection_inputs& inputs, const server& candidate) {
+    return inputs.only_data_centre.empty() ||
+           inputs.only_data_centre == candidate.data_centre;
+}
+
 /// @param drawn_share of the servers is looked at.
 const server* best_of_drawn(
     const selection_inputs& inputs, const excluded_servers& excluded,
@@ -51,7 +56,7 @@
          open_servers(inputs.servers, inputs.target.name)) {
         if (drawn_share < 1.0 && inputs.draw() >= drawn_share)
             continue;
-        if (excluded.contains(candidate->id))
+        if (excluded.contains(candidate->id) || !in_scope(inputs, *candidate))
             continue;
         if (!with_avoided && avoided(inputs.health, candidate->id, inputs.now))
             continue;
@@ -74,7 +79,7 @@
     const score_function& score, bool with_avoided) {
     const std::size_t servers =
         open_servers(inputs.servers, inputs.target.name).size();
-    if (servers > most_to_look_at) {
+    if (servers > most_to_look_at && !inputs.all_loads_known) {
         const double share = drawn_servers / static_cast<double>(servers);
         const server* drawn =
             best_of_drawn(inputs, excluded, score, with_avoided, share);
@@ -91,7 +96,8 @@
     const phase_test& suits) {
     for (const server* candidate :
          open_servers(inputs.servers, inputs.target.name))
-        if (suits(candidate->phase) && !excluded.contains(candidate->id) &&
+        if (suits(candidate->phase) && in_scope(inputs, *candidate) &&
+            !excluded.contains(candidate->id) &&
             !avoided(inputs.health, candidate->id, inputs.now))
             return true;
     return false;
@@ -132,7 +138,11 @@
     base::milliseconds took) {
     if (tokens <= 0.0 || took <= base::milliseconds{0})
         return;
-    const double rate = tokens / static_cast<double>(took.count());
+    note_rate(rates, id, tokens / static_cast<double>(took.count()));
+    rates.fresh.insert(id);
+}
+
+void note_rate(read_rates& rates, const std::string& id, double rate) {
     const auto [entry, fresh] = rates.by_id.emplace(id, rate);
     if (!fresh)
         entry->second += learning_rate * (rate - entry->second);
