--- a/libs/cluster/src/membership.cpp
+++ b/libs/cluster/src/membership.cpp
@@ -1,7 +1,7 @@
 #include <mintknot/cluster/membership.hpp>
 
 #include <mintknot/base/random.hpp>
-#include <mintknot/routing/rendezvous.hpp>
+#include <mintknot/base/rendezvous.hpp>
 
 #include <algorithm>
 #include <set>
@@ -116,7 +116,7 @@
     for (auto& [data_centre, members] : remote) {
         const std::string job = state.self.id.data_centre + ">" + data_centre;
         const bool delegate =
-            routing::rendezvous(job, candidates) == name_of(state.self);
+            base::rendezvous(job, candidates) == name_of(state.self);
         if (!delegate && !state.announce)
             continue;
         // Their own members too: some of them may share nothing but a seed.
--- a/libs/control/src/cluster_view.cpp
+++ b/libs/control/src/cluster_view.cpp
@@ -1,6 +1,6 @@
 #include <mintknot/control/cluster_view.hpp>
 
-#include <mintknot/routing/rendezvous.hpp>
+#include <mintknot/base/rendezvous.hpp>
 
 #include <algorithm>
 
@@ -11,8 +11,7 @@
 std::string chosen_for(
     const cluster_view& view, const std::string& job,
     const std::string& data_centre) {
-    return routing::rendezvous(
-        job, cluster::ready_names(view.live, data_centre));
+    return base::rendezvous(job, cluster::ready_names(view.live, data_centre));
 }
 
 std::string own_name(const cluster_view& view) {
