Give lapsed rows time to come back; read the store calmly in large groups

Change 1: runtime/lapsed_servers holds removals back for 1.6 s after the store's return, or where a quarter of all rows goes at once (a watch may outlast the outage unnoticed); a newer row in that time keeps its server. 1.6 s is below the time within which a leaving server gets nothing new. Change 2: large groups gather changes of servers for 1 s and hold watches for 10 s; a configuration that one instance missed comes from peers as before.

Tests: lapsed_servers (three), store_reader::tells_of_the_stores_return...

--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -1,5 +1,6 @@
 #include <mintknot/runtime/instance.hpp>
 
+#include "lapsed_servers.hpp"
 #include "snapshot_fetcher.hpp"
 
 #include <mintknot/base/random.hpp>
@@ -28,6 +29,11 @@
 constexpr std::size_t least_instances = 10;
 /// Up to this size all instances tell each other all they have in flight.
 constexpr std::size_t most_without_schedulers = 24;
+/// How a large group reads the store: each call has a price, and what one
+/// instance misses it learns from heartbeats.
+constexpr base::milliseconds large_group_wait{10000};
+constexpr base::milliseconds large_group_gather{1000};
+constexpr base::milliseconds configuration_gather{300};
 
 } // namespace
 
@@ -67,6 +73,12 @@
         , server_reader(
               ports.loop, ports.store, replica, state::collection::servers, log,
               {}, [this] { return shared.draw(); })
+        , lapsed(
+              ports.loop, log,
+              [this](const std::string& id, std::uint64_t version) {
+                  on_server(id, version, std::nullopt);
+              },
+              [this] { return traffic::count(shared.state.servers); })
         , fetcher(ports.loop, pool, replica, log, settings.peer.port)
         , group(
               ports.loop, log, {settings.peer, settings.seed_hosts},
@@ -79,6 +91,7 @@
         , reload_timer(ports.loop) {
         shared.state.retry_bounds = settings.retry_bounds;
         shared.state.instances = least_instances;
+        server_reader.on_return([this] { lapsed.store_returned(); });
         shared.placement = &placer;
         shared.state.on_order = [this] { group.changed(); };
         shared.state.on_load_change = [this] {
@@ -98,6 +111,11 @@
             [this](
                 const std::string& id, std::uint64_t version,
                 std::optional<traffic::server> server) {
+                if (!server) {
+                    lapsed.gone(id, version);
+                    return;
+                }
+                lapsed.back(id);
                 on_server(id, version, std::move(server));
             }};
     }
@@ -224,9 +242,17 @@
                     now);
         shared.state.instances =
             std::max(least_instances, peers::instances(group.table()));
+        if (placer.active())
+            read_the_store_calmly();
         fetcher.on_heartbeat(host, heartbeat);
     }
 
+    void read_the_store_calmly() {
+        configuration_reader.set_pace(large_group_wait, configuration_gather);
+        server_reader.set_pace(large_group_wait, large_group_gather);
+        fetcher.set_server_patience(large_group_gather * 2);
+    }
+
     /// A sender far from both this instance and the server may be cut off from
     /// the server without it being so here.
     bool concerns_here(
@@ -406,6 +432,7 @@
     state::replica replica;
     state::store_reader configuration_reader;
     state::store_reader server_reader;
+    lapsed_servers lapsed;
     snapshot_fetcher fetcher;
     peers::peer_group group;
     scheduling::remote_placer placer;
--- a/libs/runtime/src/snapshot_fetcher.cpp
+++ b/libs/runtime/src/snapshot_fetcher.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// How long the store's own news is waited for.
-constexpr base::milliseconds patience{150};
+/// How long the store's own news of a configuration is waited for.
+constexpr base::milliseconds configuration_patience{150};
 constexpr base::milliseconds shortest_gap{250};
 constexpr base::milliseconds call_time{1000};
 
@@ -21,16 +21,25 @@
     , port_(port)
     , limit_(owner) {}
 
-bool snapshot_fetcher::behind(const peers::heartbeat& heartbeat) const {
-    return heartbeat.configuration >
-               target_.version(state::collection::configuration) ||
-           heartbeat.servers > target_.version(state::collection::servers);
+void snapshot_fetcher::set_server_patience(base::milliseconds patience) {
+    server_patience_ = patience;
+}
+
+std::optional<base::milliseconds>
+snapshot_fetcher::patience_for(const peers::heartbeat& heartbeat) const {
+    if (heartbeat.configuration >
+        target_.version(state::collection::configuration))
+        return configuration_patience;
+    if (heartbeat.servers > target_.version(state::collection::servers))
+        return server_patience_;
+    return std::nullopt;
 }
 
 void snapshot_fetcher::on_heartbeat(
     const std::string& host, const peers::heartbeat& heartbeat) {
     const base::steady_time now = owner_.now();
-    if (!behind(heartbeat)) {
+    const auto patience = patience_for(heartbeat);
+    if (!patience) {
         behind_since_ = {};
         return;
     }
@@ -38,7 +47,7 @@
         behind_since_ = now;
     const bool nothing_known = !target_.known(state::collection::configuration);
     if (call_ != nullptr || now - last_fetch_ < shortest_gap ||
-        (!nothing_known && now - behind_since_ < patience))
+        (!nothing_known && now - behind_since_ < *patience))
         return;
     fetch(host);
 }
--- a/libs/runtime/src/snapshot_fetcher.hpp
+++ b/libs/runtime/src/snapshot_fetcher.hpp
@@ -8,6 +8,7 @@
 #include <mintknot/upstream/call.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mintknot::runtime {
@@ -24,11 +25,17 @@
         event::loop& owner, upstream::connection_pool& pool,
         state::replica& target, logging::line_log& log, std::uint16_t port);
 
+    /// How long the store's own news of servers are waited for: no less than
+    /// changes are gathered.
+    void set_server_patience(base::milliseconds patience);
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
 
 private:
-    bool behind(const peers::heartbeat& heartbeat) const;
+    /// @return how long to wait for the store, or nothing if the peer does not
+    /// know more than this instance.
+    std::optional<base::milliseconds>
+    patience_for(const peers::heartbeat& heartbeat) const;
     void fetch(const std::string& host);
     void finish(const std::string& host, bool whole);
 
@@ -41,6 +48,7 @@
     event::timer limit_;
     std::string body_;
     int status_ = 0;
+    base::milliseconds server_patience_{150};
     base::steady_time behind_since_{};
     base::steady_time last_fetch_{};
 };
--- /dev/null
+++ b/libs/runtime/tests/test_lapsed_servers.cpp
@@ -0,0 +1,67 @@
+#include "../src/lapsed_servers.hpp"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace mintknot;
+using namespace mintknot::runtime;
+
+namespace {
+
+struct bench {
+    bench()
+        : servers(
+              owner, log,
+              [this](const std::string& id, std::uint64_t) {
+                  removed.insert(id);
+              },
+              [] { return std::size_t{12}; })
+        , timer(owner) {}
+
+    void run_for(base::milliseconds time) {
+        timer.start(time, [this] { owner.stop(); });
+        owner.run();
+    }
+
+    event::loop owner;
+    logging::line_log log{-1, "test", {}};
+    std::set<std::string> removed;
+    lapsed_servers servers;
+    event::timer timer;
+};
+
+constexpr base::milliseconds moment{200};
+constexpr base::milliseconds long_time{2200};
+
+} // namespace
+
+Test(lapsed_servers, in_calm_times_a_server_goes_with_its_row) {
+    bench b;
+    b.servers.gone("a", 5);
+    b.run_for(moment);
+    cr_assert(b.removed == std::set<std::string>{"a"});
+}
+
+Test(lapsed_servers, after_the_stores_return_rows_have_time_to_come_back) {
+    bench b;
+    b.servers.store_returned();
+    b.servers.gone("a", 5);
+    b.servers.gone("b", 6);
+    b.run_for(moment);
+    cr_assert(b.removed.empty());
+    b.servers.back("a");
+    b.run_for(long_time);
+    cr_assert(b.removed == std::set<std::string>{"b"}, "still missing: gone");
+}
+
+Test(lapsed_servers, many_rows_gone_at_once_tell_that_the_store_was_away) {
+    bench b;
+    for (const char* id : {"a", "b", "c", "d"})
+        b.servers.gone(id, 5);
+    b.run_for(moment);
+    cr_assert(b.removed.empty());
+    b.servers.back("c");
+    b.run_for(long_time);
+    cr_assert(b.removed == std::set<std::string>({"a", "b", "d"}));
+}
--- a/libs/state/include/mintknot/state/store_reader.hpp
+++ b/libs/state/include/mintknot/state/store_reader.hpp
@@ -35,6 +35,12 @@
 
     void start();
     void stop();
+    /// Changes how long a watch is held and how closely changes are fetched,
+    /// from the next call on.
+    void set_pace(base::milliseconds wait, base::milliseconds gather);
+    /// Calls the handler when the store answers again after it has been out of
+    /// reach, before what it answers is taken.
+    void on_return(std::function<void()> handler);
     /// @return how long ago the store last answered.
     base::milliseconds silence() const;
 
@@ -52,6 +58,7 @@
     logging::line_log& log_;
     reader_options options_;
     std::function<double()> draw_;
+    std::function<void()> on_return_;
     event::timer timer_;
     bool stopped_ = false;
     bool whole_read_ = false;
--- a/libs/state/src/store_reader.cpp
+++ b/libs/state/src/store_reader.cpp
@@ -27,6 +27,16 @@
     timer_.stop();
 }
 
+void store_reader::set_pace(
+    base::milliseconds wait, base::milliseconds gather) {
+    options_.wait = wait;
+    options_.gather = gather;
+}
+
+void store_reader::on_return(std::function<void()> handler) {
+    on_return_ = std::move(handler);
+}
+
 base::milliseconds store_reader::silence() const {
     return std::chrono::duration_cast<base::milliseconds>(
         owner_.now() - heard_);
@@ -89,9 +99,12 @@
 void store_reader::on_good_answer() {
     heard_ = owner_.now();
     backoff_ = base::milliseconds{0};
-    if (!reachable_)
-        log_.write("store_regained", {{"collection", to_string(what_)}});
+    if (reachable_)
+        return;
     reachable_ = true;
+    log_.write("store_regained", {{"collection", to_string(what_)}});
+    if (on_return_)
+        on_return_();
 }
 
 void store_reader::pause(store_result why) {
--- a/libs/state/tests/test_store_reader.cpp
+++ b/libs/state/tests/test_store_reader.cpp
@@ -135,3 +135,18 @@
     cr_assert(f.source.calls.size() == 5);
     cr_assert(f.owner.now() - begun >= gather * 3);
 }
+
+Test(store_reader, tells_of_the_stores_return_before_its_answer_is_taken) {
+    fixture f;
+    std::vector<std::uint64_t> versions_at_return;
+    f.reader.on_return([&] {
+        versions_at_return.push_back(f.copy.version(collection::servers));
+    });
+    f.source.answers = {
+        good(4, {{"i", 4, "x"}}),
+        {store_result::unreachable, {}, 0},
+        good(6, {{"i", 6, std::nullopt}})};
+    f.run();
+    cr_assert(versions_at_return == std::vector<std::uint64_t>{4});
+    cr_assert(f.copy.version(collection::servers) == 6);
+}
--- a/libs/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/traffic/include/mintknot/traffic/server_table.hpp
@@ -53,6 +53,9 @@
 /// @return the server if it is known and has not gone, else null.
 const server* find(const server_table& table, const std::string& id);
 
+/// @return how many servers are known that have not gone.
+std::size_t count(const server_table& table);
+
 /// @return the servers of a service that take new requests.
 const std::vector<const server*>&
 open_servers(const server_table& table, const std::string& service);
--- a/libs/traffic/src/server_table.cpp
+++ b/libs/traffic/src/server_table.cpp
@@ -67,6 +67,12 @@
     return &*found->second.value;
 }
 
+std::size_t count(const server_table& table) {
+    return static_cast<std::size_t>(std::count_if(
+        table.by_id.begin(), table.by_id.end(),
+        [](const auto& item) { return item.second.value.has_value(); }));
+}
+
 const std::vector<const server*>&
 open_servers(const server_table& table, const std::string& service) {
     static const std::vector<const server*> none;
