--- a/libs/orders/src/phase_plan.cpp
+++ b/libs/orders/src/phase_plan.cpp
@@ -15,9 +15,6 @@
 constexpr double common_prefill = 0.1;
 constexpr double common_decode = 0.25;
 constexpr double common_requests = 60.0;
-/// Prefill engines are kept idler than decode engines: what waits there delays
-/// the first token, what waits for memory is refused early.
-constexpr double prefill_headroom = 1.3;
 /// How far from the balance the engines must be, in engines: a change costs
 /// an engine for some seconds.
 constexpr double tolerance = 0.6;
@@ -48,9 +45,8 @@
 } // namespace
 
 double prefill_share(const traffic::phase_demand& demand) {
-    const double prefill =
-        prefill_headroom * (common_prefill * common_requests +
-                            traffic::prefill_seconds(demand) * demand.requests);
+    const double prefill = common_prefill * common_requests +
+                           traffic::prefill_seconds(demand) * demand.requests;
     const double decode =
         common_decode * common_requests + demand.decode_seconds;
     return prefill / (prefill + decode);
--- a/libs/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -46,7 +46,7 @@
     /// Part of the expected output that is reserved in a decode engine's
     /// memory. Requests are at different points of their output: on average
     /// each holds about half of it.
-    double output_share = 0.8;
+    double output_share = 0.6;
 };
 
 /// What a peer has last told of its retries.
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -19,6 +19,8 @@
         "i", "instances", "instances", false, 3, "N", line);
     TCLAP::SwitchArg planned(
         "p", "planned", "planned work only: nothing may be cut off", line);
+    TCLAP::SwitchArg schedulers(
+        "d", "schedulers", "place requests through schedulers", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -29,6 +31,7 @@
         options.length = std::chrono::seconds(length.getValue());
         options.instances = static_cast<std::size_t>(instances.getValue());
         options.planned_only = planned.getValue();
+        options.schedulers = schedulers.getValue();
         const soak::soak_result result = soak::run_soak(options);
         fmt::print(
             "seed {}: {} requests, {} answered, {} refused, {} faults, {} "
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -47,7 +47,9 @@
 public:
     explicit soak(const soak_options& options)
         : options_(options)
-        , system_(directory_.path, options.instances)
+        , system_(
+              directory_.path, options.instances,
+              options.schedulers ? "scheduler" : "here")
         , random_(options.seed)
         , clients_(owner_, entries(), options.seed)
         , timer_(owner_)
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -18,6 +18,8 @@
     std::size_t callers = 20;
     /// Only planned work: SIGTERM to instances, SIGHUP, new configurations.
     bool planned_only = false;
+    /// Instances place requests through schedulers, as large groups do.
+    bool schedulers = false;
 };
 
 struct soak_result {
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -70,8 +70,10 @@
 
 } // namespace
 
-soak_system::soak_system(std::string directory, std::size_t instances)
+soak_system::soak_system(
+    std::string directory, std::size_t instances, std::string placement)
     : directory_(std::move(directory))
+    , placement_(std::move(placement))
     , port_(free_port()) {
     store_.program = "platform-store";
     store_.running = std::make_unique<harness::child_process>(
@@ -143,7 +145,8 @@
 void soak_system::restart_instance(std::size_t index) {
     soak_process& instance = instances_[index];
     instance.program = "mintknotd-platform";
-    instance.arguments = {"--settings", write_settings(index)};
+    instance.arguments = {
+        "--settings", write_settings(index), "--placement", placement_};
     instance.running.reset();
     instance.running = std::make_unique<harness::child_process>(
         instance.program, instance.arguments, path("instance.log"));
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -27,7 +27,9 @@
 class soak_system {
 public:
     /// @param directory takes settings, ledger and logs.
-    soak_system(std::string directory, std::size_t instances);
+    /// @param placement policy that the instances are told.
+    soak_system(
+        std::string directory, std::size_t instances, std::string placement);
 
     /// Servers end and come back under new IDs.
     std::vector<soak_process>& servers() { return servers_; }
@@ -52,6 +54,7 @@
     std::string path(const std::string& name) const;
 
     std::string directory_;
+    std::string placement_;
     std::uint16_t port_ = 0; ///< First of four that all instances use.
     std::uint16_t store_port_ = 0;
     int configuration_ = 0;
--- a/testing/soak/tests/test_soak.cpp
+++ b/testing/soak/tests/test_soak.cpp
@@ -33,6 +33,14 @@
     }
 }
 
+Test(soak, promises_hold_under_faults_with_schedulers) {
+    soak_options options;
+    options.seed = 3;
+    options.instances = 4;
+    options.schedulers = true;
+    check(options);
+}
+
 Test(soak, planned_work_cuts_nothing_off) {
     for (const std::uint64_t seed : planned_seeds) {
         soak_options options;
