Log lines tell who placed a request and what the scheduler saw

Cause: in large groups the line no_room showed this instance's own loads, which say nothing there, and no line named the scheduler that had chosen. Change: an answer without room carries what the scheduler saw; prefill, decode and sent name the host that placed the request (placed_by, empty: this one). Test: scheduling_messages::an_answer_comes_back_whole.

--- a/libs/relay/src/generation_decode.cpp
+++ b/libs/relay/src/generation_decode.cpp
@@ -48,6 +48,7 @@
                    {"server", decode_server_},
                    {"prefilled_by", kept_.server},
                    {"with_result", with_result},
+                   {"placed_by", placed_by_},
                    {"send", std::int64_t{sends_}},
                    {"config", static_cast<std::int64_t>(config_->version)},
                    {"after_ms", since_arrival().count()}});
@@ -213,7 +214,7 @@
             request_.terms.id);
         release_decode();
         if (++unreachable_ > most_unreachable)
-            wait_for_room();
+            wait_for_room({});
         else
             place();
         return;
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -87,9 +87,10 @@
     const traffic::server* decode =
         traffic::find(owner_.state.servers, placed.server);
     if (decode == nullptr || decode->draining) {
-        wait_for_room();
+        wait_for_room(placed.room);
         return;
     }
+    placed_by_ = placed.by;
     decode_server_ = decode->id;
     decode_reserved_ = memory_needed();
     add_load(owner_, decode_server_, {1, 0.0, decode_reserved_});
@@ -129,13 +130,13 @@
     return true;
 }
 
-void generation_exchange::wait_for_room() {
+void generation_exchange::wait_for_room(const traffic::room_summary& seen) {
     const room_terms terms = room_terms_for(
         owner_.state.deadlines[route_.name], route_.target_latency,
         request_.terms.deadline, prefills_ > 0, owner_.draw());
     // A stream that has begun is worth waiting for, whatever its target.
     if (!head_sent_ && since_arrival() >= terms.wait) {
-        log_room();
+        log_room(seen);
         give_up("no_capacity", terms.come_back);
         return;
     }
@@ -146,9 +147,7 @@
         [this] { place(); });
 }
 
-void generation_exchange::log_room() {
-    const traffic::room_summary room =
-        traffic::summarize_room(selection_for(owner_, service_));
+void generation_exchange::log_room(const traffic::room_summary& room) {
     owner_.log.write(
         "no_room",
         {{"request", request_.terms.id},
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -40,8 +40,9 @@
     /// Places the request, or waits for room for a moment.
     void place();
     void on_placed(const traffic::placement& placed);
-    void wait_for_room();
-    void log_room();
+    /// @param seen by the last choice, for the log.
+    void wait_for_room(const traffic::room_summary& seen);
+    void log_room(const traffic::room_summary& seen);
     /// @return true if a kept result can still be handed over.
     bool result_usable() const;
     /// @return true if one more call is within the retry allowance. The first
@@ -82,6 +83,7 @@
     void drop_result();
 
     std::unique_ptr<placement_ticket> placement_;
+    std::string placed_by_; ///< Host that chose the servers; empty: this one.
     std::unique_ptr<upstream::call> prefill_call_;
     std::string prefill_server_;
     std::string prefill_body_;
--- a/libs/relay/src/generation_prefill.cpp
+++ b/libs/relay/src/generation_prefill.cpp
@@ -44,6 +44,7 @@
                     {"route", route_.name},
                     {"server", prefill_server_},
                     {"decode", decode_server_},
+                    {"placed_by", placed_by_},
                     {"tokens", tokens},
                     {"expected_ms", prefill_expected_.count()},
                     {"try", std::int64_t{prefills_}},
--- a/libs/relay/src/plain_exchange.cpp
+++ b/libs/relay/src/plain_exchange.cpp
@@ -87,6 +87,7 @@
         "sent", {{"request", request_.terms.id},
                  {"route", route_.name},
                  {"server", server_},
+                 {"placed_by", placed.by},
                  {"send", std::int64_t{sends_}},
                  {"config", static_cast<std::int64_t>(config_->version)},
                  {"left_ms", time_left().count()}});
--- a/libs/scheduling/src/messages.cpp
+++ b/libs/scheduling/src/messages.cpp
@@ -83,9 +83,16 @@
 }
 
 json to_json(const placement_answer& value) {
-    return {answer_format,        value.number,
-            value.known,          value.placed.server,
-            value.placed.prefill, whole(value.placed.tokens_ahead)};
+    return {
+        answer_format,
+        value.number,
+        value.known,
+        value.placed.server,
+        value.placed.prefill,
+        whole(value.placed.tokens_ahead),
+        value.placed.room.engines,
+        value.placed.room.avoided,
+        whole(value.placed.room.most_room)};
 }
 
 placement_answer answer_from(const json& row) {
@@ -95,6 +102,9 @@
     value.placed.server = row.at(3).get<std::string>();
     value.placed.prefill = row.at(4).get<std::string>();
     value.placed.tokens_ahead = number(row.at(5));
+    value.placed.room.engines = row.at(6).get<int>();
+    value.placed.room.avoided = row.at(7).get<int>();
+    value.placed.room.most_room = number(row.at(8));
     return value;
 }
 
--- a/libs/scheduling/src/remote_placer.cpp
+++ b/libs/scheduling/src/remote_placer.cpp
@@ -22,9 +22,10 @@
         : patience(owner) {}
     traffic::placement_query query;
     relay::placement_handler then;
-    std::vector<domain> left; ///< Domains to be asked, the next one first.
-    std::string asked;        ///< The scheduler that is to answer.
-    int tries = 0;            ///< Within the domain at hand.
+    std::vector<domain> left;   ///< Domains to be asked, the next one first.
+    traffic::room_summary seen; ///< In the domains that had no room.
+    std::string asked;          ///< The scheduler that is to answer.
+    int tries = 0;              ///< Within the domain at hand.
     event::timer patience;
 };
 
@@ -92,7 +93,9 @@
             return;
         question& entry = *found->second;
         if (entry.left.empty()) {
-            finish(number, place_anywhere(entry.query));
+            traffic::placement placed = place_anywhere(entry.query);
+            placed.room = entry.seen;
+            finish(number, placed);
             return;
         }
         const std::string host = scheduler(entry.left.front());
@@ -120,6 +123,10 @@
             finish(number, placed);
             return;
         }
+        entry.seen.engines += placed.room.engines;
+        entry.seen.avoided += placed.room.avoided;
+        entry.seen.most_room =
+            std::max(entry.seen.most_room, placed.room.most_room);
         entry.left.erase(entry.left.begin());
         entry.tries = 0;
         ask_next(number);
@@ -195,7 +202,9 @@
         }
         found->second->patience.stop();
         if (answer.known) {
-            take(answer.number, answer.placed);
+            traffic::placement placed = answer.placed;
+            placed.by = host;
+            take(answer.number, placed);
             return;
         }
         found->second->tries = most_tries;
--- a/libs/scheduling/tests/test_messages.cpp
+++ b/libs/scheduling/tests/test_messages.cpp
@@ -32,13 +32,17 @@
 }
 
 Test(scheduling_messages, an_answer_comes_back_whole) {
-    const auto value =
-        decode(encode(placement_answer{9, true, {"d", "p", 500.0}}));
+    placement_answer sent{9, true, {"d", "p", 500.0}};
+    sent.placed.room = {12, 3, 6400.0};
+    const auto value = decode(encode(sent));
     cr_assert(value.ok());
     const auto& got = std::get<placement_answer>(*value);
     cr_assert(got.number == 9 && got.known);
     cr_assert(got.placed.server == "d" && got.placed.prefill == "p");
     cr_assert(got.placed.tokens_ahead == 500.0);
+    cr_assert(got.placed.room.engines == 12);
+    cr_assert(got.placed.room.avoided == 3);
+    cr_assert(got.placed.room.most_room == 6400.0);
 }
 
 Test(scheduling_messages, a_report_comes_back_whole) {
--- a/libs/traffic/include/mintknot/traffic/placement.hpp
+++ b/libs/traffic/include/mintknot/traffic/placement.hpp
@@ -36,6 +36,8 @@
     std::string server;        ///< Plain or decode; empty: there is no room.
     std::string prefill;       ///< Empty: the decode engine reads the prompt.
     double tokens_ahead = 0.0; ///< That the prefill engine reads before.
+    room_summary room; ///< Where a decode engine had no room: what was seen.
+    std::string by;    ///< Host of the scheduler that has chosen; empty: here.
 };
 
 /// @return the servers for a request. Pure: no load is added.
--- a/libs/traffic/src/placement.cpp
+++ b/libs/traffic/src/placement.cpp
@@ -27,7 +27,9 @@
     if (query.kind == placement_kind::plain_with_room &&
         total(inputs.loads, chosen->id, inputs.now).calls >= chosen->slots)
         return {};
-    return {chosen->id, {}, 0.0};
+    placement result;
+    result.server = chosen->id;
+    return result;
 }
 
 } // namespace
@@ -42,9 +44,12 @@
                   inputs, query.excluded_prefill, query.prompt_tokens)
             : nullptr;
     const server* decode = choose_decode(inputs, query, prefill);
-    if (decode == nullptr)
-        return {};
-    placement result{decode->id, {}, 0.0};
+    placement result;
+    if (decode == nullptr) {
+        result.room = summarize_room(inputs);
+        return result;
+    }
+    result.server = decode->id;
     if (prefill != nullptr &&
         expected_read_time(inputs, *prefill, query.prompt_tokens) <
             query.read_limit) {
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -253,7 +253,7 @@
         inputs.target.engine ? inputs.target.engine->memory_tokens : 0);
     for (const server* engine :
          open_servers(inputs.servers, inputs.target.name)) {
-        if (!decode_phase(engine->phase))
+        if (!decode_phase(engine->phase) || !in_scope(inputs, *engine))
             continue;
         ++summary.engines;
         if (avoided(inputs.health, engine->id, inputs.now)) {
