--- a/libs/relay/src/caller_session.cpp
+++ b/libs/relay/src/caller_session.cpp
@@ -247,15 +247,10 @@
     const bool until_close =
         head.body == http1::framing::close || minor_version_ == 0;
     if (until_close)
-        framing_ = body_framing::close;
-    else if (head.body == http1::framing::length)
-        framing_ = body_framing::length;
-    else
-        framing_ = body_framing::chunked;
-    if (framing_ == body_framing::chunked)
-        head.body = http1::framing::chunked;
-    else if (framing_ == body_framing::close)
         head.body = http1::framing::close;
+    else if (head.body != http1::framing::length)
+        head.body = http1::framing::chunked;
+    framing_ = head.body;
     head.keep_alive = keep_alive() && !until_close;
     request_keep_alive_ = head.keep_alive;
     link_->write(http1::serialize(head));
@@ -265,12 +260,12 @@
     if (bytes.empty())
         return;
     link_->write(
-        framing_ == body_framing::chunked ? http1::chunk(bytes)
-                                          : std::string(bytes));
+        framing_ == http1::framing::chunked ? http1::chunk(bytes)
+                                            : std::string(bytes));
 }
 
 void caller_session::end() {
-    if (framing_ == body_framing::chunked)
+    if (framing_ == http1::framing::chunked)
         link_->write(std::string(http1::last_chunk));
     answer_done();
 }
@@ -282,7 +277,7 @@
     timer_.stop();
     // Where only the end of the connection would end the body, it must not
     // look orderly.
-    if (framing_ == body_framing::close)
+    if (framing_ == http1::framing::close)
         link_->reset();
     else
         link_->close();
--- a/libs/relay/src/caller_session.hpp
+++ b/libs/relay/src/caller_session.hpp
@@ -37,8 +37,6 @@
     bool congested() const override;
 
 private:
-    enum class body_framing { none, length, chunked, close };
-
     void on_data(std::string_view bytes);
     void on_end();
     void read_on();
@@ -72,7 +70,7 @@
     std::size_t reserved_body_ = 0;
     base::steady_time began_;
     std::unique_ptr<exchange> exchange_;
-    body_framing framing_ = body_framing::none;
+    http1::framing framing_ = http1::framing::none;
     bool closed_ = false;
     event::timer timer_;
 };
