Keep the sum of peers' loads instead of adding it up for each server

Each choice added up the loads of every peer for every engine of the domain: 33 x 334 at 100. Ruled out: datagrams (wake-ups fall with size), rows (memory 9 MB, once). Change: load_view keeps the sum as peers' loads change; a choice looks up each server once. Silent peers are dropped before loads are looked at, as before.

--- a/libs/orders/src/phase_balancer.cpp
+++ b/libs/orders/src/phase_balancer.cpp
@@ -82,6 +82,7 @@
 
     std::optional<phase_change> plan(const std::string& service, work& at) {
         forget_changed(at);
+        traffic::expire(router.state.loads, now());
         std::vector<planned_engine> engines;
         for (const traffic::server* engine :
              traffic::open_servers(router.state.servers, service)) {
@@ -97,7 +98,7 @@
             engines, router.state.demands[service],
             [this](const traffic::server& engine) {
                 const traffic::server_load load =
-                    traffic::total(router.state.loads, engine.id, now());
+                    traffic::total(router.state.loads, engine.id);
                 return load.prefill_tokens + load.memory_tokens;
             });
     }
--- a/libs/relay/src/router_state.cpp
+++ b/libs/relay/src/router_state.cpp
@@ -85,6 +85,7 @@
 
 traffic::selection_inputs
 selection_for(router& owner, const traffic::service& target) {
+    traffic::expire(owner.state.loads, owner.loop.now());
     return {
         owner.state.servers,
         owner.state.loads,
--- a/libs/scheduling/src/remote_placer.cpp
+++ b/libs/scheduling/src/remote_placer.cpp
@@ -186,9 +186,9 @@
         answer.known = service_of(request.query.service) != nullptr;
         answer.placed = decide(
             request.query, {request.query.service, request.data_centre}, true);
-        traffic::load_view::remote& peer = router.state.loads.peers[host];
-        traffic::add_placed(peer.loads, answer.placed, request.query);
-        peer.heard = now();
+        traffic::add_to_peer(
+            router.state.loads, host,
+            traffic::placed_loads(answer.placed, request.query), now());
         ports.send(host, encode(answer));
     }
 
--- a/libs/traffic/include/mintknot/traffic/load_view.hpp
+++ b/libs/traffic/include/mintknot/traffic/load_view.hpp
@@ -34,6 +34,7 @@
     };
     load_map own;
     std::unordered_map<std::string, remote> peers;
+    load_map of_peers; ///< Sum over all peers, kept by the functions below.
 };
 
 /// How long a peer's last word counts.
@@ -48,9 +49,16 @@
     load_view& view, const std::string& peer, load_map loads,
     base::steady_time now);
 
+/// Adds to what a peer has in flight.
+void add_to_peer(
+    load_view& view, const std::string& peer, const load_map& loads,
+    base::steady_time now);
+
+/// Drops peers that have fallen silent. Called before loads are looked at.
+void expire(load_view& view, base::steady_time now);
+
 /// @return own and peers' work at a server.
-server_load
-total(const load_view& view, const std::string& id, base::steady_time now);
+server_load total(const load_view& view, const std::string& id);
 
 /// @return own work at a server.
 server_load own(const load_view& view, const std::string& id);
--- a/libs/traffic/include/mintknot/traffic/placement.hpp
+++ b/libs/traffic/include/mintknot/traffic/placement.hpp
@@ -43,9 +43,8 @@
 /// @return the servers for a request. Pure: no load is added.
 placement choose(const selection_inputs& inputs, const placement_query& query);
 
-/// Adds the load of a placed request, as it is until its prompt is read.
-void add_placed(
-    load_map& loads, const placement& placed, const placement_query& query);
+/// @return the load of a placed request, as it is until its prompt is read.
+load_map placed_loads(const placement& placed, const placement_query& query);
 
 } // namespace mintknot::traffic
 
--- a/libs/traffic/src/load_view.cpp
+++ b/libs/traffic/src/load_view.cpp
@@ -18,6 +18,26 @@
     return left;
 }
 
+namespace {
+
+void add_to_sum(load_map& sum, const load_map& loads) {
+    for (const auto& [id, load] : loads)
+        sum[id] += load;
+}
+
+void take_from_sum(load_map& sum, const load_map& loads) {
+    for (const auto& [id, load] : loads) {
+        const auto found = sum.find(id);
+        if (found == sum.end())
+            continue;
+        found->second -= load;
+        if (found->second.empty())
+            sum.erase(found);
+    }
+}
+
+} // namespace
+
 void add(load_view& view, const std::string& id, const server_load& load) {
     view.own[id] += load;
 }
@@ -34,22 +54,35 @@
 void set_peer(
     load_view& view, const std::string& peer, load_map loads,
     base::steady_time now) {
-    view.peers[peer] = {std::move(loads), now};
-    std::erase_if(view.peers, [now](const auto& item) {
-        return now - item.second.heard > load_life;
+    load_view::remote& known = view.peers[peer];
+    take_from_sum(view.of_peers, known.loads);
+    known = {std::move(loads), now};
+    add_to_sum(view.of_peers, known.loads);
+}
+
+void add_to_peer(
+    load_view& view, const std::string& peer, const load_map& loads,
+    base::steady_time now) {
+    load_view::remote& known = view.peers[peer];
+    add_to_sum(known.loads, loads);
+    add_to_sum(view.of_peers, loads);
+    known.heard = now;
+}
+
+void expire(load_view& view, base::steady_time now) {
+    std::erase_if(view.peers, [&](const auto& item) {
+        if (now - item.second.heard <= load_life)
+            return false;
+        take_from_sum(view.of_peers, item.second.loads);
+        return true;
     });
 }
 
-server_load
-total(const load_view& view, const std::string& id, base::steady_time now) {
+server_load total(const load_view& view, const std::string& id) {
     server_load sum = own(view, id);
-    for (const auto& [name, peer] : view.peers) {
-        if (now - peer.heard > load_life)
-            continue;
-        const auto found = peer.loads.find(id);
-        if (found != peer.loads.end())
-            sum += found->second;
-    }
+    const auto found = view.of_peers.find(id);
+    if (found != view.of_peers.end())
+        sum += found->second;
     return sum;
 }
 
--- a/libs/traffic/src/placement.cpp
+++ b/libs/traffic/src/placement.cpp
@@ -25,7 +25,7 @@
     if (chosen == nullptr)
         return {};
     if (query.kind == placement_kind::plain_with_room &&
-        total(inputs.loads, chosen->id, inputs.now).calls >= chosen->slots)
+        total(inputs.loads, chosen->id).calls >= chosen->slots)
         return {};
     placement result;
     result.server = chosen->id;
@@ -54,19 +54,19 @@
         expected_read_time(inputs, *prefill, query.prompt_tokens) <
             query.read_limit) {
         result.prefill = prefill->id;
-        result.tokens_ahead =
-            total(inputs.loads, prefill->id, inputs.now).prefill_tokens;
+        result.tokens_ahead = total(inputs.loads, prefill->id).prefill_tokens;
     }
     return result;
 }
 
-void add_placed(
-    load_map& loads, const placement& placed, const placement_query& query) {
+load_map placed_loads(const placement& placed, const placement_query& query) {
+    load_map loads;
     if (placed.server.empty())
-        return;
-    loads[placed.server] += {1, 0.0, query.memory_tokens};
+        return loads;
+    loads[placed.server] = {1, 0.0, query.memory_tokens};
     if (!placed.prefill.empty())
-        loads[placed.prefill] += {1, query.prompt_tokens, 0.0};
+        loads[placed.prefill] = {1, query.prompt_tokens, 0.0};
+    return loads;
 }
 
 } // namespace mintknot::traffic
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -177,8 +177,7 @@
         inputs, excluded, any_phase, [&inputs](const server& candidate) {
             if (is_random(inputs))
                 return inputs.draw();
-            const server_load load =
-                total(inputs.loads, candidate.id, inputs.now);
+            const server_load load = total(inputs.loads, candidate.id);
             double score =
                 static_cast<double>(load.calls) / std::max(candidate.slots, 1);
             if (candidate.data_centre != inputs.own_data_centre)
@@ -197,7 +196,7 @@
 base::milliseconds expected_read_time(
     const selection_inputs& inputs, const server& engine,
     double prompt_tokens) {
-    const server_load load = total(inputs.loads, engine.id, inputs.now);
+    const server_load load = total(inputs.loads, engine.id);
     return read_time(
         inputs.rates, engine.id, load.prefill_tokens + prompt_tokens);
 }
@@ -230,8 +229,7 @@
         inputs, excluded, decode_phase, [&](const server& candidate) {
             if (is_random(inputs))
                 return inputs.draw();
-            const server_load load =
-                total(inputs.loads, candidate.id, inputs.now);
+            const server_load load = total(inputs.loads, candidate.id);
             if (load.calls >= candidate.slots)
                 return impossible;
             const double after = load.memory_tokens + wanted.memory_tokens;
@@ -260,7 +258,7 @@
             ++summary.avoided;
             continue;
         }
-        const server_load load = total(inputs.loads, engine->id, inputs.now);
+        const server_load load = total(inputs.loads, engine->id);
         summary.most_room =
             std::max(summary.most_room, memory - load.memory_tokens);
     }
