Keep the servers of a service sorted instead of sorting all at each row

Ruled out: the store (300 reads of 6,000 a second), datagrams. Change: a row moves its own server only.

--- a/libs/traffic/src/server_table.cpp
+++ b/libs/traffic/src/server_table.cpp
@@ -10,18 +10,33 @@
 /// is dropped.
 constexpr std::size_t most_traces = 4096;
 
-void rebuild(server_table& table) {
-    table.open_by_service.clear();
-    for (const auto& [id, entry] : table.by_id)
-        if (entry.value && !entry.value->draining)
-            table.open_by_service[entry.value->service].push_back(
-                &*entry.value);
-    for (auto& [name, servers] : table.open_by_service)
-        std::sort(
-            servers.begin(), servers.end(),
-            [](const server* left, const server* right) {
-                return left->id < right->id;
-            });
+bool is_open(const std::optional<server>& value) {
+    return value && !value->draining;
+}
+
+bool id_is_less(const server* left, const std::string& id) {
+    return left->id < id;
+}
+
+/// Puts a server among those of its service, which are sorted by ID.
+void add_open(server_table& table, const server& added) {
+    std::vector<const server*>& servers = table.open_by_service[added.service];
+    servers.insert(
+        std::lower_bound(servers.begin(), servers.end(), added.id, id_is_less),
+        &added);
+}
+
+void remove_open(server_table& table, const server& removed) {
+    const auto service = table.open_by_service.find(removed.service);
+    if (service == table.open_by_service.end())
+        return;
+    std::vector<const server*>& servers = service->second;
+    const auto found = std::lower_bound(
+        servers.begin(), servers.end(), removed.id, id_is_less);
+    if (found != servers.end() && *found == &removed)
+        servers.erase(found);
+    if (servers.empty())
+        table.open_by_service.erase(service);
 }
 
 void drop_traces(server_table& table) {
@@ -53,10 +68,13 @@
     if (entry.version >= version)
         return false;
     entry.version = version;
+    if (is_open(entry.value))
+        remove_open(table, *entry.value);
     entry.value = std::move(value);
+    if (is_open(entry.value))
+        add_open(table, *entry.value);
     table.newest = std::max(table.newest, version);
     drop_traces(table);
-    rebuild(table);
     return true;
 }
 
--- a/libs/traffic/tests/test_server_table.cpp
+++ b/libs/traffic/tests/test_server_table.cpp
@@ -35,3 +35,23 @@
     cr_assert(find(table, "j") != nullptr);
     cr_assert(open_servers(table, "other").empty());
 }
+
+Test(server_table, open_servers_stay_sorted_through_every_change) {
+    server_table table;
+    std::uint64_t version = 0;
+    for (const char* id : {"c", "a", "d", "b"})
+        apply(table, id, ++version, named(id));
+    apply(table, "a", ++version, named("a", true));
+    apply(table, "d", ++version, std::nullopt);
+    server moved = named("b");
+    moved.service = "other";
+    apply(table, "b", ++version, moved);
+    apply(table, "a", ++version, named("a"));
+    const auto& open = open_servers(table, "s");
+    cr_assert(open.size() == 2);
+    cr_assert(open[0]->id == "a");
+    cr_assert(open[1]->id == "c");
+    cr_assert(open_servers(table, "other").size() == 1);
+    apply(table, "b", ++version, std::nullopt);
+    cr_assert(open_servers(table, "other").empty());
+}
