Ask the next scheduler when the first one is out of reach

Ruled out: load (the connection was refused at once), the engine's retry (it was allowed and taken). Change: scheduler_of() can pass over instances that did not answer; up to three of a data centre are asked in the order of the hash.

--- a/libs/control/include/mintknot/control/cluster_view.hpp
+++ b/libs/control/include/mintknot/control/cluster_view.hpp
@@ -20,10 +20,12 @@
 };
 
 /// @return the instance that schedules a service in a data centre, by the
-/// rendezvous hash; nothing if no instance is ready.
+/// rendezvous hash; nothing if no instance is ready. Instances that did not
+/// answer are passed over: who comes next is the same for all who ask.
 std::optional<cluster::member> scheduler_of(
     const cluster_view& view, const std::string& service,
-    const std::string& data_centre);
+    const std::string& data_centre,
+    const std::vector<base::instance_id>& passed_over = {});
 
 /// @return whether this instance reads an engine's reports.
 bool watches(
--- a/libs/control/src/cluster_view.cpp
+++ b/libs/control/src/cluster_view.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 std::string chosen_for(
-    const cluster_view& view, const std::string& job,
+    const std::vector<cluster::member>& live, const std::string& job,
     const std::string& data_centre) {
-    return base::rendezvous(job, cluster::ready_names(view.live, data_centre));
+    return base::rendezvous(job, cluster::ready_names(live, data_centre));
 }
 
 std::string own_name(const cluster_view& view) {
@@ -22,14 +22,20 @@
 
 std::optional<cluster::member> scheduler_of(
     const cluster_view& view, const std::string& service,
-    const std::string& data_centre) {
+    const std::string& data_centre,
+    const std::vector<base::instance_id>& passed_over) {
+    std::vector<cluster::member> asked = view.live;
+    std::erase_if(asked, [&](const cluster::member& item) {
+        return std::find(passed_over.begin(), passed_over.end(), item.id) !=
+               passed_over.end();
+    });
     const std::string name =
-        chosen_for(view, "scheduler/" + service, data_centre);
+        chosen_for(asked, "scheduler/" + service, data_centre);
     const auto position = std::find_if(
-        view.live.begin(), view.live.end(), [&](const cluster::member& item) {
+        asked.begin(), asked.end(), [&](const cluster::member& item) {
             return cluster::name_of(item) == name;
         });
-    if (position == view.live.end())
+    if (position == asked.end())
         return std::nullopt;
     return *position;
 }
@@ -37,11 +43,12 @@
 bool watches(
     const cluster_view& view, const std::string& engine,
     const std::string& data_centre) {
-    return chosen_for(view, "watcher/" + engine, data_centre) == own_name(view);
+    return chosen_for(view.live, "watcher/" + engine, data_centre) ==
+           own_name(view);
 }
 
 bool does_job(const cluster_view& view, const std::string& job) {
-    return chosen_for(view, job, view.self.data_centre) == own_name(view);
+    return chosen_for(view.live, job, view.self.data_centre) == own_name(view);
 }
 
 std::optional<cluster::member>
--- a/libs/control/tests/test_cluster_view.cpp
+++ b/libs/control/tests/test_cluster_view.cpp
@@ -45,3 +45,17 @@
         item.state = cluster::member_state::leaving;
     cr_assert(!scheduler_of(view, "s", "dc1").has_value());
 }
+
+Test(cluster_view, who_does_not_answer_is_passed_over_by_all_alike) {
+    const auto first = scheduler_of(view_of("a"), "s", "dc1");
+    const auto next = scheduler_of(view_of("a"), "s", "dc1", {first->id});
+    cr_assert(next.has_value());
+    cr_assert(next->id != first->id);
+    cr_assert(
+        scheduler_of(view_of("b"), "s", "dc1", {first->id})->id == next->id);
+    const auto last =
+        scheduler_of(view_of("a"), "s", "dc1", {first->id, next->id});
+    cr_assert(last.has_value());
+    const std::vector<base::instance_id> all{first->id, next->id, last->id};
+    cr_assert(!scheduler_of(view_of("a"), "s", "dc1", all).has_value());
+}
--- a/libs/entry/include/mintknot/entry/placer.hpp
+++ b/libs/entry/include/mintknot/entry/placer.hpp
@@ -23,8 +23,9 @@
 
 /// Asks the scheduler of the own data centre. If that has no room at once,
 /// the other data centres with engines of the service are asked, then the own
-/// one again with leave to wait. Out of reach of any scheduler it decides
-/// alone from the lagging loads.
+/// one again with leave to wait. A scheduler that is out of reach is passed
+/// over for the next instance in the order of the hash. Out of reach of any
+/// scheduler it decides alone from the lagging loads.
 ///
 /// Thread: place() from any thread; it blocks.
 class placer {
@@ -37,8 +38,12 @@
     placed place(routing::place_query query);
 
 private:
+    absl::StatusOr<rpc::placed_request> ask_in_order(
+        const routing::place_query& query, const std::string& data_centre,
+        std::optional<scheduler_location>& scheduler);
     absl::StatusOr<rpc::placed_request>
     ask(const routing::place_query& query, const std::string& data_centre,
+        const std::optional<cluster::member>& chosen,
         std::optional<scheduler_location>& scheduler);
     placed place_alone(
         const routing::place_query& query, const std::string& why) const;
--- a/libs/entry/src/placer.cpp
+++ b/libs/entry/src/placer.cpp
@@ -16,6 +16,8 @@
 /// there and back.
 constexpr base::milliseconds way_there_and_back{500};
 constexpr base::milliseconds quick_answer{500};
+/// Schedulers of a data centre that are asked before it is left out.
+constexpr std::size_t most_schedulers_asked = 3;
 
 bool lacks_room(const rpc::placed_request& answer) {
     if (!answer.refused)
@@ -53,14 +55,35 @@
     return ordered;
 }
 
-absl::StatusOr<rpc::placed_request> placer::ask(
+absl::StatusOr<rpc::placed_request> placer::ask_in_order(
     const routing::place_query& query, const std::string& data_centre,
     std::optional<scheduler_location>& scheduler) {
     const auto view = control_.view();
-    const auto chosen =
-        control::scheduler_of(*view, query.service, data_centre);
-    const bool own = !chosen || chosen->id == view->self;
-    if (own && data_centre != view->self.data_centre)
+    std::vector<base::instance_id> silent;
+    absl::Status last_error;
+    while (silent.size() < most_schedulers_asked) {
+        const auto chosen =
+            control::scheduler_of(*view, query.service, data_centre, silent);
+        if (!chosen && !silent.empty())
+            break;
+        const auto answer = ask(query, data_centre, chosen, scheduler);
+        if (answer.ok())
+            return answer;
+        last_error = answer.status();
+        if (!chosen || chosen->id.data_centre != data_centre)
+            break;
+        silent.push_back(chosen->id);
+    }
+    return last_error;
+}
+
+absl::StatusOr<rpc::placed_request> placer::ask(
+    const routing::place_query& query, const std::string& data_centre,
+    const std::optional<cluster::member>& chosen,
+    std::optional<scheduler_location>& scheduler) {
+    const base::instance_id self = control_.view()->self;
+    const bool own = !chosen || chosen->id == self;
+    if (own && data_centre != self.data_centre)
         return absl::UnavailableError("no instance of the data centre");
     scheduler = scheduler_location{query.service, std::nullopt};
     if (own) {
@@ -133,7 +156,7 @@
     const auto try_one = [&](const std::string& data_centre, bool may_wait) {
         query.may_wait = may_wait;
         std::optional<scheduler_location> scheduler;
-        const auto answer = ask(query, data_centre, scheduler);
+        const auto answer = ask_in_order(query, data_centre, scheduler);
         if (!answer.ok()) {
             last_error = base::text_of(answer.status());
             return false;
