Refusals say when engines are unreachable rather than full

Change: the wait after failed connections ends in server_unreachable. Ruled out: a refusal at once. The next engine may well be reached; the wait has the same bound as that for room. Test: generation_exchange::unreachable_engines_are_the_reason_of_a_refusal, which fails without the change.

--- a/libs/relay/src/generation_decode.cpp
+++ b/libs/relay/src/generation_decode.cpp
@@ -214,7 +214,7 @@
             request_.terms.id);
         release_decode();
         if (++unreachable_ > most_unreachable)
-            wait_for_room({});
+            wait_for_connection();
         else
             place();
         return;
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -123,15 +123,35 @@
 }
 
 void generation_exchange::wait_for_room(const traffic::room_summary& seen) {
-    const room_terms terms = room_terms_for(
+    const room_terms terms = waiting_terms();
+    if (may_wait(terms)) {
+        place_later();
+        return;
+    }
+    log_room(seen);
+    give_up("no_capacity", terms.come_back);
+}
+
+void generation_exchange::wait_for_connection() {
+    const room_terms terms = waiting_terms();
+    if (may_wait(terms))
+        place_later();
+    else
+        give_up("server_unreachable", terms.come_back);
+}
+
+room_terms generation_exchange::waiting_terms() const {
+    return room_terms_for(
         owner_.state.deadlines[route_.name], route_.target_latency,
         request_.terms.deadline, prefills_ > 0, owner_.draw());
+}
+
+bool generation_exchange::may_wait(const room_terms& terms) const {
     // A stream that has begun is worth waiting for, whatever its target.
-    if (!head_sent_ && since_arrival() >= terms.wait) {
-        log_room(seen);
-        give_up("no_capacity", terms.come_back);
-        return;
-    }
+    return head_sent_ || since_arrival() < terms.wait;
+}
+
+void generation_exchange::place_later() {
     wait_timer_.start(
         owner_.placement != nullptr && owner_.placement->active()
             ? room_poll_by_message
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -37,11 +37,16 @@
 
     /// What the request needs now.
     traffic::placement_query query() const;
-    /// Places the request, or waits for room for a moment.
+    /// Places the request, or tries again in a moment.
     void place();
     void on_placed(const traffic::placement& placed);
     /// @param seen by the last choice, for the log.
     void wait_for_room(const traffic::room_summary& seen);
+    /// Engines are there, but too many connections have failed in a row.
+    void wait_for_connection();
+    room_terms waiting_terms() const;
+    bool may_wait(const room_terms& terms) const;
+    void place_later();
     void log_room(const traffic::room_summary& seen);
     /// @return true if a kept result can still be handed over.
     bool result_usable() const;
--- a/libs/relay/tests/test_generation_exchange.cpp
+++ b/libs/relay/tests/test_generation_exchange.cpp
@@ -204,6 +204,15 @@
     cr_assert(f.pool.counters().failed < 60);
 }
 
+Test(generation_exchange, unreachable_engines_are_the_reason_of_a_refusal) {
+    relay_fixture f;
+    f.add_dead_server("d1", "llm");
+    f.add_dead_server("d2", "llm");
+    const caller_view seen = f.ask(prompt("/stream/x"));
+    cr_assert(seen.body == "server_unreachable\n");
+    cr_assert(!seen.field("Retry-After").empty());
+}
+
 Test(generation_exchange, an_engines_failure_is_passed_on) {
     relay_fixture f;
     f.add_server(
