--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -16,8 +16,10 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdio>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,6 +32,10 @@
 constexpr base::milliseconds work_time{15};
 constexpr base::milliseconds event_time{12};
 constexpr base::milliseconds handle_life{500};
+/// How long it serves on after it has said that it leaves.
+constexpr base::milliseconds serve_on{3000};
+/// Requests may still come for so long after the store knows.
+constexpr base::milliseconds drain_bound{2000};
 constexpr int events_of_a_stream = 20;
 constexpr int status_misdirected = 421;
 
@@ -39,6 +45,7 @@
     std::string service;
     std::string phase; ///< Empty: a plain server.
     std::string ledger;
+    base::address advertised; ///< Where instances reach it.
 };
 
 std::string event_of(const std::string& id, int number) {
@@ -66,6 +73,7 @@
     bool open() {
         if (ledger_ < 0 || !server_.open({"127.0.0.1", 0}).ok())
             return false;
+        owner_.on_signals({SIGTERM}, [this](int) { leave(); });
         fmt::print("listening {}\n", server_.port());
         std::fflush(stdout);
         beat();
@@ -73,13 +81,20 @@
     }
 
 private:
+    /// Says that it leaves, serves on for a while, and ends.
+    void leave() {
+        draining_ = true;
+        beat();
+        after(serve_on, [this] { owner_.stop(); });
+    }
+
     void beat() {
         const nlohmann::json row = {
             {"service", options_.service},
-            {"address", fmt::format("127.0.0.1:{}", server_.port())},
+            {"address", base::to_string(options_.advertised)},
             {"zone", "a"},
             {"slots", 64},
-            {"state", "ready"},
+            {"state", draining_ ? "draining" : "ready"},
             {"phase", options_.phase},
             {"seq_no", 0}};
         const nlohmann::json put = {
@@ -96,7 +111,11 @@
         call_ = upstream::call::start(
             pool_, {"store", options_.store}, std::move(request), {},
             {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
-             [] {}, [](upstream::call_failure) {}});
+             [this, told = draining_] {
+                 if (told && !leaving_known_)
+                     leaving_known_ = owner_.now();
+             },
+             [](upstream::call_failure) {}});
         beat_timer_.start(heartbeat, [this] { beat(); });
     }
 
@@ -122,6 +141,8 @@
             reject(link, id, status_misdirected);
             return;
         }
+        if (leaving_known_ && owner_.now() > *leaving_known_ + drain_bound)
+            note("leaving", id);
         if (options_.phase.empty())
             run_plain(id, link);
         else if (request.field("X-Mintknot-Phase") == "prefill")
@@ -146,8 +167,12 @@
             "");
     }
 
-    void note_run(const std::string& id) {
-        const std::string line = id + "\n";
+    /// Notes something about a request in the ledger.
+    void note(std::string_view what, const std::string& id) {
+        const auto at = std::chrono::duration_cast<base::milliseconds>(
+            owner_.now().time_since_epoch());
+        const std::string line =
+            fmt::format("{} {} {}\n", what, id, at.count());
         if (::write(ledger_, line.data(), line.size()) < 0)
             std::perror("ledger");
     }
@@ -158,7 +183,7 @@
     }
 
     void run_plain(const std::string& id, const event::connection_ptr& link) {
-        note_run(id);
+        note("run", id);
         after(work_time, [this, id, link] {
             reply(link, 200, sealed(id), "answer to " + id);
         });
@@ -182,7 +207,10 @@
     void run_decode(
         const received& request, const std::string& id,
         const event::connection_ptr& link) {
-        note_run(id);
+        note("run", id);
+        const std::string result = request.field("X-Mintknot-Kv-Source");
+        if (!result.empty() && !result.ends_with("-" + id))
+            note("mixed", id);
         int from = 0;
         if (!absl::SimpleAtoi(request.field("Last-Event-Id"), &from))
             from = 0;
@@ -224,6 +252,9 @@
     relay::tests::scripted_server server_;
     std::unique_ptr<upstream::call> call_;
     int ledger_;
+    bool draining_ = false;
+    /// When the store took its word that it leaves.
+    std::optional<base::steady_time> leaving_known_;
     std::set<std::string> handles_;
     std::uint64_t last_timer_ = 0;
     std::map<std::uint64_t, std::unique_ptr<event::timer>> timers_;
@@ -242,14 +273,16 @@
     const auto service = text("service", "its service", true);
     const auto phase = text("phase", "prefill or decode", false);
     const auto ledger = text("ledger", "file that takes the runs", true);
+    const auto address = text("address", "where instances reach it", true);
     line.parse(argc, argv);
     const auto where = base::parse_address(store->getValue());
-    if (!where.ok())
+    const auto advertised = base::parse_address(address->getValue());
+    if (!where.ok() || !advertised.ok())
         return 2;
     event::loop owner;
     engine_stand_in engine(
         owner, {*where, id->getValue(), service->getValue(), phase->getValue(),
-                ledger->getValue()});
+                ledger->getValue(), *advertised});
     if (!engine.open())
         return 1;
     owner.run();
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -34,10 +34,10 @@
         options.schedulers = schedulers.getValue();
         const soak::soak_result result = soak::run_soak(options);
         fmt::print(
-            "seed {}: {} requests, {} answered, {} refused, {} faults, {} "
-            "promises broken\n",
+            "seed {}: {} requests, {} answered, {} refused, {} left, {} "
+            "faults, {} promises broken\n",
             options.seed, result.requests, result.answered, result.refused,
-            result.faults.size(), result.broken.size());
+            result.left, result.faults.size(), result.broken.size());
         for (const std::string& broken : result.broken)
             fmt::print("  broken: {}\n", broken);
         if (verbose.getValue() || !result.broken.empty())
--- a/testing/soak/src/platform_store_main.cpp
+++ b/testing/soak/src/platform_store_main.cpp
@@ -10,6 +10,7 @@
 #include <absl/strings/str_split.h>
 #include <fmt/format.h>
 
+#include <csignal>
 #include <cstdio>
 #include <list>
 #include <string>
@@ -21,6 +22,7 @@
 
 constexpr base::milliseconds watch_poll{10};
 constexpr base::milliseconds server_silence{1200};
+constexpr int status_history_gone = 410;
 
 std::map<std::string, std::string> query_of(const std::string& target) {
     std::map<std::string, std::string> result;
@@ -64,6 +66,7 @@
     bool open() {
         if (!server_.open({"127.0.0.1", 0}).ok())
             return false;
+        owner_.on_signals({SIGUSR1}, [this](int) { rows_.forget_history(); });
         fmt::print("listening {}\n", server_.port());
         std::fflush(stdout);
         tick();
@@ -87,8 +90,13 @@
         } else if (target.starts_with("/mintknot/rows-get")) {
             answer(link, 200, rows_.read(query["table"]));
         } else if (target.starts_with("/mintknot/rows-feed")) {
+            const std::uint64_t after = std::stoull(query["after"]);
+            if (!rows_.remembers(after)) {
+                answer(link, status_history_gone, {});
+                return;
+            }
             watches_.push_back(
-                {link, query["table"], std::stoull(query["after"]),
+                {link, query["table"], after,
                  owner_.now() +
                      base::milliseconds(std::stoll(query["wait_ms"]))});
         } else {
--- a/testing/soak/src/row_store.hpp
+++ b/testing/soak/src/row_store.hpp
@@ -27,6 +27,12 @@
     nlohmann::json read(const std::string& table) const;
     /// @return the rows that changed behind a version.
     nlohmann::json changes(const std::string& table, std::uint64_t after) const;
+    /// Changes up to now are told of no more. Rows stay as they are.
+    void forget_history() { oldest_known_ = version_; }
+    /// @return false if changes behind that version are no longer known.
+    bool remembers(std::uint64_t version) const {
+        return version >= oldest_known_;
+    }
     /// Removes rows of a table that nobody has written for so long.
     void expire(
         const std::string& table, std::chrono::milliseconds silence, time now);
@@ -44,6 +50,7 @@
 
     std::map<std::pair<std::string, std::string>, row> rows_;
     std::uint64_t version_ = 0;
+    std::uint64_t oldest_known_ = 0;
 };
 
 } // namespace mintknot::soak
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -2,12 +2,16 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace mintknot::soak {
 
 namespace {
 
 constexpr int events_of_a_stream = 20;
 constexpr int status_unavailable = 503;
+/// How long after its caller has left a request may still reach a server.
+constexpr base::milliseconds leaving_slack{1000};
 
 int most_runs(request_kind kind) {
     const bool repeatable =
@@ -31,12 +35,31 @@
     return body;
 }
 
+void note(
+    server_notes& notes, const std::string& what, const std::string& request,
+    base::steady_time at) {
+    if (what == "leaving") {
+        notes.after_leaving.push_back(request);
+        return;
+    }
+    if (what == "mixed") {
+        notes.of_another.push_back(request);
+        return;
+    }
+    ++notes.runs[request];
+    base::steady_time& last = notes.last_run[request];
+    last = std::max(last, at);
+}
+
 std::vector<std::string> broken_promises(
-    const std::vector<caller_record>& records, const run_counts& runs) {
+    const std::vector<caller_record>& records, const server_notes& notes) {
     std::vector<std::string> broken;
+    for (const std::string& id : notes.of_another)
+        broken.push_back(
+            fmt::format("{} went on from the result of another request", id));
     for (const caller_record& record : records) {
-        const auto found = runs.find(record.id);
-        const int count = found == runs.end() ? 0 : found->second;
+        const auto found = notes.runs.find(record.id);
+        const int count = found == notes.runs.end() ? 0 : found->second;
         if (count > most_runs(record.kind))
             broken.push_back(fmt::format("{} ran {} times", record.id, count));
         const std::string expected = expected_body(record);
@@ -63,4 +86,27 @@
     return broken;
 }
 
+std::vector<std::string> broken_by_planned_work(
+    const std::vector<caller_record>& records, const server_notes& notes) {
+    std::vector<std::string> broken;
+    for (const std::string& id : notes.after_leaving)
+        broken.push_back(
+            fmt::format("{} reached a server that was leaving", id));
+    for (const caller_record& record : records) {
+        const auto last = notes.last_run.find(record.id);
+        const bool ran = last != notes.last_run.end();
+        if (record.left_at) {
+            if (ran && last->second > *record.left_at + leaving_slack)
+                broken.push_back(
+                    fmt::format("{} ran after its caller had left", record.id));
+            continue;
+        }
+        const bool cut = record.status == 200 && !record.whole;
+        if (cut || (record.unanswered && ran))
+            broken.push_back(
+                fmt::format("{} was cut off by planned work", record.id));
+    }
+    return broken;
+}
+
 } // namespace mintknot::soak
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -3,7 +3,10 @@
 #ifndef MINTKNOT_SOAK_SOAK_CHECKS_HPP
 #define MINTKNOT_SOAK_SOAK_CHECKS_HPP
 
+#include <mintknot/base/time.hpp>
+
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,17 +25,40 @@
     bool retry_after = false;
     /// The connection ended without a byte of an answer.
     bool unanswered = false;
+    /// When the caller went away before its answer was whole.
+    std::optional<base::steady_time> left_at;
 };
 
 /// Runs of each request, as the servers have noted them.
 using run_counts = std::map<std::string, int>;
 
+/// What the servers have noted, by request.
+struct server_notes {
+    run_counts runs;
+    std::map<std::string, base::steady_time> last_run;
+    /// Arrived at a server long after it had said that it is leaving.
+    std::vector<std::string> after_leaving;
+    /// Came with the prefill result of another request.
+    std::vector<std::string> of_another;
+};
+
+/// Takes one note of a server. @param what "run", "leaving" or "mixed".
+void note(
+    server_notes& notes, const std::string& what, const std::string& request,
+    base::steady_time at);
+
 /// @return the body that the stand-ins give to a request.
 std::string expected_body(const caller_record& record);
 
-/// @return a line for each broken promise.
+/// @return a line for each promise that was broken, whatever happened.
 std::vector<std::string> broken_promises(
-    const std::vector<caller_record>& records, const run_counts& runs);
+    const std::vector<caller_record>& records, const server_notes& notes);
+
+/// @return a line for each promise that was broken although there was only
+/// planned work: nothing may be cut off, a server that leaves gets nothing
+/// new, and nothing is run for a caller that has left.
+std::vector<std::string> broken_by_planned_work(
+    const std::vector<caller_record>& records, const server_notes& notes);
 
 } // namespace mintknot::soak
 
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr base::milliseconds request_limit{6000};
+/// One caller in so many leaves early, within this time.
+constexpr std::size_t one_leaves_in = 12;
+constexpr std::size_t longest_stay_ms = 200;
 
 std::string_view path_of(request_kind kind) {
     switch (kind) {
@@ -38,6 +41,7 @@
         std::unique_ptr<upstream::call> call;
         event::timer limit;
         std::function<void(const caller_record&)> on_record;
+        bool of_load = true; ///< Counts among the records.
     };
 
     impl(
@@ -60,16 +64,36 @@
             [this, caller, pause] {
                 if (stopped)
                     return;
-                send(
+                const std::uint64_t sent = send(
                     static_cast<request_kind>(draw(4)), draw(entries.size()),
                     {});
+                if (draw(one_leaves_in) == 0)
+                    leave_early(
+                        sent, base::milliseconds(draw(longest_stay_ms)));
                 next(caller, pause);
             });
     }
 
-    void send(
+    void leave_early(std::uint64_t number, base::milliseconds stay) {
+        exchange& at = *exchanges.at(number);
+        at.limit.start(stay, [this, number] {
+            exchange& leaving = *exchanges.at(number);
+            leaving.record.left_at = owner.now();
+            leaving.call.reset();
+            finish(number);
+        });
+    }
+
+    std::uint64_t send(
         request_kind kind, std::size_t entry,
         std::function<void(const caller_record&)> on_record) {
+        return send_to(
+            kind, std::string(path_of(kind)), entry, std::move(on_record));
+    }
+
+    std::uint64_t send_to(
+        request_kind kind, const std::string& path, std::size_t entry,
+        std::function<void(const caller_record&)> on_record) {
         const std::uint64_t number = ++last;
         auto& at = exchanges[number];
         at = std::make_unique<exchange>(owner);
@@ -78,7 +102,7 @@
         at->on_record = std::move(on_record);
         upstream::call_request request;
         request.head.method = "POST";
-        request.head.target = path_of(kind);
+        request.head.target = path;
         request.head.fields = {
             {"Host", "soak.example"},
             {"X-Mintknot-Request-Id", at->record.id},
@@ -106,6 +130,7 @@
                                           why == upstream::call_failure::ended;
                  finish(number);
              }});
+        return number;
     }
 
     void finish(std::uint64_t number) {
@@ -114,7 +139,8 @@
             return;
         const std::unique_ptr<exchange> done = std::move(found->second);
         exchanges.erase(found);
-        records.push_back(done->record);
+        if (done->of_load)
+            records.push_back(done->record);
         if (done->on_record)
             done->on_record(done->record);
     }
@@ -155,6 +181,17 @@
     return impl_->records;
 }
 
+void soak_clients::probe(
+    const std::string& path, std::size_t entry,
+    std::function<void(int)> on_status) {
+    const std::uint64_t number = impl_->send_to(
+        request_kind::safe, path, entry,
+        [on_status = std::move(on_status)](const caller_record& record) {
+            on_status(record.status);
+        });
+    impl_->exchanges.at(number)->of_load = false;
+}
+
 void soak_clients::send(
     request_kind kind, std::size_t entry,
     std::function<void(const caller_record&)> on_record) {
--- a/testing/soak/src/soak_clients.hpp
+++ b/testing/soak/src/soak_clients.hpp
@@ -17,7 +17,8 @@
 namespace mintknot::soak {
 
 /// Open-loop callers: each sends a request of a random kind to a random
-/// instance now and then, on connections that it keeps while they last.
+/// instance now and then, on connections that it keeps while they last. Some
+/// leave before they have their answer.
 class soak_clients {
 public:
     soak_clients(
@@ -33,6 +34,12 @@
     std::size_t open() const;
     const std::vector<caller_record>& records() const;
 
+    /// Asks for a path that is no part of the load. @param on_status told of
+    /// the answer's status, 0 if there is none.
+    void probe(
+        const std::string& path, std::size_t entry,
+        std::function<void(int)> on_status);
+
     /// Sends one request. @param on_record told of its end.
     void send(
         request_kind kind, std::size_t entry,
--- /dev/null
+++ b/testing/soak/src/soak_faults.cpp
@@ -0,0 +1,249 @@
+#include "soak_faults.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <csignal>
+
+namespace mintknot::soak {
+
+namespace {
+
+using standins::link_fault;
+using standins::link_mode;
+using standins::silent_way;
+
+/// Fewest and most milliseconds between two faults.
+constexpr int least_gap = 150;
+constexpr int most_gap = 900;
+constexpr int longest_pause = 1500;
+constexpr int shortest_link_fault = 50;
+constexpr int longest_link_fault = 2500;
+constexpr base::milliseconds late{180};
+/// How often a stopping process is looked at.
+constexpr int end_poll = 50;
+
+struct named_fault {
+    const char* name;
+    link_fault fault;
+};
+
+const std::array<named_fault, 7> link_faults{{
+    {"delay", {.mode = link_mode::delay, .delay = late}},
+    {"cut", {.mode = link_mode::cut}},
+    {"reset", {.mode = link_mode::reset}},
+    {"lose the answers of", {.mode = link_mode::drop_answer}},
+    {"silence", {.mode = link_mode::silence, .way = silent_way::both}},
+    {"silence the way to the server of",
+     {.mode = link_mode::silence, .way = silent_way::to_server}},
+    {"silence the way to the caller of",
+     {.mode = link_mode::silence, .way = silent_way::to_caller}},
+}};
+
+} // namespace
+
+fault_injector::fault_injector(
+    event::loop& owner, soak_system& system, fault_kinds kinds,
+    std::uint64_t seed)
+    : owner_(owner)
+    , system_(system)
+    , kinds_(kinds)
+    , random_(seed)
+    , timer_(owner) {}
+
+void fault_injector::start() {
+    began_ = owner_.now();
+    plan_next();
+}
+
+void fault_injector::heal() {
+    note("end of the faults");
+    timer_.stop();
+    for (const std::string& name : system_.links())
+        system_.set_fault(name, {});
+    broken_links_.clear();
+    resume(system_.store());
+    for (soak_process& server : system_.servers())
+        resume(server);
+    for (soak_process& instance : system_.instances())
+        resume(instance);
+}
+
+int fault_injector::draw(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random_);
+}
+
+std::size_t fault_injector::pick(std::size_t bound) {
+    return static_cast<std::size_t>(draw(0, static_cast<int>(bound) - 1));
+}
+
+void fault_injector::note(const std::string& what) {
+    const auto at =
+        std::chrono::duration_cast<base::milliseconds>(owner_.now() - began_);
+    notes_.push_back(fmt::format("{:5} ms {}", at.count(), what));
+}
+
+void fault_injector::later(int milliseconds, std::function<void()> action) {
+    timers_.push_back(std::make_unique<event::timer>(owner_));
+    timers_.back()->start(base::milliseconds(milliseconds), std::move(action));
+}
+
+void fault_injector::plan_next() {
+    timer_.start(base::milliseconds(draw(least_gap, most_gap)), [this] {
+        if (kinds_ == fault_kinds::planned_work)
+            planned_work();
+        else
+            fault();
+        plan_next();
+    });
+}
+
+void fault_injector::planned_work() {
+    const std::size_t index = pick(system_.instances().size());
+    switch (draw(0, 3)) {
+    case 0:
+        if (stopping_.empty())
+            stop_instance(index);
+        break;
+    case 1:
+        if (draining_.empty())
+            drain_server(pick(system_.servers().size()));
+        break;
+    case 2:
+        note("new configuration");
+        system_.change_configuration();
+        break;
+    default:
+        if (stopping_.contains(index))
+            break;
+        note(fmt::format("SIGHUP instance {}", index));
+        system_.instances()[index].running->signal(SIGHUP);
+    }
+}
+
+void fault_injector::fault() {
+    switch (draw(0, 10)) {
+    case 0:
+        kill_server(pick(system_.servers().size()));
+        break;
+    case 1:
+        pause(system_.servers()[pick(system_.servers().size())], "server");
+        break;
+    case 2:
+        pause(
+            system_.instances()[pick(system_.instances().size())], "instance");
+        break;
+    case 3:
+        kill_instance(pick(system_.instances().size()));
+        break;
+    case 4:
+        pause(system_.store(), "store");
+        break;
+    case 5:
+        note("the store forgets its history");
+        system_.forget_history();
+        break;
+    case 6:
+    case 7:
+    case 8:
+        fail_link(system_.links()[pick(system_.links().size())]);
+        break;
+    default:
+        planned_work();
+    }
+}
+
+void fault_injector::fail_link(const std::string& name) {
+    if (!broken_links_.insert(name).second)
+        return;
+    const named_fault& chosen = link_faults[pick(link_faults.size())];
+    const int time = draw(shortest_link_fault, longest_link_fault);
+    note(fmt::format("{} link {} for {} ms", chosen.name, name, time));
+    system_.set_fault(name, chosen.fault);
+    later(time, [this, name] {
+        if (broken_links_.erase(name) > 0)
+            system_.set_fault(name, {});
+    });
+}
+
+void fault_injector::kill_server(std::size_t index) {
+    if (draining_.contains(index))
+        return;
+    note(fmt::format("kill server {}", index));
+    system_.servers()[index].running->signal(SIGKILL);
+    draining_.insert(index);
+    later(draw(50, 800), [this, index] {
+        system_.restart_server(index);
+        draining_.erase(index);
+    });
+}
+
+void fault_injector::drain_server(std::size_t index) {
+    note(fmt::format("SIGTERM server {}", index));
+    draining_.insert(index);
+    resume(system_.servers()[index]);
+    system_.servers()[index].running->signal(SIGTERM);
+    wait_for_drained(index);
+}
+
+void fault_injector::wait_for_drained(std::size_t index) {
+    later(end_poll, [this, index] {
+        if (system_.servers()[index].running->running()) {
+            wait_for_drained(index);
+            return;
+        }
+        system_.restart_server(index);
+        draining_.erase(index);
+    });
+}
+
+void fault_injector::kill_instance(std::size_t index) {
+    if (stopping_.contains(index))
+        return;
+    note(fmt::format("kill instance {}", index));
+    system_.instances()[index].running->signal(SIGKILL);
+    stopping_.insert(index);
+    later(draw(50, 800), [this, index] { start_instance(index); });
+}
+
+void fault_injector::stop_instance(std::size_t index) {
+    note(fmt::format("SIGTERM instance {}", index));
+    stopping_.insert(index);
+    resume(system_.instances()[index]);
+    system_.instances()[index].running->signal(SIGTERM);
+    wait_for_stopped(index);
+}
+
+void fault_injector::wait_for_stopped(std::size_t index) {
+    later(end_poll, [this, index] {
+        if (system_.instances()[index].running->running())
+            wait_for_stopped(index);
+        else
+            start_instance(index);
+    });
+}
+
+void fault_injector::start_instance(std::size_t index) {
+    note(fmt::format("start instance {}", index));
+    system_.restart_instance(index);
+    stopping_.erase(index);
+}
+
+void fault_injector::pause(soak_process& process, const std::string& name) {
+    if (process.paused)
+        return;
+    const int time = draw(100, longest_pause);
+    note(fmt::format("pause a {} for {} ms", name, time));
+    process.paused = true;
+    process.running->signal(SIGSTOP);
+    later(time, [this, &process] { resume(process); });
+}
+
+void fault_injector::resume(soak_process& process) {
+    if (!process.paused)
+        return;
+    process.paused = false;
+    process.running->signal(SIGCONT);
+}
+
+} // namespace mintknot::soak
--- /dev/null
+++ b/testing/soak/src/soak_faults.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// What a soak does to the system from outside: signals and broken links.
+#ifndef MINTKNOT_SOAK_SOAK_FAULTS_HPP
+#define MINTKNOT_SOAK_SOAK_FAULTS_HPP
+
+#include "soak_system.hpp"
+
+#include <mintknot/event/loop.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mintknot::soak {
+
+/// Which work and which faults are drawn.
+enum class fault_kinds {
+    planned_work, ///< Stops, drains, SIGHUP, new configurations.
+    all           ///< Also kills, pauses and broken links.
+};
+
+/// Draws one fault after another, by a seed. Series overlap: a fault does not
+/// wait for the end of the one before.
+///
+/// Lifetime: loop and system must outlive it.
+class fault_injector {
+public:
+    fault_injector(
+        event::loop& owner, soak_system& system, fault_kinds kinds,
+        std::uint64_t seed);
+
+    void start();
+    /// No fault begins any more, links pass again, paused processes go on.
+    void heal();
+    /// @return what was done, a line each, with its time.
+    const std::vector<std::string>& notes() const { return notes_; }
+
+private:
+    int draw(int low, int high);
+    std::size_t pick(std::size_t bound);
+    void note(const std::string& what);
+    void later(int milliseconds, std::function<void()> action);
+
+    void plan_next();
+    void planned_work();
+    void fault();
+
+    void fail_link(const std::string& name);
+    void kill_server(std::size_t index);
+    void drain_server(std::size_t index);
+    void wait_for_drained(std::size_t index);
+    void kill_instance(std::size_t index);
+    void stop_instance(std::size_t index);
+    void wait_for_stopped(std::size_t index);
+    void start_instance(std::size_t index);
+    void pause(soak_process& process, const std::string& name);
+    void resume(soak_process& process);
+
+    event::loop& owner_;
+    soak_system& system_;
+    fault_kinds kinds_;
+    std::mt19937_64 random_;
+    event::timer timer_;
+    std::vector<std::unique_ptr<event::timer>> timers_;
+    std::set<std::size_t> stopping_; ///< Instances that are on their way out.
+    std::set<std::size_t> draining_; ///< Servers that are.
+    std::set<std::string> broken_links_;
+    base::steady_time began_{};
+    std::vector<std::string> notes_;
+};
+
+} // namespace mintknot::soak
+
+#endif
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,16 +1,15 @@
 #include "soak_run.hpp"
 
 #include "soak_clients.hpp"
+#include "soak_faults.hpp"
 #include "soak_system.hpp"
 
 #include <mintknot/event/loop.hpp>
 
 #include <fmt/format.h>
 
-#include <csignal>
 #include <filesystem>
 #include <functional>
-#include <random>
 #include <set>
 
 namespace mintknot::soak {
@@ -21,10 +20,9 @@
 constexpr base::milliseconds start_time{15000};
 constexpr base::milliseconds recovery_time{12000};
 constexpr base::milliseconds caller_pause{120};
-/// Fewest and most milliseconds between two faults.
-constexpr int least_gap = 150;
-constexpr int most_gap = 900;
-constexpr int longest_pause = 1500;
+/// Within which a configuration is in force after the faults have ended.
+constexpr base::milliseconds configuration_time{2500};
+constexpr int status_not_found = 404;
 
 /// A directory that goes with the object.
 struct scratch_directory {
@@ -50,9 +48,12 @@
         , system_(
               directory_.path, options.instances,
               options.schedulers ? "scheduler" : "here")
-        , random_(options.seed)
         , clients_(owner_, entries(), options.seed)
-        , timer_(owner_)
+        , faults_(
+              owner_, system_,
+              options.planned_only ? fault_kinds::planned_work
+                                   : fault_kinds::all,
+              options.seed)
         , poll_timer_(owner_) {}
 
     soak_result run() {
@@ -60,16 +61,14 @@
             result_.broken.emplace_back("the system did not start");
             return result_;
         }
-        began_ = owner_.now();
         clients_.start(options_.callers, caller_pause);
-        plan_fault();
-        const auto until = began_ + options_.length;
-        run_until([&] { return owner_.now() >= until; }, options_.length * 2);
-        timer_.stop();
-        end_faults();
+        faults_.start();
+        run_until([] { return false; }, options_.length);
+        faults_.heal();
         if (!all_serve(recovery_time))
             result_.broken.emplace_back(
                 "not everything was served again in time");
+        check_configuration();
         clients_.stop();
         run_until([&] { return clients_.open() == 0; }, recovery_time);
         judge();
@@ -84,14 +83,6 @@
         return result;
     }
 
-    int draw(int low, int high) {
-        return std::uniform_int_distribution<int>(low, high)(random_);
-    }
-
-    std::size_t pick(std::size_t bound) {
-        return static_cast<std::size_t>(draw(0, static_cast<int>(bound) - 1));
-    }
-
     bool run_until(
         const std::function<bool()>& condition, base::milliseconds limit) {
         const auto end = owner_.now() + limit;
@@ -137,134 +128,33 @@
             limit);
     }
 
-    void note(const std::string& what) {
-        const auto at = std::chrono::duration_cast<base::milliseconds>(
-            owner_.now() - began_);
-        result_.faults.push_back(fmt::format("{:5} ms {}", at.count(), what));
-    }
-
-    void plan_fault() {
-        timer_.start(base::milliseconds(draw(least_gap, most_gap)), [this] {
-            if (options_.planned_only)
-                planned_work();
-            else
-                fault();
-            plan_fault();
-        });
-    }
-
-    void planned_work() {
-        if (stopping_.empty() && draw(0, 1) == 0) {
-            stop_instance(pick(options_.instances));
-            return;
-        }
-        if (draw(0, 1) == 0) {
-            note("new configuration");
-            system_.change_configuration();
+    /// The newest configuration is in force everywhere, and no older one.
+    void check_configuration() {
+        if (!system_.change_configuration()) {
+            result_.broken.emplace_back("the store took no configuration");
             return;
         }
-        const std::size_t index = pick(options_.instances);
-        if (stopping_.contains(index))
-            return;
-        note(fmt::format("SIGHUP instance {}", index));
-        system_.instances()[index].running->signal(SIGHUP);
-    }
-
-    void fault() {
-        switch (draw(0, 6)) {
-        case 0:
-            kill_server(pick(system_.servers().size()));
-            break;
-        case 1:
-            pause(system_.servers()[pick(system_.servers().size())], "server");
-            break;
-        case 2:
-            pause(system_.instances()[pick(options_.instances)], "instance");
-            break;
-        case 3:
-            kill_instance(pick(options_.instances));
-            break;
-        case 4:
-            pause(system_.store(), "store");
-            break;
-        default:
-            planned_work();
+        const int version = system_.configuration();
+        run_until([] { return false; }, configuration_time);
+        std::size_t open = options_.instances * 2;
+        for (std::size_t i = 0; i < options_.instances; ++i) {
+            const auto expect = [this, i, &open](int path, bool there) {
+                clients_.probe(
+                    fmt::format("/v{}/x", path), i,
+                    [this, i, path, there, &open](int status) {
+                        --open;
+                        if ((status == status_not_found) == there)
+                            result_.broken.push_back(fmt::format(
+                                "instance {} answers {} for the route of "
+                                "configuration {}",
+                                i, status, path));
+                    });
+            };
+            expect(version, true);
+            expect(version - 1, false);
         }
-    }
-
-    void kill_server(std::size_t index) {
-        note(fmt::format("kill server {}", index));
-        system_.servers()[index].running->signal(SIGKILL);
-        later(draw(50, 800), [this, index] {
-            resume(system_.servers()[index]);
-            system_.restart_server(index);
-        });
-    }
-
-    void kill_instance(std::size_t index) {
-        if (stopping_.contains(index))
-            return;
-        note(fmt::format("kill instance {}", index));
-        system_.instances()[index].running->signal(SIGKILL);
-        stopping_.insert(index);
-        later(draw(50, 800), [this, index] { start_instance(index); });
-    }
-
-    void stop_instance(std::size_t index) {
-        if (stopping_.contains(index))
-            return;
-        note(fmt::format("SIGTERM instance {}", index));
-        stopping_.insert(index);
-        resume(system_.instances()[index]);
-        system_.instances()[index].running->signal(SIGTERM);
-        wait_for_end(index);
-    }
-
-    void wait_for_end(std::size_t index) {
-        later(50, [this, index] {
-            if (system_.instances()[index].running->running())
-                wait_for_end(index);
-            else
-                start_instance(index);
-        });
-    }
-
-    void start_instance(std::size_t index) {
-        note(fmt::format("start instance {}", index));
-        system_.restart_instance(index);
-        stopping_.erase(index);
-    }
-
-    void pause(soak_process& process, const std::string& name) {
-        if (process.paused)
-            return;
-        const int time = draw(100, longest_pause);
-        note(fmt::format("pause a {} for {} ms", name, time));
-        process.paused = true;
-        process.running->signal(SIGSTOP);
-        later(time, [this, &process] { resume(process); });
-    }
-
-    void resume(soak_process& process) {
-        if (!process.paused)
-            return;
-        process.paused = false;
-        process.running->signal(SIGCONT);
-    }
-
-    void later(int milliseconds, std::function<void()> action) {
-        timers_.push_back(std::make_unique<event::timer>(owner_));
-        timers_.back()->start(
-            base::milliseconds(milliseconds), std::move(action));
-    }
-
-    void end_faults() {
-        note("end of the faults");
-        resume(system_.store());
-        for (soak_process& server : system_.servers())
-            resume(server);
-        for (soak_process& instance : system_.instances())
-            resume(instance);
+        if (!run_until([&] { return open == 0; }, recovery_time))
+            result_.broken.emplace_back("a probe got no answer in time");
     }
 
     void judge() {
@@ -272,37 +162,27 @@
         for (const caller_record& record : clients_.records()) {
             result_.answered += record.status == 200 && record.whole ? 1 : 0;
             result_.refused += record.status == 503 ? 1 : 0;
+            result_.left += record.left_at ? 1 : 0;
         }
-        const auto broken = broken_promises(clients_.records(), system_.runs());
-        result_.broken.insert(
-            result_.broken.end(), broken.begin(), broken.end());
+        const server_notes notes = system_.notes();
+        add(broken_promises(clients_.records(), notes));
         if (options_.planned_only)
-            judge_planned_work();
+            add(broken_by_planned_work(clients_.records(), notes));
+        result_.faults = faults_.notes();
     }
 
-    /// Planned work cuts no request off.
-    void judge_planned_work() {
-        const run_counts runs = system_.runs();
-        for (const caller_record& record : clients_.records()) {
-            const bool cut = record.status == 200 && !record.whole;
-            const bool lost = record.unanswered && runs.contains(record.id);
-            if (cut || lost)
-                result_.broken.push_back(
-                    fmt::format("{} was cut off by planned work", record.id));
-        }
+    void add(const std::vector<std::string>& broken) {
+        result_.broken.insert(
+            result_.broken.end(), broken.begin(), broken.end());
     }
 
     soak_options options_;
     scratch_directory directory_;
     soak_system system_;
     event::loop owner_;
-    std::mt19937_64 random_;
     soak_clients clients_;
-    event::timer timer_;
+    fault_injector faults_;
     event::timer poll_timer_;
-    std::vector<std::unique_ptr<event::timer>> timers_;
-    std::set<std::size_t> stopping_;
-    base::steady_time began_{};
     soak_result result_;
 };
 
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -16,7 +16,8 @@
     base::milliseconds length{8000};
     std::size_t instances = 3;
     std::size_t callers = 20;
-    /// Only planned work: SIGTERM to instances, SIGHUP, new configurations.
+    /// Only planned work: SIGTERM to instances and servers, SIGHUP, new
+    /// configurations.
     bool planned_only = false;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
@@ -28,6 +29,7 @@
     std::size_t requests = 0;
     std::size_t answered = 0; ///< With success and whole.
     std::size_t refused = 0;  ///< 503.
+    std::size_t left = 0;     ///< By callers that left early.
 };
 
 /// Runs a system under load, does random harm to it, ends the harm, waits
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -19,6 +19,8 @@
 using nlohmann::json;
 
 constexpr base::milliseconds call_limit{2000};
+/// Where the link of a server leads before the server has started.
+const base::address nowhere{"127.0.0.1", 1};
 
 std::uint16_t free_port() {
     event::loop owner;
@@ -44,7 +46,7 @@
         {"resumable", resumable}};
 }
 
-json configuration(int version) {
+json configuration_document(int version) {
     json routes = {
         route("safe", "safe", "app", 2, false),
         route("unsafe", "unsafe", "app", 1, false),
@@ -82,14 +84,35 @@
     change_configuration();
     for (const char* phase :
          {"prefill", "prefill", "decode", "decode", "decode", "", ""}) {
+        const std::size_t number = servers_.size();
+        server_links_.push_back(
+            add_link(fmt::format("server-{}", number), nowhere));
         servers_.emplace_back();
         servers_.back().program = "platform-engine";
         servers_.back().arguments = {phase};
-        restart_server(servers_.size() - 1);
+        restart_server(number);
     }
     instances_.resize(instances);
-    for (std::size_t i = 0; i < instances; ++i)
+    for (std::size_t i = 0; i < instances; ++i) {
+        store_links_.push_back(
+            add_link(fmt::format("store-{}", i), {"127.0.0.1", store_port_}));
+        entry_links_.push_back(
+            add_link(fmt::format("callers-{}", i), own_entry(i)));
         restart_instance(i);
+    }
+}
+
+base::address
+soak_system::add_link(const std::string& name, const base::address& to) {
+    const auto port = proxy_.add_link(name, to);
+    links_.push_back(name);
+    return port.ok() ? base::address{"127.0.0.1", *port} : nowhere;
+}
+
+void soak_system::set_fault(
+    const std::string& link, const standins::link_fault& fault) {
+    // Every name comes from links(): there is nothing to be reported.
+    proxy_.set_fault(link, fault).IgnoreError();
 }
 
 std::string soak_system::path(const std::string& name) const {
@@ -101,11 +124,11 @@
 }
 
 base::address soak_system::entry(std::size_t instance) const {
-    return {host(instance), static_cast<std::uint16_t>(port_ + 1)};
+    return entry_links_[instance];
 }
 
-base::address soak_system::readiness(std::size_t instance) const {
-    return {host(instance), static_cast<std::uint16_t>(port_ + 2)};
+base::address soak_system::own_entry(std::size_t instance) const {
+    return {host(instance), static_cast<std::uint16_t>(port_ + 1)};
 }
 
 void soak_system::restart_server(std::size_t index) {
@@ -116,7 +139,8 @@
         "--store",   fmt::format("127.0.0.1:{}", store_port_),
         "--id",      id,
         "--service", phase.empty() ? "app" : "llm",
-        "--ledger",  path("ledger")};
+        "--ledger",  path("ledger"),
+        "--address", base::to_string(server_links_[index])};
     if (!phase.empty()) {
         arguments.emplace_back("--phase");
         arguments.push_back(phase);
@@ -124,21 +148,24 @@
     server.running.reset();
     server.running = std::make_unique<harness::child_process>(
         server.program, arguments, path("server.log"));
-    server.running->wait_for_port();
+    const std::uint16_t port = server.running->wait_for_port();
+    proxy_.retarget(fmt::format("server-{}", index), {"127.0.0.1", port})
+        .IgnoreError();
     server.paused = false;
 }
 
 std::string soak_system::write_settings(std::size_t instance) const {
     std::string file = path(fmt::format("settings-{}", instance));
+    const auto readiness_port = static_cast<std::uint16_t>(port_ + 2);
     std::ofstream out(file);
     out << fmt::format(
         "node=e{}\nzone=a\nip={}\nlisten.front={}\nlisten.readiness={}\n"
         "port_range={},{}\nseeds={}:1,{}:1\nlimits.memory_mb=110\n"
         "limits.max_fds=900\nbounds.grace_s=4\nbounds.budget_extra=58\n"
-        "platform.address=127.0.0.1:{}\n",
-        instance, host(instance), base::to_string(entry(instance)),
-        base::to_string(readiness(instance)), port_, port_ + 3, host(0),
-        host(1), store_port_);
+        "platform.address={}\n",
+        instance, host(instance), base::to_string(own_entry(instance)),
+        base::to_string({host(instance), readiness_port}), port_, port_ + 3,
+        host(0), host(1), base::to_string(store_links_[instance]));
     return file;
 }
 
@@ -159,8 +186,8 @@
          {{{"table", "op"},
            {"part", ""},
            {"key", "config"},
-           {"value",
-            absl::Base64Escape(configuration(++configuration_).dump())}}}}};
+           {"value", absl::Base64Escape(
+                         configuration_document(++configuration_).dump())}}}}};
     event::loop owner;
     upstream::connection_pool pool(owner);
     event::timer limit(owner);
@@ -183,13 +210,15 @@
     return done;
 }
 
-run_counts soak_system::runs() const {
-    run_counts counts;
+server_notes soak_system::notes() const {
+    server_notes notes;
     std::ifstream ledger(path("ledger"));
+    std::string what;
     std::string id;
-    while (std::getline(ledger, id))
-        ++counts[id];
-    return counts;
+    std::int64_t at_ms = 0;
+    while (ledger >> what >> id >> at_ms)
+        note(notes, what, id, base::steady_time(base::milliseconds(at_ms)));
+    return notes;
 }
 
 } // namespace mintknot::soak
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -7,7 +7,9 @@
 
 #include <mintknot/base/address.hpp>
 #include <mintknot/harness/child_process.hpp>
+#include <mintknot/standins/fault_proxy.hpp>
 
+#include <csignal>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -23,7 +25,9 @@
     bool paused = false;
 };
 
-/// Store, servers and instances on loopback. All end with the object.
+/// Store, servers and instances on loopback. All end with the object. A proxy
+/// stands before each server, between each instance and the store, and between
+/// the callers and each instance.
 class soak_system {
 public:
     /// @param directory takes settings, ledger and logs.
@@ -42,19 +46,35 @@
     /// Writes the next version of the configuration. @return false if the
     /// store did not answer.
     bool change_configuration();
+    /// @return the version that was written last.
+    int configuration() const { return configuration_; }
+    /// Watches that ask for older changes are told that these are gone.
+    void forget_history() const { store_.running->signal(SIGUSR1); }
 
+    /// @return the names of all links.
+    const std::vector<std::string>& links() const { return links_; }
+    void set_fault(const std::string& link, const standins::link_fault& fault);
+
+    /// @return where callers reach an instance: its link.
     base::address entry(std::size_t instance) const;
-    base::address readiness(std::size_t instance) const;
 
-    run_counts runs() const;
+    /// @return what the servers have noted so far.
+    server_notes notes() const;
 
 private:
+    base::address add_link(const std::string& name, const base::address& to);
     std::string host(std::size_t instance) const;
+    base::address own_entry(std::size_t instance) const;
     std::string write_settings(std::size_t instance) const;
     std::string path(const std::string& name) const;
 
     std::string directory_;
     std::string placement_;
+    standins::fault_proxy proxy_;
+    std::vector<std::string> links_;
+    std::vector<base::address> server_links_;
+    std::vector<base::address> store_links_; ///< One for each instance.
+    std::vector<base::address> entry_links_; ///< One for each instance.
     std::uint16_t port_ = 0; ///< First of four that all instances use.
     std::uint16_t store_port_ = 0;
     int configuration_ = 0;
--- a/testing/soak/tests/test_row_store.cpp
+++ b/testing/soak/tests/test_row_store.cpp
@@ -29,6 +29,16 @@
     cr_assert(store.read("t")["rows"][0]["value"] == "b");
 }
 
+Test(row_store, forgotten_history_is_said_to_be_gone) {
+    row_store store;
+    store.transact(put("a"), start);
+    cr_assert(store.remembers(0));
+    store.forget_history();
+    cr_assert(!store.remembers(0));
+    cr_assert(store.remembers(store.read("t")["ver"].get<std::uint64_t>()));
+    cr_assert(store.read("t")["rows"].size() == 1);
+}
+
 Test(row_store, silent_rows_go_and_are_told_of) {
     row_store store;
     store.transact(put("a"), start);
--- a/testing/soak/tests/test_soak_checks.cpp
+++ b/testing/soak/tests/test_soak_checks.cpp
@@ -2,10 +2,13 @@
 
 #include <criterion/criterion.h>
 
+using namespace mintknot;
 using namespace mintknot::soak;
 
 namespace {
 
+const base::steady_time start{};
+
 caller_record answered(request_kind kind) {
     caller_record record;
     record.id = "r1";
@@ -16,38 +19,81 @@
     return record;
 }
 
+/// Notes of one request that ran so often.
+server_notes ran(int times) {
+    server_notes notes;
+    for (int i = 0; i < times; ++i)
+        note(notes, "run", "r1", start);
+    return notes;
+}
+
 } // namespace
 
 Test(soak_checks, a_proper_answer_breaks_nothing) {
     for (const auto kind :
          {request_kind::safe, request_kind::unsafe, request_kind::stream,
           request_kind::resumable})
-        cr_assert(broken_promises({answered(kind)}, {{"r1", 1}}).empty());
+        cr_assert(broken_promises({answered(kind)}, ran(1)).empty());
 }
 
 Test(soak_checks, every_promise_can_be_broken) {
     cr_assert(
-        broken_promises({answered(request_kind::unsafe)}, {{"r1", 2}}).size() ==
-        1);
+        broken_promises({answered(request_kind::unsafe)}, ran(2)).size() == 1);
     cr_assert(
-        broken_promises({answered(request_kind::safe)}, {{"r1", 3}}).size() ==
-        1);
+        broken_promises({answered(request_kind::safe)}, ran(3)).size() == 1);
     cr_assert(broken_promises({answered(request_kind::safe)}, {}).size() == 1);
     caller_record other = answered(request_kind::stream);
     other.body = "x";
-    cr_assert(broken_promises({other}, {{"r1", 1}}).size() == 2);
+    cr_assert(broken_promises({other}, ran(1)).size() == 2);
     caller_record cut = answered(request_kind::stream);
     cut.body.pop_back();
-    cr_assert(broken_promises({cut}, {{"r1", 1}}).size() == 1);
+    cr_assert(broken_promises({cut}, ran(1)).size() == 1);
     cut.whole = false;
-    cr_assert(broken_promises({cut}, {{"r1", 1}}).empty());
+    cr_assert(broken_promises({cut}, ran(1)).empty());
     caller_record refused;
     refused.id = "r1";
     refused.kind = request_kind::unsafe;
     refused.status = 503;
     refused.retry_after = true;
-    cr_assert(broken_promises({refused}, {{"r1", 1}}).size() == 1);
+    cr_assert(broken_promises({refused}, ran(1)).size() == 1);
     cr_assert(broken_promises({refused}, {}).empty());
     refused.retry_after = false;
     cr_assert(broken_promises({refused}, {}).size() == 1);
 }
+
+Test(soak_checks, a_result_of_another_request_breaks_a_promise) {
+    server_notes notes = ran(1);
+    note(notes, "mixed", "r1", start);
+    cr_assert(
+        broken_promises({answered(request_kind::stream)}, notes).size() == 1);
+}
+
+Test(soak_checks, planned_work_cuts_nothing_off) {
+    caller_record cut = answered(request_kind::stream);
+    cr_assert(broken_by_planned_work({cut}, ran(1)).empty());
+    cut.whole = false;
+    cr_assert(broken_by_planned_work({cut}, ran(1)).size() == 1);
+    caller_record lost;
+    lost.id = "r1";
+    lost.unanswered = true;
+    cr_assert(broken_by_planned_work({lost}, ran(1)).size() == 1);
+    cr_assert(broken_by_planned_work({lost}, {}).empty());
+}
+
+Test(soak_checks, a_server_that_leaves_gets_nothing_new) {
+    server_notes notes = ran(1);
+    note(notes, "leaving", "r1", start);
+    cr_assert(
+        broken_by_planned_work({answered(request_kind::safe)}, notes).size() ==
+        1);
+}
+
+Test(soak_checks, nothing_runs_for_a_caller_that_has_left) {
+    caller_record left;
+    left.id = "r1";
+    left.left_at = start;
+    cr_assert(broken_by_planned_work({left}, ran(1)).empty());
+    server_notes late;
+    note(late, "run", "r1", start + std::chrono::seconds(3));
+    cr_assert(broken_by_planned_work({left}, late).size() == 1);
+}
--- a/testing/standins/include/mintknot/standins/fault_proxy.hpp
+++ b/testing/standins/include/mintknot/standins/fault_proxy.hpp
@@ -19,13 +19,19 @@
     delay,       ///< Every piece is late.
     stall,       ///< Nothing passes after so many bytes of an answer.
     cut,         ///< Connections are closed, and new ones at once.
+    reset,       ///< The same by a reset, so that unread bytes are lost.
+    silence,     ///< Nothing passes one way or both; connections stay open.
     drop_answer, ///< Requests pass; connections close before the answer.
 };
 
+/// Which way a silence holds bytes back.
+enum class silent_way { to_server, to_caller, both };
+
 struct link_fault {
     link_mode mode = link_mode::pass;
     base::milliseconds delay{0};
     std::uint64_t after_bytes = 0; ///< Of the answer, on each connection.
+    silent_way way = silent_way::both;
 };
 
 /// Forwards TCP connections on named links. One thread serves all of them.
@@ -41,8 +47,12 @@
     absl::StatusOr<std::uint16_t>
     add_link(const std::string& name, const base::address& to);
 
-    /// Applies to open and new connections. @return NotFound for an unknown
-    /// link.
+    /// New connections on the link go to another address from now on; open
+    /// ones stay as they are. @return NotFound for an unknown link.
+    absl::Status retarget(const std::string& name, const base::address& to);
+
+    /// Applies to open and new connections. What a silence or a stall has held
+    /// back goes on after it. @return NotFound for an unknown link.
     absl::Status set_fault(const std::string& name, const link_fault& fault);
 
 private:
--- a/testing/standins/src/fault_proxy.cpp
+++ b/testing/standins/src/fault_proxy.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <thread>
+#include <utility>
 
 namespace mintknot::standins {
 
@@ -49,8 +50,8 @@
                     return self->close();
                 self->caller_.set_option(tcp::no_delay(true));
                 self->server_.set_option(tcp::no_delay(true));
-                self->forward(self->caller_, self->server_, self->up_, false);
-                self->forward(self->server_, self->caller_, self->down_, true);
+                self->forward(self->up_);
+                self->forward(self->down_);
             });
     }
 
@@ -65,72 +66,93 @@
     void fault_changed() {
         if (link_.fault.mode == link_mode::cut)
             return close();
-        if (held_ == 0 || link_.fault.mode == link_mode::stall)
-            return;
-        const std::size_t bytes = held_;
-        held_ = 0;
-        pass_on(server_, caller_, down_, bytes, true);
+        if (link_.fault.mode == link_mode::reset)
+            return reset();
+        release(up_);
+        release(down_);
     }
 
 private:
-    using buffer = std::array<char, piece_bytes>;
-
-    void
-    forward(tcp::socket& from, tcp::socket& to, buffer& data, bool answer) {
-        from.async_read_some(
-            asio::buffer(data),
-            [self = shared_from_this(), &from, &to, &data,
-             answer](asio::error_code error, std::size_t n) {
+    /// One of the two ways, with the piece that is being passed on.
+    struct way {
+        tcp::socket& from;
+        tcp::socket& to;
+        bool answer = false;
+        std::array<char, piece_bytes> data{};
+        std::size_t held = 0;     ///< Bytes of the piece that are held back.
+        std::uint64_t passed = 0; ///< Bytes.
+    };
+
+    /// Closes without the orderly end: the other side reads an error.
+    void reset() {
+        asio::error_code ignored;
+        const asio::socket_base::linger at_once(true, 0);
+        caller_.set_option(at_once, ignored);
+        server_.set_option(at_once, ignored);
+        close();
+    }
+
+    void forward(way& at) {
+        at.from.async_read_some(
+            asio::buffer(at.data), [self = shared_from_this(), &at](
+                                       asio::error_code error, std::size_t n) {
                 if (error)
                     return self->close();
-                self->take_piece(from, to, data, n, answer);
+                self->take_piece(at, n);
             });
     }
 
-    void take_piece(
-        tcp::socket& from, tcp::socket& to, buffer& data, std::size_t bytes,
-        bool answer) {
+    bool holds_back(const way& at, std::size_t bytes) const {
         const link_fault& fault = link_.fault;
-        if (answer && fault.mode == link_mode::drop_answer)
+        if (fault.mode == link_mode::stall)
+            return at.answer && at.passed + bytes > fault.after_bytes;
+        if (fault.mode != link_mode::silence || fault.way == silent_way::both)
+            return fault.mode == link_mode::silence;
+        return at.answer == (fault.way == silent_way::to_caller);
+    }
+
+    void take_piece(way& at, std::size_t bytes) {
+        const link_fault& fault = link_.fault;
+        if (at.answer && fault.mode == link_mode::drop_answer)
             return close();
-        if (answer && fault.mode == link_mode::stall &&
-            answered_ + bytes > fault.after_bytes) {
-            held_ = bytes; // Nothing more is read until the fault changes.
+        if (holds_back(at, bytes)) {
+            at.held = bytes; // Nothing more is read until the fault changes.
             return;
         }
         if (fault.mode != link_mode::delay)
-            return pass_on(from, to, data, bytes, answer);
+            return pass_on(at, bytes);
         auto late = std::make_shared<asio::steady_timer>(
             caller_.get_executor(), fault.delay);
-        late->async_wait([self = shared_from_this(), late, &from, &to, &data,
-                          bytes, answer](asio::error_code error) {
+        late->async_wait([self = shared_from_this(), late, &at,
+                          bytes](asio::error_code error) {
             if (!error)
-                self->pass_on(from, to, data, bytes, answer);
+                self->pass_on(at, bytes);
         });
     }
 
-    void pass_on(
-        tcp::socket& from, tcp::socket& to, buffer& data, std::size_t bytes,
-        bool answer) {
-        if (answer)
-            answered_ += bytes;
+    void release(way& at) {
+        const std::size_t bytes = std::exchange(at.held, 0);
+        if (bytes > 0)
+            take_piece(at, bytes);
+    }
+
+    void pass_on(way& at, std::size_t bytes) {
+        at.passed += bytes;
         asio::async_write(
-            to, asio::buffer(data.data(), bytes),
-            [self = shared_from_this(), &from, &to, &data,
-             answer](asio::error_code error, std::size_t) {
+            at.to, asio::buffer(at.data.data(), bytes),
+            [self = shared_from_this(),
+             &at](asio::error_code error, std::size_t) {
                 if (error)
                     return self->close();
-                self->forward(from, to, data, answer);
+                self->forward(at);
             });
     }
 
     proxy_link& link_;
     tcp::socket caller_;
     tcp::socket server_;
-    buffer up_{};
-    buffer down_{};
-    std::uint64_t answered_ = 0;
-    std::size_t held_ = 0; ///< Bytes of an answer that are held back.
+    way up_{caller_, server_, false};
+    way down_{server_, caller_, true};
 };
 
 void accept_next(proxy_link& link) {
@@ -138,7 +160,9 @@
         [&link](asio::error_code error, tcp::socket peer) {
             if (error == asio::error::operation_aborted)
                 return;
-            if (!error && link.fault.mode != link_mode::cut) {
+            const bool closed = link.fault.mode == link_mode::cut ||
+                                link.fault.mode == link_mode::reset;
+            if (!error && !closed) {
                 auto next = std::make_shared<connection>(std::move(peer), link);
                 link.open.insert(next);
                 next->start();
@@ -163,6 +187,18 @@
         asio::post(context, [&task] { task(); });
         return result.get();
     }
+
+    /// Runs a function over one link on the proxy's thread.
+    template<class Function>
+    absl::Status on_link(const std::string& name, Function function) {
+        return on_thread([&]() -> absl::Status {
+            const auto position = links.find(name);
+            if (position == links.end())
+                return absl::NotFoundError(fmt::format("no link '{}'", name));
+            function(*position->second);
+            return absl::OkStatus();
+        });
+    }
 };
 
 fault_proxy::fault_proxy()
@@ -193,18 +229,18 @@
     });
 }
 
+absl::Status
+fault_proxy::retarget(const std::string& name, const base::address& to) {
+    return impl_->on_link(name, [&](proxy_link& link) { link.to = to; });
+}
+
 absl::Status
 fault_proxy::set_fault(const std::string& name, const link_fault& fault) {
-    return impl_->on_thread([&]() -> absl::Status {
-        const auto position = impl_->links.find(name);
-        if (position == impl_->links.end())
-            return absl::NotFoundError(fmt::format("no link '{}'", name));
-        proxy_link& link = *position->second;
+    return impl_->on_link(name, [&](proxy_link& link) {
         link.fault = fault;
         const auto open = link.open; // Closing removes from the set.
         for (const auto& item : open)
             item->fault_changed();
-        return absl::OkStatus();
     });
 }
 
--- a/testing/standins/src/fault_proxy_main.cpp
+++ b/testing/standins/src/fault_proxy_main.cpp
@@ -26,6 +26,10 @@
         return link_mode::stall;
     if (word == "cut")
         return link_mode::cut;
+    if (word == "reset")
+        return link_mode::reset;
+    if (word == "silence")
+        return link_mode::silence;
     if (word == "drop_answer")
         return link_mode::drop_answer;
     return std::nullopt;
--- a/testing/standins/tests/test_fault_proxy.cpp
+++ b/testing/standins/tests/test_fault_proxy.cpp
@@ -10,6 +10,7 @@
 
 using namespace mintknot;
 using standins::link_mode;
+using standins::silent_way;
 
 namespace {
 
@@ -72,3 +73,46 @@
     caller.join();
     cr_assert_eq(late.body.size(), 1000U);
 }
+
+Test(fault_proxy, a_silence_holds_one_way_back_until_it_ends) {
+    proxied_server link;
+    link.fail({.mode = link_mode::silence, .way = silent_way::to_server});
+    cr_assert(!link.get(base::milliseconds{100}).answered());
+    cr_assert_eq(link.calls.load(), 0);
+    link.fail({.mode = link_mode::silence, .way = silent_way::to_caller});
+    net::http_response late;
+    std::thread caller([&] { late = link.get(base::milliseconds{20000}); });
+    // The first request arrives late, the second one at once.
+    while (link.calls.load() < 2)
+        std::this_thread::yield();
+    link.fail({link_mode::pass});
+    caller.join();
+    cr_assert_eq(late.body.size(), 1000U);
+}
+
+Test(fault_proxy, a_reset_ends_open_connections_and_refuses_new_ones) {
+    proxied_server link;
+    link.fail({link_mode::stall, {}, 0});
+    net::http_response broken;
+    std::thread caller([&] { broken = link.get(base::milliseconds{20000}); });
+    while (link.calls.load() < 1)
+        std::this_thread::yield();
+    link.fail({link_mode::reset});
+    caller.join();
+    cr_assert(!broken.answered());
+    cr_assert(!link.get().answered());
+    link.fail({link_mode::pass});
+    cr_assert(link.get().ok());
+}
+
+Test(fault_proxy, a_link_can_lead_to_another_server) {
+    proxied_server link;
+    net::http_server other{{}};
+    other.routes().Get("/", [](const auto&, auto& out) {
+        out.set_content("other", "text/plain");
+    });
+    const base::address where{"127.0.0.1", *other.start({"127.0.0.1", 0})};
+    cr_assert(link.proxy.retarget("s", where).ok());
+    cr_assert(link.get().body == "other");
+    cr_assert(!link.proxy.retarget("none", where).ok());
+}
