--- a/libs/base/include/mintknot/base/rendezvous.hpp
+++ b/libs/base/include/mintknot/base/rendezvous.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_BASE_RENDEZVOUS_HPP
 #define MINTKNOT_BASE_RENDEZVOUS_HPP
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,10 @@
 std::string
 rendezvous(std::string_view job, const std::vector<std::string>& nodes);
 
+/// @return up to `count` nodes for the job, the one of rendezvous() first.
+std::vector<std::string> rendezvous_first(
+    std::string_view job, std::vector<std::string> nodes, std::size_t count);
+
 } // namespace mintknot::base
 
 #endif
--- a/libs/base/src/rendezvous.cpp
+++ b/libs/base/src/rendezvous.cpp
@@ -23,4 +23,14 @@
     return best == nullptr ? std::string{} : *best;
 }
 
+std::vector<std::string> rendezvous_first(
+    std::string_view job, std::vector<std::string> nodes, std::size_t count) {
+    std::vector<std::string> chosen;
+    while (chosen.size() < count && !nodes.empty()) {
+        chosen.push_back(rendezvous(job, nodes));
+        std::erase(nodes, chosen.back());
+    }
+    return chosen;
+}
+
 } // namespace mintknot::base
--- a/libs/base/tests/test_rendezvous.cpp
+++ b/libs/base/tests/test_rendezvous.cpp
@@ -26,3 +26,13 @@
     for (const auto& [node, count] : jobs)
         cr_assert(count > 150 && count < 350, "%s", node.c_str());
 }
+
+Test(rendezvous, the_first_nodes_are_in_the_order_of_choice) {
+    const std::vector<std::string> nodes{"a", "b", "c"};
+    const auto two = base::rendezvous_first("job", nodes, 2);
+    cr_assert(two.size() == 2);
+    cr_assert(two[0] == base::rendezvous("job", nodes));
+    cr_assert(two[0] != two[1]);
+    cr_assert(base::rendezvous_first("job", nodes, 9).size() == 3);
+    cr_assert(base::rendezvous_first("job", {}, 2).empty());
+}
--- a/libs/relay/include/mintknot/relay/local_server.hpp
+++ b/libs/relay/include/mintknot/relay/local_server.hpp
@@ -23,11 +23,16 @@
     std::string body;
 };
 
-/// Answers requests from a function, at once. Requests with large bodies and
-/// more than a few connections are turned away.
+/// Sends the answer to one request, now or later; only the first call counts.
+/// It may be kept after the caller or the server has gone.
+using local_reply = std::function<void(const local_answer&)>;
+
+/// Answers requests from a function. Requests with large bodies and more than
+/// a few connections are turned away.
 class local_server {
 public:
-    using handler = std::function<local_answer(const http1::request_head&)>;
+    using handler =
+        std::function<void(const http1::request_head&, local_reply)>;
 
     local_server(event::loop& owner, handler answer);
     ~local_server();
@@ -43,6 +48,10 @@
     std::shared_ptr<impl> impl_;
 };
 
+/// @return a handler for a function that knows its answers at once.
+local_server::handler
+at_once(std::function<local_answer(const http1::request_head&)> answer);
+
 } // namespace mintknot::relay
 
 #endif
--- a/libs/relay/src/local_server.cpp
+++ b/libs/relay/src/local_server.cpp
@@ -24,6 +24,8 @@
         std::unique_ptr<http1::request_parser> parser;
         std::string pending;
         event::timer idle;
+        bool answering = false; ///< A request waits for its answer.
+        bool reading = false;   ///< read() is at work.
     };
 
     impl(event::loop& loop, handler answer_function)
@@ -42,7 +44,8 @@
         state->parser = std::make_unique<http1::request_parser>(request_limits);
         state->link->set_handlers(
             {[self = shared_from_this(), state](std::string_view bytes) {
-                 self->on_data(*state, bytes);
+                 state->pending.append(bytes);
+                 self->read(state);
              },
              [self = shared_from_this(), state](event::connection_end) {
                  self->end(*state);
@@ -67,35 +70,60 @@
         link->close();
     }
 
-    void on_data(session& state, std::string_view bytes) {
-        state.pending.append(bytes);
-        while (state.link != nullptr && !state.pending.empty()) {
-            const std::size_t used = state.parser->put(state.pending, nullptr);
-            state.pending.erase(0, used);
-            if (state.parser->error() != http1::parse_error::none) {
-                state.link->write(
+    /// Takes the requests that have come, one after another.
+    void read(const std::shared_ptr<session>& state) {
+        if (state->reading)
+            return;
+        state->reading = true;
+        read_all(state);
+        state->reading = false;
+    }
+
+    void read_all(const std::shared_ptr<session>& state) {
+        while (state->link != nullptr && !state->answering &&
+               !state->pending.empty()) {
+            const std::size_t used =
+                state->parser->put(state->pending, nullptr);
+            state->pending.erase(0, used);
+            if (state->parser->error() != http1::parse_error::none) {
+                state->link->write(
                     http1::text_response(400, {}, "malformed\n", false));
-                end(state);
+                end(*state);
                 return;
             }
-            if (state.parser->done())
-                respond(state);
+            if (state->parser->done())
+                ask(state);
             else if (used == 0)
                 return;
         }
     }
 
-    void respond(session& state) {
-        const http1::request_head head = state.parser->head();
-        const local_answer result = answer(head);
-        state.link->write(http1::text_response(
+    void ask(const std::shared_ptr<session>& state) {
+        const http1::request_head head = state->parser->head();
+        state->parser = std::make_unique<http1::request_parser>(request_limits);
+        state->answering = true;
+        state->idle.stop();
+        const std::weak_ptr<impl> weak = weak_from_this();
+        answer(head, [weak, state, head](const local_answer& result) {
+            const auto self = weak.lock();
+            if (self != nullptr && state->link != nullptr && state->answering)
+                self->respond(state, head, result);
+        });
+    }
+
+    void respond(
+        const std::shared_ptr<session>& state, const http1::request_head& head,
+        const local_answer& result) {
+        state->answering = false;
+        state->link->write(http1::text_response(
             result.status, {{"Content-Type", result.content_type}},
             head.method == "HEAD" ? "" : result.body, head.keep_alive));
-        state.parser = std::make_unique<http1::request_parser>(request_limits);
-        if (!head.keep_alive)
-            end(state);
-        else
-            watch(state);
+        if (!head.keep_alive) {
+            end(*state);
+            return;
+        }
+        watch(*state);
+        read(state);
     }
 
     event::loop& owner;
@@ -127,4 +155,12 @@
     impl_->listener.close();
 }
 
+local_server::handler
+at_once(std::function<local_answer(const http1::request_head&)> answer) {
+    return [answer = std::move(answer)](
+               const http1::request_head& head, const local_reply& reply) {
+        reply(answer(head));
+    };
+}
+
 } // namespace mintknot::relay
--- /dev/null
+++ b/libs/runtime/src/document_sync.cpp
@@ -0,0 +1,123 @@
+#include "document_sync.hpp"
+
+namespace mintknot::runtime {
+
+namespace {
+
+using state::collection;
+
+/// How long readers of a large group hold their watches: each call to the
+/// store has a price.
+constexpr base::milliseconds calm_wait{10000};
+constexpr base::milliseconds calm_gather{300};
+/// How long a large group waits for its readers' news of servers.
+constexpr base::milliseconds calm_patience{1200};
+
+} // namespace
+
+document_sync::document_sync(
+    const document_ports& ports, const document_options& options,
+    document_handlers handlers)
+    : handlers_(std::move(handlers))
+    , replica_(ports.codec, ports.log, replica_functions())
+    , store_(
+          ports.loop, ports.store, ports.pool, ports.log,
+          {options.peer.host, options.peer.port, options.readers})
+    , configuration_reader_(
+          ports.loop, store_, replica_, collection::configuration, ports.log,
+          {}, ports.draw)
+    , server_reader_(
+          ports.loop, store_, replica_, collection::servers, ports.log, {},
+          ports.draw)
+    , feed_(
+          ports.loop, replica_,
+          [this](collection what) {
+              return what == collection::configuration
+                         ? configuration_reader_.position()
+                         : server_reader_.position();
+          })
+    , lapsed_(
+          ports.loop, ports.log,
+          [this](const std::string& id, std::uint64_t version) {
+              handlers_.on_server(id, version, std::nullopt);
+          },
+          [this] { return handlers_.servers_in_use(); })
+    , fetcher_(
+          ports.loop, ports.pool, replica_, ports.log, options.peer.port,
+          options.data_centre) {
+    server_reader_.on_return([this] { lapsed_.store_returned(); });
+    server_reader_.on_position(
+        [this] { feed_.progressed(collection::servers); });
+    configuration_reader_.on_position(
+        [this] { feed_.progressed(collection::configuration); });
+}
+
+state::replica_handlers document_sync::replica_functions() {
+    return {
+        [this](std::shared_ptr<const traffic::catalogue> config) {
+            handlers_.on_configuration(std::move(config));
+        },
+        [this](
+            const std::string& id, std::uint64_t version,
+            std::optional<traffic::server> server) {
+            if (!server) {
+                lapsed_.gone(id, version);
+                return;
+            }
+            lapsed_.back(id);
+            handlers_.on_server(id, version, std::move(server));
+        }};
+}
+
+void document_sync::start() {
+    configuration_reader_.start();
+    server_reader_.start();
+}
+
+void document_sync::stop() {
+    configuration_reader_.stop();
+    server_reader_.stop();
+}
+
+void document_sync::read_calmly() {
+    configuration_reader_.set_pace(calm_wait, calm_gather);
+    server_reader_.set_pace(calm_wait, calm_gather);
+    fetcher_.set_server_patience(calm_patience);
+}
+
+void document_sync::on_heartbeat(
+    const std::string& host, const peers::heartbeat& heartbeat) {
+    fetcher_.on_heartbeat(host, heartbeat);
+}
+
+void document_sync::answer(
+    const http1::request_head& head, relay::local_reply reply) {
+    if (const auto wanted = state::change_request_from(head.target))
+        feed_.ask(*wanted, std::move(reply));
+    else if (head.target == snapshot_path)
+        reply(
+            {200, "application/json",
+             replica_.snapshot(
+                 {collection::configuration, collection::servers})});
+    else if (head.target == configuration_snapshot_path)
+        reply(
+            {200, "application/json",
+             replica_.snapshot({collection::configuration})});
+    else
+        reply({404, "text/plain", "unknown path\n"});
+}
+
+std::uint64_t document_sync::version(collection what) const {
+    return replica_.version(what);
+}
+
+bool document_sync::known() const {
+    return replica_.known(collection::configuration) &&
+           replica_.known(collection::servers);
+}
+
+base::milliseconds document_sync::silence() const {
+    return configuration_reader_.silence();
+}
+
+} // namespace mintknot::runtime
--- /dev/null
+++ b/libs/runtime/src/document_sync.hpp
@@ -0,0 +1,91 @@
+/// @file
+/// Keeps this instance's documents in step with the store and with peers.
+#ifndef MINTKNOT_RUNTIME_DOCUMENT_SYNC_HPP
+#define MINTKNOT_RUNTIME_DOCUMENT_SYNC_HPP
+
+#include "lapsed_servers.hpp"
+#include "peer_feed.hpp"
+#include "shared_store.hpp"
+#include "snapshot_fetcher.hpp"
+
+#include <mintknot/state/store_reader.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace mintknot::runtime {
+
+/// What documents come through. Everything outlives the object.
+struct document_ports {
+    event::loop& loop;
+    state::store& store;
+    const state::document_codec& codec;
+    upstream::connection_pool& pool;
+    logging::line_log& log;
+    std::function<double()> draw; ///< Uniform in [0, 1).
+};
+
+struct document_options {
+    base::address peer; ///< The own one; all instances use the same port.
+    std::string data_centre;
+    /// @return hosts that read the store for this data centre; empty: every
+    /// instance does.
+    std::function<std::vector<std::string>()> readers;
+};
+
+/// Whom the object tells of changes.
+struct document_handlers {
+    std::function<void(std::shared_ptr<const traffic::catalogue>)>
+        on_configuration;
+    /// Removals come late where the row may only have lapsed.
+    std::function<void(
+        const std::string& id, std::uint64_t version,
+        std::optional<traffic::server>)>
+        on_server;
+    /// @return how many servers are in use.
+    std::function<std::size_t()> servers_in_use;
+};
+
+/// Follows the store: directly, or through the readers of a large group; takes
+/// from peers what the store does not tell; answers peers that ask.
+class document_sync {
+public:
+    document_sync(
+        const document_ports& ports, const document_options& options,
+        document_handlers handlers);
+    document_sync(const document_sync&) = delete;
+    document_sync& operator=(const document_sync&) = delete;
+
+    void start();
+    void stop();
+    /// From now on the group is large: the store is read calmly.
+    void read_calmly();
+    void
+    on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
+    /// Answers another instance.
+    void answer(const http1::request_head& head, relay::local_reply reply);
+
+    /// @return the newest version that is known of a collection.
+    std::uint64_t version(state::collection what) const;
+    /// @return true once the configuration and the servers have been read.
+    bool known() const;
+    /// @return how long ago the store, or a reader, last answered.
+    base::milliseconds silence() const;
+
+private:
+    state::replica_handlers replica_functions();
+
+    document_handlers handlers_;
+    state::replica replica_;
+    shared_store store_;
+    state::store_reader configuration_reader_;
+    state::store_reader server_reader_;
+    peer_feed feed_;
+    lapsed_servers lapsed_;
+    snapshot_fetcher fetcher_;
+};
+
+} // namespace mintknot::runtime
+
+#endif
--- /dev/null
+++ b/libs/runtime/src/heartbeat_content.cpp
@@ -0,0 +1,58 @@
+#include "heartbeat_content.hpp"
+
+namespace mintknot::runtime {
+
+namespace {
+
+/// A sender far from both this instance and the server may be cut off from
+/// the server without it being so here.
+bool concerns_here(
+    const relay::router& router, const peers::heartbeat& heartbeat,
+    const std::string& server_id) {
+    if (heartbeat.data_centre == router.options.data_centre)
+        return true;
+    const traffic::server* server =
+        traffic::find(router.state.servers, server_id);
+    return server != nullptr && server->data_centre == heartbeat.data_centre;
+}
+
+} // namespace
+
+peers::heartbeat describe(const relay::router& router, bool with_loads) {
+    const relay::router_state& state = router.state;
+    const base::steady_time now = router.loop.now();
+    peers::heartbeat own;
+    own.leaving = state.stopping;
+    own.data_centre = router.options.data_centre;
+    for (const auto& [service, allowance] : state.allowances)
+        own.usage[service] = traffic::usage(allowance, state.retry_bounds, now);
+    if (with_loads)
+        own.loads = state.loads.own;
+    for (const auto& [id, record] : state.health.own)
+        if (record.avoid_until > now)
+            own.warnings.push_back(
+                {id, base::time_left(record.avoid_until, now)});
+    for (const auto& [id, until] : state.health.ordered_until)
+        if (until > now)
+            own.changes.push_back({id, base::time_left(until, now)});
+    return own;
+}
+
+void take_heartbeat(
+    relay::router& router, const std::string& host,
+    const peers::heartbeat& heartbeat) {
+    relay::router_state& state = router.state;
+    const base::steady_time now = router.loop.now();
+    if (heartbeat.loads)
+        traffic::set_peer(state.loads, host, *heartbeat.loads, now);
+    state.peer_usages[host] = {heartbeat.usage, now};
+    for (const peers::server_warning& change : heartbeat.changes)
+        traffic::note_peer_change(
+            state.health, change.server_id, now + change.left);
+    for (const peers::server_warning& warning : heartbeat.warnings)
+        if (concerns_here(router, heartbeat, warning.server_id))
+            traffic::warn(
+                state.health, warning.server_id, now + warning.left, now);
+}
+
+} // namespace mintknot::runtime
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -1,16 +1,16 @@
 #include <mintknot/runtime/instance.hpp>
 
-#include "lapsed_servers.hpp"
-#include "snapshot_fetcher.hpp"
+#include "document_sync.hpp"
+#include "heartbeat_content.hpp"
 
 #include <mintknot/base/random.hpp>
+#include <mintknot/base/rendezvous.hpp>
 #include <mintknot/orders/phase_balancer.hpp>
 #include <mintknot/peers/peer_group.hpp>
 #include <mintknot/relay/drain.hpp>
 #include <mintknot/relay/entry_server.hpp>
 #include <mintknot/relay/local_server.hpp>
 #include <mintknot/scheduling/remote_placer.hpp>
-#include <mintknot/state/store_reader.hpp>
 
 #include <fmt/format.h>
 
@@ -29,11 +29,13 @@
 constexpr std::size_t least_instances = 10;
 /// Up to this size all instances tell each other all they have in flight.
 constexpr std::size_t most_without_schedulers = 24;
-/// How a large group reads the store: each call has a price, and what one
-/// instance misses it learns from heartbeats.
-constexpr base::milliseconds large_group_wait{10000};
-constexpr base::milliseconds large_group_gather{1000};
-constexpr base::milliseconds configuration_gather{300};
+/// Instances of a data centre that read the store for a large group.
+constexpr std::size_t store_readers = 2;
+constexpr std::string_view store_reader_job = "store-reader";
+
+double gauge(std::uint64_t count) {
+    return static_cast<double>(count);
+}
 
 } // namespace
 
@@ -55,31 +57,25 @@
                  metrics,    releases, prober,         settings.relay}
         , entry(shared)
         , readiness(
-              ports.loop,
-              [this](const http1::request_head&) { return readiness_answer(); })
+              ports.loop, relay::at_once([this](const http1::request_head&) {
+                  return readiness_answer();
+              }))
         , metrics_server(
-              ports.loop,
-              [this](const http1::request_head&) { return metrics_answer(); })
+              ports.loop, relay::at_once([this](const http1::request_head&) {
+                  return metrics_answer();
+              }))
         , peer_server(
               ports.loop,
-              [this](const http1::request_head& head) {
-                  return peer_answer(head);
+              [this](
+                  const http1::request_head& head, relay::local_reply reply) {
+                  documents.answer(head, std::move(reply));
               })
-        , replica(ports.codec, log, replica_functions())
-        , configuration_reader(
-              ports.loop, ports.store, replica,
-              state::collection::configuration, log, {},
-              [this] { return shared.draw(); })
-        , server_reader(
-              ports.loop, ports.store, replica, state::collection::servers, log,
-              {}, [this] { return shared.draw(); })
-        , lapsed(
-              ports.loop, log,
-              [this](const std::string& id, std::uint64_t version) {
-                  on_server(id, version, std::nullopt);
-              },
-              [this] { return traffic::count(shared.state.servers); })
-        , fetcher(ports.loop, pool, replica, log, settings.peer.port)
+        , documents(
+              {ports.loop, ports.store, ports.codec, pool, log,
+               [this] { return shared.draw(); }},
+              {settings.peer, settings.data_centre,
+               [this] { return readers_here(); }},
+              document_functions())
         , group(
               ports.loop, log, {settings.peer, settings.seed_hosts},
               group_functions())
@@ -91,7 +87,6 @@
         , reload_timer(ports.loop) {
         shared.state.retry_bounds = settings.retry_bounds;
         shared.state.instances = least_instances;
-        server_reader.on_return([this] { lapsed.store_returned(); });
         shared.placement = &placer;
         shared.state.on_order = [this] { group.changed(); };
         shared.state.on_load_change = [this] {
@@ -102,7 +97,7 @@
         };
     }
 
-    state::replica_handlers replica_functions() {
+    document_handlers document_functions() {
         return {
             [this](std::shared_ptr<const traffic::catalogue> config) {
                 shared.state.config = std::move(config);
@@ -111,13 +106,9 @@
             [this](
                 const std::string& id, std::uint64_t version,
                 std::optional<traffic::server> server) {
-                if (!server) {
-                    lapsed.gone(id, version);
-                    return;
-                }
-                lapsed.back(id);
                 on_server(id, version, std::move(server));
-            }};
+            },
+            [this] { return traffic::count(shared.state.servers); }};
     }
 
     void on_server(
@@ -186,7 +177,7 @@
 
     peers::group_handlers group_functions() {
         return {
-            [this] { return describe(); },
+            [this] { return describe_here(); },
             [this](const std::string& host, const peers::heartbeat& heartbeat) {
                 on_heartbeat(host, heartbeat);
             },
@@ -195,25 +186,10 @@
             }};
     }
 
-    peers::heartbeat describe() {
-        const base::steady_time now = ports.loop.now();
-        peers::heartbeat own;
-        own.configuration = replica.version(state::collection::configuration);
-        own.servers = replica.version(state::collection::servers);
-        own.leaving = shared.state.stopping;
-        own.data_centre = settings.data_centre;
-        for (const auto& [service, allowance] : shared.state.allowances)
-            own.usage[service] =
-                traffic::usage(allowance, shared.state.retry_bounds, now);
-        if (!placer.active())
-            own.loads = shared.state.loads.own;
-        for (const auto& [id, record] : shared.state.health.own)
-            if (record.avoid_until > now)
-                own.warnings.push_back(
-                    {id, base::time_left(record.avoid_until, now)});
-        for (const auto& [id, until] : shared.state.health.ordered_until)
-            if (until > now)
-                own.changes.push_back({id, base::time_left(until, now)});
+    peers::heartbeat describe_here() {
+        peers::heartbeat own = describe(shared, !placer.active());
+        own.configuration = documents.version(state::collection::configuration);
+        own.servers = documents.version(state::collection::servers);
         return own;
     }
 
@@ -228,41 +204,22 @@
 
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat) {
-        const base::steady_time now = ports.loop.now();
-        if (heartbeat.loads)
-            traffic::set_peer(shared.state.loads, host, *heartbeat.loads, now);
-        shared.state.peer_usages[host] = {heartbeat.usage, now};
-        for (const peers::server_warning& change : heartbeat.changes)
-            traffic::note_peer_change(
-                shared.state.health, change.server_id, now + change.left);
-        for (const peers::server_warning& warning : heartbeat.warnings)
-            if (concerns_here(heartbeat, warning.server_id))
-                traffic::warn(
-                    shared.state.health, warning.server_id, now + warning.left,
-                    now);
+        take_heartbeat(shared, host, heartbeat);
         shared.state.instances =
             std::max(least_instances, peers::instances(group.table()));
-        if (placer.active())
-            read_the_store_calmly();
-        fetcher.on_heartbeat(host, heartbeat);
-    }
-
-    void read_the_store_calmly() {
-        configuration_reader.set_pace(large_group_wait, configuration_gather);
-        server_reader.set_pace(large_group_wait, large_group_gather);
-        fetcher.set_server_patience(large_group_gather * 2);
+        if (!calm && placer.active()) {
+            calm = true;
+            documents.read_calmly();
+        }
+        documents.on_heartbeat(host, heartbeat);
     }
 
-    /// A sender far from both this instance and the server may be cut off from
-    /// the server without it being so here.
-    bool concerns_here(
-        const peers::heartbeat& heartbeat, const std::string& server_id) const {
-        if (heartbeat.data_centre == settings.data_centre)
-            return true;
-        const traffic::server* server =
-            traffic::find(shared.state.servers, server_id);
-        return server != nullptr &&
-               server->data_centre == heartbeat.data_centre;
+    std::vector<std::string> readers_here() const {
+        if (!placer.active())
+            return {};
+        return base::rendezvous_first(
+            store_reader_job, scheduler_hosts(settings.data_centre),
+            store_readers);
     }
 
     std::optional<relay::health_check> check_of(const std::string& id) const {
@@ -281,7 +238,7 @@
 
     bool ready() const {
         return !shared.state.stopping && shared.state.config != nullptr &&
-               replica.known(state::collection::servers);
+               documents.known();
     }
 
     relay::local_answer readiness_answer() const {
@@ -291,39 +248,24 @@
     }
 
     relay::local_answer metrics_answer() {
-        metrics.set_gauge("ready", ready() ? 1 : 0);
-        metrics.set_gauge(
-            "open_requests", static_cast<double>(shared.state.open_requests));
-        metrics.set_gauge(
-            "caller_connections", static_cast<double>(entry.connections()));
-        metrics.set_gauge(
-            "idle_upstream_connections",
-            static_cast<double>(pool.idle_total()));
-        metrics.set_gauge(
-            "upstream_connections_opened",
-            static_cast<double>(pool.counters().opened));
-        metrics.set_gauge(
-            "peers", static_cast<double>(group.table().heard.size()));
-        metrics.set_gauge(
-            "store_silence_seconds",
-            std::chrono::duration<double>(configuration_reader.silence())
-                .count());
-        metrics.set_gauge(
-            "configuration_version",
-            shared.state.config == nullptr
-                ? 0.0
-                : static_cast<double>(shared.state.config->version));
-        metrics.set_gauge(
-            "log_lines_left_out", static_cast<double>(log.left_out()));
+        const std::uint64_t version =
+            shared.state.config == nullptr ? 0 : shared.state.config->version;
+        const std::chrono::duration<double> silence = documents.silence();
+        const std::pair<const char*, double> gauges[] = {
+            {"ready", ready() ? 1.0 : 0.0},
+            {"open_requests", gauge(shared.state.open_requests)},
+            {"caller_connections", gauge(entry.connections())},
+            {"idle_upstream_connections", gauge(pool.idle_total())},
+            {"upstream_connections_opened", gauge(pool.counters().opened)},
+            {"peers", gauge(group.table().heard.size())},
+            {"store_silence_seconds", silence.count()},
+            {"configuration_version", gauge(version)},
+            {"log_lines_left_out", gauge(log.left_out())}};
+        for (const auto& [name, value] : gauges)
+            metrics.set_gauge(name, value);
         return {200, "text/plain; version=0.0.4", metrics.text()};
     }
 
-    relay::local_answer peer_answer(const http1::request_head& head) const {
-        if (head.target != snapshot_path)
-            return {404, "text/plain", "unknown path\n"};
-        return {200, "application/json", replica.snapshot()};
-    }
-
     absl::Status open_addresses() {
         absl::Status status = readiness.open(settings.readiness);
         if (status.ok())
@@ -407,8 +349,7 @@
     void leave(base::milliseconds since) {
         entry.close();
         entry.close_idle();
-        configuration_reader.stop();
-        server_reader.stop();
+        documents.stop();
         balancer.stop();
         log.write(
             "stopped",
@@ -429,16 +370,13 @@
     relay::local_server readiness;
     relay::local_server metrics_server;
     relay::local_server peer_server;
-    state::replica replica;
-    state::store_reader configuration_reader;
-    state::store_reader server_reader;
-    lapsed_servers lapsed;
-    snapshot_fetcher fetcher;
+    document_sync documents;
     peers::peer_group group;
     scheduling::remote_placer placer;
     orders::phase_balancer balancer;
     event::timer drain_timer;
     event::timer reload_timer;
+    bool calm = false; ///< The group has been large.
 };
 
 instance::instance(instance_settings settings, instance_ports ports)
@@ -457,8 +395,7 @@
     impl_->log.write(
         "started", {{"data_centre", impl_->settings.data_centre},
                     {"entry", base::to_string(impl_->settings.entry)}});
-    impl_->configuration_reader.start();
-    impl_->server_reader.start();
+    impl_->documents.start();
     impl_->balancer.start();
     impl_->watch_settings();
     return absl::OkStatus();
--- /dev/null
+++ b/libs/runtime/src/peer_feed.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// Tells other instances what this one reads from the store.
+#ifndef MINTKNOT_RUNTIME_PEER_FEED_HPP
+#define MINTKNOT_RUNTIME_PEER_FEED_HPP
+
+#include <mintknot/event/loop.hpp>
+#include <mintknot/relay/local_server.hpp>
+#include <mintknot/state/change_message.hpp>
+#include <mintknot/state/replica.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <optional>
+
+namespace mintknot::runtime {
+
+/// Holds each request until there are changes behind its version, or until its
+/// wait is over. An instance that is itself out of the store's reach says so
+/// (503), so that the asker turns to another one; changes that it no longer
+/// remembers are said to be gone (410).
+///
+/// Lifetime: loop and replica must outlive it.
+class peer_feed {
+public:
+    /// @return up to where this instance has read a collection from the store;
+    /// nothing while that is out of reach.
+    using position_source =
+        std::function<std::optional<std::uint64_t>(state::collection)>;
+
+    peer_feed(
+        event::loop& owner, const state::replica& source,
+        position_source position);
+    peer_feed(const peer_feed&) = delete;
+    peer_feed& operator=(const peer_feed&) = delete;
+
+    void ask(const state::change_request& request, relay::local_reply reply);
+    /// The position in a collection has moved.
+    void progressed(state::collection what);
+
+private:
+    struct held_request {
+        held_request(
+            event::loop& owner, state::change_request wanted,
+            relay::local_reply answer)
+            : request(wanted)
+            , reply(std::move(answer))
+            , limit(owner) {}
+        state::change_request request;
+        relay::local_reply reply;
+        event::timer limit;
+    };
+    using held_requests = std::list<held_request>;
+
+    /// @param final true: an answer without changes is an answer, too.
+    /// @return false if the request is to be held on.
+    bool answer(const held_request& held, bool final) const;
+
+    event::loop& owner_;
+    const state::replica& source_;
+    position_source position_;
+    held_requests held_;
+};
+
+} // namespace mintknot::runtime
+
+#endif
--- /dev/null
+++ b/libs/runtime/src/shared_store.cpp
@@ -0,0 +1,162 @@
+#include "shared_store.hpp"
+
+#include <algorithm>
+
+namespace mintknot::runtime {
+
+namespace {
+
+/// How long a reader holds a watch. A reader may be cut off from the store
+/// without knowing it yet: another one is asked after this time. Versions in
+/// heartbeats tell of configurations sooner.
+constexpr base::milliseconds servers_wait{1000};
+constexpr base::milliseconds configuration_wait{4000};
+/// What an answer may take beyond the wait.
+constexpr base::milliseconds answer_slack{400};
+/// How long a reader that failed is passed over.
+constexpr base::milliseconds suspicion{2000};
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+
+base::milliseconds wait_for(state::collection what) {
+    return what == state::collection::servers ? servers_wait
+                                              : configuration_wait;
+}
+
+} // namespace
+
+/// A watch that goes to readers.
+struct shared_store::peer_watch {
+    explicit peer_watch(event::loop& owner)
+        : limit(owner) {}
+    state::change_request request;
+    base::milliseconds store_wait{0}; ///< If it goes to the store after all.
+    state::store_handler on_answer;
+    std::vector<std::string> left; ///< Readers to be asked, the next one last.
+    std::unique_ptr<upstream::call> call;
+    event::timer limit;
+    int status = 0;
+    std::string body;
+};
+
+shared_store::shared_store(
+    event::loop& owner, state::store& source, upstream::connection_pool& pool,
+    logging::line_log& log, shared_store_options options)
+    : owner_(owner)
+    , source_(source)
+    , pool_(pool)
+    , log_(log)
+    , options_(std::move(options)) {}
+
+shared_store::~shared_store() = default;
+
+void shared_store::read(
+    state::collection what, state::store_handler on_answer) {
+    source_.read(what, std::move(on_answer));
+}
+
+void shared_store::write(
+    state::collection what, const std::string& key, std::uint64_t expected,
+    const std::string& text, state::write_handler on_answer) {
+    source_.write(what, key, expected, text, std::move(on_answer));
+}
+
+void shared_store::watch(
+    state::collection what, std::uint64_t after, base::milliseconds wait,
+    state::store_handler on_answer) {
+    std::vector<std::string> readers = trusted_readers();
+    if (readers.empty()) {
+        source_.watch(what, after, wait, std::move(on_answer));
+        return;
+    }
+    std::rotate(
+        readers.begin(),
+        readers.begin() + static_cast<std::ptrdiff_t>(++turn_ % readers.size()),
+        readers.end());
+    auto entry = std::make_unique<peer_watch>(owner_);
+    entry->request = {what, after, wait_for(what)};
+    entry->store_wait = wait;
+    entry->on_answer = std::move(on_answer);
+    entry->left = std::move(readers);
+    const std::uint64_t number = ++last_;
+    open_.emplace(number, std::move(entry));
+    ask_next(number);
+}
+
+std::vector<std::string> shared_store::trusted_readers() const {
+    std::vector<std::string> hosts = options_.readers();
+    const bool reads_itself =
+        std::find(hosts.begin(), hosts.end(), options_.own_host) != hosts.end();
+    if (reads_itself)
+        return {};
+    std::erase_if(hosts, [this](const std::string& host) {
+        const auto found = suspected_.find(host);
+        return found != suspected_.end() && found->second > owner_.now();
+    });
+    return hosts;
+}
+
+void shared_store::ask_next(std::uint64_t number) {
+    peer_watch& entry = *open_.at(number);
+    if (entry.left.empty()) {
+        const auto node = open_.extract(number);
+        source_.watch(
+            entry.request.what, entry.request.after, entry.store_wait,
+            std::move(entry.on_answer));
+        return;
+    }
+    const std::string host = entry.left.back();
+    entry.left.pop_back();
+    entry.status = 0;
+    entry.body.clear();
+    upstream::call_request request;
+    request.head.method = "GET";
+    request.head.target = state::to_target(entry.request);
+    request.head.fields = {{"Host", host}};
+    entry.call = upstream::call::start(
+        pool_, {"peer " + host, {host, options_.peer_port}}, std::move(request),
+        {},
+        {nullptr,
+         [&entry](http1::response_head& head) { entry.status = head.status; },
+         [&entry](std::string_view piece) { entry.body.append(piece); },
+         [this, number, host] { finish(number, host); },
+         [this, number, host](upstream::call_failure) {
+             give_up(number, host);
+         }});
+    entry.limit.start(entry.request.wait + answer_slack, [this, number, host] {
+        give_up(number, host);
+    });
+}
+
+void shared_store::finish(std::uint64_t number, const std::string& host) {
+    const peer_watch& entry = *open_.at(number);
+    state::store_answer answer;
+    if (entry.status == status_gone) {
+        answer.result = state::store_result::history_gone;
+    } else if (entry.status == status_ok) {
+        auto told = state::store_answer_from(entry.body);
+        if (told.ok())
+            answer = *std::move(told);
+    }
+    if (answer.result == state::store_result::unreachable) {
+        give_up(number, host);
+        return;
+    }
+    const auto node = open_.extract(number);
+    node.mapped()->on_answer(std::move(answer));
+}
+
+void shared_store::give_up(std::uint64_t number, const std::string& host) {
+    peer_watch& entry = *open_.at(number);
+    entry.limit.stop();
+    entry.call.reset();
+    suspected_[host] = owner_.now() + suspicion;
+    log_.write(
+        "reader_silent", {{"host", host},
+                          {"collection", to_string(entry.request.what)},
+                          {"status", std::int64_t{entry.status}},
+                          {"for_ms", suspicion.count()}});
+    ask_next(number);
+}
+
+} // namespace mintknot::runtime
--- /dev/null
+++ b/libs/runtime/src/shared_store.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// The store as a large group reads it: a few instances for all.
+#ifndef MINTKNOT_RUNTIME_SHARED_STORE_HPP
+#define MINTKNOT_RUNTIME_SHARED_STORE_HPP
+
+#include <mintknot/event/loop.hpp>
+#include <mintknot/logging/line_log.hpp>
+#include <mintknot/state/change_message.hpp>
+#include <mintknot/state/store.hpp>
+#include <mintknot/upstream/call.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mintknot::runtime {
+
+/// Who reads the store, and how the others reach it.
+struct shared_store_options {
+    std::string own_host;
+    std::uint16_t peer_port = 0;
+    /// @return hosts that read the store for this data centre; empty: every
+    /// instance reads it for itself.
+    std::function<std::vector<std::string>()> readers;
+};
+
+/// Watches go to the readers of the data centre, to one after the other, so
+/// that a reader which hears nothing delays news by one short watch only. A
+/// reader that fails or is out of the store's reach is passed over for a
+/// while; where none is left, and on a reader, the store itself is asked.
+/// Whole reads and writes always go to the store: its link is the widest.
+///
+/// Lifetime: everything that is passed in must outlive it.
+class shared_store final : public state::store {
+public:
+    shared_store(
+        event::loop& owner, state::store& source,
+        upstream::connection_pool& pool, logging::line_log& log,
+        shared_store_options options);
+    ~shared_store() override;
+    shared_store(const shared_store&) = delete;
+    shared_store& operator=(const shared_store&) = delete;
+
+    void read(state::collection what, state::store_handler on_answer) override;
+    void watch(
+        state::collection what, std::uint64_t after, base::milliseconds wait,
+        state::store_handler on_answer) override;
+    void write(
+        state::collection what, const std::string& key, std::uint64_t expected,
+        const std::string& text, state::write_handler on_answer) override;
+
+private:
+    struct peer_watch;
+
+    std::vector<std::string> trusted_readers() const;
+    void ask_next(std::uint64_t number);
+    void finish(std::uint64_t number, const std::string& host);
+    void give_up(std::uint64_t number, const std::string& host);
+
+    event::loop& owner_;
+    state::store& source_;
+    upstream::connection_pool& pool_;
+    logging::line_log& log_;
+    shared_store_options options_;
+    std::uint64_t last_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<peer_watch>> open_;
+    std::map<std::string, base::steady_time> suspected_;
+    std::size_t turn_ = 0;
+};
+
+} // namespace mintknot::runtime
+
+#endif
--- a/libs/runtime/src/snapshot_fetcher.cpp
+++ b/libs/runtime/src/snapshot_fetcher.cpp
@@ -7,18 +7,22 @@
 /// How long the store's own news of a configuration is waited for.
 constexpr base::milliseconds configuration_patience{150};
 constexpr base::milliseconds shortest_gap{250};
-constexpr base::milliseconds call_time{1000};
+/// Snapshots of thousands of servers take seconds on slow links.
+constexpr base::milliseconds call_time{4000};
+/// How much longer a peer of another data centre is waited for.
+constexpr int far_patience = 2;
 
 } // namespace
 
 snapshot_fetcher::snapshot_fetcher(
     event::loop& owner, upstream::connection_pool& pool, state::replica& target,
-    logging::line_log& log, std::uint16_t port)
+    logging::line_log& log, std::uint16_t port, std::string data_centre)
     : owner_(owner)
     , pool_(pool)
     , target_(target)
     , log_(log)
     , port_(port)
+    , data_centre_(std::move(data_centre))
     , limit_(owner) {}
 
 void snapshot_fetcher::set_server_patience(base::milliseconds patience) {
@@ -45,20 +49,25 @@
     }
     if (behind_since_ == base::steady_time{})
         behind_since_ = now;
-    const bool nothing_known = !target_.known(state::collection::configuration);
+    const int factor = heartbeat.data_centre == data_centre_ ? 1 : far_patience;
     if (call_ != nullptr || now - last_fetch_ < shortest_gap ||
-        (!nothing_known && now - behind_since_ < *patience))
+        now - behind_since_ < *patience * factor)
         return;
-    fetch(host);
+    const bool servers_known = target_.known(state::collection::servers);
+    const bool servers_behind =
+        heartbeat.servers > target_.version(state::collection::servers);
+    fetch(
+        host, servers_known && !servers_behind ? configuration_snapshot_path
+                                               : snapshot_path);
 }
 
-void snapshot_fetcher::fetch(const std::string& host) {
+void snapshot_fetcher::fetch(const std::string& host, std::string_view path) {
     last_fetch_ = owner_.now();
     body_.clear();
     status_ = 0;
     upstream::call_request request;
     request.head.method = "GET";
-    request.head.target = snapshot_path;
+    request.head.target = std::string(path);
     request.head.fields = {{"Host", host}};
     call_ = upstream::call::start(
         pool_, {"peer " + host, {host, port_}}, std::move(request), {},
--- a/libs/runtime/src/snapshot_fetcher.hpp
+++ b/libs/runtime/src/snapshot_fetcher.hpp
@@ -15,15 +15,20 @@
 
 /// The path under which instances give each other their snapshots.
 inline constexpr std::string_view snapshot_path = "/mintknot/v1/snapshot";
+/// The same with the configuration only.
+inline constexpr std::string_view configuration_snapshot_path =
+    "/mintknot/v1/snapshot/configuration";
 
 /// Compares versions in heartbeats with the own ones. A peer that stays ahead
 /// for a moment is asked for its snapshot: normally the store's own news come
-/// first, and nothing is fetched.
+/// first, and nothing is fetched. A peer of another data centre is waited for
+/// longer: bytes between data centres have a price.
 class snapshot_fetcher {
 public:
     snapshot_fetcher(
         event::loop& owner, upstream::connection_pool& pool,
-        state::replica& target, logging::line_log& log, std::uint16_t port);
+        state::replica& target, logging::line_log& log, std::uint16_t port,
+        std::string data_centre);
 
     /// How long the store's own news of servers are waited for: no less than
     /// changes are gathered.
@@ -36,7 +41,7 @@
     /// know more than this instance.
     std::optional<base::milliseconds>
     patience_for(const peers::heartbeat& heartbeat) const;
-    void fetch(const std::string& host);
+    void fetch(const std::string& host, std::string_view path);
     void finish(const std::string& host, bool whole);
 
     event::loop& owner_;
@@ -44,6 +49,7 @@
     state::replica& target_;
     logging::line_log& log_;
     std::uint16_t port_;
+    std::string data_centre_;
     std::unique_ptr<upstream::call> call_;
     event::timer limit_;
     std::string body_;
--- /dev/null
+++ b/libs/runtime/tests/test_peer_feed.cpp
@@ -0,0 +1,114 @@
+#include "peer_feed.hpp"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <vector>
+
+using namespace mintknot;
+using namespace mintknot::runtime;
+
+namespace {
+
+constexpr auto servers = state::collection::servers;
+constexpr base::milliseconds long_wait{10000};
+constexpr base::milliseconds short_wait{20};
+
+class plain_codec final : public state::document_codec {
+public:
+    absl::StatusOr<traffic::catalogue>
+    read_configuration(std::string_view) const override {
+        return traffic::catalogue{};
+    }
+    absl::StatusOr<traffic::server>
+    read_server(const std::string& id, std::string_view) const override {
+        traffic::server value;
+        value.id = id;
+        return value;
+    }
+};
+
+struct fixture {
+    fixture()
+        : log(-1, "test", {})
+        , copy(codec, log, {[](auto) {}, [](auto&, auto, auto) {}})
+        , feed(owner, copy, [this](state::collection) { return position; }) {}
+    /// Asks, and stops the loop at the answer.
+    void ask(std::uint64_t after, base::milliseconds wait) {
+        feed.ask(
+            {servers, after, wait}, [this](const relay::local_answer& told) {
+                answers.push_back(told);
+                owner.stop();
+            });
+    }
+    state::store_answer read() const {
+        return *state::store_answer_from(answers.back().body);
+    }
+    event::loop owner;
+    plain_codec codec;
+    logging::line_log log;
+    state::replica copy;
+    std::optional<std::uint64_t> position;
+    peer_feed feed;
+    std::vector<relay::local_answer> answers;
+};
+
+} // namespace
+
+Test(peer_feed, known_changes_are_told_at_once) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}, {"j", 7, "s"}}, 7, "store");
+    f.position = 7;
+    f.ask(3, long_wait);
+    cr_assert(f.answers.size() == 1);
+    cr_assert(f.read().version == 7);
+    cr_assert(f.read().documents.size() == 1);
+    cr_assert(f.read().documents[0].key == "j");
+}
+
+Test(peer_feed, a_request_is_held_until_there_is_a_change) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
+    f.position = 3;
+    f.ask(3, long_wait);
+    cr_assert(f.answers.empty());
+    f.copy.apply(servers, {{"i", 5, std::nullopt}}, "store");
+    f.position = 5;
+    f.feed.progressed(servers);
+    cr_assert(f.answers.size() == 1);
+    cr_assert(!f.read().documents[0].text.has_value());
+}
+
+Test(peer_feed, without_changes_the_position_is_told_in_the_end) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
+    f.position = 9;
+    f.ask(4, short_wait);
+    cr_assert(f.answers.empty());
+    f.owner.run();
+    cr_assert(f.read().version == 9);
+    cr_assert(f.read().documents.empty());
+}
+
+Test(peer_feed, what_the_store_has_not_told_is_not_told) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
+    // From a peer's snapshot: others between 3 and 8 may be missing.
+    f.copy.apply(servers, {{"k", 8, "s"}}, "peer");
+    f.position = 3;
+    f.ask(3, short_wait);
+    f.owner.run();
+    cr_assert(f.read().documents.empty());
+    cr_assert(f.read().version == 3);
+}
+
+Test(peer_feed, a_loss_of_the_store_ends_what_is_held) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
+    f.position = 3;
+    f.ask(3, long_wait);
+    f.position = std::nullopt;
+    f.feed.progressed(servers);
+    cr_assert(f.answers.size() == 1);
+    cr_assert(f.answers[0].status == 503);
+}
--- /dev/null
+++ b/libs/runtime/tests/test_shared_store.cpp
@@ -0,0 +1,157 @@
+#include "shared_store.hpp"
+
+#include <mintknot/relay/local_server.hpp>
+
+#include <criterion/criterion.h>
+
+#include <list>
+#include <optional>
+
+using namespace mintknot;
+using namespace mintknot::runtime;
+
+namespace {
+
+constexpr auto servers = state::collection::servers;
+constexpr base::milliseconds store_wait{10000};
+constexpr base::milliseconds test_limit{20000};
+
+/// Counts calls and answers watches with version 100.
+class counting_store final : public state::store {
+public:
+    explicit counting_store(event::loop& owner)
+        : owner_(owner) {}
+    void read(state::collection, state::store_handler) override { ++reads; }
+    void watch(
+        state::collection, std::uint64_t, base::milliseconds wait,
+        state::store_handler on_answer) override {
+        ++watches;
+        last_wait = wait;
+        owner_.post([on_answer] {
+            on_answer({state::store_result::ok, {}, 100});
+        });
+    }
+    void write(
+        state::collection, const std::string&, std::uint64_t,
+        const std::string&, state::write_handler) override {}
+    int reads = 0;
+    int watches = 0;
+    base::milliseconds last_wait{0};
+
+private:
+    event::loop& owner_;
+};
+
+/// Instances that answer watches; all have the port of the group.
+struct fixture {
+    fixture()
+        : log(-1, "test", {})
+        , source(owner)
+        , pool(owner)
+        , limit(owner) {}
+
+    /// Adds a reader at a loopback address with a fixed answer.
+    void add_reader(const std::string& host, relay::local_answer answer) {
+        asked[host] = 0;
+        listening.emplace_back(
+            owner,
+            [this, host, answer](
+                const http1::request_head&, const relay::local_reply& reply) {
+                ++asked[host];
+                reply(answer);
+            });
+        cr_assert(listening.back().open({host, port}).ok());
+        port = listening.back().port();
+        readers.push_back(host);
+    }
+
+    state::store_answer watch() {
+        if (!shared)
+            shared.emplace(
+                owner, source, pool, log,
+                shared_store_options{
+                    "127.0.0.9", port, [this] { return readers; }});
+        std::optional<state::store_answer> result;
+        shared->watch(servers, 3, store_wait, [&](state::store_answer answer) {
+            result = std::move(answer);
+            owner.stop();
+        });
+        limit.start(test_limit, [this] { owner.stop(); });
+        owner.run();
+        cr_assert(result.has_value());
+        return *result;
+    }
+
+    event::loop owner;
+    logging::line_log log;
+    counting_store source;
+    upstream::connection_pool pool;
+    event::timer limit;
+    std::uint16_t port = 0;
+    std::list<relay::local_server> listening;
+    std::map<std::string, int> asked;
+    std::vector<std::string> readers;
+    std::optional<shared_store> shared;
+};
+
+relay::local_answer good(std::uint64_t version) {
+    state::store_answer told;
+    told.version = version;
+    told.documents = {{"i", version, "s"}};
+    return {200, "application/json", state::to_body(told)};
+}
+
+const relay::local_answer no_store{503, "text/plain", "no store\n"};
+
+} // namespace
+
+Test(shared_store, watches_go_to_the_readers_in_turn) {
+    fixture f;
+    f.add_reader("127.0.0.1", good(7));
+    f.add_reader("127.0.0.2", good(8));
+    for (int i = 0; i < 4; ++i)
+        cr_assert(f.watch().result == state::store_result::ok);
+    cr_assert(f.asked["127.0.0.1"] == 2);
+    cr_assert(f.asked["127.0.0.2"] == 2);
+    cr_assert(f.source.watches == 0);
+}
+
+Test(shared_store, a_reader_without_the_store_is_passed_over) {
+    fixture f;
+    f.add_reader("127.0.0.1", no_store);
+    f.add_reader("127.0.0.2", good(8));
+    for (int i = 0; i < 4; ++i)
+        cr_assert(f.watch().version == 8);
+    cr_assert(f.asked["127.0.0.1"] == 1);
+    cr_assert(f.source.watches == 0);
+}
+
+Test(shared_store, without_a_reader_the_store_is_asked) {
+    fixture f;
+    cr_assert(f.watch().version == 100);
+    f.add_reader("127.0.0.1", no_store);
+    f.shared.reset();
+    cr_assert(f.watch().version == 100);
+    cr_assert(f.source.watches == 2);
+    cr_assert(f.source.last_wait == store_wait);
+}
+
+Test(shared_store, a_reader_asks_the_store_itself) {
+    fixture f;
+    f.add_reader("127.0.0.1", good(7));
+    f.readers.emplace_back("127.0.0.9");
+    cr_assert(f.watch().version == 100);
+    cr_assert(f.asked["127.0.0.1"] == 0);
+}
+
+Test(shared_store, malformed_answers_are_not_taken) {
+    fixture f;
+    f.add_reader("127.0.0.1", {200, "application/json", "{\"version\":5}"});
+    cr_assert(f.watch().version == 100);
+}
+
+Test(shared_store, what_a_reader_has_forgotten_is_read_anew) {
+    fixture f;
+    f.add_reader("127.0.0.1", {410, "text/plain", "forgotten\n"});
+    cr_assert(f.watch().result == state::store_result::history_gone);
+}
--- a/libs/state/include/mintknot/state/replica.hpp
+++ b/libs/state/include/mintknot/state/replica.hpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,8 +63,13 @@
     /// @return true once the documents have been read at least once.
     bool known(collection what) const noexcept;
 
-    /// @return everything as text, for a peer.
-    std::string snapshot() const;
+    /// @return what has changed behind a version, up to another one, which has
+    /// been read from the store; nothing if it is no longer all known.
+    std::optional<std::vector<document>>
+    changes(collection what, std::uint64_t after, std::uint64_t up_to) const;
+
+    /// @return collections as text, for a peer.
+    std::string snapshot(const std::vector<collection>& parts) const;
     /// Takes a peer's snapshot. @return InvalidArgument if it is malformed;
     /// nothing is taken then.
     absl::Status apply_snapshot(std::string_view text, std::string_view source);
@@ -72,9 +78,13 @@
     struct documents {
         std::unordered_map<std::string, document> by_key;
         std::uint64_t newest = 0;
+        /// Newest removed document that is not remembered any more.
+        std::uint64_t forgotten = 0;
         bool known = false;
     };
 
+    static void forget_removed(documents& all);
+
     documents& of(collection what);
     const documents& of(collection what) const;
     void take(collection what, const document& change, std::string_view source);
--- a/libs/state/include/mintknot/state/store_reader.hpp
+++ b/libs/state/include/mintknot/state/store_reader.hpp
@@ -6,7 +6,9 @@
 #include <mintknot/event/loop.hpp>
 #include <mintknot/state/replica.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace mintknot::state {
 
@@ -41,14 +43,20 @@
     /// Calls the handler when the store answers again after it has been out of
     /// reach, before what it answers is taken.
     void on_return(std::function<void()> handler);
+    /// Calls the handler after position() may have changed.
+    void on_position(std::function<void()> handler);
     /// @return how long ago the store last answered.
     base::milliseconds silence() const;
+    /// @return the version up to which everything has been read; nothing before
+    /// the first whole read and while the store is out of reach.
+    std::optional<std::uint64_t> position() const;
 
 private:
     void next();
     void on_read(const store_answer& answer);
     void on_watch(const store_answer& answer);
     void on_good_answer();
+    void tell_position();
     void pause(store_result why);
 
     event::loop& owner_;
@@ -59,6 +67,7 @@
     reader_options options_;
     std::function<double()> draw_;
     std::function<void()> on_return_;
+    std::function<void()> on_position_;
     event::timer timer_;
     bool stopped_ = false;
     bool whole_read_ = false;
--- /dev/null
+++ b/libs/state/src/change_message.cpp
@@ -0,0 +1,100 @@
+#include <mintknot/state/change_message.hpp>
+
+#include "document_json.hpp"
+
+#include <mintknot/base/json_reader.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace mintknot::state {
+
+namespace {
+
+constexpr std::string_view path = "/mintknot/v1/changes/";
+constexpr std::uint64_t longest_wait_ms = 10000;
+
+std::optional<collection> collection_from(std::string_view name) {
+    for (const collection what :
+         {collection::configuration, collection::servers})
+        if (name == to_string(what))
+            return what;
+    return std::nullopt;
+}
+
+/// Reads one "name=number" of the query. @return false if it is unknown.
+bool read_parameter(std::string_view text, change_request& value) {
+    const std::pair<std::string, std::string> parts = absl::StrSplit(
+        absl::string_view(text.data(), text.size()), absl::MaxSplits('=', 1));
+    std::uint64_t number = 0;
+    if (!absl::SimpleAtoi(parts.second, &number))
+        return false;
+    if (parts.first == "after")
+        value.after = number;
+    else if (parts.first == "wait_ms")
+        value.wait = base::milliseconds(std::min(number, longest_wait_ms));
+    else
+        return false;
+    return true;
+}
+
+} // namespace
+
+std::string to_target(const change_request& value) {
+    return fmt::format(
+        "{}{}?after={}&wait_ms={}", path, to_string(value.what), value.after,
+        value.wait.count());
+}
+
+std::optional<change_request> change_request_from(std::string_view target) {
+    if (!target.starts_with(path))
+        return std::nullopt;
+    target.remove_prefix(path.size());
+    const std::size_t mark = target.find('?');
+    if (mark == std::string_view::npos)
+        return std::nullopt;
+    const auto what = collection_from(target.substr(0, mark));
+    if (!what)
+        return std::nullopt;
+    change_request value;
+    value.what = *what;
+    target.remove_prefix(mark + 1);
+    for (const absl::string_view item :
+         absl::StrSplit(absl::string_view(target.data(), target.size()), '&'))
+        if (!read_parameter(std::string_view(item.data(), item.size()), value))
+            return std::nullopt;
+    return value;
+}
+
+std::string to_body(const store_answer& value) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const document& entry : value.documents)
+        rows.push_back(to_json(entry));
+    const nlohmann::json body = {
+        {"version", value.version}, {"documents", std::move(rows)}};
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+absl::StatusOr<store_answer> store_answer_from(std::string_view body) {
+    const auto parsed = base::parse_json(body);
+    if (!parsed.ok())
+        return parsed.status();
+    if (!parsed->is_object() || !parsed->contains("documents"))
+        return absl::InvalidArgumentError("the documents are missing");
+    auto documents = documents_from((*parsed)["documents"]);
+    store_answer value;
+    value.version = base::field_or<std::uint64_t>(*parsed, "version", 0);
+    if (!documents || value.version == 0)
+        return absl::InvalidArgumentError("a document is malformed");
+    value.result = store_result::ok;
+    value.documents = std::move(*documents);
+    return value;
+}
+
+} // namespace mintknot::state
--- a/libs/state/src/replica.cpp
+++ b/libs/state/src/replica.cpp
@@ -1,8 +1,8 @@
 #include <mintknot/state/replica.hpp>
 
-#include <mintknot/base/json_reader.hpp>
+#include "document_json.hpp"
 
-#include <nlohmann/json.hpp>
+#include <mintknot/base/json_reader.hpp>
 
 #include <algorithm>
 #include <set>
@@ -15,39 +15,23 @@
 /// to be old.
 constexpr std::size_t most_removed = 4096;
 
-nlohmann::json to_json(const document& value) {
-    nlohmann::json row = {{"key", value.key}, {"version", value.version}};
-    if (value.text)
-        row["text"] = *value.text;
-    return row;
-}
+/// One collection of a peer's snapshot.
+struct snapshot_part {
+    collection what = collection::configuration;
+    std::vector<document> documents;
+    bool known = false;
+};
 
-std::optional<document> document_from(const nlohmann::json& row) {
-    document value;
-    value.key = base::field_or<std::string>(row, "key", {});
-    value.version = base::field_or<std::uint64_t>(row, "version", 0);
-    if (value.key.empty() || value.version == 0)
+std::optional<snapshot_part>
+snapshot_part_from(collection what, const nlohmann::json& part) {
+    if (!part.is_object() || !part.contains("documents"))
         return std::nullopt;
-    if (row.contains("text")) {
-        if (!row["text"].is_string())
-            return std::nullopt;
-        value.text = row["text"].get<std::string>();
-    }
-    return value;
-}
-
-std::optional<std::vector<document>>
-documents_from(const nlohmann::json& rows) {
-    std::vector<document> result;
-    if (!rows.is_array())
+    auto documents = documents_from(part["documents"]);
+    if (!documents)
         return std::nullopt;
-    for (const nlohmann::json& row : rows) {
-        std::optional<document> value = document_from(row);
-        if (!value)
-            return std::nullopt;
-        result.push_back(std::move(*value));
-    }
-    return result;
+    return snapshot_part{
+        what, std::move(*documents),
+        base::field_or<bool>(part, "known", false)};
 }
 
 } // namespace
@@ -137,9 +121,31 @@
     all.by_key[change.key] = change;
     all.newest = std::max(all.newest, change.version);
     if (all.by_key.size() > most_removed)
-        std::erase_if(all.by_key, [&all](const auto& item) {
-            return !item.second.text && item.second.version != all.newest;
-        });
+        forget_removed(all);
+}
+
+void replica::forget_removed(documents& all) {
+    std::erase_if(all.by_key, [&all](const auto& item) {
+        const document& entry = item.second;
+        if (entry.text || entry.version == all.newest)
+            return false;
+        all.forgotten = std::max(all.forgotten, entry.version);
+        return true;
+    });
+}
+
+std::optional<std::vector<document>> replica::changes(
+    collection what, std::uint64_t after, std::uint64_t up_to) const {
+    const documents& all = of(what);
+    if (!all.known || after < all.forgotten)
+        return std::nullopt;
+    std::vector<document> result;
+    if (after >= all.newest)
+        return result;
+    for (const auto& [key, entry] : all.by_key)
+        if (entry.version > after && entry.version <= up_to)
+            result.push_back(entry);
+    return result;
 }
 
 bool replica::decode(
@@ -195,9 +201,9 @@
     return true;
 }
 
-std::string replica::snapshot() const {
-    nlohmann::json result;
-    for (collection what : {collection::configuration, collection::servers}) {
+std::string replica::snapshot(const std::vector<collection>& parts) const {
+    nlohmann::json result = nlohmann::json::object();
+    for (const collection what : parts) {
         nlohmann::json rows = nlohmann::json::array();
         for (const auto& [key, entry] : of(what).by_key)
             rows.push_back(to_json(entry));
@@ -213,19 +219,22 @@
     const auto parsed = base::parse_json(text);
     if (!parsed.ok())
         return parsed.status();
+    std::vector<snapshot_part> parts;
     for (collection what : {collection::configuration, collection::servers}) {
         const std::string name(to_string(what));
         if (!parsed->is_object() || !parsed->contains(name))
-            return absl::InvalidArgumentError("a collection is missing");
-        const nlohmann::json& part = (*parsed)[name];
-        const auto rows = part.is_object() && part.contains("documents")
-                              ? documents_from(part["documents"])
-                              : std::nullopt;
-        if (!rows)
+            continue;
+        auto part = snapshot_part_from(what, (*parsed)[name]);
+        if (!part)
             return absl::InvalidArgumentError("a document is malformed");
-        apply(what, *rows, source);
-        if (base::field_or<bool>(part, "known", false))
-            of(what).known = true;
+        parts.push_back(std::move(*part));
+    }
+    if (parts.empty())
+        return absl::InvalidArgumentError("there is no collection");
+    for (const snapshot_part& part : parts) {
+        apply(part.what, part.documents, source);
+        if (part.known)
+            of(part.what).known = true;
     }
     return absl::OkStatus();
 }
--- a/libs/state/src/store_reader.cpp
+++ b/libs/state/src/store_reader.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/state/store_reader.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace mintknot::state {
 
@@ -37,6 +38,21 @@
     on_return_ = std::move(handler);
 }
 
+void store_reader::on_position(std::function<void()> handler) {
+    on_position_ = std::move(handler);
+}
+
+std::optional<std::uint64_t> store_reader::position() const {
+    if (!whole_read_ || !reachable_)
+        return std::nullopt;
+    return seen_;
+}
+
+void store_reader::tell_position() {
+    if (on_position_)
+        on_position_();
+}
+
 base::milliseconds store_reader::silence() const {
     return std::chrono::duration_cast<base::milliseconds>(
         owner_.now() - heard_);
@@ -67,6 +83,7 @@
     whole_read_ = true;
     seen_ = answer.version;
     target_.apply_whole(what_, answer.documents, answer.version, "store_read");
+    tell_position();
     next();
 }
 
@@ -89,6 +106,7 @@
     on_good_answer();
     seen_ = std::max(seen_, answer.version);
     target_.apply(what_, answer.documents, "store_watch");
+    tell_position();
     const base::steady_time now = owner_.now();
     if (now - asked_ < options_.gather)
         timer_.start(asked_ + options_.gather, [this] { next(); });
@@ -113,7 +131,7 @@
             "store_lost", {{"collection", to_string(what_)},
                            {"because", to_string(why)},
                            {"silent_ms", silence().count()}});
-    reachable_ = false;
+    const bool lost = std::exchange(reachable_, false);
     backoff_ = std::clamp(
         backoff_ * 2, options_.first_backoff, options_.longest_backoff);
     const double spread = 0.5 + draw_();
@@ -121,6 +139,8 @@
         base::milliseconds(static_cast<std::int64_t>(
             static_cast<double>(backoff_.count()) * spread)),
         [this] { next(); });
+    if (lost)
+        tell_position();
 }
 
 } // namespace mintknot::state
--- /dev/null
+++ b/libs/state/tests/test_change_message.cpp
@@ -0,0 +1,56 @@
+#include <mintknot/state/change_message.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::state;
+
+Test(change_message, a_request_survives_a_round_trip) {
+    const change_request value{
+        collection::configuration, 12, base::milliseconds{700}};
+    const auto read = change_request_from(to_target(value));
+    cr_assert(read.has_value());
+    cr_assert(read->what == value.what);
+    cr_assert(read->after == 12);
+    cr_assert(read->wait == value.wait);
+}
+
+Test(change_message, long_waits_are_cut_down) {
+    const auto read = change_request_from(
+        to_target({collection::servers, 1, std::chrono::hours{1}}));
+    cr_assert(read->wait == base::milliseconds{10000});
+}
+
+Test(change_message, other_targets_are_no_requests) {
+    for (const char* target :
+         {"", "/", "/mintknot/v1/changes/servers",
+          "/mintknot/v1/changes/leases?after=1",
+          "/mintknot/v1/changes/servers?after=x",
+          "/mintknot/v1/changes/servers?after=-1",
+          "/mintknot/v1/changes/servers?before=1",
+          "/mintknot/v1/changes/servers?after=99999999999999999999"})
+        cr_assert(!change_request_from(target).has_value());
+}
+
+Test(change_message, an_answer_survives_a_round_trip) {
+    store_answer value;
+    value.version = 9;
+    value.documents = {{"i", 7, "text"}, {"j", 9, std::nullopt}};
+    const auto read = store_answer_from(to_body(value));
+    cr_assert(read.ok());
+    cr_assert(read->result == store_result::ok);
+    cr_assert(read->version == 9);
+    cr_assert(read->documents.size() == 2);
+    cr_assert(*read->documents[0].text == "text");
+    cr_assert(!read->documents[1].text.has_value());
+}
+
+Test(change_message, malformed_answers_are_refused) {
+    for (const char* body :
+         {"", "[]", "{}", "{\"version\":3}", "{\"documents\":[]}",
+          "{\"version\":3,\"documents\":{}}",
+          "{\"version\":3,\"documents\":[{\"key\":\"i\"}]}",
+          "{\"version\":3,\"documents\":[{\"key\":\"i\",\"version\":3,"
+          "\"text\":7}]}"})
+        cr_assert(!store_answer_from(body).ok());
+}
--- a/libs/state/tests/test_replica.cpp
+++ b/libs/state/tests/test_replica.cpp
@@ -95,7 +95,10 @@
     one.copy.apply_whole(servers, {{"i", 1, "s"}}, 4, "a");
     one.copy.apply(servers, {{"i", 6, std::nullopt}}, "a");
     two.copy.apply(servers, {{"i", 1, "s"}}, "a");
-    cr_assert(two.copy.apply_snapshot(one.copy.snapshot(), "peer").ok());
+    cr_assert(
+        two.copy
+            .apply_snapshot(one.copy.snapshot({configuration, servers}), "peer")
+            .ok());
     cr_assert(two.configured == 3);
     cr_assert(two.servers["i"] == "gone");
     cr_assert(two.copy.known(configuration));
@@ -106,7 +109,43 @@
     fixture f;
     for (const char* text :
          {"", "[]", "{}", "{\"configuration\":{\"documents\":[{}]}}",
-          "{\"configuration\":{\"documents\":[]},\"servers\":7}"})
+          "{\"configuration\":{\"documents\":[],\"known\":true},\"servers\":"
+          "7}"})
         cr_assert(!f.copy.apply_snapshot(text, "peer").ok());
     cr_assert(!f.copy.known(configuration));
 }
+
+Test(replica, a_snapshot_may_carry_one_collection) {
+    fixture one;
+    fixture two;
+    one.copy.apply_whole(configuration, {{"c", 3, "123"}}, 3, "a");
+    one.copy.apply_whole(servers, {{"i", 1, "s"}}, 4, "a");
+    const std::string text = one.copy.snapshot({configuration});
+    cr_assert(two.copy.apply_snapshot(text, "peer").ok());
+    cr_assert(two.configured == 3);
+    cr_assert(!two.copy.known(servers));
+}
+
+Test(replica, changes_lie_behind_one_version_and_up_to_another) {
+    fixture f;
+    cr_assert(!f.copy.changes(servers, 0, 9).has_value());
+    f.copy.apply_whole(servers, {{"i", 1, "s"}, {"j", 2, "s"}}, 2, "a");
+    f.copy.apply(servers, {{"i", 5, std::nullopt}, {"k", 7, "s"}}, "a");
+    const auto found = f.copy.changes(servers, 2, 6);
+    cr_assert(found.has_value());
+    cr_assert(found->size() == 1);
+    cr_assert((*found)[0].key == "i");
+    cr_assert(!(*found)[0].text.has_value());
+    cr_assert(f.copy.changes(servers, 7, 9)->empty());
+}
+
+Test(replica, changes_that_were_forgotten_are_not_told) {
+    fixture f;
+    f.copy.apply_whole(servers, {}, 1, "a");
+    std::vector<document> removed;
+    for (std::uint64_t i = 2; i < 5000; ++i)
+        removed.push_back({"i" + std::to_string(i), i, std::nullopt});
+    f.copy.apply(servers, removed, "a");
+    cr_assert(!f.copy.changes(servers, 1, 6000).has_value());
+    cr_assert(f.copy.changes(servers, 4999, 6000).has_value());
+}
