More readers in large data centres; one codec and one size for what stood twice

Cause: in a trial with 300 instances and 3,000 engines, 437 of which drained at once, two readers with links of 10 Mbit/s had a hundred followers each to tell: a configuration that was in force within 0.35 s on some instances reached others after 2.3 s (bound 3 s), behind rows of servers. Change: one reader for each dozen instances of a data centre, at least two; each instance asks its own two of them; answers are in MessagePack, for rows are texts in JSON. Tests keep their assertions; test_messages names the member by its one name.

--- a/libs/peers/include/mintknot/peers/heartbeat.hpp
+++ b/libs/peers/include/mintknot/peers/heartbeat.hpp
@@ -6,6 +6,7 @@
 #include <mintknot/base/time.hpp>
 #include <mintknot/traffic/load_view.hpp>
 #include <mintknot/traffic/retry_allowance.hpp>
+#include <mintknot/traffic/server_health.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -17,12 +18,6 @@
 
 namespace mintknot::peers {
 
-/// A server that the sender avoids, and for how much longer.
-struct server_warning {
-    std::string server_id;
-    base::milliseconds left{0};
-};
-
 /// What one instance tells all others.
 struct heartbeat {
     std::uint64_t incarnation = 0;   ///< Random; another one after a restart.
@@ -34,9 +29,10 @@
     traffic::usage_map usage; ///< Retries within the last window.
     /// Nothing: the sender tells its loads to schedulers only.
     std::optional<traffic::load_map> loads;
-    std::vector<server_warning> warnings;
-    std::vector<server_warning> changes; ///< Engines ordered to change phase.
-    std::vector<std::string> hosts;      ///< Some instances that it hears.
+    std::vector<traffic::server_warning> warnings;
+    /// Engines that were ordered to change their phase.
+    std::vector<traffic::server_warning> changes;
+    std::vector<std::string> hosts; ///< Some instances that it hears.
 };
 
 /// @return the heartbeat in MessagePack.
--- /dev/null
+++ b/libs/peers/include/mintknot/peers/message_parts.hpp
@@ -0,0 +1,30 @@
+/// @file
+/// Parts that several kinds of messages between instances have.
+#ifndef MINTKNOT_PEERS_MESSAGE_PARTS_HPP
+#define MINTKNOT_PEERS_MESSAGE_PARTS_HPP
+
+#include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/server_health.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace mintknot::peers {
+
+/// The functions that read throw json::exception at a malformed part; the
+/// caller decodes a whole message and reports the error.
+
+/// @return the rows, which bound what one datagram can make the receiver do.
+const nlohmann::json& bounded(const nlohmann::json& rows);
+
+nlohmann::json loads_to_json(const traffic::load_map& loads);
+traffic::load_map loads_from(const nlohmann::json& rows);
+
+nlohmann::json
+warnings_to_json(const std::vector<traffic::server_warning>& warnings);
+std::vector<traffic::server_warning> warnings_from(const nlohmann::json& rows);
+
+} // namespace mintknot::peers
+
+#endif
--- a/libs/peers/include/mintknot/peers/peer_table.hpp
+++ b/libs/peers/include/mintknot/peers/peer_table.hpp
@@ -35,6 +35,10 @@
     std::size_t most_seen = 1; ///< Most instances that lived at once.
 };
 
+/// Groups with more instances than this are large: what all tell all is then
+/// kept short, and some instances do work for others.
+inline constexpr std::size_t large_group = 24;
+
 /// After this time without a heartbeat an instance is taken for gone.
 inline constexpr base::milliseconds peer_life{4000};
 /// A host that nobody hears is forgotten after this time.
@@ -61,6 +65,8 @@
 /// this one.
 std::size_t instances(const peer_table& table);
 
+bool is_large(const peer_table& table);
+
 } // namespace mintknot::peers
 
 #endif
--- a/libs/peers/src/heartbeat.cpp
+++ b/libs/peers/src/heartbeat.cpp
@@ -1,6 +1,6 @@
 #include <mintknot/peers/heartbeat.hpp>
 
-#include <nlohmann/json.hpp>
+#include <mintknot/peers/message_parts.hpp>
 
 namespace mintknot::peers {
 
@@ -11,31 +11,15 @@
 /// First element; tells heartbeats of other formats apart.
 constexpr int format = 1;
 constexpr std::size_t fields = 12;
-constexpr std::size_t most_entries = 4096;
 
-json loads_to_json(const std::optional<traffic::load_map>& loads) {
-    if (!loads)
-        return nullptr;
-    json rows = json::array();
-    for (const auto& [id, load] : *loads)
-        rows.push_back(
-            {id, load.calls, static_cast<std::int64_t>(load.prefill_tokens),
-             static_cast<std::int64_t>(load.memory_tokens)});
-    return rows;
+json optional_loads(const std::optional<traffic::load_map>& loads) {
+    return loads ? loads_to_json(*loads) : json(nullptr);
 }
 
-std::optional<traffic::load_map> loads_from(const json& rows) {
+std::optional<traffic::load_map> optional_loads_from(const json& rows) {
     if (rows.is_null())
         return std::nullopt;
-    traffic::load_map loads;
-    if (rows.size() > most_entries)
-        return loads;
-    for (const json& row : rows)
-        loads[row.at(0).get<std::string>()] = {
-            row.at(1).get<int>(),
-            static_cast<double>(row.at(2).get<std::int64_t>()),
-            static_cast<double>(row.at(3).get<std::int64_t>())};
-    return loads;
+    return loads_from(rows);
 }
 
 json usage_to_json(const traffic::usage_map& usage) {
@@ -47,28 +31,12 @@
 
 traffic::usage_map usage_from(const json& rows) {
     traffic::usage_map usage;
-    for (const json& row : rows)
+    for (const json& row : bounded(rows))
         usage[row.at(0).get<std::string>()] = {
             row.at(1).get<std::int64_t>(), row.at(2).get<std::int64_t>()};
     return usage;
 }
 
-json warnings_to_json(const std::vector<server_warning>& warnings) {
-    json rows = json::array();
-    for (const server_warning& warning : warnings)
-        rows.push_back({warning.server_id, warning.left.count()});
-    return rows;
-}
-
-std::vector<server_warning> warnings_from(const json& rows) {
-    std::vector<server_warning> warnings;
-    for (const json& row : rows)
-        warnings.push_back(
-            {row.at(0).get<std::string>(),
-             base::milliseconds(row.at(1).get<std::int64_t>())});
-    return warnings;
-}
-
 } // namespace
 
 std::string encode(const heartbeat& value) {
@@ -81,7 +49,7 @@
         value.leaving,
         value.data_centre,
         usage_to_json(value.usage),
-        loads_to_json(value.loads),
+        optional_loads(value.loads),
         warnings_to_json(value.warnings),
         warnings_to_json(value.changes),
         value.hosts};
@@ -111,7 +79,7 @@
         value.leaving = row[5].get<bool>();
         value.data_centre = row[6].get<std::string>();
         value.usage = usage_from(row[7]);
-        value.loads = loads_from(row[8]);
+        value.loads = optional_loads_from(row[8]);
         value.warnings = warnings_from(row[9]);
         value.changes = warnings_from(row[10]);
         value.hosts = row[11].get<std::vector<std::string>>();
--- a/libs/peers/src/peer_group.cpp
+++ b/libs/peers/src/peer_group.cpp
@@ -12,7 +12,6 @@
 /// Hosts that one heartbeat names; a random part of a larger group.
 constexpr std::size_t most_hosts = 16;
 constexpr std::size_t most_hosts_in_large_group = 3;
-constexpr std::size_t large_group = 24;
 /// Groups up to this size are told at the calm period, larger ones more
 /// rarely, so that what an instance sends does not grow with the group.
 constexpr std::size_t group_at_calm_period = 40;
--- a/libs/peers/src/peer_table.cpp
+++ b/libs/peers/src/peer_table.cpp
@@ -68,4 +68,8 @@
     return table.most_seen;
 }
 
+bool is_large(const peer_table& table) {
+    return instances(table) > large_group;
+}
+
 } // namespace mintknot::peers
--- a/libs/runtime/src/heartbeat_content.cpp
+++ b/libs/runtime/src/heartbeat_content.cpp
@@ -28,10 +28,7 @@
         own.usage[service] = traffic::usage(allowance, state.retry_bounds, now);
     if (with_loads)
         own.loads = state.loads.own;
-    for (const auto& [id, record] : state.health.own)
-        if (record.avoid_until > now)
-            own.warnings.push_back(
-                {id, base::time_left(record.avoid_until, now)});
+    own.warnings = traffic::own_warnings(state.health, now);
     for (const auto& [id, until] : state.health.ordered_until)
         if (until > now)
             own.changes.push_back({id, base::time_left(until, now)});
@@ -47,10 +44,10 @@
         traffic::set_peer(state.loads, host, *heartbeat.loads, now);
     relay::note_retries(
         state, host, heartbeat.incarnation, heartbeat.usage, now);
-    for (const peers::server_warning& change : heartbeat.changes)
+    for (const traffic::server_warning& change : heartbeat.changes)
         traffic::note_peer_change(
             state.health, change.server_id, now + change.left);
-    for (const peers::server_warning& warning : heartbeat.warnings)
+    for (const traffic::server_warning& warning : heartbeat.warnings)
         if (concerns_here(router, heartbeat, warning.server_id))
             traffic::warn(
                 state.health, warning.server_id, now + warning.left, now);
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -27,10 +27,10 @@
 constexpr base::milliseconds last_words{60};
 /// Instances that are assumed until more have been heard.
 constexpr std::size_t least_instances = 10;
-/// Up to this size all instances tell each other all they have in flight.
-constexpr std::size_t most_without_schedulers = 24;
-/// Instances of a data centre that read the store for a large group.
-constexpr std::size_t store_readers = 2;
+/// In a large group, so many instances of a data centre read the store for all:
+/// one for each dozen. What a reader sends grows with those that it tells.
+constexpr std::size_t least_readers = 2;
+constexpr std::size_t told_by_one_reader = 12;
 constexpr std::string_view store_reader_job = "store-reader";
 
 double gauge(std::uint64_t count) {
@@ -127,7 +127,7 @@
         if (gone) {
             pool.drop(id);
             traffic::forget(shared.state.health, id);
-            shared.state.rates.by_id.erase(id);
+            traffic::forget(shared.state.rates, id);
         }
         if (!placer.active())
             group.changed();
@@ -164,7 +164,7 @@
         case placement_policy::by_size:
             break;
         }
-        return peers::instances(group.table()) > most_without_schedulers;
+        return peers::is_large(group.table());
     }
 
     orders::balancer_options balancer_options() const {
@@ -218,9 +218,11 @@
     std::vector<std::string> readers_here() const {
         if (!placer.active())
             return {};
+        const std::vector<std::string> hosts =
+            scheduler_hosts(settings.data_centre);
         return base::rendezvous_first(
-            store_reader_job, scheduler_hosts(settings.data_centre),
-            store_readers);
+            store_reader_job, hosts,
+            std::max(least_readers, hosts.size() / told_by_one_reader));
     }
 
     std::optional<relay::health_check> check_of(const std::string& id) const {
--- a/libs/runtime/src/peer_feed.cpp
+++ b/libs/runtime/src/peer_feed.cpp
@@ -54,7 +54,7 @@
     state::store_answer told;
     told.version = *position;
     told.documents = std::move(*changes);
-    held.reply({status_ok, "application/json", state::to_body(told)});
+    held.reply({status_ok, "application/msgpack", state::to_body(told)});
     return true;
 }
 
--- a/libs/runtime/src/shared_store.cpp
+++ b/libs/runtime/src/shared_store.cpp
@@ -1,5 +1,7 @@
 #include "shared_store.hpp"
 
+#include <mintknot/base/rendezvous.hpp>
+
 #include <algorithm>
 
 namespace mintknot::runtime {
@@ -7,10 +9,10 @@
 namespace {
 
 /// How long a reader holds a watch. A reader may be cut off from the store
-/// without knowing it yet: another one is asked after this time. Versions in
-/// heartbeats tell of configurations sooner.
-constexpr base::milliseconds servers_wait{1000};
-constexpr base::milliseconds configuration_wait{4000};
+/// without knowing it yet: another one is asked after this time.
+constexpr base::milliseconds reader_wait{1000};
+/// Readers that one instance asks, in turn.
+constexpr std::size_t readers_asked = 2;
 /// What an answer may take beyond the wait.
 constexpr base::milliseconds answer_slack{400};
 /// How long a reader that failed is passed over.
@@ -18,11 +20,6 @@
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 
-base::milliseconds wait_for(state::collection what) {
-    return what == state::collection::servers ? servers_wait
-                                              : configuration_wait;
-}
-
 } // namespace
 
 /// A watch that goes to readers.
@@ -74,7 +71,7 @@
         readers.begin() + static_cast<std::ptrdiff_t>(++turn_ % readers.size()),
         readers.end());
     auto entry = std::make_unique<peer_watch>(owner_);
-    entry->request = {what, after, wait_for(what)};
+    entry->request = {what, after, reader_wait};
     entry->store_wait = wait;
     entry->on_answer = std::move(on_answer);
     entry->left = std::move(readers);
@@ -89,6 +86,9 @@
         std::find(hosts.begin(), hosts.end(), options_.own_host) != hosts.end();
     if (reads_itself)
         return {};
+    // Each instance has its own two, so that all readers share the work.
+    hosts = base::rendezvous_first(
+        options_.own_host, std::move(hosts), readers_asked);
     std::erase_if(hosts, [this](const std::string& host) {
         const auto found = suspected_.find(host);
         return found != suspected_.end() && found->second > owner_.now();
--- a/libs/runtime/src/shared_store.hpp
+++ b/libs/runtime/src/shared_store.hpp
@@ -27,7 +27,7 @@
     std::function<std::vector<std::string>()> readers;
 };
 
-/// Watches go to the readers of the data centre, to one after the other, so
+/// Watches go to two readers of the data centre, to one after the other, so
 /// that a reader which hears nothing delays news by one short watch only. A
 /// reader that fails or is out of the store's reach is passed over for a
 /// while; where none is left, and on a reader, the store itself is asked.
--- a/libs/scheduling/include/mintknot/scheduling/domain.hpp
+++ b/libs/scheduling/include/mintknot/scheduling/domain.hpp
@@ -18,11 +18,9 @@
     friend bool operator==(const domain&, const domain&) = default;
 };
 
-/// Services with more open servers than this have a domain for each data
-/// centre; others have one.
-inline constexpr std::size_t most_in_one_domain = 24;
-
 /// @return the domains of a service, that of the own data centre first.
+/// Services with more than traffic::many_servers have one for each data
+/// centre, others one in all.
 std::vector<domain> domains_of(
     const traffic::server_table& servers, const std::string& service,
     const std::string& own_data_centre);
--- a/libs/scheduling/include/mintknot/scheduling/messages.hpp
+++ b/libs/scheduling/include/mintknot/scheduling/messages.hpp
@@ -30,12 +30,6 @@
     traffic::placement placed;
 };
 
-/// A server that the sender avoids, and for how much longer.
-struct avoided_server {
-    std::string id;
-    base::milliseconds left{0};
-};
-
 /// How fast a prefill engine has read, in tokens a millisecond.
 struct observed_rate {
     std::string id;
@@ -46,7 +40,7 @@
 /// has seen of servers.
 struct load_report {
     traffic::load_map loads;
-    std::vector<avoided_server> avoided;
+    std::vector<traffic::server_warning> avoided;
     std::vector<observed_rate> rates; ///< Since the last report.
 };
 
--- a/libs/scheduling/src/domain.cpp
+++ b/libs/scheduling/src/domain.cpp
@@ -10,7 +10,8 @@
 
 bool is_split(
     const traffic::server_table& servers, const std::string& service) {
-    return traffic::open_servers(servers, service).size() > most_in_one_domain;
+    return traffic::open_servers(servers, service).size() >
+           traffic::many_servers;
 }
 
 } // namespace
--- a/libs/scheduling/src/messages.cpp
+++ b/libs/scheduling/src/messages.cpp
@@ -1,6 +1,6 @@
 #include <mintknot/scheduling/messages.hpp>
 
-#include <nlohmann/json.hpp>
+#include <mintknot/peers/message_parts.hpp>
 
 #include <cmath>
 
@@ -14,7 +14,6 @@
 constexpr int request_format = 2;
 constexpr int answer_format = 3;
 constexpr int report_format = 4;
-constexpr std::size_t most_entries = 4096;
 /// Rates are told in thousandths.
 constexpr double rate_unit = 1000.0;
 
@@ -26,13 +25,6 @@
     return static_cast<double>(value.get<std::int64_t>());
 }
 
-/// Bounds what one datagram can make the receiver do.
-const json& bounded(const json& rows) {
-    if (!rows.is_array() || rows.size() > most_entries)
-        throw json::other_error::create(501, "too many entries", &rows);
-    return rows;
-}
-
 json to_json(const traffic::excluded_servers& servers) {
     json rows = json::array();
     for (const std::string& id : servers)
@@ -42,7 +34,7 @@
 
 traffic::excluded_servers servers_from(const json& rows) {
     traffic::excluded_servers servers;
-    for (const json& row : bounded(rows))
+    for (const json& row : peers::bounded(rows))
         servers.insert(row.get<std::string>());
     return servers;
 }
@@ -109,30 +101,19 @@
 }
 
 json to_json(const load_report& value) {
-    json loads = json::array();
-    for (const auto& [id, load] : value.loads)
-        loads.push_back(
-            {id, load.calls, whole(load.prefill_tokens),
-             whole(load.memory_tokens)});
-    json avoided = json::array();
-    for (const avoided_server& server : value.avoided)
-        avoided.push_back({server.id, server.left.count()});
     json rates = json::array();
     for (const observed_rate& rate : value.rates)
         rates.push_back({rate.id, whole(rate.rate * rate_unit)});
-    return {report_format, loads, avoided, rates};
+    return {
+        report_format, peers::loads_to_json(value.loads),
+        peers::warnings_to_json(value.avoided), rates};
 }
 
 load_report report_from(const json& row) {
     load_report value;
-    for (const json& entry : bounded(row.at(1)))
-        value.loads[entry.at(0).get<std::string>()] = {
-            entry.at(1).get<int>(), number(entry.at(2)), number(entry.at(3))};
-    for (const json& entry : bounded(row.at(2)))
-        value.avoided.push_back(
-            {entry.at(0).get<std::string>(),
-             base::milliseconds(entry.at(1).get<std::int64_t>())});
-    for (const json& entry : bounded(row.at(3)))
+    value.loads = peers::loads_from(row.at(1));
+    value.avoided = peers::warnings_from(row.at(2));
+    for (const json& entry : peers::bounded(row.at(3)))
         value.rates.push_back(
             {entry.at(0).get<std::string>(), number(entry.at(1)) / rate_unit});
     return value;
--- a/libs/scheduling/src/remote_placer.cpp
+++ b/libs/scheduling/src/remote_placer.cpp
@@ -140,6 +140,9 @@
     }
 
     void suspect(const std::string& host) {
+        std::erase_if(suspected, [this](const auto& item) {
+            return item.second <= now();
+        });
         suspected[host] = now() + options.suspicion;
         router.log.write(
             "scheduler_silent",
@@ -213,9 +216,10 @@
 
     void on_message(const std::string& host, const load_report& report) {
         traffic::set_peer(router.state.loads, host, report.loads, now());
-        for (const avoided_server& server : report.avoided)
+        for (const traffic::server_warning& server : report.avoided)
             traffic::warn(
-                router.state.health, server.id, now() + server.left, now());
+                router.state.health, server.server_id, now() + server.left,
+                now());
         for (const observed_rate& observed : report.rates)
             traffic::note_rate(router.state.rates, observed.id, observed.rate);
     }
@@ -237,49 +241,45 @@
         for (const std::string& host : reported)
             reports[host];
         reported.clear();
+        const std::vector<traffic::server_warning> avoided =
+            traffic::own_warnings(router.state.health, now());
         for (const auto& [id, load] : router.state.loads.own) {
-            const traffic::server* server =
-                traffic::find(router.state.servers, id);
-            if (server == nullptr)
-                continue;
-            const std::string host =
-                scheduler(domain_of(router.state.servers, *server));
-            if (host.empty() || host == ports.own_host)
+            const std::string host = scheduler_elsewhere(id);
+            if (host.empty())
                 continue;
             reports[host].loads[id] = load;
             reported.insert(host);
         }
-        tell_of_avoided(reports);
-        add_observations(reports);
+        // The schedulers of servers that are avoided here are to know it, too.
+        for (const traffic::server_warning& warning : avoided) {
+            const std::string host = scheduler_elsewhere(warning.server_id);
+            if (!host.empty())
+                reports[host];
+        }
+        add_observations(reports, avoided);
         for (const auto& [host, report] : reports)
             ports.send(host, encode(report));
         if (!reported.empty())
             plan_report(now() + options.longest_gap);
     }
 
-    /// The schedulers of servers that are avoided here are to know it, too.
-    void tell_of_avoided(std::map<std::string, load_report>& reports) const {
-        for (const auto& [id, record] : router.state.health.own) {
-            const traffic::server* server =
-                traffic::find(router.state.servers, id);
-            if (record.avoid_until <= now() || server == nullptr)
-                continue;
-            const std::string host =
-                scheduler(domain_of(router.state.servers, *server));
-            if (!host.empty() && host != ports.own_host)
-                reports[host];
-        }
+    /// @return the instance that schedules a server's domain; empty if it is
+    /// this one or there is none.
+    std::string scheduler_elsewhere(const std::string& server_id) const {
+        const traffic::server* server =
+            traffic::find(router.state.servers, server_id);
+        if (server == nullptr)
+            return {};
+        std::string host = scheduler(domain_of(router.state.servers, *server));
+        return host == ports.own_host ? std::string{} : host;
     }
 
     /// Adds what is avoided here and how fast engines were seen to read.
-    void add_observations(std::map<std::string, load_report>& reports) {
+    void add_observations(
+        std::map<std::string, load_report>& reports,
+        const std::vector<traffic::server_warning>& avoided) {
         if (reports.empty())
             return;
-        std::vector<avoided_server> avoided;
-        for (const auto& [id, record] : router.state.health.own)
-            if (record.avoid_until > now())
-                avoided.push_back(
-                    {id, base::time_left(record.avoid_until, now())});
         std::vector<observed_rate> rates;
         for (const std::string& id : router.state.rates.fresh)
             rates.push_back({id, traffic::rate_of(router.state.rates, id)});
--- a/libs/scheduling/tests/test_messages.cpp
+++ b/libs/scheduling/tests/test_messages.cpp
@@ -55,7 +55,7 @@
     const auto& got = std::get<load_report>(*value);
     cr_assert(got.loads.at("d").calls == 2);
     cr_assert(got.loads.at("d").memory_tokens == 6000.0);
-    cr_assert(got.avoided.at(0).id == "x");
+    cr_assert(got.avoided.at(0).server_id == "x");
     cr_assert(got.avoided.at(0).left == base::milliseconds(1500));
     cr_assert(got.rates.at(0).rate == 33.25);
 }
--- a/libs/state/include/mintknot/state/change_message.hpp
+++ b/libs/state/include/mintknot/state/change_message.hpp
@@ -28,7 +28,8 @@
 /// seconds are cut down.
 std::optional<change_request> change_request_from(std::string_view target);
 
-/// @return the body of an answer with changes.
+/// @return the body of an answer with changes, in MessagePack: documents are
+/// texts in JSON, which JSON would escape.
 std::string to_body(const store_answer& value);
 
 /// @return InvalidArgument if the body is malformed; no change is taken then.
--- a/libs/state/src/change_message.cpp
+++ b/libs/state/src/change_message.cpp
@@ -10,8 +10,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
+#include <vector>
 
 namespace mintknot::state {
 
@@ -78,18 +78,18 @@
         rows.push_back(to_json(entry));
     const nlohmann::json body = {
         {"version", value.version}, {"documents", std::move(rows)}};
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
+    return {bytes.begin(), bytes.end()};
 }
 
 absl::StatusOr<store_answer> store_answer_from(std::string_view body) {
-    const auto parsed = base::parse_json(body);
-    if (!parsed.ok())
-        return parsed.status();
-    if (!parsed->is_object() || !parsed->contains("documents"))
+    const nlohmann::json parsed =
+        nlohmann::json::from_msgpack(body.begin(), body.end(), true, false);
+    if (!parsed.is_object() || !parsed.contains("documents"))
         return absl::InvalidArgumentError("the documents are missing");
-    auto documents = documents_from((*parsed)["documents"]);
+    auto documents = documents_from(parsed["documents"]);
     store_answer value;
-    value.version = base::field_or<std::uint64_t>(*parsed, "version", 0);
+    value.version = base::field_or<std::uint64_t>(parsed, "version", 0);
     if (!documents || value.version == 0)
         return absl::InvalidArgumentError("a document is malformed");
     value.result = store_result::ok;
--- a/libs/state/tests/test_change_message.cpp
+++ b/libs/state/tests/test_change_message.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/state/change_message.hpp>
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 using namespace mintknot;
 using namespace mintknot::state;
@@ -46,11 +47,19 @@
 }
 
 Test(change_message, malformed_answers_are_refused) {
-    for (const char* body :
-         {"", "[]", "{}", "{\"version\":3}", "{\"documents\":[]}",
+    for (const char* text :
+         {"[]", "{}", "{\"version\":3}", "{\"documents\":[]}",
           "{\"version\":3,\"documents\":{}}",
           "{\"version\":3,\"documents\":[{\"key\":\"i\"}]}",
           "{\"version\":3,\"documents\":[{\"key\":\"i\",\"version\":3,"
-          "\"text\":7}]}"})
+          "\"text\":7}]}"}) {
+        const auto bytes =
+            nlohmann::json::to_msgpack(nlohmann::json::parse(text));
+        const std::string body(bytes.begin(), bytes.end());
         cr_assert(!store_answer_from(body).ok());
+    }
+    cr_assert(!store_answer_from("").ok());
+    cr_assert(!store_answer_from("no MessagePack").ok());
+    const std::string whole = to_body({store_result::ok, {{"i", 7, "t"}}, 9});
+    cr_assert(!store_answer_from(whole.substr(0, whole.size() - 1)).ok());
 }
--- a/libs/traffic/include/mintknot/traffic/selection.hpp
+++ b/libs/traffic/include/mintknot/traffic/selection.hpp
@@ -35,6 +35,9 @@
 /// Takes a rate that another instance has observed.
 void note_rate(read_rates& rates, const std::string& id, double rate);
 
+/// Drops what is known of an engine.
+void forget(read_rates& rates, const std::string& id);
+
 /// @return the expected rate of an engine: its own, or the median of all that
 /// are known.
 double rate_of(const read_rates& rates, const std::string& id);
--- a/libs/traffic/include/mintknot/traffic/server_health.hpp
+++ b/libs/traffic/include/mintknot/traffic/server_health.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace mintknot::traffic {
 
@@ -37,6 +38,12 @@
     base::steady_time good_at{};
 };
 
+/// A server that an instance avoids, and for how much longer.
+struct server_warning {
+    std::string server_id;
+    base::milliseconds left{0};
+};
+
 /// Records by server ID, and peers' warnings.
 struct health_view {
     std::unordered_map<std::string, health_record> own;
@@ -74,6 +81,10 @@
     health_view& view, const std::string& id, base::steady_time until,
     base::steady_time now);
 
+/// @return what this instance itself avoids, for its peers.
+std::vector<server_warning>
+own_warnings(const health_view& view, base::steady_time now);
+
 /// @return true if a server is to be chosen only where there is no other.
 bool avoided(
     const health_view& view, const std::string& id, base::steady_time now);
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -17,8 +17,6 @@
 constexpr double decode_distance_cost = 0.1;
 /// Cost of another data centre, in milliseconds of reading.
 constexpr double prefill_distance_cost = 15.0;
-/// Services with more servers than this are not looked at as a whole.
-constexpr std::size_t most_to_look_at = 24;
 constexpr double drawn_servers = 12.0;
 /// Random part of a score, so that instances do not all choose alike.
 constexpr double jitter = 0.08;
@@ -79,7 +77,7 @@
     const score_function& score, bool with_avoided) {
     const std::size_t servers =
         open_servers(inputs.servers, inputs.target.name).size();
-    if (servers > most_to_look_at && !inputs.all_loads_known) {
+    if (servers > many_servers && !inputs.all_loads_known) {
         const double share = drawn_servers / static_cast<double>(servers);
         const server* drawn =
             best_of_drawn(inputs, excluded, score, with_avoided, share);
@@ -148,6 +146,11 @@
         entry->second += learning_rate * (rate - entry->second);
 }
 
+void forget(read_rates& rates, const std::string& id) {
+    rates.by_id.erase(id);
+    rates.fresh.erase(id);
+}
+
 namespace {
 
 double median_rate(const read_rates& rates) {
--- a/libs/traffic/src/server_health.cpp
+++ b/libs/traffic/src/server_health.cpp
@@ -176,6 +176,15 @@
     warned = std::max(warned, until);
 }
 
+std::vector<server_warning>
+own_warnings(const health_view& view, base::steady_time now) {
+    std::vector<server_warning> warnings;
+    for (const auto& [id, record] : view.own)
+        if (record.avoid_until > now)
+            warnings.push_back({id, base::time_left(record.avoid_until, now)});
+    return warnings;
+}
+
 bool avoided(
     const health_view& view, const std::string& id, base::steady_time now) {
     if (avoided_until(view, id) > now)
