Read a prompt again only where the decode may follow

Change: may_send() charges the decode ahead where the prefill is the first call that counts; without allowance the decode engine reads the prompt itself. Test: generation_exchange::no_prompt_is_read_where_the_decode_may_not_follow, which fails without the change.

--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -114,12 +114,16 @@
 }
 
 bool generation_exchange::may_send(int calls) {
-    if (arrivals_ == 0)
+    if (arrivals_ > 0) {
+        if (!prepay(calls))
+            return false;
+        --prepaid_;
         return true;
-    if (!prepay(calls))
-        return false;
-    --prepaid_;
-    return true;
+    }
+    // This call is the first that counts; a prefill does not as long as no
+    // engine has taken one up.
+    const bool first_is_free = calls == 1 || !prefill_taken_up_;
+    return first_is_free || prepay(calls - 1);
 }
 
 void generation_exchange::wait_for_room(const traffic::room_summary& seen) {
--- a/libs/relay/tests/test_generation_exchange.cpp
+++ b/libs/relay/tests/test_generation_exchange.cpp
@@ -255,6 +255,23 @@
     cr_assert(f.ask(prompt("/stream/x")).body == all_events);
 }
 
+Test(generation_exchange, no_prompt_is_read_where_the_decode_may_not_follow) {
+    // Found on fvmcw-proto trouble-2: after a lost prefill another engine read
+    // the prompt, and then there was no allowance left for the decode.
+    relay_fixture f;
+    f.shared.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
+    const script broken = [](const received&,
+                             const event::connection_ptr& link) {
+        link->close();
+    };
+    scripted_server& first = f.add_server("p1", "llm", prefill, broken);
+    scripted_server& second = f.add_server("p2", "llm", prefill, broken);
+    f.add_server("d", "llm", decode, good_decode());
+    const caller_view seen = f.ask(prompt("/stream/x"));
+    cr_assert(seen.body == all_events);
+    cr_assert(first.requests.size() + second.requests.size() == 1);
+}
+
 Test(generation_exchange, silence_without_allowance_does_not_end_an_answer) {
     relay_fixture f;
     f.shared.state.retry_bounds.extra = 0.0;
