--- a/libs/peers/include/mintknot/peers/peer_table.hpp
+++ b/libs/peers/include/mintknot/peers/peer_table.hpp
@@ -27,6 +27,7 @@
 /// Instances that are heard, and hosts that are only known by name.
 struct peer_table {
     std::string own_host;
+    std::string own_data_centre;
     std::map<std::string, peer> heard;
     /// Hosts from the settings and from peers, with the last time they were
     /// told of.
@@ -39,7 +40,8 @@
 /// kept short, and some instances do work for others.
 inline constexpr std::size_t large_group = 24;
 
-/// After this time without a heartbeat an instance is taken for gone.
+/// After this time without a heartbeat an instance is taken for gone; in very
+/// large groups, where heartbeats are rarer, after life().
 inline constexpr base::milliseconds peer_life{4000};
 /// A host that nobody hears is forgotten after this time.
 inline constexpr base::milliseconds candidate_life{20000};
@@ -52,9 +54,28 @@
 /// Drops instances that have fallen silent. @return their hosts.
 std::vector<std::string> expire(peer_table& table, base::steady_time now);
 
-/// @return hosts that a heartbeat goes to now. @param all true: also those
-/// that are not heard, to find them.
-std::vector<std::string> recipients(const peer_table& table, bool all);
+/// Which of the instances that are heard.
+enum class audience {
+    near, ///< Those of the own data centre, and where it is not known.
+    all
+};
+
+/// @return hosts of instances that are heard.
+std::vector<std::string> heard_hosts(const peer_table& table, audience which);
+
+/// @return hosts that are known by name only, to be sought.
+std::vector<std::string> sought_hosts(const peer_table& table);
+
+/// @return how often the own data centre is told of a state that does not
+/// change: what an instance sends is not to grow with the group.
+base::milliseconds
+near_period(const peer_table& table, base::milliseconds calm);
+
+/// @return how often other data centres are told: they need it less.
+base::milliseconds far_period(const peer_table& table, base::milliseconds calm);
+
+/// @return how long an instance may be silent.
+base::milliseconds life(const peer_table& table);
 
 /// @return hosts of instances in a data centre (empty: in any) that are heard
 /// and not about to stop.
--- a/libs/peers/src/peer_group.cpp
+++ b/libs/peers/src/peer_group.cpp
@@ -4,6 +4,7 @@
 #include <mintknot/event/datagrams.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace mintknot::peers {
 
@@ -12,10 +13,16 @@
 /// Hosts that one heartbeat names; a random part of a larger group.
 constexpr std::size_t most_hosts = 16;
 constexpr std::size_t most_hosts_in_large_group = 3;
-/// Groups up to this size are told at the calm period, larger ones more
-/// rarely, so that what an instance sends does not grow with the group.
-constexpr std::size_t group_at_calm_period = 40;
-constexpr base::milliseconds longest_calm_period{1300};
+/// Lost instances that are sought at a time.
+constexpr std::size_t most_sought = 16;
+
+/// Keeps a random part of the hosts.
+void keep_some(std::vector<std::string>& hosts, std::size_t most) {
+    while (hosts.size() > most) {
+        hosts[base::random_below(hosts.size())] = hosts.back();
+        hosts.pop_back();
+    }
+}
 
 } // namespace
 
@@ -31,46 +38,67 @@
         , send_timer(loop)
         , incarnation(base::random_bits()) {
         table.own_host = options.own.host;
+        table.own_data_centre = options.data_centre;
         table.seeds.insert(options.seeds.begin(), options.seeds.end());
     }
 
     std::vector<std::string> some_hosts() const {
-        std::vector<std::string> hosts = recipients(table, false);
-        const std::size_t most =
-            hosts.size() > large_group ? most_hosts_in_large_group : most_hosts;
-        while (hosts.size() > most) {
-            hosts[base::random_below(hosts.size())] = hosts.back();
-            hosts.pop_back();
-        }
+        std::vector<std::string> hosts = heard_hosts(table, audience::all);
+        keep_some(
+            hosts, hosts.size() > large_group ? most_hosts_in_large_group
+                                              : most_hosts);
         return hosts;
     }
 
+    std::string next_datagram() {
+        heartbeat own = handlers.describe();
+        own.incarnation = incarnation;
+        own.sequence = ++sequence;
+        own.hosts = some_hosts();
+        return encode(own);
+    }
+
     void send_all() {
         const base::steady_time now = owner.now();
         for (const std::string& host : expire(table, now))
             log.write("peer_lost", {{"peer", host}});
-        const bool search = now - searched >= options.search_period;
-        if (search)
+        const std::string datagram = next_datagram();
+        for (const std::string& host : due_hosts(now))
+            send(host, datagram);
+        if (now - searched >= options.search_period) {
             searched = now;
-        heartbeat own = handlers.describe();
-        own.incarnation = incarnation;
-        own.sequence = ++sequence;
-        own.hosts = some_hosts();
-        const std::string datagram = encode(own);
-        for (const std::string& host : recipients(table, search))
-            socket.send({host, options.own.port}, datagram);
+            seek(datagram);
+        }
         sent = now;
-        plan(now + calm_period());
+        plan(now + near_period(table, options.calm_period));
+    }
+
+    /// @return who is to be told now: everybody of a change, else other data
+    /// centres more rarely.
+    std::vector<std::string> due_hosts(base::steady_time now) {
+        const bool far_due =
+            now - sent_far >= far_period(table, options.calm_period);
+        if (!change_pending && !far_due)
+            return heard_hosts(table, audience::near);
+        change_pending = false;
+        sent_far = now;
+        return heard_hosts(table, audience::all);
+    }
+
+    /// Seeds are always among those that are sought, while they are not heard.
+    void seek(const std::string& datagram) {
+        std::vector<std::string> hosts = sought_hosts(table);
+        keep_some(hosts, most_sought);
+        std::set<std::string> due(hosts.begin(), hosts.end());
+        for (const std::string& seed : table.seeds)
+            if (seed != table.own_host && !table.heard.contains(seed))
+                due.insert(seed);
+        for (const std::string& host : due)
+            send(host, datagram);
     }
 
-    base::milliseconds calm_period() const {
-        const std::size_t size = table.heard.size();
-        if (size <= group_at_calm_period)
-            return options.calm_period;
-        return std::min(
-            longest_calm_period,
-            options.calm_period * static_cast<std::int64_t>(size) /
-                static_cast<std::int64_t>(group_at_calm_period));
+    void send(const std::string& host, std::string_view datagram) {
+        socket.send({host, options.own.port}, datagram);
     }
 
     void plan(base::steady_time when) {
@@ -96,12 +124,16 @@
                 {{"peer", from.host},
                  {"peers", static_cast<std::int64_t>(table.heard.size())}});
             // Answer a newcomer soon, so that it learns of the others.
-            changed();
+            if (is_large(table))
+                send(from.host, next_datagram());
+            else
+                changed();
         }
         handlers.on_heartbeat(from.host, *value);
     }
 
     void changed() {
+        change_pending = true;
         const base::steady_time soon =
             std::max(owner.now(), sent + options.shortest_gap);
         if (soon < planned)
@@ -118,6 +150,8 @@
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
     base::steady_time sent{};
+    base::steady_time sent_far{};
+    bool change_pending = false; ///< Everybody is to be told of it.
     base::steady_time searched{};
     base::steady_time planned = base::steady_time::max();
 };
@@ -142,7 +176,7 @@
 }
 
 void peer_group::send(const std::string& host, std::string_view datagram) {
-    impl_->socket.send({host, impl_->options.own.port}, datagram);
+    impl_->send(host, datagram);
 }
 
 void peer_group::changed() {
--- a/libs/peers/src/peer_table.cpp
+++ b/libs/peers/src/peer_table.cpp
@@ -4,6 +4,23 @@
 
 namespace mintknot::peers {
 
+namespace {
+
+/// Groups up to this size are told at the calm period, larger ones more
+/// rarely.
+constexpr std::size_t group_at_calm_period = 40;
+constexpr base::milliseconds longest_near_period{1300};
+/// Mean time between two heartbeats to other data centres: some 4 KB a second.
+constexpr base::milliseconds gap_of_far_peers{21};
+/// Heartbeats that may be lost before an instance is taken for gone.
+constexpr int periods_of_silence = 3;
+
+bool is_far(const peer_table& table, const peer& known) {
+    return known.data_centre != table.own_data_centre;
+}
+
+} // namespace
+
 bool note(
     peer_table& table, const std::string& host, const heartbeat& value,
     base::steady_time now) {
@@ -26,8 +43,9 @@
 
 std::vector<std::string> expire(peer_table& table, base::steady_time now) {
     std::vector<std::string> gone;
+    const base::milliseconds longest = life(table);
     for (auto it = table.heard.begin(); it != table.heard.end();) {
-        if (now - it->second.heard <= peer_life) {
+        if (now - it->second.heard <= longest) {
             ++it;
             continue;
         }
@@ -35,25 +53,57 @@
         it = table.heard.erase(it);
     }
     std::erase_if(table.candidates, [&](const auto& item) {
-        return now - item.second > candidate_life &&
+        return now - item.second > candidate_life + longest - peer_life &&
                !table.heard.contains(item.first);
     });
     return gone;
 }
 
-std::vector<std::string> recipients(const peer_table& table, bool all) {
-    std::set<std::string> hosts;
+std::vector<std::string> heard_hosts(const peer_table& table, audience which) {
+    std::vector<std::string> hosts;
     for (const auto& [host, known] : table.heard)
+        if (which == audience::all || !is_far(table, known))
+            hosts.push_back(host);
+    return hosts;
+}
+
+std::vector<std::string> sought_hosts(const peer_table& table) {
+    std::set<std::string> hosts = table.seeds;
+    for (const auto& [host, told] : table.candidates)
         hosts.insert(host);
-    if (all) {
-        for (const auto& [host, told] : table.candidates)
-            hosts.insert(host);
-        hosts.insert(table.seeds.begin(), table.seeds.end());
-    }
     hosts.erase(table.own_host);
+    std::erase_if(hosts, [&](const std::string& host) {
+        return table.heard.contains(host);
+    });
     return {hosts.begin(), hosts.end()};
 }
 
+base::milliseconds
+near_period(const peer_table& table, base::milliseconds calm) {
+    const std::size_t size = table.heard.size();
+    if (size <= group_at_calm_period)
+        return calm;
+    return std::min(
+        longest_near_period,
+        calm * static_cast<std::int64_t>(size) /
+            static_cast<std::int64_t>(group_at_calm_period));
+}
+
+base::milliseconds
+far_period(const peer_table& table, base::milliseconds calm) {
+    const auto far = std::count_if(
+        table.heard.begin(), table.heard.end(),
+        [&](const auto& item) { return is_far(table, item.second); });
+    return std::max(near_period(table, calm), gap_of_far_peers * far);
+}
+
+base::milliseconds life(const peer_table& table) {
+    // Others may have more far peers than this instance: all count.
+    return std::max(
+        peer_life, gap_of_far_peers * periods_of_silence *
+                       static_cast<std::int64_t>(table.heard.size()));
+}
+
 std::vector<std::string>
 staying(const peer_table& table, const std::string& data_centre) {
     std::vector<std::string> hosts;
--- a/libs/peers/tests/test_peer_group.cpp
+++ b/libs/peers/tests/test_peer_group.cpp
@@ -56,3 +56,43 @@
     owner.run();
     cr_assert(all_found());
 }
+
+Test(peer_group, other_data_centres_hear_of_a_change_at_once) {
+    event::loop owner;
+    logging::line_log log(-1, "test", {});
+    const std::uint16_t port = free_port(owner);
+    std::vector<std::unique_ptr<peer_group>> groups;
+    std::uint64_t version = 1;
+    std::uint64_t told = 0;
+    for (const std::string host : {"127.0.0.2", "127.0.0.3"}) {
+        group_options options;
+        options.own = {host, port};
+        options.data_centre = host;
+        options.seeds = {"127.0.0.2"};
+        // Without a change nothing would be sent for the whole test.
+        options.calm_period = test_limit * 10;
+        options.search_period = base::milliseconds(20);
+        groups.push_back(std::make_unique<peer_group>(
+            owner, log, options,
+            group_handlers{
+                [&] {
+                    heartbeat own;
+                    own.configuration = version;
+                    return own;
+                },
+                [&](auto&, const heartbeat& heard) {
+                    told = std::max(told, heard.configuration);
+                    if (told == 1) {
+                        version = 2;
+                        groups.front()->changed();
+                    } else {
+                        owner.stop();
+                    }
+                }}));
+        cr_assert(groups.back()->open().ok());
+    }
+    event::timer limit(owner);
+    limit.start(test_limit, [&] { owner.stop(); });
+    owner.run();
+    cr_assert(told == 2);
+}
--- a/libs/runtime/src/document_sync.cpp
+++ b/libs/runtime/src/document_sync.cpp
@@ -1,5 +1,7 @@
 #include "document_sync.hpp"
 
+#include <algorithm>
+
 namespace mintknot::runtime {
 
 namespace {
@@ -12,13 +14,18 @@
 constexpr base::milliseconds calm_gather{300};
 /// How long a large group waits for its readers' news of servers.
 constexpr base::milliseconds calm_patience{1200};
+/// Snapshots of thousands of servers are large: a hundred instances that start
+/// at once are not to fill the memory of one that is asked by all.
+constexpr std::size_t snapshot_bytes_per_ms = 1000;
+constexpr base::milliseconds most_snapshots_ahead{1500};
 
 } // namespace
 
 document_sync::document_sync(
     const document_ports& ports, const document_options& options,
     document_handlers handlers)
-    : handlers_(std::move(handlers))
+    : owner_(ports.loop)
+    , handlers_(std::move(handlers))
     , replica_(ports.codec, ports.log, replica_functions())
     , store_(
           ports.loop, ports.store, ports.pool, ports.log,
@@ -95,18 +102,25 @@
     if (const auto wanted = state::change_request_from(head.target))
         feed_.ask(*wanted, std::move(reply));
     else if (head.target == snapshot_path)
-        reply(
-            {200, "application/json",
-             replica_.snapshot(
-                 {collection::configuration, collection::servers})});
+        reply(snapshot({collection::configuration, collection::servers}));
     else if (head.target == configuration_snapshot_path)
-        reply(
-            {200, "application/json",
-             replica_.snapshot({collection::configuration})});
+        reply(snapshot({collection::configuration}));
     else
         reply({404, "text/plain", "unknown path\n"});
 }
 
+relay::local_answer
+document_sync::snapshot(const std::vector<collection>& parts) {
+    const base::steady_time now = owner_.now();
+    if (snapshots_paid_ > now + most_snapshots_ahead)
+        return {503, "text/plain", "busy\n"};
+    std::string text = replica_.snapshot(parts);
+    snapshots_paid_ = std::max(snapshots_paid_, now) +
+                      base::milliseconds(static_cast<std::int64_t>(
+                          text.size() / snapshot_bytes_per_ms));
+    return {200, "application/json", std::move(text)};
+}
+
 std::uint64_t document_sync::version(collection what) const {
     return replica_.version(what);
 }
--- a/libs/runtime/src/document_sync.hpp
+++ b/libs/runtime/src/document_sync.hpp
@@ -75,6 +75,9 @@
 
 private:
     state::replica_handlers replica_functions();
+    relay::local_answer snapshot(const std::vector<state::collection>& parts);
+
+    event::loop& owner_;
 
     document_handlers handlers_;
     state::replica replica_;
@@ -84,6 +87,8 @@
     peer_feed feed_;
     lapsed_servers lapsed_;
     snapshot_fetcher fetcher_;
+    /// When the snapshots that were given will have been paid for.
+    base::steady_time snapshots_paid_{};
 };
 
 } // namespace mintknot::runtime
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -77,7 +77,8 @@
                [this] { return readers_here(); }},
               document_functions())
         , group(
-              ports.loop, log, {settings.peer, settings.seed_hosts},
+              ports.loop, log,
+              {settings.peer, settings.data_centre, settings.seed_hosts},
               group_functions())
         , placer(shared, placer_functions())
         , balancer(
--- a/libs/runtime/src/snapshot_fetcher.cpp
+++ b/libs/runtime/src/snapshot_fetcher.cpp
@@ -29,36 +29,41 @@
     server_patience_ = patience;
 }
 
-std::optional<base::milliseconds>
-snapshot_fetcher::patience_for(const peers::heartbeat& heartbeat) const {
-    if (heartbeat.configuration >
-        target_.version(state::collection::configuration))
-        return configuration_patience;
-    if (heartbeat.servers > target_.version(state::collection::servers))
-        return server_patience_;
-    return std::nullopt;
+bool snapshot_fetcher::lag::lasts(
+    bool ahead, base::steady_time now, base::milliseconds patience) {
+    if (!ahead) {
+        since.reset();
+        return false;
+    }
+    if (!since)
+        since = now;
+    return now - *since >= patience;
+}
+
+bool snapshot_fetcher::is_ahead(
+    state::collection what, std::uint64_t version) const {
+    return !target_.known(what) || version > target_.version(what);
 }
 
 void snapshot_fetcher::on_heartbeat(
     const std::string& host, const peers::heartbeat& heartbeat) {
+    using state::collection;
     const base::steady_time now = owner_.now();
-    const auto patience = patience_for(heartbeat);
-    if (!patience) {
-        behind_since_ = {};
-        return;
-    }
-    if (behind_since_ == base::steady_time{})
-        behind_since_ = now;
+    // A peer that knows no configuration has nothing to give.
+    const bool knows = heartbeat.configuration > 0;
     const int factor = heartbeat.data_centre == data_centre_ ? 1 : far_patience;
-    if (call_ != nullptr || now - last_fetch_ < shortest_gap ||
-        now - behind_since_ < *patience * factor)
+    const bool configuration_due = configuration_lag_.lasts(
+        knows && is_ahead(collection::configuration, heartbeat.configuration),
+        now, configuration_patience * factor);
+    const bool servers_due = servers_lag_.lasts(
+        knows && is_ahead(collection::servers, heartbeat.servers), now,
+        server_patience_ * factor);
+    if (call_ != nullptr || now - last_fetch_ < shortest_gap)
         return;
-    const bool servers_known = target_.known(state::collection::servers);
-    const bool servers_behind =
-        heartbeat.servers > target_.version(state::collection::servers);
-    fetch(
-        host, servers_known && !servers_behind ? configuration_snapshot_path
-                                               : snapshot_path);
+    if (servers_due)
+        fetch(host, snapshot_path);
+    else if (configuration_due)
+        fetch(host, configuration_snapshot_path);
 }
 
 void snapshot_fetcher::fetch(const std::string& host, std::string_view path) {
@@ -88,7 +93,8 @@
         "snapshot", {{"peer", host},
                      {"taken", taken.ok()},
                      {"bytes", static_cast<std::int64_t>(body_.size())}});
-    behind_since_ = {};
+    configuration_lag_ = {};
+    servers_lag_ = {};
     body_.clear();
 }
 
--- a/libs/runtime/src/snapshot_fetcher.hpp
+++ b/libs/runtime/src/snapshot_fetcher.hpp
@@ -37,10 +37,15 @@
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
 
 private:
-    /// @return how long to wait for the store, or nothing if the peer does not
-    /// know more than this instance.
-    std::optional<base::milliseconds>
-    patience_for(const peers::heartbeat& heartbeat) const;
+    /// Since when peers have been ahead in one collection.
+    struct lag {
+        std::optional<base::steady_time> since;
+        /// @return true if a peer has been ahead for so long.
+        bool
+        lasts(bool ahead, base::steady_time now, base::milliseconds patience);
+    };
+
+    bool is_ahead(state::collection what, std::uint64_t version) const;
     void fetch(const std::string& host, std::string_view path);
     void finish(const std::string& host, bool whole);
 
@@ -55,7 +60,8 @@
     std::string body_;
     int status_ = 0;
     base::milliseconds server_patience_{150};
-    base::steady_time behind_since_{};
+    lag configuration_lag_;
+    lag servers_lag_;
     base::steady_time last_fetch_{};
 };
 
--- /dev/null
+++ b/libs/runtime/tests/test_document_sync.cpp
@@ -0,0 +1,106 @@
+#include "document_sync.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::runtime;
+
+namespace {
+
+class plain_codec final : public state::document_codec {
+public:
+    absl::StatusOr<traffic::catalogue>
+    read_configuration(std::string_view) const override {
+        return traffic::catalogue{};
+    }
+    absl::StatusOr<traffic::server>
+    read_server(const std::string& id, std::string_view) const override {
+        traffic::server value;
+        value.id = id;
+        return value;
+    }
+};
+
+/// Holds two thousand servers; its watches never end.
+class full_store final : public state::store {
+public:
+    explicit full_store(event::loop& owner)
+        : owner_(owner) {}
+    void read(state::collection what, state::store_handler on_answer) override {
+        state::store_answer answer;
+        answer.result = state::store_result::ok;
+        answer.version = 9;
+        if (what == state::collection::configuration)
+            answer.documents = {{"config", 5, "text"}};
+        else
+            for (int i = 0; i < 2000; ++i)
+                answer.documents.push_back(
+                    {"i" + std::to_string(i), 6, std::string(1000, 'a')});
+        owner_.post([=] { on_answer(answer); });
+    }
+    void watch(
+        state::collection, std::uint64_t, base::milliseconds,
+        state::store_handler) override {
+        if (++watches == 2)
+            owner_.stop();
+    }
+    void write(
+        state::collection, const std::string&, std::uint64_t,
+        const std::string&, state::write_handler) override {}
+    int watches = 0;
+
+private:
+    event::loop& owner_;
+};
+
+struct fixture {
+    fixture()
+        : log(-1, "test", {})
+        , store(owner)
+        , pool(owner)
+        , documents(
+              {owner, store, codec, pool, log, [] { return 0.5; }},
+              {{"127.0.0.1", 1},
+               "a",
+               [] { return std::vector<std::string>(); }},
+              {[](auto) {}, [this](auto&, auto, auto) { ++servers; },
+               [this] { return servers; }}) {
+        documents.start();
+        owner.run();
+    }
+    int status_of(std::string_view path) {
+        int status = 0;
+        http1::request_head head;
+        head.method = "GET";
+        head.target = std::string(path);
+        documents.answer(head, [&](const relay::local_answer& told) {
+            status = told.status;
+        });
+        return status;
+    }
+    event::loop owner;
+    logging::line_log log;
+    plain_codec codec;
+    full_store store;
+    upstream::connection_pool pool;
+    std::size_t servers = 0;
+    document_sync documents;
+};
+
+} // namespace
+
+Test(document_sync, reads_both_collections) {
+    fixture f;
+    cr_assert(f.documents.known());
+    cr_assert(f.servers == 2000);
+    cr_assert(f.documents.version(state::collection::configuration) == 5);
+}
+
+Test(document_sync, many_askers_do_not_fill_the_memory) {
+    // Found with 300 instances: after a kill of all, a hundred fetched 750 KB
+    // from the one that was ready first, which grew to 62 of its 88 MB.
+    fixture f;
+    cr_assert(f.status_of(snapshot_path) == 200);
+    cr_assert(f.status_of(snapshot_path) == 503);
+    cr_assert(f.status_of("/") == 404);
+}
