Notice the store's return at once; hold lapsed rows within the drain bound

Change: while the store is out of reach its watches are held for 50 ms only, so that the return is noticed by itself; removals are held for no longer than the drain bound of the settings less 0.4 s. Tests: store_reader::a_lost_store_is_not_waited_for_long, lapsed_servers::a_short_drain_bound_is_kept; each fails without its change. Also four lint findings, and one codec for two tests of the runtime.

--- a/libs/entry/src/placer.cpp
+++ b/libs/entry/src/placer.cpp
@@ -66,7 +66,7 @@
             control::scheduler_of(*view, query.service, data_centre, silent);
         if (!chosen && !silent.empty())
             break;
-        const auto answer = ask(query, data_centre, chosen, scheduler);
+        auto answer = ask(query, data_centre, chosen, scheduler);
         if (answer.ok())
             return answer;
         last_error = answer.status();
--- a/libs/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/runtime/include/mintknot/runtime/instance.hpp
@@ -40,6 +40,8 @@
     std::vector<std::string> seed_hosts;
     base::milliseconds grace{8000}; ///< From SIGTERM until it must be gone.
     traffic::retry_bounds retry_bounds;
+    /// Within which a server that says that it leaves gets no new request.
+    base::milliseconds drain_bound{2000};
     bool balance_phases = true; ///< Whether engines get orders.
     /// How long another holder of orders must wait after the last one.
     base::milliseconds order_lease{3000};
--- a/libs/runtime/src/document_sync.cpp
+++ b/libs/runtime/src/document_sync.cpp
@@ -44,7 +44,7 @@
                          : server_reader_.position();
           })
     , lapsed_(
-          ports.loop, ports.log,
+          ports.loop, ports.log, options.drain_bound,
           [this](const std::string& id, std::uint64_t version) {
               handlers_.on_server(id, version, std::nullopt);
           },
--- a/libs/runtime/src/document_sync.hpp
+++ b/libs/runtime/src/document_sync.hpp
@@ -29,6 +29,7 @@
 struct document_options {
     base::address peer; ///< The own one; all instances use the same port.
     std::string data_centre;
+    base::milliseconds drain_bound; ///< See instance_settings.
     /// @return hosts that read the store for this data centre; empty: every
     /// instance does.
     std::function<std::vector<std::string>()> readers;
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -73,7 +73,7 @@
         , documents(
               {ports.loop, ports.store, ports.codec, pool, log,
                [this] { return shared.draw(); }},
-              {settings.peer, settings.data_centre,
+              {settings.peer, settings.data_centre, settings.drain_bound,
                [this] { return readers_here(); }},
               document_functions())
         , group(
--- a/libs/runtime/src/lapsed_servers.hpp
+++ b/libs/runtime/src/lapsed_servers.hpp
@@ -19,10 +19,13 @@
 /// later, unless a newer row has come by then.
 class lapsed_servers {
 public:
+    /// @param drain_bound within which a server that leaves gets no request
+    /// any more: rows have less time than that to come back.
     /// @param remove takes a removal; it ignores those that newer news of the
     /// server have overtaken. @param known counts the servers at present.
     lapsed_servers(
         event::loop& owner, logging::line_log& log,
+        base::milliseconds drain_bound,
         std::function<void(const std::string& id, std::uint64_t version)>
             remove,
         std::function<std::size_t()> known);
@@ -40,6 +43,7 @@
 
     event::loop& owner_;
     logging::line_log& log_;
+    base::milliseconds return_time_;
     std::function<void(const std::string&, std::uint64_t)> remove_;
     std::function<std::size_t()> known_;
     std::map<std::string, std::uint64_t> held_; ///< Versions by server ID.
--- /dev/null
+++ b/libs/runtime/tests/plain_codec.hpp
@@ -0,0 +1,26 @@
+/// @file
+/// Reads any text as a document, for tests.
+#ifndef MINTKNOT_RUNTIME_TESTS_PLAIN_CODEC_HPP
+#define MINTKNOT_RUNTIME_TESTS_PLAIN_CODEC_HPP
+
+#include <mintknot/state/replica.hpp>
+
+namespace mintknot::runtime::tests {
+
+class plain_codec final : public state::document_codec {
+public:
+    absl::StatusOr<traffic::catalogue>
+    read_configuration(std::string_view) const override {
+        return traffic::catalogue{};
+    }
+    absl::StatusOr<traffic::server>
+    read_server(const std::string& id, std::string_view) const override {
+        traffic::server value;
+        value.id = id;
+        return value;
+    }
+};
+
+} // namespace mintknot::runtime::tests
+
+#endif
--- a/libs/runtime/tests/test_document_sync.cpp
+++ b/libs/runtime/tests/test_document_sync.cpp
@@ -1,26 +1,14 @@
 #include "document_sync.hpp"
+#include "plain_codec.hpp"
 
 #include <criterion/criterion.h>
 
 using namespace mintknot;
 using namespace mintknot::runtime;
+using namespace mintknot::runtime::tests;
 
 namespace {
 
-class plain_codec final : public state::document_codec {
-public:
-    absl::StatusOr<traffic::catalogue>
-    read_configuration(std::string_view) const override {
-        return traffic::catalogue{};
-    }
-    absl::StatusOr<traffic::server>
-    read_server(const std::string& id, std::string_view) const override {
-        traffic::server value;
-        value.id = id;
-        return value;
-    }
-};
-
 /// Holds two thousand servers; its watches never end.
 class full_store final : public state::store {
 public:
@@ -62,6 +50,7 @@
               {owner, store, codec, pool, log, [] { return 0.5; }},
               {{"127.0.0.1", 1},
                "a",
+               base::milliseconds{2000},
                [] { return std::vector<std::string>(); }},
               {[](auto) {}, [this](auto&, auto, auto) { ++servers; },
                [this] { return servers; }}) {
--- a/libs/runtime/tests/test_lapsed_servers.cpp
+++ b/libs/runtime/tests/test_lapsed_servers.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 struct bench {
-    bench()
+    explicit bench(base::milliseconds drain_bound = base::milliseconds{2000})
         : servers(
-              owner, log,
+              owner, log, drain_bound,
               [this](const std::string& id, std::uint64_t) {
                   removed.insert(id);
               },
@@ -55,6 +55,14 @@
     cr_assert(b.removed == std::set<std::string>{"b"}, "still missing: gone");
 }
 
+Test(lapsed_servers, a_short_drain_bound_is_kept) {
+    bench b(base::milliseconds(700));
+    b.servers.store_returned();
+    b.servers.gone("a", 5);
+    b.run_for(base::milliseconds(600));
+    cr_assert(b.removed == std::set<std::string>{"a"});
+}
+
 Test(lapsed_servers, many_rows_gone_at_once_tell_that_the_store_was_away) {
     bench b;
     for (const char* id : {"a", "b", "c", "d"})
--- a/libs/runtime/tests/test_peer_feed.cpp
+++ b/libs/runtime/tests/test_peer_feed.cpp
@@ -1,4 +1,5 @@
 #include "peer_feed.hpp"
+#include "plain_codec.hpp"
 
 #include <criterion/criterion.h>
 
@@ -7,6 +8,7 @@
 
 using namespace mintknot;
 using namespace mintknot::runtime;
+using namespace mintknot::runtime::tests;
 
 namespace {
 
@@ -14,20 +16,6 @@
 constexpr base::milliseconds long_wait{10000};
 constexpr base::milliseconds short_wait{20};
 
-class plain_codec final : public state::document_codec {
-public:
-    absl::StatusOr<traffic::catalogue>
-    read_configuration(std::string_view) const override {
-        return traffic::catalogue{};
-    }
-    absl::StatusOr<traffic::server>
-    read_server(const std::string& id, std::string_view) const override {
-        traffic::server value;
-        value.id = id;
-        return value;
-    }
-};
-
 struct fixture {
     fixture()
         : log(-1, "test", {})
--- a/libs/runtime/tests/test_shared_store.cpp
+++ b/libs/runtime/tests/test_shared_store.cpp
@@ -51,7 +51,7 @@
         , limit(owner) {}
 
     /// Adds a reader at a loopback address with a fixed answer.
-    void add_reader(const std::string& host, relay::local_answer answer) {
+    void add_reader(const std::string& host, const relay::local_answer& answer) {
         asked[host] = 0;
         listening.emplace_back(
             owner,
@@ -72,10 +72,11 @@
                 shared_store_options{
                     "127.0.0.9", port, [this] { return readers; }});
         std::optional<state::store_answer> result;
-        shared->watch(servers, 3, store_wait, [&](state::store_answer answer) {
-            result = std::move(answer);
-            owner.stop();
-        });
+        shared->watch(
+            servers, 3, store_wait, [&](const state::store_answer& answer) {
+                result = answer;
+                owner.stop();
+            });
         limit.start(test_limit, [this] { owner.stop(); });
         owner.run();
         cr_assert(result.has_value());
--- a/libs/state/include/mintknot/state/store_reader.hpp
+++ b/libs/state/include/mintknot/state/store_reader.hpp
@@ -17,6 +17,9 @@
     /// How long one watch is held. It bounds how long a watch whose answer
     /// was lost keeps the reader blind.
     base::milliseconds wait{6000};
+    /// The same while the store is out of reach, so that its return is noticed
+    /// although there is nothing new.
+    base::milliseconds wait_when_lost{50};
     base::milliseconds first_backoff{60};
     base::milliseconds longest_backoff{800};
     /// Changes that follow each other more closely are fetched together: each
--- a/libs/state/src/store_reader.cpp
+++ b/libs/state/src/store_reader.cpp
@@ -67,7 +67,7 @@
             what_, [this](const store_answer& answer) { on_read(answer); });
     else
         source_.watch(
-            what_, seen_, options_.wait,
+            what_, seen_, reachable_ ? options_.wait : options_.wait_when_lost,
             [this](const store_answer& answer) { on_watch(answer); });
 }
 
--- a/libs/state/tests/test_change_message.cpp
+++ b/libs/state/tests/test_change_message.cpp
@@ -48,11 +48,10 @@
 
 Test(change_message, malformed_answers_are_refused) {
     for (const char* text :
-         {"[]", "{}", "{\"version\":3}", "{\"documents\":[]}",
-          "{\"version\":3,\"documents\":{}}",
-          "{\"version\":3,\"documents\":[{\"key\":\"i\"}]}",
-          "{\"version\":3,\"documents\":[{\"key\":\"i\",\"version\":3,"
-          "\"text\":7}]}"}) {
+         {"[]", "{}", R"({"version":3})", R"({"documents":[]})",
+          R"({"version":3,"documents":{}})",
+          R"({"version":3,"documents":[{"key":"i"}]})",
+          R"({"version":3,"documents":[{"key":"i","version":3,"text":7}]})"}) {
         const auto bytes =
             nlohmann::json::to_msgpack(nlohmann::json::parse(text));
         const std::string body(bytes.begin(), bytes.end());
--- a/libs/state/tests/test_replica.cpp
+++ b/libs/state/tests/test_replica.cpp
@@ -108,9 +108,8 @@
 Test(replica, a_malformed_snapshot_is_refused) {
     fixture f;
     for (const char* text :
-         {"", "[]", "{}", "{\"configuration\":{\"documents\":[{}]}}",
-          "{\"configuration\":{\"documents\":[],\"known\":true},\"servers\":"
-          "7}"})
+         {"", "[]", "{}", R"({"configuration":{"documents":[{}]}})",
+          R"({"configuration":{"documents":[],"known":true},"servers":7})"})
         cr_assert(!f.copy.apply_snapshot(text, "peer").ok());
     cr_assert(!f.copy.known(configuration));
 }
--- a/libs/state/tests/test_store_reader.cpp
+++ b/libs/state/tests/test_store_reader.cpp
@@ -33,15 +33,17 @@
         answer(on_answer);
     }
     void watch(
-        collection, std::uint64_t after, base::milliseconds,
+        collection, std::uint64_t after, base::milliseconds wait,
         store_handler on_answer) override {
         calls.push_back("watch " + std::to_string(after));
+        waits.push_back(wait);
         answer(on_answer);
     }
     void write(
         collection, const std::string&, std::uint64_t, const std::string&,
         write_handler) override {}
     std::vector<std::string> calls;
+    std::vector<base::milliseconds> waits; ///< Of the watches.
     std::deque<store_answer> answers;
 
 private:
@@ -63,8 +65,8 @@
         , copy(codec, log, {[](auto) {}, [](auto&, auto, auto) {}})
         , reader(
               owner, source, copy, collection::servers, log,
-              {base::milliseconds(1000), base::milliseconds(1),
-               base::milliseconds(2), gather},
+              {base::milliseconds(1000), base::milliseconds(50),
+               base::milliseconds(1), base::milliseconds(2), gather},
               [] { return 0.5; }) {}
     void run() {
         reader.start();
@@ -114,6 +116,18 @@
         (calls{"read", "watch 4", "watch 4", "watch 4", "watch 5"}));
 }
 
+Test(store_reader, a_lost_store_is_not_waited_for_long) {
+    // Found by a hunt: the store's return was noticed only with the next
+    // change, seconds later, and a leaving server was taken for a lapsed one.
+    fixture f;
+    f.source.answers = {good(4), {store_result::refused, {}, 0}, good(4)};
+    f.run();
+    const std::vector<base::milliseconds> expected{
+        base::milliseconds(1000), base::milliseconds(50),
+        base::milliseconds(1000)};
+    cr_assert(f.source.waits == expected);
+}
+
 Test(store_reader, a_read_older_than_what_is_known_is_made_again) {
     fixture f;
     f.source.answers = {
