--- a/libs/runtime/tests/test_shared_store.cpp
+++ b/libs/runtime/tests/test_shared_store.cpp
@@ -51,7 +51,8 @@
         , limit(owner) {}
 
     /// Adds a reader at a loopback address with a fixed answer.
-    void add_reader(const std::string& host, const relay::local_answer& answer) {
+    void
+    add_reader(const std::string& host, const relay::local_answer& answer) {
         asked[host] = 0;
         listening.emplace_back(
             owner,
