Each collection takes the store's readers in turn for itself

Two watches of a second each that alternate would meet the same reader every time, so that a reader which hears nothing would blind one collection. Change: a counter for each collection. Test: shared_store::each_collection_takes_the_readers_in_turn, which fails without the change.

--- a/libs/runtime/src/shared_store.cpp
+++ b/libs/runtime/src/shared_store.cpp
@@ -66,10 +66,9 @@
         source_.watch(what, after, wait, std::move(on_answer));
         return;
     }
-    std::rotate(
-        readers.begin(),
-        readers.begin() + static_cast<std::ptrdiff_t>(++turn_ % readers.size()),
-        readers.end());
+    const auto turn =
+        static_cast<std::ptrdiff_t>(++turns_[what] % readers.size());
+    std::rotate(readers.begin(), readers.begin() + turn, readers.end());
     auto entry = std::make_unique<peer_watch>(owner_);
     entry->request = {what, after, reader_wait};
     entry->store_wait = wait;
--- a/libs/runtime/src/shared_store.hpp
+++ b/libs/runtime/src/shared_store.hpp
@@ -68,7 +68,8 @@
     std::uint64_t last_ = 0;
     std::map<std::uint64_t, std::unique_ptr<peer_watch>> open_;
     std::map<std::string, base::steady_time> suspected_;
-    std::size_t turn_ = 0;
+    /// Watches so far. Each collection takes the readers in turn for itself.
+    std::map<state::collection, std::size_t> turns_;
 };
 
 } // namespace mintknot::runtime
--- a/libs/runtime/tests/test_shared_store.cpp
+++ b/libs/runtime/tests/test_shared_store.cpp
@@ -6,6 +6,7 @@
 
 #include <list>
 #include <optional>
+#include <set>
 
 using namespace mintknot;
 using namespace mintknot::runtime;
@@ -66,7 +67,7 @@
         readers.push_back(host);
     }
 
-    state::store_answer watch() {
+    state::store_answer watch(state::collection what = servers) {
         if (!shared)
             shared.emplace(
                 owner, source, pool, log,
@@ -74,7 +75,7 @@
                     "127.0.0.9", port, [this] { return readers; }});
         std::optional<state::store_answer> result;
         shared->watch(
-            servers, 3, store_wait, [&](const state::store_answer& answer) {
+            what, 3, store_wait, [&](const state::store_answer& answer) {
                 result = answer;
                 owner.stop();
             });
@@ -118,6 +119,20 @@
     cr_assert(f.source.watches == 0);
 }
 
+Test(shared_store, each_collection_takes_the_readers_in_turn) {
+    // Two watches that take turns with each other would else always meet the
+    // same reader, and stay blind with it.
+    fixture f;
+    f.add_reader("127.0.0.1", good(7));
+    f.add_reader("127.0.0.2", good(8));
+    std::set<std::uint64_t> heard;
+    for (int i = 0; i < 4; ++i) {
+        heard.insert(f.watch(servers).version);
+        f.watch(state::collection::configuration);
+    }
+    cr_assert(heard.size() == 2);
+}
+
 Test(shared_store, a_reader_without_the_store_is_passed_over) {
     fixture f;
     f.add_reader("127.0.0.1", no_store);
