mintknot losses: what requests lost, by cause, from the instances' logs

Cause: on-call can follow one request, but nothing says which causes cost most; the users ask where the worth is lost, at which moments, for what reason.

Change: a library that reads log lines in a bounded memory and counts requests by route, data centre, window and cause, first tries and returns, and prompt tokens read again by reason; a verb that prints a table, JSON or an SVG image. Lines that are foreign or torn are counted and shown, never fatal.

--- a/libs/cli/src/commands.hpp
+++ b/libs/cli/src/commands.hpp
@@ -3,10 +3,13 @@
 #ifndef MINTKNOT_CLI_SRC_COMMANDS_HPP
 #define MINTKNOT_CLI_SRC_COMMANDS_HPP
 
+#include <mintknot/base/time.hpp>
 #include <mintknot/cli/operator_client.hpp>
 
 #include <chrono>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace mintknot::cli {
 
@@ -41,6 +44,18 @@
 exit_code
 drain(const common_options& common, const std::string& server, bool undo);
 
+/// What an account of losses is made from.
+struct losses_request {
+    std::vector<std::string> logs; ///< Files; "-" is standard input.
+    base::milliseconds window{5000};
+    std::map<std::string, double> weights; ///< By route.
+    bool json = false;
+    std::string plot; ///< File for an SVG image; empty: none.
+};
+
+/// Prints what requests lost, and why, by the instances' logs.
+exit_code show_losses(const losses_request& asked);
+
 /// Prints an error to standard error. @return its code.
 exit_code print_error(const operator_answer& answer);
 
--- a/libs/cli/src/verbs.cpp
+++ b/libs/cli/src/verbs.cpp
@@ -5,6 +5,7 @@
 #include <mintknot/base/sha256.hpp>
 #include <mintknot/base/status_text.hpp>
 
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
@@ -184,6 +185,53 @@
     return common ? drain(*common, name, undo) : exit_code::usage;
 }
 
+/// Reads "ROUTE=NUMBER". @return false, after a message, if it is none.
+bool read_weight(
+    const std::string& given, std::map<std::string, double>& weights) {
+    const std::size_t sign = given.rfind('=');
+    double weight = 0.0;
+    if (sign == std::string::npos || sign == 0 ||
+        !absl::SimpleAtod(given.substr(sign + 1), &weight) || weight < 0.0) {
+        fmt::print(
+            stderr, "--weight: found '{}', wanted is ROUTE=NUMBER\n", given);
+        return false;
+    }
+    weights[given.substr(0, sign)] = weight;
+    return true;
+}
+
+exit_code run_losses(const arguments& given) {
+    verb_line verb(
+        "losses", "Shows what requests lost, and why, by the instances' logs");
+    losses_request asked;
+    TCLAP::ValueArg<int> window(
+        "w", "window", "length of a window of time in milliseconds", false,
+        static_cast<int>(asked.window.count()), "ms", verb.line());
+    TCLAP::MultiArg<std::string> weights(
+        "", "weight", "what a request of a route counts for (1 if not given)",
+        false, "ROUTE=NUMBER", verb.line());
+    TCLAP::SwitchArg as_json("", "json", "print JSON", verb.line());
+    TCLAP::ValueArg<std::string> plot(
+        "p", "plot", "write an SVG image of the losses over time", false, "",
+        "file", verb.line());
+    TCLAP::UnlabeledMultiArg<std::string> logs(
+        "logs", "logs of all instances; - is standard input", true, "log",
+        verb.line());
+    verb.parse(given);
+    if (window.getValue() <= 0) {
+        fmt::print(stderr, "--window: must be above 0\n");
+        return exit_code::usage;
+    }
+    for (const std::string& weight : weights.getValue())
+        if (!read_weight(weight, asked.weights))
+            return exit_code::usage;
+    asked.window = base::milliseconds(window.getValue());
+    asked.json = as_json.getValue();
+    asked.plot = plot.getValue();
+    asked.logs = logs.getValue();
+    return show_losses(asked);
+}
+
 exit_code run_digest(const arguments& given) {
     verb_line verb("digest", "Prints the digest of a key, for key_sha256");
     text_argument key("key", "the key", true, "", "key", verb.line());
@@ -204,6 +252,7 @@
         {"digest", {run_digest, "print the digest of a key"}},
         {"drain", {run_drain, "stop new work for a backend server"}},
         {"get", {run_get, "show one resource, or all of a kind"}},
+        {"losses", {run_losses, "show what requests lost, and why, by logs"}},
         {"status", {run_status, "show instances, engines and parts"}},
         {"validate", {run_validate, "check a file of resources"}},
         {"watch", {run_watch, "print changes as they are accepted"}},
--- /dev/null
+++ b/libs/losses/include/mintknot/losses/loss_ledger.hpp
@@ -0,0 +1,120 @@
+/// @file
+/// Reads the instances' logs and counts what requests lost, by cause.
+#ifndef MINTKNOT_LOSSES_LOSS_LEDGER_HPP
+#define MINTKNOT_LOSSES_LOSS_LEDGER_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+
+namespace mintknot::losses {
+
+/// Why a request was not answered in time.
+enum class loss_cause {
+    none,                  ///< It was.
+    no_room,               ///< No decode engine had memory left.
+    no_server_reachable,   ///< No server, or none that could be reached.
+    broken_by_server,      ///< Its server broke off or fell silent.
+    servers_own_failure,   ///< Its server answered with a failure.
+    lost_with_instance,    ///< The instance ended before the request did.
+    retry_allowance_spent, ///< It needed a retry that was not allowed.
+    deadline_passed,       ///< Its time was over before it was answered.
+    caller_left,           ///< The caller closed its connection.
+    refused_at_the_door,   ///< Stopping, without configuration, or too full.
+    late_by_waiting,       ///< Answered late; it waited for room for long.
+    late_by_second_read,   ///< Answered late; its prompt was read again.
+    late_at_server,        ///< Answered late; its server took long.
+    other
+};
+
+std::string_view to_string(loss_cause value) noexcept;
+
+/// @return true for causes of answers that came, but late.
+bool is_late(loss_cause value) noexcept;
+
+/// What the requests are counted by.
+struct ledger_key {
+    std::string route;
+    std::string data_centre; ///< Of the instance; "unknown" without its start.
+    std::int64_t window = 0; ///< Number of the window since 1970.
+    loss_cause cause = loss_cause::none;
+
+    bool operator<(const ledger_key& other) const {
+        return std::tie(route, data_centre, window, cause) <
+               std::tie(
+                   other.route, other.data_centre, other.window, other.cause);
+    }
+};
+
+/// What callers got at their first try, and those who were refused at their
+/// next one.
+struct first_try_account {
+    std::int64_t first_tries = 0;
+    std::int64_t in_target = 0;
+    std::int64_t late = 0;
+    std::int64_t refused_at_once = 0;
+    std::int64_t held_and_refused = 0;
+    base::milliseconds held{0}; ///< By those that were held and refused.
+    std::int64_t failed = 0;    ///< After they had been sent to a server.
+    std::int64_t returned = 0;
+    std::int64_t returned_in_vain = 0;
+};
+
+/// Lines that were read or passed over.
+struct line_counts {
+    std::int64_t read = 0;
+    std::int64_t foreign = 0;  ///< No JSON object of an instance.
+    std::int64_t left_out = 0; ///< Lines that instances say they left out.
+    std::string first_foreign; ///< Begin of the first one.
+};
+
+/// A request whose end has not been read yet.
+struct open_request {
+    std::string route;
+    std::string instance;
+    std::int64_t at = 0; ///< Wall time of its first line, in ms.
+    double prompt_tokens = 0.0;
+    int reads = 0;            ///< Prompts that engines were to read.
+    std::string last_failure; ///< Reason of the last further try.
+};
+
+/// Settings of an account.
+struct ledger_options {
+    base::milliseconds window{5000};
+    /// What a request of a route counts for; 1 for those that are not named.
+    std::map<std::string, double> weights;
+    /// Requests whose end is missing that are kept in memory: some 100 MB. The
+    /// oldest are taken for lost above that.
+    std::size_t most_open = 400'000;
+};
+
+/// The state of reading. Filled by the functions below, in any order of files:
+/// all lines of a request are written by one instance.
+struct loss_ledger {
+    ledger_options options;
+    line_counts lines;
+    std::map<ledger_key, std::int64_t> requests;
+    std::map<std::string, first_try_account> first_tries; ///< By route.
+    /// Prompt tokens read again or for nothing, by reason.
+    std::map<std::string, double> tokens_read_again;
+    std::map<std::string, std::string> data_centres;    ///< By instance.
+    std::unordered_map<std::string, open_request> open; ///< By request ID.
+    std::deque<std::string> open_order; ///< Oldest first; may name ended ones.
+};
+
+/// Takes one line; what stands before its first brace is passed over.
+void take_line(loss_ledger& ledger, std::string_view line);
+
+/// Takes requests without an end for lost with their instance.
+void close_account(loss_ledger& ledger);
+
+} // namespace mintknot::losses
+
+#endif
--- /dev/null
+++ b/libs/losses/src/loss_ledger.cpp
@@ -0,0 +1,303 @@
+#include <mintknot/losses/loss_ledger.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace mintknot::losses {
+
+namespace {
+
+using nlohmann::json;
+
+/// A refusal within this time counts as given at once: one turn of the event
+/// loop under load.
+constexpr std::int64_t at_once_ms = 5;
+constexpr std::size_t shown_of_foreign_line = 80;
+
+constexpr std::array<std::pair<std::string_view, loss_cause>, 15> outcomes{{
+    {"no_capacity", loss_cause::no_room},
+    {"no_backend_server", loss_cause::no_server_reachable},
+    {"server_unreachable", loss_cause::no_server_reachable},
+    {"decode_broke_off", loss_cause::broken_by_server},
+    {"decode_silent", loss_cause::broken_by_server},
+    {"decode_rejected", loss_cause::no_room},
+    {"server_rejected", loss_cause::no_room},
+    {"server_broke_off", loss_cause::broken_by_server},
+    {"server_failure", loss_cause::servers_own_failure},
+    {"decode_failed", loss_cause::servers_own_failure},
+    {"bad_answer", loss_cause::servers_own_failure},
+    {"retry_allowance_spent", loss_cause::retry_allowance_spent},
+    {"deadline_passed", loss_cause::deadline_passed},
+    {"caller_left", loss_cause::caller_left},
+    {"answered", loss_cause::none},
+}};
+
+std::string text(const json& line, const char* field) {
+    const auto found = line.find(field);
+    return found != line.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string{};
+}
+
+std::int64_t whole(const json& line, const char* field) {
+    const auto found = line.find(field);
+    return found != line.end() && found->is_number()
+               ? found->get<std::int64_t>()
+               : 0;
+}
+
+bool flag(const json& line, const char* field) {
+    const auto found = line.find(field);
+    return found != line.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::int64_t window_of(const loss_ledger& ledger, std::int64_t at) {
+    return at / std::max<std::int64_t>(1, ledger.options.window.count());
+}
+
+std::string
+data_centre_of(const loss_ledger& ledger, const std::string& instance) {
+    const auto found = ledger.data_centres.find(instance);
+    return found == ledger.data_centres.end() ? "unknown" : found->second;
+}
+
+void count(loss_ledger& ledger, const open_request& request, loss_cause cause) {
+    ++ledger.requests[{
+        request.route, data_centre_of(ledger, request.instance),
+        window_of(ledger, request.at), cause}];
+}
+
+loss_cause cause_of_failure(std::string_view outcome) {
+    for (const auto& [name, cause] : outcomes)
+        if (name == outcome)
+            return cause;
+    return loss_cause::other;
+}
+
+/// Of a request that was answered after its target.
+loss_cause cause_of_lateness(const json& line, const open_request& request) {
+    if (request.reads > 1)
+        return loss_cause::late_by_second_read;
+    if (whole(line, "waited_ms") * 2 > whole(line, "first_byte_ms"))
+        return loss_cause::late_by_waiting;
+    return loss_cause::late_at_server;
+}
+
+loss_cause cause_of(const json& line, const open_request& request) {
+    const std::string outcome = text(line, "outcome");
+    if (outcome != "answered")
+        return cause_of_failure(outcome);
+    const std::int64_t target = whole(line, "target_ms");
+    if (target <= 0 || whole(line, "first_byte_ms") <= target)
+        return loss_cause::none;
+    return cause_of_lateness(line, request);
+}
+
+void note_first_try(
+    first_try_account& account, const json& line, loss_cause cause) {
+    ++account.first_tries;
+    const std::int64_t waited = whole(line, "waited_ms");
+    if (cause == loss_cause::none) {
+        ++account.in_target;
+    } else if (is_late(cause)) {
+        ++account.late;
+    } else if (whole(line, "sends") > 0) {
+        ++account.failed;
+    } else if (waited <= at_once_ms) {
+        ++account.refused_at_once;
+    } else {
+        ++account.held_and_refused;
+        account.held += base::milliseconds(waited);
+    }
+}
+
+void note_try(first_try_account& account, const json& line, loss_cause cause) {
+    if (!flag(line, "returned")) {
+        note_first_try(account, line, cause);
+        return;
+    }
+    ++account.returned;
+    if (cause != loss_cause::none && !is_late(cause))
+        ++account.returned_in_vain;
+}
+
+/// Of all reads of a request's prompt, one has served it if it was answered.
+void note_reads(
+    loss_ledger& ledger, const open_request& request, bool answered) {
+    const int in_vain = request.reads - (answered ? 1 : 0);
+    if (in_vain <= 0 || request.prompt_tokens <= 0.0)
+        return;
+    const std::string reason =
+        request.last_failure.empty() ? "not_answered" : request.last_failure;
+    ledger.tokens_read_again[reason] += in_vain * request.prompt_tokens;
+}
+
+void end_request(
+    loss_ledger& ledger, const open_request& request, loss_cause cause) {
+    count(ledger, request, cause);
+    note_reads(ledger, request, cause == loss_cause::none || is_late(cause));
+}
+
+void forget_oldest(loss_ledger& ledger) {
+    while (ledger.open.size() > ledger.options.most_open) {
+        const auto oldest = ledger.open.find(ledger.open_order.front());
+        ledger.open_order.pop_front();
+        if (oldest == ledger.open.end())
+            continue;
+        end_request(ledger, oldest->second, loss_cause::lost_with_instance);
+        ledger.open.erase(oldest);
+    }
+    // Names of requests that have ended are dropped once they are the most.
+    if (ledger.open_order.size() > 2 * ledger.options.most_open)
+        std::erase_if(ledger.open_order, [&](const std::string& id) {
+            return !ledger.open.contains(id);
+        });
+}
+
+open_request&
+request_of(loss_ledger& ledger, const json& line, const std::string& id) {
+    const auto [entry, fresh] = ledger.open.try_emplace(id);
+    open_request& request = entry->second;
+    if (fresh) {
+        request.instance = text(line, "instance");
+        request.at = whole(line, "at");
+        ledger.open_order.push_back(id);
+    }
+    if (request.route.empty())
+        request.route = text(line, "route");
+    return request;
+}
+
+void take_finished(
+    loss_ledger& ledger, const json& line, const std::string& id) {
+    const open_request request = request_of(ledger, line, id);
+    const loss_cause cause = cause_of(line, request);
+    end_request(ledger, request, cause);
+    note_try(ledger.first_tries[request.route], line, cause);
+    ledger.open.erase(id);
+}
+
+void take_refused(loss_ledger& ledger, const json& line) {
+    // What no route is for is not served anywhere; that is no loss.
+    if (text(line, "reason") == "no_route")
+        return;
+    open_request request;
+    request.route = "(none)";
+    request.instance = text(line, "instance");
+    request.at = whole(line, "at");
+    count(ledger, request, loss_cause::refused_at_the_door);
+}
+
+void take_send(
+    loss_ledger& ledger, const json& line, const std::string& event,
+    const std::string& id) {
+    open_request& request = request_of(ledger, line, id);
+    if (event == "prefill") {
+        ++request.reads;
+        request.prompt_tokens = static_cast<double>(whole(line, "tokens"));
+    } else if (event == "decode" && !flag(line, "with_result")) {
+        ++request.reads;
+    }
+}
+
+/// A line on a request may follow its end: it must not open it again.
+void take_failure(
+    loss_ledger& ledger, const json& line, const std::string& event,
+    const std::string& id) {
+    const auto found = ledger.open.find(id);
+    if (found == ledger.open.end())
+        return;
+    if (event == "decode_rejected")
+        found->second.last_failure = event;
+    else if (event == "prefill_again" || event == "resumed")
+        found->second.last_failure = text(line, "reason");
+}
+
+void take_event(loss_ledger& ledger, const json& line) {
+    const std::string event = text(line, "event");
+    const std::string id = text(line, "request");
+    if (event == "started")
+        ledger.data_centres[text(line, "instance")] = text(line, "data_centre");
+    else if (event == "refused")
+        take_refused(ledger, line);
+    else if (id.empty())
+        return;
+    else if (event == "finished")
+        take_finished(ledger, line, id);
+    else if (event == "prefill" || event == "decode" || event == "sent")
+        take_send(ledger, line, event, id);
+    else
+        take_failure(ledger, line, event, id);
+}
+
+} // namespace
+
+std::string_view to_string(loss_cause value) noexcept {
+    switch (value) {
+    case loss_cause::none:
+        return "in_target";
+    case loss_cause::no_room:
+        return "no_room";
+    case loss_cause::no_server_reachable:
+        return "no_server_reachable";
+    case loss_cause::broken_by_server:
+        return "broken_by_server";
+    case loss_cause::servers_own_failure:
+        return "servers_own_failure";
+    case loss_cause::lost_with_instance:
+        return "lost_with_instance";
+    case loss_cause::retry_allowance_spent:
+        return "retry_allowance_spent";
+    case loss_cause::deadline_passed:
+        return "deadline_passed";
+    case loss_cause::caller_left:
+        return "caller_left";
+    case loss_cause::refused_at_the_door:
+        return "refused_at_the_door";
+    case loss_cause::late_by_waiting:
+        return "late_by_waiting";
+    case loss_cause::late_by_second_read:
+        return "late_by_second_read";
+    case loss_cause::late_at_server:
+        return "late_at_server";
+    case loss_cause::other:
+        return "other";
+    }
+    return "other";
+}
+
+bool is_late(loss_cause value) noexcept {
+    return value == loss_cause::late_by_waiting ||
+           value == loss_cause::late_by_second_read ||
+           value == loss_cause::late_at_server;
+}
+
+void take_line(loss_ledger& ledger, std::string_view line) {
+    if (line.find_first_not_of(" \t\r") == std::string_view::npos)
+        return;
+    const std::size_t brace = line.find('{');
+    const json parsed = brace == std::string_view::npos
+                            ? json()
+                            : json::parse(line.substr(brace), nullptr, false);
+    if (!parsed.is_object() || text(parsed, "event").empty() ||
+        text(parsed, "instance").empty()) {
+        ++ledger.lines.foreign;
+        if (ledger.lines.first_foreign.empty())
+            ledger.lines.first_foreign = line.substr(0, shown_of_foreign_line);
+        return;
+    }
+    ++ledger.lines.read;
+    ledger.lines.left_out += whole(parsed, "left_out");
+    take_event(ledger, parsed);
+    forget_oldest(ledger);
+}
+
+void close_account(loss_ledger& ledger) {
+    for (const auto& [id, request] : ledger.open)
+        end_request(ledger, request, loss_cause::lost_with_instance);
+    ledger.open.clear();
+    ledger.open_order.clear();
+}
+
+} // namespace mintknot::losses
