Split the watch over the settings off the instance

Change: settings_watch reads the settings on a signal and every two seconds; a file that stays bad is told of once. Behaviour is otherwise the same.

--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "document_sync.hpp"
 #include "heartbeat_content.hpp"
+#include "settings_watch.hpp"
 
 #include <mintknot/base/random.hpp>
 #include <mintknot/base/rendezvous.hpp>
@@ -23,7 +24,6 @@
 namespace {
 
 constexpr base::milliseconds drain_poll{50};
-constexpr base::milliseconds reload_period{2000};
 constexpr base::milliseconds last_words{60};
 /// Instances that are assumed until more have been heard.
 constexpr std::size_t least_instances = 10;
@@ -88,7 +88,15 @@
               shared, ports.store, balancer_options(),
               [this] { return looks_after_orders(); })
         , drain_timer(ports.loop)
-        , reload_timer(ports.loop) {
+        , reloads(
+              ports.loop, log, ports.reload,
+              [this](const instance_settings& fresh) {
+                  return fresh.retry_bounds != shared.state.retry_bounds ||
+                         fresh.grace != settings.grace;
+              },
+              [this](const instance_settings& fresh, std::string_view cause) {
+                  take(fresh, cause);
+              }) {
         shared.state.retry_bounds = settings.retry_bounds;
         shared.state.instances = least_instances;
         shared.state.started = ports.loop.now();
@@ -290,38 +298,12 @@
 
     void on_signal(int number) {
         if (number == SIGHUP) {
-            reload("signal");
+            reloads.read("signal");
             return;
         }
         begin_drain();
     }
 
-    void reload(std::string_view cause) {
-        const auto fresh = ports.reload();
-        if (!fresh.ok()) {
-            log.write(
-                "reload_rejected",
-                {{"cause", cause},
-                 {"because", std::string_view(
-                                 fresh.status().message().data(),
-                                 fresh.status().message().size())}});
-            return;
-        }
-        take(*fresh, cause);
-    }
-
-    /// The settings file may change without a signal.
-    void watch_settings() {
-        reload_timer.start(reload_period, [this] {
-            const auto fresh = ports.reload();
-            if (fresh.ok() &&
-                (fresh->retry_bounds != shared.state.retry_bounds ||
-                 fresh->grace != settings.grace))
-                take(*fresh, "file");
-            watch_settings();
-        });
-    }
-
     void take(const instance_settings& fresh, std::string_view cause) {
         shared.state.retry_bounds = fresh.retry_bounds;
         settings.grace = fresh.grace;
@@ -384,7 +366,7 @@
     scheduling::remote_placer placer;
     orders::phase_balancer balancer;
     event::timer drain_timer;
-    event::timer reload_timer;
+    settings_watch reloads;
     bool calm = false; ///< The group has been large.
 };
 
@@ -406,7 +388,7 @@
                     {"entry", base::to_string(impl_->settings.entry)}});
     impl_->documents.start();
     impl_->balancer.start();
-    impl_->watch_settings();
+    impl_->reloads.start();
     return absl::OkStatus();
 }
 
