Ask again where a scheduler names a gone engine; foresee avoided ones

A scheduler that does not know yet that an engine leaves names it; the request then had no forecast and was refused at once. Where all engines are avoided for a moment (after rejections, say), nothing was foreseen either, and requests whose prompt had been read were given up.

Change: a placement that cannot be used is asked for again; an avoided engine counts in the forecast from the end of that time on.

--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -97,7 +97,12 @@
     const traffic::server* decode =
         traffic::find(owner_.state.servers, placed.server);
     if (decode == nullptr || decode->draining) {
-        wait_for_room(placed.room);
+        traffic::room_summary seen = placed.room;
+        // A scheduler that does not know yet that the engine leaves will name
+        // another one shortly.
+        if (!placed.server.empty())
+            seen.forecast.wait = base::milliseconds{0};
+        wait_for_room(seen);
         return;
     }
     placed_by_ = placed.by;
--- a/libs/relay/tests/test_generation_exchange.cpp
+++ b/libs/relay/tests/test_generation_exchange.cpp
@@ -191,6 +191,29 @@
     cr_assert(std::stoi(seen.field("Retry-After")) > 4000);
 }
 
+Test(generation_exchange, a_scheduler_that_names_a_gone_engine_is_asked_again) {
+    /// Names an engine that has gone, then one that is there.
+    class late_scheduler final : public placer {
+    public:
+        bool active() const override { return true; }
+        std::unique_ptr<placement_ticket>
+        ask(traffic::placement_query, placement_handler then) override {
+            traffic::placement placed;
+            placed.server = ++asked_ == 1 ? "gone" : "d";
+            then(placed);
+            return nullptr;
+        }
+
+    private:
+        int asked_ = 0;
+    };
+    relay_fixture f;
+    f.add_server("d", "llm", decode, good_decode());
+    late_scheduler scheduler;
+    f.shared.placement = &scheduler;
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+}
+
 Test(generation_exchange, those_who_wait_elsewhere_are_ahead) {
     relay_fixture f;
     f.add_server("d", "llm", decode, good_decode());
--- a/libs/traffic/include/mintknot/traffic/room_forecast.hpp
+++ b/libs/traffic/include/mintknot/traffic/room_forecast.hpp
@@ -12,8 +12,9 @@
 
 /// Memory of one decode engine, in tokens.
 struct engine_memory {
-    double free = 0.0; ///< Can be given out now.
-    double held = 0.0; ///< Reserved by requests that run.
+    double free = 0.0;               ///< Can be given out now.
+    double held = 0.0;               ///< Reserved by requests that run.
+    base::milliseconds usable_in{0}; ///< Until it is no longer avoided.
 };
 
 /// What is known of the room that a request waits for.
--- a/libs/traffic/include/mintknot/traffic/selection.hpp
+++ b/libs/traffic/include/mintknot/traffic/selection.hpp
@@ -96,7 +96,7 @@
     int engines = 0;        ///< That decode and take requests.
     int avoided = 0;        ///< Of them.
     double most_room = 0.0; ///< Free tokens of the emptiest other one.
-    room_forecast forecast; ///< Over those that are not avoided.
+    room_forecast forecast; ///< Over all of them.
 };
 
 room_summary
--- a/libs/traffic/include/mintknot/traffic/server_health.hpp
+++ b/libs/traffic/include/mintknot/traffic/server_health.hpp
@@ -90,6 +90,10 @@
 bool avoided(
     const health_view& view, const std::string& id, base::steady_time now);
 
+/// @return for how much longer a server is avoided; zero if it is not.
+base::milliseconds avoided_for(
+    const health_view& view, const std::string& id, base::steady_time now);
+
 /// @return how long ago the last call to any of the servers went well; zero if
 /// none ever did.
 base::milliseconds outage_age(
--- a/libs/traffic/src/room_forecast.cpp
+++ b/libs/traffic/src/room_forecast.cpp
@@ -16,10 +16,10 @@
 wait_at(const engine_memory& engine, double needed, double rate) {
     const double missing = needed - engine.free;
     if (missing <= 0.0)
-        return base::milliseconds{0};
+        return engine.usable_in;
     if (missing > engine.held || rate <= 0.0)
         return std::nullopt;
-    return time_for(missing, rate);
+    return std::max(engine.usable_in, time_for(missing, rate));
 }
 
 } // namespace
--- a/libs/traffic/src/selection.cpp
+++ b/libs/traffic/src/selection.cpp
@@ -271,13 +271,14 @@
         if (!decode_phase(engine->phase) || !in_scope(inputs, *engine))
             continue;
         ++summary.engines;
-        if (avoided(inputs.health, engine->id, inputs.now)) {
-            ++summary.avoided;
-            continue;
-        }
         const double held = total(inputs.loads, engine->id).memory_tokens;
-        summary.most_room = std::max(summary.most_room, memory - held);
-        memories.push_back({memory * wanted.memory_share - held, held});
+        memories.push_back(
+            {memory * wanted.memory_share - held, held,
+             avoided_for(inputs.health, engine->id, inputs.now)});
+        if (avoided(inputs.health, engine->id, inputs.now))
+            ++summary.avoided;
+        else
+            summary.most_room = std::max(summary.most_room, memory - held);
     }
     summary.forecast =
         forecast_room(memories, wanted.memory_tokens, inputs.mean_hold);
--- a/libs/traffic/src/server_health.cpp
+++ b/libs/traffic/src/server_health.cpp
@@ -202,6 +202,18 @@
                                    : found->second.avoid_until;
 }
 
+base::milliseconds avoided_for(
+    const health_view& view, const std::string& id, base::steady_time now) {
+    base::steady_time until = avoided_until(view, id);
+    for (const auto* times :
+         {&view.warned_until, &view.ordered_until, &view.peers_ordered_until}) {
+        const auto found = times->find(id);
+        if (found != times->end())
+            until = std::max(until, found->second);
+    }
+    return std::max(base::milliseconds{0}, base::time_left(until, now));
+}
+
 base::milliseconds outage_age(
     const health_view& view, const std::vector<const server*>& servers,
     base::steady_time now) {
--- a/libs/traffic/tests/test_room_forecast.cpp
+++ b/libs/traffic/tests/test_room_forecast.cpp
@@ -47,3 +47,9 @@
     cr_assert(std::abs(both.release_rate - 20.0) < 1e-9);
     cr_assert(joined({}, right).wait == base::milliseconds{100});
 }
+
+Test(room_forecast, an_engine_that_is_avoided_counts_from_then_on) {
+    const auto forecast = forecast_room(
+        {{5000.0, 0.0, base::milliseconds(400)}, {0.0, 4000.0}}, 3000.0, hold);
+    cr_assert(forecast.wait == base::milliseconds{400});
+}
--- a/libs/traffic/tests/test_selection.cpp
+++ b/libs/traffic/tests/test_selection.cpp
@@ -111,6 +111,19 @@
     cr_assert(select_decode(pool.inputs(), {}, {3000.0, 1.0, ""}) == nullptr);
 }
 
+Test(selection, room_at_an_avoided_engine_is_foreseen) {
+    small_pool pool;
+    pool.add_server("d1", engine_phase::decode);
+    pool.add_server("d2", engine_phase::decode);
+    add(pool.loads, "d1", {1, 0.0, 9900.0});
+    warn(pool.health, "d2", start + std::chrono::milliseconds(300), start);
+    selection_inputs inputs = pool.inputs();
+    inputs.mean_hold = base::milliseconds(60000);
+    const room_summary seen = summarize_room(inputs, {3000.0, 1.0, ""});
+    cr_assert(seen.engines == 2 && seen.avoided == 1);
+    cr_assert(seen.forecast.wait == base::milliseconds(300));
+}
+
 Test(selection, an_avoided_server_is_better_than_none) {
     small_pool pool;
     pool.add_server("d1", engine_phase::decode);
--- a/libs/traffic/tests/test_server_health.cpp
+++ b/libs/traffic/tests/test_server_health.cpp
@@ -119,3 +119,13 @@
     note(view, "b", call_result::unreachable, start + seconds(2));
     cr_assert(outage_age(view, servers, start + seconds(4)) == seconds(3));
 }
+
+Test(server_health, the_longest_reason_says_for_how_long_a_server_is_avoided) {
+    health_view view;
+    cr_assert(avoided_for(view, "s", start) == base::milliseconds{0});
+    warn(view, "s", start + seconds(1), start);
+    cr_assert(avoided_for(view, "s", start) == seconds(1));
+    note_change(view, "s", start + seconds(4));
+    cr_assert(avoided_for(view, "s", start) == seconds(4));
+    cr_assert(avoided_for(view, "s", start + seconds(9)).count() == 0);
+}
