--- a/libs/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/relay/include/mintknot/relay/router_state.hpp
@@ -11,7 +11,7 @@
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
-#include <mintknot/relay/waiting_line.hpp>
+#include <mintknot/relay/wait_queue.hpp>
 #include <mintknot/traffic/catalogue.hpp>
 #include <mintknot/traffic/load_view.hpp>
 #include <mintknot/traffic/phase_demand.hpp>
@@ -109,7 +109,7 @@
     relay_options options;
     router_state state{};
     placer* placement = nullptr; ///< Null: every request is placed here.
-    waiting_line line{loop};
+    wait_queue queue{loop};
     std::minstd_rand random{std::random_device{}()};
 
     double draw() {
--- a/libs/relay/include/mintknot/relay/waiting_line.hpp
+++ b/libs/relay/include/mintknot/relay/wait_queue.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Requests that wait for room, in the order in which they get it.
-#ifndef MINTKNOT_RELAY_WAITING_LINE_HPP
-#define MINTKNOT_RELAY_WAITING_LINE_HPP
+#ifndef MINTKNOT_RELAY_WAIT_QUEUE_HPP
+#define MINTKNOT_RELAY_WAIT_QUEUE_HPP
 
 #include <mintknot/event/loop.hpp>
 
@@ -16,45 +16,45 @@
 
 /// Who goes first: whoever can still meet its target, then the more urgent
 /// route, then the earlier arrival.
-struct line_rank {
+struct queue_rank {
     bool late = false; ///< An answer in time is no longer expected.
     int priority = 0;  ///< Of the route, 0 is the highest.
     base::steady_time arrived{};
 
-    auto operator<=>(const line_rank&) const = default;
+    auto operator<=>(const queue_rank&) const = default;
 };
 
 /// Wakes the requests that wait at this instance, best rank first, when room
 /// may have been set free. Used on the loop's thread only.
-class waiting_line {
+class wait_queue {
 public:
-    /// Keeps a place in the line; the place goes with it.
-    class place {
+    /// Keeps a place in the queue; the place goes with it.
+    class ticket {
     public:
-        virtual ~place() = default;
+        virtual ~ticket() = default;
     };
 
-    explicit waiting_line(event::loop& loop);
-    ~waiting_line();
-    waiting_line(const waiting_line&) = delete;
-    waiting_line& operator=(const waiting_line&) = delete;
+    explicit wait_queue(event::loop& loop);
+    ~wait_queue();
+    wait_queue(const wait_queue&) = delete;
+    wait_queue& operator=(const wait_queue&) = delete;
 
-    /// Joins the line of a service.
+    /// Joins the queue of a service.
     /// @param tokens of memory that the request needs.
     /// @param try_again called once, from the loop; the place is given up then.
-    std::unique_ptr<place> join(
-        const std::string& service, const line_rank& rank, double tokens,
+    std::unique_ptr<ticket> join(
+        const std::string& service, const queue_rank& rank, double tokens,
         std::function<void()> try_again);
 
-    /// Room may have been set free somewhere: wakes the line shortly.
+    /// Room may have been set free somewhere: wakes the queue shortly.
     void room_freed();
-    /// Wakes the line no more often than that from now on: where each try is a
+    /// Wakes the queue no more often than that from now on: where each try is a
     /// message to another instance.
     void slow_down(base::milliseconds least_gap);
 
     /// @return the tokens that requests of a better rank wait for.
     double
-    tokens_ahead(const std::string& service, const line_rank& rank) const;
+    tokens_ahead(const std::string& service, const queue_rank& rank) const;
     /// @return the tokens that all wait for, by service.
     std::map<std::string, double> waiting() const;
 
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -36,7 +36,7 @@
 
 void generation_exchange::cancel_calls() {
     placement_.reset();
-    place_in_line_.reset();
+    queue_ticket_.reset();
     wait_timer_.stop();
     silence_timer_.stop();
     end_prefill();
@@ -147,7 +147,7 @@
     const unplaced_request unplaced = describe_unplaced();
     // A stream that has begun is worth waiting for, whatever is foreseen.
     if (head_sent_ || should_wait(unplaced, expected, start)) {
-        join_line(!can_meet_target(unplaced, expected, start));
+        join_queue(!can_meet_target(unplaced, expected, start));
         return;
     }
     log_room(seen, expected);
@@ -173,20 +173,20 @@
     return unplaced;
 }
 
-line_rank generation_exchange::rank(bool late) const {
+queue_rank generation_exchange::rank(bool late) const {
     return {late, route_.priority, request_.arrived};
 }
 
 std::optional<base::milliseconds> generation_exchange::expected_wait(
     const traffic::room_forecast& forecast) const {
     const double ahead =
-        owner_.line.tokens_ahead(service_.name, rank(false)) +
+        owner_.queue.tokens_ahead(service_.name, rank(false)) +
         tokens_ahead_elsewhere(owner_.state, service_.name, owner_.loop.now());
     return traffic::wait_behind(forecast, ahead);
 }
 
-void generation_exchange::join_line(bool late) {
-    place_in_line_ = owner_.line.join(
+void generation_exchange::join_queue(bool late) {
+    queue_ticket_ = owner_.queue.join(
         service_.name, rank(late), memory_needed(), [this] { place(); });
 }
 
--- a/libs/relay/src/generation_exchange.hpp
+++ b/libs/relay/src/generation_exchange.hpp
@@ -42,7 +42,7 @@
     /// engine would miss the target. Against half of the target it raised worth
     /// by 0.011, 0.008 and 0.018 (thirty plays each on three deployments).
     base::milliseconds read_limit() const;
-    /// Places the request, or joins the line.
+    /// Places the request, or joins the queue.
     void place();
     void on_placed(const traffic::placement& placed);
     /// @param seen by the last choice.
@@ -50,11 +50,11 @@
     /// Engines are there, but too many connections have failed in a row.
     void wait_for_connection();
     unplaced_request describe_unplaced() const;
-    line_rank rank(bool late) const;
+    queue_rank rank(bool late) const;
     /// @return the wait behind all that go before.
     std::optional<base::milliseconds>
     expected_wait(const traffic::room_forecast& forecast) const;
-    void join_line(bool late);
+    void join_queue(bool late);
     /// @return what a refusal tells the caller.
     base::milliseconds come_back(
         const traffic::room_forecast& forecast,
@@ -136,7 +136,7 @@
     int rejected_ = 0;
     int unreachable_ = 0;
 
-    std::unique_ptr<waiting_line::place> place_in_line_;
+    std::unique_ptr<wait_queue::ticket> queue_ticket_;
     event::timer wait_timer_;
     event::timer silence_timer_;
 };
--- a/libs/relay/src/router_state.cpp
+++ b/libs/relay/src/router_state.cpp
@@ -37,7 +37,7 @@
     const traffic::server_load& load) {
     traffic::remove(owner.state.loads, server_id, load);
     tell_load_change(owner);
-    owner.line.room_freed();
+    owner.queue.room_freed();
 }
 
 void note_result(
--- a/libs/relay/src/waiting_line.cpp
+++ b/libs/relay/src/wait_queue.cpp
@@ -1,4 +1,4 @@
-#include <mintknot/relay/waiting_line.hpp>
+#include <mintknot/relay/wait_queue.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -16,14 +16,14 @@
 
 struct waiter {
     std::string service;
-    line_rank rank;
+    queue_rank rank;
     double tokens = 0.0;
     std::function<void()> try_again;
 };
 
 } // namespace
 
-struct waiting_line::impl {
+struct wait_queue::impl {
     explicit impl(event::loop& owner)
         : loop(owner)
         , timer(owner) {}
@@ -70,53 +70,53 @@
     bool woken = false; ///< A wake-up is under way.
 };
 
-waiting_line::waiting_line(event::loop& loop)
+wait_queue::wait_queue(event::loop& loop)
     : impl_(std::make_shared<impl>(loop)) {}
 
-waiting_line::~waiting_line() = default;
+wait_queue::~wait_queue() = default;
 
-std::unique_ptr<waiting_line::place> waiting_line::join(
-    const std::string& service, const line_rank& rank, double tokens,
+std::unique_ptr<wait_queue::ticket> wait_queue::join(
+    const std::string& service, const queue_rank& rank, double tokens,
     std::function<void()> try_again) {
-    class kept_place final : public place {
+    class kept_ticket final : public ticket {
     public:
-        kept_place(std::weak_ptr<impl> line, std::uint64_t number)
-            : line_(std::move(line))
+        kept_ticket(std::weak_ptr<impl> queue, std::uint64_t number)
+            : queue_(std::move(queue))
             , number_(number) {}
-        ~kept_place() override {
-            if (const auto line = line_.lock())
-                line->waiters.erase(number_);
+        ~kept_ticket() override {
+            if (const auto queue = queue_.lock())
+                queue->waiters.erase(number_);
         }
 
     private:
-        std::weak_ptr<impl> line_;
+        std::weak_ptr<impl> queue_;
         std::uint64_t number_;
     };
     const std::uint64_t number = ++impl_->last_number;
     impl_->waiters.emplace(
         number, waiter{service, rank, tokens, std::move(try_again)});
     impl_->arm();
-    return std::make_unique<kept_place>(impl_, number);
+    return std::make_unique<kept_ticket>(impl_, number);
 }
 
-void waiting_line::room_freed() {
+void wait_queue::room_freed() {
     if (impl_->woken || impl_->waiters.empty() ||
         impl_->loop.now() - impl_->last_wake < impl_->least_gap)
         return;
     impl_->woken = true;
-    impl_->loop.post([line = std::weak_ptr<impl>(impl_)] {
-        if (const auto alive = line.lock())
+    impl_->loop.post([queue = std::weak_ptr<impl>(impl_)] {
+        if (const auto alive = queue.lock())
             alive->wake();
     });
 }
 
-void waiting_line::slow_down(base::milliseconds least_gap) {
+void wait_queue::slow_down(base::milliseconds least_gap) {
     impl_->least_gap = least_gap;
     impl_->period = std::max(default_period, least_gap);
 }
 
-double waiting_line::tokens_ahead(
-    const std::string& service, const line_rank& rank) const {
+double wait_queue::tokens_ahead(
+    const std::string& service, const queue_rank& rank) const {
     double sum = 0.0;
     for (const auto& [number, entry] : impl_->waiters)
         if (entry.service == service && entry.rank < rank)
@@ -124,7 +124,7 @@
     return sum;
 }
 
-std::map<std::string, double> waiting_line::waiting() const {
+std::map<std::string, double> wait_queue::waiting() const {
     std::map<std::string, double> sums;
     for (const auto& [number, entry] : impl_->waiters)
         sums[entry.service] += entry.tokens;
--- a/libs/relay/tests/test_waiting_line.cpp
+++ b/libs/relay/tests/test_wait_queue.cpp
@@ -1,4 +1,4 @@
-#include <mintknot/relay/waiting_line.hpp>
+#include <mintknot/relay/wait_queue.hpp>
 
 #include <criterion/criterion.h>
 
@@ -12,11 +12,11 @@
 
 const base::steady_time start = base::steady_time{} + std::chrono::hours(1);
 
-/// A line whose requests write down the order in which they are woken.
-struct kept_line {
-    std::unique_ptr<waiting_line::place>
-    join(const std::string& name, const line_rank& rank, double tokens = 10.0) {
-        return line.join("llm", rank, tokens, [this, name] {
+/// A queue whose requests write down the order in which they are woken.
+struct kept_queue {
+    std::unique_ptr<wait_queue::ticket> join(
+        const std::string& name, const queue_rank& rank, double tokens = 10.0) {
+        return queue.join("llm", rank, tokens, [this, name] {
             order.push_back(name);
             if (order.size() == expected)
                 loop.stop();
@@ -28,7 +28,7 @@
     }
 
     event::loop loop;
-    waiting_line line{loop};
+    wait_queue queue{loop};
     std::vector<std::string> order;
     std::size_t expected = 0;
 };
@@ -37,8 +37,8 @@
 
 } // namespace
 
-Test(waiting_line, who_can_meet_its_target_goes_first) {
-    kept_line kept;
+Test(wait_queue, who_can_meet_its_target_goes_first) {
+    kept_queue kept;
     const auto late = kept.join("late", {true, 0, start});
     const auto second =
         kept.join("second", {false, 1, start + std::chrono::seconds(2)});
@@ -46,13 +46,13 @@
         kept.join("first", {false, 1, start + std::chrono::seconds(1)});
     const auto urgent =
         kept.join("urgent", {false, 0, start + std::chrono::seconds(3)});
-    kept.line.room_freed();
+    kept.queue.room_freed();
     kept.run_until_woken(4);
     cr_assert(kept.order == names({"urgent", "first", "second", "late"}));
 }
 
-Test(waiting_line, who_leaves_is_not_woken) {
-    kept_line kept;
+Test(wait_queue, who_leaves_is_not_woken) {
+    kept_queue kept;
     auto gone = kept.join("gone", {false, 0, start});
     const auto stays = kept.join("stays", {false, 1, start});
     gone.reset();
@@ -60,11 +60,11 @@
     cr_assert(kept.order == names({"stays"}));
 }
 
-Test(waiting_line, one_that_ends_another_does_no_harm) {
-    kept_line kept;
-    std::unique_ptr<waiting_line::place> ended =
+Test(wait_queue, one_that_ends_another_does_no_harm) {
+    kept_queue kept;
+    std::unique_ptr<wait_queue::ticket> ended =
         kept.join("ended", {false, 2, start});
-    const auto first = kept.line.join("llm", {false, 0, start}, 1.0, [&] {
+    const auto first = kept.queue.join("llm", {false, 0, start}, 1.0, [&] {
         ended.reset();
         kept.order.push_back("first");
     });
@@ -73,19 +73,19 @@
     cr_assert(kept.order == names({"first", "last"}));
 }
 
-Test(waiting_line, nobody_is_forgotten_where_no_room_is_told_of) {
-    kept_line kept;
+Test(wait_queue, nobody_is_forgotten_where_no_room_is_told_of) {
+    kept_queue kept;
     const auto only = kept.join("only", {false, 0, start});
     kept.run_until_woken(1);
     cr_assert(kept.order == names({"only"}));
 }
 
-Test(waiting_line, counts_the_tokens_of_those_in_front) {
-    kept_line kept;
+Test(wait_queue, counts_the_tokens_of_those_in_front) {
+    kept_queue kept;
     const auto first = kept.join("first", {false, 0, start}, 300.0);
     const auto late = kept.join("late", {true, 0, start}, 500.0);
-    const line_rank next{false, 0, start + std::chrono::seconds(1)};
-    cr_assert(kept.line.tokens_ahead("llm", next) == 300.0);
-    cr_assert(kept.line.tokens_ahead("other", next) == 0.0);
-    cr_assert(kept.line.waiting().at("llm") == 800.0);
+    const queue_rank next{false, 0, start + std::chrono::seconds(1)};
+    cr_assert(kept.queue.tokens_ahead("llm", next) == 300.0);
+    cr_assert(kept.queue.tokens_ahead("other", next) == 0.0);
+    cr_assert(kept.queue.waiting().at("llm") == 800.0);
 }
--- a/libs/runtime/src/heartbeat_content.cpp
+++ b/libs/runtime/src/heartbeat_content.cpp
@@ -28,7 +28,7 @@
         own.usage[service] = traffic::usage(allowance, state.retry_bounds, now);
     if (with_loads)
         own.loads = state.loads.own;
-    own.waiting = router.line.waiting();
+    own.waiting = router.queue.waiting();
     own.warnings = traffic::own_warnings(state.health, now);
     for (const auto& [id, until] : state.health.ordered_until)
         if (until > now)
--- a/libs/runtime/src/instance.cpp
+++ b/libs/runtime/src/instance.cpp
@@ -136,7 +136,7 @@
             return;
         if (changed)
             traffic::end_change(shared.state.health, id);
-        shared.line.room_freed();
+        shared.queue.room_freed();
         if (gone) {
             pool.drop(id);
             traffic::forget(shared.state.health, id);
@@ -224,7 +224,7 @@
         if (!calm && placer.active()) {
             calm = true;
             documents.read_calmly();
-            shared.line.slow_down(gap_of_questions);
+            shared.queue.slow_down(gap_of_questions);
         }
         documents.on_heartbeat(host, heartbeat);
     }
