--- a/libs/relay/include/mintknot/relay/admission.hpp
+++ b/libs/relay/include/mintknot/relay/admission.hpp
@@ -32,7 +32,7 @@
     base::milliseconds waited{0};    ///< Since its arrival.
     base::milliseconds target{0};    ///< Of its first event.
     base::milliseconds time_left{0}; ///< Until its deadline.
-    bool begun = false;              ///< An engine has read its prompt.
+    bool begun = false;              ///< An engine has worked for it.
 };
 
 /// @return true if an answer is still expected in time for the target.
--- a/libs/relay/src/generation_exchange.cpp
+++ b/libs/relay/src/generation_exchange.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Pause after some connections in a row have failed: a third of the shortest
-/// time for which a server is avoided that could not be reached.
+/// Pause after some connections in a row have failed: short against the time
+/// for which a server is avoided that could not be reached.
 constexpr base::milliseconds unreachable_pause{100};
 /// In a log line: no room was to be foreseen.
 constexpr base::milliseconds not_foreseen{-1};
--- a/libs/runtime/src/heartbeat_content.cpp
+++ b/libs/runtime/src/heartbeat_content.cpp
@@ -41,9 +41,8 @@
     const peers::heartbeat& heartbeat) {
     relay::router_state& state = router.state;
     const base::steady_time now = router.loop.now();
-    if (heartbeat.loads) {
+    if (heartbeat.loads)
         traffic::set_peer(state.loads, host, *heartbeat.loads, now);
-    }
     relay::note_waiting(state, host, heartbeat.waiting, now);
     relay::note_retries(
         state, host, heartbeat.incarnation, heartbeat.usage, now);
--- a/libs/runtime/src/settings_watch.cpp
+++ b/libs/runtime/src/settings_watch.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// A change that no signal tells of is in force within this time. The file is
-/// small and read from memory: reading it takes under a millisecond.
+/// A change that no signal tells of is in force within this time.
 constexpr base::milliseconds period{2000};
 
 } // namespace
--- a/libs/traffic/src/server_health.cpp
+++ b/libs/traffic/src/server_health.cpp
@@ -185,14 +185,26 @@
     return warnings;
 }
 
+namespace {
+
+/// @return when no own experience, peer's warning or order speaks against the
+/// server any more.
+base::steady_time usable_from(const health_view& view, const std::string& id) {
+    base::steady_time until = avoided_until(view, id);
+    for (const auto* times :
+         {&view.warned_until, &view.ordered_until, &view.peers_ordered_until}) {
+        const auto found = times->find(id);
+        if (found != times->end())
+            until = std::max(until, found->second);
+    }
+    return until;
+}
+
+} // namespace
+
 bool avoided(
     const health_view& view, const std::string& id, base::steady_time now) {
-    if (avoided_until(view, id) > now)
-        return true;
-    if (changing(view, id, now))
-        return true;
-    const auto warned = view.warned_until.find(id);
-    return warned != view.warned_until.end() && warned->second > now;
+    return usable_from(view, id) > now;
 }
 
 base::steady_time
@@ -204,14 +216,8 @@
 
 base::milliseconds avoided_for(
     const health_view& view, const std::string& id, base::steady_time now) {
-    base::steady_time until = avoided_until(view, id);
-    for (const auto* times :
-         {&view.warned_until, &view.ordered_until, &view.peers_ordered_until}) {
-        const auto found = times->find(id);
-        if (found != times->end())
-            until = std::max(until, found->second);
-    }
-    return std::max(base::milliseconds{0}, base::time_left(until, now));
+    return std::max(
+        base::milliseconds{0}, base::time_left(usable_from(view, id), now));
 }
 
 base::milliseconds outage_age(
