Large groups keep the retry bound by parts and loans, not by late news

Cause: in a group of dozens an instance spent what peers had left by their last heartbeat, which is a second old or more. Two more holes came up with 295 and 400 instances: repeats saved up from requests, four an instance, are more than the extra; and an instance that starts in a large group takes itself for one of ten.

Ruled out: spending by extrapolated news (a skewed load breaks it); a part by data centre first (heartbeats of 59 instances are as late); grants by the domain's scheduler (it can be lost, and repeats are spent synchronously).

Change: in groups of more than 24 an instance spends, strictly within the sliding window, the ratio of its own requests and an equal part of the extra; who needs more asks four peers, who lend half of what they have left and count it for as long as the borrower may use it and a window more. The borrower counts from before it asked: late, lost, doubled datagrams and restarts can only waste a loan. Nothing is sent while nothing is repeated; older instances ignore the datagrams. Small groups keep their rule (news there is 60 ms old), but earn nothing of the extra in the first two seconds.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/retry_allowance.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/retry_allowance.hpp
@@ -1,13 +1,20 @@
 /// @file
 /// How many repeated sends an instance may make for a service.
 ///
-/// Inputs: own requests and repeats, exact; those of peers as they last told,
-/// which is some 60 ms to a second ago, in very large groups several seconds.
-/// Guards the bound that the users set for all instances together. Against own
-/// parts alone, sharing what others leave changed worth by 0.016 at most (ten
-/// plays or more each on three deployments); it matters where one instance
-/// meets the trouble. Metric: `mintknot_repeats_total`; refusals that it causes
-/// have the reason `retry_allowance_spent`.
+/// Guards the bound that the users set for all instances together. Two rules,
+/// by the size of the group (policy/group.hpp):
+///
+/// - Small groups: an instance spends its own part, and of what peers leave as
+///   much as their last heartbeats show, some 60 ms ago. Against own parts
+///   alone this changed worth by 0.016 at most (ten plays or more each on three
+///   deployments); it matters where one instance meets the trouble.
+/// - Large groups (repeat_rights.hpp): heartbeats are up to several seconds old
+///   there, and all instances together would spend the same remainder in the
+///   meantime. Only the own part is spent, and what a peer has lent.
+///
+/// Metrics: `mintknot_repeats_total`, `mintknot_repeats_lent`,
+/// `mintknot_repeats_borrowed`; refusals that it causes have the reason
+/// `retry_allowance_spent`.
 #ifndef MINTKNOT_POLICY_RETRY_ALLOWANCE_HPP
 #define MINTKNOT_POLICY_RETRY_ALLOWANCE_HPP
 
@@ -18,6 +25,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace mintknot::policy {
 
@@ -46,13 +54,22 @@
     std::size_t heard = 0; ///< Peers that are heard at present.
 };
 
-/// Counts over a sliding window, in steps.
+/// Counts over a sliding window, in steps of a tenth of it.
 struct usage_window {
-    static constexpr std::size_t steps = 10;
+    static constexpr std::size_t steps_in_window = 10;
+    /// One more than the window has: the newest step is not over yet, so that
+    /// a whole window reaches into this many.
+    static constexpr std::size_t steps = steps_in_window + 1;
     std::array<retry_usage, steps> counts{};
     std::int64_t newest_step = 0;
 };
 
+/// Repeats that one instance has lent to another.
+struct repeat_loan {
+    int repeats = 0;
+    base::steady_time until{}; ///< Counts, or may be spent, up to then.
+};
+
 /// One instance's part of the bound. It needs no coordination: an instance
 /// may always spend what its own requests earn and an equal part of the
 /// extra. What peers leave unused may be spent on top, in proportion to how
@@ -64,6 +81,9 @@
     double shared = 0.0; ///< From the part of the extra.
     base::steady_time refilled{};
     usage_window used;
+    usage_window on_loan; ///< The part of `used` that peers had lent.
+    std::vector<repeat_loan> borrowed;
+    std::vector<repeat_loan> lent;
 };
 
 /// What a decision about a repeat looks at beside the own allowance.
@@ -83,7 +103,8 @@
     retry_allowance& allowance, const retry_bounds& bounds,
     const spend_terms& terms, base::steady_time now);
 
-/// @return what was used within the last window.
+/// @return what was used within the last window; its oldest step may be cut
+/// short.
 retry_usage usage(
     const retry_allowance& allowance, const retry_bounds& bounds,
     base::steady_time now);
--- a/libs/mintknotd-platform/policy/src/retry_allowance.cpp
+++ b/libs/mintknotd-platform/policy/src/retry_allowance.cpp
@@ -1,5 +1,9 @@
 #include <mintknot/policy/retry_allowance.hpp>
 
+#include <mintknot/policy/group.hpp>
+#include <mintknot/policy/repeat_rights.hpp>
+#include <mintknot/policy/usage_steps.hpp>
+
 #include <algorithm>
 
 namespace mintknot::policy {
@@ -22,13 +26,21 @@
 /// measured.
 constexpr double stop_share = 0.75;
 
+/// After its start an instance earns nothing of the extra until it has heard
+/// whether the group is large: it begins with the part of ten, which 295 that
+/// start at once would all have.
+constexpr base::milliseconds hearing_time{2000};
+
 void refill(
     retry_allowance& allowance, const retry_bounds& bounds,
     const spend_terms& terms, base::steady_time now) {
     const double part =
         bounds.extra * used_share /
         static_cast<double>(std::max<std::size_t>(terms.instances, 1));
-    const base::steady_time since = std::max(allowance.refilled, terms.started);
+    const base::steady_time since =
+        std::max(allowance.refilled, terms.started + hearing_time);
+    if (now <= since)
+        return;
     const double passed = std::chrono::duration<double>(now - since) /
                           std::chrono::duration<double>(bounds.window);
     allowance.shared = std::min(
@@ -50,28 +62,6 @@
     return whole * common_share * std::min(1.0, heard_share);
 }
 
-std::int64_t step_of(const retry_bounds& bounds, base::steady_time now) {
-    const auto step = std::max<std::int64_t>(
-        1,
-        bounds.window.count() / static_cast<std::int64_t>(usage_window::steps));
-    return std::chrono::duration_cast<base::milliseconds>(
-               now.time_since_epoch())
-               .count() /
-           step;
-}
-
-/// @return the counts of the step that `now` falls in.
-retry_usage& current(
-    usage_window& window, const retry_bounds& bounds, base::steady_time now) {
-    const std::int64_t step = step_of(bounds, now);
-    const auto size = static_cast<std::int64_t>(usage_window::steps);
-    for (std::int64_t fresh = std::max(window.newest_step + 1, step - size + 1);
-         fresh <= step; ++fresh)
-        window.counts[static_cast<std::size_t>(fresh % size)] = {};
-    window.newest_step = std::max(window.newest_step, step);
-    return window.counts[static_cast<std::size_t>(step % size)];
-}
-
 bool take_own_part(retry_allowance& allowance) {
     if (allowance.earned >= 1.0) {
         allowance.earned -= 1.0;
@@ -90,12 +80,14 @@
     retry_allowance& allowance, const retry_bounds& bounds,
     base::steady_time now) {
     allowance.earned = std::min(max_earned, allowance.earned + bounds.ratio);
-    ++current(allowance.used, bounds, now).requests;
+    ++newest(allowance.used, bounds, now).requests;
 }
 
 bool spend(
     retry_allowance& allowance, const retry_bounds& bounds,
     const spend_terms& terms, base::steady_time now) {
+    if (is_large(terms.instances))
+        return spend_right(allowance, bounds, terms, now);
     refill(allowance, bounds, terms, now);
     const retry_usage mine = usage(allowance, bounds, now);
     const retry_usage& theirs = terms.fleet.peers;
@@ -109,21 +101,14 @@
         repeats < common_repeats(bounds, terms, whole, now);
     if (!take_own_part(allowance) && !common_left)
         return false;
-    ++current(allowance.used, bounds, now).repeats;
+    ++newest(allowance.used, bounds, now).repeats;
     return true;
 }
 
 retry_usage usage(
     const retry_allowance& allowance, const retry_bounds& bounds,
     base::steady_time now) {
-    usage_window window = allowance.used;
-    current(window, bounds, now);
-    retry_usage sum;
-    for (const retry_usage& step : window.counts) {
-        sum.requests += step.requests;
-        sum.repeats += step.repeats;
-    }
-    return sum;
+    return sums(allowance.used, bounds, now).within;
 }
 
 } // namespace mintknot::policy
--- /dev/null
+++ b/libs/mintknotd-platform/policy/src/usage_steps.cpp
@@ -0,0 +1,58 @@
+#include <mintknot/policy/usage_steps.hpp>
+
+#include <algorithm>
+
+namespace mintknot::policy {
+
+namespace {
+
+constexpr auto ring = static_cast<std::int64_t>(usage_window::steps);
+constexpr auto whole_steps =
+    static_cast<std::int64_t>(usage_window::steps_in_window);
+
+std::int64_t step_of(const retry_bounds& bounds, base::steady_time now) {
+    const std::int64_t length =
+        std::max<std::int64_t>(1, bounds.window.count() / whole_steps);
+    const auto passed =
+        std::chrono::duration_cast<base::milliseconds>(now.time_since_epoch());
+    return passed.count() / length;
+}
+
+retry_usage& at(usage_window& window, std::int64_t step) {
+    return window.counts[static_cast<std::size_t>(step % ring)];
+}
+
+void add(retry_usage& sum, const retry_usage& step) {
+    sum.requests += step.requests;
+    sum.repeats += step.repeats;
+}
+
+} // namespace
+
+retry_usage& newest(
+    usage_window& window, const retry_bounds& bounds, base::steady_time now) {
+    const std::int64_t step = step_of(bounds, now);
+    const std::int64_t oldest = step - ring + 1;
+    for (std::int64_t fresh = std::max(window.newest_step + 1, oldest);
+         fresh <= step; ++fresh)
+        at(window, fresh) = {};
+    window.newest_step = std::max(window.newest_step, step);
+    return at(window, step);
+}
+
+window_sums sums(
+    const usage_window& window, const retry_bounds& bounds,
+    base::steady_time now) {
+    usage_window copy = window;
+    newest(copy, bounds, now);
+    const std::int64_t oldest = copy.newest_step - ring + 1;
+    window_sums result;
+    for (std::int64_t step = oldest; step <= copy.newest_step; ++step) {
+        add(result.touched, at(copy, step));
+        if (step > oldest)
+            add(result.within, at(copy, step));
+    }
+    return result;
+}
+
+} // namespace mintknot::policy
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -82,6 +82,8 @@
         waiting_of_peers; ///< By host.
     /// Called when own loads or health have changed.
     std::function<void()> on_load_change;
+    /// Called when so many more repeats of a service may soon be needed here.
+    std::function<void(const std::string& service, int repeats)> on_repeats_low;
     /// Called when an engine is about to be ordered to change its phase.
     std::function<void()> on_order;
 };
@@ -146,6 +148,10 @@
 base::milliseconds
 return_after_outage(const router_context& context, const std::string& service);
 
+/// @return what a decision about a repeat looks at.
+policy::spend_terms
+spend_terms_for(const router_context& context, const std::string& service);
+
 /// @return true if one more send for the service is within the allowance.
 bool spend_repeat(router_context& context, const std::string& service);
 
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -2,6 +2,7 @@
 
 #include <mintknot/policy/group.hpp>
 #include <mintknot/policy/queue_order.hpp>
+#include <mintknot/policy/repeat_rights.hpp>
 
 #include <utility>
 
@@ -110,13 +111,24 @@
     return policy::return_after_outage(age);
 }
 
+policy::spend_terms
+spend_terms_for(const router_context& context, const std::string& service) {
+    const base::steady_time now = context.loop.now();
+    return {
+        context.state.instances, fleet_usage_of(context.state, service, now),
+        context.state.started};
+}
+
 bool spend_repeat(router_context& context, const std::string& service) {
     const base::steady_time now = context.loop.now();
-    return policy::spend(
-        context.state.allowances[service], context.state.retry_bounds,
-        {context.state.instances, fleet_usage_of(context.state, service, now),
-         context.state.started},
-        now);
+    policy::retry_allowance& allowance = context.state.allowances[service];
+    const policy::retry_bounds& bounds = context.state.retry_bounds;
+    const policy::spend_terms terms = spend_terms_for(context, service);
+    const bool allowed = policy::spend(allowance, bounds, terms, now);
+    const int wanted = policy::repeats_to_borrow(allowance, bounds, terms, now);
+    if (wanted > 0 && context.state.on_repeats_low)
+        context.state.on_repeats_low(service, wanted);
+    return allowed;
 }
 
 std::unique_ptr<placement_ticket> place_request(
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -47,6 +47,8 @@
         {"peers", gauge(group.table().heard.size())},
         {"store_silence_seconds", silence.count()},
         {"configuration_version", gauge(version)},
+        {"repeats_lent", static_cast<double>(lending.lent())},
+        {"repeats_borrowed", static_cast<double>(lending.borrowed())},
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
         metrics.set_gauge(name, value);
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RUNTIME_INSTANCE_IMPL_HPP
 
 #include "document_sync.hpp"
+#include "repeat_lending.hpp"
 #include "settings_watch.hpp"
 
 #include <mintknot/orders/phase_balancer.hpp>
@@ -24,6 +25,7 @@
         const std::string& id, std::uint64_t version,
         std::optional<traffic::server> server);
     scheduling::placer_ports placer_functions();
+    lending_ports lending_functions();
     std::vector<std::string>
     scheduler_hosts(const std::string& data_centre) const;
     bool uses_schedulers() const;
@@ -61,6 +63,7 @@
     document_sync documents;
     peers::peer_group group;
     scheduling::remote_placer placer;
+    repeat_lending lending;
     orders::phase_balancer balancer;
     event::timer drain_timer;
     settings_watch reloads;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -61,6 +61,7 @@
           {settings.peer, settings.data_centre, settings.seed_hosts},
           group_functions())
     , placer(context, placer_functions())
+    , lending(context, lending_functions())
     , balancer(
           context, ports.store, balancer_options(),
           [this] { return looks_after_phases(); })
@@ -78,6 +79,10 @@
     context.state.instances = policy::assumed_instances(1);
     context.state.started = ports.loop.now();
     context.placement = &placer;
+    context.state.on_repeats_low =
+        [this](const std::string& service, int repeats) {
+            lending.ask(service, repeats);
+        };
     context.state.on_order = [this] { group.changed(); };
     context.state.on_load_change = [this] {
         if (placer.active())
@@ -134,6 +139,14 @@
         [this] { return uses_schedulers(); }};
 }
 
+lending_ports instance::impl::lending_functions() {
+    return {
+        [this](const std::string& host, const std::string& datagram) {
+            group.send(host, datagram);
+        },
+        [this] { return peers::staying(group.table(), {}); }};
+}
+
 std::vector<std::string>
 instance::impl::scheduler_hosts(const std::string& data_centre) const {
     std::vector<std::string> hosts = peers::staying(group.table(), data_centre);
@@ -161,7 +174,8 @@
             on_heartbeat(host, heartbeat);
         },
         [this](const std::string& host, std::string_view datagram) {
-            placer.receive(host, datagram);
+            if (!lending.receive(host, datagram))
+                placer.receive(host, datagram);
         }};
 }
 
--- /dev/null
+++ b/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
@@ -0,0 +1,100 @@
+#include "repeat_lending.hpp"
+
+#include <mintknot/base/random.hpp>
+#include <mintknot/policy/group.hpp>
+#include <mintknot/policy/repeat_rights.hpp>
+
+#include <algorithm>
+
+namespace mintknot::runtime {
+
+namespace {
+
+/// Peers that one question goes to. Some have nothing to lend; a fleet in which
+/// one instance needs three repeats for each of its requests granted it 0.83 of
+/// them (test_repeat_rights.cpp).
+constexpr std::size_t max_peers_asked = 4;
+/// Between two questions for a service: the way there and back some dozen
+/// times, and 16 datagrams a second at most. Not measured otherwise.
+constexpr base::milliseconds ask_gap{250};
+
+void keep_some(std::vector<std::string>& hosts) {
+    while (hosts.size() > max_peers_asked) {
+        hosts[base::random_below(hosts.size())] = hosts.back();
+        hosts.pop_back();
+    }
+}
+
+} // namespace
+
+repeat_lending::repeat_lending(
+    relay::router_context& router, lending_ports ports)
+    : router_(router)
+    , ports_(std::move(ports))
+    , last_number_(base::random_bits()) {}
+
+void repeat_lending::ask(const std::string& service, int repeats) {
+    const base::steady_time now = router_.loop.now();
+    const auto before = asked_.find(service);
+    if (before != asked_.end() && now - before->second < ask_gap)
+        return;
+    asked_[service] = now;
+    drop_old_questions(now);
+    std::vector<std::string> hosts = ports_.peers();
+    keep_some(hosts);
+    const std::uint64_t number = ++last_number_;
+    questions_[number] = {service, now, {hosts.begin(), hosts.end()}};
+    const std::string datagram = encode(loan_request{number, service, repeats});
+    for (const std::string& host : hosts)
+        ports_.send(host, datagram);
+}
+
+bool repeat_lending::receive(
+    const std::string& host, std::string_view datagram) {
+    const auto value = decode_loan(datagram);
+    if (!value.ok())
+        return false;
+    std::visit([&](const auto& known) { on_message(host, known); }, *value);
+    return true;
+}
+
+void repeat_lending::on_message(
+    const std::string& host, const loan_request& request) {
+    if (!policy::is_large(router_.state.instances))
+        return;
+    const auto found = router_.state.allowances.find(request.service);
+    if (found == router_.state.allowances.end())
+        return;
+    const int repeats = policy::lend(
+        found->second, router_.state.retry_bounds,
+        relay::spend_terms_for(router_, request.service), request.repeats,
+        router_.loop.now());
+    if (repeats == 0)
+        return;
+    lent_ += repeats;
+    ports_.send(host, encode(loan_offer{request.number, repeats}));
+}
+
+void repeat_lending::on_message(
+    const std::string& host, const loan_offer& offer) {
+    const auto found = questions_.find(offer.number);
+    if (found == questions_.end() || found->second.hosts.erase(host) == 0)
+        return;
+    const question& asked = found->second;
+    const int taken = policy::borrow(
+        router_.state.allowances[asked.service], offer.repeats, asked.asked,
+        router_.loop.now());
+    borrowed_ += taken;
+    router_.log.write(
+        "repeats_borrowed", {{"service", asked.service},
+                             {"from", host},
+                             {"repeats", std::int64_t{taken}}});
+}
+
+void repeat_lending::drop_old_questions(base::steady_time now) {
+    std::erase_if(questions_, [now](const auto& item) {
+        return now - item.second.asked > policy::loan_life;
+    });
+}
+
+} // namespace mintknot::runtime
