Refuse who waits for room before its caller leaves

Cause: once a prompt had been read, a request waited for room as long as its deadline allowed, 14 s.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/admission.hpp
@@ -31,9 +31,10 @@
 
 /// A request that finds no room.
 struct unplaced_request {
-    base::milliseconds waited{0};    ///< Since its arrival.
-    base::milliseconds target{0};    ///< Of its first event.
-    base::milliseconds time_left{0}; ///< Until its deadline.
+    base::milliseconds waited{0}; ///< Since its arrival.
+    base::milliseconds target{0}; ///< Of its first event.
+    /// Until its deadline, or until its caller is expected to leave.
+    base::milliseconds time_left{0};
     bool begun = false; ///< An engine has worked, or may work, for it.
 };
 
@@ -61,6 +62,13 @@
     const unplaced_request& request,
     std::optional<base::milliseconds> expected_wait, base::milliseconds start);
 
+/// @return how long a caller of a stream waits for the first event: four times
+/// the target, eight times the longest pause between events, two seconds at
+/// least, as the users' callers do. Whoever has not been answered by then has
+/// left, and a refusal that would have brought it back comes too late.
+base::milliseconds
+first_event_patience(base::milliseconds target, base::milliseconds target_gap);
+
 /// Pause after some connections in a row have failed, for requests that wait:
 /// short against the time for which a server is avoided that could not be
 /// reached.
--- a/libs/mintknotd-platform/policy/src/admission.cpp
+++ b/libs/mintknotd-platform/policy/src/admission.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/policy/admission.hpp>
 
+#include <algorithm>
+
 namespace mintknot::policy {
 
 namespace {
@@ -11,8 +13,20 @@
 /// shortest time that a refusal tells, less a margin for callers that hurry.
 constexpr base::milliseconds min_time_spent{200};
 
+/// See first_event_patience().
+constexpr base::milliseconds min_patience{2000};
+constexpr int targets_of_patience = 4;
+constexpr int gaps_of_patience = 8;
+
 } // namespace
 
+base::milliseconds
+first_event_patience(base::milliseconds target, base::milliseconds target_gap) {
+    return std::max(
+        {min_patience, target * targets_of_patience,
+         target_gap * gaps_of_patience});
+}
+
 void note_deadline(
     longest_deadline& longest, base::milliseconds deadline,
     base::steady_time now) {
--- a/libs/mintknotd-platform/policy/tests/test_admission.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_admission.cpp
@@ -54,3 +54,10 @@
     note_deadline(longest, milliseconds(9000), start + std::chrono::minutes(1));
     cr_assert(!has_returned(longest, milliseconds(9000)));
 }
+
+Test(admission, callers_wait_for_a_first_event_by_target_and_pause) {
+    using namespace std::chrono_literals;
+    cr_assert(first_event_patience(100ms, 100ms) == 2000ms);
+    cr_assert(first_event_patience(900ms, 300ms) == 3600ms);
+    cr_assert(first_event_patience(300ms, 600ms) == 4800ms);
+}
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -1,7 +1,10 @@
 #include "generation_exchange.hpp"
 
+#include <mintknot/policy/admission.hpp>
 #include <mintknot/policy/engine_needs.hpp>
 
+#include <algorithm>
+
 namespace mintknot::relay {
 
 namespace {
@@ -144,7 +147,10 @@
     policy::unplaced_request unplaced;
     unplaced.waited = since_arrival();
     unplaced.target = route_.target_latency;
-    unplaced.time_left = time_left();
+    const base::milliseconds patience_left =
+        policy::first_event_patience(route_.target_latency, route_.target_gap) -
+        since_arrival();
+    unplaced.time_left = std::min(time_left(), patience_left);
     unplaced.begun = attempts_.prefills > 0 || attempts_.runs > 0;
     return unplaced;
 }
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -317,6 +317,28 @@
     cr_assert(f.ask(prompt("/resume/x", 5000)).body == all_events);
 }
 
+Test(generation_exchange, who_waits_is_refused_before_its_caller_leaves) {
+    // Found on norrvik-drift-large trouble-1: after a rejected decode a request
+    // waited for room until its caller had gone, and so could not come back.
+    relay_fixture f;
+    for (traffic::route& route : f.config.routes)
+        route.target_latency = base::milliseconds(200);
+    f.configure();
+    f.add_server("p", "llm", prefill, good_prefill("k1"));
+    f.add_server("d", "llm", decode, rejecting());
+    f.add_server("full", "llm", decode, good_decode());
+    traffic::add(f.context.state.loads, "full", {1, 0.0, 9000.0});
+    for (int i = 0; i < 100; ++i)
+        policy::note_decode(
+            f.context.state.demands["llm"], 0.5, base::milliseconds(100));
+    const base::steady_time asked = f.owner.now();
+    const caller_view got = f.ask(prompt("/stream/x", 2000));
+    const auto took = f.owner.now() - asked;
+    cr_assert(got.status == 503);
+    cr_assert(!got.field("Retry-After").empty());
+    cr_assert(took < std::chrono::milliseconds(4000), "held too long");
+}
+
 Test(generation_exchange, every_arrival_but_the_first_is_charged) {
     // Found by a score of fvmcw-proto: a decode after a rejected prefill was
     // not charged, and the bound of all instances was broken.
