Two instances of a data centre read the store, however large it is

Cause: one instance for each dozen watched the store, 25 of 295, and each change of a row woke all of them; and while the store was down or turned them away, all 295 asked it themselves.

Weighed: one reader with a standby that takes over by silence (its silent loss blinds a data centre for a held read); one reader for each dozen at longer waits (rows change all the time, waits do not matter).

Change: two instances of each data centre follow the store. In data centres of 36 and more, one instance for each dozen follows those two and serves the others, as before; they stand in where both are turned away, and nobody else asks the store as long as they answer.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
@@ -40,12 +40,26 @@
 /// just started has not heard all yet.
 std::size_t assumed_instances(std::size_t heard_at_once);
 
-/// @return the instances of a data centre that read the store for all of it:
-/// one for each dozen, two at least. With two for a hundred instances some had
-/// a new configuration after 2.3 s, with one for each dozen all within 0.32 s
-/// (300 instances, 437 servers that leave at once).
+/// How an instance of a large group learns what the store tells.
+struct store_access {
+    /// Instances of its data centre that it asks. None, or itself among them:
+    /// it asks the store.
+    std::vector<std::string> sources;
+    /// Whether it asks the store where all that it asks are out of the store's
+    /// reach, and not only where none of them answers.
+    bool stands_in = true;
+};
+
+/// Two instances of a data centre follow the store, however large it is: each
+/// is one more customer of the store for every change. In larger data centres
+/// one instance for each dozen passes on what those two have, for a reader's
+/// link is narrow: with two readers for a hundred instances some had a new
+/// configuration after 2.3 s, with one for each dozen all within 0.32 s (300
+/// instances, 437 servers that leave at once). Where both are turned away,
+/// those stand in for them, and nobody else does.
 /// @param hosts of the data centre that stay, this one included.
-std::vector<std::string> store_readers(std::vector<std::string> hosts);
+store_access store_access_of(
+    const std::string& own_host, const std::vector<std::string>& hosts);
 
 /// @return true if this instance looks after the phases of engines: the one
 /// with the first host of all that stay. The lease in the store decides where
--- a/libs/mintknotd-platform/policy/src/group.cpp
+++ b/libs/mintknotd-platform/policy/src/group.cpp
@@ -12,9 +12,11 @@
 /// Instances that are assumed until more have been heard. Not measured: a
 /// little above the groups that were known.
 constexpr std::size_t min_instances = 10;
-constexpr std::size_t min_readers = 2;
-/// What a reader sends grows with those that follow it; see store_readers().
-constexpr std::size_t followers_per_reader = 12;
+/// Of each data centre, at the store: one may be cut off from it.
+constexpr std::size_t store_readers = 2;
+/// What an instance sends grows with those that follow it; see
+/// store_access_of().
+constexpr std::size_t followers_per_relay = 12;
 constexpr std::string_view store_reader_job = "store-reader";
 
 } // namespace
@@ -27,10 +29,21 @@
     return std::max(min_instances, heard_at_once);
 }
 
-std::vector<std::string> store_readers(std::vector<std::string> hosts) {
-    const std::size_t readers =
-        std::max(min_readers, hosts.size() / followers_per_reader);
-    return base::rendezvous_first(store_reader_job, std::move(hosts), readers);
+store_access store_access_of(
+    const std::string& own_host, const std::vector<std::string>& hosts) {
+    const std::size_t dozens = hosts.size() / followers_per_relay;
+    const std::size_t relays = dozens > store_readers ? dozens : 0;
+    const std::vector<std::string> chosen =
+        base::rendezvous_first(store_reader_job, hosts, store_readers + relays);
+    const auto own = std::find(chosen.begin(), chosen.end(), own_host);
+    const auto first_relay =
+        chosen.begin() +
+        static_cast<std::ptrdiff_t>(std::min(store_readers, chosen.size()));
+    if (own < first_relay)
+        return {{own_host}, true};
+    if (own != chosen.end() || first_relay == chosen.end())
+        return {{chosen.begin(), first_relay}, true};
+    return {{first_relay, chosen.end()}, false};
 }
 
 bool looks_after_phases(
--- a/libs/mintknotd-platform/policy/tests/test_group.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_group.cpp
@@ -4,6 +4,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
 
 using namespace mintknot::policy;
 
@@ -18,16 +21,76 @@
 
 } // namespace
 
-Test(group, a_data_centre_has_two_readers_and_one_for_each_dozen) {
-    cr_assert_eq(store_readers(hosts(1)).size(), 1U);
-    cr_assert_eq(store_readers(hosts(9)).size(), 2U);
-    cr_assert_eq(store_readers(hosts(36)).size(), 3U);
+namespace {
+
+using host_list = std::vector<std::string>;
+
+/// Who asks whom in a data centre of so many instances.
+std::map<std::string, host_list> sources_of_all(std::size_t count) {
+    std::map<std::string, host_list> result;
+    for (const std::string& host : hosts(count))
+        result[host] = store_access_of(host, hosts(count)).sources;
+    return result;
+}
+
+/// @return those that ask the store itself.
+host_list store_readers(std::size_t count) {
+    host_list readers;
+    for (const auto& [host, sources] : sources_of_all(count))
+        if (sources == host_list{host})
+            readers.push_back(host);
+    return readers;
+}
+
+} // namespace
+
+Test(group, two_instances_of_a_data_centre_read_the_store) {
+    cr_assert_eq(store_readers(1).size(), 1U);
+    for (const std::size_t count : {2, 9, 26, 36, 59, 100})
+        cr_assert_eq(store_readers(count).size(), 2U, "of %zu", count);
+}
+
+namespace {
+
+/// @return over how many instances news of the store comes to the host.
+int hops(
+    const std::map<std::string, host_list>& sources, const std::string& host) {
+    int most = 0;
+    for (const std::string& source : sources.at(host))
+        if (source != host)
+            most = std::max(most, 1 + hops(sources, source));
+    return most;
+}
+
+} // namespace
+
+Test(group, all_hear_of_the_store_over_two_others_at_most) {
+    for (const std::size_t count : {1, 3, 9, 26, 36, 59, 100}) {
+        const auto all = sources_of_all(count);
+        for (const auto& [host, sources] : all) {
+            cr_assert(!sources.empty());
+            cr_assert(hops(all, host) <= 2, "of %zu", count);
+        }
+    }
+}
+
+Test(group, large_data_centres_have_an_instance_for_each_dozen) {
+    // Each instance asks two of its sources in turn.
+    const store_access large = store_access_of("no reader", hosts(59));
+    cr_assert_eq(large.sources.size(), 4U);
+    cr_assert(!large.stands_in, "it has relays that do");
+    const store_access small = store_access_of("no reader", hosts(26));
+    cr_assert_eq(small.sources.size(), 2U);
+    cr_assert(small.stands_in);
 }
 
 Test(group, all_choose_the_same_readers) {
-    std::vector<std::string> shuffled = hosts(40);
+    host_list shuffled = hosts(40);
     std::reverse(shuffled.begin(), shuffled.end());
-    cr_assert(store_readers(hosts(40)) == store_readers(shuffled));
+    for (const std::string& host : shuffled)
+        cr_assert(
+            store_access_of(host, hosts(40)).sources ==
+            store_access_of(host, shuffled).sources);
 }
 
 Test(group, the_first_host_looks_after_phases) {
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -28,7 +28,7 @@
     , replica_(ports.codec, ports.log, replica_functions())
     , store_(
           ports.loop, ports.store, ports.pool, ports.log,
-          {options.peer.host, options.peer.port, options.readers})
+          {options.peer.host, options.peer.port, options.store_access})
     , configuration_reader_(
           ports.loop, store_, replica_, collection::configuration, ports.log,
           {}, ports.draw)
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -30,9 +30,7 @@
     base::address peer; ///< The own one; all instances use the same port.
     std::string data_centre;
     base::milliseconds drain_bound; ///< See instance_settings.
-    /// @return hosts that read the store for this data centre; empty: every
-    /// instance does.
-    std::function<std::vector<std::string>()> readers;
+    std::function<policy::store_access()> store_access;
 };
 
 /// Whom the object tells of changes.
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -39,7 +39,7 @@
     void on_datagram(const std::string& host, std::string_view datagram);
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
-    std::vector<std::string> readers_here() const;
+    policy::store_access store_access_here() const;
     std::optional<relay::health_check> check_of(const std::string& id) const;
 
     bool ready() const;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -54,7 +54,7 @@
           {ports.loop, ports.store, ports.codec, pool, log,
            [this] { return context.draw(); }},
           {settings.peer, settings.data_centre, settings.drain_bound,
-           [this] { return readers_here(); }},
+           [this] { return store_access_here(); }},
           document_functions())
     , group(
           ports.loop, log,
@@ -232,10 +232,11 @@
     documents.on_heartbeat(host, heartbeat);
 }
 
-std::vector<std::string> instance::impl::readers_here() const {
+policy::store_access instance::impl::store_access_here() const {
     if (!placer.active())
         return {};
-    return policy::store_readers(scheduler_hosts(settings.data_centre));
+    return policy::store_access_of(
+        settings.peer.host, scheduler_hosts(settings.data_centre));
 }
 
 std::optional<relay::health_check>
--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -19,6 +19,7 @@
 constexpr base::milliseconds suspicion{2000};
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
+constexpr int status_unavailable = 503;
 
 } // namespace
 
@@ -29,6 +30,7 @@
     state::change_request request;
     base::milliseconds store_wait{0}; ///< If it goes to the store after all.
     state::store_handler on_answer;
+    bool stands_in = true;         ///< See policy::store_access.
     std::vector<std::string> left; ///< Readers to be asked, the next one last.
     std::unique_ptr<upstream::call> call;
     event::timer limit;
@@ -61,11 +63,16 @@
 void shared_store::watch(
     state::collection what, std::uint64_t after, base::milliseconds wait,
     state::store_handler on_answer) {
-    std::vector<std::string> readers = trusted_readers();
-    if (readers.empty()) {
+    const policy::store_access access = options_.access();
+    std::vector<std::string> readers = trusted_readers(access.sources);
+    if (readers.empty() && (access.stands_in || !has_answered_lately())) {
         source_.watch(what, after, wait, std::move(on_answer));
         return;
     }
+    if (readers.empty()) {
+        owner_.post([on_answer = std::move(on_answer)] { on_answer({}); });
+        return;
+    }
     const auto turn =
         static_cast<std::ptrdiff_t>(++turns_[what] % readers.size());
     std::rotate(readers.begin(), readers.begin() + turn, readers.end());
@@ -73,14 +80,20 @@
     entry->request = {what, after, reader_wait};
     entry->store_wait = wait;
     entry->on_answer = std::move(on_answer);
+    entry->stands_in = access.stands_in;
     entry->left = std::move(readers);
     const std::uint64_t number = ++last_;
     open_.emplace(number, std::move(entry));
     ask_next(number);
 }
 
-std::vector<std::string> shared_store::trusted_readers() const {
-    std::vector<std::string> hosts = options_.readers();
+bool shared_store::has_answered_lately() const {
+    return answered_ != base::steady_time{} &&
+           owner_.now() - answered_ <= suspicion;
+}
+
+std::vector<std::string>
+shared_store::trusted_readers(std::vector<std::string> hosts) const {
     const bool reads_itself =
         std::find(hosts.begin(), hosts.end(), options_.own_host) != hosts.end();
     if (reads_itself)
@@ -99,6 +112,10 @@
     peer_watch& entry = *open_.at(number);
     if (entry.left.empty()) {
         const auto node = open_.extract(number);
+        if (!entry.stands_in && has_answered_lately()) {
+            entry.on_answer({});
+            return;
+        }
         source_.watch(
             entry.request.what, entry.request.after, entry.store_wait,
             std::move(entry.on_answer));
@@ -130,6 +147,8 @@
 void shared_store::finish(std::uint64_t number, const std::string& host) {
     const peer_watch& entry = *open_.at(number);
     state::store_answer answer;
+    if (entry.status == status_unavailable)
+        answered_ = owner_.now();
     if (entry.status == status_gone) {
         answer.result = state::store_result::history_gone;
     } else if (entry.status == status_ok) {
--- a/libs/mintknotd-platform/runtime/src/shared_store.hpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/event/loop.hpp>
 #include <mintknot/logging/line_log.hpp>
+#include <mintknot/policy/group.hpp>
 #include <mintknot/state/change_message.hpp>
 #include <mintknot/state/store.hpp>
 #include <mintknot/upstream/call.hpp>
@@ -22,15 +23,14 @@
 struct shared_store_options {
     std::string own_host;
     std::uint16_t peer_port = 0;
-    /// @return hosts that read the store for this data centre; empty: every
-    /// instance reads it for itself.
-    std::function<std::vector<std::string>()> readers;
+    std::function<policy::store_access()> access;
 };
 
 /// Watches go to two readers of the data centre, to one after the other, so
 /// that a reader which hears nothing delays news by one short watch only. A
 /// reader that fails or is out of the store's reach is passed over for a
 /// while; where none is left, and on a reader, the store itself is asked.
+/// Who has others to stand in for the readers waits as long as readers answer.
 /// Whole reads and writes always go to the store: its link is the widest.
 ///
 /// Lifetime: everything that is passed in must outlive it.
@@ -55,7 +55,10 @@
 private:
     struct peer_watch;
 
-    std::vector<std::string> trusted_readers() const;
+    std::vector<std::string>
+    trusted_readers(std::vector<std::string> hosts) const;
+    /// @return true if a reader has said that it is out of the store's reach.
+    bool has_answered_lately() const;
     void ask_next(std::uint64_t number);
     void finish(std::uint64_t number, const std::string& host);
     void give_up(std::uint64_t number, const std::string& host);
@@ -68,6 +71,8 @@
     std::uint64_t last_ = 0;
     std::map<std::uint64_t, std::unique_ptr<peer_watch>> open_;
     std::map<std::string, base::steady_time> suspected_;
+    /// When a reader last said that it is out of the store's reach.
+    base::steady_time answered_{};
     /// Watches so far. Each collection takes the readers in turn for itself.
     std::map<state::collection, std::size_t> turns_;
 };
--- a/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
@@ -50,7 +50,7 @@
               {{"127.0.0.1", 1},
                "a",
                base::milliseconds{2000},
-               [] { return std::vector<std::string>(); }},
+               [] { return policy::store_access{}; }},
               {[](auto) {}, [this](auto&, auto, auto) { ++servers; },
                [this] { return servers; }}) {
         documents.start();
--- a/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
@@ -72,7 +72,9 @@
             shared.emplace(
                 owner, source, pool, log,
                 shared_store_options{
-                    "127.0.0.9", port, [this] { return readers; }});
+                    "127.0.0.9", port, [this] {
+                        return policy::store_access{readers, stands_in};
+                    }});
         std::optional<state::store_answer> result;
         shared->watch(
             what, 3, store_wait, [&](const state::store_answer& answer) {
@@ -94,6 +96,7 @@
     std::list<relay::local_server> listening;
     std::map<std::string, int> asked;
     std::vector<std::string> readers;
+    bool stands_in = true;
     std::optional<shared_store> shared;
 };
 
@@ -172,3 +175,23 @@
     f.add_reader("127.0.0.1", {410, "text/plain", "forgotten\n"});
     cr_assert(f.watch().result == state::store_result::history_gone);
 }
+
+Test(shared_store, who_has_others_to_stand_in_waits_for_them) {
+    fixture f;
+    f.stands_in = false;
+    f.add_reader("127.0.0.1", no_store);
+    f.add_reader("127.0.0.2", no_store);
+    for (int i = 0; i < 4; ++i)
+        cr_assert(f.watch().result == state::store_result::unreachable);
+    cr_assert(f.asked["127.0.0.1"] == 1, "passed over for a while");
+    cr_assert(f.source.watches == 0);
+}
+
+Test(shared_store, where_nobody_answers_the_store_is_asked_all_the_same) {
+    fixture f;
+    f.stands_in = false;
+    f.add_reader("127.0.0.1", good(7));
+    f.readers = {"127.0.0.3"}; // Nothing listens there.
+    cr_assert(f.watch().version == 100);
+    cr_assert(f.source.watches == 1);
+}
