--- a/libs/mintknotd-platform/orders/src/phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/src/phase_balancer.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/orders/phase_balancer.hpp>
 
+#include "order_batch.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -8,10 +10,6 @@
 
 namespace {
 
-constexpr base::milliseconds order_time{700};
-constexpr int status_ok = 200;
-constexpr int status_accepted = 202;
-constexpr int status_fenced_off = 412;
 /// Pause after the store or an engine has refused something.
 constexpr base::milliseconds refused_pause{4000};
 
@@ -24,18 +22,6 @@
         base::steady_time until{}; ///< Then it is taken for lost.
     };
 
-    /// The calls to one engine that is to change.
-    struct engine_order {
-        engine_order(event::loop& owner, policy::phase_change wanted)
-            : change(std::move(wanted))
-            , limit(owner) {}
-        policy::phase_change change;
-        event::timer limit;
-        std::unique_ptr<upstream::call> call;
-        int status = 0;
-        std::string body;
-    };
-
     /// What is under way for one service.
     struct work {
         explicit work(event::loop& owner)
@@ -47,10 +33,7 @@
         /// Engines that have been ordered to change.
         std::map<std::string, pending_change> changing;
         event::timer notice_timer;
-        /// Under one lease and one fence.
-        std::vector<std::unique_ptr<engine_order>> orders;
-        std::size_t open_orders = 0;
-        base::milliseconds pause{0}; ///< After the last of them.
+        std::unique_ptr<order_batch> orders;
     };
 
     impl(
@@ -207,109 +190,24 @@
         const std::string& service,
         const std::vector<policy::phase_change>& changes) {
         work& at = work_for(service);
-        at.orders.clear();
-        at.open_orders = changes.size();
-        at.pause = options.pause;
-        for (const policy::phase_change& change : changes)
-            at.orders.push_back(
-                std::make_unique<engine_order>(context.loop, change));
-        for (const auto& order : at.orders)
-            ask_report(service, *order);
-    }
-
-    /// The last order that ends lets the service rest.
-    void end_order(work& at, engine_order& order, base::milliseconds pause) {
-        order.limit.stop();
-        order.call.reset();
-        at.pause = std::max(at.pause, pause);
-        if (--at.open_orders == 0)
-            rest(at, at.pause);
-    }
-
-    /// Sends a call to the engine; `then` is called once, also without answer.
-    void call_engine(
-        engine_order& order, const traffic::server& engine,
-        relay::own_call request, const std::function<void()>& then) {
-        order.status = 0;
-        order.body.clear();
-        order.limit.start(order_time, then);
-        order.call = upstream::call::start(
-            context.pool, {engine.id, engine.where},
-            {std::move(request.head),
-             std::make_shared<const std::string>(std::move(request.body))},
-            {},
-            {nullptr,
-             [&order](http1::response_head& head) {
-                 order.status = head.status;
-             },
-             [&order](std::string_view piece) { order.body.append(piece); },
-             then,
-             [&order, then](upstream::call_failure) {
-                 order.status = 0;
-                 then();
-             }});
-    }
-
-    void ask_report(const std::string& service, engine_order& order) {
-        const traffic::server* engine =
-            traffic::find(context.state.servers, order.change.server_id);
-        if (engine == nullptr) {
-            end_order(work_for(service), order, options.pause);
-            return;
-        }
-        call_engine(
-            order, *engine, {context.protocol.report(engine->id), {}},
-            [this, service, &order] { on_report(service, order); });
-    }
-
-    void on_report(const std::string& service, engine_order& order) {
-        order.limit.stop();
-        order.call.reset();
-        const auto report = order.status == status_ok
-                                ? context.protocol.read_report(order.body)
-                                : std::nullopt;
-        if (!report || report->busy || report->phase == order.change.to) {
-            end_order(work_for(service), order, options.pause);
-            return;
-        }
-        send_order(service, order, report->orders_taken);
-    }
-
-    void send_order(
-        const std::string& service, engine_order& order,
-        std::int64_t orders_taken) {
-        work& at = work_for(service);
-        const policy::phase_change& change = order.change;
-        const traffic::server* engine =
-            traffic::find(context.state.servers, change.server_id);
-        if (engine == nullptr || engine->draining ||
-            !policy::may_order(at.lease, options.terms, now())) {
-            end_order(at, order, options.pause);
-            return;
-        }
-        at.changing[change.server_id] = {
-            change.to, now() + options.change_time};
-        const relay::phase_order wanted{
-            change.to, options.holder, at.lease.fence, orders_taken};
-        call_engine(
-            order, *engine, context.protocol.order(wanted, engine->id),
-            [this, service, &order] { on_ordered(service, order); });
-    }
-
-    void on_ordered(const std::string& service, engine_order& order) {
-        work& at = work_for(service);
-        context.log.write(
-            "order", {{"service", service},
-                      {"server", order.change.server_id},
-                      {"phase", traffic::to_string(order.change.to)},
-                      {"fence", static_cast<std::int64_t>(at.lease.fence)},
-                      {"status", std::int64_t{order.status}},
-                      {"says", order.body}});
-        if (order.status == status_fenced_off)
-            at.view.read = false;
-        const bool taken =
-            order.status == status_ok || order.status == status_accepted;
-        end_order(at, order, taken ? options.pause : refused_pause);
+        at.orders = std::make_unique<order_batch>(
+            context,
+            batch_terms{
+                service, options.holder, at.lease.fence,
+                [this, &at] {
+                    return policy::may_order(at.lease, options.terms, now());
+                }},
+            batch_handlers{
+                [this, &at](const policy::phase_change& change) {
+                    at.changing[change.server_id] = {
+                        change.to, now() + options.change_time};
+                },
+                [this, &at](const batch_result& result) {
+                    if (result.fenced_off)
+                        at.view.read = false;
+                    rest(at, result.refused ? refused_pause : options.pause);
+                }});
+        at.orders->begin(changes);
     }
 
     relay::router_context& context;
--- a/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
@@ -150,3 +150,30 @@
     f.let_pass(base::milliseconds(300));
     cr_assert(f.orders.size() == 1);
 }
+
+Test(phase_balancer, many_engines_are_ordered_together_under_one_lease) {
+    fixture f;
+    for (int i = 0; i < 42; ++i)
+        f.engines.push_back(&f.relay.add_server(
+            "m" + std::to_string(i), "llm", prefill, f.engine()));
+    f.options.pause = base::milliseconds(10000);
+    const auto balancer = f.start();
+    f.relay.run_until([&] { return f.orders.size() == 2; });
+    f.let_pass(base::milliseconds(100));
+    // One of 24 engines at a time.
+    cr_assert(f.orders.size() == 2);
+    cr_assert(f.orders[0] == "decode 10 3" && f.orders[1] == "decode 10 3");
+    cr_assert(f.store.writes == 1);
+}
+
+Test(phase_balancer, an_engine_that_says_nothing_does_not_hold_up_the_others) {
+    fixture f;
+    const script mute = [](const received&, const event::connection_ptr&) {};
+    f.relay.add_server("mute", "llm", prefill, mute);
+    for (int i = 0; i < 41; ++i)
+        f.engines.push_back(&f.relay.add_server(
+            "m" + std::to_string(i), "llm", prefill, f.engine()));
+    const auto balancer = f.start();
+    f.relay.run_until([&] { return f.orders.size() >= 6; });
+    cr_assert(f.store.writes >= 3);
+}
