Reject unknown transfer codings before mintknotd's library reads a body

Cause: the library takes any coding but chunked for a body that ends with the connection, and runs the request at that end, or after its read timeout of ten seconds answers 400.

Change: one handler answers 400 and closes.

--- a/libs/mintknotd/net/src/http_server.cpp
+++ b/libs/mintknotd/net/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include <mintknot/base/log.hpp>
 #include <mintknot/net/elastic_pool.hpp>
 
+#include <absl/strings/match.h>
 #include <fmt/format.h>
 #include <httplib.h>
 #include <sys/socket.h>
@@ -31,6 +32,42 @@
     elastic_pool pool_;
 };
 
+/// @return true if the body ends where the library believes it to: it takes
+/// any coding but this one for a body that ends with the connection, and runs
+/// the request.
+bool has_known_framing(const httplib::Request& request) {
+    const std::size_t codings =
+        request.get_header_value_count("Transfer-Encoding");
+    return codings == 0 ||
+           (codings == 1 &&
+            absl::EqualsIgnoreCase(
+                request.get_header_value("Transfer-Encoding"), "chunked"));
+}
+
+/// Answers 400 and has the library close the connection: what follows the head
+/// may be another request in disguise. The library goes on with a connection
+/// after an answer unless a body could not be sent, so that this one says so
+/// after its last byte.
+void reject_framing(httplib::Response& response) {
+    response.status = 400;
+    response.set_header("Connection", "close");
+    const std::string text = "unknown transfer coding\n";
+    response.set_content_provider(
+        text.size(), "text/plain",
+        [text](std::size_t offset, std::size_t length, auto& sink) {
+            sink.write(text.data() + offset, length);
+            return false;
+        });
+}
+
+httplib::Server::HandlerResponse
+check_framing(const httplib::Request& request, httplib::Response& response) {
+    if (has_known_framing(request))
+        return httplib::Server::HandlerResponse::Unhandled;
+    reject_framing(response);
+    return httplib::Server::HandlerResponse::Handled;
+}
+
 std::unique_ptr<httplib::Server>
 make_server(const http_server_options& options) {
     if (options.certificate_file.empty())
@@ -67,6 +104,7 @@
     server.set_keep_alive_timeout(options.keep_alive.count());
     server.set_read_timeout(options.read_timeout);
     server.set_payload_max_length(options.most_body_bytes);
+    server.set_pre_routing_handler(check_framing);
     server.set_exception_handler([](const httplib::Request& request,
                                     httplib::Response& response,
                                     const std::exception_ptr& thrown) {
