--- a/libs/mintknotd-platform/policy/tests/test_decode_packing.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_decode_packing.cpp
@@ -72,7 +72,7 @@
             row.slots = 12;
             row.phase = traffic::engine_phase::decode;
             traffic::apply(
-                table_, row.id, static_cast<std::uint64_t>(i + 1), row);
+                table_, row.id, static_cast<std::uint64_t>(i) + 1, row);
         }
     }
 
