Bound counts that nobody asks for; a changed window counts anew

Found by reading the diff. Results of calls are counted until a report takes them, which never happens in small groups: after months an int would overflow. They stop at 1,000.

server_health::results_that_nobody_asks_for_do_not_grow and retry_allowance::a_window_of_another_length_counts_anew fail without it.

--- a/libs/mintknotd-platform/policy/src/server_health.cpp
+++ b/libs/mintknotd-platform/policy/src/server_health.cpp
@@ -31,6 +31,9 @@
 constexpr int rejections_to_pause = 2;
 constexpr base::milliseconds rejection_pause{500};
 constexpr int max_rejection_pauses = 4;
+/// Results of one server that wait to be told: far more than come between two
+/// reports. In small groups nobody is told, and the counts stay here.
+constexpr int max_untold = 1000;
 /// Rejections of one report that count: more make no pause longer.
 constexpr int max_rejections = rejections_to_pause + max_rejection_pauses;
 
@@ -96,14 +99,18 @@
     return calls >= calls_to_judge && record.bad > share_to_eject * calls;
 }
 
+void count(int& results) {
+    results = std::min(results + 1, max_untold);
+}
+
 /// What lies between this instance and the server is nobody else's.
 void note_untold(health_view& view, const std::string& id, call_result result) {
     if (result == call_result::good)
-        ++view.untold[id].good;
+        count(view.untold[id].good);
     else if (result == call_result::failed || result == call_result::silent)
-        ++view.untold[id].bad;
+        count(view.untold[id].bad);
     else if (result == call_result::rejected)
-        ++view.untold[id].rejected;
+        count(view.untold[id].rejected);
 }
 
 void note_good(health_record& record, base::steady_time now) {
--- a/libs/mintknotd-platform/policy/src/usage_steps.cpp
+++ b/libs/mintknotd-platform/policy/src/usage_steps.cpp
@@ -32,6 +32,9 @@
 retry_usage& newest(
     usage_window& window, const retry_bounds& bounds, base::steady_time now) {
     const std::int64_t step = step_of(bounds, now);
+    // The length of a window was changed while running: steps count anew.
+    if (step < window.newest_step - ring)
+        window = {};
     const std::int64_t oldest = step - ring + 1;
     for (std::int64_t fresh = std::max(window.newest_step + 1, oldest);
          fresh <= step; ++fresh)
--- a/libs/mintknotd-platform/policy/tests/test_retry_allowance.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_retry_allowance.cpp
@@ -101,3 +101,15 @@
     cr_assert(later.requests == 0);
     cr_assert(later.repeats == 0);
 }
+
+Test(retry_allowance, a_window_of_another_length_counts_anew) {
+    retry_allowance allowance;
+    earn(allowance, bounds, start);
+    cr_assert(spend(allowance, bounds, {10, alone}, start));
+    const retry_bounds longer{0.2, 50.0, base::milliseconds(30000)};
+    cr_assert(usage(allowance, longer, start).requests == 0);
+    earn(allowance, longer, start);
+    cr_assert(usage(allowance, longer, start).requests == 1);
+    const auto later = start + std::chrono::seconds(35);
+    cr_assert(usage(allowance, longer, later).requests == 0);
+}
--- a/libs/mintknotd-platform/policy/tests/test_server_health.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_server_health.cpp
@@ -182,3 +182,10 @@
     cr_assert(!avoided(view, "b", start), "it has answered another one well");
     cr_assert(!avoided(view, "a", start + base::milliseconds(501)));
 }
+
+Test(server_health, results_that_nobody_asks_for_do_not_grow) {
+    health_view view;
+    for (int i = 0; i < 3000; ++i)
+        note(view, "a", call_result::good, start);
+    cr_assert(take_untold(view).at("a").good == 1000);
+}
