One keep_some for the random part of a list of hosts

Cause: asking peers for repeats wrote again, line for line, what heartbeats had for choosing some hosts. No change of behaviour: tests of base, peers and runtime pass as they are.

--- a/libs/common/base/include/mintknot/base/random.hpp
+++ b/libs/common/base/include/mintknot/base/random.hpp
@@ -1,10 +1,12 @@
 /// @file
-/// Random tokens for request IDs, change IDs and claims.
+/// Random tokens for request IDs, change IDs and claims, and random choices.
 #ifndef MINTKNOT_BASE_RANDOM_HPP
 #define MINTKNOT_BASE_RANDOM_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace mintknot::base {
 
@@ -17,6 +19,9 @@
 /// @return a uniform number in [0, bound). Precondition: bound > 0.
 std::uint64_t random_below(std::uint64_t bound);
 
+/// Leaves a uniform random part of the values, `max` at most.
+void keep_some(std::vector<std::string>& values, std::size_t max);
+
 } // namespace mintknot::base
 
 #endif
--- a/libs/common/base/src/random.cpp
+++ b/libs/common/base/src/random.cpp
@@ -4,6 +4,7 @@
 
 #include <cassert>
 #include <random>
+#include <utility>
 
 namespace mintknot::base {
 
@@ -23,4 +24,11 @@
         generator);
 }
 
+void keep_some(std::vector<std::string>& values, std::size_t max) {
+    while (values.size() > max) {
+        std::swap(values[random_below(values.size())], values.back());
+        values.pop_back();
+    }
+}
+
 } // namespace mintknot::base
--- a/libs/mintknotd-platform/peers/src/peer_group.cpp
+++ b/libs/mintknotd-platform/peers/src/peer_group.cpp
@@ -29,14 +29,6 @@
 /// 86,730 lines of 295 instances that started together.
 constexpr std::size_t max_lines_at_once = 8;
 
-/// Keeps a random part of the hosts.
-void keep_some(std::vector<std::string>& hosts, std::size_t most) {
-    while (hosts.size() > most) {
-        hosts[base::random_below(hosts.size())] = hosts.back();
-        hosts.pop_back();
-    }
-}
-
 } // namespace
 
 struct peer_group::impl {
@@ -67,7 +59,7 @@
         own.incarnation = incarnation;
         own.sequence = ++sequence;
         own.hosts = heard_hosts(table, audience::all);
-        keep_some(own.hosts, most);
+        base::keep_some(own.hosts, most);
         return encode(own);
     }
 
@@ -123,7 +115,7 @@
         std::vector<std::string> hosts = heard_hosts(table, audience::near);
         if (hosts.size() < peers_asked_for_hosts)
             hosts = heard_hosts(table, audience::all);
-        keep_some(hosts, peers_asked_for_hosts);
+        base::keep_some(hosts, peers_asked_for_hosts);
         for (const std::string& host : hosts)
             send(host, next_datagram(0));
     }
@@ -143,7 +135,7 @@
     /// Seeds are always among those that are sought, while they are not heard.
     void seek(const std::string& datagram, std::size_t most) {
         std::vector<std::string> hosts = sought_hosts(table);
-        keep_some(hosts, most);
+        base::keep_some(hosts, most);
         std::set<std::string> due(hosts.begin(), hosts.end());
         for (const std::string& seed : table.seeds)
             if (seed != table.own_host && !table.heard.contains(seed))
--- a/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
+++ b/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
@@ -18,13 +18,6 @@
 /// times, and 16 datagrams a second at most. Not measured otherwise.
 constexpr base::milliseconds ask_gap{250};
 
-void keep_some(std::vector<std::string>& hosts) {
-    while (hosts.size() > max_peers_asked) {
-        hosts[base::random_below(hosts.size())] = hosts.back();
-        hosts.pop_back();
-    }
-}
-
 } // namespace
 
 repeat_lending::repeat_lending(
@@ -41,7 +34,7 @@
     asked_[service] = now;
     drop_old_questions(now);
     std::vector<std::string> hosts = ports_.peers();
-    keep_some(hosts);
+    base::keep_some(hosts, max_peers_asked);
     const std::uint64_t number = ++last_number_;
     questions_[number] = {service, now, {hosts.begin(), hosts.end()}};
     const std::string datagram = encode(loan_request{number, service, repeats});
