Hash the hosts of a domain once for a question; no sum that nobody reads

Change: scheduler_of is back for questions, schedulers_of stays for reports; the sum is made in small groups only. Same choices: test_domain holds the two against each other, policy, scheduling and relay tests pass (120, 17, 67).

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/domain.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/domain.hpp
@@ -32,14 +32,19 @@
 domain
 domain_of(const traffic::server_table& servers, const traffic::server& server);
 
+/// @return the host that schedules a domain: all that know the same hosts
+/// choose the same one. Empty if there are none.
+std::string
+scheduler_of(const domain& which, const std::vector<std::string>& hosts);
+
 /// Who places requests on a domain.
 struct domain_schedulers {
     std::string active;  ///< Empty: there is no host.
     std::string standby; ///< Who would be next; empty: nobody.
 };
 
-/// @return the hosts that schedule a domain: all that know the same hosts
-/// choose the same ones.
+/// @return the host of scheduler_of() and the one that would be next, for twice
+/// the hashes.
 domain_schedulers
 schedulers_of(const domain& which, const std::vector<std::string>& hosts);
 
--- a/libs/mintknotd-platform/policy/src/domain.cpp
+++ b/libs/mintknotd-platform/policy/src/domain.cpp
@@ -15,6 +15,10 @@
     return traffic::open_servers(servers, service).size() > max_unsplit_servers;
 }
 
+std::string job_of(const domain& which) {
+    return which.service + "/" + which.data_centre;
+}
+
 } // namespace
 
 std::vector<domain> domains_of(
@@ -42,10 +46,15 @@
     return {server.service, server.data_centre};
 }
 
+std::string
+scheduler_of(const domain& which, const std::vector<std::string>& hosts) {
+    return base::rendezvous(job_of(which), hosts);
+}
+
 domain_schedulers
 schedulers_of(const domain& which, const std::vector<std::string>& hosts) {
-    std::vector<std::string> first = base::rendezvous_first(
-        which.service + "/" + which.data_centre, hosts, 2);
+    std::vector<std::string> first =
+        base::rendezvous_first(job_of(which), hosts, 2);
     first.resize(2);
     return {std::move(first[0]), std::move(first[1])};
 }
--- a/libs/mintknotd-platform/policy/tests/test_domain.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_domain.cpp
@@ -47,6 +47,10 @@
         schedulers_of(which, {"1", "2", "3"}).active ==
         schedulers_of(which, {"3", "1", "2"}).active);
     cr_assert(schedulers_of(which, {}).active.empty());
+    cr_assert(scheduler_of(which, {}).empty());
+    cr_assert(
+        scheduler_of(which, {"1", "2", "3"}) ==
+        schedulers_of(which, {"3", "1", "2"}).active);
     cr_assert(schedulers_of(which, {"1"}).standby.empty());
     const domain_schedulers all = schedulers_of(which, {"1", "2", "3"});
     std::vector<std::string> left = {"1", "2", "3"};
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -130,10 +130,14 @@
 
 policy::spend_terms
 spend_terms_for(const router_context& context, const std::string& service) {
-    const base::steady_time now = context.loop.now();
-    return {
-        context.state.instances, fleet_usage_of(context.state, service, now),
-        context.state.started};
+    const std::size_t instances = context.state.instances;
+    // Large groups do not look at it (repeat_rights.hpp), and it is a sum over
+    // all peers.
+    const policy::fleet_usage fleet =
+        policy::is_large(instances)
+            ? policy::fleet_usage{}
+            : fleet_usage_of(context.state, service, context.loop.now());
+    return {instances, fleet, context.state.started};
 }
 
 bool spend_repeat(router_context& context, const std::string& service) {
--- a/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
+++ b/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
@@ -29,7 +29,7 @@
         for (const auto& [known, hosts] : found_)
             if (known == which)
                 return hosts;
-        return found_.emplace_back(which, directory_.find(which)).second;
+        return found_.emplace_back(which, directory_.find_both(which)).second;
     }
 
 private:
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -78,7 +78,7 @@
             finish(number, placed);
             return;
         }
-        const std::string host = directory.find(entry.left.front()).active;
+        const std::string host = directory.find(entry.left.front());
         if (host.empty() || host == ports.own_host ||
             entry.tries >= max_tries) {
             const bool exact = host == ports.own_host;
--- a/libs/mintknotd-platform/scheduling/src/scheduler_directory.cpp
+++ b/libs/mintknotd-platform/scheduling/src/scheduler_directory.cpp
@@ -11,15 +11,24 @@
     , ports_(ports)
     , suspicion_(suspicion) {}
 
+std::string scheduler_directory::find(const policy::domain& which) const {
+    return policy::scheduler_of(which, trusted_hosts(which));
+}
+
 policy::domain_schedulers
-scheduler_directory::find(const policy::domain& which) const {
+scheduler_directory::find_both(const policy::domain& which) const {
+    return policy::schedulers_of(which, trusted_hosts(which));
+}
+
+std::vector<std::string>
+scheduler_directory::trusted_hosts(const policy::domain& which) const {
     const base::steady_time now = context_.loop.now();
     std::vector<std::string> hosts = ports_.hosts(which.data_centre);
     std::erase_if(hosts, [&](const std::string& host) {
         const auto found = suspected_.find(host);
         return found != suspected_.end() && found->second > now;
     });
-    return policy::schedulers_of(which, hosts);
+    return hosts;
 }
 
 void scheduler_directory::suspect(const std::string& host) {
--- a/libs/mintknotd-platform/scheduling/src/scheduler_directory.hpp
+++ b/libs/mintknotd-platform/scheduling/src/scheduler_directory.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace mintknot::scheduling {
 
@@ -20,12 +21,17 @@
         relay::router_context& context, const placer_ports& ports,
         base::milliseconds suspicion);
 
-    /// @return the scheduler of a domain, and who would be next.
-    policy::domain_schedulers find(const policy::domain& which) const;
+    /// @return the scheduler of a domain; empty if there is none.
+    std::string find(const policy::domain& which) const;
+    /// @return the same, and who would be next.
+    policy::domain_schedulers find_both(const policy::domain& which) const;
     /// The host has not answered in time.
     void suspect(const std::string& host);
 
 private:
+    /// @return hosts that may schedule the domain and are not suspected.
+    std::vector<std::string> trusted_hosts(const policy::domain& which) const;
+
     relay::router_context& context_;
     const placer_ports& ports_;
     base::milliseconds suspicion_;
