Decide in one place where a watch goes without readers

Cause: watch() and ask_next() each decided whether the store is asked or the followers' readers are waited for. A watch without readers takes the same way as one whose readers have failed; that answer is posted in both cases, so that no handler runs within the call. runtime tests pass as they are (33).

--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -65,17 +65,11 @@
     state::store_handler on_answer) {
     const policy::store_access access = options_.access();
     std::vector<std::string> readers = trusted_readers(access.sources);
-    if (readers.empty() && (access.stands_in || !has_answered_lately())) {
-        source_.watch(what, after, wait, std::move(on_answer));
-        return;
-    }
-    if (readers.empty()) {
-        owner_.post([on_answer = std::move(on_answer)] { on_answer({}); });
-        return;
+    if (!readers.empty()) {
+        const auto turn =
+            static_cast<std::ptrdiff_t>(++turns_[what] % readers.size());
+        std::rotate(readers.begin(), readers.begin() + turn, readers.end());
     }
-    const auto turn =
-        static_cast<std::ptrdiff_t>(++turns_[what] % readers.size());
-    std::rotate(readers.begin(), readers.begin() + turn, readers.end());
     auto entry = std::make_unique<peer_watch>(owner_);
     entry->request = {what, after, reader_wait};
     entry->store_wait = wait;
@@ -113,7 +107,7 @@
     if (entry.left.empty()) {
         const auto node = open_.extract(number);
         if (!entry.stands_in && has_answered_lately()) {
-            entry.on_answer({});
+            owner_.post([then = std::move(entry.on_answer)] { then({}); });
             return;
         }
         source_.watch(
