--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -25,6 +25,9 @@
     void on_server(
         const std::string& id, std::uint64_t version,
         std::optional<traffic::server> server);
+    /// @return what sends a datagram to the instance on a host.
+    std::function<void(const std::string& host, const std::string& datagram)>
+    datagram_sender();
     scheduling::placer_ports placer_functions();
     lending_ports lending_functions();
     std::vector<std::string>
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -134,12 +134,16 @@
         group.changed();
 }
 
+std::function<void(const std::string& host, const std::string& datagram)>
+instance::impl::datagram_sender() {
+    return [this](const std::string& host, const std::string& datagram) {
+        group.send(host, datagram);
+    };
+}
+
 scheduling::placer_ports instance::impl::placer_functions() {
     return {
-        settings.peer.host,
-        [this](const std::string& host, const std::string& datagram) {
-            group.send(host, datagram);
-        },
+        settings.peer.host, datagram_sender(),
         [this](const std::string& data_centre) {
             return scheduler_hosts(data_centre);
         },
@@ -147,11 +151,9 @@
 }
 
 lending_ports instance::impl::lending_functions() {
-    return {
-        [this](const std::string& host, const std::string& datagram) {
-            group.send(host, datagram);
-        },
-        [this] { return peers::staying(group.table(), {}); }};
+    return {datagram_sender(), [this] {
+                return peers::staying(group.table(), {});
+            }};
 }
 
 std::vector<std::string>
@@ -192,11 +194,7 @@
 }
 
 orders::sharing_ports instance::impl::sharing_functions() {
-    return {
-        [this](const std::string& host, const std::string& datagram) {
-            group.send(host, datagram);
-        },
-        [this] { return reader_of_demand(); }};
+    return {datagram_sender(), [this] { return reader_of_demand(); }};
 }
 
 std::string instance::impl::reader_of_demand() const {
