--- /dev/null
+++ b/libs/mintknotd-platform/limits/src/usage_book.cpp
@@ -0,0 +1,89 @@
+#include "usage_book.hpp"
+
+#include <algorithm>
+
+namespace mintknot::limits {
+
+namespace {
+
+/// Of 43,000 organisations each of 390 instances keeps some 110. Not measured.
+constexpr std::size_t max_accounts = 4096;
+
+/// How long a doubled datagram is known for one, at least. Not measured.
+constexpr base::milliseconds return_memory{5000};
+
+bool idle_since(
+    const policy::usage_account& account, base::steady_time moment) {
+    return account.updated < moment;
+}
+
+} // namespace
+
+usage_book::usage_book(policy::usage_bounds bounds)
+    : bounds_(bounds) {}
+
+policy::account_terms usage_book::terms(
+    const traffic::usage_limit& limit, account_kind account) const {
+    if (account == account_kind::keeper)
+        return policy::terms_of_account(
+            limit, bounds_, shares_.keeper, policy::keeper_overdraft);
+    const double share =
+        account == account_kind::deputy ? shares_.deputy : shares_.own;
+    return policy::terms_of_account(
+        limit, bounds_, share, policy::deputies_overdraft);
+}
+
+policy::usage_account&
+usage_book::account_of(const std::string& name, account_kind account) {
+    return accounts_[name][static_cast<std::size_t>(account)];
+}
+
+policy::draw_result usage_book::draw(
+    const traffic::organisation& who, account_kind account, double cost,
+    base::steady_time now) {
+    if (accounts_.size() >= max_accounts)
+        drop_idle(now);
+    return policy::draw(
+        account_of(who.name, account), terms(who.limit, account), cost, now);
+}
+
+void usage_book::give_back(
+    const traffic::organisation& who, const std::string& host,
+    const usage_return& unused, base::steady_time now) {
+    if (!accounts_.contains(who.name) || !note_return(host, unused.number, now))
+        return;
+    policy::give_back(
+        account_of(who.name, unused.account), terms(who.limit, unused.account),
+        unused.cost, now);
+}
+
+void usage_book::charge(
+    const traffic::organisation& who, double cost, base::steady_time now) {
+    policy::charge(
+        account_of(who.name, account_kind::keeper),
+        terms(who.limit, account_kind::keeper), cost, now);
+}
+
+void usage_book::drop_idle(base::steady_time now) {
+    const base::steady_time oldest = now - bounds_.window;
+    absl::erase_if(accounts_, [oldest](const auto& item) {
+        return std::all_of(
+            item.second.begin(), item.second.end(),
+            [oldest](const policy::usage_account& account) {
+                return idle_since(account, oldest);
+            });
+    });
+}
+
+bool usage_book::note_return(
+    const std::string& host, std::uint64_t number, base::steady_time now) {
+    if (now - returns_began_ > return_memory) {
+        older_returns_ = std::move(returns_);
+        returns_ = {};
+        returns_began_ = now;
+    }
+    return !older_returns_.contains({host, number}) &&
+           returns_.emplace(host, number).second;
+}
+
+} // namespace mintknot::limits
--- /dev/null
+++ b/libs/mintknotd-platform/limits/src/usage_book.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// The accounts that one instance keeps, without I/O.
+#ifndef MINTKNOT_LIMITS_USAGE_BOOK_HPP
+#define MINTKNOT_LIMITS_USAGE_BOOK_HPP
+
+#include "usage_messages.hpp"
+
+#include <mintknot/policy/usage_account.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <array>
+#include <string>
+
+namespace mintknot::limits {
+
+/// Accounts by organisation, each of three kinds. Bounded: with too many, those
+/// that have been idle longest begin anew.
+class usage_book {
+public:
+    explicit usage_book(policy::usage_bounds bounds);
+
+    void set_bounds(const policy::usage_bounds& bounds) { bounds_ = bounds; }
+    void set_shares(const policy::account_shares& shares) { shares_ = shares; }
+
+    policy::draw_result draw(
+        const traffic::organisation& who, account_kind account, double cost,
+        base::steady_time now);
+
+    /// Puts back what a question of `host` was granted. A return that comes
+    /// twice counts once.
+    void give_back(
+        const traffic::organisation& who, const std::string& host,
+        const usage_return& unused, base::steady_time now);
+
+    /// Takes out of the keeper's account what was granted elsewhere.
+    void charge(
+        const traffic::organisation& who, double cost, base::steady_time now);
+
+    std::size_t size() const noexcept { return accounts_.size(); }
+
+private:
+    using account_set = std::array<policy::usage_account, 3>;
+    /// Numbers of returns, by host.
+    using return_set =
+        absl::flat_hash_set<std::pair<std::string, std::uint64_t>>;
+
+    policy::usage_account&
+    account_of(const std::string& name, account_kind account);
+    policy::account_terms
+    terms(const traffic::usage_limit& limit, account_kind account) const;
+    void drop_idle(base::steady_time now);
+    /// @return false if the return has been seen already.
+    bool note_return(
+        const std::string& host, std::uint64_t number, base::steady_time now);
+
+    policy::usage_bounds bounds_;
+    policy::account_shares shares_;
+    absl::flat_hash_map<std::string, account_set> accounts_;
+    return_set returns_;
+    return_set older_returns_;
+    base::steady_time returns_began_{}; ///< When `returns_` was begun.
+};
+
+} // namespace mintknot::limits
+
+#endif
--- /dev/null
+++ b/libs/mintknotd-platform/limits/src/usage_messages.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// The datagrams by which instances ask each other for parts of a limit.
+#ifndef MINTKNOT_LIMITS_USAGE_MESSAGES_HPP
+#define MINTKNOT_LIMITS_USAGE_MESSAGES_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace mintknot::limits {
+
+/// Which account of an organisation, by how much of the limit it gives out.
+enum class account_kind {
+    keeper, ///< For all instances.
+    deputy, ///< For those of one data centre, while the keeper is silent.
+    own     ///< For the instance itself, while both are.
+};
+
+/// Asks to draw from an account.
+struct usage_question {
+    std::uint64_t number = 0; ///< The answer repeats it.
+    std::string organisation;
+    double cost = 0.0;
+    account_kind account = account_kind::keeper;
+};
+
+enum class usage_verdict {
+    unknown, ///< The receiver knows no such organisation.
+    granted,
+    refused
+};
+
+struct usage_answer {
+    std::uint64_t number = 0;
+    usage_verdict verdict = usage_verdict::unknown;
+    base::milliseconds come_back{0}; ///< If refused.
+};
+
+/// Returns what was granted to the question of that number.
+struct usage_return {
+    std::uint64_t number = 0;
+    std::string organisation;
+    double cost = 0.0;
+    account_kind account = account_kind::keeper;
+};
+
+/// Tells the keeper what has been granted while it did not answer.
+struct usage_charge {
+    std::string organisation;
+    double cost = 0.0;
+};
+
+using usage_message =
+    std::variant<usage_question, usage_answer, usage_return, usage_charge>;
+
+/// @return the message in MessagePack.
+std::string encode(const usage_message& value);
+
+/// @return InvalidArgument if the datagram is none of these messages.
+absl::StatusOr<usage_message> decode_usage(std::string_view datagram);
+
+} // namespace mintknot::limits
+
+#endif
--- /dev/null
+++ b/libs/mintknotd-platform/limits/tests/group_play.cpp
@@ -0,0 +1,296 @@
+#include "group_play.hpp"
+
+#include <algorithm>
+
+namespace mintknot::limits::tests {
+
+namespace {
+
+using base::milliseconds;
+
+const policy::usage_bounds bounds{milliseconds{8000}, 0.1, 140000.0};
+constexpr double stream_cost = 5300.0;
+constexpr double plain_cost = 200.0;
+constexpr double stream_share = 0.26;
+constexpr std::size_t data_centres = 3;
+constexpr milliseconds beat_period{500};
+constexpr milliseconds look_period{200};
+constexpr milliseconds peer_life{4000};
+
+std::string host_of(std::size_t instance) {
+    return "10.0.0." + std::to_string(instance);
+}
+
+std::string data_centre_of(std::size_t instance) {
+    return std::string(1, static_cast<char>('a' + instance % data_centres));
+}
+
+std::size_t instance_of(const std::string& host) {
+    return std::stoul(host.substr(host.rfind('.') + 1));
+}
+
+} // namespace
+
+group_play::group_play(play_terms terms)
+    : terms_(std::move(terms))
+    , random_(terms_.seed)
+    , now_(base::steady_time{} + std::chrono::hours(1))
+    , beat_at_(now_) {
+    who_.name = "o";
+    set_rate(180000.0);
+    reference_.updated = now_;
+    reference_.level = who_.limit.burst;
+    add(terms_.instances);
+    // The group has been there for a while before the first request.
+    for (std::size_t i = 0; i < members_.size(); ++i)
+        members_[i].group =
+            std::make_unique<group_tracker>(now_ - std::chrono::seconds(60));
+}
+
+void group_play::set_rate(double rate) {
+    who_.limit = {rate, rate, traffic::usage_unit::tokens, plain_cost};
+}
+
+void group_play::add(std::size_t instances) {
+    const std::size_t before = members_.size();
+    for (std::size_t i = 0; i < instances; ++i)
+        members_.emplace_back();
+    for (member& each : members_)
+        each.heard.resize(members_.size());
+    for (std::size_t i = before; i < members_.size(); ++i)
+        start(i);
+    beat_at_ = now_;
+}
+
+void group_play::start(std::size_t instance) {
+    member& self = members_[instance];
+    self.book = std::make_unique<usage_book>(bounds);
+    self.group = std::make_unique<group_tracker>(now_);
+    self.directory = {};
+    std::fill(self.heard.begin(), self.heard.end(), base::steady_time{});
+    self.looked = {};
+}
+
+bool group_play::connected(std::size_t left, std::size_t right) const {
+    if (cut_until_ <= now_)
+        return true;
+    return (left % data_centres == cut_) == (right % data_centres == cut_);
+}
+
+bool group_play::runs(std::size_t instance) const {
+    return members_[instance].dead_until <= now_ &&
+           members_[instance].frozen_until <= now_;
+}
+
+void group_play::kill(std::size_t instance, milliseconds down) {
+    members_[instance].dead_until = now_ + down;
+}
+
+void group_play::kill_all(milliseconds down) {
+    for (std::size_t i = 0; i < members_.size(); ++i)
+        kill(i, down);
+}
+
+void group_play::freeze(std::size_t instance, milliseconds time) {
+    members_[instance].frozen_until = now_ + time;
+}
+
+void group_play::cut(std::size_t data_centre, milliseconds time) {
+    cut_ = data_centre;
+    cut_until_ = now_ + time;
+}
+
+std::size_t group_play::keeper() const {
+    keeper_directory all;
+    std::vector<std::string> hosts;
+    for (std::size_t i = 0; i < members_.size(); ++i)
+        hosts.push_back(host_of(i));
+    all.set_hosts(hosts, hosts);
+    return instance_of(all.host_of(who_.name, account_kind::keeper, now_));
+}
+
+void group_play::beat() {
+    if (now_ < beat_at_)
+        return;
+    beat_at_ = now_ + beat_period;
+    for (std::size_t to = 0; to < members_.size(); ++to)
+        for (std::size_t from = 0; from < members_.size(); ++from)
+            if (runs(to) && runs(from) && connected(to, from))
+                members_[to].heard[from] = now_;
+}
+
+void group_play::look(std::size_t instance) {
+    member& self = members_[instance];
+    if (self.looked != base::steady_time{} && now_ - self.looked < look_period)
+        return;
+    self.looked = now_;
+    const std::string here = data_centre_of(instance);
+    std::vector<group_peer> heard;
+    std::vector<std::string> all{host_of(instance)};
+    std::vector<std::string> near{host_of(instance)};
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+        if (i == instance || self.heard[i] == base::steady_time{} ||
+            now_ - self.heard[i] > peer_life)
+            continue;
+        heard.push_back(
+            {host_of(i), data_centre_of(i), false,
+             std::chrono::duration_cast<milliseconds>(now_ - self.heard[i])});
+        all.push_back(host_of(i));
+        if (data_centre_of(i) == here)
+            near.push_back(host_of(i));
+    }
+    self.directory.set_hosts(std::move(all), std::move(near));
+    self.book->set_shares(
+        policy::shares_of(self.group->look(heard, here, now_)));
+}
+
+bool group_play::ask(
+    std::size_t from, account_kind account, double cost, bool& granted) {
+    member& self = members_[from];
+    const std::string host = self.directory.host_of(who_.name, account, now_);
+    if (host.empty())
+        return false;
+    const std::size_t to = instance_of(host);
+    const bool lost = to != from && std::uniform_real_distribution<double>(
+                                        0.0, 1.0)(random_) < terms_.loss;
+    if (lost || !runs(to) || !connected(from, to)) {
+        self.directory.suspect(host, now_);
+        return false;
+    }
+    look(to);
+    granted = members_[to].book->draw(who_, account, cost, now_).granted;
+    self.directory.trust(host);
+    return true;
+}
+
+void group_play::charge_keeper(std::size_t from, double cost) {
+    const std::size_t to =
+        instance_of(members_[from].directory.keeper_of(who_.name));
+    member& keeper = members_[to];
+    if (to == from || keeper.dead_until > now_ || !connected(from, to))
+        return;
+    if (keeper.frozen_until > now_) {
+        keeper.owed += cost;
+        return;
+    }
+    look(to);
+    keeper.book->charge(who_, cost, now_);
+}
+
+bool group_play::admit(std::size_t instance, double cost) {
+    look(instance);
+    bool granted = false;
+    if (terms_.how == way::equal_parts)
+        return members_[instance]
+            .book->draw(who_, account_kind::own, cost, now_)
+            .granted;
+    if (ask(instance, account_kind::keeper, cost, granted))
+        return granted;
+    if (terms_.how == way::keeper_alone)
+        return true;
+    if (!ask(instance, account_kind::deputy, cost, granted))
+        granted = members_[instance]
+                      .book->draw(who_, account_kind::own, cost, now_)
+                      .granted;
+    if (granted)
+        charge_keeper(instance, cost);
+    return granted;
+}
+
+double group_play::bound() const {
+    const double window = std::chrono::duration<double>(bounds.window).count();
+    return (who_.limit.rate * window + who_.limit.burst) *
+               (1.0 + bounds.overage) +
+           bounds.slack;
+}
+
+void group_play::note_run(double cost) {
+    window_.emplace_back(now_, cost);
+    in_window_ += cost;
+    run_ += cost;
+    while (now_ - window_.front().first > bounds.window) {
+        in_window_ -= window_.front().second;
+        window_.pop_front();
+    }
+    largest_ = std::max(largest_, in_window_ / bound());
+}
+
+void group_play::request() {
+    std::size_t instance = terms_.entry
+                               ? terms_.entry(random_, members_.size())
+                               : std::uniform_int_distribution<std::size_t>(
+                                     0, members_.size() - 1)(random_);
+    const bool stream = std::uniform_real_distribution<double>(0.0, 1.0)(
+                            random_) < stream_share;
+    const double cost = stream ? stream_cost : plain_cost;
+    // Callers of an instance that is down turn to another one.
+    for (std::size_t i = 0; i < members_.size() && !runs(instance); ++i)
+        instance = (instance + 1) % members_.size();
+    if (!runs(instance))
+        return;
+    const policy::account_terms exact = policy::terms_of_account(
+        who_.limit, {bounds.window, 0.0, 0.0}, 1.0, 0.0);
+    const bool inside = policy::draw(reference_, exact, cost, now_).granted;
+    const bool admitted = admit(instance, cost);
+    if (admitted)
+        note_run(cost);
+    allowed_ += inside ? cost : 0.0;
+    inside_ += inside ? 1 : 0;
+    refused_ += inside && !admitted ? 1 : 0;
+}
+
+void group_play::run(milliseconds time) {
+    const base::steady_time end = now_ + time;
+    const double mean_cost =
+        stream_share * stream_cost + (1.0 - stream_share) * plain_cost;
+    while (now_ < end) {
+        const double per_ms =
+            terms_.load * who_.limit.rate / mean_cost / 1000.0;
+        const double pause =
+            std::exponential_distribution<double>(per_ms)(random_);
+        now_ += std::chrono::duration_cast<base::steady_clock::duration>(
+            std::chrono::duration<double, std::milli>(pause));
+        wake();
+        beat();
+        request();
+    }
+}
+
+void group_play::wake() {
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+        member& self = members_[i];
+        if (self.dead_until != base::steady_time{} && self.dead_until <= now_) {
+            self.dead_until = {};
+            start(i);
+            beat_at_ = now_;
+        }
+        if (self.frozen_until == base::steady_time{} ||
+            self.frozen_until > now_)
+            continue;
+        self.frozen_until = {};
+        // Datagrams that have waited for it are read first.
+        beat_at_ = now_;
+        beat();
+        self.looked = {};
+        look(i);
+        self.book->charge(who_, self.owed, now_);
+        self.owed = 0.0;
+    }
+}
+
+play_result group_play::take_result() {
+    play_result result;
+    result.largest_window = largest_;
+    result.inside_refused = inside_ == 0 ? 0.0
+                                         : static_cast<double>(refused_) /
+                                               static_cast<double>(inside_);
+    result.used = run_ / std::max(allowed_, 1.0);
+    run_ = 0.0;
+    allowed_ = 0.0;
+    largest_ = 0.0;
+    inside_ = 0;
+    refused_ = 0;
+    return result;
+}
+
+} // namespace mintknot::limits::tests
--- /dev/null
+++ b/libs/mintknotd-platform/limits/tests/test_usage_accounts.cpp
@@ -0,0 +1,161 @@
+#include "relay_fixture.hpp"
+#include "usage_messages.hpp"
+
+#include <mintknot/limits/usage_accounts.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+using namespace mintknot;
+using namespace mintknot::limits;
+using base::milliseconds;
+
+namespace {
+
+const policy::usage_bounds bounds{milliseconds{8000}, 0.0, 4000.0};
+
+/// Instances on one loop whose datagrams reach each other, unless a host is
+/// silent.
+class group {
+public:
+    explicit group(std::size_t instances) {
+        traffic::organisation_row row;
+        row.value.name = "o";
+        row.value.limit = {1000.0, 1000.0, traffic::usage_unit::tokens, 5.0};
+        row.keys = {"k"};
+        f.config.organisations =
+            std::make_shared<const traffic::organisation_table>(
+                std::vector<traffic::organisation_row>{row});
+        f.configure();
+        f.context.options.data_centre = "a";
+        for (std::size_t i = 0; i < instances; ++i)
+            add("h" + std::to_string(i));
+    }
+
+    void add(const std::string& host) {
+        account_ports ports;
+        ports.own_host = host;
+        ports.send =
+            [this, host](const std::string& to, const std::string& datagram) {
+                const auto message = decode_usage(datagram);
+                cr_assert(message.ok());
+                if (std::holds_alternative<usage_question>(*message))
+                    asked.push_back(to);
+                else if (std::holds_alternative<usage_charge>(*message))
+                    charged.push_back(to);
+                if (silent.contains(to) || silent.contains(host))
+                    return;
+                f.owner.post([this, host, to, datagram] {
+                    cr_assert(members.at(to)->receive(host, datagram));
+                });
+            };
+        ports.members = [this, host] {
+            std::vector<group_peer> others;
+            for (const auto& [name, member] : members)
+                if (name != host)
+                    others.push_back({name, "a", false});
+            return others;
+        };
+        ports.stays = [] { return true; };
+        members[host] =
+            std::make_unique<usage_accounts>(f.context, ports, bounds);
+    }
+
+    const traffic::organisation& who() const {
+        return *f.context.state.config->organisations->find_by_name("o");
+    }
+
+    /// Asks, and waits for the answer.
+    relay::usage_grant ask(const std::string& host, double cost) {
+        std::optional<relay::usage_grant> told;
+        const auto ticket = members.at(host)->ask(
+            who(), cost,
+            [&](const relay::usage_grant& grant) { told = grant; });
+        cr_assert(!told, "answered from within");
+        f.run_until([&] { return told.has_value(); });
+        return *told;
+    }
+
+    relay::tests::relay_fixture f;
+    std::map<std::string, std::unique_ptr<usage_accounts>> members;
+    std::vector<std::string> asked;   ///< To whom questions went.
+    std::vector<std::string> charged; ///< To whom charges went.
+    std::set<std::string> silent;
+};
+
+} // namespace
+
+Test(usage_accounts, all_instances_draw_from_one_account) {
+    group g(4);
+    double granted = 0.0;
+    for (int i = 0; i < 40; ++i)
+        if (g.ask("h" + std::to_string(i % 4), 100.0).granted)
+            granted += 100.0;
+    // The overdraft of the keeper, shared by ten at the start, and what a
+    // thousand a second earn meanwhile.
+    cr_assert(granted >= 300.0);
+    cr_assert(granted <= 1500.0);
+}
+
+Test(usage_accounts, an_unused_grant_can_be_drawn_again) {
+    group g(3);
+    const relay::usage_grant first = g.ask("h0", 300.0);
+    cr_assert(first.granted);
+    cr_assert(!g.ask("h1", 300.0).granted);
+    g.members.at("h0")->give_back("o", first);
+    g.f.run_until([&, turns = 0]() mutable { return ++turns > 3; });
+    cr_assert(g.ask("h2", 300.0).granted);
+}
+
+Test(usage_accounts, where_nobody_answers_an_instance_has_its_own_part) {
+    group g(3);
+    g.silent = {"h0", "h1", "h2"};
+    cr_assert(g.ask("h0", 100.0).granted);
+    cr_assert(!g.ask("h0", 700.0).granted);
+    const account_counters& seen = g.members.at("h0")->counters();
+    cr_assert(seen.granted == 1 && seen.refused == 1);
+    cr_assert(seen.alone + seen.deputised <= 1);
+}
+
+Test(usage_accounts, a_silent_keeper_is_not_waited_for_again) {
+    group g(3);
+    for (const char* host : {"h0", "h1", "h2"})
+        g.ask(host, 1.0);
+    // Whoever is asked by the others keeps the account.
+    const std::string keeper = g.asked.front();
+    const std::string asker = keeper == "h0" ? "h1" : "h0";
+    g.silent = {keeper};
+    g.ask(asker, 1.0);
+    g.asked.clear();
+    for (int i = 0; i < 5; ++i)
+        cr_assert(g.ask(asker, 1.0).granted);
+    cr_assert(std::count(g.asked.begin(), g.asked.end(), keeper) == 0);
+    // What is granted meanwhile is charged to it, should it be there after all.
+    cr_assert(std::count(g.charged.begin(), g.charged.end(), keeper) == 6);
+}
+
+Test(usage_accounts, a_withdrawn_question_returns_what_it_was_granted) {
+    group g(2);
+    g.ask("h0", 1.0);
+    g.ask("h1", 1.0);
+    const std::string keeper = g.asked.front();
+    const std::string asker = keeper == "h0" ? "h1" : "h0";
+    auto ticket =
+        g.members.at(asker)->ask(g.who(), 150.0, [](const relay::usage_grant&) {
+            cr_assert(false, "withdrawn");
+        });
+    // The question goes out, then its request ends.
+    g.f.owner.post([&] { ticket.reset(); });
+    g.f.run_until([&, turns = 0]() mutable { return ++turns > 5; });
+    cr_assert(g.ask(asker, 150.0).granted);
+}
+
+Test(usage_accounts, other_datagrams_are_not_theirs) {
+    group g(1);
+    for (const char* datagram : {"", "x", "\x93\x02\x01"})
+        cr_assert(!g.members.at("h0")->receive("h1", datagram));
+}
--- a/libs/mintknotd-platform/policy/src/entry_check.cpp
+++ b/libs/mintknotd-platform/policy/src/entry_check.cpp
@@ -7,26 +7,44 @@
 
 namespace {
 
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
 entry_decision refuse_for_now(std::string_view reason) {
-    return {
-        nullptr, nullptr, status_unavailable, reason,
-        return_after_entry_refusal};
+    entry_decision refused;
+    refused.status = status_unavailable;
+    refused.reason = reason;
+    refused.retry_after = return_after_entry_refusal;
+    return refused;
+}
+
+entry_decision refuse_for_good(int status, std::string_view reason) {
+    entry_decision refused;
+    refused.status = status;
+    refused.reason = reason;
+    return refused;
 }
 
 } // namespace
 
 entry_decision check_entry(
-    const entry_conditions& conditions, std::string_view host,
-    std::string_view target, double draw) {
+    const entry_conditions& conditions, const entry_request& request,
+    double draw) {
     if (conditions.config == nullptr)
         return refuse_for_now("no_configuration");
     const traffic::configuration& config = *conditions.config;
-    const traffic::route* route = traffic::find_route(config, host, target);
+    const traffic::route* route =
+        traffic::find_route(config, request.host, request.target);
     if (route == nullptr)
-        return {nullptr, nullptr, status_not_found, "no_route", std::nullopt};
+        return refuse_for_good(status_not_found, "no_route");
+    const access_decision let_in = check_access(
+        config.organisations.get(), route->open_to_all, request.key,
+        conditions.known);
+    if (let_in.what == access_verdict::old_knowledge)
+        return refuse_for_now("old_knowledge");
+    if (let_in.what == access_verdict::unknown_key)
+        return refuse_for_good(status_unauthorized, "unknown_key");
     if (conditions.stopping &&
         !may_begin(*route, conditions.since_stop, conditions.grace))
         return refuse_for_now("stopping");
@@ -39,6 +57,7 @@
     entry_decision begins;
     begins.route = route;
     begins.service = &service->second;
+    begins.organisation = let_in.organisation;
     return begins;
 }
 
--- /dev/null
+++ b/libs/mintknotd-platform/policy/src/usage_account.cpp
@@ -0,0 +1,111 @@
+#include <mintknot/policy/usage_account.hpp>
+
+#include <mintknot/policy/group.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mintknot::policy {
+
+namespace {
+
+constexpr double milliseconds_per_second = 1000.0;
+
+/// How late grants of others may be heard of: a process that has been frozen
+/// for so long finds them waiting. Longer ones are taken for lost by then.
+constexpr base::milliseconds late_charge_time{4000};
+
+/// Adds what has been earned since the last look.
+void update(
+    usage_account& account, const account_terms& terms, base::steady_time now) {
+    if (account.updated == base::steady_time{})
+        account.updated = now;
+    const std::chrono::duration<double, std::milli> since =
+        now - account.updated;
+    const double earned = since.count() * terms.rate;
+    const double level = account.level + earned;
+    account.level = std::min(level, terms.burst);
+    const double beyond = level - account.level;
+    const double longest =
+        static_cast<double>(late_charge_time.count()) * terms.rate;
+    account.unused =
+        std::clamp(account.unused + 2.0 * beyond - earned, 0.0, longest);
+    account.updated = now;
+}
+
+base::milliseconds time_to_earn(const account_terms& terms, double tokens) {
+    const double time = std::ceil(std::max(tokens, 0.0) / terms.rate);
+    const auto longest = static_cast<double>(max_limit_return.count());
+    return base::milliseconds(
+        static_cast<std::int64_t>(std::min(time, longest)));
+}
+
+base::milliseconds return_time(
+    usage_account& account, const account_terms& terms, double cost,
+    base::steady_time now) {
+    const double missing = cost - account.level - terms.overdraft;
+    const base::steady_time earned = std::max(
+        now + time_to_earn(terms, missing),
+        account.promised + time_to_earn(terms, cost));
+    account.promised = std::min(earned, now + max_limit_return);
+    return std::max(base::time_left(account.promised, now), min_limit_return);
+}
+
+} // namespace
+
+account_terms terms_of_account(
+    const traffic::usage_limit& limit, const usage_bounds& bounds, double share,
+    double overdraft) {
+    const double rate = limit.rate * (1.0 + bounds.overage * overage_share);
+    return {
+        rate * share / milliseconds_per_second, limit.burst * share,
+        bounds.slack * overdraft * share};
+}
+
+double
+usage_cost(const traffic::usage_limit& limit, std::optional<double> tokens) {
+    if (limit.unit == traffic::usage_unit::requests)
+        return 1.0;
+    return std::max(tokens.value_or(limit.plain_tokens), 1.0);
+}
+
+draw_result draw(
+    usage_account& account, const account_terms& terms, double cost,
+    base::steady_time now) {
+    update(account, terms, now);
+    const bool enough = account.level - cost >= -terms.overdraft;
+    if (!enough && account.level < terms.burst)
+        return {false, return_time(account, terms, cost, now)};
+    account.level -= cost;
+    return {true, base::milliseconds{0}};
+}
+
+void give_back(
+    usage_account& account, const account_terms& terms, double cost,
+    base::steady_time now) {
+    update(account, terms, now);
+    account.level = std::min(account.level + cost, terms.burst);
+}
+
+void charge(
+    usage_account& account, const account_terms& terms, double cost,
+    base::steady_time now) {
+    update(account, terms, now);
+    const double excused = std::min(cost, account.unused);
+    account.unused -= excused;
+    const double most_owed = -std::max(terms.burst, terms.overdraft);
+    account.level = std::max(
+        account.level - (cost - excused), std::min(account.level, most_owed));
+}
+
+account_shares shares_of(const group_view& group) {
+    const bool settled = group.uptime >= discovery_time;
+    const std::size_t known = group.heard + group.silent;
+    const auto all =
+        static_cast<double>(settled ? known : assumed_instances(known));
+    return {
+        static_cast<double>(group.heard) / all,
+        static_cast<double>(group.here) / all, 1.0 / all};
+}
+
+} // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/tests/test_entry_check.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_entry_check.cpp
@@ -31,7 +31,7 @@
 }
 
 entry_decision check(const entry_conditions& conditions) {
-    return check_entry(conditions, "h", "/a/b", 0.5);
+    return check_entry(conditions, {"h", "/a/b", std::nullopt}, 0.5);
 }
 
 } // namespace
@@ -54,7 +54,7 @@
 Test(entry_check, what_has_no_route_is_not_found) {
     const traffic::configuration config = one_route();
     const entry_decision decision =
-        check_entry(conditions_of(config), "h", "/other", 0.5);
+        check_entry(conditions_of(config), {"h", "/other", std::nullopt}, 0.5);
     cr_assert_eq(decision.status, 404);
     cr_assert(!decision.retry_after);
 }
@@ -80,3 +80,49 @@
     config.services.clear();
     cr_assert(check(conditions_of(config)).reason == "unknown_service");
 }
+
+namespace {
+
+traffic::configuration with_organisations() {
+    traffic::configuration config = one_route();
+    traffic::organisation_row row;
+    row.value.name = "o";
+    row.keys = {"key"};
+    config.organisations = std::make_shared<const traffic::organisation_table>(
+        std::vector<traffic::organisation_row>{row});
+    return config;
+}
+
+entry_decision check_with(
+    const entry_conditions& conditions, const std::optional<std::string>& key) {
+    return check_entry(conditions, {"h", "/a/b", key}, 0.5);
+}
+
+} // namespace
+
+Test(entry_check, a_key_tells_whose_request_it_is) {
+    const traffic::configuration config = with_organisations();
+    const entry_decision decision = check_with(conditions_of(config), "key");
+    cr_assert(decision.service != nullptr);
+    cr_assert(decision.organisation->name == "o");
+}
+
+Test(entry_check, an_unknown_key_is_refused_for_good) {
+    const traffic::configuration config = with_organisations();
+    for (const auto& key : {std::optional<std::string>{}, {"other"}}) {
+        const entry_decision decision = check_with(conditions_of(config), key);
+        cr_assert_eq(decision.status, 401);
+        cr_assert(decision.service == nullptr);
+        cr_assert(!decision.retry_after);
+    }
+}
+
+Test(entry_check, old_knowledge_is_refused_for_now) {
+    const traffic::configuration config = with_organisations();
+    entry_conditions conditions = conditions_of(config);
+    conditions.known = {milliseconds{9000}, milliseconds{5000}};
+    const entry_decision decision = check_with(conditions, "key");
+    cr_assert_eq(decision.status, 503);
+    cr_assert(decision.reason == "old_knowledge");
+    cr_assert(decision.retry_after.has_value());
+}
--- /dev/null
+++ b/libs/mintknotd-platform/policy/tests/test_usage_account.cpp
@@ -0,0 +1,125 @@
+#include <mintknot/policy/usage_account.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::policy;
+using base::milliseconds;
+
+namespace {
+
+const base::steady_time start = base::steady_time{} + std::chrono::hours(1);
+/// One token a millisecond, a second of it at once, and 200 below zero.
+const account_terms terms{1.0, 1000.0, 200.0};
+
+base::steady_time at(int ms) {
+    return start + milliseconds(ms);
+}
+
+/// An account that is full at the start.
+usage_account full_account() {
+    usage_account account;
+    account.updated = start;
+    account.level = terms.burst;
+    return account;
+}
+
+} // namespace
+
+Test(usage_account, a_new_account_grants_the_overdraft_only) {
+    usage_account account;
+    cr_assert(draw(account, terms, 150.0, start).granted);
+    cr_assert(!draw(account, terms, 150.0, start).granted);
+    cr_assert(draw(account, terms, 50.0, start).granted);
+}
+
+Test(usage_account, it_earns_its_rate_up_to_the_burst) {
+    usage_account account;
+    draw(account, terms, 200.0, start);
+    cr_assert(!draw(account, terms, 100.0, at(99)).granted);
+    cr_assert(draw(account, terms, 100.0, at(101)).granted);
+    // After an hour there is the burst, not an hour's worth.
+    const int hour = 3600 * 1000;
+    cr_assert(draw(account, terms, 1200.0, at(hour)).granted);
+    cr_assert(!draw(account, terms, 10.0, at(hour)).granted);
+}
+
+Test(usage_account, what_costs_more_than_the_burst_waits_for_a_full_account) {
+    usage_account account = full_account();
+    cr_assert(draw(account, terms, 5000.0, start).granted);
+    cr_assert(!draw(account, terms, 1.0, at(3000)).granted);
+    cr_assert(draw(account, terms, 1.0, at(4001)).granted);
+}
+
+Test(usage_account, what_is_given_back_can_be_drawn_again) {
+    usage_account account;
+    draw(account, terms, 200.0, start);
+    give_back(account, terms, 120.0, start);
+    cr_assert(draw(account, terms, 120.0, start).granted);
+    give_back(account, terms, 1e9, start);
+    cr_assert(account.level <= terms.burst);
+}
+
+Test(usage_account, refused_callers_are_told_times_that_follow_each_other) {
+    usage_account account;
+    draw(account, terms, 200.0, start);
+    const milliseconds first = draw(account, terms, 100.0, start).come_back;
+    const milliseconds second = draw(account, terms, 100.0, start).come_back;
+    const milliseconds third = draw(account, terms, 100.0, start).come_back;
+    cr_assert(first == milliseconds{100});
+    cr_assert(second == milliseconds{200});
+    cr_assert(third == milliseconds{300});
+    // Whoever comes then is let in.
+    cr_assert(draw(account, terms, 100.0, at(100)).granted);
+    cr_assert(draw(account, terms, 100.0, at(200)).granted);
+    cr_assert(draw(account, terms, 100.0, at(300)).granted);
+}
+
+Test(usage_account, return_times_are_bounded) {
+    usage_account account;
+    for (int i = 0; i < 1000; ++i) {
+        const draw_result drawn = draw(account, terms, 150.0, start);
+        if (drawn.granted)
+            continue;
+        cr_assert(drawn.come_back >= min_limit_return);
+        cr_assert(drawn.come_back <= max_limit_return);
+    }
+}
+
+Test(usage_account, a_lower_limit_takes_the_burst_along) {
+    usage_account account = full_account();
+    const account_terms lower{0.1, 100.0, 20.0};
+    cr_assert(draw(account, lower, 100.0, at(1)).granted);
+    cr_assert(!draw(account, lower, 100.0, at(1)).granted);
+}
+
+Test(usage_account, costs_are_in_the_unit_of_the_limit) {
+    traffic::usage_limit limit;
+    limit.rate = 10.0;
+    cr_assert(usage_cost(limit, 5000.0) == 1.0);
+    limit.unit = traffic::usage_unit::tokens;
+    limit.plain_tokens = 200.0;
+    cr_assert(usage_cost(limit, 5000.0) == 5000.0);
+    cr_assert(usage_cost(limit, std::nullopt) == 200.0);
+    cr_assert(usage_cost(limit, 0.0) == 1.0);
+}
+
+Test(usage_account, shares_of_a_settled_group_are_the_whole) {
+    const account_shares shares =
+        shares_of({30, 88, 0, std::chrono::seconds(60)});
+    cr_assert(shares.keeper == 1.0);
+    cr_assert_float_eq(shares.deputy, 30.0 / 88.0, 1e-9);
+    cr_assert_float_eq(shares.own, 1.0 / 88.0, 1e-9);
+}
+
+Test(usage_account, shares_beyond_a_cut_never_add_up_to_more_than_the_whole) {
+    const std::chrono::seconds uptime(60);
+    const account_shares here = shares_of({30, 30, 58, uptime});
+    const account_shares there = shares_of({29, 58, 30, uptime});
+    cr_assert(here.keeper + there.keeper <= 1.0 + 1e-9);
+}
+
+Test(usage_account, who_has_just_started_alone_does_not_take_all) {
+    cr_assert(shares_of({1, 1, 0, milliseconds{100}}).keeper <= 0.1);
+    cr_assert(shares_of({1, 1, 0, std::chrono::seconds(10)}).keeper == 1.0);
+}
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -21,6 +21,9 @@
     double prompt_tokens = 0.0;
     double max_output_tokens = 0.0;
     std::optional<double> expected_output_tokens; ///< The caller's guess.
+    bool tells_tokens = false; ///< Whether it names a number of tokens at all.
+    /// What the caller shows to be let in; nothing: no key, or several.
+    std::optional<std::string> key;
 };
 
 /// What an outgoing call is to do with a prompt.
@@ -36,6 +39,8 @@
     call_stage stage = call_stage::whole;
     std::string prefill_result; ///< Where a prompt's KV cache lies; or empty.
     std::optional<std::uint64_t> resume_after; ///< Last event passed on.
+    bool hides_key = false;   ///< The caller's key is for the router only.
+    std::string organisation; ///< Holder of that key; empty: nobody.
 };
 
 /// What the head of a server's answer says.
@@ -60,7 +65,8 @@
 struct engine_report {
     traffic::engine_phase phase = traffic::engine_phase::none;
     std::int64_t orders_taken = 0;
-    bool busy = false; ///< With an order.
+    bool busy = false;      ///< With an order.
+    std::uint64_t born = 0; ///< See traffic::server.
 };
 
 /// A call that the router itself makes.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -22,6 +22,9 @@
     std::shared_ptr<const std::string> body;
     request_terms terms;
     base::steady_time arrived;
+    /// Whose request it is, in the configuration that it was routed by; null:
+    /// nobody's.
+    const traffic::organisation* organisation = nullptr;
 };
 
 /// Where an answer goes. Exactly one of whole(), end() and break_off() is
@@ -50,7 +53,8 @@
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
 
-    /// Begins; the sink may be called from within.
+    /// Begins: asks whether the organisation may use so much, then runs. The
+    /// sink may be called from within.
     void start();
     /// The caller's connection has ended.
     void caller_left();
@@ -79,6 +83,17 @@
     void give_up(std::string_view reason);
     /// The same with the time after which a caller may come back.
     void give_up(std::string_view reason, base::milliseconds come_back);
+    /// Ends the exchange with an answer of the router's own with that status,
+    /// which promises that the request has not run.
+    void refuse(
+        int status, std::string_view reason,
+        std::optional<base::milliseconds> come_back);
+    /// Looks again, before a send of what has not run, whether the caller's key
+    /// is good: it may have been taken away while the request waited.
+    /// @return false if it is not; the exchange has ended then.
+    bool key_still_good();
+    /// @return the priority of the organisation, or else of the route.
+    int priority() const;
     /// Ends the exchange with a server's answer.
     void answer_whole(http1::response_head head, std::string body);
     void note_first_byte();
@@ -95,6 +110,7 @@
     /// earlier one may come first. A rejection may lack the ID.
     bool belongs(const http1::response_head& head) const;
 
+    std::string organisation_name() const; ///< Empty: nobody's.
     call_terms terms_for(const traffic::server& server) const;
     upstream::call_request call_for(const call_terms& terms) const;
 
@@ -111,10 +127,19 @@
 
 private:
     void on_deadline();
+    void ask_for_usage();
+    void on_usage(const usage_grant& told);
+    /// Returns what was granted to a request that has not run.
+    void return_usage();
+    void end_with(
+        int status, std::string_view reason,
+        std::optional<base::milliseconds> retry_after);
     void finish(std::string_view outcome);
 
     event::timer deadline_timer_;
     base::steady_time deadline_;
+    std::unique_ptr<usage_ticket> usage_ticket_;
+    usage_grant usage_;
     base::milliseconds first_byte_{0};
     /// From the arrival to the first call.
     std::optional<base::milliseconds> first_offer_;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/event/loop.hpp>
 #include <mintknot/logging/line_log.hpp>
+#include <mintknot/policy/access.hpp>
 #include <mintknot/policy/admission.hpp>
 #include <mintknot/policy/phase_demand.hpp>
 #include <mintknot/policy/retry_allowance.hpp>
@@ -16,6 +17,7 @@
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
+#include <mintknot/relay/usage_limiter.hpp>
 #include <mintknot/relay/wait_queue.hpp>
 #include <mintknot/traffic/configuration.hpp>
 #include <mintknot/traffic/load_view.hpp>
@@ -38,6 +40,8 @@
     std::string data_centre;
     std::size_t max_callers = 1500; ///< Open connections of callers.
     std::size_t max_body_bytes = 24 * 1024 * 1024; ///< Of all open requests.
+    /// See policy::knowledge.
+    std::optional<base::milliseconds> revocation_bound;
 };
 
 /// What a peer has last told of its retries. What an earlier life of it, or
@@ -65,6 +69,9 @@
 /// What is believed at present. Changed only on the loop's thread.
 struct router_state {
     std::shared_ptr<const traffic::configuration> config; ///< Null at first.
+    /// The last moment at which nothing newer than `config` is known to have
+    /// existed; nothing: there was none yet.
+    std::optional<base::steady_time> configuration_confirmed;
     traffic::server_table servers;
     traffic::load_view loads;
     policy::health_view health;
@@ -109,7 +116,8 @@
     health_prober& prober;
     relay_options options;
     router_state state{};
-    placer* placement = nullptr; ///< Null: every request is placed here.
+    placer* placement = nullptr;     ///< Null: every request is placed here.
+    usage_limiter* limits = nullptr; ///< Null: no organisation is limited.
     wait_queue queue{loop};
     std::minstd_rand random{std::random_device{}()};
 
@@ -118,6 +126,9 @@
     }
 };
 
+/// @return how old the configuration in force may be.
+policy::knowledge knowledge_of(const router_context& context);
+
 /// Adds work in flight at a server, and tells peers of it.
 void add_load(
     router_context& context, const std::string& server_id,
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -180,7 +180,8 @@
     const std::string* host = http1::find_field(request.head.fields, "Host");
     const policy::entry_decision decision = policy::check_entry(
         entry_conditions(config.get()),
-        host == nullptr ? std::string_view{} : *host, request.head.target,
+        {host == nullptr ? std::string_view{} : *host, request.head.target,
+         request.terms.key},
         context_.draw());
     if (decision.service == nullptr) {
         refuse_whole(request, decision);
@@ -189,6 +190,7 @@
     if (!body_.empty())
         request.body = std::make_shared<const std::string>(std::move(body_));
     body_.clear();
+    request.organisation = decision.organisation;
     exchange_ = make_exchange(
         context_, *this, std::move(request), config, *decision.route,
         *decision.service);
@@ -205,6 +207,7 @@
     conditions.grace = context_.state.grace;
     conditions.open_body_bytes = context_.state.open_body_bytes;
     conditions.max_body_bytes = context_.options.max_body_bytes;
+    conditions.known = knowledge_of(context_);
     return conditions;
 }
 
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -4,6 +4,7 @@
 #include "plain_exchange.hpp"
 
 #include <mintknot/http1/serialize.hpp>
+#include <mintknot/policy/usage_account.hpp>
 
 #include <algorithm>
 
@@ -15,9 +16,13 @@
 /// decides.
 constexpr base::milliseconds default_deadline{60000};
 
+constexpr int status_unauthorized = 401;
+constexpr int status_too_many_requests = 429;
+constexpr int status_unavailable = 503;
+
 int status_of(base::verdict verdict, bool out_of_time) {
     if (verdict == base::verdict::not_run)
-        return 503;
+        return status_unavailable;
     return out_of_time ? 504 : 502;
 }
 
@@ -43,6 +48,7 @@
 }
 
 exchange::~exchange() {
+    return_usage();
     --context_.state.open_requests;
 }
 
@@ -55,7 +61,66 @@
             context_.state.deadlines[route_.name], *request_.terms.deadline,
             context_.loop.now());
     deadline_timer_.start(deadline_, [this] { on_deadline(); });
-    run();
+    const traffic::organisation* who = request_.organisation;
+    if (who != nullptr && who->limit.limited() && context_.limits != nullptr)
+        ask_for_usage();
+    else
+        run();
+}
+
+void exchange::ask_for_usage() {
+    const request_terms& terms = request_.terms;
+    const double tokens = terms.prompt_tokens + terms.max_output_tokens;
+    const double cost = policy::usage_cost(
+        request_.organisation->limit,
+        terms.tells_tokens ? std::optional(tokens) : std::nullopt);
+    usage_ticket_ = context_.limits->ask(
+        *request_.organisation, cost,
+        [this](const usage_grant& told) { on_usage(told); });
+}
+
+void exchange::on_usage(const usage_grant& told) {
+    usage_ = told;
+    if (told.granted)
+        run();
+    else
+        refuse(status_too_many_requests, "over_limit", told.come_back);
+}
+
+void exchange::return_usage() {
+    usage_ticket_.reset();
+    if (usage_.granted && verdict_ == base::verdict::not_run)
+        context_.limits->give_back(request_.organisation->name, usage_);
+    usage_.granted = false;
+}
+
+bool exchange::key_still_good() {
+    const bool begun =
+        verdict_ != base::verdict::not_run || attempts_.answer_begun;
+    if (begun || request_.organisation == nullptr)
+        return true;
+    const traffic::configuration& now = *context_.state.config;
+    const policy::access_decision found = policy::check_access(
+        now.organisations.get(), route_.open_to_all, request_.terms.key,
+        knowledge_of(context_));
+    if (found.what == policy::access_verdict::old_knowledge) {
+        refuse(
+            status_unavailable, "old_knowledge",
+            policy::return_after_entry_refusal);
+        return false;
+    }
+    const bool same = found.organisation != nullptr &&
+                      found.organisation->name == request_.organisation->name;
+    if (same || route_.open_to_all || now.organisations == nullptr)
+        return true;
+    refuse(status_unauthorized, "unknown_key", std::nullopt);
+    return false;
+}
+
+int exchange::priority() const {
+    const traffic::organisation* who = request_.organisation;
+    return who == nullptr ? route_.priority
+                          : who->priority.value_or(route_.priority);
 }
 
 void exchange::caller_left() {
@@ -100,20 +165,37 @@
     std::optional<base::milliseconds> retry_after;
     if (verdict_ == base::verdict::not_run)
         retry_after = come_back;
+    end_with(status, reason, retry_after);
+}
+
+void exchange::refuse(
+    int status, std::string_view reason,
+    std::optional<base::milliseconds> come_back) {
+    if (finished_)
+        return;
+    cancel_calls();
+    end_with(status, reason, come_back);
+}
+
+void exchange::end_with(
+    int status, std::string_view reason,
+    std::optional<base::milliseconds> retry_after) {
     http1::response_head head;
     head.status = status;
     head.fields = context_.protocol.own_answer(request_.terms.id, retry_after);
     note_first_byte();
     context_.log.write(
-        "given_up", {{"request", request_.terms.id},
-                     {"route", route_.name},
-                     {"reason", reason},
-                     {"status", std::int64_t{status}},
-                     {"come_back_ms", come_back.count()},
-                     {"verdict", base::to_string(verdict_)},
-                     {"sends", std::int64_t{sends_}},
-                     {"config", static_cast<std::int64_t>(config_->version)},
-                     {"after_ms", since_arrival().count()}});
+        "given_up",
+        {{"request", request_.terms.id},
+         {"route", route_.name},
+         {"reason", reason},
+         {"status", std::int64_t{status}},
+         {"come_back_ms", retry_after.value_or(base::milliseconds{0}).count()},
+         {"organisation", organisation_name()},
+         {"verdict", base::to_string(verdict_)},
+         {"sends", std::int64_t{sends_}},
+         {"config", static_cast<std::int64_t>(config_->version)},
+         {"after_ms", since_arrival().count()}});
     finish(reason);
     sink_.whole(std::move(head), std::string(reason) + "\n");
 }
@@ -173,6 +255,7 @@
 void exchange::finish(std::string_view outcome) {
     finished_ = true;
     deadline_timer_.stop();
+    return_usage();
     context_.metrics.count_request(
         {route_.name, std::string(outcome), first_byte_, since_arrival()});
     context_.log.write(
@@ -194,10 +277,17 @@
            (terms.request_id.empty() && terms.not_executed);
 }
 
+std::string exchange::organisation_name() const {
+    return request_.organisation == nullptr ? std::string{}
+                                            : request_.organisation->name;
+}
+
 call_terms exchange::terms_for(const traffic::server& server) const {
     call_terms terms;
     terms.server_id = server.id;
     terms.time_left = time_left();
+    terms.hides_key = config_->organisations != nullptr;
+    terms.organisation = organisation_name();
     return terms;
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -24,6 +24,8 @@
         place();
         return;
     }
+    if (!key_still_good())
+        return;
     if (!prepay(policy::repeats_to_prepay(charges_, 1))) {
         take(policy::without_allowance(
             attempts_, policy::is_large(context_.state.instances)));
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -94,6 +94,8 @@
         wait_for_room(seen);
         return;
     }
+    if (!key_still_good())
+        return;
     placed_by_ = placed.by;
     decode_.server = decode->id;
     decode_.reserved_tokens = memory_needed();
@@ -156,7 +158,7 @@
 }
 
 policy::queue_rank generation_exchange::rank(bool late) const {
-    return {late, route_.priority, request_.arrived};
+    return {late, priority(), request_.arrived};
 }
 
 std::optional<base::milliseconds> generation_exchange::expected_wait(
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -61,7 +61,7 @@
         traffic::find(context_.state.servers, placed.server);
     if (chosen == nullptr || chosen->draining)
         take(next_step(policy::call_end::no_server));
-    else
+    else if (key_still_good())
         send(*chosen, placed.by);
 }
 
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -17,6 +17,15 @@
 
 } // namespace
 
+policy::knowledge knowledge_of(const router_context& context) {
+    policy::knowledge known;
+    known.revocation_bound = context.options.revocation_bound;
+    if (context.state.configuration_confirmed)
+        known.age = std::chrono::duration_cast<base::milliseconds>(
+            context.loop.now() - *context.state.configuration_confirmed);
+    return known;
+}
+
 void add_load(
     router_context& context, const std::string& server_id,
     const traffic::server_load& load) {
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -45,6 +45,10 @@
     if (const auto deadline = http1::find_number(head.fields, "Deadline"))
         terms.deadline = base::milliseconds(*deadline);
     terms.prompt_tokens = number_of(head.fields, "Tokens");
+    terms.tells_tokens = terms.prompt_tokens > 0.0;
+    const std::string key = text_of(head.fields, "Key");
+    if (!key.empty())
+        terms.key = key;
     return terms;
 }
 
@@ -70,6 +74,10 @@
     const http1::request_head& caller, const call_terms& terms) const {
     http1::request_head head = caller;
     http1::erase_hop_fields(head.fields);
+    if (terms.hides_key)
+        http1::erase_fields(head.fields, "Key");
+    if (!terms.organisation.empty())
+        head.fields.push_back({"Organisation", terms.organisation});
     head.fields.push_back({"Target", terms.server_id});
     head.fields.push_back({"Left", std::to_string(terms.time_left.count())});
     if (terms.stage == call_stage::prefill)
--- a/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/base/address.hpp>
 #include <mintknot/event/loop.hpp>
+#include <mintknot/policy/usage_account.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/router_state.hpp>
 #include <mintknot/state/replica.hpp>
@@ -33,6 +34,7 @@
     std::vector<std::string> seed_hosts;
     base::milliseconds grace{8000}; ///< From SIGTERM until it must be gone.
     policy::retry_bounds retry_bounds;
+    policy::usage_bounds usage_bounds; ///< Of organisations.
     /// Within which a server that says that it leaves gets no new request.
     base::milliseconds drain_bound{2000};
     /// How long another holder of orders must wait after the last one.
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -11,6 +11,14 @@
 /// How long readers of a large group hold their watches: each call to the
 /// store has a price.
 constexpr base::milliseconds large_group_wait{10000};
+/// How long watches of the configuration are held where it must be known how
+/// old it is: instances learn it in step with their readers, so that it is a
+/// second old at most while all is well. A silent connection then blinds a
+/// reader for two seconds, of the five for which old knowledge may be used.
+constexpr base::milliseconds confirmation_period{1000};
+/// Without a confirmation for so long, the readers are not enough: twice what
+/// passes while all is well.
+constexpr base::milliseconds confirmation_patience{2000};
 /// How long a large group waits for its readers' news of servers.
 constexpr base::milliseconds large_group_patience{1200};
 /// Snapshots of thousands of servers are large: a hundred instances that start
@@ -18,20 +26,29 @@
 constexpr std::size_t snapshot_bytes_per_ms = 1000;
 constexpr base::milliseconds max_snapshots_ahead{1500};
 
+state::reader_options configuration_options(bool confirms) {
+    state::reader_options options;
+    if (confirms)
+        options.wait = confirmation_period;
+    return options;
+}
+
 } // namespace
 
 document_sync::document_sync(
     const document_ports& ports, const document_options& options,
     document_handlers handlers)
     : owner_(ports.loop)
+    , confirms_configuration_(options.confirms_configuration)
     , handlers_(std::move(handlers))
     , replica_(ports.codec, ports.log, replica_functions())
     , store_(
           ports.loop, ports.store, ports.pool, ports.log,
-          {options.peer.host, options.peer.port, options.store_access})
+          {options.peer.host, options.peer.port, options.store_access,
+           [this] { return confirmation_overdue(); }})
     , configuration_reader_(
           ports.loop, store_, replica_, collection::configuration, ports.log,
-          {}, ports.draw)
+          configuration_options(confirms_configuration_), ports.draw)
     , server_reader_(
           ports.loop, store_, replica_, collection::servers, ports.log, {},
           ports.draw)
@@ -41,6 +58,11 @@
               return what == collection::configuration
                          ? configuration_reader_.position()
                          : server_reader_.position();
+          },
+          [this](collection what) {
+              return what == collection::configuration
+                         ? configuration_reader_.confirmed()
+                         : std::nullopt;
           })
     , lapsed_(
           ports.loop, ports.log, options.drain_bound,
@@ -54,8 +76,23 @@
     server_reader_.on_return([this] { lapsed_.store_returned(); });
     server_reader_.on_position(
         [this] { feed_.progressed(collection::servers); });
-    configuration_reader_.on_position(
-        [this] { feed_.progressed(collection::configuration); });
+    configuration_reader_.on_position([this] { on_configuration_position(); });
+}
+
+bool document_sync::confirmation_overdue() const {
+    const auto confirmed = configuration_reader_.confirmed();
+    return confirms_configuration_ && confirmed &&
+           owner_.now() - *confirmed > confirmation_patience;
+}
+
+void document_sync::on_configuration_position() {
+    const auto confirmed = configuration_reader_.confirmed();
+    if (confirmed && handlers_.on_confirmed)
+        handlers_.on_confirmed(*confirmed);
+    if (confirms_configuration_)
+        feed_.confirmed(collection::configuration);
+    else
+        feed_.progressed(collection::configuration);
 }
 
 state::replica_handlers document_sync::replica_functions() {
@@ -86,7 +123,8 @@
 }
 
 void document_sync::use_large_group_pace() {
-    configuration_reader_.set_wait(large_group_wait);
+    if (!confirms_configuration_)
+        configuration_reader_.set_wait(large_group_wait);
     server_reader_.set_wait(large_group_wait);
     fetcher_.set_server_patience(large_group_patience);
 }
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -31,6 +31,9 @@
     std::string data_centre;
     base::milliseconds drain_bound; ///< See instance_settings.
     std::function<policy::store_access()> store_access;
+    /// Whether it must be known how old the configuration is: keys that are
+    /// taken away lapse within a bound.
+    bool confirms_configuration = false;
 };
 
 /// Whom the object tells of changes.
@@ -44,6 +47,8 @@
         on_server;
     /// @return how many servers are in use.
     std::function<std::size_t()> servers_in_use;
+    /// Nothing newer than the configuration existed at that moment.
+    std::function<void(base::steady_time)> on_confirmed;
 };
 
 /// Follows the store: directly, or through the readers of a large group; takes
@@ -75,10 +80,12 @@
 
 private:
     state::replica_handlers replica_functions();
+    bool confirmation_overdue() const;
+    void on_configuration_position();
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
 
     event::loop& owner_;
-
+    bool confirms_configuration_;
     document_handlers handlers_;
     state::replica replica_;
     shared_store store_;
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -17,6 +17,9 @@
 /// Not measured.
 constexpr base::milliseconds exit_delay{60};
 
+/// Of a gauge that has no value yet.
+constexpr double never_confirmed = -1.0;
+
 double gauge(std::uint64_t count) {
     return static_cast<double>(count);
 }
@@ -34,6 +37,13 @@
     return {503, "text/plain", "not ready\n"};
 }
 
+double instance::impl::configuration_age() const {
+    const policy::knowledge known = relay::knowledge_of(context);
+    const std::chrono::duration<double> age =
+        known.age.value_or(base::milliseconds{0});
+    return known.age ? age.count() : never_confirmed;
+}
+
 relay::local_answer instance::impl::metrics_answer() {
     const std::uint64_t version =
         context.state.config == nullptr ? 0 : context.state.config->version;
@@ -49,6 +59,11 @@
         {"configuration_version", gauge(version)},
         {"repeats_lent", static_cast<double>(lending.lent())},
         {"repeats_borrowed", static_cast<double>(lending.borrowed())},
+        {"usage_granted", gauge(accounts.counters().granted)},
+        {"usage_refused", gauge(accounts.counters().refused)},
+        {"usage_granted_by_deputies", gauge(accounts.counters().deputised)},
+        {"usage_granted_alone", gauge(accounts.counters().alone)},
+        {"configuration_age_seconds", configuration_age()},
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
         metrics.set_gauge(name, value);
@@ -79,6 +94,8 @@
 void instance::impl::take(
     const instance_settings& fresh, std::string_view cause) {
     context.state.retry_bounds = fresh.retry_bounds;
+    settings.usage_bounds = fresh.usage_bounds;
+    accounts.set_bounds(fresh.usage_bounds);
     settings.grace = fresh.grace;
     log.write("reloaded", {{"cause", cause}});
 }
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -7,6 +7,7 @@
 #include "repeat_lending.hpp"
 #include "settings_watch.hpp"
 
+#include <mintknot/limits/usage_accounts.hpp>
 #include <mintknot/orders/demand_sharing.hpp>
 #include <mintknot/orders/phase_balancer.hpp>
 #include <mintknot/peers/peer_group.hpp>
@@ -29,6 +30,8 @@
     std::function<void(const std::string& host, const std::string& datagram)>
     datagram_sender();
     scheduling::placer_ports placer_functions();
+    limits::account_ports account_functions();
+    std::vector<limits::group_peer> members() const;
     lending_ports lending_functions();
     std::vector<std::string>
     scheduler_hosts(const std::string& data_centre) const;
@@ -48,6 +51,8 @@
     bool ready() const;
     relay::local_answer readiness_answer() const;
     relay::local_answer metrics_answer();
+    /// @return in seconds; negative: it has never been confirmed.
+    double configuration_age() const;
     absl::Status open_addresses();
     void on_signal(int number);
     void take(const instance_settings& fresh, std::string_view cause);
@@ -71,6 +76,7 @@
     peers::peer_group group;
     scheduling::remote_placer placer;
     repeat_lending lending;
+    limits::usage_accounts accounts;
     orders::phase_balancer balancer;
     orders::demand_sharing demands;
     event::timer drain_timer;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -54,7 +54,8 @@
           {ports.loop, ports.store, ports.codec, pool, log,
            [this] { return context.draw(); }},
           {settings.peer, settings.data_centre, settings.drain_bound,
-           [this] { return store_access_here(); }},
+           [this] { return store_access_here(); },
+           settings.relay.revocation_bound.has_value()},
           document_functions())
     , group(
           ports.loop, log,
@@ -62,6 +63,7 @@
           group_functions())
     , placer(context, placer_functions())
     , lending(context, lending_functions())
+    , accounts(context, account_functions(), settings.usage_bounds)
     , balancer(
           context, ports.store, balancer_options(),
           [this] { return looks_after_phases(); })
@@ -71,6 +73,7 @@
           ports.loop, log, ports.reload,
           [this](const instance_settings& fresh) {
               return fresh.retry_bounds != context.state.retry_bounds ||
+                     fresh.usage_bounds != settings.usage_bounds ||
                      fresh.grace != settings.grace;
           },
           [this](const instance_settings& fresh, std::string_view cause) {
@@ -80,6 +83,7 @@
     context.state.instances = policy::assumed_instances(1);
     context.state.started = ports.loop.now();
     context.placement = &placer;
+    context.limits = &accounts;
     context.state.on_repeats_low =
         [this](const std::string& service, int repeats) {
             lending.ask(service, repeats);
@@ -110,7 +114,10 @@
             std::optional<traffic::server> server) {
             on_server(id, version, std::move(server));
         },
-        [this] { return traffic::count(context.state.servers); }};
+        [this] { return traffic::count(context.state.servers); },
+        [this](base::steady_time moment) {
+            context.state.configuration_confirmed = moment;
+        }};
 }
 
 void instance::impl::on_server(
@@ -120,12 +127,17 @@
     const traffic::server* known = traffic::find(context.state.servers, id);
     const bool changed =
         known != nullptr && server.has_value() && known->phase != server->phase;
+    const bool reborn = known != nullptr && server.has_value() &&
+                        traffic::is_other_life(*known, *server);
     if (!traffic::apply(context.state.servers, id, version, std::move(server)))
         return;
     if (changed)
         policy::end_change(context.state.health, id);
     context.queue.room_freed();
-    if (gone) {
+    if (reborn)
+        log.write("server_reborn", {{"server", id}});
+    // What an earlier life has shown says nothing of this one.
+    if (gone || reborn) {
         pool.drop(id);
         policy::forget(context.state.health, id);
         policy::forget(context.state.rates, id);
@@ -150,6 +162,22 @@
         [this] { return uses_schedulers(); }};
 }
 
+limits::account_ports instance::impl::account_functions() {
+    return {
+        settings.peer.host, datagram_sender(), [this] { return members(); },
+        [this] { return !context.state.stopping; }};
+}
+
+std::vector<limits::group_peer> instance::impl::members() const {
+    std::vector<limits::group_peer> result;
+    for (const auto& [host, peer] : group.table().heard)
+        result.push_back(
+            {host, peer.data_centre, peer.leaving,
+             std::chrono::duration_cast<base::milliseconds>(
+                 ports.loop.now() - peer.heard)});
+    return result;
+}
+
 lending_ports instance::impl::lending_functions() {
     return {datagram_sender(), [this] {
                 return peers::staying(group.table(), {});
@@ -189,7 +217,8 @@
 
 void instance::impl::on_datagram(
     const std::string& host, std::string_view datagram) {
-    if (!lending.receive(host, datagram) && !demands.receive(host, datagram))
+    if (!lending.receive(host, datagram) && !demands.receive(host, datagram) &&
+        !accounts.receive(host, datagram))
         placer.receive(host, datagram);
 }
 
--- a/libs/mintknotd-platform/runtime/src/peer_feed.cpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.cpp
@@ -11,10 +11,12 @@
 } // namespace
 
 peer_feed::peer_feed(
-    event::loop& owner, const state::replica& source, position_source position)
+    event::loop& owner, const state::replica& source, position_source position,
+    confirmation_source confirmation)
     : owner_(owner)
     , source_(source)
-    , position_(std::move(position)) {}
+    , position_(std::move(position))
+    , confirmation_(std::move(confirmation)) {}
 
 void peer_feed::ask(
     const state::change_request& request, relay::local_reply reply) {
@@ -37,6 +39,13 @@
     }
 }
 
+void peer_feed::confirmed(state::collection what) {
+    for (auto entry = held_.begin(); entry != held_.end();) {
+        const bool done = entry->request.what == what && answer(*entry, true);
+        entry = done ? held_.erase(entry) : std::next(entry);
+    }
+}
+
 bool peer_feed::answer(const held_request& held, bool final) const {
     const auto position = position_(held.request.what);
     if (!position) {
@@ -54,7 +63,10 @@
     state::store_answer told;
     told.version = *position;
     told.documents = std::move(*changes);
-    held.reply({status_ok, "application/msgpack", state::to_body(told)});
+    if (confirmation_)
+        told.confirmed = confirmation_(held.request.what);
+    held.reply(
+        {status_ok, "application/msgpack", state::to_body(told, held.asked)});
     return true;
 }
 
--- a/libs/mintknotd-platform/runtime/src/peer_feed.hpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.hpp
@@ -28,15 +28,23 @@
     using position_source =
         std::function<std::optional<std::uint64_t>(state::collection)>;
 
+    /// @return a moment at which nothing newer existed than what this instance
+    /// knows; nothing: it cannot be told.
+    using confirmation_source =
+        std::function<std::optional<base::steady_time>(state::collection)>;
+
     peer_feed(
         event::loop& owner, const state::replica& source,
-        position_source position);
+        position_source position, confirmation_source confirmation = {});
     peer_feed(const peer_feed&) = delete;
     peer_feed& operator=(const peer_feed&) = delete;
 
     void ask(const state::change_request& request, relay::local_reply reply);
     /// The position in a collection has moved.
     void progressed(state::collection what);
+    /// The collection has been confirmed anew: all that wait are told so, for
+    /// they must know how old their knowledge is.
+    void confirmed(state::collection what);
 
 private:
     struct held_request {
@@ -44,9 +52,11 @@
             event::loop& owner, state::change_request wanted,
             relay::local_reply answer)
             : request(wanted)
+            , asked(owner.now())
             , reply(std::move(answer))
             , limit(owner) {}
         state::change_request request;
+        base::steady_time asked;
         relay::local_reply reply;
         event::timer limit;
     };
@@ -59,6 +69,7 @@
     event::loop& owner_;
     const state::replica& source_;
     position_source position_;
+    confirmation_source confirmation_;
     held_requests held_;
 };
 
--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -17,6 +17,8 @@
 constexpr base::milliseconds answer_slack{400};
 /// How long a reader that failed is passed over.
 constexpr base::milliseconds suspicion{2000};
+/// How long the store holds a watch that is to confirm what is overdue.
+constexpr base::milliseconds overdue_wait{50};
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
@@ -33,6 +35,7 @@
     bool stands_in = true;         ///< See policy::store_access.
     std::vector<std::string> left; ///< Readers to be asked, the next one last.
     std::unique_ptr<upstream::call> call;
+    base::steady_time asked; ///< When the reader at hand was.
     event::timer limit;
     int status = 0;
     std::string body;
@@ -64,7 +67,10 @@
     state::collection what, std::uint64_t after, base::milliseconds wait,
     state::store_handler on_answer) {
     const policy::store_access access = options_.access();
-    std::vector<std::string> readers = trusted_readers(access.sources);
+    std::vector<std::string> readers;
+    const bool direct = skips_readers(what);
+    if (!direct)
+        readers = trusted_readers(access.sources);
     if (!readers.empty()) {
         const auto turn =
             static_cast<std::ptrdiff_t>(++turns_[what] % readers.size());
@@ -74,13 +80,25 @@
     entry->request = {what, after, reader_wait};
     entry->store_wait = wait;
     entry->on_answer = std::move(on_answer);
-    entry->stands_in = access.stands_in;
+    entry->stands_in = access.stands_in || direct;
     entry->left = std::move(readers);
     const std::uint64_t number = ++last_;
     open_.emplace(number, std::move(entry));
     ask_next(number);
 }
 
+bool shared_store::overdue(state::collection what) const {
+    return what == state::collection::configuration && options_.overdue &&
+           options_.overdue();
+}
+
+bool shared_store::skips_readers(state::collection what) {
+    if (!overdue(what))
+        return false;
+    asked_store_ = !asked_store_;
+    return asked_store_;
+}
+
 bool shared_store::has_answered_lately() const {
     return answered_ != base::steady_time{} &&
            owner_.now() - answered_ <= suspicion;
@@ -111,7 +129,8 @@
             return;
         }
         source_.watch(
-            entry.request.what, entry.request.after, entry.store_wait,
+            entry.request.what, entry.request.after,
+            overdue(entry.request.what) ? overdue_wait : entry.store_wait,
             std::move(entry.on_answer));
         return;
     }
@@ -119,6 +138,7 @@
     entry.left.pop_back();
     entry.status = 0;
     entry.body.clear();
+    entry.asked = owner_.now();
     upstream::call_request request;
     request.head.method = "GET";
     request.head.target = state::to_target(entry.request);
@@ -146,7 +166,7 @@
     if (entry.status == status_gone) {
         answer.result = state::store_result::history_gone;
     } else if (entry.status == status_ok) {
-        auto told = state::store_answer_from(entry.body);
+        auto told = state::store_answer_from(entry.body, entry.asked);
         if (told.ok())
             answer = *std::move(told);
     }
--- a/libs/mintknotd-platform/runtime/src/shared_store.hpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.hpp
@@ -24,6 +24,9 @@
     std::string own_host;
     std::uint16_t peer_port = 0;
     std::function<policy::store_access()> access;
+    /// @return true if the configuration has not been confirmed for so long
+    /// that the readers are not enough; may be empty.
+    std::function<bool()> overdue;
 };
 
 /// Watches go to two readers of the data centre, to one after the other, so
@@ -31,6 +34,8 @@
 /// reader that fails or is out of the store's reach is passed over for a
 /// while; where none is left, and on a reader, the store itself is asked.
 /// Who has others to stand in for the readers waits as long as readers answer.
+/// Where a confirmation of the configuration is overdue, each instance asks
+/// readers and the store itself by turns.
 /// Whole reads and writes always go to the store: its link is the widest.
 ///
 /// Lifetime: everything that is passed in must outlive it.
@@ -59,6 +64,9 @@
     trusted_readers(std::vector<std::string> hosts) const;
     /// @return true if a reader has said that it is out of the store's reach.
     bool has_answered_lately() const;
+    /// @return true if a watch is to pass by the readers.
+    bool skips_readers(state::collection what);
+    bool overdue(state::collection what) const;
     void ask_next(std::uint64_t number);
     void finish(std::uint64_t number, const std::string& host);
     void give_up(std::uint64_t number, const std::string& host);
@@ -73,6 +81,7 @@
     std::map<std::string, base::steady_time> suspected_;
     /// When a reader last said that it is out of the store's reach.
     base::steady_time answered_{};
+    bool asked_store_ = false; ///< In the last turn of an overdue watch.
     /// Watches so far. Each collection takes the readers in turn for itself.
     std::map<state::collection, std::size_t> turns_;
 };
--- a/libs/mintknotd-platform/runtime/tests/test_peer_feed.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_peer_feed.cpp
@@ -19,7 +19,9 @@
     fixture()
         : log(-1, "test", {})
         , copy(codec, log, {[](auto) {}, [](auto&, auto, auto) {}})
-        , feed(owner, copy, [this](state::collection) { return position; }) {}
+        , feed(
+              owner, copy, [this](state::collection) { return position; },
+              [this](state::collection) { return confirmed; }) {}
     /// Asks, and stops the loop at the answer.
     void ask(std::uint64_t after, base::milliseconds wait) {
         feed.ask(
@@ -36,6 +38,7 @@
     logging::line_log log;
     state::replica copy;
     std::optional<std::uint64_t> position;
+    std::optional<base::steady_time> confirmed;
     peer_feed feed;
     std::vector<relay::local_answer> answers;
 };
@@ -99,3 +102,29 @@
     cr_assert(f.answers.size() == 1);
     cr_assert(f.answers[0].status == 503);
 }
+
+Test(peer_feed, a_confirmation_is_told_at_once) {
+    // Held back until the wait is over, each instance on the way would add its
+    // wait to the age of what it knows.
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
+    f.position = 3;
+    f.ask(3, long_wait);
+    cr_assert(f.answers.empty());
+    const base::steady_time asked = f.owner.now();
+    f.confirmed = asked + base::milliseconds(70);
+    f.feed.confirmed(servers);
+    cr_assert(f.answers.size() == 1);
+    cr_assert(f.read().documents.empty());
+    const auto told = state::store_answer_from(f.answers[0].body, asked);
+    cr_assert(*told->confirmed >= asked + base::milliseconds(65));
+    cr_assert(*told->confirmed <= asked + base::milliseconds(71));
+}
+
+Test(peer_feed, an_instance_without_the_store_confirms_nothing) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
+    f.confirmed = f.owner.now();
+    f.ask(3, long_wait);
+    cr_assert(f.answers.back().status == 503);
+}
--- a/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
@@ -72,9 +72,11 @@
             shared.emplace(
                 owner, source, pool, log,
                 shared_store_options{
-                    "127.0.0.9", port, [this] {
+                    "127.0.0.9", port,
+                    [this] {
                         return policy::store_access{readers, stands_in};
-                    }});
+                    },
+                    [this] { return overdue; }});
         std::optional<state::store_answer> result;
         shared->watch(
             what, 3, store_wait, [&](const state::store_answer& answer) {
@@ -97,6 +99,7 @@
     std::map<std::string, int> asked;
     std::vector<std::string> readers;
     bool stands_in = true;
+    bool overdue = false;
     std::optional<shared_store> shared;
 };
 
@@ -195,3 +198,37 @@
     cr_assert(f.watch().version == 100);
     cr_assert(f.source.watches == 1);
 }
+
+Test(shared_store, an_overdue_confirmation_comes_from_the_store_by_turns) {
+    // Both readers of a data centre are turned away by the store, and the
+    // others are not.
+    constexpr auto configuration = state::collection::configuration;
+    fixture f;
+    f.stands_in = false;
+    f.add_reader("127.0.0.1", no_store);
+    f.add_reader("127.0.0.2", no_store);
+    cr_assert(
+        f.watch(configuration).result == state::store_result::unreachable);
+    f.overdue = true;
+    cr_assert(f.watch(configuration).version == 100);
+    cr_assert(f.source.last_wait < store_wait);
+    // Rows of servers have no such bound.
+    cr_assert(f.watch(servers).result == state::store_result::unreachable);
+    f.watch(configuration);
+    cr_assert(f.watch(configuration).version == 100);
+}
+
+Test(shared_store, a_confirmation_of_a_reader_is_counted_from_the_question) {
+    fixture f;
+    state::store_answer told;
+    told.version = 7;
+    const base::steady_time elsewhere{};
+    told.confirmed = elsewhere - base::milliseconds(300);
+    f.add_reader(
+        "127.0.0.1",
+        {200, "application/msgpack", state::to_body(told, elsewhere)});
+    const base::steady_time before = f.owner.now();
+    const state::store_answer answer = f.watch();
+    cr_assert(*answer.confirmed >= before - base::milliseconds(300));
+    cr_assert(*answer.confirmed <= f.owner.now() - base::milliseconds(300));
+}
--- a/libs/mintknotd-platform/state/include/mintknot/state/change_message.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/change_message.hpp
@@ -30,10 +30,15 @@
 
 /// @return the body of an answer with changes, in MessagePack: documents are
 /// texts in JSON, which JSON would escape.
-std::string to_body(const store_answer& value);
+/// @param asked when the request came: the answer tells how long after that it
+/// was confirmed, as two instances have no clock in common.
+std::string to_body(const store_answer& value, base::steady_time asked = {});
 
+/// @param asked when the request was sent, thus before it came.
 /// @return InvalidArgument if the body is malformed; no change is taken then.
-absl::StatusOr<store_answer> store_answer_from(std::string_view body);
+/// Older senders do not tell when an answer was confirmed.
+absl::StatusOr<store_answer>
+store_answer_from(std::string_view body, base::steady_time asked = {});
 
 } // namespace mintknot::state
 
--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -41,8 +41,9 @@
 };
 
 /// Documents in memory, by version: news from the store and from peers may
-/// come in any order and never lead back. A document that cannot be read
-/// leaves in force what was.
+/// come in any order and never lead back. A configuration that cannot be read
+/// leaves in force what was; a row of a server that cannot be read names none:
+/// the server that the row has told of is taken out of use.
 class replica {
 public:
     replica(
@@ -62,6 +63,8 @@
     std::uint64_t version(collection what) const noexcept;
     /// @return true once the documents have been read at least once.
     bool known(collection what) const noexcept;
+    /// @return false while the newest document told of could not be read.
+    bool is_current(collection what) const noexcept;
 
     /// @return what has changed behind a version, up to another one, which has
     /// been read from the store; nothing if it is no longer all known.
@@ -80,6 +83,8 @@
         std::uint64_t newest = 0;
         /// Newest removed document that is not remembered any more.
         std::uint64_t forgotten = 0;
+        /// Newest document that could not be read.
+        std::uint64_t rejected = 0;
         bool known = false;
     };
 
--- a/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
@@ -43,6 +43,8 @@
     store_result result = store_result::unreachable;
     std::vector<document> documents;
     std::uint64_t version = 0; ///< The store's newest at that moment.
+    /// A moment at which nothing newer existed; nothing: it cannot be told.
+    std::optional<base::steady_time> confirmed;
 };
 
 /// What became of a conditional write. Without an answer it may have been
--- a/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
@@ -52,12 +52,18 @@
     /// @return the version up to which everything has been read; nothing before
     /// the first whole read and while the store is out of reach.
     std::optional<std::uint64_t> position() const;
+    /// @return the last moment at which nothing newer than what is known here
+    /// existed; nothing: it has never been told. What cannot be read counts as
+    /// not known.
+    std::optional<base::steady_time> confirmed() const { return confirmed_; }
 
 private:
     void next();
     void on_read(const store_answer& answer);
     void on_watch(const store_answer& answer);
     void on_good_answer();
+    /// The answer has been taken.
+    void note_confirmed(const store_answer& answer);
     void tell_position();
     void pause(store_result why);
 
@@ -75,6 +81,7 @@
     bool whole_read_ = false;
     std::uint64_t seen_ = 0; ///< Changes up to here have been taken.
     base::milliseconds backoff_{0};
+    std::optional<base::steady_time> confirmed_;
     bool reachable_ = true;
     base::steady_time heard_{};
     base::steady_time asked_{};
--- a/libs/mintknotd-platform/state/src/change_message.cpp
+++ b/libs/mintknotd-platform/state/src/change_message.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::string_view path = "/mintknot/v1/changes/";
 constexpr std::uint64_t longest_wait_ms = 10000;
+/// Milliseconds from the request's arrival to when the answer was confirmed;
+/// mostly negative where it was not held.
+constexpr const char* confirmed_field = "confirmed_ms";
 
 std::optional<collection> collection_from(std::string_view name) {
     for (const collection what :
@@ -72,17 +75,22 @@
     return value;
 }
 
-std::string to_body(const store_answer& value) {
+std::string to_body(const store_answer& value, base::steady_time asked) {
     nlohmann::json rows = nlohmann::json::array();
     for (const document& entry : value.documents)
         rows.push_back(to_json(entry));
-    const nlohmann::json body = {
+    nlohmann::json body = {
         {"version", value.version}, {"documents", std::move(rows)}};
+    if (value.confirmed)
+        body[confirmed_field] =
+            std::chrono::floor<base::milliseconds>(*value.confirmed - asked)
+                .count();
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
 
-absl::StatusOr<store_answer> store_answer_from(std::string_view body) {
+absl::StatusOr<store_answer>
+store_answer_from(std::string_view body, base::steady_time asked) {
     const nlohmann::json parsed =
         nlohmann::json::from_msgpack(body.begin(), body.end(), true, false);
     if (!parsed.is_object() || !parsed.contains("documents"))
@@ -94,6 +102,11 @@
         return absl::InvalidArgumentError("a document is malformed");
     value.result = store_result::ok;
     value.documents = std::move(*documents);
+    if (parsed.contains(confirmed_field) &&
+        parsed[confirmed_field].is_number_integer())
+        value.confirmed =
+            asked +
+            base::milliseconds(parsed[confirmed_field].get<std::int64_t>());
     return value;
 }
 
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -91,6 +91,10 @@
     return of(what).known;
 }
 
+bool replica::is_current(collection what) const noexcept {
+    return of(what).rejected <= of(what).newest;
+}
+
 void replica::apply(
     collection what, const std::vector<document>& changes,
     std::string_view source) {
@@ -127,9 +131,17 @@
         return;
     const bool same_text =
         found != all.by_key.end() && found->second.text == change.text;
-    if (!same_text && !decode(what, change, source))
-        return;
-    all.by_key[change.key] = change;
+    document taken = change;
+    if (!same_text && !decode(what, change, source)) {
+        if (what == collection::configuration) {
+            all.rejected = std::max(all.rejected, change.version);
+            return;
+        }
+        // It names no server, and takes the place of a row that did.
+        taken.text.reset();
+        handlers_.on_server(change.key, change.version, std::nullopt);
+    }
+    all.by_key[change.key] = std::move(taken);
     all.newest = std::max(all.newest, change.version);
     if (all.by_key.size() > max_removed)
         forget_removed(all);
@@ -217,6 +229,8 @@
 void replica::log_rejected(
     collection what, const document& change, std::string_view source,
     const absl::Status& why) {
+    if (!one_by_one_ && what == collection::servers)
+        return;
     log_.write(
         "document_rejected",
         {{"collection", to_string(what)},
--- a/libs/mintknotd-platform/state/src/store_reader.cpp
+++ b/libs/mintknotd-platform/state/src/store_reader.cpp
@@ -81,6 +81,7 @@
     whole_read_ = true;
     seen_ = answer.version;
     target_.apply_whole(what_, answer.documents, answer.version, "store_read");
+    note_confirmed(answer);
     tell_position();
     next();
 }
@@ -102,8 +103,9 @@
         return;
     }
     on_good_answer();
-    seen_ = std::max(seen_, answer.version);
     target_.apply(what_, answer.documents, "store_watch");
+    note_confirmed(answer);
+    seen_ = std::max(seen_, answer.version);
     tell_position();
     const base::steady_time now = owner_.now();
     if (now - asked_ < options_.gather)
@@ -112,6 +114,15 @@
         next();
 }
 
+void store_reader::note_confirmed(const store_answer& answer) {
+    // A store, or a reader, that is behind what is known here says nothing of
+    // what has been since.
+    const bool complete = answer.version >= seen_ && target_.is_current(what_);
+    if (answer.confirmed && complete)
+        confirmed_ =
+            std::max(confirmed_.value_or(*answer.confirmed), *answer.confirmed);
+}
+
 void store_reader::on_good_answer() {
     heard_ = owner_.now();
     backoff_ = base::milliseconds{0};
--- a/libs/mintknotd-platform/state/tests/test_change_message.cpp
+++ b/libs/mintknotd-platform/state/tests/test_change_message.cpp
@@ -62,3 +62,17 @@
     const std::string whole = to_body({store_result::ok, {{"i", 7, "t"}}, 9});
     cr_assert(!store_answer_from(whole.substr(0, whole.size() - 1)).ok());
 }
+
+Test(change_message, confirmation_is_told_from_the_question_on) {
+    const base::steady_time came = base::steady_time{} + std::chrono::hours(2);
+    const base::steady_time sent = base::steady_time{} + std::chrono::hours(5);
+    store_answer value;
+    value.version = 9;
+    for (const int ms : {-1500, 0, 800}) {
+        value.confirmed = came + base::milliseconds(ms);
+        const auto read = store_answer_from(to_body(value, came), sent);
+        cr_assert(*read->confirmed == sent + base::milliseconds(ms));
+    }
+    value.confirmed.reset();
+    cr_assert(!store_answer_from(to_body(value, came), sent)->confirmed);
+}
--- a/libs/mintknotd-platform/state/tests/test_replica.cpp
+++ b/libs/mintknotd-platform/state/tests/test_replica.cpp
@@ -148,3 +148,36 @@
     cr_assert(!f.copy.changes(servers, 1, 6000).has_value());
     cr_assert(f.copy.changes(servers, 4999, 6000).has_value());
 }
+
+Test(replica, a_row_that_cannot_be_read_names_no_server) {
+    fixture f;
+    f.copy.apply(servers, {{"i", 3, "s"}, {"j", 4, "s"}}, "a");
+    f.copy.apply(servers, {{"i", 5, "bad"}, {"k", 6, "bad"}}, "a");
+    cr_assert(f.servers["i"] == "gone");
+    cr_assert(f.servers["j"] == "s");
+    cr_assert(f.copy.version(servers) == 6);
+    // Old news of the good row come too late; a new one counts.
+    f.copy.apply(servers, {{"i", 3, "s"}}, "a");
+    cr_assert(f.servers["i"] == "gone");
+    f.copy.apply(servers, {{"i", 7, "s"}}, "a");
+    cr_assert(f.servers["i"] == "s");
+}
+
+Test(replica, peers_are_told_that_such_a_row_names_none) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "a");
+    f.copy.apply(servers, {{"i", 5, "bad"}}, "a");
+    const auto changes = f.copy.changes(servers, 3, 5);
+    cr_assert(changes->size() == 1);
+    cr_assert(!(*changes)[0].text);
+}
+
+Test(replica, is_not_current_while_a_newer_configuration_cannot_be_read) {
+    fixture f;
+    f.copy.apply(configuration, {{"c", 5, "12345"}}, "a");
+    cr_assert(f.copy.is_current(configuration));
+    f.copy.apply(configuration, {{"c", 6, "bad"}}, "a");
+    cr_assert(!f.copy.is_current(configuration));
+    f.copy.apply(configuration, {{"c", 7, "1234567"}}, "a");
+    cr_assert(f.copy.is_current(configuration));
+}
--- a/libs/mintknotd-platform/state/tests/test_store_reader.cpp
+++ b/libs/mintknotd-platform/state/tests/test_store_reader.cpp
@@ -152,3 +152,41 @@
     cr_assert(versions_at_return == std::vector<std::uint64_t>{4});
     cr_assert(f.copy.version(collection::servers) == 6);
 }
+
+namespace {
+
+const base::steady_time moment = base::steady_time{} + std::chrono::hours(1);
+
+store_answer confirmed_at(std::uint64_t version, int ms) {
+    store_answer answer = good(version);
+    answer.confirmed = moment + base::milliseconds(ms);
+    return answer;
+}
+
+} // namespace
+
+Test(store_reader, knows_as_of_when_it_is_complete) {
+    fixture f;
+    cr_assert(!f.reader.confirmed());
+    f.source.answers = {
+        confirmed_at(4, 0), confirmed_at(4, 900), confirmed_at(4, 500)};
+    f.run();
+    cr_assert(*f.reader.confirmed() == moment + base::milliseconds(900));
+}
+
+Test(store_reader, a_store_that_is_behind_confirms_nothing) {
+    // It was restored to an older state, or a reader lags.
+    fixture f;
+    f.source.answers = {confirmed_at(8, 0), confirmed_at(5, 900)};
+    f.run();
+    cr_assert(*f.reader.confirmed() == moment);
+}
+
+Test(store_reader, a_failure_confirms_nothing) {
+    fixture f;
+    store_answer refused = confirmed_at(4, 900);
+    refused.result = store_result::refused;
+    f.source.answers = {confirmed_at(4, 0), refused};
+    f.run();
+    cr_assert(*f.reader.confirmed() == moment);
+}
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/configuration.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/configuration.hpp
@@ -4,9 +4,11 @@
 #define MINTKNOT_TRAFFIC_CONFIGURATION_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/traffic/organisation_table.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -40,6 +42,7 @@
     int priority = 0;                 ///< 0 is the highest.
     int max_attempts = 1;
     bool resumable = false;
+    bool open_to_all = false; ///< Callers need no key.
     std::vector<weighted_service> services;
 
     /// @return true if a request may run on more than one server.
@@ -76,6 +79,8 @@
     std::vector<route> routes;
     std::unordered_map<std::string, service> services;
     caller_limits limits;
+    /// Null: callers need no keys on any route.
+    std::shared_ptr<const organisation_table> organisations;
     /// Position in `routes` by host and prefix; see index().
     std::unordered_map<std::string, std::size_t> by_place;
 };
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
@@ -21,7 +21,8 @@
 
 std::string_view to_string(engine_phase value) noexcept;
 
-/// One backend server. A restart of it has another ID.
+/// One backend server. A restart of it may keep the ID; it then knows nothing
+/// of what its earlier life was asked.
 struct server {
     std::string id;
     std::string service;
@@ -30,8 +31,14 @@
     int slots = 1;
     bool draining = false;
     engine_phase phase = engine_phase::none;
+    /// When this life of it began, in milliseconds of its wall clock; 0: it
+    /// does not tell. Only compared for equality.
+    std::uint64_t born = 0;
 };
 
+/// @return true if both rows tell of lives that are not the same one.
+bool is_other_life(const server& left, const server& right) noexcept;
+
 /// Entries carry the version of the row that told of them. A version never
 /// goes back, whatever order news arrives in.
 struct server_table {
--- a/libs/mintknotd-platform/traffic/src/server_table.cpp
+++ b/libs/mintknotd-platform/traffic/src/server_table.cpp
@@ -61,6 +61,10 @@
     return "unknown";
 }
 
+bool is_other_life(const server& left, const server& right) noexcept {
+    return left.born != 0 && right.born != 0 && left.born != right.born;
+}
+
 bool apply(
     server_table& table, const std::string& id, std::uint64_t version,
     std::optional<server> value) {
--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -89,14 +89,16 @@
     }
 
     void beat() {
-        const nlohmann::json row = {
+        nlohmann::json row = {
             {"service", options_.service},
             {"address", base::to_string(options_.advertised)},
             {"zone", "a"},
             {"slots", 64},
             {"state", draining_ ? "draining" : "ready"},
-            {"phase", options_.phase},
             {"seq_no", 0}};
+        // A server that is no engine has no phase.
+        if (options_.phase == "prefill" || options_.phase == "decode")
+            row["phase"] = options_.phase;
         const nlohmann::json put = {
             {"put",
              {{{"table", "servers"},
