--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -96,6 +96,10 @@
     }
     if (!key_still_good())
         return;
+    if (names_leaving_prefill(placed)) {
+        place();
+        return;
+    }
     placed_by_ = placed.by;
     decode_.server = decode->id;
     decode_.reserved_tokens = memory_needed();
@@ -103,13 +107,21 @@
     add_load(context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
     const traffic::server* prefill =
         traffic::find(context_.state.servers, placed.prefill);
-    if (prefill != nullptr &&
+    if (prefill != nullptr && !prefill->draining &&
         prepay(policy::repeats_to_prepay(charges_, policy::calls_with_prefill)))
         start_prefill(*prefill, placed.tokens_ahead);
     else
         start_decode();
 }
 
+bool generation_exchange::names_leaving_prefill(
+    const policy::placement& placed) {
+    const traffic::server* engine =
+        traffic::find(context_.state.servers, placed.prefill);
+    return engine != nullptr && engine->draining &&
+           prefill_.tried.insert(engine->id).second;
+}
+
 bool generation_exchange::prepay(int repeats) {
     while (charges_.prepaid < repeats) {
         if (!spend_repeat(context_, service_.name))
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -71,6 +71,10 @@
     /// Places the request, or joins the queue.
     void place();
     void on_placed(const policy::placement& placed);
+    /// A scheduler that is cut off from the store may name an engine that is
+    /// known here to leave. @return true if it has not done so before for this
+    /// request; the engine is ruled out from now on.
+    bool names_leaving_prefill(const policy::placement& placed);
     /// @param seen by the last choice.
     void wait_for_room(const policy::room_summary& seen);
     /// Engines are there, but too many connections have failed in a row.
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -216,6 +216,38 @@
     cr_assert(f.ask(prompt("/stream/x")).body == all_events);
 }
 
+Test(generation_exchange, a_leaving_engine_reads_no_prompt_whoever_names_it) {
+    // Found by a hunt: a scheduler that the store had turned away named an
+    // engine that the others knew to leave.
+    class stale_scheduler final : public placer {
+    public:
+        bool active() const override { return true; }
+        std::unique_ptr<placement_ticket>
+        ask(policy::placement_query query, placement_handler then) override {
+            policy::placement placed;
+            placed.server = "d";
+            placed.prefill =
+                query.excluded_prefill.contains("leaving") ? "p" : "leaving";
+            then(placed);
+            return nullptr;
+        }
+    };
+    relay_fixture f;
+    scripted_server& leaving =
+        f.add_server("leaving", "llm", prefill, good_prefill("k0"));
+    scripted_server& reads =
+        f.add_server("p", "llm", prefill, good_prefill("k1"));
+    f.add_server("d", "llm", decode, good_decode());
+    traffic::server row = *traffic::find(f.context.state.servers, "leaving");
+    row.draining = true;
+    traffic::apply(f.context.state.servers, "leaving", 1000, row);
+    stale_scheduler scheduler;
+    f.context.placement = &scheduler;
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(leaving.requests.empty());
+    cr_assert(reads.requests.size() == 1);
+}
+
 Test(generation_exchange, those_who_wait_elsewhere_are_ahead) {
     relay_fixture f;
     f.add_server("d", "llm", decode, good_decode());
@@ -265,7 +297,9 @@
     f.add_dead_server("d1", "llm");
     f.add_dead_server("d2", "llm");
     const caller_view seen = f.ask(prompt("/stream/x"));
-    cr_assert(seen.body == "server_unreachable\n");
+    cr_assert(
+        seen.body == "server_unreachable\n", "%d %s", seen.status,
+        seen.body.c_str());
     cr_assert(!seen.field("Retry-After").empty());
 }
 
