--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -16,6 +16,11 @@
 /// second old at most while all is well. A silent connection then blinds a
 /// reader for two seconds, of the five for which old knowledge may be used.
 constexpr base::milliseconds confirmation_period{1000};
+/// Longest pause between tries while the store is out of reach, where it must
+/// be known how old the configuration is: once the old knowledge may not be
+/// used any more, each moment until the store's return is noticed refuses
+/// callers.
+constexpr base::milliseconds confirmation_backoff{400};
 /// Without a confirmation for so long, the readers are not enough: twice what
 /// passes while all is well.
 constexpr base::milliseconds confirmation_patience{2000};
@@ -28,8 +33,10 @@
 
 state::reader_options configuration_options(bool confirms) {
     state::reader_options options;
-    if (confirms)
+    if (confirms) {
         options.wait = confirmation_period;
+        options.max_backoff = confirmation_backoff;
+    }
     return options;
 }
 
--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -19,6 +19,9 @@
 constexpr base::milliseconds suspicion{2000};
 /// How long the store holds a watch that is to confirm what is overdue.
 constexpr base::milliseconds overdue_wait{50};
+/// Between two such watches of one instance: 176 a second from 88 of them, each
+/// of which has a price.
+constexpr base::milliseconds overdue_gap{500};
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
@@ -95,8 +98,11 @@
 bool shared_store::skips_readers(state::collection what) {
     if (!overdue(what))
         return false;
-    asked_store_ = !asked_store_;
-    return asked_store_;
+    const base::steady_time now = owner_.now();
+    if (asked_store_ != base::steady_time{} && now - asked_store_ < overdue_gap)
+        return false;
+    asked_store_ = now;
+    return true;
 }
 
 bool shared_store::has_answered_lately() const {
--- a/libs/mintknotd-platform/runtime/src/shared_store.hpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.hpp
@@ -34,9 +34,10 @@
 /// reader that fails or is out of the store's reach is passed over for a
 /// while; where none is left, and on a reader, the store itself is asked.
 /// Who has others to stand in for the readers waits as long as readers answer.
-/// Where a confirmation of the configuration is overdue, each instance asks
-/// readers and the store itself by turns.
-/// Whole reads and writes always go to the store: its link is the widest.
+/// Where a confirmation of the configuration is overdue, each instance asks the
+/// store itself now and then: all readers of a data centre may be turned away
+/// by the store. Whole reads and writes always go to the store: its link is the
+/// widest.
 ///
 /// Lifetime: everything that is passed in must outlive it.
 class shared_store final : public state::store {
@@ -81,7 +82,7 @@
     std::map<std::string, base::steady_time> suspected_;
     /// When a reader last said that it is out of the store's reach.
     base::steady_time answered_{};
-    bool asked_store_ = false; ///< In the last turn of an overdue watch.
+    base::steady_time asked_store_{}; ///< Past the readers, when overdue.
     /// Watches so far. Each collection takes the readers in turn for itself.
     std::map<state::collection, std::size_t> turns_;
 };
