mintknot losses counts refusals for keys and limits, by organisation

Cause: refusals for keys, limits and old knowledge were counted among others, so that nobody saw whose they were. Change: three causes, and a list by organisation in text and JSON.

--- a/libs/mintknot/losses/include/mintknot/losses/loss_ledger.hpp
+++ b/libs/mintknot/losses/include/mintknot/losses/loss_ledger.hpp
@@ -28,6 +28,9 @@
     deadline_passed,       ///< Its time was over before it was answered.
     caller_left,           ///< The caller closed its connection.
     refused_at_the_door,   ///< Stopping, without configuration, or too full.
+    unknown_key,           ///< The caller showed no key that is known.
+    old_knowledge,         ///< It could not be told whether its key was good.
+    over_limit,            ///< Its organisation had used up its limit.
     late_by_waiting,       ///< Answered late; it waited for room for long.
     late_by_second_read,   ///< Answered late; its prompt was read again.
     late_at_server,        ///< Answered late; its server took long.
@@ -102,6 +105,8 @@
     line_counts lines;
     std::map<ledger_key, std::int64_t> requests;
     std::map<std::string, first_try_account> first_tries; ///< By route.
+    /// Requests that were refused for their key or limit, by organisation.
+    std::map<std::string, std::map<loss_cause, std::int64_t>> by_organisation;
     /// Prompt tokens read again or for nothing, by reason.
     std::map<std::string, double> tokens_read_again;
     std::map<std::string, std::string> data_centres;    ///< By instance.
--- a/libs/mintknot/losses/src/loss_ledger.cpp
+++ b/libs/mintknot/losses/src/loss_ledger.cpp
@@ -16,7 +16,7 @@
 constexpr std::int64_t at_once_ms = 5;
 constexpr std::size_t shown_of_foreign_line = 80;
 
-constexpr std::array<std::pair<std::string_view, loss_cause>, 15> outcomes{{
+constexpr std::array<std::pair<std::string_view, loss_cause>, 18> outcomes{{
     {"no_capacity", loss_cause::no_room},
     {"no_backend_server", loss_cause::no_server_reachable},
     {"server_unreachable", loss_cause::no_server_reachable},
@@ -32,6 +32,9 @@
     {"deadline_passed", loss_cause::deadline_passed},
     {"caller_left", loss_cause::caller_left},
     {"answered", loss_cause::none},
+    {"unknown_key", loss_cause::unknown_key},
+    {"old_knowledge", loss_cause::old_knowledge},
+    {"over_limit", loss_cause::over_limit},
 }};
 
 std::string text(const json& line, const char* field) {
@@ -178,15 +181,32 @@
     ledger.open.erase(id);
 }
 
+/// @return true for refusals that the caller's key or organisation explains.
+bool concerns_organisation(loss_cause cause) {
+    return cause == loss_cause::unknown_key ||
+           cause == loss_cause::old_knowledge ||
+           cause == loss_cause::over_limit;
+}
+
+void take_given_up(loss_ledger& ledger, const json& line) {
+    const loss_cause cause = cause_of_failure(text(line, "reason"));
+    if (concerns_organisation(cause))
+        ++ledger.by_organisation[text(line, "organisation")][cause];
+}
+
 void take_refused(loss_ledger& ledger, const json& line) {
     // What no route is for is not served anywhere; that is no loss.
-    if (text(line, "reason") == "no_route")
+    const std::string reason = text(line, "reason");
+    if (reason == "no_route")
         return;
+    const loss_cause cause = cause_of_failure(reason);
     open_request request;
     request.route = "(none)";
     request.instance = text(line, "instance");
     request.at = whole(line, "at");
-    count(ledger, request, loss_cause::refused_at_the_door);
+    count(
+        ledger, request,
+        concerns_organisation(cause) ? cause : loss_cause::refused_at_the_door);
 }
 
 void take_send(
@@ -223,6 +243,8 @@
         take_refused(ledger, line);
     else if (id.empty())
         return;
+    else if (event == "given_up")
+        take_given_up(ledger, line);
     else if (event == "finished")
         take_finished(ledger, line, id);
     else if (event == "prefill" || event == "decode" || event == "sent")
@@ -255,6 +277,12 @@
         return "caller_left";
     case loss_cause::refused_at_the_door:
         return "refused_at_the_door";
+    case loss_cause::unknown_key:
+        return "unknown_key";
+    case loss_cause::old_knowledge:
+        return "old_knowledge";
+    case loss_cause::over_limit:
+        return "over_limit";
     case loss_cause::late_by_waiting:
         return "late_by_waiting";
     case loss_cause::late_by_second_read:
--- a/libs/mintknot/losses/src/loss_plot.cpp
+++ b/libs/mintknot/losses/src/loss_plot.cpp
@@ -19,10 +19,10 @@
 constexpr double widest_bar = 40.0;
 
 /// One for each cause, in the order of the enumeration; none is not drawn.
-constexpr std::array<std::string_view, 14> colours{
-    "none",    "#d62728", "#ff7f0e", "#8c564b", "#7f7f7f",
-    "#1f77b4", "#9467bd", "#e377c2", "#bcbd22", "#17becf",
-    "#98df8a", "#2ca02c", "#aec7e8", "#000000"};
+constexpr std::array<std::string_view, 17> colours{
+    "none",    "#d62728", "#ff7f0e", "#8c564b", "#7f7f7f", "#1f77b4",
+    "#9467bd", "#e377c2", "#bcbd22", "#17becf", "#8c6bb1", "#88419d",
+    "#bc80bd", "#98df8a", "#2ca02c", "#aec7e8", "#000000"};
 
 std::string_view colour_of(loss_cause cause) {
     return colours.at(static_cast<std::size_t>(cause));
--- a/libs/mintknot/losses/src/loss_report.cpp
+++ b/libs/mintknot/losses/src/loss_report.cpp
@@ -65,6 +65,24 @@
     return text;
 }
 
+std::string organisations_text(const loss_ledger& ledger) {
+    std::string text = "refused, by organisation\n";
+    for (const auto& [organisation, causes] : ledger.by_organisation)
+        for (const auto& [cause, requests] : causes)
+            text += fmt::format(
+                "  {:<24}{:<16}{:>9}\n", organisation, to_string(cause),
+                requests);
+    return text;
+}
+
+json organisations_json(const loss_ledger& ledger) {
+    json rows = json::object();
+    for (const auto& [organisation, causes] : ledger.by_organisation)
+        for (const auto& [cause, requests] : causes)
+            rows[organisation][std::string(to_string(cause))] = requests;
+    return rows;
+}
+
 std::string lines_text(const line_counts& lines) {
     std::string text = fmt::format("{} lines read", lines.read);
     if (lines.left_out > 0)
@@ -134,6 +152,7 @@
     text += groups_text("route", by_route(ledger));
     text += groups_text("data centre", by_data_centre(ledger));
     text += first_tries_text(ledger);
+    text += organisations_text(ledger);
     text += "prompt tokens read again or for nothing\n";
     for (const auto& [reason, tokens] : ledger.tokens_read_again)
         text += fmt::format("  {:<24}{:>12.0f}\n", reason, tokens);
@@ -156,6 +175,7 @@
         {"data_centres", groups_json(by_data_centre(ledger))},
         {"windows", groups_json(by_window(ledger))},
         {"first_tries", first_tries},
+        {"organisations", organisations_json(ledger)},
         {"tokens_read_again", ledger.tokens_read_again}};
 }
 
--- a/libs/mintknot/losses/tests/test_loss_ledger.cpp
+++ b/libs/mintknot/losses/tests/test_loss_ledger.cpp
@@ -134,3 +134,30 @@
     cr_assert(requests_with(ledger, loss_cause::refused_at_the_door) == 1);
     cr_assert(ledger.requests.size() == 1);
 }
+
+Test(loss_ledger, refusals_for_keys_and_limits_have_their_causes) {
+    loss_ledger ledger;
+    const auto given_up = [&](const char* id, const char* reason) {
+        take_line(
+            ledger,
+            line(
+                "given_up", id,
+                fmt::format(R"(,"reason":"{}","organisation":"o")", reason)));
+        take_line(ledger, finished(id, reason, 0, 0));
+    };
+    given_up("a", "over_limit");
+    given_up("b", "over_limit");
+    given_up("c", "old_knowledge");
+    given_up("d", "no_capacity");
+    take_line(ledger, line("refused", "e", R"(,"reason":"unknown_key")"));
+    take_line(ledger, line("refused", "f", R"(,"reason":"old_knowledge")"));
+    take_line(ledger, line("refused", "g", R"(,"reason":"stopping")"));
+    cr_assert(requests_with(ledger, loss_cause::over_limit) == 2);
+    cr_assert(requests_with(ledger, loss_cause::old_knowledge) == 2);
+    cr_assert(requests_with(ledger, loss_cause::unknown_key) == 1);
+    cr_assert(requests_with(ledger, loss_cause::refused_at_the_door) == 1);
+    const auto& causes = ledger.by_organisation.at("o");
+    cr_assert(causes.at(loss_cause::over_limit) == 2);
+    cr_assert(causes.at(loss_cause::old_knowledge) == 1);
+    cr_assert(causes.size() == 2);
+}
