Dead servers of tests keep their port

Cause: generation_exchange::unreachable_engines_are_the_reason_of_a_refusal failed once. A dead server's port was bound, closed and so free again: a server of another test, which run side by side, may get it and answers. Shown by a trial in which the port is taken on purpose: the same assertion fails with that server's 200. Change: the port stays bound, and nobody listens.

--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -197,12 +197,8 @@
 
 void relay_fixture::add_dead_server(
     const std::string& id, const std::string& service) {
-    event::listener gone(owner);
-    cr_assert(
-        gone.open({"127.0.0.1", 0}, [](const event::connection_ptr&) {}).ok());
-    const std::uint16_t port = gone.port();
-    gone.close();
-    add_row(id, service, traffic::engine_phase::none, port);
+    const bound_port& port = dead_ports_.emplace_back();
+    add_row(id, service, traffic::engine_phase::none, port.number());
 }
 
 void relay_fixture::add_row(
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
 #define MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
 
+#include "bound_port.hpp"
 #include "scripted_server.hpp"
 
 #include <mintknot/event/listener.hpp>
@@ -93,6 +94,7 @@
         const std::string& id, const std::string& service,
         traffic::engine_phase phase, std::uint16_t port);
     std::list<scripted_server> servers_;
+    std::list<bound_port> dead_ports_;
     std::uint64_t version_ = 0;
 };
 
