One ticket for questions under way; one draw, one answer to those that wait

Cause: reading the whole change: a ticket that calls a function at its end stood in the placer and in the accounts, with an empty interface for each; the draw from an account (unknown, unlimited, limited) stood for questions of peers and for own ones; progressed() and confirmed() of the feed were one loop twice. Change: relay/ticket.hpp with the interface and the withdrawing ticket; draw() in the accounts; answer_held() in the feed. No behaviour, no message changes.

--- a/libs/mintknotd-platform/limits/src/usage_accounts.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_accounts.cpp
@@ -47,17 +47,6 @@
     base::steady_time asked;
 };
 
-/// Calls a function when a request goes.
-class ticket final : public relay::usage_ticket {
-public:
-    explicit ticket(std::function<void()> on_end)
-        : on_end_(std::move(on_end)) {}
-    ~ticket() override { on_end_(); }
-
-private:
-    std::function<void()> on_end_;
-};
-
 } // namespace
 
 struct usage_accounts::impl {
@@ -176,17 +165,26 @@
         ask_next(number);
     }
 
+    /// @return nothing if the organisation is not known here. One that has no
+    /// limit any more is granted everything.
+    std::optional<policy::draw_result>
+    draw(const std::string& organisation, account_kind account, double cost) {
+        const traffic::organisation* who = find(organisation);
+        if (who == nullptr)
+            return std::nullopt;
+        if (!who->limit.limited())
+            return policy::draw_result{true, base::milliseconds{0}};
+        return book.draw(*who, account, cost, now());
+    }
+
     void draw_here(std::uint64_t number, waiting_request& entry) {
-        const traffic::organisation* who = find(entry.organisation);
+        // Whose organisation has gone is refused for its key before it runs.
+        const policy::draw_result drawn =
+            draw(entry.organisation, entry.account, entry.cost)
+                .value_or(policy::draw_result{true, base::milliseconds{0}});
         relay::usage_grant told;
-        // Without a limit any more nothing is to be counted.
-        told.granted = who == nullptr || !who->limit.limited();
-        if (!told.granted) {
-            const policy::draw_result drawn =
-                book.draw(*who, entry.account, entry.cost, now());
-            told.granted = drawn.granted;
-            told.come_back = drawn.come_back;
-        }
+        told.granted = drawn.granted;
+        told.come_back = drawn.come_back;
         finish(number, ports.own_host, number, std::move(told));
     }
 
@@ -223,8 +221,6 @@
             ++counters.alone;
     }
 
-    void withdraw(std::uint64_t number) { waiting.erase(number); }
-
     void drop_old_questions() {
         const base::steady_time oldest = now() - late_answer_life;
         while (!questions.empty() && questions.begin()->second.asked < oldest)
@@ -243,15 +239,12 @@
         look_at_group();
         usage_answer answer;
         answer.number = question.number;
-        const traffic::organisation* who = find(question.organisation);
-        if (who != nullptr && !who->limit.limited()) {
-            answer.verdict = usage_verdict::granted;
-        } else if (who != nullptr) {
-            const policy::draw_result drawn =
-                book.draw(*who, question.account, question.cost, now());
-            answer.verdict =
-                drawn.granted ? usage_verdict::granted : usage_verdict::refused;
-            answer.come_back = drawn.come_back;
+        const auto drawn =
+            draw(question.organisation, question.account, question.cost);
+        if (drawn) {
+            answer.verdict = drawn->granted ? usage_verdict::granted
+                                            : usage_verdict::refused;
+            answer.come_back = drawn->come_back;
         }
         ports.send(host, encode(answer));
     }
@@ -320,11 +313,8 @@
 std::unique_ptr<relay::usage_ticket> usage_accounts::ask(
     const traffic::organisation& who, double cost, relay::usage_handler then) {
     const std::uint64_t number = impl_->begin(who, cost, std::move(then));
-    return std::make_unique<ticket>(
-        [this, number, alive = std::weak_ptr<bool>(impl_->life)] {
-            if (!alive.expired())
-                impl_->withdraw(number);
-        });
+    return std::make_unique<relay::withdrawing_ticket>(
+        impl_->life, [this, number] { impl_->waiting.erase(number); });
 }
 
 void usage_accounts::give_back(
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/placer.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/placer.hpp
@@ -4,17 +4,14 @@
 #define MINTKNOT_RELAY_PLACER_HPP
 
 #include <mintknot/policy/placement.hpp>
+#include <mintknot/relay/ticket.hpp>
 
 #include <functional>
 #include <memory>
 
 namespace mintknot::relay {
 
-/// A question that is under way. Destroying it withdraws the question.
-class placement_ticket {
-public:
-    virtual ~placement_ticket() = default;
-};
+using placement_ticket = ticket;
 
 using placement_handler = std::function<void(const policy::placement&)>;
 
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/usage_limiter.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/usage_limiter.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RELAY_USAGE_LIMITER_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/relay/ticket.hpp>
 #include <mintknot/traffic/organisation_table.hpp>
 
 #include <cstdint>
@@ -25,12 +26,8 @@
     std::uint64_t number = 0;
 };
 
-/// A question that is under way. Destroying it withdraws the question; what is
-/// granted nevertheless goes back.
-class usage_ticket {
-public:
-    virtual ~usage_ticket() = default;
-};
+/// What is granted to a question that was withdrawn goes back.
+using usage_ticket = ticket;
 
 using usage_handler = std::function<void(const usage_grant&)>;
 
--- a/libs/mintknotd-platform/runtime/src/peer_feed.cpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.cpp
@@ -33,15 +33,16 @@
 }
 
 void peer_feed::progressed(state::collection what) {
-    for (auto entry = held_.begin(); entry != held_.end();) {
-        const bool done = entry->request.what == what && answer(*entry, false);
-        entry = done ? held_.erase(entry) : std::next(entry);
-    }
+    answer_held(what, false);
 }
 
 void peer_feed::confirmed(state::collection what) {
+    answer_held(what, true);
+}
+
+void peer_feed::answer_held(state::collection what, bool final) {
     for (auto entry = held_.begin(); entry != held_.end();) {
-        const bool done = entry->request.what == what && answer(*entry, true);
+        const bool done = entry->request.what == what && answer(*entry, final);
         entry = done ? held_.erase(entry) : std::next(entry);
     }
 }
--- a/libs/mintknotd-platform/runtime/src/peer_feed.hpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.hpp
@@ -62,6 +62,8 @@
     };
     using held_requests = std::list<held_request>;
 
+    /// Answers those that wait for the collection. @param final as below.
+    void answer_held(state::collection what, bool final);
     /// @param final true: an answer without changes is an answer, too.
     /// @return false if the request is to be held on.
     bool answer(const held_request& held, bool final) const;
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -210,21 +210,6 @@
     std::shared_ptr<bool> life = std::make_shared<bool>(true);
 };
 
-namespace {
-
-/// Calls a function when the question is withdrawn or answered.
-class ticket final : public relay::placement_ticket {
-public:
-    explicit ticket(std::function<void()> on_end)
-        : on_end_(std::move(on_end)) {}
-    ~ticket() override { on_end_(); }
-
-private:
-    std::function<void()> on_end_;
-};
-
-} // namespace
-
 remote_placer::remote_placer(
     relay::router_context& context, placer_ports ports, placer_options options)
     : impl_(std::make_unique<impl>(context, std::move(ports), options)) {}
@@ -239,11 +224,8 @@
     policy::placement_query query, relay::placement_handler then) {
     const std::uint64_t number =
         impl_->begin(std::move(query), std::move(then));
-    return std::make_unique<ticket>(
-        [this, number, alive = std::weak_ptr<bool>(impl_->life)] {
-            if (!alive.expired())
-                impl_->questions.erase(number);
-        });
+    return std::make_unique<relay::withdrawing_ticket>(
+        impl_->life, [this, number] { impl_->questions.erase(number); });
 }
 
 void remote_placer::loads_changed() {
