mintknotd answers callers that have ended their own direction

Cause: the HTTP library asks, before it writes, whether the socket still gives bytes; once everything has been read, the end of a caller's own direction looks to it like a caller that has gone, and the 400 for an unknown transfer coding was never written. Ruled out: the rejection itself (nothing ran) and the close with unread bytes (all had been read).

--- /dev/null
+++ b/libs/mintknotd/net/src/half_close_server.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// A server of the HTTP library that answers callers which have ended their
+/// own direction.
+#ifndef MINTKNOT_NET_HALF_CLOSE_SERVER_HPP
+#define MINTKNOT_NET_HALF_CLOSE_SERVER_HPP
+
+#include <httplib.h>
+
+namespace mintknot::net {
+
+/// The library takes a caller that has ended its own direction for gone once
+/// all its bytes have been read, and writes it no answer. Here a connection is
+/// written to as long as its socket takes bytes.
+///
+/// Thread: process_and_close_socket() runs on the pool's threads, one a
+/// connection.
+class half_close_server final : public httplib::Server {
+private:
+    bool process_and_close_socket(socket_t connection) override;
+};
+
+} // namespace mintknot::net
+
+#endif
--- a/libs/mintknotd/net/src/http_server.cpp
+++ b/libs/mintknotd/net/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/net/http_server.hpp>
 
+#include "half_close_server.hpp"
+
 #include <mintknot/base/log.hpp>
 #include <mintknot/net/elastic_pool.hpp>
 
@@ -71,7 +73,7 @@
 std::unique_ptr<httplib::Server>
 make_server(const http_server_options& options) {
     if (options.certificate_file.empty())
-        return std::make_unique<httplib::Server>();
+        return std::make_unique<half_close_server>();
     return std::make_unique<httplib::SSLServer>(
         options.certificate_file.c_str(), options.private_key_file.c_str());
 }
