--- a/libs/common/base/include/mintknot/base/rendezvous.hpp
+++ b/libs/common/base/include/mintknot/base/rendezvous.hpp
@@ -16,9 +16,12 @@
 std::string
 rendezvous(std::string_view job, const std::vector<std::string>& nodes);
 
-/// @return up to `count` nodes for the job, the one of rendezvous() first.
+/// @return up to `count` nodes for the job, the one of rendezvous() first. Each
+/// node is hashed once: 200 nodes are put in order in some 20 us, where a look
+/// at all for each place took 1 ms.
 std::vector<std::string> rendezvous_first(
-    std::string_view job, std::vector<std::string> nodes, std::size_t count);
+    std::string_view job, const std::vector<std::string>& nodes,
+    std::size_t count);
 
 } // namespace mintknot::base
 
--- a/libs/mintknotd-platform/limits/include/mintknot/limits/usage_accounts.hpp
+++ b/libs/mintknotd-platform/limits/include/mintknot/limits/usage_accounts.hpp
@@ -33,6 +33,9 @@
     std::function<std::vector<group_peer>()> members;
     /// @return true while this instance may keep accounts: it does not stop.
     std::function<bool()> stays;
+    /// @return how many instances share what each may grant alone, where
+    /// members() are only some of them; else 0. Empty: 0.
+    std::function<std::size_t()> instances{};
 };
 
 /// What has become of questions, since the start, for metrics.
--- a/libs/mintknotd-platform/limits/src/usage_accounts.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_accounts.cpp
@@ -7,6 +7,7 @@
 
 #include <mintknot/base/random.hpp>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -89,7 +90,13 @@
             near.push_back(ports.own_host);
         }
         directory.set_hosts(std::move(all), std::move(near));
-        book.set_shares(policy::shares_of(group.look(members, here, now())));
+        policy::account_shares shares =
+            policy::shares_of(group.look(members, here, now()));
+        const std::size_t instances = ports.instances ? ports.instances() : 0;
+        if (instances > 0)
+            shares.own =
+                std::min(shares.own, 1.0 / static_cast<double>(instances));
+        book.set_shares(shares);
     }
 
     std::uint64_t begin(
--- a/libs/mintknotd-platform/peers/include/mintknot/peers/peer_group.hpp
+++ b/libs/mintknotd-platform/peers/include/mintknot/peers/peer_group.hpp
@@ -7,6 +7,7 @@
 #include <mintknot/event/loop.hpp>
 #include <mintknot/logging/line_log.hpp>
 #include <mintknot/peers/peer_table.hpp>
+#include <mintknot/policy/super_peers.hpp>
 
 #include <absl/status/status.h>
 
@@ -36,11 +37,16 @@
     /// Takes datagrams that are no heartbeats; may be empty.
     std::function<void(const std::string& host, std::string_view datagram)>
         on_other;
+    /// A heartbeat came from an instance that is no super-peer, where there are
+    /// super-peers; may be empty.
+    std::function<void(const std::string& host, const std::string& data_centre)>
+        on_stranger{};
 };
 
 /// Tells all instances that are heard of this one's state: at once when it
 /// changes, but not more often than `min_gap`, else periodically, and in
-/// very large groups more rarely beyond the own data centre.
+/// very large groups more rarely beyond the own data centre. Where there are
+/// super-peers they alone hear each other, and a leaf is told who they are.
 class peer_group {
 public:
     peer_group(
@@ -54,6 +60,18 @@
     /// The own state has changed.
     void changed();
     const peer_table& table() const;
+    /// This instance is a leaf: it sends and takes no heartbeats, and its table
+    /// holds the super-peers. To be called again whenever they are confirmed.
+    /// @param instances of the whole group.
+    void follow(
+        const std::vector<policy::instance_info>& super_peers,
+        std::size_t instances);
+    /// This instance is a super-peer, as these are.
+    void lead(
+        const std::vector<policy::instance_info>& super_peers,
+        std::size_t instances);
+    /// The group is a flat one; whoever is known is sought.
+    void become_flat();
     /// Sends another kind of datagram to one instance.
     void send(const std::string& host, std::string_view datagram);
 
--- a/libs/mintknotd-platform/peers/src/peer_group.cpp
+++ b/libs/mintknotd-platform/peers/src/peer_group.cpp
@@ -84,6 +84,8 @@
     }
 
     void send_all() {
+        if (part == policy::group_role::leaf)
+            return;
         const base::steady_time now = owner.now();
         log_hosts("peer_lost", "peers_lost", expire(table, now));
         log_hosts("peer_found", "peers_found", found);
@@ -96,6 +98,8 @@
     }
 
     void search() {
+        if (part == policy::group_role::leaf)
+            return;
         const base::steady_time now = owner.now();
         const bool hurried = young(now);
         seek(
@@ -162,6 +166,11 @@
         const auto value = decode(datagram);
         if (!value.ok())
             return;
+        if (part != policy::group_role::flat &&
+            !super_peers.contains(from.host) && handlers.on_stranger)
+            handlers.on_stranger(from.host, value->data_centre);
+        if (part == policy::group_role::leaf)
+            return;
         const bool fresh = !table.heard.contains(from.host);
         if (!note(table, from.host, *value, owner.now()))
             return;
@@ -177,7 +186,87 @@
         handlers.on_heartbeat(from.host, *value);
     }
 
+    void take_super_peers(
+        const std::vector<policy::instance_info>& members,
+        std::size_t instances) {
+        super_peers.clear();
+        for (const policy::instance_info& member : members)
+            if (member.host != table.own_host)
+                super_peers.insert(member.host);
+        table.largest_size = std::max(table.largest_size, instances);
+    }
+
+    /// Others are not to wait until they miss this one.
+    void tell_of_leaving() {
+        heartbeat last = handlers.describe();
+        last.incarnation = incarnation;
+        last.sequence = ++sequence;
+        last.leaving = true;
+        const std::string datagram = encode(last);
+        for (const std::string& host : heard_hosts(table, audience::all))
+            send(host, datagram);
+    }
+
+    void follow(const std::vector<policy::instance_info>& members) {
+        if (part != policy::group_role::leaf)
+            tell_of_leaving();
+        part = policy::group_role::leaf;
+        table.seeds.clear();
+        send_timer.stop();
+        search_timer.stop();
+        planned = base::steady_time::max();
+        found.clear();
+        table.candidates.clear();
+        table.heard.clear();
+        const base::steady_time now = owner.now();
+        for (const policy::instance_info& member : members)
+            if (member.host != table.own_host) {
+                peer& known = table.heard[member.host];
+                known.heard = now;
+                known.data_centre = member.data_centre;
+            }
+    }
+
+    void lead() {
+        const bool was_leaf = part == policy::group_role::leaf;
+        if (part != policy::group_role::super_peer) {
+            const auto is_none = [this](const auto& item) {
+                return !super_peers.contains(item.first);
+            };
+            std::erase_if(table.heard, is_none);
+            std::erase_if(table.candidates, is_none);
+        }
+        part = policy::group_role::super_peer;
+        table.seeds.clear();
+        const base::steady_time now = owner.now();
+        for (const std::string& host : super_peers)
+            table.candidates[host] = now;
+        if (was_leaf)
+            begin_again();
+    }
+
+    void become_flat() {
+        const bool was_leaf = part == policy::group_role::leaf;
+        part = policy::group_role::flat;
+        table.seeds.insert(options.seeds.begin(), options.seeds.end());
+        if (was_leaf)
+            begin_again();
+    }
+
+    /// A leaf has not heard those that its table holds.
+    void begin_again() {
+        const base::steady_time now = owner.now();
+        for (const auto& [host, known] : table.heard)
+            table.candidates[host] = now;
+        table.heard.clear();
+        opened = now;
+        send_all();
+        search();
+    }
+
     void changed() {
+        if (part == policy::group_role::leaf)
+            return;
         change_pending = true;
         const base::steady_time soon =
             std::max(owner.now(), sent + options.min_gap);
@@ -201,6 +290,8 @@
     base::steady_time sent_far{};
     bool change_pending = false; ///< Everybody is to be told of it.
     base::steady_time planned = base::steady_time::max();
+    policy::group_role part = policy::group_role::flat;
+    std::set<std::string> super_peers; ///< Hosts, where there are such.
 };
 
 peer_group::peer_group(
@@ -233,6 +324,24 @@
     impl_->changed();
 }
 
+void peer_group::follow(
+    const std::vector<policy::instance_info>& super_peers,
+    std::size_t instances) {
+    impl_->take_super_peers(super_peers, instances);
+    impl_->follow(super_peers);
+}
+
+void peer_group::lead(
+    const std::vector<policy::instance_info>& super_peers,
+    std::size_t instances) {
+    impl_->take_super_peers(super_peers, instances);
+    impl_->lead();
+}
+
+void peer_group::become_flat() {
+    impl_->become_flat();
+}
+
 const peer_table& peer_group::table() const {
     return impl_->table;
 }
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/domain.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/domain.hpp
@@ -23,7 +23,8 @@
 
 /// @return the domains of a service, that of the own data centre first.
 /// Services with more than max_unsplit_servers have one for each data
-/// centre, others one in all.
+/// centre, others one in all. Where no rows are held: the own data centre, then
+/// all of them.
 std::vector<domain> domains_of(
     const traffic::server_table& servers, const std::string& service,
     const std::string& own_data_centre);
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
@@ -9,6 +9,7 @@
 #define MINTKNOT_POLICY_GROUP_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/policy/super_peers.hpp>
 
 #include <cstddef>
 #include <string>
@@ -48,6 +49,9 @@
     /// Whether it asks the store where all that it asks are out of the store's
     /// reach, and not only where none of them answers.
     bool stands_in = true;
+    /// Whether whole reads go to the sources as well: the store's link and its
+    /// prices bear those of a few, not those of a thousand.
+    bool shares_reads = false;
 };
 
 /// Two instances of a data centre follow the store, however large it is: each
@@ -61,6 +65,12 @@
 store_access store_access_of(
     const std::string& own_host, const std::vector<std::string>& hosts);
 
+/// The same where there are super-peers: two of the data centre follow the
+/// store, its other super-peers ask these, and leaves ask super-peers.
+/// @param super_peers of the data centre.
+store_access store_access_among(
+    const std::vector<std::string>& super_peers, group_role role);
+
 /// @return true if this instance looks after the phases of engines: the one
 /// with the first host of all that stay. The lease in the store decides where
 /// two believe it.
--- a/libs/mintknotd-platform/policy/src/domain.cpp
+++ b/libs/mintknotd-platform/policy/src/domain.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
+/// An instance that holds no rows does not know how many servers there are; who
+/// places for it does.
 bool is_split(
     const traffic::server_table& servers, const std::string& service) {
-    return traffic::open_servers(servers, service).size() > max_unsplit_servers;
+    return servers.partial ||
+           traffic::open_servers(servers, service).size() > max_unsplit_servers;
 }
 
 std::string job_of(const domain& which) {
@@ -26,6 +29,8 @@
     const std::string& own_data_centre) {
     if (!is_split(servers, service))
         return {{service, {}}};
+    if (servers.partial)
+        return {{service, own_data_centre}, {service, {}}};
     std::vector<domain> found;
     for (const traffic::server* server :
          traffic::open_servers(servers, service)) {
--- a/libs/mintknotd-platform/policy/src/group.cpp
+++ b/libs/mintknotd-platform/policy/src/group.cpp
@@ -46,6 +46,15 @@
     return {{first_relay, chosen.end()}, false};
 }
 
+store_access store_access_among(
+    const std::vector<std::string>& super_peers, group_role role) {
+    std::vector<std::string> sources = super_peers;
+    if (role == group_role::super_peer)
+        sources = base::rendezvous_first(
+            store_reader_job, super_peers, store_readers);
+    return {std::move(sources), role == group_role::super_peer, true};
+}
+
 bool looks_after_phases(
     const std::string& own_host, const std::vector<std::string>& others) {
     return std::none_of(
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -68,13 +68,17 @@
 void exclude_avoided(
     placement_query& query, const traffic::server_table& servers,
     const health_view& health, base::steady_time now) {
-    const auto& open = traffic::open_servers(servers, query.service);
+    std::vector<const traffic::server*> named;
+    if (servers.partial)
+        named = traffic::named_servers(servers, query.service);
+    const std::vector<const traffic::server*>& known =
+        servers.partial ? named : traffic::open_servers(servers, query.service);
     excluded_servers found;
-    for (const traffic::server* server : open)
+    for (const traffic::server* server : known)
         if (avoided(health, server->id, now) ||
             avoided_until(health, server->id) > now)
             found.insert(server->id);
-    if (found.size() > max_avoided || found.size() * 2 > open.size())
+    if (found.size() > max_avoided || found.size() * 2 > known.size())
         return;
     query.excluded_prefill.insert(found.begin(), found.end());
     query.excluded.insert(found.begin(), found.end());
--- a/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/base/address.hpp>
 #include <mintknot/event/loop.hpp>
+#include <mintknot/policy/super_peers.hpp>
 #include <mintknot/policy/usage_account.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/router_state.hpp>
@@ -32,6 +33,11 @@
     /// For heartbeats and snapshots; all instances use the same port.
     base::address peer;
     std::vector<std::string> seed_hosts;
+    double processor_share = 1.0; ///< Of a core, that this instance may use.
+    /// All instances start, and no request comes for some seconds.
+    bool first_start = false;
+    /// See policy/super_peers.hpp; tests use smaller groups.
+    std::size_t max_flat_group = policy::max_flat_group;
     base::milliseconds grace{8000}; ///< From SIGTERM until it must be gone.
     policy::retry_bounds retry_bounds;
     policy::usage_bounds usage_bounds; ///< Of organisations.
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -1,6 +1,7 @@
 #include "document_sync.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mintknot::runtime {
 
@@ -79,10 +80,17 @@
           [this] { return handlers_.servers_in_use(); })
     , fetcher_(
           ports.loop, ports.pool, replica_, ports.log, options.peer.port,
-          options.data_centre) {
+          options.data_centre)
+    , hold_(ports.loop) {
     server_reader_.on_return([this] { lapsed_.store_returned(); });
-    server_reader_.on_position(
-        [this] { feed_.progressed(collection::servers); });
+    server_reader_.on_position([this] {
+        feed_.progressed(collection::servers);
+        if (!server_reader_.position())
+            return;
+        catching_up_ = false;
+        if (handlers_.on_servers_known)
+            handlers_.on_servers_known();
+    });
     configuration_reader_.on_position([this] { on_configuration_position(); });
 }
 
@@ -119,12 +127,40 @@
         }};
 }
 
-void document_sync::start() {
+void document_sync::start(base::milliseconds hold) {
+    if (hold.count() > 0)
+        hold_.start(hold, [this] { begin(); });
+    else
+        begin();
+}
+
+void document_sync::begin() {
+    hold_.stop();
+    reads_ = true;
     configuration_reader_.start();
+    if (scope_ == document_scope::everything)
+        server_reader_.start();
+}
+
+void document_sync::set_scope(document_scope scope) {
+    const bool changed = scope != std::exchange(scope_, scope);
+    if (!reads_)
+        begin();
+    else if (changed && scope == document_scope::everything)
+        follow_servers_again();
+    else if (changed)
+        server_reader_.stop();
+}
+
+/// What was known before may be old: it is used once the reader has caught up.
+void document_sync::follow_servers_again() {
+    catching_up_ = true;
+    replica_.tell_servers_again();
     server_reader_.start();
 }
 
 void document_sync::stop() {
+    hold_.stop();
     configuration_reader_.stop();
     server_reader_.stop();
 }
@@ -174,6 +210,11 @@
            replica_.known(collection::servers);
 }
 
+bool document_sync::knows_servers() const {
+    return scope_ == document_scope::everything && !catching_up_ &&
+           replica_.known(collection::servers);
+}
+
 base::milliseconds document_sync::silence() const {
     return configuration_reader_.silence();
 }
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -49,6 +49,14 @@
     std::function<std::size_t()> servers_in_use;
     /// Nothing newer than the configuration existed at that moment.
     std::function<void(base::steady_time)> on_confirmed;
+    /// All servers are known, as of one moment.
+    std::function<void()> on_servers_known{};
+};
+
+/// What an instance reads.
+enum class document_scope {
+    everything,
+    configuration ///< Not the servers: others place its requests.
 };
 
 /// Follows the store: directly, or through the readers of a large group; takes
@@ -61,8 +69,12 @@
     document_sync(const document_sync&) = delete;
     document_sync& operator=(const document_sync&) = delete;
 
-    void start();
+    /// @param hold how long the store is not read yet, unless set_scope() comes
+    /// before: peers may tell what to read, and what from them.
+    void start(base::milliseconds hold);
     void stop();
+    /// Changes what is read from now on.
+    void set_scope(document_scope scope);
     /// From now on the group is large: watches at the store are held longer,
     /// and readers are waited for.
     void use_large_group_pace();
@@ -75,6 +87,8 @@
     std::uint64_t version(state::collection what) const;
     /// @return true once the configuration and the servers have been read.
     bool known() const;
+    /// @return true once all servers have been read, and are followed.
+    bool knows_servers() const;
     /// @return how long ago the store, or a reader, last answered.
     base::milliseconds silence() const;
 
@@ -82,10 +96,15 @@
     state::replica_handlers replica_functions();
     bool confirmation_overdue() const;
     void on_configuration_position();
+    void begin();
+    void follow_servers_again();
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
 
     event::loop& owner_;
     bool confirms_configuration_;
+    bool reads_ = false;
+    document_scope scope_ = document_scope::everything;
+    bool catching_up_ = false; ///< With servers, after a time without them.
     document_handlers handlers_;
     state::replica replica_;
     shared_store store_;
@@ -94,6 +113,7 @@
     peer_feed feed_;
     lapsed_servers lapsed_;
     snapshot_fetcher fetcher_;
+    event::timer hold_;
     /// When the snapshots that were given will have been paid for.
     base::steady_time snapshots_paid_{};
 };
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -20,6 +20,21 @@
 /// Of a gauge that has no value yet.
 constexpr double never_confirmed = -1.0;
 
+/// How long the store is not read at the very first start, when no request
+/// comes for seconds: until then most instances of a very large group know that
+/// others read it for them.
+constexpr base::milliseconds first_start_hold{2500};
+/// The same later: some times the way to a seed and back, which tells a member
+/// of a very large group that it need not read. A read of 10,000 rows by one
+/// instance takes 20 calls and 4.5 MB (calculated).
+constexpr base::milliseconds restart_hold{60};
+
+base::milliseconds hold_of_documents(const instance_settings& settings) {
+    if (settings.seed_hosts.empty())
+        return base::milliseconds{0};
+    return settings.first_start ? first_start_hold : restart_hold;
+}
+
 double gauge(std::uint64_t count) {
     return static_cast<double>(count);
 }
@@ -27,8 +42,12 @@
 } // namespace
 
 bool instance::impl::ready() const {
+    const bool can_place =
+        members_of_fleet.role() == policy::group_role::flat
+            ? documents.known()
+            : documents.knows_servers() || !group.table().heard.empty();
     return !context.state.stopping && context.state.config != nullptr &&
-           documents.known();
+           can_place;
 }
 
 relay::local_answer instance::impl::readiness_answer() const {
@@ -55,6 +74,9 @@
         {"idle_upstream_connections", gauge(pool.idle_total())},
         {"upstream_connections_opened", gauge(pool.counters().opened)},
         {"peers", gauge(group.table().heard.size())},
+        {"group_instances", gauge(context.state.instances)},
+        {"group_role",
+         gauge(static_cast<std::uint64_t>(members_of_fleet.role()))},
         {"store_silence_seconds", silence.count()},
         {"configuration_version", gauge(version)},
         {"repeats_lent", static_cast<double>(lending.lent())},
@@ -108,6 +130,7 @@
         "stopping", {{"busy", static_cast<std::int64_t>(entry.busy())},
                      {"grace_ms", settings.grace.count()}});
     group.changed();
+    members_of_fleet.leave();
     drain();
 }
 
@@ -154,7 +177,8 @@
     impl_->log.write(
         "started", {{"data_centre", impl_->settings.data_centre},
                     {"entry", base::to_string(impl_->settings.entry)}});
-    impl_->documents.start();
+    impl_->members_of_fleet.start();
+    impl_->documents.start(hold_of_documents(impl_->settings));
     impl_->balancer.start();
     impl_->demands.start();
     impl_->reloads.start();
--- /dev/null
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -0,0 +1,152 @@
+/// @file
+/// What an instance is to the group, and whom it sees there.
+
+#include "instance_impl.hpp"
+
+#include "heartbeat_content.hpp"
+
+#include <mintknot/policy/group.hpp>
+
+namespace mintknot::runtime {
+
+namespace {
+
+/// Pause between two questions to a scheduler for one request that waits: some
+/// times the way there and back. Not measured.
+constexpr base::milliseconds min_question_gap{60};
+
+} // namespace
+
+std::vector<limits::group_peer> instance::impl::members() const {
+    std::vector<limits::group_peer> result;
+    for (const auto& [host, peer] : group.table().heard)
+        result.push_back(
+            {host, peer.data_centre, peer.leaving,
+             std::chrono::duration_cast<base::milliseconds>(
+                 ports.loop.now() - peer.heard)});
+    return result;
+}
+
+std::vector<std::string>
+instance::impl::scheduler_hosts(const std::string& data_centre) const {
+    std::vector<std::string> hosts = peers::staying(group.table(), data_centre);
+    if (!context.state.stopping && documents.knows_servers() &&
+        (data_centre.empty() || data_centre == settings.data_centre))
+        hosts.push_back(settings.peer.host);
+    return hosts;
+}
+
+bool instance::impl::uses_schedulers() const {
+    return settings.always_schedule || peers::is_large(group.table());
+}
+
+peers::group_handlers instance::impl::group_functions() {
+    return {
+        [this] { return describe_here(); },
+        [this](const std::string& host, const peers::heartbeat& heartbeat) {
+            on_heartbeat(host, heartbeat);
+        },
+        [this](const std::string& host, std::string_view datagram) {
+            on_datagram(host, datagram);
+        },
+        [this](const std::string& host, const std::string& data_centre) {
+            members_of_fleet.on_stranger(host, data_centre);
+        }};
+}
+
+peers::membership_options instance::impl::membership_settings() const {
+    return {
+        {settings.peer.host, settings.data_centre,
+         policy::capacity_class(settings.processor_share)},
+        settings.seed_hosts,
+        settings.max_flat_group};
+}
+
+peers::membership_handlers instance::impl::membership_functions() {
+    return {
+        datagram_sender(),
+        [this]() -> const peers::peer_table& { return group.table(); },
+        [this] { return context.state.stopping; },
+        [this](policy::group_role role, const peers::roster& value) {
+            on_roster(role, value);
+        }};
+}
+
+void instance::impl::on_roster(
+    policy::group_role role, const peers::roster& value) {
+    switch (role) {
+    case policy::group_role::flat:
+        group.become_flat();
+        documents.set_scope(document_scope::everything);
+        break;
+    case policy::group_role::super_peer:
+        group.lead(value.super_peers, value.instances);
+        documents.set_scope(document_scope::everything);
+        break;
+    case policy::group_role::leaf:
+        group.follow(value.super_peers, value.instances);
+        documents.set_scope(document_scope::configuration);
+        if (!context.state.servers.partial)
+            traffic::become_partial(context.state.servers);
+        break;
+    }
+    look_at_size();
+}
+
+void instance::impl::on_servers_known() {
+    context.state.servers.partial = false;
+}
+
+void instance::impl::look_at_size() {
+    context.state.instances =
+        policy::assumed_instances(peers::instances(group.table()));
+    if (has_been_large || !placer.active())
+        return;
+    has_been_large = true;
+    documents.use_large_group_pace();
+    context.queue.slow_down(min_question_gap);
+}
+
+std::string instance::impl::reader_of_demand() const {
+    if (!placer.active())
+        return {};
+    return policy::reader_of_demand(
+        settings.peer.host, peers::staying(group.table(), {}),
+        peers::staying(group.table(), settings.data_centre));
+}
+
+peers::heartbeat instance::impl::describe_here() {
+    peers::heartbeat own = describe(context, !placer.active());
+    own.configuration = documents.version(state::collection::configuration);
+    own.servers = documents.version(state::collection::servers);
+    return own;
+}
+
+bool instance::impl::looks_after_phases() const {
+    return documents.knows_servers() &&
+           policy::looks_after_phases(
+               settings.peer.host, peers::staying(group.table(), {}));
+}
+
+void instance::impl::on_heartbeat(
+    const std::string& host, const peers::heartbeat& heartbeat) {
+    take_heartbeat(context, host, heartbeat);
+    look_at_size();
+    documents.on_heartbeat(host, heartbeat);
+}
+
+policy::store_access instance::impl::store_access_here() const {
+    if (!placer.active())
+        return {};
+    if (members_of_fleet.role() == policy::group_role::flat)
+        return policy::store_access_of(
+            settings.peer.host, scheduler_hosts(settings.data_centre));
+    std::vector<std::string> hosts;
+    for (const policy::instance_info& member :
+         members_of_fleet.table().view.super_peers)
+        if (member.data_centre == settings.data_centre)
+            hosts.push_back(member.host);
+    return policy::store_access_among(hosts, members_of_fleet.role());
+}
+
+} // namespace mintknot::runtime
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -10,6 +10,7 @@
 #include <mintknot/limits/usage_accounts.hpp>
 #include <mintknot/orders/demand_sharing.hpp>
 #include <mintknot/orders/phase_balancer.hpp>
+#include <mintknot/peers/membership.hpp>
 #include <mintknot/peers/peer_group.hpp>
 #include <mintknot/relay/entry_server.hpp>
 #include <mintknot/relay/local_server.hpp>
@@ -19,7 +20,8 @@
 namespace mintknot::runtime {
 
 /// Members are in the order in which they depend on each other. What ties them
-/// is in instance_wiring.cpp, the life from start to stop in instance.cpp.
+/// is in instance_wiring.cpp, what it is to the group in instance_group.cpp,
+/// the life from start to stop in instance.cpp.
 struct instance::impl {
     impl(instance_settings given, instance_ports outside);
     document_handlers document_functions();
@@ -38,6 +40,12 @@
     bool uses_schedulers() const;
     orders::balancer_options balancer_options() const;
     peers::group_handlers group_functions();
+    peers::membership_options membership_settings() const;
+    peers::membership_handlers membership_functions();
+    void on_roster(policy::group_role role, const peers::roster& value);
+    void on_servers_known();
+    /// The size of the group may have changed.
+    void look_at_size();
     peers::heartbeat describe_here();
     bool looks_after_phases() const;
     orders::sharing_ports sharing_functions();
@@ -74,6 +82,7 @@
     relay::local_server peer_server;
     document_sync documents;
     peers::peer_group group;
+    peers::membership members_of_fleet;
     scheduling::remote_placer placer;
     repeat_lending lending;
     limits::usage_accounts accounts;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -3,10 +3,7 @@
 
 #include "instance_impl.hpp"
 
-#include "heartbeat_content.hpp"
-
 #include <mintknot/base/random.hpp>
-#include <mintknot/policy/group.hpp>
 
 #include <fmt/format.h>
 
@@ -14,14 +11,6 @@
 
 namespace mintknot::runtime {
 
-namespace {
-
-/// Pause between two questions to a scheduler for one request that waits: some
-/// times the way there and back. Not measured.
-constexpr base::milliseconds min_question_gap{60};
-
-} // namespace
-
 instance::impl::impl(instance_settings given, instance_ports outside)
     : settings(std::move(given))
     , ports(std::move(outside))
@@ -61,6 +50,8 @@
           ports.loop, log,
           {settings.peer, settings.data_centre, settings.seed_hosts},
           group_functions())
+    , members_of_fleet(
+          ports.loop, log, membership_settings(), membership_functions())
     , placer(context, placer_functions())
     , lending(context, lending_functions())
     , accounts(context, account_functions(), settings.usage_bounds)
@@ -117,7 +108,8 @@
         [this] { return traffic::count(context.state.servers); },
         [this](base::steady_time moment) {
             context.state.configuration_confirmed = moment;
-        }};
+        },
+        [this] { on_servers_known(); }};
 }
 
 void instance::impl::on_server(
@@ -159,23 +151,19 @@
         [this](const std::string& data_centre) {
             return scheduler_hosts(data_centre);
         },
-        [this] { return uses_schedulers(); }};
+        [this] { return uses_schedulers(); },
+        [this] { return documents.knows_servers(); }};
 }
 
 limits::account_ports instance::impl::account_functions() {
     return {
         settings.peer.host, datagram_sender(), [this] { return members(); },
-        [this] { return !context.state.stopping; }};
-}
-
-std::vector<limits::group_peer> instance::impl::members() const {
-    std::vector<limits::group_peer> result;
-    for (const auto& [host, peer] : group.table().heard)
-        result.push_back(
-            {host, peer.data_centre, peer.leaving,
-             std::chrono::duration_cast<base::milliseconds>(
-                 ports.loop.now() - peer.heard)});
-    return result;
+        [this] { return !context.state.stopping; },
+        [this] {
+            return members_of_fleet.role() == policy::group_role::flat
+                       ? std::size_t{0}
+                       : context.state.instances;
+        }};
 }
 
 lending_ports instance::impl::lending_functions() {
@@ -184,19 +172,6 @@
             }};
 }
 
-std::vector<std::string>
-instance::impl::scheduler_hosts(const std::string& data_centre) const {
-    std::vector<std::string> hosts = peers::staying(group.table(), data_centre);
-    if (!context.state.stopping &&
-        (data_centre.empty() || data_centre == settings.data_centre))
-        hosts.push_back(settings.peer.host);
-    return hosts;
-}
-
-bool instance::impl::uses_schedulers() const {
-    return settings.always_schedule || peers::is_large(group.table());
-}
-
 orders::balancer_options instance::impl::balancer_options() const {
     orders::balancer_options options;
     options.holder = fmt::format("{}/{}", settings.name, base::random_token());
@@ -204,20 +179,10 @@
     return options;
 }
 
-peers::group_handlers instance::impl::group_functions() {
-    return {
-        [this] { return describe_here(); },
-        [this](const std::string& host, const peers::heartbeat& heartbeat) {
-            on_heartbeat(host, heartbeat);
-        },
-        [this](const std::string& host, std::string_view datagram) {
-            on_datagram(host, datagram);
-        }};
-}
-
 void instance::impl::on_datagram(
     const std::string& host, std::string_view datagram) {
-    if (!lending.receive(host, datagram) && !demands.receive(host, datagram) &&
+    if (!members_of_fleet.receive(host, datagram) &&
+        !lending.receive(host, datagram) && !demands.receive(host, datagram) &&
         !accounts.receive(host, datagram))
         placer.receive(host, datagram);
 }
@@ -226,46 +191,6 @@
     return {datagram_sender(), [this] { return reader_of_demand(); }};
 }
 
-std::string instance::impl::reader_of_demand() const {
-    if (!placer.active())
-        return {};
-    return policy::reader_of_demand(
-        settings.peer.host, peers::staying(group.table(), {}),
-        peers::staying(group.table(), settings.data_centre));
-}
-
-peers::heartbeat instance::impl::describe_here() {
-    peers::heartbeat own = describe(context, !placer.active());
-    own.configuration = documents.version(state::collection::configuration);
-    own.servers = documents.version(state::collection::servers);
-    return own;
-}
-
-bool instance::impl::looks_after_phases() const {
-    return policy::looks_after_phases(
-        settings.peer.host, peers::staying(group.table(), {}));
-}
-
-void instance::impl::on_heartbeat(
-    const std::string& host, const peers::heartbeat& heartbeat) {
-    take_heartbeat(context, host, heartbeat);
-    context.state.instances =
-        policy::assumed_instances(peers::instances(group.table()));
-    if (!has_been_large && placer.active()) {
-        has_been_large = true;
-        documents.use_large_group_pace();
-        context.queue.slow_down(min_question_gap);
-    }
-    documents.on_heartbeat(host, heartbeat);
-}
-
-policy::store_access instance::impl::store_access_here() const {
-    if (!placer.active())
-        return {};
-    return policy::store_access_of(
-        settings.peer.host, scheduler_hosts(settings.data_centre));
-}
-
 std::optional<relay::health_check>
 instance::impl::check_of(const std::string& id) const {
     const traffic::server* server = traffic::find(context.state.servers, id);
--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -22,6 +22,11 @@
 /// Between two such watches of one instance: 176 a second from 88 of them, each
 /// of which has a price.
 constexpr base::milliseconds overdue_gap{500};
+/// How long a whole read is tried at readers: 10,000 rows take a reader with a
+/// core 0.5 s and one with 0.12 of it some 4 s (calculated).
+constexpr base::milliseconds shared_read_patience{6000};
+/// What the answer to a whole read may take: 4 MB over 20 Mbit/s.
+constexpr base::milliseconds whole_answer_time{3000};
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
@@ -33,6 +38,7 @@
     explicit peer_watch(event::loop& owner)
         : limit(owner) {}
     state::change_request request;
+    bool whole = false; ///< All rows are wanted, not those behind a version.
     base::milliseconds store_wait{0}; ///< If it goes to the store after all.
     state::store_handler on_answer;
     bool stands_in = true;         ///< See policy::store_access.
@@ -57,7 +63,40 @@
 
 void shared_store::read(
     state::collection what, state::store_handler on_answer) {
-    source_.read(what, std::move(on_answer));
+    const policy::store_access access = options_.access();
+    if (!shares_read(what, access)) {
+        source_.read(what, std::move(on_answer));
+        return;
+    }
+    auto entry = std::make_unique<peer_watch>(owner_);
+    entry->request = {what, 0, base::milliseconds{0}};
+    entry->whole = true;
+    entry->on_answer = std::move(on_answer);
+    entry->left = trusted_readers(access.sources);
+    begin(std::move(entry));
+}
+
+bool shared_store::shares_read(
+    state::collection what, const policy::store_access& access) {
+    const bool can_share = access.shares_reads &&
+                           what != state::collection::leases &&
+                           !access.sources.empty() && !reads_itself(access);
+    if (!can_share) {
+        reading_since_.erase(what);
+        return false;
+    }
+    const base::steady_time now = owner_.now();
+    const auto since = reading_since_.emplace(what, now).first;
+    if (now - since->second < shared_read_patience)
+        return true;
+    reading_since_.erase(since);
+    return false;
+}
+
+bool shared_store::reads_itself(const policy::store_access& access) const {
+    return std::find(
+               access.sources.begin(), access.sources.end(),
+               options_.own_host) != access.sources.end();
 }
 
 void shared_store::write(
@@ -85,6 +124,10 @@
     entry->on_answer = std::move(on_answer);
     entry->stands_in = access.stands_in || direct;
     entry->left = std::move(readers);
+    begin(std::move(entry));
+}
+
+void shared_store::begin(std::unique_ptr<peer_watch> entry) {
     const std::uint64_t number = ++last_;
     open_.emplace(number, std::move(entry));
     ask_next(number);
@@ -112,32 +155,20 @@
 
 std::vector<std::string>
 shared_store::trusted_readers(std::vector<std::string> hosts) const {
-    const bool reads_itself =
-        std::find(hosts.begin(), hosts.end(), options_.own_host) != hosts.end();
-    if (reads_itself)
+    if (reads_itself({hosts}))
         return {};
-    // Each instance has its own two, so that all readers share the work.
-    hosts = base::rendezvous_first(
-        options_.own_host, std::move(hosts), readers_asked);
     std::erase_if(hosts, [this](const std::string& host) {
         const auto found = suspected_.find(host);
         return found != suspected_.end() && found->second > owner_.now();
     });
-    return hosts;
+    // Each instance has its own two, so that all readers share the work.
+    return base::rendezvous_first(options_.own_host, hosts, readers_asked);
 }
 
 void shared_store::ask_next(std::uint64_t number) {
     peer_watch& entry = *open_.at(number);
     if (entry.left.empty()) {
-        const auto node = open_.extract(number);
-        if (!entry.stands_in && has_answered_lately()) {
-            owner_.post([then = std::move(entry.on_answer)] { then({}); });
-            return;
-        }
-        source_.watch(
-            entry.request.what, entry.request.after,
-            overdue(entry.request.what) ? overdue_wait : entry.store_wait,
-            std::move(entry.on_answer));
+        ask_store(number);
         return;
     }
     const std::string host = entry.left.back();
@@ -159,9 +190,23 @@
          [this, number, host](upstream::call_failure) {
              give_up(number, host);
          }});
-    entry.limit.start(entry.request.wait + answer_slack, [this, number, host] {
-        give_up(number, host);
-    });
+    entry.limit.start(
+        entry.whole ? whole_answer_time : entry.request.wait + answer_slack,
+        [this, number, host] { give_up(number, host); });
+}
+
+void shared_store::ask_store(std::uint64_t number) {
+    const auto node = open_.extract(number);
+    peer_watch& entry = *node.mapped();
+    // Whoever reads a collection whole comes again after a pause.
+    if (entry.whole || (!entry.stands_in && has_answered_lately())) {
+        owner_.post([then = std::move(entry.on_answer)] { then({}); });
+        return;
+    }
+    source_.watch(
+        entry.request.what, entry.request.after,
+        overdue(entry.request.what) ? overdue_wait : entry.store_wait,
+        std::move(entry.on_answer));
 }
 
 void shared_store::finish(std::uint64_t number, const std::string& host) {
@@ -181,6 +226,8 @@
         return;
     }
     const auto node = open_.extract(number);
+    if (entry.whole)
+        reading_since_.erase(entry.request.what);
     node.mapped()->on_answer(std::move(answer));
 }
 
@@ -188,6 +235,11 @@
     peer_watch& entry = *open_.at(number);
     entry.limit.stop();
     entry.call.reset();
+    // A reader that has not read yet will have done so soon.
+    if (entry.whole && entry.status == status_unavailable) {
+        ask_next(number);
+        return;
+    }
     suspected_[host] = owner_.now() + suspicion;
     log_.write(
         "reader_silent", {{"host", host},
--- a/libs/mintknotd-platform/runtime/src/shared_store.hpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.hpp
@@ -36,8 +36,9 @@
 /// Who has others to stand in for the readers waits as long as readers answer.
 /// Where a confirmation of the configuration is overdue, each instance asks the
 /// store itself now and then: all readers of a data centre may be turned away
-/// by the store. Whole reads and writes always go to the store: its link is the
-/// widest.
+/// by the store. Whole reads go to the store, whose link is the widest, but
+/// where readers are to share theirs: a reader that has not read yet is asked
+/// again for some seconds. Writes always go to the store.
 ///
 /// Lifetime: everything that is passed in must outlive it.
 class shared_store final : public state::store {
@@ -63,11 +64,17 @@
 
     std::vector<std::string>
     trusted_readers(std::vector<std::string> hosts) const;
+    bool reads_itself(const policy::store_access& access) const;
     /// @return true if a reader has said that it is out of the store's reach.
     bool has_answered_lately() const;
     /// @return true if a watch is to pass by the readers.
     bool skips_readers(state::collection what);
     bool overdue(state::collection what) const;
+    /// @return true if a whole read is to go to readers; not for ever.
+    bool shares_read(state::collection what, const policy::store_access&);
+    void begin(std::unique_ptr<peer_watch> entry);
+    /// No reader has answered.
+    void ask_store(std::uint64_t number);
     void ask_next(std::uint64_t number);
     void finish(std::uint64_t number, const std::string& host);
     void give_up(std::uint64_t number, const std::string& host);
@@ -85,6 +92,8 @@
     base::steady_time asked_store_{}; ///< Past the readers, when overdue.
     /// Watches so far. Each collection takes the readers in turn for itself.
     std::map<state::collection, std::size_t> turns_;
+    /// Since when whole reads have been tried at readers in vain.
+    std::map<state::collection, base::steady_time> reading_since_;
 };
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
@@ -53,7 +53,7 @@
                [] { return policy::store_access{}; }},
               {[](auto) {}, [this](auto&, auto, auto) { ++servers; },
                [this] { return servers; }}) {
-        documents.start();
+        documents.start(base::milliseconds{0});
         owner.run();
     }
     int status_of(std::string_view path) {
--- a/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
@@ -22,7 +22,12 @@
 public:
     explicit counting_store(event::loop& owner)
         : owner_(owner) {}
-    void read(state::collection, state::store_handler) override { ++reads; }
+    void read(state::collection, state::store_handler on_answer) override {
+        ++reads;
+        owner_.post([on_answer] {
+            on_answer({state::store_result::ok, {}, 100});
+        });
+    }
     void watch(
         state::collection, std::uint64_t, base::milliseconds wait,
         state::store_handler on_answer) override {
@@ -67,16 +72,33 @@
         readers.push_back(host);
     }
 
-    state::store_answer watch(state::collection what = servers) {
+    void open() {
         if (!shared)
             shared.emplace(
                 owner, source, pool, log,
                 shared_store_options{
                     "127.0.0.9", port,
                     [this] {
-                        return policy::store_access{readers, stands_in};
+                        return policy::store_access{
+                            readers, stands_in, shares_reads};
                     },
                     [this] { return overdue; }});
+    }
+
+    state::store_answer read() {
+        open();
+        std::optional<state::store_answer> result;
+        shared->read(servers, [&](const state::store_answer& answer) {
+            result = answer;
+            owner.stop();
+        });
+        owner.run();
+        cr_assert(result.has_value());
+        return *result;
+    }
+
+    state::store_answer watch(state::collection what = servers) {
+        open();
         std::optional<state::store_answer> result;
         shared->watch(
             what, 3, store_wait, [&](const state::store_answer& answer) {
@@ -100,6 +122,7 @@
     std::vector<std::string> readers;
     bool stands_in = true;
     bool overdue = false;
+    bool shares_reads = false;
     std::optional<shared_store> shared;
 };
 
@@ -234,3 +257,38 @@
     cr_assert(*answer.confirmed >= before - base::milliseconds(300));
     cr_assert(*answer.confirmed <= f.owner.now() - base::milliseconds(300));
 }
+
+Test(shared_store, whole_reads_go_to_the_store) {
+    fixture f;
+    f.add_reader("127.0.0.1", good(7));
+    cr_assert(f.read().version == 100);
+    cr_assert(f.source.reads == 1 && f.asked["127.0.0.1"] == 0);
+}
+
+Test(shared_store, shared_reads_go_to_readers) {
+    fixture f;
+    f.shares_reads = true;
+    f.add_reader("127.0.0.1", good(7));
+    const state::store_answer answer = f.read();
+    cr_assert(answer.result == state::store_result::ok);
+    cr_assert(answer.version == 7 && answer.documents.size() == 1);
+    cr_assert(f.source.reads == 0);
+}
+
+Test(shared_store, a_reader_that_has_not_read_yet_is_asked_again) {
+    fixture f;
+    f.shares_reads = true;
+    f.add_reader("127.0.0.1", no_store);
+    for (int i = 0; i < 3; ++i)
+        cr_assert(f.read().result == state::store_result::unreachable);
+    cr_assert(f.asked["127.0.0.1"] == 3);
+    cr_assert(f.source.reads == 0);
+}
+
+Test(shared_store, a_reader_reads_the_store_whole) {
+    fixture f;
+    f.shares_reads = true;
+    f.add_reader("127.0.0.1", good(7));
+    f.readers.emplace_back("127.0.0.9");
+    cr_assert(f.read().version == 100);
+}
--- a/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/messages.hpp
+++ b/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/messages.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/policy/placement.hpp>
 #include <mintknot/traffic/load_view.hpp>
+#include <mintknot/traffic/server_table.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -21,6 +22,7 @@
     std::uint64_t number = 0; ///< The answer repeats it.
     std::string data_centre;  ///< Of the domain; empty: all.
     policy::placement_query query;
+    bool wants_servers = false; ///< The sender holds no rows of servers.
 };
 
 /// The answer to it.
@@ -28,6 +30,8 @@
     std::uint64_t number = 0;
     bool known = false; ///< Whether the scheduler knows the service at all.
     policy::placement placed;
+    /// What is known of the servers that are named, where it was asked for.
+    std::vector<traffic::versioned_server> servers;
 };
 
 /// How fast a prefill engine has read, in tokens a millisecond.
--- a/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/remote_placer.hpp
+++ b/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/remote_placer.hpp
@@ -36,13 +36,17 @@
         hosts;
     /// @return true if the group is large enough for schedulers.
     std::function<bool()> active;
+    /// @return true once this instance knows the rows of servers, and so can
+    /// place requests for others; empty: always.
+    std::function<bool()> knows_servers{};
 };
 
 /// Each domain of servers has one scheduler, chosen by rendezvous hashing
 /// among the instances that are heard. It knows exactly what it has placed;
 /// the others report to it what has ended, and now and then to who would be
-/// next. Where no scheduler answers, the
-/// request is placed here: nothing waits for an instance that has gone. Nobody
+/// next. Where no scheduler answers, the request is placed here: nothing waits
+/// for an instance that has gone. An instance that holds no rows of servers
+/// cannot do that and asks more of them; answers name it the servers. Nobody
 /// needs to agree on schedulers: two that both believe to be one only place
 /// less evenly.
 class remote_placer final : public relay::placer {
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -16,6 +16,9 @@
 constexpr int report_format = 4;
 /// Of a report that has results; older instances do not look at it.
 constexpr std::size_t results_element = 4;
+/// Of a request whose sender holds no rows, and of the answer to it.
+constexpr std::size_t wants_servers_element = 12;
+constexpr std::size_t servers_element = 10;
 /// Rates are told in thousandths.
 constexpr double rate_unit = 1000.0;
 
@@ -43,7 +46,7 @@
 
 json to_json(const placement_request& value) {
     const policy::placement_query& query = value.query;
-    return {
+    json row = {
         request_format,
         value.number,
         value.data_centre,
@@ -56,6 +59,9 @@
         to_json(query.excluded),
         to_json(query.excluded_prefill),
         query.data_centre};
+    if (value.wants_servers)
+        row.push_back(true);
+    return row;
 }
 
 placement_request request_from(const json& row) {
@@ -75,6 +81,8 @@
     value.query.excluded = servers_from(row.at(9));
     value.query.excluded_prefill = servers_from(row.at(10));
     value.query.data_centre = row.at(11).get<std::string>();
+    if (row.size() > wants_servers_element)
+        value.wants_servers = row[wants_servers_element].get<bool>();
     return value;
 }
 
@@ -93,8 +101,35 @@
     return value;
 }
 
+json to_json(const traffic::versioned_server& news) {
+    const traffic::server& server = news.value;
+    return {server.id,         news.version,
+            server.service,    server.where.host,
+            server.where.port, server.data_centre,
+            server.slots,      static_cast<int>(server.phase),
+            server.born};
+}
+
+traffic::versioned_server server_from(const json& row) {
+    traffic::versioned_server news;
+    traffic::server& server = news.value;
+    server.id = row.at(0).get<std::string>();
+    news.version = row.at(1).get<std::uint64_t>();
+    server.service = row.at(2).get<std::string>();
+    server.where = {
+        row.at(3).get<std::string>(), row.at(4).get<std::uint16_t>()};
+    server.data_centre = row.at(5).get<std::string>();
+    server.slots = row.at(6).get<int>();
+    const int phase = row.at(7).get<int>();
+    if (phase < 0 || phase > static_cast<int>(traffic::engine_phase::decode))
+        throw json::other_error::create(501, "unknown phase", &row);
+    server.phase = static_cast<traffic::engine_phase>(phase);
+    server.born = row.at(8).get<std::uint64_t>();
+    return news;
+}
+
 json to_json(const placement_answer& value) {
-    return {
+    json row = {
         answer_format,
         value.number,
         value.known,
@@ -105,6 +140,13 @@
         value.placed.room.avoided,
         whole(value.placed.room.max_room),
         to_json(value.placed.room.forecast)};
+    if (value.servers.empty())
+        return row;
+    json servers = json::array();
+    for (const traffic::versioned_server& news : value.servers)
+        servers.push_back(to_json(news));
+    row.push_back(std::move(servers));
+    return row;
 }
 
 placement_answer answer_from(const json& row) {
@@ -118,6 +160,10 @@
     value.placed.room.avoided = row.at(7).get<int>();
     value.placed.room.max_room = number(row.at(8));
     value.placed.room.forecast = forecast_from(row.at(9));
+    if (row.size() <= servers_element)
+        return value;
+    for (const json& entry : peers::bounded(row[servers_element]))
+        value.servers.push_back(server_from(entry));
     return value;
 }
 
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -16,6 +16,9 @@
 /// Schedulers of one domain that are asked before the choice is made here: each
 /// silent one costs placer_options::patience. Not measured.
 constexpr int max_tries = 2;
+/// The same where none can be made here. Not measured.
+constexpr int max_tries_without_rows = 4;
+
 /// A request that waits for its servers.
 struct question {
     explicit question(event::loop& owner)
@@ -80,7 +83,7 @@
         }
         const std::string host = directory.find(entry.left.front());
         if (host.empty() || host == ports.own_host ||
-            entry.tries >= max_tries) {
+            entry.tries >= tries_allowed()) {
             const bool exact = host == ports.own_host;
             take(number, decide(entry.query, entry.left.front(), exact));
             if (!exact)
@@ -89,9 +92,7 @@
         }
         ++entry.tries;
         entry.asked = host;
-        ports.send(
-            host, encode(placement_request{
-                      number, entry.left.front().data_centre, entry.query}));
+        ports.send(host, encode(request_for(number, entry)));
         entry.patience.start(options.patience, [this, number, host] {
             directory.suspect(host);
             // What it had been told must be told to the next one.
@@ -100,6 +101,25 @@
         });
     }
 
+    bool holds_rows() const { return !context.state.servers.partial; }
+
+    int tries_allowed() const {
+        return holds_rows() ? max_tries : max_tries_without_rows;
+    }
+
+    placement_request
+    request_for(std::uint64_t number, const question& entry) const {
+        placement_request request{
+            number, entry.left.front().data_centre, entry.query, !holds_rows()};
+        // Plain servers queue: where no data centre has room one takes it
+        // still.
+        const bool last_chance = !holds_rows() && entry.left.size() == 1;
+        if (last_chance &&
+            request.query.kind == policy::placement_kind::plain_with_room)
+            request.query.kind = policy::placement_kind::plain;
+        return request;
+    }
+
     /// Takes what the domain at hand has to offer, or asks the next one.
     void take(std::uint64_t number, const policy::placement& placed) {
         question& entry = *questions.at(number);
@@ -161,15 +181,28 @@
     void on_message(const std::string& host, const placement_request& request) {
         placement_answer answer;
         answer.number = request.number;
-        answer.known = service_of(request.query.service) != nullptr;
+        answer.known = service_of(request.query.service) != nullptr &&
+                       (!ports.knows_servers || ports.knows_servers());
         answer.placed = decide(
             request.query, {request.query.service, request.data_centre}, true);
+        if (request.wants_servers)
+            for (const std::string* id :
+                 {&answer.placed.server, &answer.placed.prefill})
+                add_known(answer.servers, *id);
         traffic::add_to_peer(
             context.state.loads, host,
             policy::placed_loads(answer.placed, request.query), now());
         ports.send(host, encode(answer));
     }
 
+    void add_known(
+        std::vector<traffic::versioned_server>& servers,
+        const std::string& id) const {
+        const auto found = context.state.servers.by_id.find(id);
+        if (found != context.state.servers.by_id.end() && found->second.value)
+            servers.push_back({*found->second.value, found->second.version});
+    }
+
     void on_message(const std::string& host, const placement_answer& answer) {
         const auto found = questions.find(answer.number);
         if (found == questions.end() || found->second->asked != host) {
@@ -177,6 +210,8 @@
             return;
         }
         found->second->patience.stop();
+        for (const traffic::versioned_server& named : answer.servers)
+            traffic::note_named(context.state.servers, named);
         if (answer.known) {
             policy::placement placed = answer.placed;
             placed.by = host;
@@ -185,7 +220,10 @@
             take(answer.number, placed);
             return;
         }
-        found->second->tries = max_tries;
+        if (holds_rows())
+            found->second->tries = max_tries;
+        else
+            directory.suspect(host);
         ask_next(answer.number);
     }
 
--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -95,3 +95,28 @@
     sent.results["d"] = {-1, 2, 0};
     cr_assert(!decode(encode(sent)).ok());
 }
+
+Test(scheduling_messages, servers_are_named_to_those_who_hold_no_rows) {
+    placement_request asked;
+    asked.wants_servers = true;
+    const auto request = decode(encode(asked));
+    cr_assert(std::get<placement_request>(*request).wants_servers);
+    placement_answer sent{9, true, {"d", "", 0.0}};
+    traffic::server engine;
+    engine.id = "d";
+    engine.service = "llm";
+    engine.where = {"10.0.0.1", 8080};
+    engine.data_centre = "a";
+    engine.slots = 12;
+    engine.phase = traffic::engine_phase::decode;
+    engine.born = 77;
+    sent.servers = {{engine, 41}};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_answer>(*value).servers.at(0);
+    cr_assert(got.version == 41 && got.value.id == "d");
+    cr_assert(got.value.service == "llm" && got.value.data_centre == "a");
+    cr_assert(got.value.where == engine.where);
+    cr_assert(got.value.slots == 12 && got.value.born == 77);
+    cr_assert(got.value.phase == engine.phase);
+}
--- a/libs/mintknotd-platform/scheduling/tests/test_remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_remote_placer.cpp
@@ -287,3 +287,74 @@
     b.f.run_until([&] { return !reported_to(b).empty(); });
     cr_assert(b.f.owner.now() - placed < base::milliseconds(400));
 }
+
+namespace {
+
+/// @return an answer that names an engine, as one who holds rows gives it.
+std::string naming(const sent_message& asked, const std::string& id) {
+    placement_answer answer{number_of(asked), true, {id, "", 0}};
+    traffic::server engine;
+    engine.id = id;
+    engine.service = "llm";
+    engine.data_centre = "a";
+    engine.phase = decode_phase;
+    answer.servers = {{engine, 7}};
+    return encode(answer);
+}
+
+} // namespace
+
+Test(remote_placer, without_rows_the_answer_names_the_server) {
+    bench b({"x"});
+    traffic::become_partial(b.f.context.state.servers);
+    const auto ticket = b.ask();
+    b.f.run_until([&] { return !b.sent.empty(); });
+    const auto& asked = std::get<placement_request>(b.sent[0].value);
+    cr_assert(asked.wants_servers);
+    cr_assert(asked.data_centre == b.f.context.options.data_centre);
+    b.placer.receive("x", naming(b.sent[0], "d"));
+    cr_assert(b.got && b.got->server == "d");
+    cr_assert(traffic::find(b.f.context.state.servers, "d") != nullptr);
+    cr_assert(traffic::open_servers(b.f.context.state.servers, "llm").empty());
+}
+
+Test(remote_placer, without_rows_others_are_asked_where_one_knows_none) {
+    bench b({"x", "y"});
+    traffic::become_partial(b.f.context.state.servers);
+    const auto ticket = b.ask();
+    b.f.run_until([&] { return !b.sent.empty(); });
+    placement_answer unknown;
+    unknown.number = number_of(b.sent[0]);
+    b.placer.receive(b.sent[0].host, encode(unknown));
+    b.f.run_until([&] { return b.sent.size() > 1; });
+    cr_assert(b.sent[1].host != b.sent[0].host);
+    b.placer.receive(b.sent[1].host, naming(b.sent[1], "d"));
+    cr_assert(b.got && b.got->server == "d");
+}
+
+Test(remote_placer, without_rows_a_full_data_centre_leads_to_all) {
+    bench b({"x"});
+    traffic::become_partial(b.f.context.state.servers);
+    const auto ticket = b.ask();
+    b.f.run_until([&] { return !b.sent.empty(); });
+    b.placer.receive(
+        "x", encode(placement_answer{number_of(b.sent[0]), true, {}}));
+    b.f.run_until([&] { return b.sent.size() > 1; });
+    const auto& second = std::get<placement_request>(b.sent[1].value);
+    cr_assert(second.data_centre.empty());
+}
+
+Test(remote_placer, who_holds_no_rows_is_told_of_the_servers) {
+    bench b({"own"});
+    b.add_engine("d", decode_phase);
+    placement_request request;
+    request.number = 1;
+    request.wants_servers = true;
+    request.query.service = "llm";
+    request.query.kind = policy::placement_kind::decode;
+    b.placer.receive("leaf", encode(request));
+    const auto answer = std::get<placement_answer>(b.sent.back().value);
+    cr_assert(answer.servers.size() == 1);
+    cr_assert(answer.servers[0].value.id == "d");
+    cr_assert(answer.servers[0].version == b.version);
+}
--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -71,6 +71,9 @@
     std::optional<std::vector<document>>
     changes(collection what, std::uint64_t after, std::uint64_t up_to) const;
 
+    /// Tells the handlers of all servers again that are there.
+    void tell_servers_again();
+
     /// @return collections as text, for a peer.
     std::string snapshot(const std::vector<collection>& parts) const;
     /// Takes a peer's snapshot. @return InvalidArgument if it is malformed;
--- a/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
@@ -39,6 +39,7 @@
         std::function<double()> draw);
 
     void start();
+    /// It may be started again, and then goes on from what it has read.
     void stop();
     /// Changes how long a watch is held, from the next call on.
     void set_wait(base::milliseconds wait);
@@ -78,6 +79,7 @@
     std::function<void()> on_position_;
     event::timer timer_;
     bool stopped_ = false;
+    bool waiting_ = false; ///< A call is under way.
     bool whole_read_ = false;
     std::uint64_t seen_ = 0; ///< Changes up to here have been taken.
     base::milliseconds backoff_{0};
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -185,6 +185,13 @@
     return result;
 }
 
+void replica::tell_servers_again() {
+    one_by_one_ = false;
+    for (const auto& [key, entry] : servers_.by_key)
+        if (entry.text)
+            decode_server(entry, "replica");
+}
+
 bool replica::decode(
     collection what, const document& change, std::string_view source) {
     return what == collection::configuration
--- a/libs/mintknotd-platform/state/src/store_reader.cpp
+++ b/libs/mintknotd-platform/state/src/store_reader.cpp
@@ -20,7 +20,10 @@
 
 void store_reader::start() {
     heard_ = owner_.now();
-    next();
+    stopped_ = false;
+    // The answer to a call from before a stop leads on by itself.
+    if (!waiting_)
+        next();
 }
 
 void store_reader::stop() {
@@ -60,6 +63,7 @@
     if (stopped_)
         return;
     asked_ = owner_.now();
+    waiting_ = true;
     if (!whole_read_)
         source_.read(
             what_, [this](const store_answer& answer) { on_read(answer); });
@@ -70,6 +74,7 @@
 }
 
 void store_reader::on_read(const store_answer& answer) {
+    waiting_ = false;
     if (stopped_)
         return;
     // A read that is older than what is known already would lead back.
@@ -87,6 +92,7 @@
 }
 
 void store_reader::on_watch(const store_answer& answer) {
+    waiting_ = false;
     if (stopped_)
         return;
     if (answer.result == store_result::history_gone) {
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
@@ -7,6 +7,7 @@
 #include <mintknot/base/time.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,12 +46,17 @@
     struct entry {
         std::optional<server> value; ///< Nothing: the server has gone.
         std::uint64_t version = 0;
+        bool only_named = false; ///< Known by note_named() alone.
     };
     std::unordered_map<std::string, entry> by_id;
     /// Servers that take new requests: neither gone nor draining.
     std::map<std::string, std::vector<const server*>> open_by_service;
     std::uint64_t newest = 0; ///< The highest version seen.
     std::size_t traces = 0;   ///< Entries of servers that have gone.
+    /// This instance holds no rows: it knows only servers that a scheduler has
+    /// named, which are not open to choices made here.
+    bool partial = false;
+    std::deque<std::string> named; ///< The oldest first.
     /// Entries that were looked at to drop traces, since the start.
     std::uint64_t swept = 0;
 };
@@ -60,6 +66,24 @@
     server_table& table, const std::string& id, std::uint64_t version,
     std::optional<server> value);
 
+/// A server as one instance tells another of it.
+struct versioned_server {
+    server value;
+    std::uint64_t version = 0;
+};
+
+/// Takes a server that a scheduler has named, so that a request can be sent to
+/// it. A bounded number is kept: an instance that holds no rows is not told
+/// when such a server goes.
+void note_named(server_table& table, const versioned_server& news);
+
+/// @return the servers of a service that schedulers have named.
+std::vector<const server*>
+named_servers(const server_table& table, const std::string& service);
+
+/// Forgets all rows; from now on the table is a partial one.
+void become_partial(server_table& table);
+
 /// @return the server if it is known and has not gone, else null.
 const server* find(const server_table& table, const std::string& id);
 
--- a/libs/mintknotd-platform/traffic/src/server_table.cpp
+++ b/libs/mintknotd-platform/traffic/src/server_table.cpp
@@ -12,6 +12,10 @@
 /// whole table, 44 million entries for 10,000 rows.
 constexpr std::size_t max_traces = 4096;
 
+/// Servers named by schedulers that are kept: a request lasts for some seconds,
+/// and an instance of a very large group has less than one a second.
+constexpr std::size_t max_named = 512;
+
 bool is_open(const std::optional<server>& value) {
     return value && !value->draining;
 }
@@ -76,13 +80,16 @@
     server_table& table, const std::string& id, std::uint64_t version,
     std::optional<server> value) {
     server_table::entry& entry = table.by_id[id];
-    if (entry.version >= version)
+    const bool known = entry.version > version ||
+                       (entry.version == version && !entry.only_named);
+    if (known)
         return false;
     if (is_trace(entry))
         --table.traces;
     entry.version = version;
-    if (is_open(entry.value))
+    if (!entry.only_named && is_open(entry.value))
         remove_open(table, *entry.value);
+    entry.only_named = false;
     entry.value = std::move(value);
     if (is_open(entry.value))
         add_open(table, *entry.value);
@@ -93,6 +100,39 @@
     return true;
 }
 
+void note_named(server_table& table, const versioned_server& news) {
+    server_table::entry& entry = table.by_id[news.value.id];
+    const bool fresh = entry.version == 0;
+    if (!fresh && (!entry.only_named || entry.version >= news.version))
+        return;
+    entry = {news.value, news.version, true};
+    if (!fresh)
+        return;
+    table.named.push_back(news.value.id);
+    if (table.named.size() <= max_named)
+        return;
+    const auto oldest = table.by_id.find(table.named.front());
+    if (oldest != table.by_id.end() && oldest->second.only_named)
+        table.by_id.erase(oldest);
+    table.named.pop_front();
+}
+
+std::vector<const server*>
+named_servers(const server_table& table, const std::string& service) {
+    std::vector<const server*> found;
+    for (const std::string& id : table.named) {
+        const server* known = find(table, id);
+        if (known != nullptr && known->service == service)
+            found.push_back(known);
+    }
+    return found;
+}
+
+void become_partial(server_table& table) {
+    table = {};
+    table.partial = true;
+}
+
 const server* find(const server_table& table, const std::string& id) {
     const auto found = table.by_id.find(id);
     if (found == table.by_id.end() || !found->second.value)
--- a/libs/mintknotd-platform/traffic/tests/test_server_table.cpp
+++ b/libs/mintknotd-platform/traffic/tests/test_server_table.cpp
@@ -68,3 +68,30 @@
     cr_assert(table.swept < std::uint64_t{rows} * 5, "%lu", table.swept);
     cr_assert(table.traces <= 4096 && table.by_id.size() == table.traces);
 }
+
+Test(server_table, named_servers_are_known_but_not_open) {
+    server_table table;
+    become_partial(table);
+    note_named(table, {named("i"), 5});
+    cr_assert(find(table, "i") != nullptr);
+    cr_assert(open_servers(table, "s").empty());
+    cr_assert(named_servers(table, "s").size() == 1);
+    // A row of the same version opens it.
+    cr_assert(apply(table, "i", 5, named("i")));
+    cr_assert(open_servers(table, "s").size() == 1);
+    cr_assert(!apply(table, "i", 5, named("i")));
+    // What is known from a row is not overwritten.
+    note_named(table, {named("i", true), 9});
+    cr_assert(!find(table, "i")->draining);
+    apply(table, "i", 6, std::nullopt);
+    cr_assert(open_servers(table, "s").empty());
+}
+
+Test(server_table, few_named_servers_are_kept) {
+    server_table table;
+    become_partial(table);
+    for (std::uint64_t i = 1; i <= 2000; ++i)
+        note_named(table, {named(std::to_string(i)), i});
+    cr_assert(table.by_id.size() <= 512);
+    cr_assert(find(table, "2000") != nullptr && find(table, "1") == nullptr);
+}
