Closed data centres: the operator's evacuations are in force on every instance

Change: the adapter reads such rows as closures, documents of a kind of their own in the operator's collection. A server of a closed data centre is not open to choices, phases are planned without it, and whoever is named one by a scheduler that does not know yet asks again. What runs there ends in peace. A plain request whose scheduler names a leaving server now asks for another one too; it was refused before.

--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -20,7 +20,8 @@
 void generation_exchange::start_decode() {
     const traffic::server* engine =
         traffic::find(context_.state.servers, decode_.server);
-    if (engine == nullptr || engine->draining) {
+    if (engine == nullptr ||
+        !traffic::takes_new(context_.state.servers, *engine)) {
         place();
         return;
     }
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -85,7 +85,8 @@
 void generation_exchange::on_placed(const policy::placement& placed) {
     const traffic::server* decode =
         traffic::find(context_.state.servers, placed.server);
-    if (decode == nullptr || decode->draining) {
+    if (decode == nullptr ||
+        !traffic::takes_new(context_.state.servers, *decode)) {
         policy::room_summary seen = placed.room;
         // A scheduler that does not know yet that the engine leaves will name
         // another one shortly.
@@ -107,7 +108,8 @@
     add_load(context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
     const traffic::server* prefill =
         traffic::find(context_.state.servers, placed.prefill);
-    if (prefill != nullptr && !prefill->draining &&
+    if (prefill != nullptr &&
+        traffic::takes_new(context_.state.servers, *prefill) &&
         prepay(policy::repeats_to_prepay(charges_, policy::calls_with_prefill)))
         start_prefill(*prefill, placed.tokens_ahead);
     else
@@ -118,7 +120,8 @@
     const policy::placement& placed) {
     const traffic::server* engine =
         traffic::find(context_.state.servers, placed.prefill);
-    return engine != nullptr && engine->draining &&
+    return engine != nullptr &&
+           !traffic::takes_new(context_.state.servers, *engine) &&
            prefill_.tried.insert(engine->id).second;
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -59,7 +59,13 @@
 void plain_exchange::on_placed(const policy::placement& placed) {
     const traffic::server* chosen =
         traffic::find(context_.state.servers, placed.server);
-    if (chosen == nullptr || chosen->draining)
+    const bool leaves = chosen != nullptr &&
+                        !traffic::takes_new(context_.state.servers, *chosen);
+    // A scheduler that does not know yet that the server leaves, or that its
+    // data centre is closed, names another one.
+    if (leaves && tried_.insert(chosen->id).second)
+        place();
+    else if (chosen == nullptr || leaves)
         take(next_step(policy::call_end::no_server));
     else if (key_still_good())
         send(*chosen, placed.by);
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -216,7 +216,21 @@
     cr_assert(f.ask(prompt("/stream/x")).body == all_events);
 }
 
-Test(generation_exchange, a_leaving_engine_reads_no_prompt_whoever_names_it) {
+namespace {
+
+/// Makes an engine leave, or closes its data centre.
+void make_unfit(relay_fixture& f, const std::string& id, bool closes) {
+    traffic::server_table& servers = f.context.state.servers;
+    traffic::server row = *traffic::find(servers, id);
+    row.draining = !closes;
+    row.data_centre = "left";
+    traffic::apply(servers, id, 1000, row);
+    traffic::set_closed(servers, "left", closes);
+}
+
+} // namespace
+
+Test(generation_exchange, an_unfit_engine_reads_no_prompt_whoever_names_it) {
     // Found by a hunt: a scheduler that the store had turned away named an
     // engine that the others knew to leave.
     class stale_scheduler final : public placer {
@@ -232,20 +246,30 @@
             return nullptr;
         }
     };
+    for (const bool closes : {false, true}) {
+        relay_fixture f;
+        scripted_server& leaving =
+            f.add_server("leaving", "llm", prefill, good_prefill("k0"));
+        scripted_server& reads =
+            f.add_server("p", "llm", prefill, good_prefill("k1"));
+        f.add_server("d", "llm", decode, good_decode());
+        make_unfit(f, "leaving", closes);
+        stale_scheduler scheduler;
+        f.context.placement = &scheduler;
+        cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+        cr_assert(leaving.requests.empty());
+        cr_assert(reads.requests.size() == 1);
+    }
+}
+
+Test(generation_exchange, a_closed_data_centre_runs_nothing) {
     relay_fixture f;
-    scripted_server& leaving =
-        f.add_server("leaving", "llm", prefill, good_prefill("k0"));
-    scripted_server& reads =
-        f.add_server("p", "llm", prefill, good_prefill("k1"));
-    f.add_server("d", "llm", decode, good_decode());
-    traffic::server row = *traffic::find(f.context.state.servers, "leaving");
-    row.draining = true;
-    traffic::apply(f.context.state.servers, "leaving", 1000, row);
-    stale_scheduler scheduler;
-    f.context.placement = &scheduler;
+    scripted_server& engine = f.add_server("d", "llm", decode, good_decode());
+    make_unfit(f, "d", true);
+    cr_assert(f.ask(prompt("/stream/x")).status == 503);
+    cr_assert(engine.requests.empty());
+    traffic::set_closed(f.context.state.servers, "left", false);
     cr_assert(f.ask(prompt("/stream/x")).body == all_events);
-    cr_assert(leaving.requests.empty());
-    cr_assert(reads.requests.size() == 1);
 }
 
 Test(generation_exchange, those_who_wait_elsewhere_are_ahead) {
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -240,3 +240,28 @@
     cr_assert(seen.whole);
     cr_assert(seen.body == large);
 }
+
+Test(plain_exchange, a_server_of_a_closed_data_centre_runs_nothing) {
+    class stale_scheduler final : public placer {
+    public:
+        bool active() const override { return true; }
+        std::unique_ptr<placement_ticket>
+        ask(policy::placement_query query, placement_handler then) override {
+            policy::placement placed;
+            placed.server = query.excluded.contains("i1") ? "i2" : "i1";
+            then(placed);
+            return nullptr;
+        }
+    };
+    relay_fixture f;
+    scripted_server& closed = f.add_server("i1", "app", plain, saying("a"));
+    f.add_server("i2", "app", plain, saying("b"));
+    traffic::server row = *traffic::find(f.context.state.servers, "i1");
+    row.data_centre = "left";
+    traffic::apply(f.context.state.servers, "i1", 1000, row);
+    traffic::set_closed(f.context.state.servers, "left", true);
+    stale_scheduler scheduler;
+    f.context.placement = &scheduler;
+    cr_assert(f.ask(request("/unsafe/x")).body == "b");
+    cr_assert(closed.requests.empty());
+}
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -124,6 +124,10 @@
             }
             lapsed_.back(id);
             handlers_.on_server(id, version, std::move(server));
+        },
+        [this](const std::string& data_centre, bool closed) {
+            if (handlers_.on_closure)
+                handlers_.on_closure(data_centre, closed);
         }};
 }
 
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -51,6 +51,9 @@
     std::function<void(base::steady_time)> on_confirmed;
     /// All servers are known, as of one moment.
     std::function<void()> on_servers_known{};
+    /// See state::replica_handlers.
+    std::function<void(const std::string& data_centre, bool closed)>
+        on_closure{};
 };
 
 /// What an instance reads.
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -74,6 +74,8 @@
         {"idle_upstream_connections", gauge(pool.idle_total())},
         {"upstream_connections_opened", gauge(pool.counters().opened)},
         {"peers", gauge(group.table().heard.size())},
+        {"closed_data_centres",
+         gauge(context.state.servers.closed_data_centres.size())},
         {"group_instances", gauge(context.state.instances)},
         {"group_role",
          gauge(static_cast<std::uint64_t>(members_of_fleet.role()))},
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -109,7 +109,11 @@
         [this](base::steady_time moment) {
             context.state.configuration_confirmed = moment;
         },
-        [this] { on_servers_known(); }};
+        [this] { on_servers_known(); },
+        [this](const std::string& data_centre, bool closed) {
+            traffic::set_closed(context.state.servers, data_centre, closed);
+            context.queue.room_freed();
+        }};
 }
 
 void instance::impl::on_server(
--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -38,6 +38,10 @@
         const std::string& id, std::uint64_t version,
         std::optional<traffic::server>)>
         on_server;
+    /// A data centre was closed: nothing is sent to its servers any more; or it
+    /// was opened again.
+    std::function<void(const std::string& data_centre, bool closed)>
+        on_closure{};
 };
 
 /// Documents in memory, by version: news from the store and from peers may
@@ -101,6 +105,13 @@
 
     documents& of(collection what);
     const documents& of(collection what) const;
+    const documents& of(collection what, document_kind kind) const;
+    documents& of(collection what, document_kind kind);
+    void take_closure(const document& change);
+    void add_removed(
+        const documents& known, const std::vector<document>& all,
+        document_kind kind, std::uint64_t version,
+        std::vector<document>& changes) const;
     void take(collection what, const document& change, std::string_view source);
     bool
     decode(collection what, const document& change, std::string_view source);
@@ -115,6 +126,9 @@
     replica_handlers handlers_;
     documents configuration_;
     documents servers_;
+    /// By data centre. Their versions do not count in version(): peers that do
+    /// not know of them would take themselves for lagging.
+    documents closures_;
     std::uint64_t swept_ = 0;
     bool one_by_one_ = true; ///< Whether rows that are taken get a line each.
 };
--- a/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
@@ -15,18 +15,27 @@
 
 /// What is read from the store.
 enum class collection {
-    configuration, ///< One document: the operator's configuration.
-    servers,       ///< One document for each backend server.
-    leases,        ///< One document for each service whose engines get orders.
+    /// The operator's: one document with the configuration, and one for each
+    /// data centre that is closed.
+    configuration,
+    servers, ///< One document for each backend server.
+    leases,  ///< One document for each service whose engines get orders.
 };
 
 std::string_view to_string(collection value) noexcept;
 
+/// What a document of the operator tells of.
+enum class document_kind {
+    content, ///< Its text.
+    closure ///< The data centre that its key names is closed while it is there.
+};
+
 /// One row. Versions come from one counter of the store and only rise.
 struct document {
     std::string key;
     std::uint64_t version = 0;
     std::optional<std::string> text; ///< Nothing: the row was removed.
+    document_kind kind = document_kind::content;
 };
 
 enum class store_result {
--- a/libs/mintknotd-platform/state/src/change_message.cpp
+++ b/libs/mintknotd-platform/state/src/change_message.cpp
@@ -23,6 +23,9 @@
 /// mostly negative where it was not held.
 constexpr const char* confirmed_field = "confirmed_ms";
 
+/// Documents of that kind; older receivers do not look at it.
+constexpr const char* closures_field = "closures";
+
 std::optional<collection> collection_from(std::string_view name) {
     for (const collection what :
          {collection::configuration, collection::servers})
@@ -77,10 +80,14 @@
 
 std::string to_body(const store_answer& value, base::steady_time asked) {
     nlohmann::json rows = nlohmann::json::array();
+    nlohmann::json closures = nlohmann::json::array();
     for (const document& entry : value.documents)
-        rows.push_back(to_json(entry));
+        (entry.kind == document_kind::closure ? closures : rows)
+            .push_back(to_json(entry));
     nlohmann::json body = {
         {"version", value.version}, {"documents", std::move(rows)}};
+    if (!closures.empty())
+        body[closures_field] = std::move(closures);
     if (value.confirmed)
         body[confirmed_field] =
             std::chrono::floor<base::milliseconds>(*value.confirmed - asked)
@@ -102,6 +109,15 @@
         return absl::InvalidArgumentError("a document is malformed");
     value.result = store_result::ok;
     value.documents = std::move(*documents);
+    if (parsed.contains(closures_field)) {
+        auto closures = documents_from(parsed[closures_field]);
+        if (!closures)
+            return absl::InvalidArgumentError("a closure is malformed");
+        for (document& closure : *closures) {
+            closure.kind = document_kind::closure;
+            value.documents.push_back(std::move(closure));
+        }
+    }
     if (parsed.contains(confirmed_field) &&
         parsed[confirmed_field].is_number_integer())
         value.confirmed =
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -22,6 +22,9 @@
 /// with 266 servers each of 295 instances wrote a line for each.
 constexpr std::size_t max_lines_at_once = 16;
 
+/// Beside the collections; older instances do not look at it.
+constexpr const char* closures_field = "closures";
+
 /// One collection of a peer's snapshot.
 struct snapshot_part {
     collection what = collection::configuration;
@@ -41,6 +44,20 @@
         base::field_or<bool>(part, "known", false)};
 }
 
+std::optional<std::vector<document>>
+closures_from(const nlohmann::json& snapshot) {
+    if (!snapshot.contains(closures_field))
+        return std::vector<document>{};
+    const nlohmann::json& part = snapshot[closures_field];
+    if (!part.is_object() || !part.contains("documents"))
+        return std::nullopt;
+    auto documents = documents_from(part["documents"]);
+    if (documents)
+        for (document& closure : *documents)
+            closure.kind = document_kind::closure;
+    return documents;
+}
+
 } // namespace
 
 std::string_view to_string(collection value) noexcept {
@@ -86,6 +103,15 @@
     return what == collection::configuration ? configuration_ : servers_;
 }
 
+const replica::documents&
+replica::of(collection what, document_kind kind) const {
+    return kind == document_kind::closure ? closures_ : of(what);
+}
+
+replica::documents& replica::of(collection what, document_kind kind) {
+    return kind == document_kind::closure ? closures_ : of(what);
+}
+
 std::uint64_t replica::version(collection what) const noexcept {
     return of(what).newest;
 }
@@ -115,19 +141,53 @@
 void replica::apply_whole(
     collection what, const std::vector<document>& all, std::uint64_t version,
     std::string_view source) {
-    std::set<std::string> present;
-    for (const document& entry : all)
-        present.insert(entry.key);
     std::vector<document> changes = all;
-    for (const auto& [key, known] : of(what).by_key)
-        if (known.text && !present.contains(key))
-            changes.push_back({key, version, std::nullopt});
+    add_removed(of(what), all, document_kind::content, version, changes);
+    if (what == collection::configuration)
+        add_removed(closures_, all, document_kind::closure, version, changes);
     apply(what, changes, source);
     of(what).known = true;
 }
 
+/// Adds what is known but not among all documents of a kind.
+void replica::add_removed(
+    const documents& known, const std::vector<document>& all,
+    document_kind kind, std::uint64_t version,
+    std::vector<document>& changes) const {
+    std::set<std::string> present;
+    for (const document& entry : all)
+        if (entry.kind == kind)
+            present.insert(entry.key);
+    for (const auto& [key, entry] : known.by_key)
+        if (entry.text && !present.contains(key))
+            changes.push_back({key, version, std::nullopt, kind});
+}
+
+void replica::take_closure(const document& change) {
+    const auto found = closures_.by_key.find(change.key);
+    if (found != closures_.by_key.end() &&
+        found->second.version >= change.version)
+        return;
+    const bool was_closed =
+        found != closures_.by_key.end() && found->second.text;
+    const bool closed = change.text.has_value();
+    remember(closures_, change);
+    if (closed == was_closed)
+        return;
+    log_.write(
+        closed ? "data_centre_closed" : "data_centre_opened",
+        {{"data_centre", change.key},
+         {"row", static_cast<std::int64_t>(change.version)}});
+    if (handlers_.on_closure)
+        handlers_.on_closure(change.key, closed);
+}
+
 void replica::take(
     collection what, const document& change, std::string_view source) {
+    if (change.kind == document_kind::closure) {
+        take_closure(change);
+        return;
+    }
     documents& all = of(what);
     const auto found = all.by_key.find(change.key);
     if (found != all.by_key.end() && found->second.version >= change.version)
@@ -177,11 +237,16 @@
     if (!all.known || after < all.forgotten)
         return std::nullopt;
     std::vector<document> result;
-    if (after >= all.newest)
-        return result;
-    for (const auto& [key, entry] : all.by_key)
-        if (entry.version > after && entry.version <= up_to)
-            result.push_back(entry);
+    const auto add_changed = [&](const documents& some) {
+        if (after >= some.newest)
+            return;
+        for (const auto& [key, entry] : some.by_key)
+            if (entry.version > after && entry.version <= up_to)
+                result.push_back(entry);
+    };
+    add_changed(all);
+    if (what == collection::configuration)
+        add_changed(closures_);
     return result;
 }
 
@@ -271,6 +336,11 @@
         result[std::string(to_string(what))] = {
             {"known", of(what).known}, {"documents", std::move(rows)}};
     }
+    nlohmann::json closures = nlohmann::json::array();
+    for (const auto& [key, entry] : closures_.by_key)
+        closures.push_back(to_json(entry));
+    if (!closures.empty())
+        result[closures_field] = {{"documents", std::move(closures)}};
     return result.dump(
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -292,6 +362,11 @@
     }
     if (parts.empty())
         return absl::InvalidArgumentError("there is no collection");
+    const auto closures = closures_from(*parsed);
+    if (!closures)
+        return absl::InvalidArgumentError("a closure is malformed");
+    for (const document& closure : *closures)
+        take_closure(closure);
     for (const snapshot_part& part : parts) {
         apply(part.what, part.documents, source);
         if (part.known)
--- a/libs/mintknotd-platform/state/tests/test_change_message.cpp
+++ b/libs/mintknotd-platform/state/tests/test_change_message.cpp
@@ -76,3 +76,13 @@
     value.confirmed.reset();
     cr_assert(!store_answer_from(to_body(value, came), sent)->confirmed);
 }
+
+Test(change_message, closures_come_back_as_such) {
+    store_answer value{store_result::ok, {{"config", 7, "t"}}, 9};
+    value.documents.push_back({"a", 8, std::nullopt, document_kind::closure});
+    const auto read = store_answer_from(to_body(value));
+    cr_assert(read.ok() && read->documents.size() == 2);
+    cr_assert(read->documents[0].kind == document_kind::content);
+    cr_assert(read->documents[1].kind == document_kind::closure);
+    cr_assert(read->documents[1].key == "a" && !read->documents[1].text);
+}
--- a/libs/mintknotd-platform/state/tests/test_replica.cpp
+++ b/libs/mintknotd-platform/state/tests/test_replica.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <set>
 
 using namespace mintknot;
 using namespace mintknot::state;
@@ -210,3 +211,70 @@
     const auto told = f.copy.changes(servers, rows, rows + 2);
     cr_assert(told && told->size() == 2);
 }
+
+namespace {
+
+/// Hears of closed data centres.
+struct closure_fixture {
+    closure_fixture()
+        : log(-1, "test", {})
+        , copy(
+              codec, log,
+              {[](auto) {}, [](auto&, auto, auto) {},
+               [this](const std::string& where, bool closed) {
+                   ++told;
+                   if (closed)
+                       closures.insert(where);
+                   else
+                       closures.erase(where);
+               }}) {}
+    test_codec codec;
+    logging::line_log log;
+    std::set<std::string> closures;
+    int told = 0;
+    replica copy;
+};
+
+document
+closure(const std::string& where, std::uint64_t version, bool closed = true) {
+    return {
+        where, version,
+        closed ? std::optional<std::string>("{}") : std::nullopt,
+        document_kind::closure};
+}
+
+} // namespace
+
+Test(replica, closures_last_until_they_are_removed) {
+    closure_fixture f;
+    f.copy.apply_whole(
+        configuration, {{"c", 5, "12345"}, closure("a", 6), closure("b", 7)}, 7,
+        "s");
+    cr_assert(f.closures == std::set<std::string>({"a", "b"}));
+    cr_assert(f.copy.version(configuration) == 5);
+    f.copy.apply(configuration, {closure("a", 9, false)}, "s");
+    f.copy.apply(configuration, {closure("a", 8)}, "late");
+    cr_assert(f.closures == std::set<std::string>({"b"}));
+    // Closed again in quick succession; a whole read without it opens it.
+    f.copy.apply(
+        configuration,
+        {closure("a", 10), closure("a", 11, false), closure("a", 12)}, "s");
+    cr_assert(f.closures.contains("a"));
+    f.copy.apply_whole(configuration, {{"c", 5, "12345"}}, 20, "s");
+    cr_assert(f.closures.empty());
+}
+
+Test(replica, closures_are_passed_on) {
+    closure_fixture from;
+    from.copy.apply_whole(
+        configuration, {{"c", 5, "12345"}, closure("a", 8)}, 8, "s");
+    closure_fixture by_snapshot;
+    const std::string text = from.copy.snapshot({configuration});
+    cr_assert(by_snapshot.copy.apply_snapshot(text, "peer").ok());
+    cr_assert(by_snapshot.closures.contains("a"));
+    const auto told = from.copy.changes(configuration, 5, 8);
+    cr_assert(told && told->size() == 1);
+    closure_fixture by_changes;
+    by_changes.copy.apply(configuration, *told, "peer");
+    cr_assert(by_changes.closures.contains("a") && by_changes.told == 1);
+}
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -49,8 +50,10 @@
         bool only_named = false; ///< Known by note_named() alone.
     };
     std::unordered_map<std::string, entry> by_id;
-    /// Servers that take new requests: neither gone nor draining.
+    /// Servers that take new requests; see takes_new().
     std::map<std::string, std::vector<const server*>> open_by_service;
+    /// Data centres whose servers get nothing new; they are not open.
+    std::set<std::string> closed_data_centres;
     std::uint64_t newest = 0; ///< The highest version seen.
     std::size_t traces = 0;   ///< Entries of servers that have gone.
     /// This instance holds no rows: it knows only servers that a scheduler has
@@ -84,6 +87,14 @@
 /// Forgets all rows; from now on the table is a partial one.
 void become_partial(server_table& table);
 
+/// Closes a data centre, or opens it again.
+void set_closed(
+    server_table& table, const std::string& data_centre, bool closed);
+
+/// @return true if a server may get a new request: it does not drain, and its
+/// data centre is not closed. Who chose it may not know that yet.
+bool takes_new(const server_table& table, const server& value);
+
 /// @return the server if it is known and has not gone, else null.
 const server* find(const server_table& table, const std::string& id);
 
--- a/libs/mintknotd-platform/traffic/src/server_table.cpp
+++ b/libs/mintknotd-platform/traffic/src/server_table.cpp
@@ -16,8 +16,8 @@
 /// and an instance of a very large group has less than one a second.
 constexpr std::size_t max_named = 512;
 
-bool is_open(const std::optional<server>& value) {
-    return value && !value->draining;
+bool is_open(const server_table& table, const server_table::entry& entry) {
+    return entry.value && !entry.only_named && takes_new(table, *entry.value);
 }
 
 bool id_is_less(const server* left, const std::string& id) {
@@ -87,11 +87,11 @@
     if (is_trace(entry))
         --table.traces;
     entry.version = version;
-    if (!entry.only_named && is_open(entry.value))
+    if (is_open(table, entry))
         remove_open(table, *entry.value);
     entry.only_named = false;
     entry.value = std::move(value);
-    if (is_open(entry.value))
+    if (is_open(table, entry))
         add_open(table, *entry.value);
     if (is_trace(entry))
         ++table.traces;
@@ -129,8 +129,34 @@
 }
 
 void become_partial(server_table& table) {
+    std::set<std::string> closed = std::move(table.closed_data_centres);
     table = {};
     table.partial = true;
+    table.closed_data_centres = std::move(closed);
+}
+
+void set_closed(
+    server_table& table, const std::string& data_centre, bool closed) {
+    if (closed == table.closed_data_centres.contains(data_centre))
+        return;
+    const auto concerned = [&](const server_table::entry& entry) {
+        return entry.value && entry.value->data_centre == data_centre;
+    };
+    for (const auto& [id, entry] : table.by_id)
+        if (closed && concerned(entry) && is_open(table, entry))
+            remove_open(table, *entry.value);
+    if (closed)
+        table.closed_data_centres.insert(data_centre);
+    else
+        table.closed_data_centres.erase(data_centre);
+    for (const auto& [id, entry] : table.by_id)
+        if (!closed && concerned(entry) && is_open(table, entry))
+            add_open(table, *entry.value);
+}
+
+bool takes_new(const server_table& table, const server& value) {
+    return !value.draining &&
+           !table.closed_data_centres.contains(value.data_centre);
 }
 
 const server* find(const server_table& table, const std::string& id) {
--- a/libs/mintknotd-platform/traffic/tests/test_server_table.cpp
+++ b/libs/mintknotd-platform/traffic/tests/test_server_table.cpp
@@ -95,3 +95,27 @@
     cr_assert(table.by_id.size() <= 512);
     cr_assert(find(table, "2000") != nullptr && find(table, "1") == nullptr);
 }
+
+Test(server_table, a_closed_data_centre_has_no_open_servers) {
+    server_table table;
+    server near = named("i");
+    near.data_centre = "a";
+    server far = named("j");
+    far.data_centre = "b";
+    apply(table, "i", 1, near);
+    apply(table, "j", 2, far);
+    set_closed(table, "a", true);
+    set_closed(table, "a", true);
+    cr_assert(open_servers(table, "s").size() == 1);
+    cr_assert(find(table, "i") != nullptr && !takes_new(table, near));
+    // Rows that come meanwhile stay closed, too.
+    near.slots = 9;
+    apply(table, "i", 3, near);
+    cr_assert(open_servers(table, "s").size() == 1);
+    set_closed(table, "b", true);
+    cr_assert(open_servers(table, "s").empty());
+    set_closed(table, "a", false);
+    cr_assert(open_servers(table, "s").at(0)->slots == 9);
+    become_partial(table);
+    cr_assert(!takes_new(table, far));
+}
