Answers of far schedulers and keepers are waited for as long as they take

Plain calls then were placed 60 ms late by old loads, and a stream that found no room nearby went through all regions in vain. Ruled out: lost datagrams (all of them came, a few ms late) and slow schedulers (0.01 of a core). Change: policy/answer_pace keeps how long each host's answers take, late ones too; twice that is waited for, between 30 and 120 ms.

--- a/libs/mintknotd-platform/limits/src/usage_accounts.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_accounts.cpp
@@ -6,6 +6,7 @@
 #include "usage_messages.hpp"
 
 #include <mintknot/base/random.hpp>
+#include <mintknot/policy/answer_pace.hpp>
 
 #include <algorithm>
 #include <map>
@@ -152,8 +153,10 @@
             host,
             encode(usage_question{
                 question, entry.organisation, entry.cost, entry.account}));
+        policy::note_asked(paces, host, now());
         entry.timer.start(
-            patience, [this, number, host] { on_silence(number, host); });
+            policy::patience_for(paces, host, patience),
+            [this, number, host] { on_silence(number, host); });
     }
 
     void on_silence(std::uint64_t number, const std::string& host) {
@@ -257,6 +260,7 @@
     }
 
     void on_message(const std::string& host, const usage_answer& answer) {
+        policy::note_answered(paces, host, now());
         const auto found = questions.find(answer.number);
         if (found == questions.end() || found->second.host != host)
             return;
@@ -301,6 +305,7 @@
     usage_book book;
     group_tracker group;
     keeper_directory directory;
+    policy::answer_paces paces;
     std::optional<base::steady_time> looked_at;
     std::uint64_t last_number;
     std::map<std::uint64_t, std::unique_ptr<waiting_request>> waiting;
--- a/libs/mintknotd-platform/peers/src/membership.cpp
+++ b/libs/mintknotd-platform/peers/src/membership.cpp
@@ -122,7 +122,7 @@
             staying(handlers.heard(), table.own.data_centre);
         hosts.push_back(table.own.host);
         return base::rendezvous_first(
-            registrar_job, std::move(hosts), registrars_of_flat_group);
+            registrar_job, hosts, registrars_of_flat_group);
     }
 
     bool settled() const {
