--- a/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
@@ -41,8 +41,13 @@
     base::milliseconds mean_hold{0};
     /// Whether loads are exact, so that all servers may be compared.
     bool all_loads_known = false;
+    /// Servers to which the instance has idle connections; null: not known.
+    const std::set<std::string>* connected = nullptr;
 };
 
+/// @return how many servers of the service a choice looks at.
+std::size_t open_in_scope(const selection_inputs& inputs);
+
 /// Servers that a request has been to, or that are ruled out otherwise.
 using excluded_servers = std::set<std::string>;
 
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -49,6 +49,14 @@
 constexpr double failure_cost = 2.0;
 constexpr double prefill_failure_cost_ms = 400.0;
 
+/// Gain of a server to which there is an idle connection, in the same units: it
+/// goes before an idle one that is not while it has one call at most in six
+/// slots. Where each instance has a third of a request a second, 28,265
+/// requests opened 24,628 connections (986 instances, one play).
+constexpr double plain_connection_gain = 0.25;
+constexpr double decode_connection_gain = 0.1;
+constexpr double prefill_connection_gain_ms = 10.0;
+
 /// Scores a server; lower is better, infinite if it cannot take the request.
 using score_function = std::function<double(const traffic::server&)>;
 using phase_test = bool (*)(traffic::engine_phase);
@@ -64,6 +72,15 @@
                traffic::own(inputs.loads, candidate.id).calls) < share;
 }
 
+/// @return the gain if there is an idle connection to the server.
+double connection_gain(
+    const selection_inputs& inputs, const traffic::server& candidate,
+    double gain) {
+    const bool connected =
+        inputs.connected != nullptr && inputs.connected->contains(candidate.id);
+    return connected ? gain : 0.0;
+}
+
 bool in_scope(
     const selection_inputs& inputs, const traffic::server& candidate) {
     return inputs.only_data_centre.empty() ||
@@ -153,6 +170,17 @@
 
 } // namespace
 
+std::size_t open_in_scope(const selection_inputs& inputs) {
+    const auto& open =
+        traffic::open_servers(inputs.servers, inputs.target.name);
+    if (inputs.only_data_centre.empty())
+        return open.size();
+    return static_cast<std::size_t>(std::count_if(
+        open.begin(), open.end(), [&](const traffic::server* candidate) {
+            return in_scope(inputs, *candidate);
+        }));
+}
+
 const traffic::server*
 select_plain(const selection_inputs& inputs, const excluded_servers& excluded) {
     return best_of(
@@ -164,6 +192,7 @@
                 static_cast<double>(load.calls) / std::max(candidate.slots, 1);
             if (candidate.data_centre != inputs.own_data_centre)
                 score += plain_distance_cost;
+            score -= connection_gain(inputs, candidate, plain_connection_gain);
             score += failure_cost * failure_share(inputs.health, candidate.id);
             return score + jitter * inputs.draw();
         });
@@ -186,6 +215,8 @@
                 expected_read_time(inputs, candidate, prompt_tokens).count());
             if (candidate.data_centre != inputs.own_data_centre)
                 score += prefill_distance_cost;
+            score -=
+                connection_gain(inputs, candidate, prefill_connection_gain_ms);
             score += prefill_failure_cost_ms *
                      failure_share(inputs.health, candidate.id);
             return score + prefill_jitter_ms * inputs.draw();
@@ -225,6 +256,7 @@
             if (!wanted.data_centre.empty() &&
                 candidate.data_centre != wanted.data_centre)
                 score += move_distance_cost;
+            score -= connection_gain(inputs, candidate, decode_connection_gain);
             score += failure_cost * failure_share(inputs.health, candidate.id);
             return score + jitter * inputs.draw();
         });
--- /dev/null
+++ b/libs/mintknotd-platform/policy/tests/test_idle_fleet.cpp
@@ -0,0 +1,202 @@
+/// @file
+/// Placing where servers are many and requests few, played in virtual time: how
+/// many connections callers' requests open, and who reads their prompts.
+
+#include <mintknot/policy/placement.hpp>
+
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace mintknot;
+using namespace mintknot::policy;
+
+namespace {
+
+constexpr base::milliseconds tick{10};
+/// For which a server keeps an idle connection.
+constexpr base::milliseconds keep_alive{10000};
+constexpr int slots = 6;
+
+struct load_options {
+    int instances = 40;
+    int servers = 24;
+    double requests_per_s = 14.0; ///< Of all instances.
+    base::milliseconds work{60};
+    bool tells_connections = true;
+};
+
+/// What callers get.
+struct load_result {
+    int requests = 0;
+    int connections = 0;
+    int over_slots = 0; ///< Requests that met a full server.
+    int without_server = 0;
+
+    double opened() const {
+        return static_cast<double>(connections) / requests;
+    }
+};
+
+/// Instances that call plain servers through one scheduler.
+class plain_play {
+public:
+    explicit plain_play(const load_options& options)
+        : options_(options) {
+        target_.name = "s";
+        target_.max_connections = 10000;
+        for (int i = 0; i < options.servers; ++i) {
+            traffic::server value;
+            value.id = "i" + std::to_string(i);
+            value.service = "s";
+            value.slots = slots;
+            apply(servers_, value.id, static_cast<std::uint64_t>(i) + 1, value);
+        }
+    }
+
+    load_result play(base::milliseconds length) {
+        const base::steady_time end = now_ + length;
+        std::poisson_distribution<int> arrivals(
+            options_.requests_per_s *
+            std::chrono::duration<double>(tick).count());
+        for (; now_ < end; now_ += tick) {
+            finish();
+            for (int count = arrivals(random_); count > 0; --count)
+                request(static_cast<int>(random_() % options_.instances));
+        }
+        return result_;
+    }
+
+private:
+    struct call {
+        base::steady_time ends;
+        int instance = 0;
+        std::string server;
+    };
+
+    void finish() {
+        while (!running_.empty() && running_.front().ends <= now_) {
+            const call& done = running_.front();
+            remove(loads_, done.server, {1, 0.0, 0.0});
+            idle_[done.instance][done.server] = now_ + keep_alive;
+            running_.pop_front();
+        }
+    }
+
+    void request(int instance) {
+        ++result_.requests;
+        auto& idle = idle_[instance];
+        std::erase_if(
+            idle, [this](const auto& item) { return item.second <= now_; });
+        std::set<std::string> connected;
+        for (const auto& [server, until] : idle)
+            connected.insert(server);
+        selection_inputs inputs{
+            servers_, loads_, health_, rates_, target_, "", 1, now_, [this] {
+                return std::uniform_real_distribution<double>()(random_);
+            }};
+        inputs.all_loads_known = true;
+        if (options_.tells_connections)
+            inputs.connected = &connected;
+        const std::string server = choose(inputs, {"s"}).server;
+        if (server.empty()) {
+            ++result_.without_server;
+            return;
+        }
+        if (traffic::total(loads_, server).calls >= slots)
+            ++result_.over_slots;
+        if (idle.erase(server) == 0)
+            ++result_.connections;
+        add(loads_, server, {1, 0.0, 0.0});
+        running_.push_back({now_ + options_.work, instance, server});
+    }
+
+    load_options options_;
+    traffic::server_table servers_;
+    traffic::load_view loads_;
+    health_view health_;
+    read_rates rates_;
+    traffic::service target_;
+    std::minstd_rand random_{7};
+    base::steady_time now_ = base::steady_time{} + std::chrono::hours(1);
+    std::deque<call> running_;
+    std::map<int, std::map<std::string, base::steady_time>> idle_;
+    load_result result_;
+};
+
+load_result play(const load_options& options) {
+    return plain_play(options).play(base::milliseconds{60000});
+}
+
+/// Engines, of which some have work; who reads the next prompt?
+bool reads_apart(int engines, int busy, base::milliseconds read_limit) {
+    traffic::server_table servers;
+    traffic::load_view loads;
+    const health_view health;
+    const read_rates rates;
+    traffic::service target;
+    target.name = "llm";
+    target.engine = traffic::engine_spec{30000, base::milliseconds(500)};
+    for (int i = 0; i < engines; ++i) {
+        traffic::server value;
+        value.id = "e" + std::to_string(i);
+        value.service = "llm";
+        value.slots = 12;
+        value.phase = i % 3 == 0 ? traffic::engine_phase::prefill
+                                 : traffic::engine_phase::decode;
+        apply(servers, value.id, static_cast<std::uint64_t>(i) + 1, value);
+        if (i < busy)
+            add(loads, value.id, {1, 0.0, 3000.0});
+    }
+    selection_inputs inputs{
+        servers, loads, health, rates, target, "", 1, {}, [] { return 0.5; }};
+    inputs.all_loads_known = true;
+    placement_query query;
+    query.service = "llm";
+    query.kind = placement_kind::prefill_and_decode;
+    query.prompt_tokens = 3000.0;
+    query.memory_tokens = 3200.0;
+    query.read_limit = read_limit;
+    const placement placed = choose(inputs, query);
+    cr_assert(!placed.server.empty());
+    return !placed.prefill.empty();
+}
+
+} // namespace
+
+Test(idle_fleet, callers_meet_open_connections) {
+    load_options options;
+    const load_result told = play(options);
+    options.tells_connections = false;
+    const load_result untold = play(options);
+    // 0.10 of the requests in place of 0.88 open one.
+    cr_assert(told.opened() < 0.25, "%.3f", told.opened());
+    cr_assert(untold.opened() > 0.7, "%.3f", untold.opened());
+    cr_assert(told.over_slots == 0 && told.without_server == 0);
+}
+
+Test(idle_fleet, connections_do_not_lead_to_full_servers) {
+    load_options options;
+    options.servers = 4;
+    options.requests_per_s = 250.0; // 15 of 24 slots on average.
+    const load_result told = play(options);
+    options.tells_connections = false;
+    const load_result untold = play(options);
+    cr_assert(
+        told.over_slots <= untold.over_slots + untold.requests / 100,
+        "%d and %d", told.over_slots, untold.over_slots);
+}
+
+Test(idle_fleet, a_fleet_at_rest_reads_prompts_where_it_decodes) {
+    const base::milliseconds enough{700};
+    cr_assert(!reads_apart(60, 0, enough));
+    cr_assert(!reads_apart(60, 10, enough));
+    // A quarter of the engines has work: others may be held up.
+    cr_assert(reads_apart(60, 20, enough));
+    cr_assert(reads_apart(60, 60, enough));
+    // The time left for reading would not bear half the pace.
+    cr_assert(reads_apart(60, 0, base::milliseconds{300}));
+}
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -4,6 +4,7 @@
 #include <mintknot/policy/queue_order.hpp>
 #include <mintknot/policy/repeat_rights.hpp>
 
+#include <set>
 #include <utility>
 
 namespace mintknot::relay {
@@ -161,12 +162,36 @@
     return allowed;
 }
 
+namespace {
+
+/// Servers with idle connections that a placement is told of; bounds the
+/// datagram. Not measured.
+constexpr std::size_t max_connected = 8;
+
+std::set<std::string>
+connected_servers(const router_context& context, const std::string& service) {
+    std::set<std::string> found;
+    for (const std::string& id : context.pool.idle_servers()) {
+        const traffic::server* server =
+            traffic::find(context.state.servers, id);
+        if (server != nullptr && server->service == service &&
+            found.size() < max_connected)
+            found.insert(id);
+    }
+    return found;
+}
+
+} // namespace
+
 std::unique_ptr<placement_ticket> place_request(
     router_context& context, const traffic::service& target,
     policy::placement_query query, const placement_handler& then) {
+    query.connected = connected_servers(context, target.name);
     if (context.placement != nullptr && context.placement->active())
         return context.placement->ask(std::move(query), then);
-    then(policy::choose(selection_for(context, target), query));
+    policy::selection_inputs inputs = selection_for(context, target);
+    inputs.connected = &query.connected;
+    then(policy::choose(inputs, query));
     return nullptr;
 }
 
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -25,6 +25,11 @@
 /// Without a confirmation for so long, the readers are not enough: twice what
 /// passes while all is well.
 constexpr base::milliseconds confirmation_patience{2000};
+/// Part of the time within which a server that leaves gets no request any more
+/// for which a fleet gathers changes: a reader, and then whoever follows it, do
+/// so once. With 0.3 s the ten readers of 986 instances made 965 calls to the
+/// store on a calm day.
+constexpr int gathers_in_drain_bound = 5;
 /// How long a large group waits for its readers' news of servers.
 constexpr base::milliseconds large_group_patience{1200};
 /// Snapshots of thousands of servers are large: a hundred instances that start
@@ -48,6 +53,7 @@
     document_handlers handlers)
     : owner_(ports.loop)
     , confirms_configuration_(options.confirms_configuration)
+    , drain_bound_(options.drain_bound)
     , handlers_(std::move(handlers))
     , replica_(ports.codec, ports.log, replica_functions())
     , store_(
@@ -176,6 +182,10 @@
     fetcher_.set_server_patience(large_group_patience);
 }
 
+void document_sync::use_fleet_pace() {
+    server_reader_.set_gather(drain_bound_ / gathers_in_drain_bound);
+}
+
 void document_sync::on_heartbeat(
     const std::string& host, const peers::heartbeat& heartbeat) {
     fetcher_.on_heartbeat(host, heartbeat);
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -81,6 +81,9 @@
     /// From now on the group is large: watches at the store are held longer,
     /// and readers are waited for.
     void use_large_group_pace();
+    /// From now on there are super-peers: changes of servers, of which a fleet
+    /// of thousands has some each second, are fetched more rarely.
+    void use_fleet_pace();
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
     /// Answers another instance.
@@ -105,6 +108,7 @@
 
     event::loop& owner_;
     bool confirms_configuration_;
+    base::milliseconds drain_bound_;
     bool reads_ = false;
     document_scope scope_ = document_scope::everything;
     bool catching_up_ = false; ///< With servers, after a time without them.
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -81,6 +81,7 @@
         break;
     case policy::group_role::super_peer:
         group.lead(value.super_peers, value.instances);
+        documents.use_fleet_pace();
         documents.set_scope(document_scope::everything);
         break;
     case policy::group_role::leaf:
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t results_element = 4;
 /// Of a request whose sender holds no rows, and of the answer to it.
 constexpr std::size_t wants_servers_element = 12;
+constexpr std::size_t connected_element = 13;
 constexpr std::size_t servers_element = 10;
 /// Rates are told in thousandths.
 constexpr double rate_unit = 1000.0;
@@ -59,8 +60,10 @@
         to_json(query.excluded),
         to_json(query.excluded_prefill),
         query.data_centre};
-    if (value.wants_servers)
-        row.push_back(true);
+    if (value.wants_servers || !query.connected.empty())
+        row.push_back(value.wants_servers);
+    if (!query.connected.empty())
+        row.push_back(to_json(query.connected));
     return row;
 }
 
@@ -83,6 +86,8 @@
     value.query.data_centre = row.at(11).get<std::string>();
     if (row.size() > wants_servers_element)
         value.wants_servers = row[wants_servers_element].get<bool>();
+    if (row.size() > connected_element)
+        value.query.connected = servers_from(row[connected_element]);
     return value;
 }
 
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -171,6 +171,7 @@
         inputs.only_data_centre = which.data_centre;
         inputs.own_data_centre = query.data_centre;
         inputs.all_loads_known = exact;
+        inputs.connected = &query.connected;
         return policy::choose(inputs, query);
     }
 
--- a/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
@@ -43,6 +43,8 @@
     void stop();
     /// Changes how long a watch is held, from the next call on.
     void set_wait(base::milliseconds wait);
+    /// Changes how long changes are gathered, likewise.
+    void set_gather(base::milliseconds gather);
     /// Calls the handler when the store answers again after it has been out of
     /// reach, before what it answers is taken.
     void on_return(std::function<void()> handler);
--- a/libs/mintknotd-platform/state/src/store_reader.cpp
+++ b/libs/mintknotd-platform/state/src/store_reader.cpp
@@ -35,6 +35,10 @@
     options_.wait = wait;
 }
 
+void store_reader::set_gather(base::milliseconds gather) {
+    options_.gather = gather;
+}
+
 void store_reader::on_return(std::function<void()> handler) {
     on_return_ = std::move(handler);
 }
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mintknot::upstream {
 
@@ -49,6 +50,8 @@
     /// Closes the idle connections to a server.
     void drop(const std::string& id);
 
+    /// @return servers with idle connections, in no order.
+    std::vector<std::string> idle_servers() const;
     std::size_t idle(const std::string& id) const;
     std::size_t idle_total() const noexcept;
     pool_counters& counters() noexcept;
--- a/libs/mintknotd-platform/upstream/src/connection_pool.cpp
+++ b/libs/mintknotd-platform/upstream/src/connection_pool.cpp
@@ -115,6 +115,13 @@
     impl_->idle.erase(found);
 }
 
+std::vector<std::string> connection_pool::idle_servers() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, connections] : impl_->idle)
+        ids.push_back(id);
+    return ids;
+}
+
 std::size_t connection_pool::idle(const std::string& id) const {
     const auto found = impl_->idle.find(id);
     return found == impl_->idle.end() ? 0 : found->second.size();
