--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -21,6 +21,9 @@
         "p", "planned", "planned work only: nothing may be cut off", line);
     TCLAP::SwitchArg schedulers(
         "d", "schedulers", "place requests through schedulers", line);
+    TCLAP::ValueArg<int> max_flat_group(
+        "f", "max-flat-group", "beyond it there are super-peers; 0: as built",
+        false, 0, "N", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -32,6 +35,8 @@
         options.instances = static_cast<std::size_t>(instances.getValue());
         options.planned_only = planned.getValue();
         options.schedulers = schedulers.getValue();
+        options.max_flat_group =
+            static_cast<std::size_t>(max_flat_group.getValue());
         const soak::soak_result result = soak::run_soak(options);
         fmt::print(
             "seed {}: {} requests, {} answered, {} refused, {} left, {} "
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -45,7 +45,9 @@
 public:
     explicit soak(const soak_options& options)
         : options_(options)
-        , system_(directory_.path, options.instances, options.schedulers)
+        , system_(
+              directory_.path, options.instances,
+              {options.schedulers, options.max_flat_group})
         , clients_(owner_, entries(), options.seed)
         , faults_(
               owner_, system_,
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -21,6 +21,8 @@
     bool planned_only = false;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
+    /// Larger groups have super-peers; 0: as the program is built.
+    std::size_t max_flat_group = 0;
 };
 
 struct soak_result {
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -73,9 +73,9 @@
 } // namespace
 
 soak_system::soak_system(
-    std::string directory, std::size_t instances, bool schedulers)
+    std::string directory, std::size_t instances, const group_form& form)
     : directory_(std::move(directory))
-    , schedulers_(schedulers)
+    , form_(form)
     , port_(free_port()) {
     store_.program = "platform-store";
     store_.running = std::make_unique<harness::child_process>(
@@ -173,8 +173,12 @@
     soak_process& instance = instances_[index];
     instance.program = "mintknotd-platform";
     instance.arguments = {"--settings", write_settings(index)};
-    if (schedulers_)
+    if (form_.schedulers)
         instance.arguments.emplace_back("--always-schedule");
+    if (form_.max_flat_group > 0) {
+        instance.arguments.emplace_back("--max-flat-group");
+        instance.arguments.push_back(std::to_string(form_.max_flat_group));
+    }
     instance.running.reset();
     instance.running = std::make_unique<harness::child_process>(
         instance.program, instance.arguments, path("instance.log"));
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -25,14 +25,21 @@
     bool paused = false;
 };
 
+/// How instances work together.
+struct group_form {
+    bool schedulers = false; ///< They place requests in a small group too.
+    /// Larger groups have super-peers; 0: as the program is built.
+    std::size_t max_flat_group = 0;
+};
+
 /// Store, servers and instances on loopback. All end with the object. A proxy
 /// stands before each server, between each instance and the store, and between
 /// the callers and each instance.
 class soak_system {
 public:
     /// @param directory takes settings, ledger and logs.
-    /// @param schedulers whether they place requests in this small group too.
-    soak_system(std::string directory, std::size_t instances, bool schedulers);
+    soak_system(
+        std::string directory, std::size_t instances, const group_form& form);
 
     /// Servers end and come back under new IDs.
     std::vector<soak_process>& servers() { return servers_; }
@@ -68,7 +75,7 @@
     std::string path(const std::string& name) const;
 
     std::string directory_;
-    bool schedulers_;
+    group_form form_;
     standins::fault_proxy proxy_;
     std::vector<std::string> links_;
     std::vector<base::address> server_links_;
--- a/testing/soak/tests/test_soak.cpp
+++ b/testing/soak/tests/test_soak.cpp
@@ -41,6 +41,15 @@
     check(options);
 }
 
+Test(soak, promises_hold_under_faults_with_super_peers) {
+    soak_options options;
+    options.seed = 11;
+    options.instances = 18; // Twelve super-peers and six leaves.
+    options.schedulers = true;
+    options.max_flat_group = 3;
+    check(options);
+}
+
 Test(soak, planned_work_cuts_nothing_off) {
     for (const std::uint64_t seed : planned_seeds) {
         soak_options options;
