Limits hold where a cut follows a burst

The keeper has given out the burst by then, goes on with the whole rate until it misses its peers (2 s), and deputies begin meanwhile with their whole share. Ruled out: streams that run twice (none was resumed in the window), datagrams that were lost. The plays had only cuts in the middle of a long burst. Change: half of the burst and 0.3 of the overage (0.5 before) are given out; a deputy that begins, or begins again after a pause, earns 0.8 of its share for those two seconds; 0.6 of the slack (0.5) is the deputies' overdraft. The new test fails on the code before.

--- a/libs/mintknotd-platform/limits/src/usage_book.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_book.cpp
@@ -43,8 +43,10 @@
     base::steady_time now) {
     if (accounts_.size() >= max_accounts)
         drop_idle(now);
-    return policy::draw(
-        account_of(who.name, account), terms(who.limit, account), cost, now);
+    policy::usage_account& drawn = account_of(who.name, account);
+    if (account == account_kind::deputy)
+        policy::stand_in(drawn, now);
+    return policy::draw(drawn, terms(who.limit, account), cost, now);
 }
 
 void usage_book::give_back(
--- a/libs/mintknotd-platform/limits/tests/test_usage_bound.cpp
+++ b/libs/mintknotd-platform/limits/tests/test_usage_bound.cpp
@@ -42,6 +42,18 @@
 const fault other_data_centre_is_cut = [](group_play& group) {
     group.cut((group.keeper() + 1) % 3, milliseconds{6000});
 };
+/// An organisation that was calm sends many times its usual; a second later a
+/// data centre is cut off.
+const fault cut_behind_a_rise = [](group_play& group) {
+    group.set_load(hot);
+    group.run(seconds(1));
+    group.cut((group.keeper() + 1) % 3, milliseconds{6000});
+};
+const fault keepers_cut_behind_a_rise = [](group_play& group) {
+    group.set_load(hot);
+    group.run(seconds(1));
+    group.cut(group.keeper() % 3, milliseconds{6000});
+};
 const fault group_grows = [](group_play& group) { group.add(66); };
 
 /// Plays ten seconds, then the fault and sixteen seconds more.
@@ -79,11 +91,11 @@
     return result;
 }
 
-void expect_bound(const char* what, const fault& happens) {
+void expect_bound(const char* what, const fault& happens, double load = hot) {
     for (const std::size_t instances : {9, 88, 295}) {
         play_terms terms;
         terms.instances = instances;
-        terms.load = hot;
+        terms.load = load;
         const play_result seen = worst(what, terms, happens);
         cr_assert(
             seen.largest_window <= 1.0, "%s: %.3f of the bound with %zu", what,
@@ -128,6 +140,12 @@
     expect_bound("another data centre cut off", other_data_centre_is_cut);
 }
 
+Test(usage_bound, holds_where_a_cut_follows_a_rise) {
+    expect_bound("cut a second behind a rise", cut_behind_a_rise, calm);
+    expect_bound(
+        "keeper's cut a second behind a rise", keepers_cut_behind_a_rise, calm);
+}
+
 Test(usage_bound, holds_where_the_group_grows) {
     expect_bound("66 instances more", group_grows);
 }
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/usage_account.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/usage_account.hpp
@@ -53,14 +53,18 @@
 /// the rest is for requests that are granted and wait for room before they run.
 /// Deputies begin with nothing else: with a quarter, 0.0012 of the requests of
 /// a calm load were refused where the keeper of nine instances was away for 2
-/// and 4 s, with half none (test_usage_bound.cpp, the worst of ten seeds).
+/// and 4 s, with this part none (test_usage_bound.cpp, the worst of ten seeds).
 inline constexpr double keeper_overdraft = 0.25;
-inline constexpr double deputies_overdraft = 0.5;
+inline constexpr double deputies_overdraft = 0.6;
+
+/// Part of the burst that is given out: a cut that comes right behind one finds
+/// the rest. See stand_in().
+inline constexpr double burst_share = 0.5;
 
 /// Of the overage, the part that is added to the rate: at the rate itself, an
 /// organisation whose load is just within its limit would be refused whenever
 /// its requests come a little unevenly. The rest is for grants that wait.
-inline constexpr double overage_share = 0.5;
+inline constexpr double overage_share = 0.3;
 
 /// @param share of the limit that is kept in the account, in (0, 1].
 /// @param overdraft the part of the slack for all accounts of its kind.
@@ -81,6 +85,8 @@
     double unused = 0.0;
     /// When what has been promised to refused callers will have been earned.
     base::steady_time promised{};
+    /// Since when it stands in for a silent keeper; zero: it is a keeper's.
+    base::steady_time stands_in_since{};
 };
 
 /// The answer to a request.
@@ -105,6 +111,16 @@
     usage_account& account, const account_terms& terms, double cost,
     base::steady_time now);
 
+/// To be called before a deputy, or an instance alone, draws. Whoever begins to
+/// stand in for a keeper, or does so again after a pause, begins empty and
+/// earns less at first: the keeper may still be granting the whole limit,
+/// behind a cut that neither has noticed. Where a cut came a second after an
+/// organisation had begun to send eight times its usual, and so had used its
+/// burst, the whole share brought 0.98 to 1.08 of the bound
+/// (test_usage_bound.cpp, the worst of ten seeds), and once 1.004 in five plays
+/// of such a day.
+void stand_in(usage_account& account, base::steady_time now);
+
 /// Puts back what a request has not used.
 void give_back(
     usage_account& account, const account_terms& terms, double cost,
--- a/libs/mintknotd-platform/policy/src/usage_account.cpp
+++ b/libs/mintknotd-platform/policy/src/usage_account.cpp
@@ -15,14 +15,29 @@
 /// for so long finds them waiting. Longer ones are taken for lost by then.
 constexpr base::milliseconds late_charge_time{4000};
 
+/// What an account earns of its share while the keeper that it stands in for
+/// may still grant the whole limit. A calm load of 0.55 of the limit is served
+/// whole all the same, out of the overdraft.
+constexpr double share_at_first = 0.8;
+
+/// @return the milliseconds since the last look that count.
+double earning_time(const usage_account& account, base::steady_time now) {
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    const milliseconds since = now - account.updated;
+    if (account.stands_in_since == base::steady_time{})
+        return since.count();
+    const base::steady_time full = account.stands_in_since + sharing_silence;
+    const milliseconds at_first = std::max(
+        std::min(now, full) - account.updated, base::steady_clock::duration{0});
+    return since.count() - (1.0 - share_at_first) * at_first.count();
+}
+
 /// Adds what has been earned since the last look.
 void update(
     usage_account& account, const account_terms& terms, base::steady_time now) {
     if (account.updated == base::steady_time{})
         account.updated = now;
-    const std::chrono::duration<double, std::milli> since =
-        now - account.updated;
-    const double earned = since.count() * terms.rate;
+    const double earned = earning_time(account, now) * terms.rate;
     const double level = account.level + earned;
     account.level = std::min(level, terms.burst);
     const double beyond = level - account.level;
@@ -58,8 +73,8 @@
     double overdraft) {
     const double rate = limit.rate * (1.0 + bounds.overage * overage_share);
     return {
-        rate * share / milliseconds_per_second, limit.burst * share,
-        bounds.slack * overdraft * share};
+        rate * share / milliseconds_per_second,
+        limit.burst * share * burst_share, bounds.slack * overdraft * share};
 }
 
 double
@@ -80,6 +95,16 @@
     return {true, base::milliseconds{0}};
 }
 
+void stand_in(usage_account& account, base::steady_time now) {
+    const bool pauses = account.updated != base::steady_time{} &&
+                        now - account.updated > sharing_silence;
+    if (account.stands_in_since != base::steady_time{} && !pauses)
+        return;
+    account = {};
+    account.updated = now;
+    account.stands_in_since = now;
+}
+
 void give_back(
     usage_account& account, const account_terms& terms, double cost,
     base::steady_time now) {
