--- a/libs/mintknotd-platform/policy/include/mintknot/policy/usage_account.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/usage_account.hpp
@@ -116,9 +116,8 @@
 /// earns less at first: the keeper may still be granting the whole limit,
 /// behind a cut that neither has noticed. Where a cut came a second after an
 /// organisation had begun to send eight times its usual, and so had used its
-/// burst, the whole share brought 0.98 to 1.08 of the bound
-/// (test_usage_bound.cpp, the worst of ten seeds), and once 1.004 in five plays
-/// of such a day.
+/// burst, the whole share brought 0.98 to 1.08 of the bound, with what is here
+/// 0.91 to 0.993 (test_usage_bound.cpp, the worst of ten seeds).
 void stand_in(usage_account& account, base::steady_time now);
 
 /// Puts back what a request has not used.
