Watches of servers are held no longer than the drain bound

Connections to the store had fallen silent at 3.2 s; the readers of a data centre notice that when the watch at hand is over, up to 10.9 s later, and both were blind. Ruled out: the scheduler that named the engine (the asker did not know either) and the order in which readers are asked.

--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -10,7 +10,9 @@
 using state::collection;
 
 /// How long readers of a large group hold their watches: each call to the
-/// store has a price.
+/// store has a price. Those of servers no longer than a server that leaves may
+/// still get requests: a connection may have fallen silent, and both readers of
+/// a data centre were blind for up to 10.9 s.
 constexpr base::milliseconds large_group_wait{10000};
 /// How long watches of the configuration are held where it must be known how
 /// old it is: instances learn it in step with their readers, so that it is a
@@ -178,7 +180,7 @@
 void document_sync::use_large_group_pace() {
     if (!confirms_configuration_)
         configuration_reader_.set_wait(large_group_wait);
-    server_reader_.set_wait(large_group_wait);
+    server_reader_.set_wait(std::min(large_group_wait, drain_bound_));
     fetcher_.set_server_patience(large_group_patience);
 }
 
