Closures are read in one place; a service at rest is not listed first

The plan of phases put 9,623 engines in a list each half second before it saw that the service is at rest; it looks at the count first.

--- a/libs/mintknotd-platform/orders/src/phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/src/phase_balancer.cpp
@@ -81,10 +81,15 @@
     std::vector<policy::phase_change>
     plan(const std::string& service, work& at) {
         forget_changed(at);
+        const auto& open =
+            traffic::open_servers(context.state.servers, service);
+        const policy::phase_demand demand =
+            relay::group_demand(context.state, service, now());
+        if (policy::is_at_rest(open.size(), demand, estimated_rate(service)))
+            return {};
         traffic::expire(context.state.loads, now());
         std::vector<policy::planned_engine> engines;
-        for (const traffic::server* engine :
-             traffic::open_servers(context.state.servers, service)) {
+        for (const traffic::server* engine : open) {
             const auto changing = at.changing.find(engine->id);
             if (changing != at.changing.end())
                 engines.push_back({engine, changing->second.to, true});
@@ -93,10 +98,6 @@
                     {engine, engine->phase,
                      policy::avoided(context.state.health, engine->id, now())});
         }
-        const policy::phase_demand demand =
-            relay::group_demand(context.state, service, now());
-        if (policy::is_at_rest(engines.size(), demand, estimated_rate(service)))
-            return {};
         return policy::plan_changes(
             engines, demand, [this](const traffic::server& engine) {
                 const traffic::server_load load =
--- a/libs/mintknotd-platform/state/src/change_message.cpp
+++ b/libs/mintknotd-platform/state/src/change_message.cpp
@@ -23,9 +23,6 @@
 /// mostly negative where it was not held.
 constexpr const char* confirmed_field = "confirmed_ms";
 
-/// Documents of that kind; older receivers do not look at it.
-constexpr const char* closures_field = "closures";
-
 std::optional<collection> collection_from(std::string_view name) {
     for (const collection what :
          {collection::configuration, collection::servers})
@@ -110,13 +107,11 @@
     value.result = store_result::ok;
     value.documents = std::move(*documents);
     if (parsed.contains(closures_field)) {
-        auto closures = documents_from(parsed[closures_field]);
+        auto closures = closures_from(parsed[closures_field]);
         if (!closures)
             return absl::InvalidArgumentError("a closure is malformed");
-        for (document& closure : *closures) {
-            closure.kind = document_kind::closure;
+        for (document& closure : *closures)
             value.documents.push_back(std::move(closure));
-        }
     }
     if (parsed.contains(confirmed_field) &&
         parsed[confirmed_field].is_number_integer())
--- a/libs/mintknotd-platform/state/src/document_json.cpp
+++ b/libs/mintknotd-platform/state/src/document_json.cpp
@@ -43,4 +43,12 @@
     return result;
 }
 
+std::optional<std::vector<document>> closures_from(const nlohmann::json& rows) {
+    auto closures = documents_from(rows);
+    if (closures)
+        for (document& closure : *closures)
+            closure.kind = document_kind::closure;
+    return closures;
+}
+
 } // namespace mintknot::state
--- a/libs/mintknotd-platform/state/src/document_json.hpp
+++ b/libs/mintknotd-platform/state/src/document_json.hpp
@@ -17,6 +17,13 @@
 /// @return nothing unless every row is a document.
 std::optional<std::vector<document>> documents_from(const nlohmann::json& rows);
 
+/// Where closures stand, in a snapshot or beside the documents of an answer;
+/// older instances do not look at it.
+inline constexpr const char* closures_field = "closures";
+
+/// @return the same as documents_from(), of the kind that closes data centres.
+std::optional<std::vector<document>> closures_from(const nlohmann::json& rows);
+
 } // namespace mintknot::state
 
 #endif
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -22,9 +22,6 @@
 /// with 266 servers each of 295 instances wrote a line for each.
 constexpr std::size_t max_lines_at_once = 16;
 
-/// Beside the collections; older instances do not look at it.
-constexpr const char* closures_field = "closures";
-
 /// One collection of a peer's snapshot.
 struct snapshot_part {
     collection what = collection::configuration;
@@ -45,17 +42,13 @@
 }
 
 std::optional<std::vector<document>>
-closures_from(const nlohmann::json& snapshot) {
+closures_of_snapshot(const nlohmann::json& snapshot) {
     if (!snapshot.contains(closures_field))
         return std::vector<document>{};
     const nlohmann::json& part = snapshot[closures_field];
     if (!part.is_object() || !part.contains("documents"))
         return std::nullopt;
-    auto documents = documents_from(part["documents"]);
-    if (documents)
-        for (document& closure : *documents)
-            closure.kind = document_kind::closure;
-    return documents;
+    return closures_from(part["documents"]);
 }
 
 } // namespace
@@ -362,7 +355,7 @@
     }
     if (parts.empty())
         return absl::InvalidArgumentError("there is no collection");
-    const auto closures = closures_from(*parsed);
+    const auto closures = closures_of_snapshot(*parsed);
     if (!closures)
         return absl::InvalidArgumentError("a closure is malformed");
     for (const document& closure : *closures)
