Sight: each send tells how old the view of the servers was

Cause: none mended here. The hypotheses of the incident differ in how old an instance's view of the servers is when it sends, and by which way it learned of a row; logs told the second only. Change: confirmations go along with rows of servers as they do with the configuration; servers_age_ms in prefill, decode and sent, a gauge and a histogram. Who is asked for rows does not change.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -31,6 +31,8 @@
     void count_request(const finished_request& request);
     void count_call(policy::call_result result);
     void count_repeat(std::string_view reason);
+    /// How old the view of the servers was when a request was sent to one.
+    void observe_servers_age(base::milliseconds age);
     void set_gauge(std::string_view name, double value);
 
     /// @return the text format of Prometheus.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -73,6 +73,8 @@
     /// existed; nothing: there was none yet.
     std::optional<base::steady_time> configuration_confirmed;
     traffic::server_table servers;
+    /// The same of the servers; nothing as well where schedulers name them.
+    std::optional<base::steady_time> servers_confirmed;
     traffic::load_view loads;
     policy::health_view health;
     policy::read_rates rates;
@@ -129,6 +131,13 @@
 /// @return how old the configuration in force may be.
 policy::knowledge knowledge_of(const router_context& context);
 
+/// @return for how long a server may have been leaving without this instance
+/// knowing it; nothing: it cannot be told.
+std::optional<base::milliseconds> servers_age(const router_context& context);
+
+/// @return the same for a log line; negative: it cannot be told.
+std::int64_t servers_age_ms(const router_context& context);
+
 /// Adds work in flight at a server, and tells peers of it.
 void add_load(
     router_context& context, const std::string& server_id,
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -217,6 +217,8 @@
 void exchange::note_offer() {
     if (!first_offer_)
         first_offer_ = since_arrival();
+    if (const auto age = servers_age(context_))
+        context_.metrics.observe_servers_age(*age);
 }
 
 bool exchange::returned() const {
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -56,6 +56,7 @@
                    {"with_result", decode_.used_result},
                    {"placed_by", placed_by_},
                    {"send", std::int64_t{sends_}},
+                   {"servers_age_ms", servers_age_ms(context_)},
                    {"config", static_cast<std::int64_t>(config_->version)},
                    {"after_ms", since_arrival().count()}});
 }
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -61,6 +61,7 @@
                     {"tokens", request_.terms.prompt_tokens},
                     {"expected_ms", prefill_.expected.count()},
                     {"try", std::int64_t{attempts_.prefills}},
+                    {"servers_age_ms", servers_age_ms(context_)},
                     {"config", static_cast<std::int64_t>(config_->version)}});
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -88,6 +88,7 @@
                  {"server", server_},
                  {"placed_by", placed_by},
                  {"send", std::int64_t{sends_}},
+                 {"servers_age_ms", servers_age_ms(context_)},
                  {"config", static_cast<std::int64_t>(config_->version)},
                  {"left_ms", time_left().count()}});
     call_ = upstream::call::start(
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -63,6 +63,11 @@
             .Name("mintknot_request_seconds")
             .Help("From arrival to the end of the answer.")
             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& server_ages =
+        prometheus::BuildHistogram()
+            .Name("mintknot_servers_age_at_send_seconds")
+            .Help("Age of the view of the servers at each send.")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges =
         prometheus::BuildGauge()
             .Name("mintknot_state")
@@ -95,6 +100,10 @@
     impl_->repeats.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void relay_metrics::observe_servers_age(base::milliseconds age) {
+    impl_->server_ages.Add({}, latency_buckets()).Observe(seconds(age));
+}
+
 void relay_metrics::set_gauge(std::string_view name, double value) {
     impl_->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// In a log line: nobody has told how old the view of the servers is.
+constexpr base::milliseconds unknown_age{-1};
+
 void tell_load_change(router_context& context) {
     if (context.state.on_load_change)
         context.state.on_load_change();
@@ -27,6 +30,18 @@
     return known;
 }
 
+std::optional<base::milliseconds> servers_age(const router_context& context) {
+    const auto confirmed = context.state.servers_confirmed;
+    if (!confirmed || context.state.servers.partial)
+        return std::nullopt;
+    return std::chrono::duration_cast<base::milliseconds>(
+        context.loop.now() - *confirmed);
+}
+
+std::int64_t servers_age_ms(const router_context& context) {
+    return servers_age(context).value_or(unknown_age).count();
+}
+
 void add_load(
     router_context& context, const std::string& server_id,
     const traffic::server_load& load) {
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -78,7 +78,7 @@
           [this](collection what) {
               return what == collection::configuration
                          ? configuration_reader_.confirmed()
-                         : std::nullopt;
+                         : server_reader_.confirmed();
           })
     , lapsed_(
           ports.loop, ports.log, options.drain_bound,
@@ -91,14 +91,7 @@
           options.data_centre)
     , hold_(ports.loop) {
     server_reader_.on_return([this] { lapsed_.store_returned(); });
-    server_reader_.on_position([this] {
-        feed_.progressed(collection::servers);
-        if (!server_reader_.position())
-            return;
-        catching_up_ = false;
-        if (handlers_.on_servers_known)
-            handlers_.on_servers_known();
-    });
+    server_reader_.on_position([this] { on_server_position(); });
     configuration_reader_.on_position([this] { on_configuration_position(); });
 }
 
@@ -118,6 +111,18 @@
         feed_.progressed(collection::configuration);
 }
 
+void document_sync::on_server_position() {
+    const auto confirmed = server_reader_.confirmed();
+    if (confirmed && handlers_.on_servers_confirmed)
+        handlers_.on_servers_confirmed(*confirmed);
+    feed_.progressed(collection::servers);
+    if (!server_reader_.position())
+        return;
+    catching_up_ = false;
+    if (handlers_.on_servers_known)
+        handlers_.on_servers_known();
+}
+
 state::replica_handlers document_sync::replica_functions() {
     return {
         [this](std::shared_ptr<const traffic::configuration> config) {
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -51,6 +51,8 @@
     std::function<void(base::steady_time)> on_confirmed;
     /// All servers are known, as of one moment.
     std::function<void()> on_servers_known{};
+    /// The servers were as they are known here at that moment.
+    std::function<void(base::steady_time)> on_servers_confirmed{};
     /// See state::replica_handlers.
     std::function<void(const std::string& data_centre, bool closed)>
         on_closure{};
@@ -102,6 +104,7 @@
     state::replica_handlers replica_functions();
     bool confirmation_overdue() const;
     void on_configuration_position();
+    void on_server_position();
     void begin();
     void follow_servers_again();
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -35,6 +35,10 @@
     return settings.first_start ? first_start_hold : restart_hold;
 }
 
+double seconds_or_never(std::optional<base::milliseconds> age) {
+    return age ? std::chrono::duration<double>(*age).count() : never_confirmed;
+}
+
 double gauge(std::uint64_t count) {
     return static_cast<double>(count);
 }
@@ -56,13 +60,6 @@
     return {503, "text/plain", "not ready\n"};
 }
 
-double instance::impl::configuration_age() const {
-    const policy::knowledge known = relay::knowledge_of(context);
-    const std::chrono::duration<double> age =
-        known.age.value_or(base::milliseconds{0});
-    return known.age ? age.count() : never_confirmed;
-}
-
 relay::local_answer instance::impl::metrics_answer() {
     const std::uint64_t version =
         context.state.config == nullptr ? 0 : context.state.config->version;
@@ -87,7 +84,9 @@
         {"usage_refused", gauge(accounts.counters().refused)},
         {"usage_granted_by_deputies", gauge(accounts.counters().deputised)},
         {"usage_granted_alone", gauge(accounts.counters().alone)},
-        {"configuration_age_seconds", configuration_age()},
+        {"configuration_age_seconds",
+         seconds_or_never(relay::knowledge_of(context).age)},
+        {"servers_age_seconds", seconds_or_never(relay::servers_age(context))},
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
         metrics.set_gauge(name, value);
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -59,8 +59,6 @@
     bool ready() const;
     relay::local_answer readiness_answer() const;
     relay::local_answer metrics_answer();
-    /// @return in seconds; negative: it has never been confirmed.
-    double configuration_age() const;
     absl::Status open_addresses();
     void on_signal(int number);
     void take(const instance_settings& fresh, std::string_view cause);
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -110,6 +110,9 @@
             context.state.configuration_confirmed = moment;
         },
         [this] { on_servers_known(); },
+        [this](base::steady_time moment) {
+            context.state.servers_confirmed = moment;
+        },
         [this](const std::string& data_centre, bool closed) {
             traffic::set_closed(context.state.servers, data_centre, closed);
             context.queue.room_freed();
