A request that was given up does not arrive any more

What callers saw, by hypothesis: a request that was served elsewhere, or given up, reaches its first server once the way there is free again, which may have said in the meantime that it leaves. Cause: a call that is given up closed its connection, and the kernel goes on sending what it has taken until the path is back (3 s by TCP_USER_TIMEOUT, the drain bound of one deployment and more than that of others). Change: calls that fail or are given up reset their connection. Measured: the test is red before (all 100,000 bytes of a body arrive that the kernel had taken) and green now; a small request that lies in the receiver's kernel is read there after either. Conclusion: bounds how late a request that nobody waits for can arrive; what is still waited for and held up by a cut is sent again as before.

--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -203,11 +203,17 @@
         fail(call_failure::ended);
     }
 
-    void fail(call_failure why) {
-        finished = true;
+    /// With a reset: what the kernel still holds of a request that was given up
+    /// is not to reach its server when the way there is free again.
+    void drop_link() {
         if (link != nullptr)
-            link->abort();
+            link->reset();
         link = nullptr;
+    }
+
+    void fail(call_failure why) {
+        finished = true;
+        drop_link();
         const call_handlers last = std::move(handlers);
         last.on_failure(why);
     }
@@ -216,9 +222,7 @@
         if (finished)
             return;
         finished = true;
-        if (link != nullptr)
-            link->abort();
-        link = nullptr;
+        drop_link();
         // A handler may be running: let the closures go after it.
         pool.owner().post([dropped = std::move(handlers)] {});
         handlers = {};
--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -3,6 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -94,6 +98,45 @@
     event::timer limit;
 };
 
+/// Accepts connections and reads nothing until it is told to.
+struct slow_reader {
+    slow_reader() {
+        constexpr int room = 2048;
+        listening = ::socket(AF_INET, SOCK_STREAM, 0);
+        ::setsockopt(listening, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+        sockaddr_in where{};
+        where.sin_family = AF_INET;
+        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof where;
+        auto* const generic = reinterpret_cast<sockaddr*>(&where);
+        cr_assert(::bind(listening, generic, length) == 0);
+        cr_assert(::listen(listening, 1) == 0);
+        cr_assert(::getsockname(listening, generic, &length) == 0);
+        port = ntohs(where.sin_port);
+    }
+    ~slow_reader() { ::close(listening); }
+    slow_reader(const slow_reader&) = delete;
+    slow_reader& operator=(const slow_reader&) = delete;
+
+    /// @return how much of what was sent on the first connection arrives.
+    std::size_t read_all() const {
+        const int link = ::accept(listening, nullptr, nullptr);
+        std::size_t total = 0;
+        char buffer[4096];
+        for (;;) {
+            const ssize_t count = ::read(link, buffer, sizeof buffer);
+            if (count <= 0)
+                break;
+            total += static_cast<std::size_t>(count);
+        }
+        ::close(link);
+        return total;
+    }
+
+    int listening = -1;
+    std::uint16_t port = 0;
+};
+
 bool is_ours(const http1::response_head& head) {
     const std::string* id = http1::find_field(head.fields, "Id");
     return id != nullptr && *id == "mine";
@@ -213,3 +256,30 @@
     cr_assert(caller.pool.idle("s") == 0);
     cr_assert(caller.server.connections == 2);
 }
+
+Test(call, a_request_that_was_given_up_does_not_arrive_later) {
+    // A request was given up while the way to its server was blocked, and
+    // served elsewhere; seconds later, once the way was free, the server got it
+    // whole: the kernel goes on sending what it has taken when a connection is
+    // closed, but not when it is reset.
+    constexpr std::size_t body_bytes = 100000;
+    event::loop owner;
+    connection_pool pool(owner);
+    slow_reader server;
+    call_request request;
+    request.head.method = "POST";
+    request.head.target = "/";
+    request.body = std::make_shared<const std::string>(body_bytes, 'x');
+    auto running = call::start(
+        pool, {"s", {"127.0.0.1", server.port}}, std::move(request), {},
+        {nullptr, [](http1::response_head&) {}, [](std::string_view) {}, [] {},
+         [](call_failure) {}});
+    event::timer later(owner);
+    later.start(base::milliseconds(200), [&] {
+        cr_assert(running->sent());
+        running.reset();
+        owner.stop();
+    });
+    owner.run();
+    cr_assert(server.read_all() < body_bytes);
+}
