Removals are held no longer than the drain bound allows

Cause, of the same class: rows that went are held for up to 1.6 s, as they may only have lapsed; that time began when the news came, however old it was. Ruled out: shorter holds for all, which would leave living servers unused after an outage. Change: a removal is held until the drain bound, less the way of a request, has passed since the row was last known to be there; where the store was out of reach for longer than the bound, 1.6 s as before. Conclusion: the hold is a part of the bound now; living servers that lapse in an outage shorter than the bound may be left alone for up to 1.4 s (calculated).

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
@@ -14,6 +14,10 @@
 
 namespace mintknot::policy {
 
+/// From the choice of a server to the arrival of the request there: a
+/// connection may have to come up.
+inline constexpr base::milliseconds request_way{500};
+
 /// Parts of a bound within which all instances are to know of a change.
 struct news_times {
     /// How long the store holds a watch of an instance that nobody follows. A
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/row_expiry.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/row_expiry.hpp
@@ -11,6 +11,7 @@
 #include <mintknot/base/time.hpp>
 
 #include <cstddef>
+#include <optional>
 
 namespace mintknot::policy {
 
@@ -23,6 +24,15 @@
 /// @param drain_bound within which a server that leaves gets no request.
 base::milliseconds row_return_time(base::milliseconds drain_bound);
 
+/// @return until when a removal may be held back without requests arriving
+/// there beyond the drain bound, should the server have left; the end of time
+/// where the bound cannot be kept any more, as the store was out of reach for
+/// longer: then the row has rather lapsed.
+/// @param seen the last moment at which the row is known to have been there.
+base::steady_time removal_limit(
+    std::optional<base::steady_time> seen, base::milliseconds drain_bound,
+    base::steady_time now);
+
 /// @return true if so many removals at once are no departure: the store has
 /// been away without this instance noticing.
 /// @param known servers before them.
--- a/libs/mintknotd-platform/policy/src/row_expiry.cpp
+++ b/libs/mintknotd-platform/policy/src/row_expiry.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/policy/row_expiry.hpp>
 
+#include <mintknot/policy/news_age.hpp>
+
 #include <algorithm>
 
 namespace mintknot::policy {
@@ -23,6 +25,14 @@
         drain_bound - drain_margin, removal_gather_time, max_return_time);
 }
 
+base::steady_time removal_limit(
+    std::optional<base::steady_time> seen, base::milliseconds drain_bound,
+    base::steady_time now) {
+    if (!seen || now - *seen >= drain_bound)
+        return base::steady_time::max();
+    return *seen + drain_bound - request_way;
+}
+
 bool is_mass_removal(std::size_t removed, std::size_t known) {
     return removed >= std::max(min_mass, known / mass_part);
 }
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -146,7 +146,7 @@
             const std::string& id, std::uint64_t version,
             std::optional<traffic::server> server) {
             if (!server) {
-                lapsed_.gone(id, version);
+                lapsed_.gone(id, version, server_reader_.confirmed());
                 return;
             }
             lapsed_.back(id);
--- a/libs/mintknotd-platform/runtime/src/lapsed_servers.cpp
+++ b/libs/mintknotd-platform/runtime/src/lapsed_servers.cpp
@@ -12,6 +12,7 @@
     std::function<std::size_t()> known)
     : owner_(owner)
     , log_(log)
+    , drain_bound_(drain_bound)
     , return_time_(policy::row_return_time(drain_bound))
     , remove_(std::move(remove))
     , known_(std::move(known))
@@ -21,13 +22,19 @@
     hold_until_ = owner_.now() + return_time_;
 }
 
-void lapsed_servers::gone(const std::string& id, std::uint64_t version) {
+void lapsed_servers::gone(
+    const std::string& id, std::uint64_t version,
+    std::optional<base::steady_time> seen) {
+    const base::steady_time now = owner_.now();
     held_[id] = version;
-    if (timer_.active())
-        return;
-    timer_.start(
-        std::max(hold_until_, owner_.now() + policy::removal_gather_time),
-        [this] { settle(); });
+    limit_ = std::min(limit_, policy::removal_limit(seen, drain_bound_, now));
+    if (!timer_.active() || limit_ < settles_)
+        settle_at(std::max(hold_until_, now + policy::removal_gather_time));
+}
+
+void lapsed_servers::settle_at(base::steady_time when) {
+    settles_ = std::min(when, limit_);
+    timer_.start(settles_, [this] { settle(); });
 }
 
 void lapsed_servers::back(const std::string& id) {
@@ -35,21 +42,25 @@
 }
 
 void lapsed_servers::settle() {
-    const bool held_already = hold_until_ + return_time_ > owner_.now();
-    if (held_already || !policy::is_mass_removal(held_.size(), known_())) {
+    const base::steady_time now = owner_.now();
+    const bool held_already = hold_until_ + return_time_ > now;
+    const bool departure =
+        now >= limit_ || !policy::is_mass_removal(held_.size(), known_());
+    if (held_already || departure) {
         remove_held();
         return;
     }
     log_.write(
         "removals_held", {{"servers", static_cast<std::int64_t>(held_.size())},
                           {"for_ms", return_time_.count()}});
-    hold_until_ = owner_.now() + return_time_;
-    timer_.start(hold_until_, [this] { settle(); });
+    hold_until_ = now + return_time_;
+    settle_at(hold_until_);
 }
 
 void lapsed_servers::remove_held() {
     const std::map<std::string, std::uint64_t> due = std::move(held_);
     held_.clear();
+    limit_ = base::steady_time::max();
     for (const auto& [id, version] : due)
         remove_(id, version);
 }
--- a/libs/mintknotd-platform/runtime/src/lapsed_servers.hpp
+++ b/libs/mintknotd-platform/runtime/src/lapsed_servers.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace mintknot::runtime {
@@ -33,21 +34,29 @@
     /// The store answers again after it has been away.
     void store_returned();
     /// Takes the news that a row has gone.
-    void gone(const std::string& id, std::uint64_t version);
+    /// @param seen the last moment at which it is known to have been there.
+    void gone(
+        const std::string& id, std::uint64_t version,
+        std::optional<base::steady_time> seen);
     /// A row of the server has come again.
     void back(const std::string& id);
 
 private:
+    void settle_at(base::steady_time when);
     void settle();
     void remove_held();
 
     event::loop& owner_;
     logging::line_log& log_;
+    base::milliseconds drain_bound_;
     base::milliseconds return_time_;
     std::function<void(const std::string&, std::uint64_t)> remove_;
     std::function<std::size_t()> known_;
     std::map<std::string, std::uint64_t> held_; ///< Versions by server ID.
     base::steady_time hold_until_{};
+    /// Those that are held are not held any longer, whatever speaks for it.
+    base::steady_time limit_ = base::steady_time::max();
+    base::steady_time settles_{}; ///< With the timer.
     event::timer timer_;
 };
 
--- a/libs/mintknotd-platform/runtime/tests/test_lapsed_servers.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_lapsed_servers.cpp
@@ -38,7 +38,7 @@
 
 Test(lapsed_servers, in_calm_times_a_server_goes_with_its_row) {
     bench b;
-    b.servers.gone("a", 5);
+    b.servers.gone("a", 5, std::nullopt);
     b.run_for(moment);
     cr_assert(b.removed == std::set<std::string>{"a"});
 }
@@ -46,8 +46,8 @@
 Test(lapsed_servers, after_the_stores_return_rows_have_time_to_come_back) {
     bench b;
     b.servers.store_returned();
-    b.servers.gone("a", 5);
-    b.servers.gone("b", 6);
+    b.servers.gone("a", 5, std::nullopt);
+    b.servers.gone("b", 6, std::nullopt);
     b.run_for(moment);
     cr_assert(b.removed.empty());
     b.servers.back("a");
@@ -58,7 +58,7 @@
 Test(lapsed_servers, a_short_drain_bound_is_kept) {
     bench b(base::milliseconds(700));
     b.servers.store_returned();
-    b.servers.gone("a", 5);
+    b.servers.gone("a", 5, std::nullopt);
     b.run_for(base::milliseconds(600));
     cr_assert(b.removed == std::set<std::string>{"a"});
 }
@@ -66,10 +66,32 @@
 Test(lapsed_servers, many_rows_gone_at_once_tell_that_the_store_was_away) {
     bench b;
     for (const char* id : {"a", "b", "c", "d"})
-        b.servers.gone(id, 5);
+        b.servers.gone(id, 5, std::nullopt);
     b.run_for(moment);
     cr_assert(b.removed.empty());
     b.servers.back("c");
     b.run_for(long_time);
     cr_assert(b.removed == std::set<std::string>({"a", "b", "d"}));
 }
+
+Test(
+    lapsed_servers, nothing_that_may_have_left_is_held_beyond_the_drain_bound) {
+    // Half of all servers leave at once; the row was seen 600 ms ago.
+    bench b;
+    const base::steady_time seen = b.owner.now() - base::milliseconds(600);
+    for (const char* id : {"a", "b", "c", "d"})
+        b.servers.gone(id, 5, seen);
+    b.run_for(moment);
+    cr_assert(b.removed.empty(), "they may only have lapsed");
+    b.run_for(base::milliseconds(750));
+    cr_assert(b.removed.size() == 4);
+}
+
+Test(lapsed_servers, a_later_removal_with_less_time_is_not_held_with_others) {
+    bench b;
+    b.servers.store_returned();
+    b.servers.gone("a", 5, std::nullopt);
+    b.servers.gone("b", 6, b.owner.now() - base::milliseconds(1300));
+    b.run_for(base::milliseconds(300));
+    cr_assert(b.removed.contains("b"));
+}
--- a/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
@@ -28,6 +28,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
@@ -239,16 +240,20 @@
         owner.run();
     }
 
-    /// The row of a server goes.
-    /// @return true if the follower leaves it alone so soon that no request
+    /// The rows of servers go.
+    /// @return true if the follower leaves them alone so soon that no request
     /// arrives there beyond the drain bound.
-    bool leaves_alone_in_time(const std::string& id) {
+    bool leaves_alone_in_time(const std::vector<std::string>& ids) {
         const base::steady_time since = owner.now();
         follower().on_change = [&] {
-            if (!follower().in_use[id])
+            if (std::none_of(
+                    ids.begin(), ids.end(), [this](const std::string& id) {
+                        return follower().in_use[id];
+                    }))
                 owner.stop();
         };
-        rows.put(id, std::nullopt);
+        for (const std::string& id : ids)
+            rows.put(id, std::nullopt);
         run_for(2 * drain_bound);
         follower().on_change = nullptr;
         return owner.now() - since <= drain_bound - way_of_a_request;
@@ -266,14 +271,14 @@
 
 Test(leaving_servers, are_left_alone_in_time_while_all_is_well) {
     group g({calm_times[0], true});
-    cr_assert(g.leaves_alone_in_time("a"));
+    cr_assert(g.leaves_alone_in_time({"a"}));
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_both_readers_hear_nothing) {
     for (const base::milliseconds calm : calm_times) {
         group g({calm});
         g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time("a"));
+        cr_assert(g.leaves_alone_in_time({"a"}));
     }
 }
 
@@ -281,7 +286,7 @@
     for (const base::milliseconds calm : calm_times) {
         group g({calm});
         g.for_each_reader([](member& reader) { reader.mute = true; });
-        cr_assert(g.leaves_alone_in_time("a"));
+        cr_assert(g.leaves_alone_in_time({"a"}));
     }
 }
 
@@ -289,7 +294,7 @@
     for (const base::milliseconds calm : calm_times) {
         group g({calm, true});
         g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time("a"));
+        cr_assert(g.leaves_alone_in_time({"a"}));
     }
 }
 
@@ -297,6 +302,14 @@
     for (const base::milliseconds calm : calm_times) {
         group g({calm, false, false});
         g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time("a"));
+        cr_assert(g.leaves_alone_in_time({"a"}));
+    }
+}
+
+Test(leaving_servers, are_left_alone_in_time_where_half_of_all_go_at_once) {
+    for (const base::milliseconds calm : calm_times) {
+        group g({calm});
+        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
+        cr_assert(g.leaves_alone_in_time({"a", "b", "c"}));
     }
 }
