Pauses between questions to a silent store are a part of the drain bound

Cause, of the same class: the pauses of an instance whose sources are out of the store's reach grow to 0.8 s, 1.2 s with their spread, on top of the age from which on it asks the store itself. Change: pauses of the reader of servers grow to a tenth of the drain bound. Calls while the store is away grow to at most four times as many (calculated).

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
@@ -28,6 +28,9 @@
     base::milliseconds shared_watch;
     /// From this age on the readers are not enough, and the store is asked.
     base::milliseconds patience;
+    /// Longest pause between two questions, before a random spread, while
+    /// nobody answers: it comes on top of the patience.
+    base::milliseconds pause;
 };
 
 /// @param bound from the store's word to the last request that did not obey.
--- a/libs/mintknotd-platform/policy/src/news_age.cpp
+++ b/libs/mintknotd-platform/policy/src/news_age.cpp
@@ -7,8 +7,9 @@
 constexpr int own_watches_in_bound = 3;
 /// Less than the patience by what two instances gather for.
 constexpr int shared_watches_in_bound = 4;
-/// In hundredths of the bound. The rest is for the call to the store and for
-/// the way of a request, which may need a connection first.
+constexpr int pauses_in_bound = 10;
+/// In hundredths of the bound. The rest is for a pause, the call to the store
+/// and the way of a request.
 constexpr int patience_percent = 60;
 constexpr int whole_percent = 100;
 
@@ -17,7 +18,7 @@
 news_times news_times_for(base::milliseconds bound) {
     return {
         bound / own_watches_in_bound, bound / shared_watches_in_bound,
-        bound * patience_percent / whole_percent};
+        bound * patience_percent / whole_percent, bound / pauses_in_bound};
 }
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -49,6 +49,7 @@
 state::reader_options server_options(const policy::news_times& times) {
     state::reader_options options;
     options.wait = std::min(options.wait, times.own_watch);
+    options.max_backoff = std::min(options.max_backoff, times.pause);
     return options;
 }
 
--- a/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
@@ -84,6 +84,10 @@
     void watch(
         state::collection what, std::uint64_t after, base::milliseconds wait,
         state::store_handler then) override {
+        if (refuses) {
+            owner_.post([then = std::move(then)] { then({}); });
+            return;
+        }
         if (what == state::collection::servers && rows_.version > after &&
             !silent) {
             answer(what, after, std::move(then));
@@ -109,6 +113,7 @@
 
     /// Calls get no answer, and those under way have none any more.
     bool silent = false;
+    bool refuses = false; ///< New calls, at once.
     /// Whether answers tell as of when nothing newer existed.
     bool confirms = true;
 
@@ -313,3 +318,15 @@
         cr_assert(g.leaves_alone_in_time({"a", "b", "c"}));
     }
 }
+
+Test(leaving_servers, are_left_alone_in_time_where_the_store_refuses_others) {
+    // The pauses between the follower's questions grow meanwhile.
+    group g({calm_times[0], true});
+    for (std::size_t other = 0; other + 1 < g.members.size(); ++other)
+        g.members[other]->reach.refuses = true;
+    g.run_for(drain_bound);
+    for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+        g.run_for(base::milliseconds(130));
+        cr_assert(g.leaves_alone_in_time({id}));
+    }
+}
