Closures and configurations keep their bound where readers hear nothing

What callers would see: requests at servers of a closed data centre, or handled by an old configuration, up to 11 s late. Watches of the configuration were held for 10 s in large groups and 6 s in small ones; only where keys lapse did it have an age. Peers' heartbeats, which tell of configurations, do not tell of closures. The constants for keys that lapse go: 5 s of revocation allow more than 3 s of the configuration.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
@@ -33,7 +33,8 @@
     base::milliseconds pause;
 };
 
-/// @param bound from the store's word to the last request that did not obey.
+/// @param bound from the store's word to the last request that did not obey;
+/// too short a one is not kept.
 news_times news_times_for(base::milliseconds bound);
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/src/news_age.cpp
+++ b/libs/mintknotd-platform/policy/src/news_age.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/policy/news_age.hpp>
 
+#include <algorithm>
+
 namespace mintknot::policy {
 
 namespace {
@@ -12,10 +14,13 @@
 /// and the way of a request.
 constexpr int patience_percent = 60;
 constexpr int whole_percent = 100;
+/// A shorter bound cannot be kept: calls to the store take some milliseconds.
+constexpr base::milliseconds shortest_bound{600};
 
 } // namespace
 
-news_times news_times_for(base::milliseconds bound) {
+news_times news_times_for(base::milliseconds wanted) {
+    const base::milliseconds bound = std::max(wanted, shortest_bound);
     return {
         bound / own_watches_in_bound, bound / shared_watches_in_bound,
         bound * patience_percent / whole_percent, bound / pauses_in_bound};
--- a/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
@@ -43,6 +43,9 @@
     policy::usage_bounds usage_bounds; ///< Of organisations.
     /// Within which a server that says that it leaves gets no new request.
     base::milliseconds drain_bound{2000};
+    /// Within which a change of the configuration, or the closing of a data
+    /// centre, is obeyed everywhere. Keys that are taken away may have longer.
+    base::milliseconds configuration_bound{2000};
     /// How long another holder of orders must wait after the last one.
     base::milliseconds order_lease{3000};
     /// Schedulers place requests whatever the size of the group; else only in
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -9,22 +9,6 @@
 
 using state::collection;
 
-/// How long readers of a large group hold their watches of the configuration:
-/// each call to the store has a price.
-constexpr base::milliseconds large_group_wait{10000};
-/// How long watches of the configuration are held where it must be known how
-/// old it is: instances learn it in step with their readers, so that it is a
-/// second old at most while all is well. A silent connection then blinds a
-/// reader for two seconds, of the five for which old knowledge may be used.
-constexpr base::milliseconds confirmation_period{1000};
-/// Longest pause between tries while the store is out of reach, where it must
-/// be known how old the configuration is: once the old knowledge may not be
-/// used any more, each moment until the store's return is noticed refuses
-/// callers.
-constexpr base::milliseconds confirmation_backoff{400};
-/// Without a confirmation for so long, the readers are not enough: twice what
-/// passes while all is well.
-constexpr base::milliseconds confirmation_patience{2000};
 /// Part of the time within which a server that leaves gets no request any more
 /// for which a fleet gathers changes: a reader, and then whoever follows it, do
 /// so once. With 0.3 s the ten readers of 986 instances made 965 calls to the
@@ -37,16 +21,7 @@
 constexpr std::size_t snapshot_bytes_per_ms = 1000;
 constexpr base::milliseconds max_snapshots_ahead{1500};
 
-state::reader_options configuration_options(bool confirms) {
-    state::reader_options options;
-    if (confirms) {
-        options.wait = confirmation_period;
-        options.max_backoff = confirmation_backoff;
-    }
-    return options;
-}
-
-state::reader_options server_options(const policy::news_times& times) {
+state::reader_options options_for(const policy::news_times& times) {
     state::reader_options options;
     options.wait = std::min(options.wait, times.own_watch);
     options.max_backoff = std::min(options.max_backoff, times.pause);
@@ -59,8 +34,8 @@
     const document_ports& ports, const document_options& options,
     document_handlers handlers)
     : owner_(ports.loop)
-    , confirms_configuration_(options.confirms_configuration)
     , drain_bound_(options.drain_bound)
+    , configuration_news_(policy::news_times_for(options.configuration_bound))
     , server_news_(policy::news_times_for(options.drain_bound))
     , handlers_(std::move(handlers))
     , replica_(ports.codec, ports.log, replica_functions())
@@ -70,10 +45,10 @@
            [this](collection what) { return overdue_from(what); }})
     , configuration_reader_(
           ports.loop, store_, replica_, collection::configuration, ports.log,
-          configuration_options(confirms_configuration_), ports.draw)
+          options_for(configuration_news_), ports.draw)
     , server_reader_(
           ports.loop, store_, replica_, collection::servers, ports.log,
-          server_options(server_news_), ports.draw)
+          options_for(server_news_), ports.draw)
     , feed_(
           ports.loop, replica_,
           [this](collection what) {
@@ -104,24 +79,19 @@
 std::optional<base::steady_time>
 document_sync::overdue_from(collection what) const {
     const bool servers = what == collection::servers;
-    if (!servers && !confirms_configuration_)
-        return std::nullopt;
-    const state::store_reader& reader =
-        servers ? server_reader_ : configuration_reader_;
-    if (!reader.confirmed())
+    const auto confirmed = servers ? server_reader_.confirmed()
+                                   : configuration_reader_.confirmed();
+    if (!confirmed)
         return std::nullopt;
-    return *reader.confirmed() +
-           (servers ? server_news_.patience : confirmation_patience);
+    return *confirmed +
+           (servers ? server_news_.patience : configuration_news_.patience);
 }
 
 void document_sync::on_configuration_position() {
     const auto confirmed = configuration_reader_.confirmed();
     if (confirmed && handlers_.on_confirmed)
         handlers_.on_confirmed(*confirmed);
-    if (confirms_configuration_)
-        feed_.confirmed(collection::configuration);
-    else
-        feed_.progressed(collection::configuration);
+    feed_.confirmed(collection::configuration);
 }
 
 void document_sync::on_server_position() {
@@ -198,8 +168,7 @@
 }
 
 void document_sync::use_large_group_pace() {
-    if (!confirms_configuration_)
-        configuration_reader_.set_wait(large_group_wait);
+    configuration_reader_.set_wait(configuration_news_.shared_watch);
     server_reader_.set_wait(server_news_.shared_watch);
     fetcher_.set_server_patience(large_group_patience);
 }
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -30,11 +30,9 @@
 struct document_options {
     base::address peer; ///< The own one; all instances use the same port.
     std::string data_centre;
-    base::milliseconds drain_bound; ///< See instance_settings.
+    base::milliseconds drain_bound;         ///< See instance_settings.
+    base::milliseconds configuration_bound; ///< Likewise.
     std::function<policy::store_access()> store_access;
-    /// Whether it must be known how old the configuration is: keys that are
-    /// taken away lapse within a bound.
-    bool confirms_configuration = false;
 };
 
 /// Whom the object tells of changes.
@@ -112,8 +110,8 @@
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
 
     event::loop& owner_;
-    bool confirms_configuration_;
     base::milliseconds drain_bound_;
+    policy::news_times configuration_news_;
     policy::news_times server_news_;
     bool reads_ = false;
     document_scope scope_ = document_scope::everything;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -43,8 +43,8 @@
           {ports.loop, ports.store, ports.codec, pool, log,
            [this] { return context.draw(); }},
           {settings.peer, settings.data_centre, settings.drain_bound,
-           [this] { return store_access_here(); },
-           settings.relay.revocation_bound.has_value()},
+           settings.configuration_bound,
+           [this] { return store_access_here(); }},
           document_functions())
     , group(
           ports.loop, log,
--- a/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
@@ -50,6 +50,7 @@
               {{"127.0.0.1", 1},
                "a",
                base::milliseconds{2000},
+               base::milliseconds{2000},
                [] { return policy::store_access{}; }},
               {[](auto) {}, [this](auto&, auto, auto) { ++servers; },
                [this] { return servers; }}) {
--- a/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
@@ -56,18 +56,32 @@
     base::milliseconds{2100}, base::milliseconds{2600}};
 constexpr std::uint64_t first_version = 7;
 
-/// Rows of servers, and whoever waits for their next change.
-struct shared_rows {
-    std::uint64_t version = first_version;
+/// Rows of one collection, and whoever waits for their next change.
+struct row_table {
     std::map<std::string, state::document> by_key;
     std::list<std::function<void()>> waiting;
+};
 
-    void put(const std::string& key, std::optional<std::string> text) {
-        ++version;
-        by_key[key] = {key, version, std::move(text)};
-        for (const auto& wake : std::exchange(waiting, {}))
+struct shared_rows {
+    std::uint64_t version = first_version;
+    std::map<state::collection, row_table> tables;
+
+    void put(state::collection what, state::document row) {
+        row.version = ++version;
+        row_table& table = tables[what];
+        table.by_key[row.key] = std::move(row);
+        for (const auto& wake : std::exchange(table.waiting, {}))
             wake();
     }
+
+    void put_server(const std::string& id, std::optional<std::string> text) {
+        put(state::collection::servers, {id, 0, std::move(text)});
+    }
+
+    void close(const std::string& data_centre) {
+        put(state::collection::configuration,
+            {data_centre, 0, "", state::document_kind::closure});
+    }
 };
 
 /// The store as one instance reaches it.
@@ -88,16 +102,14 @@
             owner_.post([then = std::move(then)] { then({}); });
             return;
         }
-        if (what == state::collection::servers && rows_.version > after &&
-            !silent) {
+        if (!silent && !changes(what, after).empty()) {
             answer(what, after, std::move(then));
             return;
         }
         const auto open = std::make_shared<held>(owner_);
         open->then = std::move(then);
-        if (what == state::collection::servers)
-            rows_.waiting.push_back(
-                [this, what, after, open] { end(*open, what, after); });
+        rows_.tables[what].waiting.push_back(
+            [this, what, after, open] { end(*open, what, after); });
         open->limit.start(wait, [this, what, after, open] {
             end(*open, what, after);
             if (open->then)
@@ -125,6 +137,15 @@
         event::timer limit;
     };
 
+    std::vector<state::document>
+    changes(state::collection what, std::uint64_t after) {
+        std::vector<state::document> found;
+        for (const auto& [key, row] : rows_.tables[what].by_key)
+            if (row.version > after && (after > 0 || row.text))
+                found.push_back(row);
+        return found;
+    }
+
     void end(held& open, state::collection what, std::uint64_t after) {
         if (silent || !open.then)
             return;
@@ -139,10 +160,7 @@
         told.version = rows_.version;
         if (confirms)
             told.confirmed = owner_.now();
-        if (what == state::collection::servers)
-            for (const auto& [key, row] : rows_.by_key)
-                if (row.version > after && (after > 0 || row.text))
-                    told.documents.push_back(row);
+        told.documents = changes(what, after);
         owner_.post([told, then = std::move(then)] { then(told); });
     }
 
@@ -174,15 +192,29 @@
               document_ports{
                   owner, reach, codec, pool, log, [] { return 0.5; }},
               document_options{
-                  {host, port}, "a", drain_bound, std::move(access)},
+                  {host, port},
+                  "a",
+                  drain_bound,
+                  drain_bound,
+                  std::move(access)},
               document_handlers{
                   [](auto) {},
                   [this](const std::string& id, auto, auto value) {
-                      in_use[id] = value.has_value();
-                      if (on_change)
-                          on_change();
+                      use(id, value.has_value());
                   },
-                  [this] { return in_use.size(); }, [](auto) {}})) {}
+                  [this] { return in_use.size(); },
+                  [](auto) {},
+                  {},
+                  {},
+                  [this](const std::string& data_centre, bool closed) {
+                      use(data_centre, !closed);
+                  }})) {}
+
+    void use(const std::string& what, bool may) {
+        in_use[what] = may;
+        if (on_change)
+            on_change();
+    }
 
     state::tests::plain_codec codec;
     logging::line_log log{-1, "test", {}};
@@ -191,7 +223,7 @@
     relay::local_server server;
     bool mute = false; ///< Peers get no answer, as behind a cut.
     std::vector<relay::local_reply> unanswered;
-    std::map<std::string, bool> in_use;
+    std::map<std::string, bool> in_use; ///< Servers and data centres.
     std::function<void()> on_change;
     std::unique_ptr<document_sync> documents;
 };
@@ -208,7 +240,7 @@
     explicit group(const group_shape& shape)
         : timer(owner) {
         for (const char* id : {"a", "b", "c", "d", "e", "f"})
-            rows.put(id, "ready");
+            rows.put_server(id, "ready");
         for (const std::string& host : readers)
             add(host, {{host}, true});
         for_each_reader([&](member& reader) {
@@ -245,25 +277,35 @@
         owner.run();
     }
 
-    /// The rows of servers go.
-    /// @return true if the follower leaves them alone so soon that no request
-    /// arrives there beyond the drain bound.
-    bool leaves_alone_in_time(const std::vector<std::string>& ids) {
+    /// Makes a change.
+    /// @return true if the follower leaves servers or data centres alone so
+    /// soon that no request arrives there beyond the bound.
+    bool obeys_in_time(
+        const std::vector<std::string>& left_alone,
+        const std::function<void()>& change) {
         const base::steady_time since = owner.now();
         follower().on_change = [&] {
             if (std::none_of(
-                    ids.begin(), ids.end(), [this](const std::string& id) {
-                        return follower().in_use[id];
+                    left_alone.begin(), left_alone.end(),
+                    [this](const std::string& one) {
+                        return follower().in_use[one];
                     }))
                 owner.stop();
         };
-        for (const std::string& id : ids)
-            rows.put(id, std::nullopt);
+        change();
         run_for(2 * drain_bound);
         follower().on_change = nullptr;
         return owner.now() - since <= drain_bound - way_of_a_request;
     }
 
+    /// The rows of servers go.
+    bool leaves_alone_in_time(const std::vector<std::string>& ids) {
+        return obeys_in_time(ids, [&] {
+            for (const std::string& id : ids)
+                rows.put_server(id, std::nullopt);
+        });
+    }
+
     const std::vector<std::string> readers{"127.0.0.1", "127.0.0.2"};
     event::loop owner;
     shared_rows rows;
@@ -330,3 +372,14 @@
         cr_assert(g.leaves_alone_in_time({id}));
     }
 }
+
+Test(leaving_servers, a_closed_data_centre_is_left_alone_in_time) {
+    // The word is the operator's, and has a bound of its own; no peer tells
+    // what version of it is known.
+    for (const base::milliseconds calm : calm_times) {
+        group g({calm});
+        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
+        g.follower().use("hall", true);
+        cr_assert(g.obeys_in_time({"hall"}, [&] { g.rows.close("hall"); }));
+    }
+}
