Small groups ask the store more rarely: peers tell which version they know

Change: rows of servers are watched for the whole bound in a small group, the configuration for half of it, as peers do not tell of closures. The soak's instances write their logs to files now, so that they are there when a promise breaks.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
@@ -23,6 +23,9 @@
     /// How long the store holds a watch of an instance that nobody follows. A
     /// watch that gets no answer keeps it blind until then.
     base::milliseconds own_watch;
+    /// The same where all peers tell which version they know, so that who lags
+    /// behind asks one of them.
+    base::milliseconds backed_watch;
     /// The same of an instance that passes on what it reads: while all is well,
     /// what its followers know is at least as old.
     base::milliseconds shared_watch;
--- a/libs/mintknotd-platform/policy/src/news_age.cpp
+++ b/libs/mintknotd-platform/policy/src/news_age.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int own_watches_in_bound = 3;
+constexpr int own_watches_in_bound = 2;
 /// Less than the patience by what two instances gather for.
 constexpr int shared_watches_in_bound = 4;
 constexpr int pauses_in_bound = 10;
@@ -22,7 +22,7 @@
 news_times news_times_for(base::milliseconds wanted) {
     const base::milliseconds bound = std::max(wanted, shortest_bound);
     return {
-        bound / own_watches_in_bound, bound / shared_watches_in_bound,
+        bound / own_watches_in_bound, bound, bound / shared_watches_in_bound,
         bound * patience_percent / whole_percent, bound / pauses_in_bound};
 }
 
--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -21,9 +21,10 @@
 constexpr std::size_t snapshot_bytes_per_ms = 1000;
 constexpr base::milliseconds max_snapshots_ahead{1500};
 
-state::reader_options options_for(const policy::news_times& times) {
+state::reader_options
+options_for(const policy::news_times& times, base::milliseconds watch) {
     state::reader_options options;
-    options.wait = std::min(options.wait, times.own_watch);
+    options.wait = std::min(options.wait, watch);
     options.max_backoff = std::min(options.max_backoff, times.pause);
     return options;
 }
@@ -45,10 +46,11 @@
            [this](collection what) { return overdue_from(what); }})
     , configuration_reader_(
           ports.loop, store_, replica_, collection::configuration, ports.log,
-          options_for(configuration_news_), ports.draw)
+          options_for(configuration_news_, configuration_news_.own_watch),
+          ports.draw)
     , server_reader_(
           ports.loop, store_, replica_, collection::servers, ports.log,
-          options_for(server_news_), ports.draw)
+          options_for(server_news_, server_news_.backed_watch), ports.draw)
     , feed_(
           ports.loop, replica_,
           [this](collection what) {
--- a/testing/harness/include/mintknot/harness/child_process.hpp
+++ b/testing/harness/include/mintknot/harness/child_process.hpp
@@ -12,6 +12,12 @@
 
 namespace mintknot::harness {
 
+/// Where the standard output of a program goes.
+enum class output_use {
+    port, ///< It is read here; see child_process::wait_for_port().
+    log   ///< To the log file, as its standard error does.
+};
+
 /// Runs one program; it is killed with the object, and also if the test dies.
 class child_process {
 public:
@@ -19,14 +25,15 @@
     /// @param log_file takes its standard error.
     child_process(
         const std::string& program, const std::vector<std::string>& arguments,
-        const std::string& log_file);
+        const std::string& log_file, output_use output = output_use::port);
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
     pid_t pid() const noexcept { return pid_; }
 
-    /// Waits for the line "listening PORT" that stand-ins print.
+    /// Waits for the line "listening PORT" that stand-ins print, with
+    /// output_use::port.
     std::uint16_t wait_for_port();
 
     void signal(int number) const;
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -184,7 +184,8 @@
     }
     instance.running.reset();
     instance.running = std::make_unique<harness::child_process>(
-        instance.program, instance.arguments, path("instance.log"));
+        instance.program, instance.arguments,
+        path(fmt::format("instance-{}.log", index)), harness::output_use::log);
     instance.paused = false;
 }
 
