Instances without rows ask again for an engine that was named long ago

Found by reading. Cause, of the same class: a leaf knows engines by the names that schedulers give it, which have no age; the scheduler's view may be as old as its patience, and the prompt takes its time on top. Change: a decode whose engine was named longer ago than the scheduler's patience and the way of the request leave of the drain bound is placed again; the kept prefill result goes along. Measured: an_engine_that_was_named_long_ago_is_asked_for_again, red before, green now.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/news_age.hpp
@@ -40,6 +40,11 @@
 /// too short a one is not kept.
 news_times news_times_for(base::milliseconds bound);
 
+/// @return how long an instance that holds no rows may send to a server that a
+/// scheduler has named: what the scheduler's patience and the way of the
+/// request leave of the bound.
+base::milliseconds named_life(base::milliseconds bound);
+
 } // namespace mintknot::policy
 
 #endif
--- a/libs/mintknotd-platform/policy/src/news_age.cpp
+++ b/libs/mintknotd-platform/policy/src/news_age.cpp
@@ -16,6 +16,8 @@
 constexpr int whole_percent = 100;
 /// A shorter bound cannot be kept: calls to the store take some milliseconds.
 constexpr base::milliseconds shortest_bound{600};
+/// Less than a prompt takes to be read would only ask again each time.
+constexpr base::milliseconds shortest_named_life{300};
 
 } // namespace
 
@@ -26,4 +28,10 @@
         bound * patience_percent / whole_percent, bound / pauses_in_bound};
 }
 
+base::milliseconds named_life(base::milliseconds bound) {
+    return std::max(
+        shortest_named_life,
+        bound - news_times_for(bound).patience - request_way);
+}
+
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/tests/test_news_age.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_news_age.cpp
@@ -20,5 +20,6 @@
         const milliseconds longest_pause = times.pause * 3 / 2;
         cr_assert(times.patience + longest_pause + request_way <= bound);
         cr_assert(2 * times.shared_watch < times.patience);
+        cr_assert(times.patience + named_life(bound) + request_way <= bound);
     }
 }
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -42,6 +42,8 @@
     std::size_t max_body_bytes = 24 * 1024 * 1024; ///< Of all open requests.
     /// See policy::knowledge.
     std::optional<base::milliseconds> revocation_bound;
+    /// See policy::named_life().
+    base::milliseconds named_server_life{300};
 };
 
 /// What a peer has last told of its retries. What an earlier life of it, or
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -25,6 +25,15 @@
         place();
         return;
     }
+    if (name_has_lapsed()) {
+        context_.log.write(
+            "named_again", {{"request", request_.terms.id},
+                            {"server", decode_.server},
+                            {"placed_by", placed_by_},
+                            {"after_ms", since_arrival().count()}});
+        place();
+        return;
+    }
     if (!key_still_good())
         return;
     if (!prepay(policy::repeats_to_prepay(charges_, 1))) {
@@ -47,6 +56,12 @@
     watch_silence();
 }
 
+bool generation_exchange::name_has_lapsed() const {
+    return context_.state.servers.partial &&
+           context_.loop.now() - decode_.placed >
+               context_.options.named_server_life;
+}
+
 void generation_exchange::log_decode() const {
     context_.log.write(
         "decode", {{"request", request_.terms.id},
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -113,6 +113,9 @@
     void end_prefill();
 
     void start_decode();
+    /// @return true if the engine was named by a scheduler so long ago that it
+    /// may have said since that it leaves, and nobody would tell this instance.
+    bool name_has_lapsed() const;
     void log_decode() const;
     void send_decode(const traffic::server& engine);
     void on_decode_head(http1::response_head& head);
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -262,6 +262,51 @@
     }
 }
 
+Test(
+    generation_exchange, an_engine_that_was_named_long_ago_is_asked_for_again) {
+    // An instance that holds no rows learns of engines by the names that
+    // schedulers give it: while the prompt is read the engine may say that it
+    // leaves, and only the scheduler hears it.
+    class scheduler final : public placer {
+    public:
+        bool active() const override { return true; }
+        std::unique_ptr<placement_ticket>
+        ask(policy::placement_query query, placement_handler then) override {
+            policy::placement placed;
+            placed.server = leaves ? "stays" : "leaves";
+            if (query.kind == policy::placement_kind::prefill_and_decode)
+                placed.prefill = "p";
+            then(placed);
+            return nullptr;
+        }
+        bool leaves = false;
+    };
+    constexpr base::milliseconds reading{200};
+    for (const bool partial : {false, true}) {
+        relay_fixture f;
+        scheduler other;
+        event::timer read(f.owner);
+        const script answer = good_prefill("k1");
+        f.add_server(
+            "p", "llm", prefill,
+            [&](const received& to, const event::connection_ptr& link) {
+                read.start(reading, [&other, answer, to, link] {
+                    other.leaves = true;
+                    answer(to, link);
+                });
+            });
+        scripted_server& named =
+            f.add_server("leaves", "llm", decode, good_decode());
+        f.add_server("stays", "llm", decode, good_decode());
+        f.context.placement = &other;
+        f.context.options.named_server_life = reading / 2;
+        f.context.state.servers.partial = partial;
+        cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+        // Who holds the rows would know it.
+        cr_assert(named.requests.empty() == partial);
+    }
+}
+
 Test(generation_exchange, a_closed_data_centre_runs_nothing) {
     relay_fixture f;
     scripted_server& engine = f.add_server("d", "llm", decode, good_decode());
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -4,6 +4,7 @@
 #include "instance_impl.hpp"
 
 #include <mintknot/base/random.hpp>
+#include <mintknot/policy/news_age.hpp>
 
 #include <fmt/format.h>
 
@@ -70,6 +71,8 @@
           [this](const instance_settings& fresh, std::string_view cause) {
               take(fresh, cause);
           }) {
+    context.options.named_server_life =
+        policy::named_life(settings.drain_bound);
     context.state.retry_bounds = settings.retry_bounds;
     context.state.instances = policy::assumed_instances(1);
     context.state.started = ports.loop.now();
