Readers have one way to tell that nothing is new

On reading the change: progressed() had no caller left but tests, which use confirmed() now; removals_held tells for how long removals are really held.

--- a/libs/mintknotd-platform/runtime/src/lapsed_servers.cpp
+++ b/libs/mintknotd-platform/runtime/src/lapsed_servers.cpp
@@ -50,11 +50,14 @@
         remove_held();
         return;
     }
-    log_.write(
-        "removals_held", {{"servers", static_cast<std::int64_t>(held_.size())},
-                          {"for_ms", return_time_.count()}});
     hold_until_ = now + return_time_;
     settle_at(hold_until_);
+    log_.write(
+        "removals_held",
+        {{"servers", static_cast<std::int64_t>(held_.size())},
+         {"for_ms",
+          std::chrono::duration_cast<base::milliseconds>(settles_ - now)
+              .count()}});
 }
 
 void lapsed_servers::remove_held() {
--- a/libs/mintknotd-platform/runtime/src/peer_feed.cpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.cpp
@@ -32,17 +32,9 @@
     });
 }
 
-void peer_feed::progressed(state::collection what) {
-    answer_held(what, false);
-}
-
 void peer_feed::confirmed(state::collection what) {
-    answer_held(what, true);
-}
-
-void peer_feed::answer_held(state::collection what, bool final) {
     for (auto entry = held_.begin(); entry != held_.end();) {
-        const bool done = entry->request.what == what && answer(*entry, final);
+        const bool done = entry->request.what == what && answer(*entry, true);
         entry = done ? held_.erase(entry) : std::next(entry);
     }
 }
--- a/libs/mintknotd-platform/runtime/src/peer_feed.hpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.hpp
@@ -40,10 +40,8 @@
     peer_feed& operator=(const peer_feed&) = delete;
 
     void ask(const state::change_request& request, relay::local_reply reply);
-    /// The position in a collection has moved.
-    void progressed(state::collection what);
-    /// The collection has been confirmed anew: all that wait are told so, for
-    /// they must know how old their knowledge is.
+    /// The collection has been confirmed anew, or cannot be any more: all that
+    /// wait are told so, for they must know how old their knowledge is.
     void confirmed(state::collection what);
 
 private:
@@ -62,8 +60,6 @@
     };
     using held_requests = std::list<held_request>;
 
-    /// Answers those that wait for the collection. @param final as below.
-    void answer_held(state::collection what, bool final);
     /// @param final true: an answer without changes is an answer, too.
     /// @return false if the request is to be held on.
     bool answer(const held_request& held, bool final) const;
