Sight: how long an instance stood still

Hypothesis 4 of the incident, an instance that wakes and sends before it reads the news, showed in no log line: a freeze and a starved processor look like silence of the others. Change: a timer that fires more than 0.5 s late is told of once for all that were due, with the age of the view of the servers (loop_delayed), and the longest as a gauge. Measured: a_delay_is_told_once_for_all_timers_that_were_due; tests of event, runtime. Conclusion: an instance that wakes sends on a view as old as its pause; the users' rules excuse a frozen machine for the contact time, so nothing else is changed.

--- a/libs/mintknotd-platform/event/include/mintknot/event/loop.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/loop.hpp
@@ -33,6 +33,14 @@
     void on_signals(
         const std::vector<int>& numbers, std::function<void(int)> handler);
 
+    /// Calls the handler when a timer fires later than the bound: the process
+    /// stood still, had no processor, or a handler took too long. It runs
+    /// before the timer's own handler, once for all timers that were due
+    /// meanwhile.
+    void on_delay(
+        base::milliseconds bound,
+        std::function<void(base::milliseconds delay)> handler);
+
     struct impl;
     /// For the other classes of this library.
     impl& native() { return *impl_; }
--- a/libs/mintknotd-platform/event/src/loop.cpp
+++ b/libs/mintknotd-platform/event/src/loop.cpp
@@ -53,9 +53,30 @@
         std::make_shared<std::function<void(int)>>(std::move(handler)));
 }
 
+void loop::on_delay(
+    base::milliseconds bound,
+    std::function<void(base::milliseconds delay)> handler) {
+    impl_->delay_bound = bound;
+    impl_->on_delay = std::move(handler);
+}
+
+void loop::impl::note_fired(base::steady_time due) {
+    if (!on_delay || due <= delay_told)
+        return;
+    const base::steady_time now = base::steady_clock::now();
+    const auto delay =
+        std::chrono::duration_cast<base::milliseconds>(now - due);
+    if (delay <= delay_bound)
+        return;
+    delay_told = now;
+    on_delay(delay);
+}
+
 struct timer::impl {
     explicit impl(loop& owner)
-        : native(owner.native().context) {}
+        : owning_loop(owner.native())
+        , native(owner.native().context) {}
+    loop::impl& owning_loop;
     boost::asio::steady_timer native;
     std::uint64_t generation = 0;
     bool active = false;
@@ -73,11 +94,12 @@
     impl_->active = true;
     impl_->native.expires_at(when);
     impl_->native.async_wait(
-        [state = impl_, generation,
+        [state = impl_, generation, when,
          handler = std::move(handler)](const boost::system::error_code& code) {
             if (code || state->generation != generation)
                 return;
             state->active = false;
+            state->owning_loop.note_fired(when);
             handler();
         });
 }
--- a/libs/mintknotd-platform/event/src/loop_impl.hpp
+++ b/libs/mintknotd-platform/event/src/loop_impl.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <array>
+#include <functional>
 
 namespace mintknot::event {
 
@@ -22,6 +23,11 @@
     boost::asio::signal_set signals{context};
     /// Handlers run one after another, so that one buffer serves all reads.
     std::array<char, read_buffer_bytes> read_buffer{};
+    base::milliseconds delay_bound = base::milliseconds::max();
+    std::function<void(base::milliseconds)> on_delay;
+    base::steady_time delay_told{}; ///< Timers that were due by then are told.
+
+    void note_fired(base::steady_time due);
 };
 
 /// @return the endpoint, with the unspecified address for a bad host.
--- a/libs/mintknotd-platform/event/tests/test_connection.cpp
+++ b/libs/mintknotd-platform/event/tests/test_connection.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <thread>
 
 using namespace mintknot;
 using namespace mintknot::event;
@@ -184,3 +185,24 @@
     owner.run();
     cr_assert(!fired);
 }
+
+Test(loop, a_delay_is_told_once_for_all_timers_that_were_due) {
+    event::loop owner;
+    std::vector<base::milliseconds> delays;
+    owner.on_delay(base::milliseconds(50), [&](base::milliseconds delay) {
+        delays.push_back(delay);
+    });
+    event::timer first(owner);
+    event::timer second(owner);
+    event::timer last(owner);
+    int fired = 0;
+    first.start(base::milliseconds(10), [&] { ++fired; });
+    second.start(base::milliseconds(20), [&] { ++fired; });
+    last.start(base::milliseconds(300), [&] { owner.stop(); });
+    owner.post([] { std::this_thread::sleep_for(base::milliseconds(150)); });
+    owner.run();
+    cr_assert(fired == 2);
+    cr_assert(delays.size() == 1);
+    cr_assert(delays[0] >= base::milliseconds(130));
+    cr_assert(delays[0] <= base::milliseconds(250));
+}
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -17,6 +17,10 @@
 /// Not measured.
 constexpr base::milliseconds exit_delay{60};
 
+/// A timer that fires later is told of: the instance stood still, or had no
+/// processor, and what it knows is as much older.
+constexpr base::milliseconds delay_bound{500};
+
 /// Of a gauge that has no value yet.
 constexpr double never_confirmed = -1.0;
 
@@ -87,6 +91,7 @@
         {"configuration_age_seconds",
          seconds_or_never(relay::knowledge_of(context).age)},
         {"servers_age_seconds", seconds_or_never(relay::servers_age(context))},
+        {"longest_loop_delay_seconds", seconds_or_never(longest_delay)},
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
         metrics.set_gauge(name, value);
@@ -114,6 +119,13 @@
     begin_drain();
 }
 
+void instance::impl::on_delay(base::milliseconds delay) {
+    longest_delay = std::max(longest_delay, delay);
+    log.write(
+        "loop_delayed", {{"for_ms", delay.count()},
+                         {"servers_age_ms", relay::servers_age_ms(context)}});
+}
+
 void instance::impl::take(
     const instance_settings& fresh, std::string_view cause) {
     context.state.retry_bounds = fresh.retry_bounds;
@@ -175,6 +187,9 @@
     impl_->ports.loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [this](int number) {
         impl_->on_signal(number);
     });
+    impl_->ports.loop.on_delay(delay_bound, [this](base::milliseconds delay) {
+        impl_->on_delay(delay);
+    });
     impl_->log.write(
         "started", {{"data_centre", impl_->settings.data_centre},
                     {"entry", base::to_string(impl_->settings.entry)}});
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -62,6 +62,7 @@
     absl::Status open_addresses();
     void on_signal(int number);
     void take(const instance_settings& fresh, std::string_view cause);
+    void on_delay(base::milliseconds delay);
     void begin_drain();
     void drain();
     void leave(base::milliseconds since);
@@ -88,7 +89,8 @@
     orders::demand_sharing demands;
     event::timer drain_timer;
     settings_watch reloads;
-    bool has_been_large = false; ///< The group, at some time.
+    bool has_been_large = false;         ///< The group, at some time.
+    base::milliseconds longest_delay{0}; ///< Of the loop, since the start.
 };
 
 } // namespace mintknot::runtime
