--- /dev/null
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -0,0 +1,124 @@
+/// @file
+/// The part of a generation exchange that follows the end of a decode call:
+/// what it tells of the engine, and where the request goes next.
+
+#include "answer_status.hpp"
+#include "generation_exchange.hpp"
+
+#include <mintknot/policy/timeouts.hpp>
+
+namespace mintknot::relay {
+
+void generation_exchange::after_rejected_decode() {
+    --attempts_.runs;
+    ++attempts_.rejections;
+    note_result(
+        context_, decode_.server,
+        decode_.answer.status == status_misdirected
+            ? policy::call_result::misdirected
+            : policy::call_result::rejected,
+        request_.terms.id);
+    log_rejection();
+    release_decode();
+    const policy::next_step step = policy::after_decode_call(
+        policy::call_end::rejected, route_, attempts_);
+    if (step.what == policy::action::send_again) {
+        context_.metrics.count_repeat(step.reason);
+        if (policy::distrusts_result(attempts_))
+            drop_result();
+    }
+    take(step);
+}
+
+void generation_exchange::log_rejection() const {
+    context_.log.write(
+        "decode_rejected", {{"request", request_.terms.id},
+                            {"server", decode_.server},
+                            {"status", std::int64_t{decode_.answer.status}},
+                            {"says", decode_.failure_body},
+                            {"prefilled_by", kept_.server},
+                            {"rejections", std::int64_t{attempts_.rejections}},
+                            {"after_ms", since_arrival().count()}});
+}
+
+void generation_exchange::on_decode_failure(upstream::call_failure why) {
+    silence_timer_.stop();
+    decode_.call.reset();
+    if (why == upstream::call_failure::unreachable) {
+        --attempts_.runs;
+        --sends_;
+        ++attempts_.unreachable;
+        policy::note_decode_unreachable(charges_);
+        after_decode(
+            policy::call_end::unreachable, policy::call_result::unreachable);
+        return;
+    }
+    raise(base::verdict::may_have_run);
+    after_decode(policy::call_end::broken_off, policy::call_result::failed);
+}
+
+void generation_exchange::on_decode_silence() {
+    const policy::next_step step =
+        policy::after_decode_call(policy::call_end::silent, route_, attempts_);
+    // Silence alone does not end an answer: the engine is left only where the
+    // request may go on elsewhere, within the allowance.
+    if (step.what == policy::action::keep_waiting || !prepay(1)) {
+        note_result(
+            context_, decode_.server, policy::call_result::silent,
+            request_.terms.id);
+        return;
+    }
+    raise(base::verdict::may_have_run);
+    // The engine drops the request when its connection closes.
+    decode_.call.reset();
+    after_decode(policy::call_end::silent, policy::call_result::silent);
+}
+
+void generation_exchange::after_decode(
+    policy::call_end end, policy::call_result result) {
+    note_result(context_, decode_.server, result, request_.terms.id);
+    release_decode();
+    take(policy::after_decode_call(end, route_, attempts_));
+}
+
+void generation_exchange::take(const policy::next_step& step) {
+    switch (step.what) {
+    case policy::action::deliver:
+        answer_whole(
+            std::move(decode_.answer), std::move(decode_.failure_body));
+        return;
+    case policy::action::send_again:
+        place();
+        return;
+    case policy::action::resume:
+        resume(step.reason);
+        return;
+    case policy::action::pause:
+        wait_for_connection();
+        return;
+    case policy::action::await_loan:
+        ++attempts_.loan_waits;
+        wait_timer_.start(policy::loan_pause, [this] { place(); });
+        return;
+    case policy::action::keep_waiting:
+        return;
+    case policy::action::give_up:
+    case policy::action::break_off:
+        end_by(step.what, step.reason);
+        return;
+    }
+}
+
+void generation_exchange::resume(std::string_view reason) {
+    context_.log.write(
+        "resumed",
+        {{"request", request_.terms.id},
+         {"reason", reason},
+         {"last_event", static_cast<std::int64_t>(last_event_.value_or(0))},
+         {"after_ms", since_arrival().count()}});
+    context_.metrics.count_repeat(reason);
+    prefill_.tried.clear();
+    place();
+}
+
+} // namespace mintknot::relay
--- /dev/null
+++ b/libs/mintknotd-platform/relay/tests/scripted_placer.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// A scheduler that names what a test tells it to.
+#ifndef MINTKNOT_RELAY_TESTS_SCRIPTED_PLACER_HPP
+#define MINTKNOT_RELAY_TESTS_SCRIPTED_PLACER_HPP
+
+#include <mintknot/relay/placer.hpp>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace mintknot::relay::tests {
+
+class scripted_placer final : public placer {
+public:
+    using answer =
+        std::function<policy::placement(const policy::placement_query&)>;
+
+    explicit scripted_placer(answer how)
+        : answer_(std::move(how)) {}
+
+    bool active() const override { return true; }
+
+    std::unique_ptr<placement_ticket>
+    ask(policy::placement_query query, placement_handler then) override {
+        then(answer_(query));
+        return nullptr;
+    }
+
+private:
+    answer answer_;
+};
+
+} // namespace mintknot::relay::tests
+
+#endif
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -1,4 +1,5 @@
 #include "relay_fixture.hpp"
+#include "scripted_placer.hpp"
 
 #include <mintknot/http1/serialize.hpp>
 
@@ -194,24 +195,12 @@
 }
 
 Test(generation_exchange, a_scheduler_that_names_a_gone_engine_is_asked_again) {
-    /// Names an engine that has gone, then one that is there.
-    class late_scheduler final : public placer {
-    public:
-        bool active() const override { return true; }
-        std::unique_ptr<placement_ticket>
-        ask(policy::placement_query, placement_handler then) override {
-            policy::placement placed;
-            placed.server = ++asked_ == 1 ? "gone" : "d";
-            then(placed);
-            return nullptr;
-        }
-
-    private:
-        int asked_ = 0;
-    };
+    int asked = 0;
+    scripted_placer scheduler([&](const policy::placement_query&) {
+        return policy::placement{.server = ++asked == 1 ? "gone" : "d"};
+    });
     relay_fixture f;
     f.add_server("d", "llm", decode, good_decode());
-    late_scheduler scheduler;
     f.context.placement = &scheduler;
     cr_assert(f.ask(prompt("/stream/x")).body == all_events);
 }
@@ -233,19 +222,11 @@
 Test(generation_exchange, an_unfit_engine_reads_no_prompt_whoever_names_it) {
     // Found by a hunt: a scheduler that the store had turned away named an
     // engine that the others knew to leave.
-    class stale_scheduler final : public placer {
-    public:
-        bool active() const override { return true; }
-        std::unique_ptr<placement_ticket>
-        ask(policy::placement_query query, placement_handler then) override {
-            policy::placement placed;
-            placed.server = "d";
-            placed.prefill =
-                query.excluded_prefill.contains("leaving") ? "p" : "leaving";
-            then(placed);
-            return nullptr;
-        }
-    };
+    scripted_placer scheduler([](const policy::placement_query& query) {
+        const bool told = query.excluded_prefill.contains("leaving");
+        return policy::placement{
+            .server = "d", .prefill = told ? "p" : "leaving"};
+    });
     for (const bool closes : {false, true}) {
         relay_fixture f;
         scripted_server& leaving =
@@ -254,7 +235,6 @@
             f.add_server("p", "llm", prefill, good_prefill("k1"));
         f.add_server("d", "llm", decode, good_decode());
         make_unfit(f, "leaving", closes);
-        stale_scheduler scheduler;
         f.context.placement = &scheduler;
         cr_assert(f.ask(prompt("/stream/x")).body == all_events);
         cr_assert(leaving.requests.empty());
@@ -267,38 +247,32 @@
     // An instance that holds no rows learns of engines by the names that
     // schedulers give it: while the prompt is read the engine may say that it
     // leaves, and only the scheduler hears it.
-    class scheduler final : public placer {
-    public:
-        bool active() const override { return true; }
-        std::unique_ptr<placement_ticket>
-        ask(policy::placement_query query, placement_handler then) override {
-            policy::placement placed;
-            placed.server = leaves ? "stays" : "leaves";
-            if (query.kind == policy::placement_kind::prefill_and_decode)
-                placed.prefill = "p";
-            then(placed);
-            return nullptr;
-        }
-        bool leaves = false;
-    };
+    bool leaves = false;
+    scripted_placer scheduler([&](const policy::placement_query& query) {
+        const bool reads_apart =
+            query.kind == policy::placement_kind::prefill_and_decode;
+        return policy::placement{
+            .server = leaves ? "stays" : "leaves",
+            .prefill = reads_apart ? "p" : ""};
+    });
     constexpr base::milliseconds reading{200};
     for (const bool partial : {false, true}) {
+        leaves = false;
         relay_fixture f;
-        scheduler other;
         event::timer read(f.owner);
         const script answer = good_prefill("k1");
         f.add_server(
             "p", "llm", prefill,
             [&](const received& to, const event::connection_ptr& link) {
-                read.start(reading, [&other, answer, to, link] {
-                    other.leaves = true;
+                read.start(reading, [&leaves, answer, to, link] {
+                    leaves = true;
                     answer(to, link);
                 });
             });
         scripted_server& named =
             f.add_server("leaves", "llm", decode, good_decode());
         f.add_server("stays", "llm", decode, good_decode());
-        f.context.placement = &other;
+        f.context.placement = &scheduler;
         f.context.options.named_server_life = reading / 2;
         f.context.state.servers.partial = partial;
         cr_assert(f.ask(prompt("/stream/x")).body == all_events);
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -1,4 +1,5 @@
 #include "relay_fixture.hpp"
+#include "scripted_placer.hpp"
 
 #include <mintknot/http1/serialize.hpp>
 
@@ -242,17 +243,10 @@
 }
 
 Test(plain_exchange, a_server_of_a_closed_data_centre_runs_nothing) {
-    class stale_scheduler final : public placer {
-    public:
-        bool active() const override { return true; }
-        std::unique_ptr<placement_ticket>
-        ask(policy::placement_query query, placement_handler then) override {
-            policy::placement placed;
-            placed.server = query.excluded.contains("i1") ? "i2" : "i1";
-            then(placed);
-            return nullptr;
-        }
-    };
+    scripted_placer scheduler([](const policy::placement_query& query) {
+        const bool told = query.excluded.contains("i1");
+        return policy::placement{.server = told ? "i2" : "i1"};
+    });
     relay_fixture f;
     scripted_server& closed = f.add_server("i1", "app", plain, saying("a"));
     f.add_server("i2", "app", plain, saying("b"));
@@ -260,7 +254,6 @@
     row.data_centre = "left";
     traffic::apply(f.context.state.servers, "i1", 1000, row);
     traffic::set_closed(f.context.state.servers, "left", true);
-    stale_scheduler scheduler;
     f.context.placement = &scheduler;
     cr_assert(f.ask(request("/unsafe/x")).body == "b");
     cr_assert(closed.requests.empty());
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -22,35 +22,6 @@
 /// with 266 servers each of 295 instances wrote a line for each.
 constexpr std::size_t max_lines_at_once = 16;
 
-/// One collection of a peer's snapshot.
-struct snapshot_part {
-    collection what = collection::configuration;
-    std::vector<document> documents;
-    bool known = false;
-};
-
-std::optional<snapshot_part>
-snapshot_part_from(collection what, const nlohmann::json& part) {
-    if (!part.is_object() || !part.contains("documents"))
-        return std::nullopt;
-    auto documents = documents_from(part["documents"]);
-    if (!documents)
-        return std::nullopt;
-    return snapshot_part{
-        what, std::move(*documents),
-        base::field_or<bool>(part, "known", false)};
-}
-
-std::optional<std::vector<document>>
-closures_of_snapshot(const nlohmann::json& snapshot) {
-    if (!snapshot.contains(closures_field))
-        return std::vector<document>{};
-    const nlohmann::json& part = snapshot[closures_field];
-    if (!part.is_object() || !part.contains("documents"))
-        return std::nullopt;
-    return closures_from(part["documents"]);
-}
-
 } // namespace
 
 std::string_view to_string(collection value) noexcept {
@@ -320,52 +291,4 @@
           std::string_view(why.message().data(), why.message().size())}});
 }
 
-std::string replica::snapshot(const std::vector<collection>& parts) const {
-    nlohmann::json result = nlohmann::json::object();
-    for (const collection what : parts) {
-        nlohmann::json rows = nlohmann::json::array();
-        for (const auto& [key, entry] : of(what).by_key)
-            rows.push_back(to_json(entry));
-        result[std::string(to_string(what))] = {
-            {"known", of(what).known}, {"documents", std::move(rows)}};
-    }
-    nlohmann::json closures = nlohmann::json::array();
-    for (const auto& [key, entry] : closures_.by_key)
-        closures.push_back(to_json(entry));
-    if (!closures.empty())
-        result[closures_field] = {{"documents", std::move(closures)}};
-    return result.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-absl::Status
-replica::apply_snapshot(std::string_view text, std::string_view source) {
-    const auto parsed = base::parse_json(text);
-    if (!parsed.ok())
-        return parsed.status();
-    std::vector<snapshot_part> parts;
-    for (collection what : {collection::configuration, collection::servers}) {
-        const std::string name(to_string(what));
-        if (!parsed->is_object() || !parsed->contains(name))
-            continue;
-        auto part = snapshot_part_from(what, (*parsed)[name]);
-        if (!part)
-            return absl::InvalidArgumentError("a document is malformed");
-        parts.push_back(std::move(*part));
-    }
-    if (parts.empty())
-        return absl::InvalidArgumentError("there is no collection");
-    const auto closures = closures_of_snapshot(*parsed);
-    if (!closures)
-        return absl::InvalidArgumentError("a closure is malformed");
-    for (const document& closure : *closures)
-        take_closure(closure);
-    for (const snapshot_part& part : parts) {
-        apply(part.what, part.documents, source);
-        if (part.known)
-            of(part.what).known = true;
-    }
-    return absl::OkStatus();
-}
-
 } // namespace mintknot::state
