Tests of leaving servers hold on a busy machine

Traced: its prompt was read for 200 ms, 50 ms less than the time after which a prefill counts as silent, so that the engine was asked for again. The way of a request in the tests of the group is what a connection may take and 50 ms, as the promise says: the 200 ms before were a guess, and left 100 ms to the machine.

--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -242,8 +242,7 @@
     }
 }
 
-Test(
-    generation_exchange, an_engine_that_was_named_long_ago_is_asked_for_again) {
+Test(generation_exchange, an_engine_named_long_ago_is_asked_for_again) {
     // An instance that holds no rows learns of engines by the names that
     // schedulers give it: while the prompt is read the engine may say that it
     // leaves, and only the scheduler hears it.
@@ -255,7 +254,8 @@
             .server = leaves ? "stays" : "leaves",
             .prefill = reads_apart ? "p" : ""};
     });
-    constexpr base::milliseconds reading{200};
+    // Well below the time after which a prefill counts as silent.
+    constexpr base::milliseconds reading{60};
     for (const bool partial : {false, true}) {
         leaves = false;
         relay_fixture f;
@@ -269,15 +269,20 @@
                     answer(to, link);
                 });
             });
-        scripted_server& named =
-            f.add_server("leaves", "llm", decode, good_decode());
+        int after_leaving = 0;
+        f.add_server(
+            "leaves", "llm", decode,
+            [&](const received& to, const event::connection_ptr& link) {
+                after_leaving += leaves ? 1 : 0;
+                good_decode()(to, link);
+            });
         f.add_server("stays", "llm", decode, good_decode());
         f.context.placement = &scheduler;
         f.context.options.named_server_life = reading / 2;
         f.context.state.servers.partial = partial;
         cr_assert(f.ask(prompt("/stream/x")).body == all_events);
         // Who holds the rows would know it.
-        cr_assert(named.requests.empty() == partial);
+        cr_assert((after_leaving == 0) == partial);
     }
 }
 
--- a/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
@@ -44,9 +44,9 @@
 /// What the operator promises: a server that leaves gets no request later.
 constexpr base::milliseconds drain_bound{2000};
 /// From the choice of a server to the arrival of the request: a connection may
-/// have to come up.
+/// have to come up, and the request passes through a data centre or two.
 constexpr base::milliseconds way_of_a_request =
-    upstream::call_options{}.connect_timeout + base::milliseconds{200};
+    upstream::call_options{}.connect_timeout + base::milliseconds{50};
 /// What a client of the store allows beyond the wait of a call.
 constexpr base::milliseconds call_slack{900};
 /// How long the group runs before anything happens. Where a watch stands then
@@ -85,9 +85,9 @@
 };
 
 /// The store as one instance reaches it.
-class store_access final : public state::store {
+class instance_store final : public state::store {
 public:
-    store_access(event::loop& owner, shared_rows& rows)
+    instance_store(event::loop& owner, shared_rows& rows)
         : owner_(owner)
         , rows_(rows) {}
 
@@ -218,7 +218,7 @@
 
     state::tests::plain_codec codec;
     logging::line_log log{-1, "test", {}};
-    store_access reach;
+    instance_store reach;
     upstream::connection_pool pool;
     relay::local_server server;
     bool mute = false; ///< Peers get no answer, as behind a cut.
