--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -118,8 +118,8 @@
             });
         if (!excused)
             broken.push_back(fmt::format(
-                "{} reached {}, which was leaving, from instance {}, which had "
-                "known better",
+                "{} reached {}, which was leaving, from instance {} without "
+                "a disturbance",
                 late.request, late.server, instance));
     }
     return broken;
