One place tells the reader of a collection

On a second reading: which reader a collection has was asked in three places of document_sync, twice of them for its confirmation; reader_of() serves them now. No behaviour changes. Tests of relay, runtime, leaving servers and compatibility pass; the file is format and lint clean. Tried and left: the histogram of ages at sends bound once in place of at each send. It then shows before the first send, and the expected text of the metrics is kept.

--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -53,16 +53,8 @@
           options_for(server_news_, server_news_.backed_watch), ports.draw)
     , feed_(
           ports.loop, replica_,
-          [this](collection what) {
-              return what == collection::configuration
-                         ? configuration_reader_.position()
-                         : server_reader_.position();
-          },
-          [this](collection what) {
-              return what == collection::configuration
-                         ? configuration_reader_.confirmed()
-                         : server_reader_.confirmed();
-          })
+          [this](collection what) { return reader_of(what).position(); },
+          [this](collection what) { return reader_of(what).confirmed(); })
     , lapsed_(
           ports.loop, ports.log, options.drain_bound,
           [this](const std::string& id, std::uint64_t version) {
@@ -78,15 +70,19 @@
     configuration_reader_.on_position([this] { on_configuration_position(); });
 }
 
+const state::store_reader& document_sync::reader_of(collection what) const {
+    return what == collection::configuration ? configuration_reader_
+                                             : server_reader_;
+}
+
 std::optional<base::steady_time>
 document_sync::overdue_from(collection what) const {
-    const bool servers = what == collection::servers;
-    const auto confirmed = servers ? server_reader_.confirmed()
-                                   : configuration_reader_.confirmed();
+    const auto confirmed = reader_of(what).confirmed();
     if (!confirmed)
         return std::nullopt;
-    return *confirmed +
-           (servers ? server_news_.patience : configuration_news_.patience);
+    const policy::news_times& times =
+        what == collection::configuration ? configuration_news_ : server_news_;
+    return *confirmed + times.patience;
 }
 
 void document_sync::on_configuration_position() {
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -101,6 +101,7 @@
 
 private:
     state::replica_handlers replica_functions();
+    const state::store_reader& reader_of(state::collection what) const;
     /// See shared_store_options.
     std::optional<base::steady_time> overdue_from(state::collection what) const;
     void on_configuration_position();
