--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -106,6 +106,10 @@
     /// Ends the exchange as a step says. @param what give_up or break_off.
     void end_by(policy::action what, std::string_view reason);
 
+    /// A call to a server has ended before its answer did.
+    void note_broken_call(
+        const std::string& server_id, base::steady_time sent) const;
+
     /// @return true if an answer is this request's own: a surplus answer to an
     /// earlier one may come first. A rejection may lack the ID.
     bool belongs(const http1::response_head& head) const;
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/http1/serialize.hpp>
 #include <mintknot/policy/usage_account.hpp>
+#include <mintknot/relay/request_digest.hpp>
 
 #include <algorithm>
 
@@ -273,6 +274,20 @@
          {"total_ms", since_arrival().count()}});
 }
 
+void exchange::note_broken_call(
+    const std::string& server_id, base::steady_time sent) const {
+    const std::string_view body =
+        request_.body == nullptr ? std::string_view{} : *request_.body;
+    context_.log.write(
+        "call_broke",
+        {{"request", request_.terms.id},
+         {"digest", request_digest(organisation_name(), request_.head, body)},
+         {"server", server_id},
+         {"after_ms", std::chrono::duration_cast<base::milliseconds>(
+                          context_.loop.now() - sent)
+                          .count()}});
+}
+
 bool exchange::belongs(const http1::response_head& head) const {
     const answer_terms terms = context_.protocol.read_answer(head);
     return terms.request_id == request_.terms.id ||
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -54,6 +54,7 @@
         return;
     }
     raise(base::verdict::may_have_run);
+    note_broken_call(decode_.server, decode_.started);
     after_decode(policy::call_end::broken_off, policy::call_result::failed);
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -120,11 +120,13 @@
 }
 
 void generation_exchange::on_prefill_failure(upstream::call_failure why) {
-    if (why == upstream::call_failure::unreachable)
+    if (why == upstream::call_failure::unreachable) {
         after_failed_prefill(
             policy::call_result::unreachable, "prefill_unreachable");
-    else
-        after_failed_prefill(policy::call_result::failed, "prefill_broke_off");
+        return;
+    }
+    note_broken_call(prefill_.server, prefill_.started);
+    after_failed_prefill(policy::call_result::failed, "prefill_broke_off");
 }
 
 void generation_exchange::on_prefill_silence() {
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -76,6 +76,7 @@
     server_ = server.id;
     tried_.insert(server.id);
     add_load(context_, server_, {1, 0.0, 0.0});
+    sent_ = context_.loop.now();
     ++sends_;
     ++attempts_.runs;
     note_offer();
@@ -186,6 +187,7 @@
         return;
     }
     raise(base::verdict::may_have_run);
+    note_broken_call(server_, sent_);
     after(policy::call_end::broken_off, policy::call_result::failed);
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -47,7 +47,8 @@
 
     std::unique_ptr<placement_ticket> placement_;
     std::unique_ptr<upstream::call> call_;
-    std::string server_; ///< ID of the one that is working on it.
+    std::string server_;     ///< ID of the one that is working on it.
+    base::steady_time sent_; ///< The call at hand.
     policy::excluded_servers tried_;
     http1::response_head answer_;
     answer_terms answer_terms_;
