A failing test: a request that crashes servers is sent to one after another

Stand-in servers end when they run a body that begins with crash; the soak can send such requests again and again, starts servers that ended after 2.5 s, and checks that no more than three tries reach servers later than 3 s after the third crash, and that no other request is refused for it. Stand-in engines now answer orders, which they ran as requests without an ID.

--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -36,8 +36,15 @@
 constexpr base::milliseconds serve_on{3000};
 /// Requests may still come for so long after the store knows.
 constexpr base::milliseconds drain_bound{2000};
+/// How long a request that crashes its server runs before it does: it has no
+/// answer by then.
+constexpr base::milliseconds crash_time{10};
+/// With what the body of such a request begins.
+constexpr std::string_view crash_mark = "crash";
 constexpr int events_of_a_stream = 20;
 constexpr int status_misdirected = 421;
+/// To an order: these engines keep their phase.
+constexpr int status_conflict = 409;
 
 struct engine_options {
     base::address store;
@@ -139,12 +146,21 @@
                     R"(","seq_no":0,"busy":false})");
             return;
         }
+        if (request.head.target == "/mintknot/order") {
+            reply(link, status_conflict, {}, "");
+            return;
+        }
         if (request.field("X-Mintknot-Target-Instance") != options_.id) {
             reject(link, id, status_misdirected);
             return;
         }
         if (leaving_known_ && owner_.now() > *leaving_known_ + drain_bound)
             note("leaving", id);
+        const bool crashes = request.body.starts_with(crash_mark);
+        if (crashes)
+            note("marked", id);
+        if (crashes && request.field("X-Mintknot-Phase") != "prefill")
+            after(crash_time, [this, id] { crash(id); });
         if (options_.phase.empty())
             run_plain(id, link);
         else if (request.field("X-Mintknot-Phase") == "prefill")
@@ -184,6 +200,12 @@
             {"X-Mintknot-Request-Id", id}, {"X-Mintknot-Response-Seal", "s"}};
     }
 
+    /// Ends as a process does that has crashed: without a word to anybody.
+    void crash(const std::string& id) {
+        note("crash", id);
+        ::_exit(1);
+    }
+
     void run_plain(const std::string& id, const event::connection_ptr& link) {
         note("run", id);
         after(work_time, [this, id, link] {
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace mintknot::soak {
 
@@ -14,6 +15,12 @@
 constexpr base::milliseconds leaving_slack{1000};
 /// How long what was done to a part of the system excuses it.
 constexpr base::milliseconds contact_time{3000};
+/// A request that has crashed so many servers is to be known everywhere after
+/// contact_time; so many tries more are borne.
+constexpr std::size_t allowed_crashes = 3;
+constexpr std::size_t allowed_tries = 3;
+/// With what the refusal of such a request begins.
+constexpr std::string_view taken_for_crashing = "crashes_servers";
 
 bool is_disturbed(
     const std::vector<disturbance>& all, const std::string& part,
@@ -24,6 +31,21 @@
     });
 }
 
+bool is_any_disturbed(
+    const std::vector<disturbance>& all, const std::vector<std::string>& parts,
+    base::steady_time at) {
+    return std::any_of(
+        parts.begin(), parts.end(),
+        [&](const std::string& part) { return is_disturbed(all, part, at); });
+}
+
+/// @return what an instance needs to be in touch with the system.
+std::vector<std::string> parts_of_contact(std::size_t instance) {
+    return {
+        "store", fmt::format("store-{}", instance),
+        fmt::format("instance-{}", instance)};
+}
+
 int max_runs(request_kind kind) {
     const bool repeatable =
         kind == request_kind::safe || kind == request_kind::resumable;
@@ -53,6 +75,14 @@
         notes.after_leaving.push_back({request, server, at});
         return;
     }
+    if (what == "marked") {
+        notes.marked.push_back({request, server, at});
+        return;
+    }
+    if (what == "crash") {
+        notes.crashes.push_back({request, server, at});
+        return;
+    }
     if (what == "mixed") {
         notes.of_another.push_back(request);
         return;
@@ -104,23 +134,58 @@
     for (const caller_record& record : records)
         instances[record.id] = record.instance;
     std::vector<std::string> broken;
-    for (const late_arrival& late : notes.after_leaving) {
+    for (const server_event& late : notes.after_leaving) {
         const auto found = instances.find(late.request);
         if (found == instances.end())
             continue;
-        const std::size_t instance = found->second;
-        const std::string parts[] = {
-            "store", fmt::format("store-{}", instance),
-            fmt::format("instance-{}", instance), late.server};
-        const bool excused = std::any_of(
-            std::begin(parts), std::end(parts), [&](const std::string& part) {
-                return is_disturbed(disturbances, part, late.at);
-            });
-        if (!excused)
+        std::vector<std::string> parts = parts_of_contact(found->second);
+        parts.push_back(late.server);
+        if (!is_any_disturbed(disturbances, parts, late.at))
             broken.push_back(fmt::format(
                 "{} reached {}, which was leaving, from instance {} without "
                 "a disturbance",
-                late.request, late.server, instance));
+                late.request, late.server, found->second));
+    }
+    return broken;
+}
+
+std::vector<std::string> broken_by_crashes(
+    const std::vector<caller_record>& records, const server_notes& notes,
+    const std::vector<disturbance>& disturbances) {
+    std::vector<std::string> broken;
+    std::map<std::string, const caller_record*> marked;
+    for (const caller_record& record : records) {
+        if (!record.mark.empty())
+            marked[record.id] = &record;
+        else if (record.body.starts_with(taken_for_crashing))
+            broken.push_back(
+                fmt::format("{} was refused for another's crashes", record.id));
+    }
+    std::map<std::string, std::vector<base::steady_time>> crashes;
+    for (const server_event& crash : notes.crashes)
+        if (marked.contains(crash.request))
+            crashes[marked.at(crash.request)->mark].push_back(crash.at);
+    for (auto& [mark, times] : crashes) {
+        std::sort(times.begin(), times.end());
+        if (times.size() < allowed_crashes)
+            continue;
+        const base::steady_time bound =
+            times[allowed_crashes - 1] + contact_time;
+        std::set<std::string> late;
+        for (const server_event& arrival : notes.marked) {
+            const auto found = marked.find(arrival.request);
+            if (found != marked.end() && found->second->mark == mark &&
+                arrival.at > bound &&
+                !is_any_disturbed(
+                    disturbances, parts_of_contact(found->second->instance),
+                    arrival.at))
+                late.insert(arrival.request);
+        }
+        if (late.size() > allowed_tries)
+            broken.push_back(fmt::format(
+                "{} was sent to servers in {} tries after it had crashed "
+                "three; {} crashed in all",
+                mark, late.size(), times.size()));
     }
     return broken;
 }
@@ -128,7 +193,7 @@
 std::vector<std::string> broken_by_planned_work(
     const std::vector<caller_record>& records, const server_notes& notes) {
     std::vector<std::string> broken;
-    for (const late_arrival& late : notes.after_leaving)
+    for (const server_event& late : notes.after_leaving)
         broken.push_back(fmt::format(
             "{} reached {}, which was leaving", late.request, late.server));
     for (const caller_record& record : records) {
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -23,6 +23,9 @@
     int status = 0;           ///< 0: no answer at all.
     bool whole = false;       ///< The answer was complete.
     std::string body;
+    /// Of a request that crashes each server that runs it: what it sends, the
+    /// same in all tries. Empty: any other request.
+    std::string mark;
     bool retry_after = false;
     /// The connection ended without a byte of an answer.
     bool unanswered = false;
@@ -33,9 +36,8 @@
 /// Runs of each request, as the servers have noted them.
 using run_counts = std::map<std::string, int>;
 
-/// A request that came to a server later than the drain bound after it had said
-/// that it leaves.
-struct late_arrival {
+/// Something that a server has noted about a request.
+struct server_event {
     std::string request;
     std::string server;
     base::steady_time at;
@@ -53,12 +55,18 @@
 struct server_notes {
     run_counts runs;
     std::map<std::string, base::steady_time> last_run;
-    std::vector<late_arrival> after_leaving;
+    /// Came to a server later than the drain bound after it had said that it
+    /// leaves.
+    std::vector<server_event> after_leaving;
     /// Came with the prefill result of another request.
     std::vector<std::string> of_another;
+    /// Arrivals of requests that crash servers, and the crashes.
+    std::vector<server_event> marked;
+    std::vector<server_event> crashes;
 };
 
-/// Takes one note of a server. @param what "run", "leaving" or "mixed".
+/// Takes one note of a server. @param what "run", "leaving", "mixed", "marked"
+/// or "crash".
 void note(
     server_notes& notes, const std::string& what, const std::string& request,
     base::steady_time at, const std::string& server);
@@ -77,6 +85,14 @@
     const std::vector<caller_record>& records, const server_notes& notes,
     const std::vector<disturbance>& disturbances);
 
+/// @return a line for each request that has crashed three servers and was sent
+/// to servers in more than three tries later, by instances to which, and to
+/// whose way to the store, nothing had been done lately; and for each other
+/// request that was taken for one of these.
+std::vector<std::string> broken_by_crashes(
+    const std::vector<caller_record>& records, const server_notes& notes,
+    const std::vector<disturbance>& disturbances);
+
 /// @return a line for each promise that was broken although there was only
 /// planned work: nothing may be cut off, a server that leaves gets nothing
 /// new, and nothing is run for a caller that has left.
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -88,11 +88,12 @@
         request_kind kind, std::size_t entry,
         std::function<void(const caller_record&)> on_record) {
         return send_to(
-            kind, std::string(path_of(kind)), entry, std::move(on_record));
+            kind, std::string(path_of(kind)), entry, {}, std::move(on_record));
     }
 
     std::uint64_t send_to(
         request_kind kind, const std::string& path, std::size_t entry,
+        const std::string& mark,
         std::function<void(const caller_record&)> on_record) {
         const std::uint64_t number = ++last;
         auto& at = exchanges[number];
@@ -100,6 +101,7 @@
         at->record.id = fmt::format("r{}", number);
         at->record.kind = kind;
         at->record.instance = entry;
+        at->record.mark = mark;
         at->on_record = std::move(on_record);
         upstream::call_request request;
         request.head.method = "POST";
@@ -109,7 +111,8 @@
             {"X-Mintknot-Request-Id", at->record.id},
             {"X-Mintknot-Deadline-Ms", "4000"},
             {"X-Mintknot-Token-Count", "500,50"}};
-        request.body = std::make_shared<const std::string>("hello");
+        request.body =
+            std::make_shared<const std::string>(mark.empty() ? "hello" : mark);
         exchange* raw = at.get();
         at->limit.start(request_limit, [this, number] { finish(number); });
         at->call = upstream::call::start(
@@ -186,13 +189,18 @@
     const std::string& path, std::size_t entry,
     std::function<void(int)> on_status) {
     const std::uint64_t number = impl_->send_to(
-        request_kind::safe, path, entry,
+        request_kind::safe, path, entry, {},
         [on_status = std::move(on_status)](const caller_record& record) {
             on_status(record.status);
         });
     impl_->exchanges.at(number)->of_load = false;
 }
 
+void soak_clients::send_crashing(
+    request_kind kind, std::size_t entry, const std::string& mark) {
+    impl_->send_to(kind, std::string(path_of(kind)), entry, mark, {});
+}
+
 void soak_clients::send(
     request_kind kind, std::size_t entry,
     std::function<void(const caller_record&)> on_record) {
--- a/testing/soak/src/soak_clients.hpp
+++ b/testing/soak/src/soak_clients.hpp
@@ -44,6 +44,10 @@
     void send(
         request_kind kind, std::size_t entry,
         std::function<void(const caller_record&)> on_record);
+    /// Sends one request that crashes each server that runs it; it counts among
+    /// the records. @param mark begins with "crash".
+    void send_crashing(
+        request_kind kind, std::size_t entry, const std::string& mark);
 
 private:
     struct impl;
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -23,6 +23,8 @@
 constexpr base::milliseconds late{180};
 /// How often a stopping process is looked at.
 constexpr int end_poll = 50;
+/// How long a server is away that has ended by itself.
+constexpr int crash_downtime = 2500;
 
 struct named_fault {
     const char* name;
@@ -58,11 +60,31 @@
     , system_(system)
     , kinds_(kinds)
     , random_(seed)
-    , timer_(owner) {}
+    , timer_(owner)
+    , watch_timer_(owner) {}
 
 void fault_injector::start() {
     began_ = owner_.now();
-    plan_next();
+    watch_servers();
+    if (kinds_ != fault_kinds::none)
+        plan_next();
+}
+
+void fault_injector::watch_servers() {
+    for (std::size_t i = 0; i < system_.servers().size(); ++i) {
+        if (draining_.contains(i) || system_.servers()[i].running->running())
+            continue;
+        note(fmt::format("server {} has ended", i));
+        begin(server_part(i));
+        draining_.insert(i);
+        later(crash_downtime, [this, i] {
+            system_.restart_server(i);
+            end(server_part(i));
+            draining_.erase(i);
+        });
+    }
+    watch_timer_.start(
+        base::milliseconds(end_poll), [this] { watch_servers(); });
 }
 
 void fault_injector::heal() {
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -20,6 +20,7 @@
 
 /// Which work and which faults are drawn.
 enum class fault_kinds {
+    none,
     planned_work, ///< Stops, drains, SIGHUP, new configurations.
     all           ///< Also kills, pauses and broken links.
 };
@@ -52,6 +53,8 @@
     void end(const std::string& part);
     void later(int milliseconds, std::function<void()> action);
 
+    /// Starts servers again that have ended by themselves.
+    void watch_servers();
     void plan_next();
     void planned_work();
     void fault();
@@ -74,6 +77,7 @@
     fault_kinds kinds_;
     std::mt19937_64 random_;
     event::timer timer_;
+    event::timer watch_timer_;
     std::vector<std::unique_ptr<event::timer>> timers_;
     std::set<std::size_t> stopping_; ///< Instances that are on their way out.
     std::set<std::size_t> draining_; ///< Servers that are.
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -22,6 +22,8 @@
 constexpr base::milliseconds caller_pause{120};
 /// Within which a configuration is in force after the faults have ended.
 constexpr base::milliseconds configuration_time{2500};
+/// Between two tries of a request that crashes servers.
+constexpr base::milliseconds crashing_pause{400};
 constexpr int status_not_found = 404;
 
 /// A directory that goes with the object, unless it is to be kept.
@@ -51,14 +53,17 @@
         , system_(
               directory_.path, options.instances,
               {options.schedulers, options.max_flat_group,
+               options.decode_engines, options.plain_servers,
                options.earlier_program})
         , clients_(owner_, entries(), options.seed)
         , faults_(
               owner_, system_,
-              options.planned_only ? fault_kinds::planned_work
-                                   : fault_kinds::all,
+              options.undisturbed    ? fault_kinds::none
+              : options.planned_only ? fault_kinds::planned_work
+                                     : fault_kinds::all,
               options.seed)
-        , poll_timer_(owner_) {}
+        , poll_timer_(owner_)
+        , crash_timer_(owner_) {}
 
     soak_result run() {
         play();
@@ -77,7 +82,10 @@
         }
         clients_.start(options_.callers, caller_pause);
         faults_.start();
+        if (!options_.crashing.empty())
+            send_crashing();
         run_until([] { return false; }, options_.length);
+        crash_timer_.stop();
         faults_.heal();
         if (!all_serve(recovery_time))
             result_.broken.emplace_back(
@@ -88,6 +96,15 @@
         judge();
     }
 
+    void send_crashing() {
+        for (std::size_t i = 0; i < options_.crashing.size(); ++i)
+            clients_.send_crashing(
+                options_.crashing[i], crashing_tries_ % options_.instances,
+                fmt::format("crash {}", i));
+        ++crashing_tries_;
+        crash_timer_.start(crashing_pause, [this] { send_crashing(); });
+    }
+
     std::vector<base::address> entries() const {
         std::vector<base::address> result;
         for (std::size_t i = 0; i < options_.instances; ++i)
@@ -179,6 +196,8 @@
         const server_notes notes = system_.notes();
         add(broken_promises(clients_.records(), notes));
         add(broken_in_touch(clients_.records(), notes, faults_.disturbances()));
+        add(broken_by_crashes(
+            clients_.records(), notes, faults_.disturbances()));
         if (options_.planned_only)
             add(broken_by_planned_work(clients_.records(), notes));
         result_.faults = faults_.notes();
@@ -196,6 +215,8 @@
     soak_clients clients_;
     fault_injector faults_;
     event::timer poll_timer_;
+    event::timer crash_timer_;
+    std::size_t crashing_tries_ = 0;
     soak_result result_;
 };
 
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -3,6 +3,8 @@
 #ifndef MINTKNOT_SOAK_SOAK_RUN_HPP
 #define MINTKNOT_SOAK_SOAK_RUN_HPP
 
+#include "soak_checks.hpp"
+
 #include <mintknot/base/time.hpp>
 
 #include <cstdint>
@@ -19,6 +21,13 @@
     /// Only planned work: SIGTERM to instances and servers, SIGHUP, new
     /// configurations.
     bool planned_only = false;
+    /// No work and no faults at all.
+    bool undisturbed = false;
+    /// For each kind a request that crashes every server that runs it comes
+    /// again and again, at all instances in turn.
+    std::vector<request_kind> crashing;
+    std::size_t decode_engines = 3;
+    std::size_t plain_servers = 2;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
     /// Larger groups have super-peers; 0: as the program is built.
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -19,6 +19,7 @@
 using nlohmann::json;
 
 constexpr base::milliseconds call_limit{2000};
+constexpr std::size_t prefill_engines = 2;
 /// Where the link of a server leads before the server has started.
 const base::address nowhere{"127.0.0.1", 1};
 
@@ -82,16 +83,12 @@
         store_.program, store_.arguments, path("store.log"));
     store_port_ = store_.running->wait_for_port();
     change_configuration();
-    for (const char* phase :
-         {"prefill", "prefill", "decode", "decode", "decode", "", ""}) {
-        const std::size_t number = servers_.size();
-        server_links_.push_back(
-            add_link(fmt::format("server-{}", number), nowhere));
-        servers_.emplace_back();
-        servers_.back().program = "platform-engine";
-        servers_.back().arguments = {phase};
-        restart_server(number);
-    }
+    for (std::size_t i = 0; i < prefill_engines; ++i)
+        add_server("prefill");
+    for (std::size_t i = 0; i < form.decode_engines; ++i)
+        add_server("decode");
+    for (std::size_t i = 0; i < form.plain_servers; ++i)
+        add_server("");
     instances_.resize(instances);
     for (std::size_t i = 0; i < instances; ++i) {
         store_links_.push_back(
@@ -102,6 +99,16 @@
     }
 }
 
+void soak_system::add_server(const std::string& phase) {
+    const std::size_t number = servers_.size();
+    server_links_.push_back(
+        add_link(fmt::format("server-{}", number), nowhere));
+    servers_.emplace_back();
+    servers_.back().program = "platform-engine";
+    servers_.back().arguments = {phase};
+    restart_server(number);
+}
+
 base::address
 soak_system::add_link(const std::string& name, const base::address& to) {
     const auto port = proxy_.add_link(name, to);
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -30,6 +30,8 @@
     bool schedulers = false; ///< They place requests in a small group too.
     /// Larger groups have super-peers; 0: as the program is built.
     std::size_t max_flat_group = 0;
+    std::size_t decode_engines = 3;
+    std::size_t plain_servers = 2;
     /// An earlier build that instances run in their first life; empty: none.
     std::string earlier_program;
 };
@@ -72,6 +74,7 @@
     server_notes notes() const;
 
 private:
+    void add_server(const std::string& phase);
     base::address add_link(const std::string& name, const base::address& to);
     std::string host(std::size_t instance) const;
     base::address own_entry(std::size_t instance) const;
