Calls tell a refused connection from one that was not answered

A machine that answers that nobody listens says something of the server that silence does not: its process has ended. connect() and call_failure tell the two apart, and a call can ask for a new connection. Whoever treated an unreachable server so far treats a refused one alike (nothing_was_sent). The test of a server that is not there asked for unreachable and now asks for refused and for nothing sent, which is as strict. No behaviour changes.

--- a/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
@@ -80,11 +80,18 @@
 
 using connection_ptr = std::shared_ptr<connection>;
 
-/// Opens a connection. The handler gets null if there was none in time.
+/// What became of an attempt to connect.
+enum class connect_result {
+    opened,
+    refused,    ///< The machine answers that nothing listens there.
+    unreachable ///< No answer in time, or no way there.
+};
+
+/// Opens a connection. The handler gets null unless it was opened in time.
 /// The attempt cannot be taken back; drop the connection if it comes late.
 void connect(
     loop& owner, const base::address& where, base::milliseconds timeout,
-    std::function<void(connection_ptr)> on_done);
+    std::function<void(connection_ptr, connect_result)> on_done);
 
 } // namespace mintknot::event
 
--- a/libs/mintknotd-platform/event/tests/test_connection.cpp
+++ b/libs/mintknotd-platform/event/tests/test_connection.cpp
@@ -30,7 +30,7 @@
                       .ok());
         connect(
             owner, {"127.0.0.1", accepting.port()}, test_limit,
-            [this](connection_ptr link) {
+            [this](connection_ptr link, connect_result) {
                 connected = std::move(link);
                 if (accepted)
                     owner.stop();
@@ -141,8 +141,8 @@
     }
     connect(
         owner, {"127.0.0.1", port}, test_limit,
-        [&](const connection_ptr& link) {
-            called = link == nullptr;
+        [&](const connection_ptr& link, connect_result result) {
+            called = link == nullptr && result == connect_result::refused;
             owner.stop();
         });
     limit.start(test_limit, [&] { owner.stop(); });
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -44,7 +44,7 @@
 void generation_exchange::on_decode_failure(upstream::call_failure why) {
     silence_timer_.stop();
     decode_.call.reset();
-    if (why == upstream::call_failure::unreachable) {
+    if (upstream::nothing_was_sent(why)) {
         --attempts_.runs;
         --sends_;
         ++attempts_.unreachable;
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -120,7 +120,7 @@
 }
 
 void generation_exchange::on_prefill_failure(upstream::call_failure why) {
-    if (why == upstream::call_failure::unreachable) {
+    if (upstream::nothing_was_sent(why)) {
         after_failed_prefill(
             policy::call_result::unreachable, "prefill_unreachable");
         return;
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -180,7 +180,7 @@
 
 void plain_exchange::on_failure(upstream::call_failure why) {
     silence_timer_.stop();
-    if (why == upstream::call_failure::unreachable) {
+    if (upstream::nothing_was_sent(why)) {
         --attempts_.runs;
         ++attempts_.unreachable;
         after(policy::call_end::unreachable, policy::call_result::unreachable);
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -243,7 +243,7 @@
     std::string pending;
     event::connect(
         owner, {"127.0.0.1", entry->port()}, test_limit,
-        [&](event::connection_ptr opened) {
+        [&](event::connection_ptr opened, event::connect_result) {
             link = std::move(opened);
             link->set_handlers(
                 {[&](std::string_view data) {
@@ -278,7 +278,9 @@
     event::connection_ptr link;
     event::connect(
         owner, {"127.0.0.1", entry->port()}, test_limit,
-        [&](event::connection_ptr opened) { link = std::move(opened); });
+        [&](event::connection_ptr opened, event::connect_result) {
+            link = std::move(opened);
+        });
     const std::size_t before = entry->connections();
     run_until([&] { return entry->connections() > before && link != nullptr; });
     return link;
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/call.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/call.hpp
@@ -16,10 +16,14 @@
 /// Why a call got no whole answer.
 enum class call_failure {
     unreachable, ///< No connection came up: nothing was sent.
+    refused,     ///< The same; the machine says that nothing listens there.
     ended,       ///< The connection ended before the answer was whole.
     bad_answer,  ///< What came is no answer to this call.
 };
 
+/// @return true if no byte of the call has gone out.
+bool nothing_was_sent(call_failure why) noexcept;
+
 /// What a call tells its owner. At most one of on_done and on_failure is
 /// called, and nothing after it.
 struct call_handlers {
@@ -42,6 +46,9 @@
 struct call_options {
     base::milliseconds connect_timeout{200};
     std::size_t answer_header_bytes = 32 * 1024;
+    /// Whether an idle connection is not good enough: the call is to show
+    /// whether the server takes a new one.
+    bool on_new_connection = false;
 };
 
 /// Lifetime: held by its owner; destroying it cancels the call. Handlers are
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -32,6 +32,10 @@
 
 } // namespace
 
+bool nothing_was_sent(call_failure why) noexcept {
+    return why == call_failure::unreachable || why == call_failure::refused;
+}
+
 struct call::impl : std::enable_shared_from_this<call::impl> {
     impl(
         connection_pool& connections, target server, call_request what,
@@ -43,7 +47,9 @@
         , handlers(std::move(told)) {}
 
     void begin() {
-        if (event::connection_ptr idle = pool.take(where.id)) {
+        event::connection_ptr idle =
+            options.on_new_connection ? nullptr : pool.take(where.id);
+        if (idle != nullptr) {
             // Handlers must not run from within start().
             pool.owner().post([self = shared_from_this(), idle] {
                 if (self->finished) {
@@ -56,12 +62,14 @@
         }
         event::connect(
             pool.owner(), where.where, options.connect_timeout,
-            [self = shared_from_this()](event::connection_ptr opened) {
-                self->on_connected(std::move(opened));
+            [self = shared_from_this()](
+                event::connection_ptr opened, event::connect_result result) {
+                self->on_connected(std::move(opened), result);
             });
     }
 
-    void on_connected(event::connection_ptr opened) {
+    void
+    on_connected(event::connection_ptr opened, event::connect_result result) {
         if (opened == nullptr)
             ++pool.counters().failed;
         else
@@ -72,7 +80,10 @@
             return;
         }
         if (opened == nullptr) {
-            fail(call_failure::unreachable);
+            fail(
+                result == event::connect_result::refused
+                    ? call_failure::refused
+                    : call_failure::unreachable);
             return;
         }
         send_on(std::move(opened));
--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -231,7 +231,8 @@
     caller.server.accepting.close();
     const outcome seen = caller.run();
     cr_assert(seen.failed);
-    cr_assert(seen.why == call_failure::unreachable);
+    cr_assert(seen.why == call_failure::refused);
+    cr_assert(nothing_was_sent(seen.why));
 }
 
 Test(call, informational_answers_are_passed_over) {
