The rule of requests that crash servers: evidence, blocks, clearing

policy/crash_evidence: a request under which three servers have ended is refused for ten minutes, twice as long each time it does so again; one that ran beside it is not, since its ends are put down to the one that is refused, and a whole answer clears it. Nothing calls it yet.

--- /dev/null
+++ b/libs/mintknotd-platform/policy/src/crash_evidence.cpp
@@ -0,0 +1,245 @@
+#include <mintknot/policy/crash_evidence.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace mintknot::policy {
+
+namespace {
+
+constexpr std::size_t max_suspects = 2048;
+constexpr std::size_t max_blocked = 1024;
+/// Crashes of one request that are kept: more prove nothing more.
+constexpr std::size_t max_crashes_kept = 8;
+/// How long a crash counts against a request.
+constexpr base::milliseconds suspect_life{10 * 60 * 1000};
+/// For how long after its end a block makes the next one longer.
+constexpr base::milliseconds block_memory{10 * 60 * 1000};
+constexpr int max_doublings = 5;
+/// News of a block are on their way for less than this.
+constexpr base::milliseconds cleared_life{10000};
+
+base::milliseconds block_time(int times) {
+    return first_block_time * (1 << std::min(times - 1, max_doublings));
+}
+
+bool is_in_force(const blocked_request& block, base::steady_time now) {
+    return block.until > now;
+}
+
+/// Makes room for one more: a flood of requests that crash one server each does
+/// not push out those that have crashed more.
+void make_room(std::map<std::string, crash_suspect>& suspects) {
+    if (suspects.size() < max_suspects)
+        return;
+    suspects.erase(std::min_element(
+        suspects.begin(), suspects.end(), [](const auto& a, const auto& b) {
+            const std::size_t left = a.second.crashes.size();
+            const std::size_t right = b.second.crashes.size();
+            return left != right ? left < right : a.second.last < b.second.last;
+        }));
+}
+
+void make_room(std::map<std::string, blocked_request>& blocked) {
+    if (blocked.size() < max_blocked)
+        return;
+    blocked.erase(std::min_element(
+        blocked.begin(), blocked.end(), [](const auto& a, const auto& b) {
+            return a.second.until < b.second.until;
+        }));
+}
+
+/// @return the lives of servers that requests which are refused have ended.
+std::set<std::string>
+explained_lives(const crash_evidence& evidence, base::steady_time now) {
+    std::set<std::string> lives;
+    for (const auto& [digest, block] : evidence.blocked) {
+        const auto found = evidence.suspects.find(digest);
+        if (found == evidence.suspects.end() || !is_in_force(block, now))
+            continue;
+        for (const crash_record& crash : found->second.crashes)
+            lives.insert(crash.server_life);
+    }
+    return lives;
+}
+
+base::milliseconds longest_run(const crash_suspect& suspect) {
+    base::milliseconds longest{0};
+    for (const crash_record& crash : suspect.crashes)
+        longest = std::max(longest, crash.ran_for);
+    return longest;
+}
+
+/// @return digests that are due, the one with the shortest runs first.
+std::vector<std::string>
+take_due(crash_evidence& evidence, base::steady_time now) {
+    std::vector<std::pair<base::milliseconds, std::string>> due;
+    for (auto& [digest, suspect] : evidence.suspects) {
+        if (!suspect.judge_at || *suspect.judge_at > now)
+            continue;
+        suspect.judge_at.reset();
+        due.emplace_back(longest_run(suspect), digest);
+    }
+    std::sort(due.begin(), due.end());
+    std::vector<std::string> digests;
+    std::transform(
+        due.begin(), due.end(), std::back_inserter(digests),
+        [](const auto& entry) { return entry.second; });
+    return digests;
+}
+
+block_news news_of(
+    const std::string& digest, const blocked_request& block,
+    base::steady_time now) {
+    return {
+        {digest, block.body_bytes},
+        base::time_left(block.until, now),
+        block.times};
+}
+
+} // namespace
+
+void note_crash(
+    crash_evidence& evidence, const request_key& key, const crash_record& crash,
+    base::steady_time now) {
+    if (!evidence.suspects.contains(key.digest))
+        make_room(evidence.suspects);
+    crash_suspect& suspect = evidence.suspects[key.digest];
+    suspect.body_bytes = key.body_bytes;
+    const bool known = std::any_of(
+        suspect.crashes.begin(), suspect.crashes.end(),
+        [&](const crash_record& earlier) {
+            return earlier.server_life == crash.server_life;
+        });
+    if (known)
+        return;
+    suspect.last = now;
+    if (suspect.crashes.size() >= max_crashes_kept)
+        suspect.crashes.erase(suspect.crashes.begin());
+    suspect.crashes.push_back(crash);
+    if (suspect.crashes.size() >= max_crashes && !suspect.judge_at)
+        suspect.judge_at = now + crash_report_time;
+}
+
+std::vector<block_news> judge(crash_evidence& evidence, base::steady_time now) {
+    std::vector<block_news> fresh;
+    for (const std::string& digest : take_due(evidence, now)) {
+        if (blocked_for(evidence, digest, now))
+            continue;
+        const std::set<std::string> explained = explained_lives(evidence, now);
+        const crash_suspect& suspect = evidence.suspects.at(digest);
+        const auto own = std::count_if(
+            suspect.crashes.begin(), suspect.crashes.end(),
+            [&](const crash_record& crash) {
+                return !explained.contains(crash.server_life);
+            });
+        if (static_cast<std::size_t>(own) < max_crashes)
+            continue;
+        if (!evidence.blocked.contains(digest))
+            make_room(evidence.blocked);
+        blocked_request& block = evidence.blocked[digest];
+        block.body_bytes = suspect.body_bytes;
+        ++block.times;
+        block.until = now + block_time(block.times);
+        fresh.push_back(news_of(digest, block, now));
+    }
+    return fresh;
+}
+
+std::optional<base::steady_time>
+next_judgement(const crash_evidence& evidence) {
+    std::optional<base::steady_time> next;
+    for (const auto& [digest, suspect] : evidence.suspects)
+        if (suspect.judge_at && (!next || *suspect.judge_at < *next))
+            next = suspect.judge_at;
+    return next;
+}
+
+bool clear(
+    crash_evidence& evidence, const std::string& digest,
+    base::steady_time now) {
+    const bool suspected = evidence.suspects.erase(digest) > 0;
+    const bool blocked = evidence.blocked.erase(digest) > 0;
+    if (suspected || blocked)
+        evidence.cleared[digest] = now;
+    return suspected || blocked;
+}
+
+bool note_block(
+    crash_evidence& evidence, const block_news& news, base::steady_time now) {
+    if (news.left <= base::milliseconds{0} ||
+        recently_cleared(evidence, news.key.digest, now))
+        return false;
+    const bool known = blocked_for(evidence, news.key.digest, now).has_value();
+    if (!evidence.blocked.contains(news.key.digest))
+        make_room(evidence.blocked);
+    blocked_request& block = evidence.blocked[news.key.digest];
+    block.body_bytes = news.key.body_bytes;
+    block.times = std::max(block.times, news.times);
+    block.until = std::max(
+        block.until, now + std::min(news.left, block_time(block.times)));
+    return !known;
+}
+
+bool recently_cleared(
+    const crash_evidence& evidence, const std::string& digest,
+    base::steady_time now) {
+    const auto found = evidence.cleared.find(digest);
+    return found != evidence.cleared.end() &&
+           now - found->second < cleared_life;
+}
+
+bool may_be_blocked(
+    const crash_evidence& evidence, std::uint64_t body_bytes,
+    base::steady_time now) {
+    return std::any_of(
+        evidence.blocked.begin(), evidence.blocked.end(),
+        [&](const auto& entry) {
+            return entry.second.body_bytes == body_bytes &&
+                   is_in_force(entry.second, now);
+        });
+}
+
+bool may_be_known(const crash_evidence& evidence, std::uint64_t body_bytes) {
+    const auto same_size = [body_bytes](const auto& entry) {
+        return entry.second.body_bytes == body_bytes;
+    };
+    return std::any_of(
+               evidence.suspects.begin(), evidence.suspects.end(), same_size) ||
+           std::any_of(
+               evidence.blocked.begin(), evidence.blocked.end(), same_size);
+}
+
+std::optional<base::milliseconds> blocked_for(
+    const crash_evidence& evidence, const std::string& digest,
+    base::steady_time now) {
+    const auto found = evidence.blocked.find(digest);
+    if (found == evidence.blocked.end() || !is_in_force(found->second, now))
+        return std::nullopt;
+    return base::time_left(found->second.until, now);
+}
+
+std::vector<block_news>
+blocks(const crash_evidence& evidence, base::steady_time now) {
+    std::vector<block_news> result;
+    for (const auto& [digest, block] : evidence.blocked)
+        if (is_in_force(block, now))
+            result.push_back(news_of(digest, block, now));
+    return result;
+}
+
+void expire(crash_evidence& evidence, base::steady_time now) {
+    std::erase_if(evidence.blocked, [now](const auto& entry) {
+        return entry.second.until + block_memory <= now;
+    });
+    std::erase_if(evidence.suspects, [&](const auto& entry) {
+        return entry.second.last + suspect_life <= now &&
+               !evidence.blocked.contains(entry.first);
+    });
+    std::erase_if(evidence.cleared, [now](const auto& entry) {
+        return now - entry.second >= cleared_life;
+    });
+}
+
+} // namespace mintknot::policy
