A request that crashes its servers is refused once three have ended under it

Cause: nothing was known of a request beyond one try, and the end of a server was put down to the server alone. Class: blame has one place to go; a fault of the work is booked as a fault of whoever did it.

Mend: where a call breaks, the instance asks the server on a new connection whether it is still there (twice within 0.15 s; a row with another life tells as well). If not, the judges, all instances of a small group and three of a large one, hear what ran there, and after 0.2 s a request with three ends of its own is blocked: all are told at once, some again each second, followers of super-peers by these. Callers get 503 with the time until it is tried again, before anything is sent; a request that waits is looked at again before each send. A whole answer clears a request. Why it holds: what decides is the sum over all instances, known to each within half a second where three are allowed; nothing is sent in a system whose servers do not crash.

Weighed: telling all instances of each end (300 instances would get 300 reports each); keepers by digest (they would not see what ran beside); rows in the store (a watch or a read more for each instance; a restart of all forgets, open); a 4xx (it promises no return, which the wrongly blocked need).

--- /dev/null
+++ b/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
@@ -0,0 +1,242 @@
+#include <mintknot/crashes/crash_watch.hpp>
+
+#include "crash_messages.hpp"
+#include "relay_fixture.hpp"
+
+#include <mintknot/relay/request_digest.hpp>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace mintknot;
+using namespace mintknot::crashes;
+using namespace mintknot::relay::tests;
+
+namespace {
+
+constexpr auto plain = traffic::engine_phase::none;
+constexpr auto prefill = traffic::engine_phase::prefill;
+constexpr auto decode = traffic::engine_phase::decode;
+
+/// A router with a watch, and what it sends to others.
+struct watched_router : relay_fixture {
+    watched_router()
+        : watch(
+              context,
+              {"self",
+               [this](const std::string& host, const std::string& datagram) {
+                   sent[host].push_back(datagram);
+               },
+               [] {
+                   return std::vector<std::string>{"self", "judge"};
+               },
+               [] {
+                   return std::vector<std::string>{"judge", "peer"};
+               },
+               [] { return std::vector<std::string>{"follower"}; },
+               [this](const std::string& id) { return check_of(id); }}) {
+        context.crashes = &watch;
+    }
+
+    std::optional<relay::health_check> check_of(const std::string& id) {
+        const traffic::server* server =
+            traffic::find(context.state.servers, id);
+        if (server == nullptr)
+            return std::nullopt;
+        return relay::health_check{{id, server->where}, "/health", {}};
+    }
+
+    /// Adds a server that ends when a request with the target /x/crash runs;
+    /// it answers others as given.
+    scripted_server& add_mortal(
+        const std::string& id, const std::string& service,
+        traffic::engine_phase phase, script good) {
+        scripted_server& server = add_server(id, service, phase, {});
+        server.behaviour = [this, &server, good = std::move(good)](
+                               const received& to,
+                               const event::connection_ptr& link) {
+            if (!to.head.target.ends_with("/crash")) {
+                good(to, link);
+                return;
+            }
+            ++crashes;
+            server.stop();
+            link->reset();
+        };
+        return server;
+    }
+
+    /// @return a message of the kind that was sent to a host.
+    template<typename Message>
+    std::optional<Message> sent_to(const std::string& host) const {
+        const auto found = sent.find(host);
+        if (found == sent.end())
+            return std::nullopt;
+        for (const std::string& datagram : found->second) {
+            const auto value = decode_crash_message(datagram);
+            if (value.ok() && std::holds_alternative<Message>(*value))
+                return std::get<Message>(*value);
+        }
+        return std::nullopt;
+    }
+
+    std::map<std::string, std::vector<std::string>> sent;
+    int crashes = 0;
+    crash_watch watch;
+};
+
+script ok() {
+    return [](const received& to, const event::connection_ptr& link) {
+        link->write(answer_to(to, "ok"));
+    };
+}
+
+std::string crashing(const std::string& route, int number) {
+    return request("/" + route + "/crash", fmt::format("Id: c{}\r\n", number));
+}
+
+relay::request_identity identity(const std::string& digest) {
+    return {2, [digest] { return digest; }};
+}
+
+} // namespace
+
+Test(crash_watch, the_fourth_try_reaches_no_server_and_is_told_so) {
+    for (const char* route : {"unsafe", "stream", "resume"}) {
+        watched_router f;
+        for (int i = 0; i < 8; ++i) {
+            f.add_mortal(fmt::format("app{}", i), "app", plain, ok());
+            f.add_mortal(fmt::format("d{}", i), "llm", decode, good_decode());
+        }
+        int tries = 0;
+        while (f.watch.blocked() == 0) {
+            cr_assert(++tries <= 4);
+            cr_assert(f.ask(crashing(route, tries)).status != 503);
+            const std::size_t ended = static_cast<std::size_t>(f.crashes);
+            f.run_until([&] {
+                return f.watch.servers_ended() == ended &&
+                       (ended < 3 || f.watch.blocked() == 1);
+            });
+        }
+        cr_assert(f.crashes <= 4);
+        const int before = f.crashes;
+        const caller_view seen = f.ask(crashing(route, 9));
+        cr_assert(seen.status == 503);
+        cr_assert(seen.body == "crashes_servers\n");
+        cr_assert(!seen.field("Retry-After").empty());
+        cr_assert(f.crashes == before);
+        cr_assert(
+            f.ask(request(std::string("/") + route + "/fine")).status == 200);
+    }
+}
+
+Test(crash_watch, a_lost_connection_to_a_living_server_blocks_nothing) {
+    watched_router f;
+    const script resetting = [](const received& to,
+                                const event::connection_ptr& link) {
+        if (to.head.target == "/health")
+            link->write(answer_to(to, "ok"));
+        else
+            link->reset();
+    };
+    f.add_server("s", "app", plain, resetting);
+    for (int i = 0; i < 5; ++i)
+        cr_assert(f.ask(crashing("unsafe", i)).status == 502);
+    event::timer wait(f.owner);
+    bool over = false;
+    wait.start(base::milliseconds(600), [&] { over = true; });
+    f.run_until([&] { return over; });
+    cr_assert(f.watch.servers_ended() == 0);
+    cr_assert(f.sent.empty());
+}
+
+Test(crash_watch, the_end_of_a_server_that_drains_is_nobodys_fault) {
+    watched_router f;
+    f.add_mortal("s", "app", plain, ok());
+    traffic::server leaving = *traffic::find(f.context.state.servers, "s");
+    leaving.draining = true;
+    traffic::apply(f.context.state.servers, "s", 100, leaving);
+    f.watch.call_broke(identity("d"), "s", base::milliseconds(5));
+    event::timer wait(f.owner);
+    bool over = false;
+    wait.start(base::milliseconds(400), [&] { over = true; });
+    f.run_until([&] { return over; });
+    cr_assert(f.watch.servers_ended() == 0);
+}
+
+Test(crash_watch, a_server_started_again_at_once_is_known_by_its_row) {
+    watched_router f;
+    f.add_server("s", "app", plain, ok());
+    f.watch.call_broke(identity("d"), "s", base::milliseconds(5));
+    event::timer wait(f.owner);
+    bool over = false;
+    wait.start(base::milliseconds(300), [&] { over = true; });
+    f.run_until([&] { return over; });
+    cr_assert(f.watch.servers_ended() == 0);
+    f.watch.server_replaced("s");
+    cr_assert(f.watch.servers_ended() == 1);
+    cr_assert(f.sent_to<crash_report>("judge")->runs.at(0).key.digest == "d");
+}
+
+Test(crash_watch, judges_hear_what_ran_and_everybody_of_a_block) {
+    watched_router f;
+    f.add_dead_server("s", "app");
+    f.watch.call_broke(identity("d"), "s", base::milliseconds(5));
+    f.run_until([&] { return f.watch.servers_ended() == 1; });
+    cr_assert(f.sent_to<crash_report>("judge")->server_life == "s/0");
+    cr_assert(!f.sent_to<crash_report>("peer"));
+    for (const char* life : {"t/0", "u/0"})
+        f.watch.receive(
+            "peer",
+            encode(crash_report{life, {{{"d", 2}, base::milliseconds(7)}}}));
+    f.run_until([&] { return f.watch.blocked() == 1; });
+    for (const char* host : {"judge", "peer", "follower"})
+        cr_assert(
+            f.sent_to<block_notice>(host)->blocks.at(0).key.digest == "d");
+    cr_assert(f.watch.blocked_for(identity("d")).has_value());
+    cr_assert(!f.watch.blocked_for(identity("e")));
+}
+
+Test(crash_watch, a_block_that_was_told_is_passed_on_and_repeated) {
+    watched_router f;
+    const std::string news =
+        encode(block_notice{{{{"d", 2}, base::milliseconds(60000), 1}}});
+    f.watch.receive("judge", news);
+    cr_assert(f.watch.blocked() == 1);
+    cr_assert(f.sent_to<block_notice>("follower").has_value());
+    f.run_until([&] { return f.sent_to<block_notice>("peer").has_value(); });
+}
+
+Test(crash_watch, a_whole_answer_frees_a_request_everywhere) {
+    watched_router f;
+    const std::string news =
+        encode(block_notice{{{{"d", 2}, base::milliseconds(60000), 1}}});
+    f.watch.receive("judge", news);
+    f.watch.answered(identity("d"));
+    cr_assert(f.watch.blocked() == 0);
+    for (const char* host : {"judge", "peer", "follower"})
+        cr_assert(f.sent_to<clear_notice>(host)->digest == "d");
+    f.watch.receive("judge", news);
+    cr_assert(f.watch.blocked() == 0);
+}
+
+Test(crash_watch, a_request_that_waits_is_told_as_soon_as_it_is_blocked) {
+    watched_router f;
+    f.add_mortal("d1", "llm", decode, good_decode());
+    f.add_server(
+        "p1", "llm", prefill,
+        [&](const received& to, const event::connection_ptr& link) {
+            const auto digest = relay::request_digest("", to.head, to.body);
+            f.watch.receive(
+                "judge", encode(block_notice{
+                             {{{digest, 2}, base::milliseconds(60000), 1}}}));
+            link->write(answer_to(to, "handle k"));
+        });
+    const caller_view seen =
+        f.ask(request("/stream/crash", "Id: c\r\nTokens: 9\r\n"));
+    cr_assert(seen.status == 503);
+    cr_assert(seen.body == "crashes_servers\n");
+    cr_assert(f.crashes == 0);
+}
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
@@ -83,6 +83,13 @@
     const std::string& own_host, const std::vector<std::string>& others,
     const std::vector<std::string>& others_in_data_centre);
 
+/// @return hosts of instances that hear of all servers that have ended under
+/// requests, and say which requests are to blame (crash_evidence.hpp): all of a
+/// small group, three of a large one. @param hosts of all that stay, this one
+/// included where it may be one of them.
+std::vector<std::string>
+judges_of_crashes(const std::vector<std::string>& hosts);
+
 } // namespace mintknot::policy
 
 #endif
--- a/libs/mintknotd-platform/policy/src/group.cpp
+++ b/libs/mintknotd-platform/policy/src/group.cpp
@@ -18,6 +18,9 @@
 /// store_access_of().
 constexpr std::size_t followers_per_relay = 12;
 constexpr std::string_view store_reader_job = "store-reader";
+/// One may be about to stop and one be cut off.
+constexpr std::size_t crash_judges = 3;
+constexpr std::string_view crash_judge_job = "crash-judge";
 
 } // namespace
 
@@ -55,6 +58,13 @@
     return {std::move(sources), role == group_role::super_peer, true};
 }
 
+std::vector<std::string>
+judges_of_crashes(const std::vector<std::string>& hosts) {
+    if (!is_large(hosts.size()))
+        return hosts;
+    return base::rendezvous_first(crash_judge_job, hosts, crash_judges);
+}
+
 bool looks_after_phases(
     const std::string& own_host, const std::vector<std::string>& others) {
     return std::none_of(
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -88,10 +88,11 @@
     void refuse(
         int status, std::string_view reason,
         std::optional<base::milliseconds> come_back);
-    /// Looks again, before a send of what has not run, whether the caller's key
-    /// is good: it may have been taken away while the request waited.
-    /// @return false if it is not; the exchange has ended then.
-    bool key_still_good();
+    /// Looks again, before each send, whether the request may go to a server:
+    /// the caller's key may have been taken away while the request waited, or
+    /// the request been blocked. @return false if it may not; the exchange has
+    /// ended then.
+    bool still_allowed();
     /// @return the priority of the organisation, or else of the route.
     int priority() const;
     /// Ends the exchange with a server's answer.
@@ -109,6 +110,8 @@
     /// A call to a server has ended before its answer did.
     void note_broken_call(
         const std::string& server_id, base::steady_time sent) const;
+    /// A server has run the request and its answer is whole.
+    void note_whole_answer() const;
 
     /// @return true if an answer is this request's own: a surplus answer to an
     /// earlier one may come first. A rejection may lack the ID.
@@ -130,6 +133,9 @@
     int sends_ = 0; ///< Calls that may have reached a server.
 
 private:
+    bool key_still_good();
+    /// @return false if the request is blocked; the exchange has ended then.
+    bool not_blocked();
     void on_deadline();
     void ask_for_usage();
     void on_usage(const usage_grant& told);
@@ -140,6 +146,7 @@
         std::optional<base::milliseconds> retry_after);
     void finish(std::string_view outcome);
 
+    request_identity identity_;
     event::timer deadline_timer_;
     base::steady_time deadline_;
     std::unique_ptr<usage_ticket> usage_ticket_;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -12,6 +12,7 @@
 #include <mintknot/policy/return_time.hpp>
 #include <mintknot/policy/selection.hpp>
 #include <mintknot/policy/server_health.hpp>
+#include <mintknot/relay/crash_guard.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/health_prober.hpp>
 #include <mintknot/relay/placer.hpp>
@@ -122,6 +123,7 @@
     router_state state{};
     placer* placement = nullptr;     ///< Null: every request is placed here.
     usage_limiter* limits = nullptr; ///< Null: no organisation is limited.
+    crash_guard* crashes = nullptr;  ///< Null: no request is suspected.
     wait_queue queue{loop};
     std::minstd_rand random{std::random_device{}()};
 
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -17,10 +17,16 @@
 /// decides.
 constexpr base::milliseconds default_deadline{60000};
 
+constexpr std::string_view crashes_servers = "crashes_servers";
+
 constexpr int status_unauthorized = 401;
 constexpr int status_too_many_requests = 429;
 constexpr int status_unavailable = 503;
 
+std::string_view body_of(const caller_request& request) {
+    return request.body == nullptr ? std::string_view{} : *request.body;
+}
+
 int status_of(base::verdict verdict, bool out_of_time) {
     if (verdict == base::verdict::not_run)
         return status_unavailable;
@@ -39,6 +45,12 @@
     , config_(std::move(config))
     , route_(route)
     , service_(service)
+    , identity_(
+          body_of(request_).size(),
+          [this] {
+              return request_digest(
+                  organisation_name(), request_.head, body_of(request_));
+          })
     , deadline_timer_(context.loop)
     , deadline_(
           request_.arrived +
@@ -61,6 +73,8 @@
         policy::note_deadline(
             context_.state.deadlines[route_.name], *request_.terms.deadline,
             context_.loop.now());
+    if (!not_blocked())
+        return;
     deadline_timer_.start(deadline_, [this] { on_deadline(); });
     const traffic::organisation* who = request_.organisation;
     if (who != nullptr && who->limit.limited() && context_.limits != nullptr)
@@ -95,6 +109,24 @@
     usage_.granted = false;
 }
 
+bool exchange::still_allowed() {
+    return key_still_good() && not_blocked();
+}
+
+bool exchange::not_blocked() {
+    if (context_.crashes == nullptr)
+        return true;
+    const auto left = context_.crashes->blocked_for(identity_);
+    if (!left)
+        return true;
+    cancel_calls();
+    if (attempts_.answer_begun)
+        break_answer(crashes_servers);
+    else
+        give_up(crashes_servers, *left);
+    return false;
+}
+
 bool exchange::key_still_good() {
     const bool begun =
         verdict_ != base::verdict::not_run || attempts_.answer_begun;
@@ -276,16 +308,20 @@
 
 void exchange::note_broken_call(
     const std::string& server_id, base::steady_time sent) const {
-    const std::string_view body =
-        request_.body == nullptr ? std::string_view{} : *request_.body;
+    const auto ran_for = std::chrono::duration_cast<base::milliseconds>(
+        context_.loop.now() - sent);
     context_.log.write(
-        "call_broke",
-        {{"request", request_.terms.id},
-         {"digest", request_digest(organisation_name(), request_.head, body)},
-         {"server", server_id},
-         {"after_ms", std::chrono::duration_cast<base::milliseconds>(
-                          context_.loop.now() - sent)
-                          .count()}});
+        "call_broke", {{"request", request_.terms.id},
+                       {"digest", identity_.digest()},
+                       {"server", server_id},
+                       {"after_ms", ran_for.count()}});
+    if (context_.crashes != nullptr)
+        context_.crashes->call_broke(identity_, server_id, ran_for);
+}
+
+void exchange::note_whole_answer() const {
+    if (context_.crashes != nullptr)
+        context_.crashes->answered(identity_);
 }
 
 bool exchange::belongs(const http1::response_head& head) const {
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -34,7 +34,7 @@
         place();
         return;
     }
-    if (!key_still_good())
+    if (!still_allowed())
         return;
     if (!prepay(policy::repeats_to_prepay(charges_, 1))) {
         take(policy::without_allowance(
@@ -186,6 +186,7 @@
     decode_.splitter.rest.clear();
     note_result(
         context_, decode_.server, policy::call_result::good, request_.terms.id);
+    note_whole_answer();
     note_demand();
     decode_.call.reset();
     release_decode();
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -95,7 +95,7 @@
         wait_for_room(seen);
         return;
     }
-    if (!key_still_good())
+    if (!still_allowed())
         return;
     if (names_leaving_prefill(placed)) {
         place();
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -67,7 +67,7 @@
         place();
     else if (chosen == nullptr || leaves)
         take(next_step(policy::call_end::no_server));
-    else if (key_still_good())
+    else if (still_allowed())
         send(*chosen, placed.by);
 }
 
@@ -159,6 +159,7 @@
         call_.reset();
         note_result(
             context_, server, policy::call_result::good, request_.terms.id);
+        note_whole_answer();
         end_answer("answered");
         return;
     }
@@ -173,6 +174,7 @@
         return;
     }
     raise(base::verdict::ran);
+    note_whole_answer();
     after(
         end, end == policy::call_end::answered ? policy::call_result::good
                                                : policy::call_result::failed);
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -88,6 +88,8 @@
         {"usage_refused", gauge(accounts.counters().refused)},
         {"usage_granted_by_deputies", gauge(accounts.counters().deputised)},
         {"usage_granted_alone", gauge(accounts.counters().alone)},
+        {"blocked_requests", gauge(crashes.blocked())},
+        {"servers_ended", gauge(crashes.servers_ended())},
         {"configuration_age_seconds",
          seconds_or_never(relay::knowledge_of(context).age)},
         {"servers_age_seconds", seconds_or_never(relay::servers_age(context))},
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -27,6 +27,24 @@
     return result;
 }
 
+std::vector<std::string> instance::impl::crash_judges() const {
+    std::vector<std::string> hosts = peers::staying(group.table(), {});
+    if (members_of_fleet.role() != policy::group_role::leaf)
+        hosts.push_back(settings.peer.host);
+    return policy::judges_of_crashes(hosts);
+}
+
+std::vector<std::string> instance::impl::followers() const {
+    std::vector<std::string> hosts;
+    if (members_of_fleet.role() != policy::group_role::super_peer)
+        return hosts;
+    const peers::peer_table& heard = group.table();
+    for (const auto& [host, member] : members_of_fleet.table().joined)
+        if (host != settings.peer.host && !heard.heard.contains(host))
+            hosts.push_back(host);
+    return hosts;
+}
+
 std::vector<std::string>
 instance::impl::scheduler_hosts(const std::string& data_centre) const {
     std::vector<std::string> hosts = peers::staying(group.table(), data_centre);
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -7,6 +7,7 @@
 #include "repeat_lending.hpp"
 #include "settings_watch.hpp"
 
+#include <mintknot/crashes/crash_watch.hpp>
 #include <mintknot/limits/usage_accounts.hpp>
 #include <mintknot/orders/demand_sharing.hpp>
 #include <mintknot/orders/phase_balancer.hpp>
@@ -33,6 +34,11 @@
     datagram_sender();
     scheduling::placer_ports placer_functions();
     limits::account_ports account_functions();
+    crashes::watch_ports crash_functions();
+    std::vector<std::string> crash_judges() const;
+    /// @return members of the data centre that are no super-peers, where they
+    /// ask this instance.
+    std::vector<std::string> followers() const;
     std::vector<limits::group_peer> members() const;
     lending_ports lending_functions();
     std::vector<std::string>
@@ -85,6 +91,7 @@
     scheduling::remote_placer placer;
     repeat_lending lending;
     limits::usage_accounts accounts;
+    crashes::crash_watch crashes;
     orders::phase_balancer balancer;
     orders::demand_sharing demands;
     event::timer drain_timer;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -56,6 +56,7 @@
     , placer(context, placer_functions())
     , lending(context, lending_functions())
     , accounts(context, account_functions(), settings.usage_bounds)
+    , crashes(context, crash_functions())
     , balancer(
           context, ports.store, balancer_options(),
           [this] { return looks_after_phases(); })
@@ -78,6 +79,7 @@
     context.state.started = ports.loop.now();
     context.placement = &placer;
     context.limits = &accounts;
+    context.crashes = &crashes;
     context.state.on_repeats_low =
         [this](const std::string& service, int repeats) {
             lending.ask(service, repeats);
@@ -140,6 +142,7 @@
         log.write("server_reborn", {{"server", id}});
     // What an earlier life has shown says nothing of this one.
     if (gone || reborn) {
+        crashes.server_replaced(id);
         pool.drop(id);
         policy::forget(context.state.health, id);
         policy::forget(context.state.rates, id);
@@ -176,6 +179,18 @@
         }};
 }
 
+crashes::watch_ports instance::impl::crash_functions() {
+    return {
+        settings.peer.host,
+        datagram_sender(),
+        [this] { return crash_judges(); },
+        [this] {
+            return peers::heard_hosts(group.table(), peers::audience::all);
+        },
+        [this] { return followers(); },
+        [this](const std::string& id) { return check_of(id); }};
+}
+
 lending_ports instance::impl::lending_functions() {
     return {datagram_sender(), [this] {
                 return peers::staying(group.table(), {});
@@ -193,7 +208,7 @@
     const std::string& host, std::string_view datagram) {
     if (!members_of_fleet.receive(host, datagram) &&
         !lending.receive(host, datagram) && !demands.receive(host, datagram) &&
-        !accounts.receive(host, datagram))
+        !accounts.receive(host, datagram) && !crashes.receive(host, datagram))
         placer.receive(host, datagram);
 }
 
