Ages and rights count the time in which a machine is suspended

An instance that wakes took a lease, a configuration or its view of the servers for as young as when the machine was suspended: base::steady_clock was the monotonic clock, which stands still meanwhile, and so did all timers. It now reads the boot clock, and the event loop's timers with it; who held a lease 20 s ago does not order by it, and timers that fell due fire with the first one after the wake, which loop_delayed shows. Class: a clock that measures the process and not the world. One alias served ages, leases, fences, allowances, limits, warnings and blocks, so one place mends all; no other code reads the monotonic clock (searched). Not played: a real one.

--- a/libs/common/base/include/mintknot/base/time.hpp
+++ b/libs/common/base/include/mintknot/base/time.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The two clocks: steady time for deadlines, wall time for people.
+/// The two clocks: steady time for deadlines and ages, wall time for people.
 #ifndef MINTKNOT_BASE_TIME_HPP
 #define MINTKNOT_BASE_TIME_HPP
 
@@ -7,7 +7,18 @@
 
 namespace mintknot::base {
 
-using steady_clock = std::chrono::steady_clock;
+/// Never goes back, and counts the time in which the machine is suspended:
+/// leases end and knowledge grows old meanwhile.
+struct steady_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<steady_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
 using steady_time = steady_clock::time_point;
 using wall_time = std::chrono::time_point<
     std::chrono::system_clock, std::chrono::milliseconds>;
--- a/libs/mintknotd-platform/event/src/loop.cpp
+++ b/libs/mintknotd-platform/event/src/loop.cpp
@@ -1,7 +1,7 @@
 #include "loop_impl.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 
 namespace mintknot::event {
 
@@ -77,7 +77,7 @@
         : owning_loop(owner.native())
         , native(owner.native().context) {}
     loop::impl& owning_loop;
-    boost::asio::steady_timer native;
+    boost::asio::basic_waitable_timer<base::steady_clock> native;
     std::uint64_t generation = 0;
     bool active = false;
 };
--- a/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/orders/phase_balancer.hpp>
 
 #include "relay_fixture.hpp"
+#include "suspended_clock.hpp"
 
 #include <criterion/criterion.h>
 
@@ -133,6 +134,27 @@
     cr_assert(f.orders.empty());
 }
 
+Test(phase_balancer, a_lease_of_before_a_suspension_gives_no_right) {
+    fixture f;
+    f.responsible = true;
+    bool suspended = false;
+    for (scripted_server* engine : f.engines)
+        engine->behaviour = [&, usual = engine->behaviour](
+                                const received& to,
+                                const event::connection_ptr& link) {
+            if (to.head.target == "/report" && !suspended) {
+                suspended = true;
+                f.responsible = false;
+                base::tests::suspend_for(base::milliseconds(20000));
+            }
+            usual(to, link);
+        };
+    const auto balancer = f.start();
+    f.relay.run_until([&] { return suspended; });
+    f.let_pass(base::milliseconds(200));
+    cr_assert(f.orders.empty());
+}
+
 Test(phase_balancer, an_instance_that_is_not_responsible_does_nothing) {
     fixture f;
     f.responsible = false;
