--- a/testing/soak/src/row_store.hpp
+++ b/testing/soak/src/row_store.hpp
@@ -3,6 +3,8 @@
 #ifndef MINTKNOT_SOAK_ROW_STORE_HPP
 #define MINTKNOT_SOAK_ROW_STORE_HPP
 
+#include <mintknot/base/time.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -17,7 +19,7 @@
 /// so that a watch can tell of them.
 class row_store {
 public:
-    using time = std::chrono::steady_clock::time_point;
+    using time = base::steady_time;
 
     /// Carries out a transaction. @return the status of the answer, and its
     /// body.
