A server's own word that it leaves counts beside its row

Requests reached servers 2,036 to 2,049 ms and more after an answer had told their instance that the server leaves: the store was away and took the row 12 s later. Cause: the field was read nowhere; only rows told of leaving. Class: what a server says of itself in an answer is thrown away, and only what the store says counts. All ways to a send ask may_send_to(); queries to schedulers rule such servers out, and are not returned to them. Why it holds: there is one place where answers are read, and one that opens servers. An end of a server that said so is nobody's crash. Left: peers are not told; each instance learns from its own next answer.

--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -337,7 +337,8 @@
     const traffic::server* server =
         traffic::find(impl_->router.state.servers, server_id);
     // The end of a server that leaves is nobody's fault.
-    if (server == nullptr || server->draining)
+    if (server == nullptr ||
+        traffic::leaves(impl_->router.state.servers, *server))
         return;
     impl_->call_broke(
         {{request.digest(), request.body_bytes()}, ran_for}, *server);
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -84,6 +84,22 @@
     query.excluded.insert(found.begin(), found.end());
 }
 
+void exclude_unavailable(
+    placement_query& query, const traffic::server_table& servers) {
+    excluded_servers found;
+    for (const auto& [id, life] : servers.said_leaving) {
+        const traffic::server* known = traffic::find(servers, id);
+        if (known != nullptr && known->service == query.service &&
+            traffic::leaves(servers, *known) && found.size() < max_avoided)
+            found.insert(id);
+    }
+    if (found.empty())
+        return;
+    query.excluded_prefill.insert(found.begin(), found.end());
+    query.excluded.insert(found.begin(), found.end());
+    query.may_return = false;
+}
+
 traffic::load_map
 placed_loads(const placement& placed, const placement_query& query) {
     traffic::load_map loads;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -53,6 +53,11 @@
     std::string server_id; ///< Only answers to health checks name it.
 };
 
+/// What the head of any answer says of the server itself.
+struct server_notice {
+    bool leaving = false; ///< It wants nothing new any more.
+};
+
 /// An order to an engine to do another part of the work from now on.
 struct phase_order {
     traffic::engine_phase to = traffic::engine_phase::none;
@@ -91,6 +96,8 @@
     read_request(const http1::request_head& head) const = 0;
     virtual answer_terms
     read_answer(const http1::response_head& head) const = 0;
+    virtual server_notice
+    read_notice(const http1::response_head& head) const = 0;
     /// @return nothing if the body is no proper result.
     virtual std::optional<prefill_result>
     read_prefill(std::string_view body) const = 0;
--- /dev/null
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/server_notices.hpp
@@ -0,0 +1,28 @@
+/// @file
+/// What servers say of themselves in their answers.
+#ifndef MINTKNOT_RELAY_SERVER_NOTICES_HPP
+#define MINTKNOT_RELAY_SERVER_NOTICES_HPP
+
+#include <mintknot/relay/router_state.hpp>
+
+#include <string>
+
+namespace mintknot::relay {
+
+/// From now on every answer on a connection of the pool is looked at, whatever
+/// was asked: runs, prompts, refusals, checks, orders, reports. A server's own
+/// word stands beside its row, which may come much later. The router outlives
+/// its pool's calls. Log event: `server_leaving`.
+void follow_server_notices(router_context& context);
+
+/// Takes what a server has said.
+void take_notice(
+    router_context& context, const std::string& server_id,
+    const server_notice& notice);
+
+/// @return true if the server may get a request of this instance now.
+bool may_send_to(const router_context& context, const traffic::server& server);
+
+} // namespace mintknot::relay
+
+#endif
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -7,6 +7,7 @@
 
 #include <mintknot/policy/group.hpp>
 #include <mintknot/policy/timeouts.hpp>
+#include <mintknot/relay/server_notices.hpp>
 
 namespace mintknot::relay {
 
@@ -20,8 +21,7 @@
 void generation_exchange::start_decode() {
     const traffic::server* engine =
         traffic::find(context_.state.servers, decode_.server);
-    if (engine == nullptr ||
-        !traffic::takes_new(context_.state.servers, *engine)) {
+    if (engine == nullptr || !may_send_to(context_, *engine)) {
         place();
         return;
     }
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <mintknot/policy/admission.hpp>
 #include <mintknot/policy/engine_needs.hpp>
+#include <mintknot/relay/server_notices.hpp>
 
 #include <algorithm>
 
@@ -85,8 +86,7 @@
 void generation_exchange::on_placed(const policy::placement& placed) {
     const traffic::server* decode =
         traffic::find(context_.state.servers, placed.server);
-    if (decode == nullptr ||
-        !traffic::takes_new(context_.state.servers, *decode)) {
+    if (decode == nullptr || !may_send_to(context_, *decode)) {
         policy::room_summary seen = placed.room;
         // A scheduler that does not know yet that the engine leaves will name
         // another one shortly.
@@ -108,8 +108,7 @@
     add_load(context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
     const traffic::server* prefill =
         traffic::find(context_.state.servers, placed.prefill);
-    if (prefill != nullptr &&
-        traffic::takes_new(context_.state.servers, *prefill) &&
+    if (prefill != nullptr && may_send_to(context_, *prefill) &&
         prepay(policy::repeats_to_prepay(charges_, policy::calls_with_prefill)))
         start_prefill(*prefill, placed.tokens_ahead);
     else
@@ -120,8 +119,7 @@
     const policy::placement& placed) {
     const traffic::server* engine =
         traffic::find(context_.state.servers, placed.prefill);
-    return engine != nullptr &&
-           !traffic::takes_new(context_.state.servers, *engine) &&
+    return engine != nullptr && !may_send_to(context_, *engine) &&
            prefill_.tried.insert(engine->id).second;
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -3,6 +3,7 @@
 #include "answer_status.hpp"
 
 #include <mintknot/policy/timeouts.hpp>
+#include <mintknot/relay/server_notices.hpp>
 
 namespace mintknot::relay {
 
@@ -59,8 +60,7 @@
 void plain_exchange::on_placed(const policy::placement& placed) {
     const traffic::server* chosen =
         traffic::find(context_.state.servers, placed.server);
-    const bool leaves = chosen != nullptr &&
-                        !traffic::takes_new(context_.state.servers, *chosen);
+    const bool leaves = chosen != nullptr && !may_send_to(context_, *chosen);
     // A scheduler that does not know yet that the server leaves, or that its
     // data centre is closed, names another one.
     if (leaves && tried_.insert(chosen->id).second)
--- /dev/null
+++ b/libs/mintknotd-platform/relay/src/server_notices.cpp
@@ -0,0 +1,25 @@
+#include <mintknot/relay/server_notices.hpp>
+
+namespace mintknot::relay {
+
+void follow_server_notices(router_context& context) {
+    context.pool.observe_answers(
+        [&context](
+            const std::string& server_id, const http1::response_head& head) {
+            take_notice(context, server_id, context.protocol.read_notice(head));
+        });
+}
+
+void take_notice(
+    router_context& context, const std::string& server_id,
+    const server_notice& notice) {
+    if (notice.leaving &&
+        traffic::note_leaving(context.state.servers, server_id))
+        context.log.write("server_leaving", {{"server", server_id}});
+}
+
+bool may_send_to(const router_context& context, const traffic::server& server) {
+    return traffic::takes_new(context.state.servers, server);
+}
+
+} // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -1,6 +1,7 @@
 #include "relay_fixture.hpp"
 
 #include <mintknot/http1/serialize.hpp>
+#include <mintknot/relay/server_notices.hpp>
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
@@ -63,6 +64,11 @@
     return terms;
 }
 
+server_notice
+test_dialect::read_notice(const http1::response_head& head) const {
+    return {!text_of(head.fields, "Leaving").empty()};
+}
+
 std::optional<prefill_result>
 test_dialect::read_prefill(std::string_view body) const {
     if (!body.starts_with("handle "))
@@ -175,6 +181,7 @@
         traffic::engine_spec{10000, base::milliseconds(2000)}};
     configure();
     context.state.retry_bounds.extra = 1000.0;
+    follow_server_notices(context);
     entry = std::make_unique<entry_server>(context);
     cr_assert(entry->open({"127.0.0.1", 0}).ok());
 }
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -24,6 +24,7 @@
 public:
     request_terms read_request(const http1::request_head& head) const override;
     answer_terms read_answer(const http1::response_head& head) const override;
+    server_notice read_notice(const http1::response_head& head) const override;
     std::optional<prefill_result>
     read_prefill(std::string_view body) const override;
     http1::request_head outgoing(
--- /dev/null
+++ b/libs/mintknotd-platform/relay/tests/test_server_notices.cpp
@@ -0,0 +1,111 @@
+#include "relay_fixture.hpp"
+#include "scripted_placer.hpp"
+
+#include <mintknot/relay/server_notices.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::relay;
+using namespace mintknot::relay::tests;
+
+namespace {
+
+constexpr auto plain = traffic::engine_phase::none;
+constexpr auto prefill = traffic::engine_phase::prefill;
+constexpr auto decode = traffic::engine_phase::decode;
+
+/// @return the answer with one more field.
+std::string with_field(std::string answer, const std::string& field) {
+    return answer.insert(answer.find("\r\n") + 2, field + "\r\n");
+}
+
+script leaving_with(const std::string& body, int status = 200) {
+    return [=](const received& to, const event::connection_ptr& link) {
+        link->write(with_field(answer_to(to, body, status), "Leaving: 1"));
+    };
+}
+
+traffic::server row_of(const relay_fixture& f, const std::string& id) {
+    return *traffic::find(f.context.state.servers, id);
+}
+
+} // namespace
+
+Test(server_notices, who_says_in_any_answer_that_it_leaves_gets_nothing_new) {
+    for (const int status : {200, 404, 500, 503}) {
+        relay_fixture f;
+        scripted_server& s =
+            f.add_server("s", "app", plain, leaving_with("x", status));
+        f.ask(request("/unsafe/x"));
+        f.add_server("t", "app", plain, leaving_with("y"));
+        for (int i = 0; i < 3; ++i)
+            f.ask(request("/unsafe/x"));
+        cr_assert(s.requests.size() == 1);
+    }
+}
+
+Test(server_notices, a_prefill_engine_that_leaves_reads_no_more_prompts) {
+    relay_fixture f;
+    scripted_server& p =
+        f.add_server("p", "llm", prefill, leaving_with("handle k"));
+    f.add_server("d", "llm", decode, good_decode());
+    const std::string prompt = request("/stream/x", "Id: r1\r\nTokens: 9\r\n");
+    for (int i = 0; i < 3; ++i)
+        cr_assert(f.ask(prompt).status == 200);
+    cr_assert(p.requests.size() == 1);
+}
+
+Test(server_notices, no_row_of_the_same_life_takes_the_word_back) {
+    relay_fixture f;
+    f.add_server("s", "app", plain, leaving_with("x"));
+    traffic::server_table& servers = f.context.state.servers;
+    traffic::server row = row_of(f, "s");
+    row.born = 7;
+    traffic::apply(servers, "s", 50, row);
+    take_notice(f.context, "s", {true});
+    cr_assert(traffic::open_servers(servers, "app").empty());
+    traffic::apply(servers, "s", 51, row);
+    cr_assert(traffic::open_servers(servers, "app").empty());
+    traffic::apply(servers, "s", 52, std::nullopt);
+    traffic::apply(servers, "s", 53, row);
+    cr_assert(traffic::open_servers(servers, "app").empty());
+    row.born = 8;
+    traffic::apply(servers, "s", 54, row);
+    cr_assert(traffic::open_servers(servers, "app").size() == 1);
+}
+
+Test(server_notices, a_scheduler_that_does_not_know_is_told_whom_to_leave_out) {
+    relay_fixture f;
+    scripted_server& s = f.add_server("s", "app", plain, leaving_with("x"));
+    scripted_server& t = f.add_server("t", "app", plain, leaving_with("y"));
+    policy::placement_query seen;
+    scripted_placer placer([&](const policy::placement_query& query) {
+        seen = query;
+        policy::placement placed;
+        placed.server = seen.excluded.contains("s") ? "t" : "s";
+        placed.by = "scheduler";
+        return placed;
+    });
+    f.context.placement = &placer;
+    take_notice(f.context, "s", {true});
+    cr_assert(f.ask(request("/unsafe/x")).body == "y");
+    cr_assert(s.requests.empty());
+    cr_assert(t.requests.size() == 1);
+    policy::placement_query query;
+    query.service = "app";
+    query.may_return = true;
+    policy::exclude_unavailable(query, f.context.state.servers);
+    cr_assert(query.excluded.contains("s"));
+    cr_assert(!query.may_return);
+}
+
+Test(server_notices, an_instance_that_becomes_a_leaf_remembers_the_words) {
+    relay_fixture f;
+    f.add_server("s", "app", plain, leaving_with("x"));
+    const traffic::server row = row_of(f, "s");
+    take_notice(f.context, "s", {true});
+    traffic::become_partial(f.context.state.servers);
+    traffic::note_named(f.context.state.servers, {row, 99});
+    cr_assert(!may_send_to(f.context, row_of(f, "s")));
+}
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/base/random.hpp>
 #include <mintknot/policy/news_age.hpp>
+#include <mintknot/relay/server_notices.hpp>
 
 #include <fmt/format.h>
 
@@ -78,6 +79,7 @@
     context.state.instances = policy::assumed_instances(1);
     context.state.started = ports.loop.now();
     context.placement = &placer;
+    relay::follow_server_notices(context);
     context.limits = &accounts;
     context.crashes = &crashes;
     context.state.on_repeats_low =
--- a/libs/mintknotd-platform/runtime/tests/test_instance.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_instance.cpp
@@ -25,6 +25,10 @@
     read_answer(const http1::response_head&) const override {
         return {};
     }
+    relay::server_notice
+    read_notice(const http1::response_head&) const override {
+        return {};
+    }
     std::optional<relay::prefill_result>
     read_prefill(std::string_view) const override {
         return std::nullopt;
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
@@ -54,6 +54,9 @@
     std::map<std::string, std::vector<const server*>> open_by_service;
     /// Data centres whose servers get nothing new; they are not open.
     std::set<std::string> closed_data_centres;
+    /// Servers that have said themselves that they leave, and which life of
+    /// each has (server::born). No row takes that back, only another life.
+    std::map<std::string, std::uint64_t> said_leaving;
     std::uint64_t newest = 0; ///< The highest version seen.
     std::size_t traces = 0;   ///< Entries of servers that have gone.
     /// This instance holds no rows: it knows only servers that a scheduler has
@@ -91,7 +94,14 @@
 void set_closed(
     server_table& table, const std::string& data_centre, bool closed);
 
-/// @return true if a server may get a new request: it does not drain, and its
+/// A server that is known has said itself that it leaves. @return true if that
+/// is new.
+bool note_leaving(server_table& table, const std::string& id);
+
+/// @return true if a server leaves, by its row or by its own word.
+bool leaves(const server_table& table, const server& value);
+
+/// @return true if a server may get a new request: it does not leave, and its
 /// data centre is not closed. Who chose it may not know that yet.
 bool takes_new(const server_table& table, const server& value);
 
--- a/libs/mintknotd-platform/traffic/src/server_table.cpp
+++ b/libs/mintknotd-platform/traffic/src/server_table.cpp
@@ -16,6 +16,10 @@
 /// and an instance of a very large group has less than one a second.
 constexpr std::size_t max_named = 512;
 
+/// Words of servers that have gone are kept for the case that their rows come
+/// back; more than this are looked through.
+constexpr std::size_t max_words = 1024;
+
 bool is_open(const server_table& table, const server_table::entry& entry) {
     return entry.value && !entry.only_named && takes_new(table, *entry.value);
 }
@@ -54,6 +58,15 @@
     });
 }
 
+/// Drops words of servers that are not known any more.
+void drop_words(server_table& table) {
+    if (table.said_leaving.size() <= max_words)
+        return;
+    std::erase_if(table.said_leaving, [&table](const auto& item) {
+        return find(table, item.first) == nullptr;
+    });
+}
+
 bool is_trace(const server_table::entry& entry) {
     return entry.version != 0 && !entry.value;
 }
@@ -129,10 +142,11 @@
 }
 
 void become_partial(server_table& table) {
-    std::set<std::string> closed = std::move(table.closed_data_centres);
-    table = {};
-    table.partial = true;
-    table.closed_data_centres = std::move(closed);
+    server_table fresh;
+    fresh.partial = true;
+    fresh.closed_data_centres = std::move(table.closed_data_centres);
+    fresh.said_leaving = std::move(table.said_leaving);
+    table = std::move(fresh);
 }
 
 void set_closed(
@@ -154,8 +168,29 @@
             add_open(table, *entry.value);
 }
 
+bool note_leaving(server_table& table, const std::string& id) {
+    const auto entry = table.by_id.find(id);
+    if (entry == table.by_id.end() || !entry->second.value ||
+        leaves(table, *entry->second.value))
+        return false;
+    const server& known = *entry->second.value;
+    if (is_open(table, entry->second))
+        remove_open(table, known);
+    table.said_leaving[id] = known.born;
+    drop_words(table);
+    return true;
+}
+
+bool leaves(const server_table& table, const server& value) {
+    if (value.draining)
+        return true;
+    const auto said = table.said_leaving.find(value.id);
+    return said != table.said_leaving.end() &&
+           (said->second == 0 || value.born == 0 || said->second == value.born);
+}
+
 bool takes_new(const server_table& table, const server& value) {
-    return !value.draining &&
+    return !leaves(table, value) &&
            !table.closed_data_centres.contains(value.data_centre);
 }
 
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -6,9 +6,11 @@
 #include <mintknot/base/time.hpp>
 #include <mintknot/event/connection.hpp>
 #include <mintknot/event/loop.hpp>
+#include <mintknot/http1/message.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -50,6 +52,15 @@
     /// Closes the idle connections to a server.
     void drop(const std::string& id);
 
+    /// Has the head of every answer to a call told, before the call's owner
+    /// gets it. At most one observer.
+    void observe_answers(
+        std::function<
+            void(const std::string& id, const http1::response_head& head)>
+            observer);
+    /// Tells the observer.
+    void tell_answer(const std::string& id, const http1::response_head& head);
+
     /// @return servers with idle connections, in no order.
     std::vector<std::string> idle_servers() const;
     std::size_t idle(const std::string& id) const;
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -150,6 +150,7 @@
             return true;
         head_told = true;
         http1::response_head& head = parser->head();
+        pool.tell_answer(where.id, head);
         const bool informational = head.status < 200;
         if (informational || (handlers.belongs && !handlers.belongs(head))) {
             skipping = true;
--- a/libs/mintknotd-platform/upstream/src/connection_pool.cpp
+++ b/libs/mintknotd-platform/upstream/src/connection_pool.cpp
@@ -56,6 +56,8 @@
     event::timer sweep_timer;
     std::unordered_map<std::string, std::list<idle_connection>> idle;
     std::size_t total = 0;
+    std::function<void(const std::string&, const http1::response_head&)>
+        observer;
     pool_counters counters;
 };
 
@@ -115,6 +117,18 @@
     impl_->idle.erase(found);
 }
 
+void connection_pool::observe_answers(
+    std::function<void(const std::string& id, const http1::response_head& head)>
+        observer) {
+    impl_->observer = std::move(observer);
+}
+
+void connection_pool::tell_answer(
+    const std::string& id, const http1::response_head& head) {
+    if (impl_->observer)
+        impl_->observer(id, head);
+}
+
 std::vector<std::string> connection_pool::idle_servers() const {
     std::vector<std::string> ids;
     for (const auto& [id, connections] : impl_->idle)
