A server that asks for rest is left alone for as long

A server that turned requests away and asked for 3 s got 3, 5 and 12 requests of one instance in that time; where all asked, callers were told to come back after 0.25 s. Cause: the time that a 503 names was read nowhere; rejections pause a server by count, for 0.5 s at first, and a pause is a wish: a health check ends it, selection overrides it, schedulers elsewhere do not know it. Class as for leaving: a server's own word is thrown away. Mend: policy/server_rest is a bound of this instance towards that server. Selection skips it always, queries to schedulers rule it out, sends are looked at again (may_send_to), health checks, checks of ended servers, orders and releases wait. Forecasts of room take the first end; plain callers are told it. A request that such an engine turned away may go there after the rest.

--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -88,6 +88,10 @@
             return;
         }
         watched_server& at = watched.at(id);
+        if (wanted->not_before > now()) {
+            at.timer->start(wanted->not_before, [this, id] { check(id); });
+            return;
+        }
         at.check_planned = false;
         at.check = std::make_unique<end_check>(
             router.loop, router.pool, wanted->server);
--- a/libs/mintknotd-platform/orders/src/phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/src/phase_balancer.cpp
@@ -96,7 +96,9 @@
             else
                 engines.push_back(
                     {engine, engine->phase,
-                     policy::avoided(context.state.health, engine->id, now())});
+                     policy::avoided_for(
+                         context.state.health, engine->id, now()) >
+                         base::milliseconds{0}});
         }
         return policy::plan_changes(
             engines, demand, [this](const traffic::server& engine) {
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
@@ -60,11 +60,12 @@
     placement_query& query, const traffic::server_table& servers,
     const health_view& health, base::steady_time now);
 
-/// Rules out servers that have told this instance that they leave, for a query
-/// that goes to a scheduler, which may not know it: whatever the others are
-/// like, these are not returned to.
+/// Rules out servers that have told this instance that they leave or rest, for
+/// a query that goes to a scheduler, which may not know it: whatever the others
+/// are like, these are not returned to.
 void exclude_unavailable(
-    placement_query& query, const traffic::server_table& servers);
+    placement_query& query, const traffic::server_table& servers,
+    const health_view& health, base::steady_time now);
 
 /// @return the load of a placed request, as it is until its prompt is read.
 traffic::load_map
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/server_health.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/server_health.hpp
@@ -14,6 +14,7 @@
 #define MINTKNOT_POLICY_SERVER_HEALTH_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/policy/server_rest.hpp>
 #include <mintknot/traffic/server_table.hpp>
 
 #include <cstdint>
@@ -77,6 +78,7 @@
     /// order of this instance or of a peer.
     std::unordered_map<std::string, base::steady_time> ordered_until;
     std::unordered_map<std::string, base::steady_time> peers_ordered_until;
+    rest_view resting;
 };
 
 /// Takes the result of a call. @return true if the server is avoided from now
@@ -131,7 +133,7 @@
 bool avoided(
     const health_view& view, const std::string& id, base::steady_time now);
 
-/// @return for how much longer a server is avoided; zero if it is not.
+/// @return for how much longer a server is avoided or rests; zero if neither.
 base::milliseconds avoided_for(
     const health_view& view, const std::string& id, base::steady_time now);
 
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -85,14 +85,22 @@
 }
 
 void exclude_unavailable(
-    placement_query& query, const traffic::server_table& servers) {
+    placement_query& query, const traffic::server_table& servers,
+    const health_view& health, base::steady_time now) {
     excluded_servers found;
-    for (const auto& [id, life] : servers.said_leaving) {
+    const auto add = [&](const std::string& id) {
         const traffic::server* known = traffic::find(servers, id);
-        if (known != nullptr && known->service == query.service &&
-            traffic::leaves(servers, *known) && found.size() < max_avoided)
+        const bool unavailable = known != nullptr &&
+                                 known->service == query.service &&
+                                 (traffic::leaves(servers, *known) ||
+                                  rests(health.resting, id, now));
+        if (unavailable && found.size() < max_avoided)
             found.insert(id);
-    }
+    };
+    for (const auto& [id, life] : servers.said_leaving)
+        add(id);
+    for (const auto& [id, until] : health.resting.until)
+        add(id);
     if (found.empty())
         return;
     query.excluded_prefill.insert(found.begin(), found.end());
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -99,6 +99,8 @@
             continue;
         if (excluded.contains(candidate->id) || !in_scope(inputs, *candidate))
             continue;
+        if (rests(inputs.health.resting, candidate->id, inputs.now))
+            continue;
         if (!with_avoided && avoided(inputs.health, candidate->id, inputs.now))
             continue;
         if (!connections_left(inputs, *candidate))
@@ -267,7 +269,8 @@
         memories.push_back(
             {memory * wanted.memory_share - held, held,
              avoided_for(inputs.health, engine->id, inputs.now)});
-        if (avoided(inputs.health, engine->id, inputs.now))
+        if (avoided_for(inputs.health, engine->id, inputs.now) >
+            base::milliseconds{0})
             ++summary.avoided;
         else
             summary.max_room = std::max(summary.max_room, memory - held);
--- a/libs/mintknotd-platform/policy/src/server_avoidance.cpp
+++ b/libs/mintknotd-platform/policy/src/server_avoidance.cpp
@@ -119,9 +119,8 @@
 
 base::milliseconds avoided_for(
     const health_view& view, const std::string& id, base::steady_time now) {
-    return std::max(
-        base::milliseconds{0},
-        base::time_left(usable_from(view, id, now), now));
+    return base::time_left(
+        std::max(usable_from(view, id, now), rest_end(view.resting, id)), now);
 }
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -56,6 +56,8 @@
 /// What the head of any answer says of the server itself.
 struct server_notice {
     bool leaving = false; ///< It wants nothing new any more.
+    /// It wants nothing for so long.
+    std::optional<base::milliseconds> rest;
 };
 
 /// An order to an engine to do another part of the work from now on.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/health_prober.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/health_prober.hpp
@@ -20,6 +20,7 @@
     upstream::target server;
     std::string path;
     base::steady_time due;
+    base::steady_time not_before{}; ///< The server rests until then.
 };
 
 /// Checks a server at the end of the time for which it is avoided, so that no
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -187,7 +187,7 @@
     base::steady_time now);
 
 /// @return when a caller may come back that found no server within reach
-/// (policy/return_time.hpp).
+/// (policy/return_time.hpp), or none that does not rest.
 base::milliseconds
 return_after_outage(const router_context& context, const std::string& service);
 
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/server_notices.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/server_notices.hpp
@@ -12,7 +12,7 @@
 /// From now on every answer on a connection of the pool is looked at, whatever
 /// was asked: runs, prompts, refusals, checks, orders, reports. A server's own
 /// word stands beside its row, which may come much later. The router outlives
-/// its pool's calls. Log event: `server_leaving`.
+/// its pool's calls. Log events: `server_leaving`, `server_rests`.
 void follow_server_notices(router_context& context);
 
 /// Takes what a server has said.
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -19,6 +19,10 @@
             : policy::call_result::rejected,
         request_.terms.id);
     log_rejection();
+    // It speaks of itself and not of the request: it may be tried again later.
+    if (policy::rests(
+            context_.state.health.resting, decode_.server, context_.loop.now()))
+        decode_.tried.erase(decode_.server);
     release_decode();
     const policy::next_step step = policy::after_decode_call(
         policy::call_end::rejected, route_, attempts_);
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -158,7 +158,9 @@
         "result_dropped", {{"request", request_.terms.id},
                            {"server", dropped.server},
                            {"handle", dropped.handle}});
-    if (engine != nullptr)
+    if (engine != nullptr &&
+        !policy::rests(
+            context_.state.health.resting, engine->id, context_.loop.now()))
         context_.releases.add(*engine, dropped.handle);
 }
 
--- a/libs/mintknotd-platform/relay/src/health_prober.cpp
+++ b/libs/mintknotd-platform/relay/src/health_prober.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/relay/health_prober.hpp>
 
+#include <algorithm>
+
 namespace mintknot::relay {
 
 namespace {
@@ -47,7 +49,8 @@
         return;
     }
     watched_.at(id)->timer.start(
-        wanted->due - ahead, [this, id] { check(id); });
+        std::max(wanted->due - ahead, wanted->not_before),
+        [this, id] { check(id); });
 }
 
 void health_prober::check(const std::string& id) {
@@ -57,6 +60,10 @@
         return;
     }
     state& at = *watched_.at(id);
+    if (wanted->not_before > owner_.now()) {
+        plan(id);
+        return;
+    }
     at.good = false;
     at.timer.start(check_time, [this, id] { finish(id, false); });
     at.call = upstream::call::start(
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -146,6 +146,12 @@
 
 base::milliseconds
 return_after_outage(const router_context& context, const std::string& service) {
+    const auto rest = policy::time_until_first_end(
+        context.state.health.resting,
+        traffic::open_servers(context.state.servers, service),
+        context.loop.now());
+    if (rest)
+        return *rest;
     const base::milliseconds age = policy::outage_age(
         context.state.health,
         traffic::open_servers(context.state.servers, service),
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -66,7 +66,11 @@
 
 server_notice
 test_dialect::read_notice(const http1::response_head& head) const {
-    return {!text_of(head.fields, "Leaving").empty()};
+    server_notice notice;
+    notice.leaving = !text_of(head.fields, "Leaving").empty();
+    if (const auto rest = http1::find_number(head.fields, "Rest"))
+        notice.rest = base::milliseconds(*rest);
+    return notice;
 }
 
 std::optional<prefill_result>
--- a/libs/mintknotd-platform/relay/tests/test_server_notices.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_server_notices.cpp
@@ -15,6 +15,8 @@
 constexpr auto prefill = traffic::engine_phase::prefill;
 constexpr auto decode = traffic::engine_phase::decode;
 
+const server_notice leaving{true, std::nullopt};
+
 /// @return the answer with one more field.
 std::string with_field(std::string answer, const std::string& field) {
     return answer.insert(answer.find("\r\n") + 2, field + "\r\n");
@@ -63,7 +65,7 @@
     traffic::server row = row_of(f, "s");
     row.born = 7;
     traffic::apply(servers, "s", 50, row);
-    take_notice(f.context, "s", {true});
+    take_notice(f.context, "s", leaving);
     cr_assert(traffic::open_servers(servers, "app").empty());
     traffic::apply(servers, "s", 51, row);
     cr_assert(traffic::open_servers(servers, "app").empty());
@@ -88,14 +90,15 @@
         return placed;
     });
     f.context.placement = &placer;
-    take_notice(f.context, "s", {true});
+    take_notice(f.context, "s", leaving);
     cr_assert(f.ask(request("/unsafe/x")).body == "y");
     cr_assert(s.requests.empty());
     cr_assert(t.requests.size() == 1);
     policy::placement_query query;
     query.service = "app";
     query.may_return = true;
-    policy::exclude_unavailable(query, f.context.state.servers);
+    policy::exclude_unavailable(
+        query, f.context.state.servers, f.context.state.health, f.owner.now());
     cr_assert(query.excluded.contains("s"));
     cr_assert(!query.may_return);
 }
@@ -104,8 +107,62 @@
     relay_fixture f;
     f.add_server("s", "app", plain, leaving_with("x"));
     const traffic::server row = row_of(f, "s");
-    take_notice(f.context, "s", {true});
+    take_notice(f.context, "s", leaving);
     traffic::become_partial(f.context.state.servers);
     traffic::note_named(f.context.state.servers, {row, 99});
     cr_assert(!may_send_to(f.context, row_of(f, "s")));
 }
+
+namespace {
+
+script resting_for(int milliseconds) {
+    return [=](const received& to, const event::connection_ptr& link) {
+        link->write(with_field(
+            rejection_of(to), "Rest: " + std::to_string(milliseconds)));
+    };
+}
+
+} // namespace
+
+Test(server_notices, a_server_that_rests_is_left_alone_and_callers_are_told) {
+    relay_fixture f;
+    scripted_server& s = f.add_server("s", "app", plain, resting_for(30000));
+    const caller_view first = f.ask(request("/unsafe/x"));
+    cr_assert(first.status == 503);
+    for (int i = 0; i < 3; ++i) {
+        const caller_view seen = f.ask(request("/unsafe/x"));
+        cr_assert(seen.status == 503);
+        cr_assert(std::stoi(seen.field("Retry-After")) > 20000);
+    }
+    cr_assert(s.requests.size() == 1);
+}
+
+Test(server_notices, a_rest_ends_by_itself) {
+    relay_fixture f;
+    scripted_server& s = f.add_server("s", "app", plain, resting_for(150));
+    cr_assert(f.ask(request("/unsafe/x")).status == 503);
+    s.behaviour = [](const received& to, const event::connection_ptr& link) {
+        link->write(answer_to(to, "ok"));
+    };
+    const base::steady_time asked = f.owner.now();
+    f.run_until([&] {
+        return !policy::rests(
+            f.context.state.health.resting, "s", f.owner.now());
+    });
+    cr_assert(f.owner.now() - asked >= base::milliseconds(100));
+    cr_assert(f.ask(request("/unsafe/x")).status == 200);
+}
+
+Test(server_notices, streams_wait_for_an_engine_that_rests_for_a_moment) {
+    relay_fixture f;
+    scripted_server& d = f.add_server("d", "llm", decode, resting_for(200));
+    int calls = 0;
+    d.behaviour = [&](const received& to, const event::connection_ptr& link) {
+        if (++calls == 1)
+            resting_for(200)(to, link);
+        else
+            good_decode()(to, link);
+    };
+    cr_assert(f.ask(request("/stream/x")).status == 200);
+    cr_assert(calls == 2);
+}
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -229,7 +229,8 @@
     return relay::health_check{
         {server->id, server->where},
         service->second.health_path,
-        policy::avoided_until(context.state.health, id)};
+        policy::avoided_until(context.state.health, id),
+        policy::rest_end(context.state.health.resting, id)};
 }
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -59,7 +59,8 @@
             query.kind = policy::placement_kind::plain_with_room;
         policy::exclude_avoided(
             query, context.state.servers, context.state.health, now());
-        policy::exclude_unavailable(query, context.state.servers);
+        policy::exclude_unavailable(
+            query, context.state.servers, context.state.health, now());
         query.data_centre = context.options.data_centre;
         entry->query = std::move(query);
         entry->then = std::move(then);
