A report of an engine that leaves is believed, too

Found by looking for the class of the incident elsewhere: an engine's report says in its state that it leaves, and the instance that orders engines read past it and ordered it all the same. The word now counts as one in any other answer, and an engine that leaves or rests gets neither reports' calls nor orders. Red before: phase_balancer:: an_engine_whose_report_says_that_it_leaves_is_not_used.

--- a/libs/mintknotd-platform/orders/src/order_batch.cpp
+++ b/libs/mintknotd-platform/orders/src/order_batch.cpp
@@ -1,5 +1,7 @@
 #include "order_batch.hpp"
 
+#include <mintknot/relay/server_notices.hpp>
+
 #include <utility>
 
 namespace mintknot::orders {
@@ -53,8 +55,11 @@
     const auto report = order.status == status_ok
                             ? router_.protocol.read_report(order.body)
                             : std::nullopt;
-    if (!report || report->busy || report->phase == order.change.to ||
-        !terms_.may_order())
+    if (report && report->leaving)
+        relay::take_notice(
+            router_, order.change.server_id, {true, std::nullopt});
+    if (!report || report->leaving || report->busy ||
+        report->phase == order.change.to || !terms_.may_order())
         end(order);
     else
         send(order, report->orders_taken);
@@ -94,7 +99,7 @@
     engine_order& order, relay::own_call request, std::function<void()> then) {
     const traffic::server* engine =
         traffic::find(router_.state.servers, order.change.server_id);
-    if (engine == nullptr || engine->draining) {
+    if (engine == nullptr || !relay::may_send_to(router_, *engine)) {
         end(order);
         return;
     }
--- a/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
@@ -155,6 +155,23 @@
     cr_assert(f.orders.empty());
 }
 
+Test(phase_balancer, an_engine_whose_report_says_that_it_leaves_is_not_used) {
+    fixture f;
+    const script leaving = [](const received& to,
+                              const event::connection_ptr& link) {
+        link->write(answer_to(to, "taken 3 leaving"));
+    };
+    for (scripted_server* engine : f.engines)
+        engine->behaviour = leaving;
+    const auto balancer = f.start();
+    const traffic::server_table& servers = f.relay.context.state.servers;
+    const std::size_t all = traffic::open_servers(servers, "llm").size();
+    f.relay.run_until(
+        [&] { return traffic::open_servers(servers, "llm").size() < all; });
+    f.let_pass(base::milliseconds(50));
+    cr_assert(f.orders.empty());
+}
+
 Test(phase_balancer, an_instance_that_is_not_responsible_does_nothing) {
     fixture f;
     f.responsible = false;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -73,6 +73,7 @@
     traffic::engine_phase phase = traffic::engine_phase::none;
     std::int64_t orders_taken = 0;
     bool busy = false;      ///< With an order.
+    bool leaving = false;   ///< It wants nothing new any more.
     std::uint64_t born = 0; ///< See traffic::server.
 };
 
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -131,6 +131,7 @@
         return std::nullopt;
     engine_report value;
     value.orders_taken = std::stoi(std::string(body.substr(6)));
+    value.leaving = body.ends_with(" leaving");
     return value;
 }
 
