The soak plays crashing requests and servers' words beside any faults

The checks excuse an instance that was disturbed since it was told, and count a request that came within a rest whenever its caller sent it.

--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -29,6 +29,17 @@
         "e", "earlier",
         "an earlier build: instances begin with it and are replaced in turn",
         false, "", "PATH", line);
+    TCLAP::SwitchArg crashing(
+        "c", "crashing", "requests come that crash each server that runs them",
+        line);
+    TCLAP::SwitchArg words(
+        "w", "words",
+        "servers say in answers only that they leave, or ask for rest", line);
+    TCLAP::ValueArg<int> decode_engines(
+        "", "decode-engines", "engines that decode", false, 3, "N", line);
+    TCLAP::ValueArg<int> plain_servers(
+        "", "plain-servers", "servers that are no engines", false, 2, "N",
+        line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -43,6 +54,17 @@
         options.max_flat_group =
             static_cast<std::size_t>(max_flat_group.getValue());
         options.earlier_program = earlier.getValue();
+        options.decode_engines =
+            static_cast<std::size_t>(decode_engines.getValue());
+        options.plain_servers =
+            static_cast<std::size_t>(plain_servers.getValue());
+        if (crashing.getValue())
+            options.crashing = {
+                soak::request_kind::stream, soak::request_kind::unsafe};
+        if (words.getValue()) {
+            options.say_leaving = {0, 2};
+            options.ask_rest = {1, 3, 2 + options.decode_engines};
+        }
         const soak::soak_result result = soak::run_soak(options);
         fmt::print(
             "seed {}: {} requests, {} answered, {} refused, {} left, {} "
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -23,7 +23,7 @@
 /// What a server asks for, from when on it counts, and how much is borne.
 constexpr base::milliseconds rest_time{3000};
 constexpr base::milliseconds rest_slack{500};
-constexpr std::size_t allowed_in_rest = 2;
+constexpr std::ptrdiff_t allowed_in_rest = 2;
 constexpr std::size_t allowed_tries = 3;
 /// With what the refusal of such a request begins.
 constexpr std::string_view taken_for_crashing = "crashes_servers";
@@ -37,6 +37,15 @@
     });
 }
 
+/// @return true if anything was done to the part in that time.
+bool is_disturbed_between(
+    const std::vector<disturbance>& all, const std::string& part,
+    base::steady_time from, base::steady_time until) {
+    return std::any_of(all.begin(), all.end(), [&](const disturbance& one) {
+        return one.part == part && one.from <= until && one.until >= from;
+    });
+}
+
 bool is_any_disturbed(
     const std::vector<disturbance>& all, const std::vector<std::string>& parts,
     base::steady_time at) {
@@ -234,35 +243,42 @@
     for (const caller_record& record : records)
         by_id[record.id] = &record;
     const events_by_way arrivals = by_way(notes.arrivals, by_id);
-    const auto arrived = [&](const way& which, base::steady_time from,
-                             base::steady_time until) {
-        std::size_t count = 0;
+    // Only what came from an instance that has been left in peace since it was
+    // told: it may have been started anew, or have stood still.
+    const auto arrived_since = [&](const way& which, base::steady_time told,
+                                   const auto& counts) {
         const auto found = arrivals.find(which);
         if (found == arrivals.end())
-            return count;
-        for (const event_of_way& event : found->second)
-            if (event.at > from && event.sent > from - rest_slack &&
-                event.at < until &&
-                !is_disturbed(
-                    disturbances, fmt::format("instance-{}", which.first),
-                    event.at))
-                ++count;
-        return count;
+            return std::ptrdiff_t{0};
+        const std::string part = fmt::format("instance-{}", which.first);
+        return std::count_if(
+            found->second.begin(), found->second.end(),
+            [&](const event_of_way& event) {
+                return counts(event) && !is_disturbed_between(
+                                            disturbances, part, told, event.at);
+            });
     };
     std::vector<std::string> broken;
-    for (const auto& [which, said] : by_way(notes.said_leaving, by_id)) {
-        const base::steady_time from =
-            said.front().at + drain_bound + rest_slack;
-        const std::size_t late = arrived(which, from, base::steady_time::max());
-        if (late > 0)
+    for (const auto& [which, said] : by_way(notes.said_leaving, by_id))
+        for (const event_of_way& word : said) {
+            const auto late = arrived_since(
+                which, word.at, [&word](const event_of_way& event) {
+                    return event.sent > word.at + drain_bound;
+                });
+            if (late == 0)
+                continue;
             broken.push_back(fmt::format(
                 "{} requests reached {} after it had said that it leaves", late,
                 name_of(which)));
-    }
+            break;
+        }
     for (const auto& [which, said] : by_way(notes.said_rest, by_id))
-        for (const event_of_way& asked : said) {
-            const std::size_t count =
-                arrived(which, asked.at + rest_slack, asked.at + rest_time);
+        for (const event_of_way& word : said) {
+            const auto count = arrived_since(
+                which, word.at, [&word](const event_of_way& event) {
+                    return event.at > word.at + rest_slack &&
+                           event.at < word.at + rest_time;
+                });
             if (count <= allowed_in_rest)
                 continue;
             broken.push_back(fmt::format(
--- a/testing/soak/tests/test_soak_checks.cpp
+++ b/testing/soak/tests/test_soak_checks.cpp
@@ -117,3 +117,73 @@
         cr_assert(broken({{part, start, start + seconds(6)}}) == 1);
     }
 }
+
+namespace {
+
+/// A request that an instance took, a second after the one before.
+caller_record tried(const std::string& id, const std::string& mark) {
+    caller_record record;
+    record.id = id;
+    record.mark = mark;
+    record.sent = start;
+    return record;
+}
+
+} // namespace
+
+Test(soak_checks, tries_after_three_crashes_are_added_up) {
+    std::vector<caller_record> records;
+    server_notes notes;
+    for (int i = 0; i < 8; ++i) {
+        const std::string id = "c" + std::to_string(i);
+        const base::steady_time at = start + base::milliseconds(1500 * i);
+        records.push_back(tried(id, "crash 0"));
+        note(notes, "marked", id, at, "server-1");
+        note(notes, "crash", id, at, "server-1");
+    }
+    // The third crash is at 3 s; four tries come later than 6 s.
+    cr_assert(broken_by_crashes(records, notes, {}).empty());
+    records.push_back(tried("c8", "crash 0"));
+    note(notes, "marked", "c8", start + base::milliseconds(12000), "server-1");
+    cr_assert(broken_by_crashes(records, notes, {}).size() == 1);
+    const std::vector<disturbance> cut = {
+        {"store", start, start + base::milliseconds(20000)}};
+    cr_assert(broken_by_crashes(records, notes, cut).empty());
+}
+
+Test(soak_checks, an_innocent_request_is_not_to_be_refused) {
+    caller_record innocent = tried("r1", "");
+    innocent.status = 503;
+    innocent.body = "crashes_servers\n";
+    cr_assert(broken_by_crashes({innocent}, {}, {}).size() == 1);
+}
+
+Test(soak_checks, what_reaches_a_server_after_its_word_counts) {
+    caller_record told = tried("r1", "");
+    caller_record late = tried("r2", "");
+    late.sent = start + base::milliseconds(2500);
+    server_notes notes;
+    note(notes, "said-leaving", "r1", start, "server-1");
+    note(notes, "arrival", "r2", late.sent, "server-1");
+    cr_assert(broken_by_words({told, late}, notes, {}).size() == 1);
+    const std::vector<disturbance> restart = {
+        {"instance-0", start + base::milliseconds(500),
+         start + base::milliseconds(600)}};
+    cr_assert(broken_by_words({told, late}, notes, restart).empty());
+    late.sent = start + base::milliseconds(1500);
+    cr_assert(broken_by_words({told, late}, notes, {}).empty());
+}
+
+Test(soak_checks, two_requests_are_borne_while_a_server_rests) {
+    std::vector<caller_record> records = {tried("r0", "")};
+    server_notes notes;
+    note(notes, "said-rest", "r0", start, "server-1");
+    for (int i = 1; i <= 3; ++i) {
+        cr_assert(broken_by_words(records, notes, {}).empty());
+        const std::string id = "r" + std::to_string(i);
+        records.push_back(tried(id, ""));
+        records.back().sent = start + base::milliseconds(1000);
+        note(notes, "arrival", id, records.back().sent, "server-1");
+    }
+    cr_assert(broken_by_words(records, notes, {}).size() == 1);
+}
