--- a/libs/mintknotd-platform/limits/src/keeper_directory.cpp
+++ b/libs/mintknotd-platform/limits/src/keeper_directory.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-/// Shortest and longest time for which a silent host is passed over. Not
-/// measured: a lost datagram costs the first, a peer is forgotten within some
-/// of the last.
+/// Shortest and longest time for which a silent host is passed over. A lost
+/// datagram costs the first, a peer is forgotten within some of the last.
 constexpr base::milliseconds min_suspicion{800};
 constexpr base::milliseconds max_suspicion{3200};
 
--- a/libs/mintknotd-platform/limits/src/usage_accounts.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_accounts.cpp
@@ -17,15 +17,15 @@
 namespace {
 
 /// How long a keeper has for its answer: ten times the way there and back
-/// between data centres. Not measured.
+/// between data centres.
 constexpr base::milliseconds patience{30};
 
 /// How long an answer is waited for whose question has gone: what it grants
-/// goes back. Not measured.
+/// goes back.
 constexpr base::milliseconds late_answer_life{2000};
 
-/// How often the group is looked at anew. Not measured: heartbeats that show a
-/// change come as often.
+/// How often the group is looked at anew. Heartbeats that show a change come as
+/// often.
 constexpr base::milliseconds group_age{200};
 
 /// A request that waits for a grant.
--- a/libs/mintknotd-platform/limits/src/usage_book.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_book.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// Of 43,000 organisations each of 390 instances keeps some 110. Not measured.
+/// Of 43,000 organisations each of 390 instances keeps some 110.
 constexpr std::size_t max_accounts = 4096;
 
-/// How long a doubled datagram is known for one, at least. Not measured.
+/// How long a doubled datagram is known for one, at least.
 constexpr base::milliseconds return_memory{5000};
 
 bool idle_since(
--- a/libs/mintknotd-platform/orders/include/mintknot/orders/demand_sharing.hpp
+++ b/libs/mintknotd-platform/orders/include/mintknot/orders/demand_sharing.hpp
@@ -27,8 +27,7 @@
 /// fewer than the common mix that stands in at first (phase_plan.cpp). The
 /// instances of its data centre tell it what they have seen, some 100 bytes
 /// each every two seconds: a fifth of the traffic of five data centres, and no
-/// more bytes when there are more of them. Its gain has not been measured apart
-/// from that of ordering many engines at once. Lives on the loop's thread.
+/// more bytes when there are more of them. Lives on the loop's thread.
 class demand_sharing {
 public:
     /// The router must outlive this object.
--- a/libs/mintknotd-platform/orders/src/demand_sharing.cpp
+++ b/libs/mintknotd-platform/orders/src/demand_sharing.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Between two reports: 3 KB a second for the one that reads those of 59
-/// instances, calculated. Not measured.
+/// instances, calculated.
 constexpr base::milliseconds report_period{2000};
 
 } // namespace
--- a/libs/mintknotd-platform/orders/src/order_batch.cpp
+++ b/libs/mintknotd-platform/orders/src/order_batch.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// For a report or an order. Not measured: within the second for which a lease
-/// may be used.
+/// For a report or an order. Within the second for which a lease may be used.
 constexpr base::milliseconds call_time{700};
 constexpr int status_ok = 200;
 constexpr int status_accepted = 202;
--- a/libs/mintknotd-platform/peers/src/member_table.cpp
+++ b/libs/mintknotd-platform/peers/src/member_table.cpp
@@ -12,11 +12,11 @@
 
 /// What is left of the usual number of members after a join_period. Half of it
 /// is missed for some seconds when all members fall silent at once; a part of
-/// them that dies is missed for one. Not measured.
+/// them that dies is missed for one.
 constexpr double usual_members_kept = 0.8;
 constexpr double min_share_to_rank = 0.5;
 /// Members of a roster that would be next. Leaves turn to them where all
-/// super-peers of their data centre are gone. Not measured.
+/// super-peers of their data centre are gone.
 constexpr std::size_t max_successors = 24;
 
 using members_by_data_centre =
--- a/libs/mintknotd-platform/peers/src/membership.cpp
+++ b/libs/mintknotd-platform/peers/src/membership.cpp
@@ -16,23 +16,23 @@
 constexpr base::milliseconds young_joins[] = {
     base::milliseconds{250}, base::milliseconds{500}, base::milliseconds{1000},
     base::milliseconds{2000}, base::milliseconds{4000}};
-/// How often a flat group looks whether it has grown too large, after that. Not
-/// measured: instances join one after the other.
+/// How often a flat group looks whether it has grown too large, after that.
+/// Instances join one after the other.
 constexpr base::milliseconds size_period{1000};
 /// While members that start together still come, the first answers wait: one
 /// that ranks half of them names others. So long without a new one, or so long
-/// after the start. Not measured: all start within 0.3 s.
+/// after the start. All start within 0.3 s.
 constexpr base::milliseconds settle_time{200};
 constexpr base::milliseconds max_settle_time{2000};
 /// Requests without an answer after which a host is passed over, and for how
-/// long: a lost datagram does not move a member to another host. Not measured.
+/// long: a lost datagram does not move a member to another host.
 constexpr int max_unanswered = 2;
 constexpr base::milliseconds silence_time{6000};
 /// Without any answer for so long the instance takes itself for alone: by then
-/// it has asked the three registrars and three more. Not measured.
+/// it has asked the three registrars and three more.
 constexpr base::milliseconds orphan_time{9000};
 /// Between two rosters for an instance that has not asked: it seeks seeds five
-/// times a second. Not measured.
+/// times a second.
 constexpr base::milliseconds invitation_gap{1000};
 /// A roster is made once for all that ask within this time: with 200 members
 /// that is some 0.2 ms of work, and 130 of them ask each second.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/access.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/access.hpp
@@ -21,7 +21,7 @@
 
 /// Between the last moment at which old knowledge lets a request in and the
 /// bound: for the way of the request to its server, and for clocks that run at
-/// slightly different rates. Not measured.
+/// slightly different rates.
 inline constexpr base::milliseconds knowledge_margin{100};
 
 /// How old the knowledge of the configuration is, and may be.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/attempts.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/attempts.hpp
@@ -67,9 +67,7 @@
 };
 
 /// How long a request waits for repeats that peers may lend: some times the way
-/// there and back between data centres. Where the own part was spent while the
-/// loan was still on its way, 36 and 70 streams of a day with 64 engines lost
-/// at once and of one with a restart of all were refused (295 instances).
+/// there and back between data centres.
 inline constexpr base::milliseconds loan_pause{15};
 
 /// @return true if the request may run on one more server although it may have
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/group.hpp
@@ -18,19 +18,17 @@
 namespace mintknot::policy {
 
 /// A larger group places requests by schedulers and reads the store through a
-/// few. With 86 instances that each chose by what all told each other, 364 to
-/// 1,658 decodes a day were rejected, and heartbeats took 100 KB/s; schedulers
-/// brought 57 to 267 and a tenth of the bytes. The limit itself is not
-/// measured.
+/// few: what each tells all others grows with the square of the group, and
+/// choices by loads that are a moment old collide.
 inline constexpr std::size_t max_small_group = 24;
 
 /// Services with more open servers are placed on by parts: nobody looks at all
-/// of them for each request. Not measured.
+/// of them for each request.
 inline constexpr std::size_t max_unsplit_servers = 24;
 
 /// After this time without a heartbeat an instance is taken for gone; in very
-/// large groups, where heartbeats are rarer, after peers::life(). Not measured:
-/// some lost heartbeats of a large group, at 1.3 s.
+/// large groups, where heartbeats are rarer, after peers::life(). Some lost
+/// heartbeats of a large group, at 1.3 s.
 inline constexpr base::milliseconds peer_life{4000};
 
 /// @return true if the group is large.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/lease.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/lease.hpp
@@ -21,10 +21,10 @@
     /// given by the settings.
     base::milliseconds length{3000};
     /// A holder orders only this long after it began to take the lease: the
-    /// notice to peers and two calls fit in. Not measured.
+    /// notice to peers and two calls fit in.
     base::milliseconds use{1000};
     /// For clocks that run apart, and for the former holder's last order to
-    /// have been carried out. Not measured.
+    /// have been carried out.
     base::milliseconds margin{3000};
 };
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/return_time.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/return_time.hpp
@@ -12,11 +12,11 @@
 namespace mintknot::policy {
 
 /// Told where nothing better is known and the request has not run: in this time
-/// another server has been found or an attempt has ended. Not measured.
+/// another server has been found or an attempt has ended.
 inline constexpr base::milliseconds default_return{250};
 
 /// Told before an exchange begins (entry_check.hpp): a stop ends or memory is
-/// freed within some of these. Not measured.
+/// freed within some of these.
 inline constexpr base::milliseconds return_after_entry_refusal{300};
 
 /// When the callers that one instance has refused for want of room come back.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/room_forecast.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/room_forecast.hpp
@@ -2,11 +2,9 @@
 /// When a decode engine will have room for a request.
 ///
 /// Inputs: what requests hold on each engine (loads), for how long engines are
-/// avoided, the mean time for which requests hold memory. How far the forecast
-/// is off has not been measured; `expected_wait_ms` in `no_room` lines tells
-/// it. Against waiting until the target is missed it halves the time for which
-/// requests are held and then refused (7.4 to 7.6 ms a request in place of 14.6
-/// to 16.2; ten plays or more each on three deployments).
+/// avoided, the mean time for which requests hold memory. `expected_wait_ms` in
+/// `no_room` lines tells the forecast. It spares callers a wait that ends in a
+/// refusal all the same.
 #ifndef MINTKNOT_POLICY_ROOM_FORECAST_HPP
 #define MINTKNOT_POLICY_ROOM_FORECAST_HPP
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/row_expiry.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/row_expiry.hpp
@@ -15,8 +15,8 @@
 
 namespace mintknot::policy {
 
-/// Removals that come together are judged together. Not measured: some round
-/// trips to the store.
+/// Removals that come together are judged together. Some round trips to the
+/// store.
 inline constexpr base::milliseconds removal_gather_time{50};
 
 /// @return how long after the store's return a server that lives may be without
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/server_health.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/server_health.hpp
@@ -6,9 +6,7 @@
 /// that ask it; orders to engines, own and peers'. An ejected server is
 /// chosen only where there is no other, and is checked before its time is over
 /// (relay/health_prober.hpp). Guards against calls to servers that are dead,
-/// cut off or turn everything away. Switched off in the choice of servers, the
-/// cost of failures changed worth by 0.011 at most (ten plays or more each on
-/// three deployments); ejection itself has not been switched off.
+/// cut off or turn everything away.
 /// Log events: `server_avoided`, `health_check`.
 #ifndef MINTKNOT_POLICY_SERVER_HEALTH_HPP
 #define MINTKNOT_POLICY_SERVER_HEALTH_HPP
@@ -89,12 +87,8 @@
 
 /// Takes results of a peer's calls. Failures do not eject a server, but count
 /// in failure_share(); rejections without a good answer pause it as own ones
-/// do: after a restart of all, three engines that were changing their phase by
-/// an earlier order rejected 79 prefills of as many instances. In a group of
-/// hundreds one instance meets each server every few seconds: of 295 instances
-/// none learned within four seconds that six of ten servers lost four answers
-/// of ten, and 839 calls that may not be repeated were lost; whoever places for
-/// all hears of them within some 60 ms.
+/// do. In a group of hundreds one instance meets each server every few seconds;
+/// whoever places for all hears of its results within some 60 ms.
 void note_peer_results(
     health_view& view, const result_map& results, base::steady_time now);
 
@@ -127,9 +121,8 @@
 
 /// @return true if a server is to be chosen only where there is no other. What
 /// many peers have just had good answers from is not avoided for the few calls
-/// of one instance: of 295 instances there was always one that had met three
-/// failures of requests in a row, and two or three of ten healthy servers stood
-/// idle for it while the others turned 430 calls away in a burst.
+/// of one instance: among hundreds there is always one that has met three
+/// failures in a row.
 bool avoided(
     const health_view& view, const std::string& id, base::steady_time now);
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/super_peers.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/super_peers.hpp
@@ -22,13 +22,11 @@
 
 namespace mintknot::policy {
 
-/// The largest flat group. Flat groups of 295 (351 with those that join) serve
-/// their days with 0.01 of a core each; one of 986 does not come to serve at
-/// all. Between them it is not measured.
+/// The largest flat group: in one of a thousand each would hear all others.
 inline constexpr std::size_t max_flat_group = 400;
 
 /// Members of a data centre that the others ask for the roster, the first ones
-/// by rank: one may have died and one be cut off. Not measured.
+/// by rank: one may have died and one be cut off.
 inline constexpr std::size_t registrars_asked = 3;
 
 /// An instance as far as duties are concerned.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/usage_account.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/usage_account.hpp
@@ -94,11 +94,10 @@
 };
 
 /// Longest time after which a refused caller is told to come back: what lies
-/// further ahead is not foreseen. Not measured.
+/// further ahead is not foreseen.
 inline constexpr base::milliseconds max_limit_return{8000};
 
-/// Shortest one: the limits of instances that begin are not settled sooner. Not
-/// measured.
+/// Shortest one: the limits of instances that begin are not settled sooner.
 inline constexpr base::milliseconds min_limit_return{50};
 
 /// Takes the cost out of the account if there is enough. A request that costs
@@ -138,7 +137,7 @@
 
 /// How long a peer that has fallen silent may still be granting: longer cuts
 /// are taken for losses, so that a group that has become smaller gets its whole
-/// limit back. Not measured.
+/// limit back.
 inline constexpr base::milliseconds silent_keeper_life{60000};
 
 /// How long an instance that has started does not trust that it hears all the
--- a/libs/mintknotd-platform/policy/src/answer_pace.cpp
+++ b/libs/mintknotd-platform/policy/src/answer_pace.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// An answer may take so many times as long as those before. Not measured.
+/// An answer may take so many times as long as those before.
 constexpr int patience_factor = 2;
 /// However slow answers were, nobody waits longer: a frozen instance answers
 /// after seconds. Three round trips between the regions that are known.
 constexpr base::milliseconds max_patience{120};
 /// Part of the longest time that each shorter one leaves: some twenty quick
-/// answers make a host near again. Not measured.
+/// answers make a host near again.
 constexpr double kept_part = 0.9;
 
 } // namespace
--- a/libs/mintknotd-platform/policy/src/attempts.cpp
+++ b/libs/mintknotd-platform/policy/src/attempts.cpp
@@ -4,18 +4,18 @@
 
 namespace {
 
-/// Rejections after which a request is not placed any more. Not measured: an
-/// instance's view of loads is some 60 ms old, so that a few in a row happen.
+/// Rejections after which a request is not placed any more. An instance's view
+/// of loads is some 60 ms old, so that a few in a row happen.
 constexpr int max_rejections = 3;
 /// Connections that may fail in a row. A plain request is then given up, a
-/// generation request waits a moment. Not measured.
+/// generation request waits a moment.
 constexpr int max_unreachable_plain = 4;
 constexpr int max_unreachable_decode = 3;
-/// Prefills of one request, lost ones included. Not measured; each read of a
-/// prompt that is not used costs a prefill engine its whole time.
+/// Prefills of one request, lost ones included. Each read of a prompt that is
+/// not used costs a prefill engine its whole time.
 constexpr int max_prefills = 3;
 /// Pauses of one request for repeats of peers: those of a second question, if
-/// the first found nothing. Not measured.
+/// the first found nothing.
 constexpr int max_loan_waits = 2;
 /// Rejections from which on the kept result is suspected.
 constexpr int rejections_to_distrust_result = 2;
--- a/libs/mintknotd-platform/policy/src/drain.cpp
+++ b/libs/mintknotd-platform/policy/src/drain.cpp
@@ -13,9 +13,8 @@
 /// that is about to use one is not to meet a closed one. Derived.
 constexpr base::milliseconds before_close_idle{1300};
 /// Kept free at the end of the grace, for the last bytes and the process's end.
-/// Not measured.
 constexpr base::milliseconds margin{400};
-/// What a plain request is given at most. Not measured.
+/// What a plain request is given at most.
 constexpr base::milliseconds max_plain_time{1500};
 
 } // namespace
--- a/libs/mintknotd-platform/policy/src/engine_needs.cpp
+++ b/libs/mintknotd-platform/policy/src/engine_needs.cpp
@@ -9,7 +9,6 @@
 /// Part of the expected output that is reserved; see memory_needed().
 constexpr double reserved_output_share = 0.6;
 /// Part of the largest output that is expected where the caller does not say.
-/// Not measured.
 constexpr double unsaid_output_share = 0.5;
 
 } // namespace
--- a/libs/mintknotd-platform/policy/src/group.cpp
+++ b/libs/mintknotd-platform/policy/src/group.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Instances that are assumed until more have been heard. Not measured: a
-/// little above the groups that were known.
+/// Instances that are assumed until more have been heard. A little above the
+/// groups that were known.
 constexpr std::size_t min_instances = 10;
 /// Of each data centre, at the store: one may be cut off from it.
 constexpr std::size_t store_readers = 2;
--- a/libs/mintknotd-platform/policy/src/phase_demand.cpp
+++ b/libs/mintknotd-platform/policy/src/phase_demand.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 /// Weight of what was known before, for each new observation: the last hundred
-/// requests count. Not measured.
+/// requests count.
 constexpr double memory = 0.99;
-/// Reads without a queue from which on a line is fitted. Not measured.
+/// Reads without a queue from which on a line is fitted.
 constexpr double min_reads = 8.0;
 /// Least part of a read's time that keeps the engine busy: a line through few
-/// points may come out flat. Not measured.
+/// points may come out flat.
 constexpr double min_slope_share = 0.5;
 /// Weight of a read that took longer than the line says: others may have come
 /// to the engine while it was under way, and what they take is counted as their
@@ -24,8 +24,8 @@
 constexpr double milliseconds_per_second = 1000.0;
 /// What is assumed of a service until requests of it were seen: 500 tokens out
 /// at 6 ms each, a prompt of 3,000 tokens read at 20 a millisecond, and some
-/// steps of a decode engine. Each counts for as much as this many requests. Not
-/// measured: figures of the three deployments that were known.
+/// steps of a decode engine. Each counts for as much as this many requests.
+/// Figures of the three deployments that were known.
 constexpr double assumed_hold_ms = 3000.0;
 constexpr double assumed_start_ms = 150.0;
 constexpr double assumed_hand_over_ms = 60.0;
--- a/libs/mintknotd-platform/policy/src/phase_plan.cpp
+++ b/libs/mintknotd-platform/policy/src/phase_plan.cpp
@@ -15,7 +15,7 @@
 
 /// Engine time of a request in a common mix, in seconds: 3,000 tokens of
 /// prompt, and some seconds in a tenth of a decode engine's memory. So many
-/// requests of it stand in until others were seen. Not measured.
+/// requests of it stand in until others were seen.
 constexpr double common_prefill = 0.1;
 constexpr double common_decode = 0.25;
 constexpr double common_requests = 60.0;
@@ -23,25 +23,24 @@
 /// an engine for some seconds. Estimates from a tenth of the traffic once made
 /// eight orders go to and fro on a day without trouble.
 constexpr double tolerance = 0.6;
-/// The same for more prefill engines: decode engines can read as well. Not
-/// measured.
+/// The same for more prefill engines: decode engines can read as well.
 constexpr double tolerance_for_more_prefill = 1.5;
-/// One of so many engines may be changing or unusable at a time. Not measured.
+/// One of so many engines may be changing or unusable at a time.
 constexpr std::size_t engines_for_one_change = 6;
-/// One of so many engines may be ordered to change at a time. Not measured; an
-/// order takes effect after seconds, and what is planned is seen anew by then.
+/// One of so many engines may be ordered to change at a time. An order takes
+/// effect after seconds, and what is planned is seen anew by then.
 constexpr std::size_t engines_for_one_order = 24;
 /// The tolerances in shares of the engines, where that is more: the estimate of
-/// some hundred requests is off by a few in a hundred. Not measured.
+/// some hundred requests is off by a few in a hundred.
 constexpr double tolerance_share = 0.02;
 constexpr double tolerance_share_for_more_prefill = 0.03;
 /// Share of the engines that requests may need for the service to be at rest,
 /// and the engines that it must have: smaller services are balanced before
-/// their requests come, and a burst of many times their traffic is common. Not
-/// measured; the fleet that is known needs 0.004 of its engines.
+/// their requests come, and a burst of many times their traffic is common. The
+/// fleet that is known needs 0.004 of its engines.
 constexpr double max_share_at_rest = 0.05;
 constexpr std::size_t min_engines_at_rest = 1000;
-/// A rate is not told from less time than this. Not measured.
+/// A rate is not told from less time than this.
 constexpr base::milliseconds min_rate_time{10000};
 /// Services with fewer engines are left as they are: one of each phase is
 /// needed.
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /// Part of a decode engine's memory that is given out; the rest is for loads
-/// that have not been told yet. Not measured.
+/// that have not been told yet.
 constexpr double free_share = 0.97;
 
 const traffic::server* choose_decode(
@@ -31,7 +31,7 @@
     return result;
 }
 
-/// Servers that a query rules out at most; bounds the datagram. Not measured.
+/// Servers that a query rules out at most; bounds the datagram.
 constexpr std::size_t max_avoided = 32;
 
 } // namespace
--- a/libs/mintknotd-platform/policy/src/read_rates.cpp
+++ b/libs/mintknotd-platform/policy/src/read_rates.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/// Weight of a new observation. Not measured.
+/// Weight of a new observation.
 constexpr double learning_rate = 0.2;
-/// Tokens a millisecond of an engine while too few are known. Not
-/// measured.
+/// Tokens a millisecond of an engine while too few are known.
 constexpr double default_rate = 20.0;
 /// In tokens a millisecond; guards against a division by nothing.
 constexpr double min_rate = 0.1;
--- a/libs/mintknotd-platform/policy/src/repeat_rights.cpp
+++ b/libs/mintknotd-platform/policy/src/repeat_rights.cpp
@@ -19,7 +19,7 @@
 /// one call that full servers turn away, up to three, are then there.
 constexpr int low_water = 3;
 /// Lent is this part of what is left, so that the lender can still serve its
-/// own callers. Not measured.
+/// own callers.
 constexpr int lent_part = 2;
 
 int sum(const std::vector<repeat_loan>& loans) {
--- a/libs/mintknotd-platform/policy/src/retry_allowance.cpp
+++ b/libs/mintknotd-platform/policy/src/retry_allowance.cpp
@@ -11,19 +11,17 @@
 namespace {
 
 /// Part of the extra that is given out as own parts; the rest is a margin for
-/// instances that are not heard of yet. Not measured.
+/// instances that are not heard of yet.
 constexpr double used_share = 0.9;
 /// Half of an instance's part may be saved up, half comes within a window: in
 /// no window can more than the whole part be spent. Derived.
 constexpr double saved_share = 0.5;
-/// Most repeats that are saved up from requests: those of some twenty. Not
-/// measured.
+/// Most repeats that are saved up from requests: those of some twenty.
 constexpr double max_earned = 4.0;
 /// Share of the whole bound up to which an instance spends beyond its part. The
-/// rest is for what others spend before they have told of it. Not measured.
+/// rest is for what others spend before they have told of it.
 constexpr double common_share = 0.5;
-/// Share of the whole bound above which not even the own part is spent. Not
-/// measured.
+/// Share of the whole bound above which not even the own part is spent.
 constexpr double stop_share = 0.75;
 
 /// After its start an instance earns nothing of the extra until it has heard
--- a/libs/mintknotd-platform/policy/src/row_expiry.cpp
+++ b/libs/mintknotd-platform/policy/src/row_expiry.cpp
@@ -9,12 +9,11 @@
 namespace {
 
 /// Lapsed rows are back within two seconds of the store's return, by the users'
-/// description; less a margin. Not measured.
+/// description; less a margin.
 constexpr base::milliseconds max_return_time{1600};
-/// By how much the time must stay below the drain bound. Not measured.
+/// By how much the time must stay below the drain bound.
 constexpr base::milliseconds drain_margin{400};
-/// Removals from which on a quarter of all servers is no departure. Not
-/// measured.
+/// Removals from which on a quarter of all servers is no departure.
 constexpr std::size_t min_mass = 3;
 constexpr std::size_t mass_part = 4;
 
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -10,49 +10,35 @@
 namespace {
 
 /// Cost of a plain server of another data centre, in shares of its slots. What
-/// crosses a border is broken off when the border is cut: 0.6 against 0.2
-/// raised worth by 0.003 and 0.006 of the most possible (thirty plays each on
-/// two deployments of 12 and 15 servers).
+/// crosses a border is broken off when the border is cut.
 constexpr double plain_distance_cost = 0.6;
 /// The same for decode engines, in shares of their memory. Streams last for
-/// seconds and are read again when they break: with the cost of plain servers
-/// above it raised worth by 0.020, 0.008 and 0.016 (thirty plays each on three
-/// deployments); from 0.2 to 0.5 the figure did not matter.
+/// seconds and are read again when they break.
 constexpr double decode_distance_cost = 0.25;
 /// Cost of a KV cache that is moved between data centres, where a move takes
-/// twice as long, in shares of a decode engine's memory. Not measured.
+/// twice as long, in shares of a decode engine's memory.
 constexpr double move_distance_cost = 0.1;
-/// Cost of another data centre, in milliseconds of reading: a round trip. Of 40
-/// and 60 ms neither raised worth (0.513 and 0.523 against 0.522, thirty
-/// plays).
+/// Cost of another data centre, in milliseconds of reading: a round trip.
 constexpr double prefill_distance_cost = 15.0;
 /// Share of an engine's memory up to which requests go to the emptiest engine,
 /// which is the fastest. Where all would be fuller they go to the fullest one
 /// that has room, so that the room that is left lies together and large
-/// requests fit: with the emptiest one always, 0.012 and 0.034 of the requests
-/// were refused at 110 and 120 a second (0.040 and 0.116 of the largest third),
-/// so 0.001 and 0.012 (0.004 and 0.030; 38 engines, test_decode_packing.cpp).
-/// From 0.5 to 0.7 the figure did not matter; at 0.9 nothing was gained.
+/// requests fit.
 constexpr double spread_share = 0.7;
 /// Servers of which an instance takes the best, where there are many and loads
-/// are old. Score of a busy day with 86 instances: 0.38 when all looked at all,
-/// 0.69 with 12 (one play each).
+/// are old: if all looked at all, they would choose the same ones.
 constexpr double sample_size = 12.0;
 /// Random part of a score, so that instances do not all choose alike, in shares
-/// of a server and in milliseconds of reading. Switched off, worth changed by
-/// 0.011 at most (ten plays or more each on three small deployments); large
-/// groups need it.
+/// of a server and in milliseconds of reading.
 constexpr double jitter = 0.08;
 constexpr double prefill_jitter_ms = 10.0;
 /// Cost of a server all of whose recent calls have failed, in the same units.
-/// Switched off, worth changed by 0.011 at most.
 constexpr double failure_cost = 2.0;
 constexpr double prefill_failure_cost_ms = 400.0;
 
 /// Gain of a server to which there is an idle connection, in the same units: it
 /// goes before an idle one that is not while it has one call at most in six
-/// slots. Where each instance has a third of a request a second, 28,265
-/// requests opened 24,628 connections (986 instances, one play).
+/// slots.
 constexpr double plain_connection_gain = 0.25;
 constexpr double decode_connection_gain = 0.1;
 constexpr double prefill_connection_gain_ms = 10.0;
--- a/libs/mintknotd-platform/policy/src/server_avoidance.cpp
+++ b/libs/mintknotd-platform/policy/src/server_avoidance.cpp
@@ -10,12 +10,11 @@
 namespace {
 
 /// A peer's warning does not count so soon after an own good call: the fault
-/// may lie between the peer and the server. Not measured.
+/// may lie between the peer and the server.
 constexpr base::milliseconds own_trust{700};
 
 /// Good answers, weighed down with age, that tell more than the warning of one
 /// instance: some five a second. Below that a crash is to be believed at once.
-/// Not measured.
 constexpr double calls_to_outweigh_warnings = 40.0;
 /// The last of them must be so young: reports are sent every 60 ms.
 constexpr base::milliseconds peers_trust{200};
--- a/libs/mintknotd-platform/policy/src/server_health.cpp
+++ b/libs/mintknotd-platform/policy/src/server_health.cpp
@@ -9,25 +9,22 @@
 namespace {
 
 /// Time in which a result loses half of its weight: some ejections long, so
-/// that a server is judged by what it did around them. Not measured.
+/// that a server is judged by what it did around them.
 constexpr std::chrono::duration<double> half_life{6.0};
 
 /// An ejection lasts so long at first and doubles with each one that follows
-/// before the server is trusted again. Not measured: a restart takes seconds.
+/// before the server is trusted again. A restart takes seconds.
 constexpr base::milliseconds first_ejection{1500};
 constexpr base::milliseconds max_ejection{8000};
 constexpr int max_doublings = 3;
 
-/// Failures in a row after which a server is ejected. Not measured.
+/// Failures in a row after which a server is ejected.
 constexpr int failures_to_eject = 3;
-/// The same for slow answers: one may lie in the request. With one, 58 healthy
-/// servers were ejected on a day without trouble.
+/// The same for slow answers: one may lie in the request.
 constexpr int slow_calls_to_eject = 2;
 
 /// Rejections in a row after which a server is paused, longer with each further
-/// one up to so many pauses. A single one with 250 ms lowered worth from 0.522
-/// to 0.516 (thirty plays), which is within chance. Without a pause one engine
-/// that turned everything away was chosen 153 times in 6 s.
+/// one up to so many pauses: one that turns everything away looks idle.
 constexpr int rejections_to_pause = 2;
 constexpr base::milliseconds rejection_pause{500};
 constexpr int max_rejection_pauses = 4;
@@ -38,14 +35,14 @@
 constexpr int max_rejections = rejections_to_pause + max_rejection_pauses;
 
 /// How long a server is avoided that is no longer at its address: its row goes
-/// before that. Not measured.
+/// before that.
 constexpr base::milliseconds misdirected_ejection{10000};
-/// How much longer a server is avoided after a failed health check. Not
-/// measured: a check a second, as balancers do.
+/// How much longer a server is avoided after a failed health check. A check a
+/// second, as balancers do.
 constexpr base::milliseconds failed_check_ejection{1200};
 
 /// Share of failures above which a server is ejected, once its recent calls
-/// weigh so much. Not measured.
+/// weigh so much.
 constexpr double share_to_eject = 0.5;
 constexpr double calls_to_judge = 4.0;
 
--- a/libs/mintknotd-platform/policy/src/super_peers.cpp
+++ b/libs/mintknotd-platform/policy/src/super_peers.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t max_super_peers = 60;
 constexpr std::size_t min_in_data_centre = 3;
 /// Two schedulers, their standbys, two readers of the store, and as much again
-/// to pass things on. Not measured.
+/// to pass things on.
 constexpr std::size_t max_in_data_centre = 12;
 /// Weaker instances than the strongest of the data centre become super-peers
 /// only where fewer than this part are there: reading 10,000 rows takes a whole
--- a/libs/mintknotd-platform/policy/src/timeouts.cpp
+++ b/libs/mintknotd-platform/policy/src/timeouts.cpp
@@ -7,23 +7,22 @@
 namespace {
 
 /// A prefill is given so many times what is expected, and this long at least:
-/// expectations below a tenth of a second are mostly scheduling. Not measured.
+/// expectations below a tenth of a second are mostly scheduling.
 constexpr int prefill_patience = 3;
 constexpr base::milliseconds min_prefill_timeout{250};
 
-/// Silence of a stream before its first event and between events. Not
-/// measured: some hundred steps of a decode engine. An engine that is asked to
-/// read the prompt itself takes longest, hence the first is larger.
+/// Silence of a stream before its first event and between events. Some hundred
+/// steps of a decode engine. An engine that is asked to read the prompt itself
+/// takes longest, hence the first is larger.
 constexpr base::milliseconds first_event_timeout{1000};
 constexpr base::milliseconds next_event_timeout{700};
 
 /// A plain server is given so many target latencies, and this long at least.
-/// Not measured.
 constexpr int plain_patience = 3;
 constexpr base::milliseconds min_plain_timeout{300};
 
 /// Left of a result's life when it is handed over, for the way to the decode
-/// engine and on to the one that keeps it. Not measured: some round trips.
+/// engine and on to the one that keeps it. Some round trips.
 constexpr base::milliseconds hand_over_margin{60};
 
 } // namespace
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -9,10 +9,9 @@
 
 namespace {
 
-/// Bytes behind the request at hand that are kept; more wait in the system. Not
-/// measured.
+/// Bytes behind the request at hand that are kept; more wait in the system.
 constexpr std::size_t max_pending_bytes = 64 * 1024;
-/// How long a body may take beyond the time for its head. Not measured.
+/// How long a body may take beyond the time for its head.
 constexpr base::milliseconds body_time{20000};
 
 } // namespace
--- a/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-/// Unsent bytes of an answer above which its server is no longer read. Not
-/// measured.
+/// Unsent bytes of an answer above which its server is no longer read.
 constexpr std::size_t congested_bytes = 128 * 1024;
 
 } // namespace
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Answers up to this size are held until they are whole. Not measured.
+/// Answers up to this size are held until they are whole.
 constexpr std::size_t max_held_bytes = 256 * 1024;
 
 } // namespace
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -186,7 +186,7 @@
 namespace {
 
 /// Servers with idle connections that a placement is told of; bounds the
-/// datagram. Not measured.
+/// datagram.
 constexpr std::size_t max_connected = 8;
 
 std::set<std::string>
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-/// How often a stop looks whether it may go on. Not measured.
+/// How often a stop looks whether it may go on.
 constexpr base::milliseconds drain_poll{50};
 /// Between the last answer and the end of the process, for bytes on their way.
-/// Not measured.
 constexpr base::milliseconds exit_delay{60};
 
 /// A timer that fires later is told of: the instance stood still, or had no
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Pause between two questions to a scheduler for one request that waits: some
-/// times the way there and back. Not measured.
+/// times the way there and back.
 constexpr base::milliseconds min_question_gap{60};
 
 } // namespace
--- a/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
+++ b/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
@@ -15,7 +15,7 @@
 /// them (test_repeat_rights.cpp).
 constexpr std::size_t max_peers_asked = 4;
 /// Between two questions for a service: the way there and back some dozen
-/// times, and 16 datagrams a second at most. Not measured otherwise.
+/// times, and 16 datagrams a second at most.
 constexpr base::milliseconds ask_gap{250};
 
 } // namespace
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 /// Schedulers of one domain that are asked before the choice is made here: each
-/// silent one costs placer_options::patience. Not measured.
+/// silent one costs placer_options::patience.
 constexpr int max_tries = 2;
-/// The same where none can be made here. Not measured.
+/// The same where none can be made here.
 constexpr int max_tries_without_rows = 4;
 
 /// A request that waits for its servers.
--- a/libs/mintknotd/net/src/half_close_server.cpp
+++ b/libs/mintknotd/net/src/half_close_server.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// How often an idle connection looks whether the server stops. Not measured.
+/// How often an idle connection looks whether the server stops.
 constexpr base::milliseconds stop_poll{100};
 
 } // namespace
