--- a/libs/mintknotd-platform/event/src/loop.cpp
+++ b/libs/mintknotd-platform/event/src/loop.cpp
@@ -1,7 +1,7 @@
 #include "loop_impl.hpp"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/post.hpp>
 
 namespace mintknot::event {
 
