A failing test: nothing of a restored store is taken

What callers saw: 404 for routes that had been added, answers by routes that had been removed. platform-store goes back to a copy three seconds old after SIGUSR2, in its next era, and takes no writes for 2.5 s; the soak writes a configuration and drains a server just before it, and the configuration once more afterwards. On all three instances answer 404 for the newest route 2.5 s after it was written, one restore 4 s after the start and three within 2 s alike. platform-engine takes a row for told only where the store has taken it.

--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -45,6 +45,7 @@
 /// With what the body of such a request begins.
 constexpr std::string_view crash_mark = "crash";
 constexpr int events_of_a_stream = 20;
+constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
 /// How long it turns requests away, and what it asks for each time.
@@ -140,9 +141,11 @@
         request.body = std::make_shared<const std::string>(put.dump());
         call_ = upstream::call::start(
             pool_, {"store", options_.store}, std::move(request), {},
-            {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
+            {nullptr,
+             [this](http1::response_head& head) { row_status_ = head.status; },
+             [](std::string_view) {},
              [this, told = draining_] {
-                 if (told && !leaving_known_)
+                 if (told && row_status_ == status_ok && !leaving_known_)
                      leaving_known_ = owner_.now();
              },
              [](upstream::call_failure) {}});
@@ -331,6 +334,7 @@
     std::unique_ptr<upstream::call> call_;
     int ledger_;
     bool draining_ = false;
+    int row_status_ = 0; ///< Of the store's last answer.
     bool says_leaving_ = false;
     bool advertises_limit_ = false;
     base::steady_time busy_until_{};
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -47,6 +47,9 @@
         "", "limits-end",
         "seconds after which limits are no longer advertised; 0: never", false,
         0, "S", line);
+    TCLAP::MultiArg<int> restores(
+        "", "restore", "seconds after which the store goes back to a copy",
+        false, "S", line);
     TCLAP::SwitchArg undisturbed("u", "undisturbed", "inject no faults", line);
     TCLAP::ValueArg<int> callers(
         "", "callers", "number of callers", false, 20, "N", line);
@@ -80,6 +83,8 @@
             options.say_leaving = {0, 2};
             options.ask_rest = {1, 3, 2 + options.decode_engines};
         }
+        for (const int when : restores.getValue())
+            options.restores.emplace_back(std::chrono::seconds(when));
         options.undisturbed = undisturbed.getValue();
         options.callers = static_cast<std::size_t>(callers.getValue());
         options.limits_end = std::chrono::seconds(limits_end.getValue());
--- a/testing/soak/src/platform_store_main.cpp
+++ b/testing/soak/src/platform_store_main.cpp
@@ -1,5 +1,7 @@
 /// @file
 /// Stand-in for the platform's store: rows, transactions and held watches.
+/// After SIGUSR1 it forgets its history; after SIGUSR2 it is away for a moment
+/// and comes back from a copy some seconds old, in its next era.
 
 #include "row_store.hpp"
 
@@ -12,6 +14,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <deque>
 #include <list>
 #include <string>
 
@@ -23,6 +26,15 @@
 constexpr base::milliseconds watch_poll{10};
 constexpr base::milliseconds server_silence{1200};
 constexpr int status_history_gone = 410;
+constexpr int status_unavailable = 503;
+constexpr std::uint64_t first_era = 1;
+/// Between two copies, and how old the one is that a restore goes back to.
+constexpr base::milliseconds copy_period{200};
+constexpr base::milliseconds copy_age{3000};
+/// How long the store is away before a restore has been made.
+constexpr base::milliseconds away_time{200};
+/// How long after it nothing is written yet.
+constexpr base::milliseconds no_writes_time{2500};
 
 std::map<std::string, std::string> query_of(const std::string& target) {
     std::map<std::string, std::string> result;
@@ -38,11 +50,6 @@
     return result;
 }
 
-void answer(const event::connection_ptr& link, int status, const json& body) {
-    link->write(http1::text_response(
-        status, {{"Content-Type", "application/json"}}, body.dump(), true));
-}
-
 /// A watch that waits for a change.
 struct held_watch {
     event::connection_ptr link;
@@ -66,7 +73,12 @@
     bool open() {
         if (!server_.open({"127.0.0.1", 0}).ok())
             return false;
-        owner_.on_signals({SIGUSR1}, [this](int) { rows_.forget_history(); });
+        owner_.on_signals({SIGUSR1, SIGUSR2}, [this](int number) {
+            if (number == SIGUSR1)
+                rows_.forget_history();
+            else
+                restore();
+        });
         fmt::print("listening {}\n", server_.port());
         std::fflush(stdout);
         tick();
@@ -74,11 +86,58 @@
     }
 
 private:
+    struct store_copy {
+        base::steady_time taken;
+        soak::row_store rows;
+    };
+
+    /// Goes back to the youngest copy that is old enough, or the oldest one.
+    void restore() {
+        while (copies_.size() > 1 &&
+               copies_[1].taken + copy_age <= owner_.now())
+            copies_.pop_front();
+        if (copies_.empty())
+            return;
+        rows_ = copies_.front().rows;
+        copies_.clear();
+        ++era_;
+        away_until_ = owner_.now() + away_time;
+        for (const held_watch& watch : watches_)
+            watch.link->close();
+        watches_.clear();
+    }
+
+    void copy() {
+        if (!copies_.empty() &&
+            owner_.now() - copies_.back().taken < copy_period)
+            return;
+        copies_.push_back({owner_.now(), rows_});
+        while (copies_.size() > 1 &&
+               copies_[1].taken + copy_age <= owner_.now())
+            copies_.pop_front();
+    }
+
+    void answer(
+        const event::connection_ptr& link, int status, const json& body) const {
+        link->write(http1::text_response(
+            status,
+            {{"Content-Type", "application/json"},
+             {"Store-Era", std::to_string(era_)}},
+            body.dump(), true));
+    }
+
     void serve(
         const relay::tests::received& request,
         const event::connection_ptr& link) {
         const std::string& target = request.head.target;
         auto query = query_of(target);
+        const bool writes = target.starts_with("/mintknot/rows-tx");
+        if (owner_.now() < away_until_ ||
+            (writes && era_ > first_era &&
+             owner_.now() < away_until_ + no_writes_time)) {
+            answer(link, status_unavailable, {});
+            return;
+        }
         if (target.starts_with("/mintknot/rows-tx")) {
             const auto body = json::parse(request.body, nullptr, false);
             if (body.is_discarded()) {
@@ -105,7 +164,11 @@
     }
 
     void tick() {
-        rows_.expire("servers", server_silence, owner_.now());
+        // Nobody can renew a row while nothing is written.
+        if (owner_.now() > away_until_ + no_writes_time + server_silence ||
+            era_ == first_era)
+            rows_.expire("servers", server_silence, owner_.now());
+        copy();
         for (auto it = watches_.begin(); it != watches_.end();) {
             const json changes = rows_.changes(it->table, it->after);
             if (changes["rows"].empty() && owner_.now() < it->until) {
@@ -123,6 +186,9 @@
     relay::tests::scripted_server server_;
     soak::row_store rows_;
     std::list<held_watch> watches_;
+    std::deque<store_copy> copies_;
+    std::uint64_t era_ = first_era;
+    base::steady_time away_until_{};
 };
 
 } // namespace
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -70,6 +70,12 @@
         plan_next();
 }
 
+void fault_injector::drain_a_server() {
+    const std::size_t index = pick(system_.servers().size());
+    if (!draining_.contains(index))
+        drain_server(index);
+}
+
 void fault_injector::watch_servers() {
     for (std::size_t i = 0; i < system_.servers().size(); ++i) {
         if (draining_.contains(i) || system_.servers()[i].running->running())
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -36,6 +36,8 @@
         std::uint64_t seed);
 
     void start();
+    /// A server begins to leave, whatever faults are drawn.
+    void drain_a_server();
     /// No fault begins any more, links pass again, paused processes go on.
     void heal();
     /// @return what was done, a line each, with its time.
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -11,7 +11,9 @@
 
 #include <filesystem>
 #include <functional>
+#include <memory>
 #include <set>
+#include <vector>
 
 namespace mintknot::soak {
 
@@ -27,6 +29,10 @@
 constexpr base::milliseconds crashing_pause{400};
 constexpr base::milliseconds time_to_words{1000};
 constexpr int status_not_found = 404;
+/// When the last is written that a restore loses.
+constexpr base::milliseconds time_before_restore{400};
+/// When the operator begins to write it again.
+constexpr base::milliseconds time_to_rewrite{600};
 
 /// A directory that goes with the object, unless it is to be kept.
 struct scratch_directory {
@@ -92,6 +98,8 @@
         if (options_.limits_end > base::milliseconds{0})
             limit_timer_.start(
                 options_.limits_end, [this] { toggle_limits(); });
+        for (const base::milliseconds when : options_.restores)
+            plan_restore(when);
         run_until([] { return false; }, options_.length);
         crash_timer_.stop();
         word_timer_.stop();
@@ -106,6 +114,26 @@
         judge();
     }
 
+    void plan_restore(base::milliseconds when) {
+        later(when - time_before_restore, [this] {
+            system_.change_configuration();
+            faults_.drain_a_server();
+        });
+        later(when, [this] { system_.restore_store(); });
+        later(when + time_to_rewrite, [this] { rewrite(); });
+    }
+
+    /// The operator writes again what it has lost.
+    void rewrite() {
+        if (!system_.rewrite_configuration())
+            later(poll, [this] { rewrite(); });
+    }
+
+    void later(base::milliseconds delay, std::function<void()> action) {
+        timers_.push_back(std::make_unique<event::timer>(owner_));
+        timers_.back()->start(delay, std::move(action));
+    }
+
     void send_crashing() {
         for (std::size_t i = 0; i < options_.crashing.size(); ++i)
             clients_.send_crashing(
@@ -259,6 +287,7 @@
     event::timer crash_timer_;
     event::timer word_timer_;
     event::timer limit_timer_;
+    std::vector<std::unique_ptr<event::timer>> timers_;
     std::size_t crashing_tries_ = 0;
     soak_result result_;
 };
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -20,6 +20,7 @@
 
 constexpr base::milliseconds call_limit{2000};
 constexpr std::size_t prefill_engines = 2;
+constexpr int status_ok = 200;
 /// Where the link of a server leads before the server has started.
 const base::address nowhere{"127.0.0.1", 1};
 
@@ -204,13 +205,18 @@
 }
 
 bool soak_system::change_configuration() {
+    ++configuration_;
+    return rewrite_configuration();
+}
+
+bool soak_system::rewrite_configuration() {
     const json put = {
         {"put",
          {{{"table", "op"},
            {"part", ""},
            {"key", "config"},
            {"value", absl::Base64Escape(
-                         configuration_document(++configuration_).dump())}}}}};
+                         configuration_document(configuration_).dump())}}}}};
     event::loop owner;
     upstream::connection_pool pool(owner);
     event::timer limit(owner);
@@ -220,11 +226,13 @@
     request.head.fields = {{"Host", "store"}};
     request.body = std::make_shared<const std::string>(put.dump());
     bool done = false;
+    int status = 0;
     const auto call = upstream::call::start(
         pool, {"store", {"127.0.0.1", store_port_}}, std::move(request), {},
-        {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
+        {nullptr, [&](http1::response_head& head) { status = head.status; },
+         [](std::string_view) {},
          [&] {
-             done = true;
+             done = status == status_ok;
              owner.stop();
          },
          [&](upstream::call_failure) { owner.stop(); }});
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -63,6 +63,11 @@
     bool change_configuration();
     /// @return the version that was written last.
     int configuration() const { return configuration_; }
+    /// Writes the version that was written last once more. @return likewise.
+    bool rewrite_configuration();
+    /// The store is away for a moment and comes back from a copy some seconds
+    /// old; for a while nothing can be written.
+    void restore_store() const { store_.running->signal(SIGUSR2); }
     /// Watches that ask for older changes are told that these are gone.
     void forget_history() const { store_.running->signal(SIGUSR1); }
 
--- a/testing/soak/tests/test_row_store.cpp
+++ b/testing/soak/tests/test_row_store.cpp
@@ -51,3 +51,11 @@
     cr_assert(store.changes("t", before)["rows"][0]["gone"] == true);
     cr_assert(store.read("t")["rows"].empty());
 }
+
+Test(row_store, a_version_that_was_never_given_out_is_not_known) {
+    row_store store;
+    store.transact(put("a"), start);
+    const auto newest = store.read("t")["ver"].get<std::uint64_t>();
+    cr_assert(store.remembers(newest));
+    cr_assert(!store.remembers(newest + 1));
+}
