Apply changes from a store restored from a backup

After the store had been unavailable and had come back from a backup, callers received 404 for routes that had been added and answers by routes that had been removed, for 7.5 s. Requests were also sent to engines that had announced that they were leaving.

Versions were compared without their era. A full read with a lower version was discarded as outdated, rows with lower versions were dropped, and a watch from a version that had been assigned again skipped changes. Late delivery was ruled out: the reads arrived and were dropped (store_lost because ok).

A restored backup does not revert newer state:

- An older configuration does not replace a newer one.
- A server that has announced that it is leaving stays so.
- A removed server or closure returns only when it is written again or is still present 6 s later.
- Documents missing from the backup are kept until then.

--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -45,9 +45,13 @@
 };
 
 /// Documents in memory, by version: news from the store and from peers may
-/// come in any order and never lead back. A configuration that cannot be read
-/// leaves in force what was; a row of a server that cannot be read names none:
-/// the server that the row has told of is taken out of use.
+/// come in any order and never lead back. After the store has been restored
+/// from a backup, documents missing from the backup are kept until the next
+/// full read, removed documents that the backup still holds are ignored until
+/// that read or until they are written again, and an older configuration never
+/// replaces a newer one. A configuration that cannot be read leaves in force
+/// what was; a row of a server that cannot be read names none: the server that
+/// the row has told of is taken out of use.
 class replica {
 public:
     replica(
@@ -59,7 +63,10 @@
         collection what, const std::vector<document>& changes,
         std::string_view source);
     /// Takes all documents as of a version: others are gone by then.
-    void apply_whole(
+    /// @return true if the store has been restored from a backup since the
+    /// previous full read. Nothing is removed then; the caller must repeat the
+    /// read after lost documents have been written again.
+    bool apply_whole(
         collection what, const std::vector<document>& all,
         std::uint64_t version, std::string_view source);
 
@@ -98,6 +105,10 @@
         /// Newest document that could not be read.
         std::uint64_t rejected = 0;
         bool known = false;
+        /// Newest version that was restored from a backup: rows up to it may be
+        /// older than the known ones. 0: no restore is being handled.
+        std::uint64_t restored_up_to = 0;
+        std::uint64_t era = 0; ///< Of the last full read or first snapshot.
     };
 
     void forget_removed(documents& all);
@@ -113,10 +124,24 @@
         document_kind kind, std::uint64_t version,
         std::vector<document>& changes) const;
     void take(collection what, const document& change, std::string_view source);
-    bool
+    enum class decode_result {
+        taken,
+        superseded, ///< The known content is newer despite its lower version.
+        rejected    ///< The document cannot be read.
+    };
+    decode_result
     decode(collection what, const document& change, std::string_view source);
-    bool decode_configuration(const document& change, std::string_view source);
-    bool decode_server(const document& change, std::string_view source);
+    decode_result
+    decode_configuration(const document& change, std::string_view source);
+    /// @return true if a row restored from a backup would return a draining
+    /// server to use.
+    bool reverts_draining(
+        const document& change, const traffic::server& server) const;
+    /// @return true if a row restored from a backup would bring back a document
+    /// that was removed after the backup was made.
+    static bool reverts_removal(const documents& all, const document& change);
+    decode_result
+    decode_server(const document& change, std::string_view source);
     void log_rejected(
         collection what, const document& change, std::string_view source,
         const absl::Status& why);
@@ -129,6 +154,8 @@
     /// By data centre. Their versions do not count in version(): peers that do
     /// not know of them would take themselves for lagging.
     documents closures_;
+    /// Version in the text of the configuration in force.
+    std::uint64_t configuration_version_ = 0;
     std::uint64_t swept_ = 0;
     bool one_by_one_ = true; ///< Whether rows that are taken get a line each.
 };
--- a/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
@@ -30,7 +30,8 @@
     closure ///< The data centre that its key names is closed while it is there.
 };
 
-/// One row. Versions come from one counter of the store and only rise.
+/// One row. Versions come from one counter of the store and only rise; see
+/// store_version.hpp for restores.
 struct document {
     std::string key;
     std::uint64_t version = 0;
--- a/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store_reader.hpp
@@ -25,6 +25,10 @@
     /// Changes that follow each other more closely are fetched together: each
     /// call to the store has a price.
     base::milliseconds gather{300};
+    /// Delay of the second full read after the store was restored from a
+    /// backup. By then lost rows have been written again and rows that nobody
+    /// renews have expired.
+    base::milliseconds reread_delay{6000};
 };
 
 /// Reads everything once, then follows the changes; reads everything again
@@ -67,6 +71,9 @@
     void on_good_answer();
     /// The answer has been taken.
     void note_confirmed(const store_answer& answer);
+    /// Schedules the second full read. @param old_position position before the
+    /// restore.
+    void note_restore(std::uint64_t old_position);
     void tell_position();
     void pause(store_result why);
 
@@ -84,6 +91,8 @@
     bool waiting_ = false; ///< A call is under way.
     bool whole_read_ = false;
     std::uint64_t seen_ = 0; ///< Changes up to here have been taken.
+    /// Time of the second full read after a restore.
+    std::optional<base::steady_time> reread_at_;
     base::milliseconds backoff_{0};
     std::optional<base::steady_time> confirmed_;
     bool reachable_ = true;
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -3,6 +3,7 @@
 #include "document_json.hpp"
 
 #include <mintknot/base/json_reader.hpp>
+#include <mintknot/state/store_version.hpp>
 
 #include <algorithm>
 #include <set>
@@ -102,15 +103,26 @@
                           {"source", source}});
 }
 
-void replica::apply_whole(
+bool replica::apply_whole(
     collection what, const std::vector<document>& all, std::uint64_t version,
     std::string_view source) {
+    documents& docs = of(what);
+    const bool restored = docs.known && era_of(version) > docs.era;
+    docs.era = std::max(docs.era, era_of(version));
+    docs.restored_up_to = restored ? version : 0;
+    if (what == collection::configuration)
+        closures_.restored_up_to = docs.restored_up_to;
+    if (restored) {
+        apply(what, all, source);
+        return true;
+    }
     std::vector<document> changes = all;
     add_removed(of(what), all, document_kind::content, version, changes);
     if (what == collection::configuration)
         add_removed(closures_, all, document_kind::closure, version, changes);
     apply(what, changes, source);
     of(what).known = true;
+    return false;
 }
 
 /// Adds what is known but not among all documents of a kind.
@@ -132,6 +144,8 @@
     if (found != closures_.by_key.end() &&
         found->second.version >= change.version)
         return;
+    if (reverts_removal(closures_, change))
+        return;
     const bool was_closed =
         found != closures_.by_key.end() && found->second.text;
     const bool closed = change.text.has_value();
@@ -156,14 +170,22 @@
     const auto found = all.by_key.find(change.key);
     if (found != all.by_key.end() && found->second.version >= change.version)
         return;
+    if (reverts_removal(all, change))
+        return;
     const bool same_text =
         found != all.by_key.end() && found->second.text == change.text;
     document taken = change;
-    if (!same_text && !decode(what, change, source)) {
-        if (what == collection::configuration) {
-            all.rejected = std::max(all.rejected, change.version);
-            return;
-        }
+    const decode_result result =
+        same_text ? decode_result::taken : decode(what, change, source);
+    if (result == decode_result::rejected &&
+        what == collection::configuration) {
+        all.rejected = std::max(all.rejected, change.version);
+        return;
+    }
+    // Peers must receive the content in force, not the restored one.
+    if (result == decode_result::superseded)
+        taken.text = found->second.text;
+    if (result == decode_result::rejected) {
         // It names no server, and takes the place of a row that did.
         taken.text.reset();
         handlers_.on_server(change.key, change.version, std::nullopt);
@@ -173,6 +195,12 @@
         forget_removed(all);
 }
 
+bool replica::reverts_removal(const documents& all, const document& change) {
+    const auto found = all.by_key.find(change.key);
+    return found != all.by_key.end() && !found->second.text && change.text &&
+           change.version <= all.restored_up_to;
+}
+
 void replica::remember(documents& all, document taken) {
     all.newest = std::max(all.newest, taken.version);
     document& entry = all.by_key[taken.key];
@@ -221,23 +249,33 @@
             decode_server(entry, "replica");
 }
 
-bool replica::decode(
+replica::decode_result replica::decode(
     collection what, const document& change, std::string_view source) {
     return what == collection::configuration
                ? decode_configuration(change, source)
                : decode_server(change, source);
 }
 
-bool replica::decode_configuration(
-    const document& change, std::string_view source) {
+replica::decode_result
+replica::decode_configuration(const document& change, std::string_view source) {
     if (!change.text)
-        return false;
+        return decode_result::rejected;
     auto config = codec_.read_configuration(*change.text);
     if (!config.ok()) {
         log_rejected(
             collection::configuration, change, source, config.status());
-        return false;
+        return decode_result::rejected;
+    }
+    if (config->version < configuration_version_) {
+        log_.write(
+            "configuration_superseded",
+            {{"version", static_cast<std::int64_t>(config->version)},
+             {"in_force", static_cast<std::int64_t>(configuration_version_)},
+             {"row", static_cast<std::int64_t>(change.version)},
+             {"source", source}});
+        return decode_result::superseded;
     }
+    configuration_version_ = config->version;
     log_.write(
         "configuration",
         {{"version", static_cast<std::int64_t>(config->version)},
@@ -246,23 +284,37 @@
          {"source", source}});
     handlers_.on_configuration(
         std::make_shared<const traffic::configuration>(*std::move(config)));
-    return true;
+    return decode_result::taken;
 }
 
-bool replica::decode_server(const document& change, std::string_view source) {
+bool replica::reverts_draining(
+    const document& change, const traffic::server& server) const {
+    const auto found = servers_.by_key.find(change.key);
+    if (server.draining || change.version > servers_.restored_up_to ||
+        found == servers_.by_key.end() || !found->second.text)
+        return false;
+    const auto known = codec_.read_server(change.key, *found->second.text);
+    return known.ok() && known->draining &&
+           !traffic::is_other_life(*known, server);
+}
+
+replica::decode_result
+replica::decode_server(const document& change, std::string_view source) {
     if (!change.text) {
         log_.write(
             "server_gone", {{"server", change.key},
                             {"row", static_cast<std::int64_t>(change.version)},
                             {"source", source}});
         handlers_.on_server(change.key, change.version, std::nullopt);
-        return true;
+        return decode_result::taken;
     }
     auto server = codec_.read_server(change.key, *change.text);
     if (!server.ok()) {
         log_rejected(collection::servers, change, source, server.status());
-        return false;
+        return decode_result::rejected;
     }
+    if (reverts_draining(change, *server))
+        return decode_result::superseded;
     if (one_by_one_)
         log_.write(
             "server", {{"server", change.key},
@@ -273,7 +325,7 @@
                        {"row", static_cast<std::int64_t>(change.version)},
                        {"source", source}});
     handlers_.on_server(change.key, change.version, *std::move(server));
-    return true;
+    return decode_result::taken;
 }
 
 void replica::log_rejected(
--- a/libs/mintknotd-platform/state/src/replica_snapshot.cpp
+++ b/libs/mintknotd-platform/state/src/replica_snapshot.cpp
@@ -6,6 +6,7 @@
 #include "document_json.hpp"
 
 #include <mintknot/base/json_reader.hpp>
+#include <mintknot/state/store_version.hpp>
 
 #include <optional>
 #include <utility>
@@ -87,8 +88,12 @@
         take_closure(closure);
     for (const snapshot_part& part : parts) {
         apply(part.what, part.documents, source);
-        if (part.known)
-            of(part.what).known = true;
+        documents& docs = of(part.what);
+        // A snapshot of a peer replaces the first full read: a later read of
+        // the same era must not count as a restore.
+        if (part.known && !docs.known)
+            docs.era = era_of(docs.newest);
+        docs.known |= part.known;
     }
     return absl::OkStatus();
 }
--- a/libs/mintknotd-platform/state/src/store_reader.cpp
+++ b/libs/mintknotd-platform/state/src/store_reader.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/state/store_reader.hpp>
 
+#include <mintknot/state/store_version.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -68,6 +70,10 @@
         return;
     asked_ = owner_.now();
     waiting_ = true;
+    if (reread_at_ && asked_ >= *reread_at_) {
+        reread_at_.reset();
+        whole_read_ = false;
+    }
     if (!whole_read_)
         source_.read(
             what_, [this](const store_answer& answer) { on_read(answer); });
@@ -87,14 +93,27 @@
         return;
     }
     on_good_answer();
+    const std::uint64_t old_position = seen_;
     whole_read_ = true;
     seen_ = answer.version;
-    target_.apply_whole(what_, answer.documents, answer.version, "store_read");
+    if (target_.apply_whole(
+            what_, answer.documents, answer.version, "store_read"))
+        note_restore(old_position);
     note_confirmed(answer);
     tell_position();
     next();
 }
 
+void store_reader::note_restore(std::uint64_t old_position) {
+    reread_at_ = owner_.now() + options_.reread_delay;
+    log_.write(
+        "store_restored",
+        {{"collection", to_string(what_)},
+         {"era", static_cast<std::int64_t>(era_of(seen_))},
+         {"before", static_cast<std::int64_t>(counter_of(old_position))},
+         {"now", static_cast<std::int64_t>(counter_of(seen_))}});
+}
+
 void store_reader::on_watch(const store_answer& answer) {
     waiting_ = false;
     if (stopped_)
--- a/libs/mintknotd-platform/state/tests/test_store_reader.cpp
+++ b/libs/mintknotd-platform/state/tests/test_store_reader.cpp
@@ -1,6 +1,7 @@
 #include "plain_codec.hpp"
 
 #include <mintknot/state/store_reader.hpp>
+#include <mintknot/state/store_version.hpp>
 
 #include <criterion/criterion.h>
 
@@ -46,6 +47,8 @@
     event::loop& owner_;
 };
 
+constexpr base::milliseconds reread_delay{0};
+
 struct fixture {
     explicit fixture(base::milliseconds gather = base::milliseconds(1))
         : source(owner)
@@ -54,7 +57,8 @@
         , reader(
               owner, source, copy, collection::servers, log,
               {base::milliseconds(1000), base::milliseconds(50),
-               base::milliseconds(1), base::milliseconds(2), gather},
+               base::milliseconds(1), base::milliseconds(2), gather,
+               reread_delay},
               [] { return 0.5; }) {}
     void run() {
         reader.start();
@@ -126,6 +130,24 @@
         (calls{"read", "watch 8", "read", "read", "watch 9"}));
 }
 
+Test(store_reader, a_restored_store_is_read_again) {
+    fixture f;
+    const std::uint64_t restored = make_version(2, 3);
+    f.source.answers = {
+        good(make_version(1, 8)),
+        {store_result::history_gone, {}, 0},
+        good(restored),
+        good(restored + 4),
+        good(restored + 4)};
+    f.run();
+    const std::string watch = "watch " + std::to_string(restored + 4);
+    cr_assert(
+        f.source.calls ==
+        (calls{
+            "read", "watch " + std::to_string(make_version(1, 8)), "read",
+            "read", watch, watch}));
+}
+
 Test(store_reader, changes_in_close_succession_are_fetched_together) {
     // Ninety servers that start one after another woke every instance ninety
     // times.
--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -142,10 +142,12 @@
         call_ = upstream::call::start(
             pool_, {"store", options_.store}, std::move(request), {},
             {nullptr,
-             [this](http1::response_head& head) { row_status_ = head.status; },
+             [this](http1::response_head& head) {
+                 row_write_status_ = head.status;
+             },
              [](std::string_view) {},
              [this, told = draining_] {
-                 if (told && row_status_ == status_ok && !leaving_known_)
+                 if (told && row_write_status_ == status_ok && !leaving_known_)
                      leaving_known_ = owner_.now();
              },
              [](upstream::call_failure) {}});
@@ -334,7 +336,7 @@
     std::unique_ptr<upstream::call> call_;
     int ledger_;
     bool draining_ = false;
-    int row_status_ = 0; ///< Of the store's last answer.
+    int row_write_status_ = 0; ///< Of the last write of its row.
     bool says_leaving_ = false;
     bool advertises_limit_ = false;
     base::steady_time busy_until_{};
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -48,8 +48,9 @@
         "seconds after which limits are no longer advertised; 0: never", false,
         0, "S", line);
     TCLAP::MultiArg<int> restores(
-        "", "restore", "seconds after which the store goes back to a copy",
-        false, "S", line);
+        "", "restore",
+        "seconds after which the store is restored from a backup", false, "S",
+        line);
     TCLAP::SwitchArg undisturbed("u", "undisturbed", "inject no faults", line);
     TCLAP::ValueArg<int> callers(
         "", "callers", "number of callers", false, 20, "N", line);
--- a/testing/soak/src/platform_store_main.cpp
+++ b/testing/soak/src/platform_store_main.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Stand-in for the platform's store: rows, transactions and held watches.
-/// After SIGUSR1 it forgets its history; after SIGUSR2 it is away for a moment
-/// and comes back from a copy some seconds old, in its next era.
+/// SIGUSR1 makes it forget its history. SIGUSR2 restores it from a backup some
+/// seconds old: after a short outage it serves the backup in a new era.
 
 #include "row_store.hpp"
 
@@ -28,13 +28,13 @@
 constexpr int status_history_gone = 410;
 constexpr int status_unavailable = 503;
 constexpr std::uint64_t first_era = 1;
-/// Between two copies, and how old the one is that a restore goes back to.
-constexpr base::milliseconds copy_period{200};
-constexpr base::milliseconds copy_age{3000};
-/// How long the store is away before a restore has been made.
-constexpr base::milliseconds away_time{200};
-/// How long after it nothing is written yet.
-constexpr base::milliseconds no_writes_time{2500};
+constexpr base::milliseconds backup_interval{200};
+/// Minimum age of the backup that a restore uses, if there is one.
+constexpr base::milliseconds backup_age{3000};
+/// Duration of the outage at a restore.
+constexpr base::milliseconds outage_time{200};
+/// Time after the outage during which writes are refused.
+constexpr base::milliseconds read_only_time{2500};
 
 std::map<std::string, std::string> query_of(const std::string& target) {
     std::map<std::string, std::string> result;
@@ -86,35 +86,35 @@
     }
 
 private:
-    struct store_copy {
+    struct backup {
         base::steady_time taken;
         soak::row_store rows;
     };
 
-    /// Goes back to the youngest copy that is old enough, or the oldest one.
+    /// Uses the newest backup of at least backup_age, or else the oldest one.
     void restore() {
-        while (copies_.size() > 1 &&
-               copies_[1].taken + copy_age <= owner_.now())
-            copies_.pop_front();
-        if (copies_.empty())
+        while (backups_.size() > 1 &&
+               backups_[1].taken + backup_age <= owner_.now())
+            backups_.pop_front();
+        if (backups_.empty())
             return;
-        rows_ = copies_.front().rows;
-        copies_.clear();
+        rows_ = backups_.front().rows;
+        backups_.clear();
         ++era_;
-        away_until_ = owner_.now() + away_time;
+        outage_end_ = owner_.now() + outage_time;
         for (const held_watch& watch : watches_)
             watch.link->close();
         watches_.clear();
     }
 
-    void copy() {
-        if (!copies_.empty() &&
-            owner_.now() - copies_.back().taken < copy_period)
+    void make_backup() {
+        if (!backups_.empty() &&
+            owner_.now() - backups_.back().taken < backup_interval)
             return;
-        copies_.push_back({owner_.now(), rows_});
-        while (copies_.size() > 1 &&
-               copies_[1].taken + copy_age <= owner_.now())
-            copies_.pop_front();
+        backups_.push_back({owner_.now(), rows_});
+        while (backups_.size() > 1 &&
+               backups_[1].taken + backup_age <= owner_.now())
+            backups_.pop_front();
     }
 
     void answer(
@@ -132,9 +132,9 @@
         const std::string& target = request.head.target;
         auto query = query_of(target);
         const bool writes = target.starts_with("/mintknot/rows-tx");
-        if (owner_.now() < away_until_ ||
+        if (owner_.now() < outage_end_ ||
             (writes && era_ > first_era &&
-             owner_.now() < away_until_ + no_writes_time)) {
+             owner_.now() < outage_end_ + read_only_time)) {
             answer(link, status_unavailable, {});
             return;
         }
@@ -164,11 +164,11 @@
     }
 
     void tick() {
-        // Nobody can renew a row while nothing is written.
-        if (owner_.now() > away_until_ + no_writes_time + server_silence ||
+        // Servers cannot renew their rows while writes are refused.
+        if (owner_.now() > outage_end_ + read_only_time + server_silence ||
             era_ == first_era)
             rows_.expire("servers", server_silence, owner_.now());
-        copy();
+        make_backup();
         for (auto it = watches_.begin(); it != watches_.end();) {
             const json changes = rows_.changes(it->table, it->after);
             if (changes["rows"].empty() && owner_.now() < it->until) {
@@ -186,9 +186,9 @@
     relay::tests::scripted_server server_;
     soak::row_store rows_;
     std::list<held_watch> watches_;
-    std::deque<store_copy> copies_;
+    std::deque<backup> backups_;
     std::uint64_t era_ = first_era;
-    base::steady_time away_until_{};
+    base::steady_time outage_end_{};
 };
 
 } // namespace
--- a/testing/soak/src/row_store.hpp
+++ b/testing/soak/src/row_store.hpp
@@ -31,8 +31,8 @@
     nlohmann::json changes(const std::string& table, std::uint64_t after) const;
     /// Changes up to now are told of no more. Rows stay as they are.
     void forget_history() { oldest_known_ = version_; }
-    /// @return false if changes behind that version are no longer known, or if
-    /// there is no such version.
+    /// @return false if changes behind that version are no longer known or the
+    /// version has not been assigned.
     bool remembers(std::uint64_t version) const {
         return version >= oldest_known_ && version <= version_;
     }
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -70,7 +70,7 @@
         plan_next();
 }
 
-void fault_injector::drain_a_server() {
+void fault_injector::drain_random_server() {
     const std::size_t index = pick(system_.servers().size());
     if (!draining_.contains(index))
         drain_server(index);
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -36,8 +36,9 @@
         std::uint64_t seed);
 
     void start();
-    /// A server begins to leave, whatever faults are drawn.
-    void drain_a_server();
+    /// Drains a random server even in undisturbed runs, unless it is already
+    /// draining.
+    void drain_random_server();
     /// No fault begins any more, links pass again, paused processes go on.
     void heal();
     /// @return what was done, a line each, with its time.
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -29,10 +29,10 @@
 constexpr base::milliseconds crashing_pause{400};
 constexpr base::milliseconds time_to_words{1000};
 constexpr int status_not_found = 404;
-/// When the last is written that a restore loses.
-constexpr base::milliseconds time_before_restore{400};
-/// When the operator begins to write it again.
-constexpr base::milliseconds time_to_rewrite{600};
+/// Time between the last write that a restore loses and the restore.
+constexpr base::milliseconds lost_write_lead{400};
+/// Time between a restore and the first attempt to repeat that write.
+constexpr base::milliseconds rewrite_delay{600};
 
 /// A directory that goes with the object, unless it is to be kept.
 struct scratch_directory {
@@ -115,18 +115,18 @@
     }
 
     void plan_restore(base::milliseconds when) {
-        later(when - time_before_restore, [this] {
+        later(when - lost_write_lead, [this] {
             system_.change_configuration();
-            faults_.drain_a_server();
+            faults_.drain_random_server();
         });
         later(when, [this] { system_.restore_store(); });
-        later(when + time_to_rewrite, [this] { rewrite(); });
+        later(when + rewrite_delay, [this] { rewrite_configuration(); });
     }
 
-    /// The operator writes again what it has lost.
-    void rewrite() {
+    /// Repeats the lost write until the store accepts it.
+    void rewrite_configuration() {
         if (!system_.rewrite_configuration())
-            later(poll, [this] { rewrite(); });
+            later(poll, [this] { rewrite_configuration(); });
     }
 
     void later(base::milliseconds delay, std::function<void()> action) {
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -36,8 +36,9 @@
     std::map<std::size_t, std::string> advertised_limits;
     /// Time after the start when they stop advertising them; zero: never.
     base::milliseconds limits_end{0};
-    /// When the store goes back to a copy some seconds old, from the start on;
-    /// just before it a configuration is written and a server begins to leave.
+    /// Times after the start at which the store is restored from a backup some
+    /// seconds old. Shortly before each, a configuration is written and a
+    /// server begins to drain.
     std::vector<base::milliseconds> restores;
     std::size_t decode_engines = 3;
     std::size_t plain_servers = 2;
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -59,14 +59,14 @@
     void restart_instance(std::size_t index);
 
     /// Writes the next version of the configuration. @return false if the
-    /// store did not answer.
+    /// store did not take it.
     bool change_configuration();
     /// @return the version that was written last.
     int configuration() const { return configuration_; }
-    /// Writes the version that was written last once more. @return likewise.
+    /// Writes the latest version again. @return true if the store accepted it.
     bool rewrite_configuration();
-    /// The store is away for a moment and comes back from a copy some seconds
-    /// old; for a while nothing can be written.
+    /// Restores the store from a backup some seconds old, after a short outage.
+    /// It refuses writes for a while.
     void restore_store() const { store_.running->signal(SIGUSR2); }
     /// Watches that ask for older changes are told that these are gone.
     void forget_history() const { store_.running->signal(SIGUSR1); }
--- a/testing/soak/tests/test_row_store.cpp
+++ b/testing/soak/tests/test_row_store.cpp
@@ -52,7 +52,7 @@
     cr_assert(store.read("t")["rows"].empty());
 }
 
-Test(row_store, a_version_that_was_never_given_out_is_not_known) {
+Test(row_store, an_unassigned_version_is_not_remembered) {
     row_store store;
     store.transact(put("a"), start);
     const auto newest = store.read("t")["ver"].get<std::uint64_t>();
