--- /dev/null
+++ b/libs/mintknotd-platform/state/src/replica_decode.cpp
@@ -0,0 +1,104 @@
+/// @file
+/// The part of a replica that reads documents and tells the handlers of them.
+
+#include <mintknot/state/replica.hpp>
+
+#include <utility>
+
+namespace mintknot::state {
+
+replica::decode_result replica::decode(
+    collection what, const document& change, std::string_view source) {
+    return what == collection::configuration
+               ? decode_configuration(change, source)
+               : decode_server(change, source);
+}
+
+replica::decode_result
+replica::decode_configuration(const document& change, std::string_view source) {
+    if (!change.text)
+        return decode_result::rejected;
+    auto config = codec_.read_configuration(*change.text);
+    if (!config.ok()) {
+        log_rejected(
+            collection::configuration, change, source, config.status());
+        return decode_result::rejected;
+    }
+    if (config->version < configuration_version_) {
+        log_.write(
+            "configuration_superseded",
+            {{"version", static_cast<std::int64_t>(config->version)},
+             {"in_force", static_cast<std::int64_t>(configuration_version_)},
+             {"row", static_cast<std::int64_t>(change.version)},
+             {"source", source}});
+        return decode_result::superseded;
+    }
+    configuration_version_ = config->version;
+    log_.write(
+        "configuration",
+        {{"version", static_cast<std::int64_t>(config->version)},
+         {"row", static_cast<std::int64_t>(change.version)},
+         {"routes", static_cast<std::int64_t>(config->routes.size())},
+         {"source", source}});
+    handlers_.on_configuration(
+        std::make_shared<const traffic::configuration>(*std::move(config)));
+    return decode_result::taken;
+}
+
+bool replica::reverts_draining(
+    const document& change, const traffic::server& server) const {
+    const auto found = servers_.by_key.find(change.key);
+    if (server.draining || change.version > servers_.restored_up_to ||
+        found == servers_.by_key.end() || !found->second.text)
+        return false;
+    const auto known = codec_.read_server(change.key, *found->second.text);
+    return known.ok() && known->draining &&
+           !traffic::is_other_life(*known, server);
+}
+
+replica::decode_result
+replica::decode_server(const document& change, std::string_view source) {
+    if (!change.text) {
+        log_.write(
+            "server_gone", {{"server", change.key},
+                            {"row", static_cast<std::int64_t>(change.version)},
+                            {"source", source}});
+        handlers_.on_server(change.key, change.version, std::nullopt);
+        return decode_result::taken;
+    }
+    auto server = codec_.read_server(change.key, *change.text);
+    if (!server.ok()) {
+        log_rejected(collection::servers, change, source, server.status());
+        return decode_result::rejected;
+    }
+    if (reverts_draining(change, *server))
+        return decode_result::superseded;
+    if (one_by_one_)
+        log_.write(
+            "server", {{"server", change.key},
+                       {"service", server->service},
+                       {"data_centre", server->data_centre},
+                       {"phase", traffic::to_string(server->phase)},
+                       {"draining", server->draining},
+                       {"row", static_cast<std::int64_t>(change.version)},
+                       {"source", source}});
+    handlers_.on_server(change.key, change.version, *std::move(server));
+    return decode_result::taken;
+}
+
+void replica::log_rejected(
+    collection what, const document& change, std::string_view source,
+    const absl::Status& why) {
+    if (!one_by_one_ && what == collection::servers)
+        return;
+    log_.write(
+        "document_rejected",
+        {{"collection", to_string(what)},
+         {"key", change.key},
+         {"version", static_cast<std::int64_t>(change.version)},
+         {"source", source},
+         {"because",
+          std::string_view(why.message().data(), why.message().size())}});
+}
+
+} // namespace mintknot::state
