A row of a later era from a peer takes back no leaving server

What callers would see: requests cut off at a server that ends. Cause: the rule looked at how far the peer's own read of the backup had gone, and there was none yet. Ruled out: the peer's own read (its store_restored comes 0.2 s later). Now any row of a later era than the one that told of the leaving is passed over; one that is written again in its own era is taken. restored_store::a_draining_server_stays_draining failed before and passes now.

--- a/libs/mintknotd-platform/state/src/replica_decode.cpp
+++ b/libs/mintknotd-platform/state/src/replica_decode.cpp
@@ -2,6 +2,7 @@
 /// The part of a replica that reads documents and tells the handlers of them.
 
 #include <mintknot/state/replica.hpp>
+#include <mintknot/state/store_version.hpp>
 
 #include <utility>
 
@@ -48,8 +49,9 @@
 bool replica::reverts_draining(
     const document& change, const traffic::server& server) const {
     const auto found = servers_.by_key.find(change.key);
-    if (server.draining || change.version > servers_.restored_up_to ||
-        found == servers_.by_key.end() || !found->second.text)
+    if (server.draining || found == servers_.by_key.end() ||
+        !found->second.text ||
+        era_of(found->second.version) >= era_of(change.version))
         return false;
     const auto known = codec_.read_server(change.key, *found->second.text);
     return known.ok() && known->draining &&
--- a/libs/mintknotd-platform/state/tests/test_restored_store.cpp
+++ b/libs/mintknotd-platform/state/tests/test_restored_store.cpp
@@ -120,6 +120,11 @@
         servers, {{"a", new_era(2), "x"}, {"b", new_era(3), "reborn"}},
         new_era(9), "a");
     cr_assert(f.servers["a"] == "draining");
+    fixture from_peer;
+    from_peer.copy.apply_whole(
+        servers, {{"a", old_era(5), "-"}}, old_era(6), "a");
+    from_peer.copy.apply(servers, {{"a", new_era(2), "x"}}, "peer");
+    cr_assert(from_peer.servers["a"] == "draining", "a peer read the backup");
     f.copy.apply(servers, {{"a", new_era(10), "y"}}, "a");
     cr_assert(f.servers["a"] == "ready", "written in the new era");
 }
