Skeleton of capacity sharing: claims, denials and the switch

Cause: the parts of capacity sharing need one claim, one decision for a domain and one refusal, so that they can be built side by side. Change: policy::capacity_claim travels with placement queries while capacity_sharing is on; policy::place_claim calls the parts, which decide nothing yet; relay::place_here serves local placement and schedulers; both kinds of exchange refuse through refuse_for_capacity.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
@@ -10,8 +10,10 @@
 #ifndef MINTKNOT_POLICY_PLACEMENT_HPP
 #define MINTKNOT_POLICY_PLACEMENT_HPP
 
+#include <mintknot/policy/capacity_claim.hpp>
 #include <mintknot/policy/selection.hpp>
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -40,6 +42,8 @@
     excluded_servers excluded_prefill; ///< Prefill engines.
     /// Some of the servers to which the instance has idle connections.
     std::set<std::string> connected;
+    /// Who asks; only while capacity is shared (capacity_sharing.hpp).
+    std::optional<capacity_claim> claim;
 };
 
 /// The servers chosen for a request.
@@ -50,10 +54,18 @@
     double tokens_ahead = 0.0;
     /// State of the decode engines if none was free.
     capacity_summary capacity;
+    /// Why a request with a claim got no server.
+    capacity_denial denial = capacity_denial::none;
+    /// Until a denied plain call could be sent; nothing: not known.
+    std::optional<base::milliseconds> expected_wait;
     /// Scheduler that placed the request; empty: this instance.
     std::string scheduler_host;
 };
 
+/// Share of a decode engine's memory that is used; the rest allows for loads
+/// that have not been reported yet.
+inline constexpr double usable_memory_share = 0.97;
+
 /// @return the servers for a request. Changes no state: loads are not updated.
 placement
 choose_servers(const selection_inputs& inputs, const placement_query& query);
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -4,10 +4,6 @@
 
 namespace {
 
-/// Share of a decode engine's memory that is used; the rest allows for loads
-/// that have not been reported yet.
-constexpr double usable_share = 0.97;
-
 const traffic::server* choose_decode(
     const selection_inputs& inputs, const placement_query& query,
     const decode_request& wanted) {
@@ -48,7 +44,7 @@
                   inputs, query.excluded_prefill, query.prompt_tokens)
             : nullptr;
     const decode_request wanted{
-        query.memory_tokens, usable_share,
+        query.memory_tokens, usable_memory_share,
         prefill == nullptr ? std::string() : prefill->data_centre};
     const traffic::server* decode = choose_decode(inputs, query, wanted);
     placement result;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -27,6 +27,14 @@
     const traffic::organisation* organisation = nullptr;
 };
 
+/// What a request that is refused for want of capacity would have taken.
+struct wanted_capacity {
+    double cost = 1.0; ///< Decode memory in tokens; 1 for a plain call.
+    policy::capacity_forecast forecast;
+    /// Until capacity is free behind all who wait; nothing: not known.
+    std::optional<base::milliseconds> expected_wait;
+};
+
 /// Receives the answer to a request. The last call is exactly one of
 /// send_complete(), end() and abort(). No function is called after
 /// exchange::on_caller_disconnected().
@@ -94,6 +102,11 @@
     void refuse(
         int status, std::string_view reason,
         std::optional<base::milliseconds> retry_after);
+    /// Ends the exchange because the servers have no capacity for it. The
+    /// request must not have run. @param wanted what the request would take.
+    void refuse_for_capacity(const wanted_capacity& wanted);
+    /// @return the claim of the request; nothing unless capacity is shared.
+    std::optional<policy::capacity_claim> claim(bool waiting, bool begun) const;
     /// Checks, before each send, that the request may still go to a server: the
     /// caller's key may have been revoked or the request blocked while it
     /// waited. @return false if it may not; the exchange has then ended.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -7,6 +7,7 @@
 #include <mintknot/logging/line_log.hpp>
 #include <mintknot/policy/access.hpp>
 #include <mintknot/policy/admission.hpp>
+#include <mintknot/policy/domain_admission.hpp>
 #include <mintknot/policy/phase_demand.hpp>
 #include <mintknot/policy/retry_after.hpp>
 #include <mintknot/policy/retry_allowance.hpp>
@@ -46,6 +47,8 @@
     std::optional<base::milliseconds> revocation_bound;
     /// See policy::named_server_lifetime().
     base::milliseconds named_server_lifetime{300};
+    /// Callers compete for capacity; see policy::shares_capacity().
+    bool callers_compete = false;
 };
 
 /// The retries that a peer last reported. Retries of an earlier incarnation, or
@@ -75,6 +78,15 @@
 struct router_state {
     std::shared_ptr<const traffic::configuration>
         config; ///< Null until loaded.
+    /// Whether the configuration in force shares capacity; see
+    /// policy::shares_capacity().
+    bool capacity_sharing = false;
+    /// Admission control by domain: of those that this instance schedules, or
+    /// of its own requests if there are no schedulers. The key is the service
+    /// and the data centre, which is empty if the service has one domain.
+    std::map<
+        std::pair<std::string, std::string>, policy::domain_admission_state>
+        admissions;
     /// The last time at which `config` was confirmed to be the newest version;
     /// nullopt if it never was.
     std::optional<base::steady_time> configuration_confirmed;
@@ -232,6 +244,12 @@
     router_context& context, const traffic::service& target,
     policy::placement_query query, const placement_handler& then);
 
+/// Chooses the servers of a request in this instance, by admission control if
+/// it has a claim. Consumes tokens of limited servers (server_limit.hpp).
+policy::placement place_here(
+    router_context& context, const policy::selection_inputs& inputs,
+    const policy::placement_query& query);
+
 /// @return the inputs of a server selection. They refer to the state of the
 /// router and are valid until it changes.
 policy::selection_inputs
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -8,6 +8,8 @@
 #include <mintknot/relay/request_digest.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <cstdlib>
 
 namespace mintknot::relay {
 
@@ -27,6 +29,12 @@
     return request.body == nullptr ? std::string_view{} : *request.body;
 }
 
+/// @return the first 64 bits of a digest in hexadecimal digits.
+std::uint64_t number_of(const std::string& digest) {
+    constexpr std::size_t digits = 16;
+    return std::strtoull(digest.substr(0, digits).c_str(), nullptr, 16);
+}
+
 int status_of(base::verdict verdict, bool out_of_time) {
     if (verdict == base::verdict::not_run)
         return status_unavailable;
@@ -211,6 +219,36 @@
     send_router_answer(status, reason, retry_after);
 }
 
+void exchange::refuse_for_capacity(const wanted_capacity& wanted) {
+    const auto limited = limited_retry_after(context_, service_.name);
+    give_up(
+        "no_capacity",
+        limited ? *limited
+                : policy::schedule_retry_after(
+                      context_.state.retry_after_schedules[service_.name],
+                      {wanted.forecast, wanted.expected_wait, wanted.cost,
+                       context_.state.instances},
+                      context_.loop.now()));
+}
+
+std::optional<policy::capacity_claim>
+exchange::claim(bool waiting, bool begun) const {
+    if (!context_.state.capacity_sharing)
+        return std::nullopt;
+    policy::capacity_claim result;
+    result.priority = priority();
+    result.organisation = organisation_name();
+    result.target_left = std::max(
+        base::milliseconds{0}, route_.target_latency - since_arrival());
+    result.deadline_left = std::max(base::milliseconds{0}, time_left());
+    result.caller_retry = is_caller_retry();
+    if (result.caller_retry)
+        result.digest = number_of(identity_.digest());
+    result.waiting = waiting;
+    result.begun = begun;
+    return result;
+}
+
 void exchange::send_router_answer(
     int status, std::string_view reason,
     std::optional<base::milliseconds> retry_after) {
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -73,6 +73,8 @@
     needs.may_reuse_excluded = policy::may_reuse_tried_engine(attempts_);
     needs.excluded = decode_.tried;
     needs.excluded_prefill = prefill_.tried;
+    needs.claim =
+        claim(was_queued_, attempts_.answer_begun || describe_unplaced().begun);
     return needs;
 }
 
@@ -145,7 +147,7 @@
         return;
     }
     log_no_capacity(seen, expected);
-    give_up("no_capacity", retry_after(seen.forecast, expected));
+    refuse_for_capacity({memory_needed(), seen.forecast, expected});
 }
 
 void generation_exchange::wait_for_connection() {
@@ -185,21 +187,11 @@
 }
 
 void generation_exchange::join_queue(bool late) {
+    was_queued_ = true;
     queue_ticket_ = context_.queue.join(
         service_.name, rank(late), memory_needed(), [this] { place(); });
 }
 
-base::milliseconds generation_exchange::retry_after(
-    const policy::capacity_forecast& forecast,
-    std::optional<base::milliseconds> expected) {
-    if (const auto limited = limited_retry_after(context_, service_.name))
-        return *limited;
-    return policy::schedule_retry_after(
-        context_.state.retry_after_schedules[service_.name],
-        {forecast, expected, memory_needed(), context_.state.instances},
-        context_.loop.now());
-}
-
 void generation_exchange::log_no_capacity(
     const policy::capacity_summary& room,
     std::optional<base::milliseconds> expected) {
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -90,10 +90,6 @@
     std::optional<base::milliseconds>
     expected_wait(const policy::capacity_forecast& forecast) const;
     void join_queue(bool late);
-    /// @return when a caller that is refused for lack of capacity may retry.
-    base::milliseconds retry_after(
-        const policy::capacity_forecast& forecast,
-        std::optional<base::milliseconds> expected);
     void log_no_capacity(
         const policy::capacity_summary& seen,
         std::optional<base::milliseconds> expected);
@@ -156,6 +152,7 @@
     decode_state decode_;
     std::optional<std::uint64_t> last_event_; ///< Last event forwarded.
     std::unique_ptr<wait_queue::ticket> queue_ticket_;
+    bool was_queued_ = false; ///< Has waited for capacity before.
     event::timer wait_timer_;
     event::timer silence_timer_;
 };
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -52,6 +52,7 @@
     policy::placement_query query;
     query.service = service_.name;
     query.excluded = tried_;
+    query.claim = claim(false, verdict_ != base::verdict::not_run);
     placement_ = place_request(
         context_, service_, std::move(query),
         [this](const policy::placement& placed) { on_placed(placed); });
@@ -66,6 +67,11 @@
     // that its data centre is closed: excluded, it is not chosen again.
     if (unavailable && tried_.insert(chosen->id).second)
         place();
+    else if (
+        chosen == nullptr && placed.denial != policy::capacity_denial::none &&
+        verdict_ == base::verdict::not_run)
+        refuse_for_capacity(
+            {1.0, placed.capacity.forecast, placed.expected_wait});
     else if (chosen == nullptr || unavailable)
         apply_step(next_step(policy::call_end::no_server));
     else if (ensure_allowed())
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -251,14 +251,26 @@
         return context.placement->request_placement(std::move(query), then);
     policy::selection_inputs inputs = make_selection_inputs(context, target);
     inputs.connected = &query.connected;
-    const policy::placement placed = policy::choose_servers(inputs, query);
-    policy::charge_placement(
-        context.state.health.limits, context.state.servers, target.name, placed,
-        context.loop.now());
-    then(placed);
+    then(place_here(context, inputs, query));
     return nullptr;
 }
 
+policy::placement place_here(
+    router_context& context, const policy::selection_inputs& inputs,
+    const policy::placement_query& query) {
+    const policy::placement placed =
+        query.claim
+            ? policy::place_claim(
+                  context.state
+                      .admissions[{query.service, inputs.only_data_centre}],
+                  inputs, query)
+            : policy::choose_servers(inputs, query);
+    policy::charge_placement(
+        context.state.health.limits, context.state.servers, query.service,
+        placed, context.loop.now());
+    return placed;
+}
+
 policy::selection_inputs
 make_selection_inputs(router_context& context, const traffic::service& target) {
     traffic::expire(context.state.loads, context.loop.now());
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -4,6 +4,7 @@
 #include "instance_impl.hpp"
 
 #include <mintknot/base/random.hpp>
+#include <mintknot/policy/capacity_sharing.hpp>
 #include <mintknot/policy/staleness_bounds.hpp>
 #include <mintknot/relay/server_notices.hpp>
 
@@ -109,6 +110,10 @@
     return {
         [this](std::shared_ptr<const traffic::configuration> config) {
             context.state.config = std::move(config);
+            context.state.capacity_sharing =
+                context.state.config != nullptr &&
+                policy::shares_capacity(
+                    *context.state.config, context.options.callers_compete);
             group.changed();
         },
         [this](
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -22,6 +22,14 @@
 constexpr std::size_t wants_server_rows_element = 12;
 constexpr std::size_t connected_element = 13;
 constexpr std::size_t servers_element = 10;
+/// Indexes of elements that are sent only while capacity is shared: the claim
+/// of a request and, in its answer, why it was denied.
+constexpr std::size_t claim_element = 14;
+constexpr std::size_t denial_element = 11;
+/// Bits of the last element of a claim.
+constexpr unsigned caller_retry_flag = 1;
+constexpr unsigned waiting_flag = 2;
+constexpr unsigned begun_flag = 4;
 /// Rates are sent in thousandths.
 constexpr double rate_unit = 1000.0;
 
@@ -47,6 +55,33 @@
     return servers;
 }
 
+json to_json(const policy::capacity_claim& claim) {
+    const unsigned flags = (claim.caller_retry ? caller_retry_flag : 0U) |
+                           (claim.waiting ? waiting_flag : 0U) |
+                           (claim.begun ? begun_flag : 0U);
+    return {
+        claim.priority,
+        claim.organisation,
+        claim.target_left.count(),
+        claim.deadline_left.count(),
+        claim.digest,
+        flags};
+}
+
+policy::capacity_claim claim_from(const json& row) {
+    policy::capacity_claim claim;
+    claim.priority = row.at(0).get<int>();
+    claim.organisation = row.at(1).get<std::string>();
+    claim.target_left = base::milliseconds(row.at(2).get<std::int64_t>());
+    claim.deadline_left = base::milliseconds(row.at(3).get<std::int64_t>());
+    claim.digest = row.at(4).get<std::uint64_t>();
+    const auto flags = row.at(5).get<unsigned>();
+    claim.caller_retry = (flags & caller_retry_flag) != 0;
+    claim.waiting = (flags & waiting_flag) != 0;
+    claim.begun = (flags & begun_flag) != 0;
+    return claim;
+}
+
 json to_json(const placement_request& value) {
     const policy::placement_query& query = value.query;
     json row = {
@@ -62,10 +97,12 @@
         to_json(query.excluded),
         to_json(query.excluded_prefill),
         query.data_centre};
-    if (value.wants_server_rows || !query.connected.empty())
+    if (value.wants_server_rows || !query.connected.empty() || query.claim)
         row.push_back(value.wants_server_rows);
-    if (!query.connected.empty())
+    if (!query.connected.empty() || query.claim)
         row.push_back(to_json(query.connected));
+    if (query.claim)
+        row.push_back(to_json(*query.claim));
     return row;
 }
 
@@ -91,6 +128,8 @@
         value.wants_server_rows = row[wants_server_rows_element].get<bool>();
     if (row.size() > connected_element)
         value.query.connected = servers_from(row[connected_element]);
+    if (row.size() > claim_element)
+        value.query.claim = claim_from(row[claim_element]);
     return value;
 }
 
@@ -136,6 +175,26 @@
     return versioned;
 }
 
+json denial_to_json(const policy::placement& placed) {
+    const json wait = placed.expected_wait ? json(placed.expected_wait->count())
+                                           : json(nullptr);
+    return {static_cast<int>(placed.denial), wait};
+}
+
+void read_denial(const json& row, policy::placement& placed) {
+    const int denial = row.at(0).get<int>();
+    // A newer scheduler may have further reasons.
+    placed.denial =
+        denial >= 0 &&
+                denial <= static_cast<int>(
+                              policy::capacity_denial::reserved_for_returns)
+            ? static_cast<policy::capacity_denial>(denial)
+            : policy::capacity_denial::no_capacity;
+    if (!row.at(1).is_null())
+        placed.expected_wait =
+            base::milliseconds(row.at(1).get<std::int64_t>());
+}
+
 json to_json(const placement_answer& value) {
     json row = {
         answer_format,
@@ -148,12 +207,15 @@
         value.placed.capacity.avoided,
         whole(value.placed.capacity.max_free_tokens),
         to_json(value.placed.capacity.forecast)};
-    if (value.servers.empty())
+    const bool denied = value.placed.denial != policy::capacity_denial::none;
+    if (value.servers.empty() && !denied)
         return row;
     json servers = json::array();
     for (const traffic::versioned_server& versioned : value.servers)
         servers.push_back(to_json(versioned));
     row.push_back(std::move(servers));
+    if (denied)
+        row.push_back(denial_to_json(value.placed));
     return row;
 }
 
@@ -168,10 +230,11 @@
     value.placed.capacity.avoided = row.at(7).get<int>();
     value.placed.capacity.max_free_tokens = number(row.at(8));
     value.placed.capacity.forecast = forecast_from(row.at(9));
-    if (row.size() <= servers_element)
-        return value;
-    for (const json& entry : peers::bounded(row[servers_element]))
-        value.servers.push_back(server_from(entry));
+    if (row.size() > servers_element)
+        for (const json& entry : peers::bounded(row[servers_element]))
+            value.servers.push_back(server_from(entry));
+    if (row.size() > denial_element)
+        read_denial(row[denial_element], value.placed);
     return value;
 }
 
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace mintknot::scheduling {
 
@@ -29,7 +30,11 @@
     relay::placement_handler then;
     std::vector<policy::domain> remaining_domains; ///< The current one first.
     policy::capacity_summary
-        capacity_seen;      ///< Sum of the domains that had no capacity.
+        capacity_seen; ///< Sum of the domains that had no capacity.
+    /// Of the last domain that denied capacity to the request's claim.
+    policy::capacity_denial denial = policy::capacity_denial::none;
+    /// The shortest wait of the domains that denied a plain call.
+    std::optional<base::milliseconds> expected_wait;
     std::string asked_host; ///< The scheduler whose answer is awaited.
     int tries = 0;          ///< In the current domain.
     event::timer answer_timer;
@@ -81,8 +86,12 @@
             return;
         pending_placement& entry = *found->second;
         if (entry.remaining_domains.empty()) {
-            policy::placement placed = place_anywhere(entry.query);
+            policy::placement placed;
+            if (entry.denial == policy::capacity_denial::none)
+                placed = place_anywhere(entry.query);
             placed.capacity = entry.capacity_seen;
+            placed.denial = entry.denial;
+            placed.expected_wait = entry.expected_wait;
             finish(number, placed);
             return;
         }
@@ -150,6 +159,12 @@
             placed.capacity.max_free_tokens);
         entry.capacity_seen.forecast = policy::merge_forecasts(
             entry.capacity_seen.forecast, placed.capacity.forecast);
+        if (placed.denial != policy::capacity_denial::none)
+            entry.denial = placed.denial;
+        if (placed.expected_wait)
+            entry.expected_wait = std::min(
+                *placed.expected_wait,
+                entry.expected_wait.value_or(*placed.expected_wait));
         entry.remaining_domains.erase(entry.remaining_domains.begin());
         entry.tries = 0;
         ask_next(number);
@@ -186,11 +201,7 @@
         inputs.own_data_centre = query.data_centre;
         inputs.all_loads_known = is_scheduler;
         inputs.connected = &query.connected;
-        policy::placement placed = policy::choose_servers(inputs, query);
-        policy::charge_placement(
-            context.state.health.limits, context.state.servers, query.service,
-            placed, now());
-        return placed;
+        return relay::place_here(context, inputs, query);
     }
 
     const traffic::service* service_of(const std::string& name) const {
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/configuration.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/configuration.hpp
@@ -55,6 +55,7 @@
 struct engine_spec {
     std::uint64_t memory_tokens = 0;
     base::milliseconds handle_life{500};
+    double tokens_per_event = 1.0; ///< Output tokens that one event holds.
 };
 
 /// A service: servers of one kind.
