A starting instance learns from a peer which servers drain after a restore

Cause: an instance that starts while the store holds a restored backup reads draining servers as ready; peers that know better have the same version, or one of an earlier era, and their rows were passed over as old.

--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -127,6 +127,10 @@
         [this](const std::string& data_centre, bool closed) {
             if (handlers_.on_closure)
                 handlers_.on_closure(data_centre, closed);
+        },
+        [this](const std::string& id) {
+            if (handlers_.on_draining)
+                handlers_.on_draining(id);
         }};
 }
 
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -55,6 +55,8 @@
     /// See state::replica_handlers.
     std::function<void(const std::string& data_centre, bool closed)>
         on_closure{};
+    /// See state::replica_handlers.
+    std::function<void(const std::string& id)> on_draining{};
 };
 
 /// What an instance reads.
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -132,6 +132,11 @@
         [this](const std::string& data_centre, bool closed) {
             traffic::set_closed(context.state.servers, data_centre, closed);
             context.queue.notify_capacity_freed();
+        },
+        [this](const std::string& id) {
+            if (traffic::note_leaving(context.state.servers, id))
+                log.write(
+                    "server_leaving", {{"server", id}, {"source", "snapshot"}});
         }};
 }
 
--- a/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
+++ b/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
@@ -60,7 +60,7 @@
         server_patience_ * factor);
     if (call_ != nullptr || now - last_fetch_ < min_gap)
         return;
-    if (servers_due)
+    if (servers_due || (knows && target_.lacks_history()))
         fetch(host, snapshot_path);
     else if (configuration_due)
         fetch(host, configuration_snapshot_path);
--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -42,6 +42,9 @@
     /// was opened again.
     std::function<void(const std::string& data_centre, bool closed)>
         on_closure{};
+    /// A peer knows that a server drains whose row, at the same version or a
+    /// later one, was restored from a backup as ready.
+    std::function<void(const std::string& id)> on_draining{};
 };
 
 /// Documents in memory, by version: news from the store and from peers may
@@ -77,6 +80,11 @@
     /// @return false while the newest document told of could not be read.
     bool is_current(collection what) const noexcept;
 
+    /// @return true if the first full read came from a store that has been
+    /// restored from a backup at some time, and no peer's snapshot was taken
+    /// since: peers may know of draining servers that the backup has as ready.
+    bool lacks_history() const noexcept;
+
     /// @return what has changed behind a version, up to another one, which has
     /// been read from the store; nothing if it is no longer all known.
     std::optional<std::vector<document>>
@@ -109,6 +117,10 @@
         /// older than the known ones. 0: no restore is being handled.
         std::uint64_t restored_up_to = 0;
         std::uint64_t era = 0; ///< Of the last full read or first snapshot.
+        bool lacks_history = false; ///< See replica::lacks_history().
+        /// Newest version that the first full read of a store that was restored
+        /// at some time has returned; 0: it never was.
+        std::uint64_t first_read = 0;
     };
 
     void forget_removed(documents& all);
@@ -137,6 +149,10 @@
     /// server to use.
     bool reverts_draining(
         const document& change, const traffic::server& server) const;
+    /// @return true if a peer knows a server as draining that the first full
+    /// read, possibly of a restored backup, has as ready. The peer's row has
+    /// the same version, or one of an earlier era.
+    bool keeps_draining(const document& known, const document& of_peer) const;
     /// @return true if a row restored from a backup would bring back a document
     /// that was removed after the backup was made.
     static bool reverts_removal(const documents& all, const document& change);
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -85,6 +85,10 @@
     return of(what).known;
 }
 
+bool replica::lacks_history() const noexcept {
+    return servers_.lacks_history;
+}
+
 bool replica::is_current(collection what) const noexcept {
     return of(what).rejected <= of(what).newest;
 }
@@ -117,6 +121,10 @@
         return true;
     }
     std::vector<document> changes = all;
+    if (!docs.known && docs.era > 0) {
+        docs.lacks_history = true;
+        docs.first_read = version;
+    }
     add_removed(of(what), all, document_kind::content, version, changes);
     if (what == collection::configuration)
         add_removed(closures_, all, document_kind::closure, version, changes);
@@ -168,8 +176,15 @@
     }
     documents& all = of(what);
     const auto found = all.by_key.find(change.key);
-    if (found != all.by_key.end() && found->second.version >= change.version)
+    if (found != all.by_key.end() && found->second.version >= change.version) {
+        if (what == collection::servers &&
+            keeps_draining(found->second, change)) {
+            found->second.text = change.text;
+            if (handlers_.on_draining)
+                handlers_.on_draining(change.key);
+        }
         return;
+    }
     if (reverts_removal(all, change))
         return;
     const bool same_text =
--- a/libs/mintknotd-platform/state/src/replica_snapshot.cpp
+++ b/libs/mintknotd-platform/state/src/replica_snapshot.cpp
@@ -94,6 +94,7 @@
         if (part.known && !docs.known)
             docs.era = era_of(docs.newest);
         docs.known |= part.known;
+        docs.lacks_history &= !part.known;
     }
     return absl::OkStatus();
 }
--- a/libs/mintknotd-platform/state/tests/test_restored_store.cpp
+++ b/libs/mintknotd-platform/state/tests/test_restored_store.cpp
@@ -43,7 +43,8 @@
                },
                [this](const std::string& data_centre, bool closed) {
                    closures[data_centre] = closed;
-               }}) {}
+               },
+               [this](const std::string& id) { servers[id] = "draining"; }}) {}
     test_codec codec;
     logging::line_log log;
     std::uint64_t configured = 0;
@@ -186,6 +187,39 @@
     cr_assert(f.closures["hall"]);
 }
 
+Test(restored_store, an_instance_that_starts_learns_of_draining_servers) {
+    fixture peer;
+    peer.copy.apply_whole(
+        servers, {{"a", old_era(5), "-"}, {"b", old_era(5), "-"}}, old_era(6),
+        "store");
+    const std::vector<document> backup = {
+        {"a", new_era(2), "x"}, {"b", new_era(3), "reborn"}};
+    peer.copy.apply_whole(servers, backup, new_era(4), "store");
+    fixture started;
+    started.copy.apply_whole(servers, backup, new_era(4), "store");
+    cr_assert(started.servers["a"] == "ready", "the backup says so");
+    cr_assert(started.copy.lacks_history());
+    cr_assert(
+        started.copy.apply_snapshot(peer.copy.snapshot({servers}), "p").ok());
+    cr_assert(started.servers["a"] == "draining");
+    cr_assert(started.servers["b"] == "ready", "the server has been restarted");
+    cr_assert(!started.copy.lacks_history());
+    fixture before_the_peer;
+    before_the_peer.copy.apply_whole(servers, backup, new_era(4), "store");
+    before_the_peer.copy.apply(servers, {{"a", old_era(5), "-"}}, "p");
+    cr_assert(
+        before_the_peer.servers["a"] == "draining",
+        "the peer has not read the restored store yet");
+    started.copy.apply(servers, {{"a", new_era(9), "y"}}, "store");
+    cr_assert(started.servers["a"] == "ready", "written in the new era");
+}
+
+Test(restored_store, a_store_that_was_never_restored_needs_no_peer) {
+    fixture f;
+    f.copy.apply_whole(servers, {{"a", 5, "x"}}, 6, "store");
+    cr_assert(!f.copy.lacks_history());
+}
+
 Test(restored_store, a_read_after_a_snapshot_of_the_same_era_is_no_restore) {
     fixture first;
     first.copy.apply_whole(servers, {{"a", new_era(5), "x"}}, new_era(6), "a");
