--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -33,6 +33,44 @@
     cr_assert(got.query.data_centre == "a");
 }
 
+Test(scheduling_messages, claim_round_trip) {
+    placement_request sent;
+    sent.query.service = "llm";
+    sent.query.claim = policy::capacity_claim{
+        0,
+        "school",
+        base::milliseconds(700),
+        base::milliseconds(13900),
+        0xfedcba9876543210U,
+        true,
+        false,
+        true};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_request>(*value).query.claim;
+    cr_assert(got.has_value());
+    cr_assert(got->priority == 0 && got->organisation == "school");
+    cr_assert(got->target_left == base::milliseconds(700));
+    cr_assert(got->deadline_left == base::milliseconds(13900));
+    cr_assert(got->digest == 0xfedcba9876543210U);
+    cr_assert(got->caller_retry && !got->waiting && got->begun);
+    sent.query.claim.reset();
+    const auto without = decode(encode(sent));
+    cr_assert(!std::get<placement_request>(*without).query.claim);
+}
+
+Test(scheduling_messages, denial_round_trip) {
+    placement_answer sent{9, true, {}};
+    sent.placed.denial = policy::capacity_denial::over_share;
+    sent.placed.expected_wait = base::milliseconds(120);
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_answer>(*value);
+    cr_assert(got.placed.denial == policy::capacity_denial::over_share);
+    cr_assert(got.placed.expected_wait == base::milliseconds(120));
+    cr_assert(got.servers.empty());
+}
+
 Test(scheduling_messages, answer_round_trip) {
     placement_answer sent{9, true, {"d", "p", 500.0}};
     sent.placed.capacity = {12, 3, 6400.0, {base::milliseconds(120), 48.5}};
