Soak: callers that compete for scarce decode memory

Cause: the soak never had more load than its engines bear, so that refusals, return times and priorities were not met by faults.

--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -51,6 +51,8 @@
         "", "restore",
         "seconds after which the store is restored from a backup", false, "S",
         line);
+    TCLAP::SwitchArg scarce(
+        "", "scarce", "callers compete for scarce decode memory", line);
     TCLAP::SwitchArg undisturbed("u", "undisturbed", "inject no faults", line);
     TCLAP::ValueArg<int> callers(
         "", "callers", "number of callers", false, 20, "N", line);
@@ -87,6 +89,7 @@
         for (const int when : restores.getValue())
             options.restores.emplace_back(std::chrono::seconds(when));
         options.undisturbed = undisturbed.getValue();
+        options.scarce_capacity = scarce.getValue();
         options.callers = static_cast<std::size_t>(callers.getValue());
         options.limits_end = std::chrono::seconds(limits_end.getValue());
         for (const std::string& text : limits.getValue()) {
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -445,4 +445,15 @@
     return broken;
 }
 
+std::vector<std::string>
+broken_by_refusals(const std::vector<caller_record>& records) {
+    constexpr int status_unavailable = 503;
+    std::vector<std::string> broken;
+    for (const caller_record& record : records)
+        if (record.status == status_unavailable && !record.retry_after)
+            broken.push_back(fmt::format(
+                "{} was refused without a time to return", record.id));
+    return broken;
+}
+
 } // namespace mintknot::soak
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -132,6 +132,10 @@
 std::vector<std::string> broken_by_planned_work(
     const std::vector<caller_record>& records, const server_notes& notes);
 
+/// @return a line for each 503 that does not tell its caller when to return.
+std::vector<std::string>
+broken_by_refusals(const std::vector<caller_record>& records);
+
 } // namespace mintknot::soak
 
 #endif
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -62,7 +62,8 @@
               directory_.path, options.instances,
               {options.schedulers, options.max_flat_group,
                options.decode_engines, options.plain_servers,
-               options.earlier_program, options.advertised_limits})
+               options.earlier_program, options.advertised_limits,
+               options.scarce_capacity})
         , clients_(owner_, entries(), options.seed)
         , faults_(
               owner_, system_,
@@ -256,6 +257,8 @@
             parsed_limits()));
         result_.measured_rates =
             measured_rates(clients_.records(), notes, parsed_limits());
+        if (options_.scarce_capacity)
+            add(broken_by_refusals(clients_.records()));
         if (options_.planned_only)
             add(broken_by_planned_work(clients_.records(), notes));
         result_.faults = faults_.notes();
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -42,6 +42,8 @@
     std::vector<base::milliseconds> restores;
     std::size_t decode_engines = 3;
     std::size_t plain_servers = 2;
+    /// Callers compete for scarce decode memory; see group_form.
+    bool scarce_capacity = false;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
     /// Larger groups have super-peers; 0: as the program is built.
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -34,7 +34,8 @@
 
 json route(
     const std::string& name, const std::string& kind,
-    const std::string& service, int attempts, bool resumable) {
+    const std::string& service, int attempts, bool resumable,
+    int priority = 1) {
     return {
         {"name", name},
         {"host", "soak.example"},
@@ -42,18 +43,33 @@
         {"kind", kind},
         {"timeout_ms", 4000},
         {"target_latency_ms", 400},
-        {"priority", 1},
+        {"priority", priority},
         {"service", service},
         {"max_attempts", attempts},
         {"resumable", resumable}};
 }
 
-json configuration_document(int version) {
+/// Memory for four streams of 500 prompt tokens.
+constexpr int scarce_engine_tokens = 2500;
+constexpr int large_event_tokens = 32;
+
+json engine_document(bool scarce_capacity) {
+    json engine = {{"kv_tokens", 100000}, {"handle_ttl_s", 0.5}};
+    if (scarce_capacity) {
+        engine["kv_tokens"] = scarce_engine_tokens;
+        engine["stride"] = large_event_tokens;
+    }
+    return engine;
+}
+
+json configuration_document(int version, bool scarce_capacity) {
+    const int urgent = scarce_capacity ? 0 : 1;
+    const int patient = scarce_capacity ? 2 : 1;
     json routes = {
         route("safe", "safe", "app", 2, false),
         route("unsafe", "unsafe", "app", 1, false),
-        route("stream", "streaming", "llm", 1, false),
-        route("resumable", "streaming", "llm", 2, true)};
+        route("stream", "streaming", "llm", 1, false, urgent),
+        route("resumable", "streaming", "llm", 2, true, patient)};
     routes.push_back(
         route(fmt::format("v{}", version), "safe", "app", 2, false));
     return {
@@ -64,7 +80,7 @@
           {{"name", "llm"},
            {"health_path", "/health"},
            {"max_conns", 200},
-           {"engine", {{"kv_tokens", 100000}, {"handle_ttl_s", 0.5}}}}}},
+           {"engine", engine_document(scarce_capacity)}}}},
         {"limits",
          {{"max_header_bytes", 16384},
           {"max_body_bytes", 4194304},
@@ -177,6 +193,8 @@
         instance, host(instance), base::to_string(own_entry(instance)),
         base::to_string({host(instance), readiness_port}), port_, port_ + 3,
         host(0), host(1), base::to_string(store_links_[instance]));
+    if (form_.scarce_capacity)
+        out << "contracts=base,pressure\n";
     return file;
 }
 
@@ -215,8 +233,10 @@
          {{{"table", "op"},
            {"part", ""},
            {"key", "config"},
-           {"value", absl::Base64Escape(
-                         configuration_document(configuration_).dump())}}}}};
+           {"value",
+            absl::Base64Escape(
+                configuration_document(configuration_, form_.scarce_capacity)
+                    .dump())}}}}};
     event::loop owner;
     upstream::connection_pool pool(owner);
     event::timer limit(owner);
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -37,6 +37,9 @@
     std::string earlier_program;
     /// Requests per second that servers advertise in answers, by server number.
     std::map<std::size_t, std::string> advertised_limits;
+    /// Engines have memory for a few streams, events hold many tokens, routes
+    /// have different priorities, and the settings say that callers compete.
+    bool scarce_capacity = false;
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
