Loss report: what callers got, from their first try to their last

Cause: `mintknot losses` counted each return of a refused caller as a new request and did not look at gaps between events.

Change: `finished` lines carry verdict, digest, deadline_ms, priority, organisation, longest_gap_ms and target_gap_ms. The digest costs a hash of the body and is written only for refusals and for tries of callers that were refused before. The report links tries by digest within the deadline of the first one, over all instances and in any order of files, judges targets from the first try and by gaps, and counts callers by route, priority, organisation and data centre: as a table, under `callers` in the JSON (earlier fields are unchanged), and as an SVG plot (--caller-plot). Memory is bounded. Lines of older builds count as one caller each. The histogram mintknot_longest_gap_seconds shows gaps on a running instance.

--- a/libs/mintknot/cli/src/commands.hpp
+++ b/libs/mintknot/cli/src/commands.hpp
@@ -50,7 +50,8 @@
     base::milliseconds window{5000};
     std::map<std::string, double> weights; ///< By route.
     bool json = false;
-    std::string plot; ///< File for an SVG image; empty: none.
+    std::string plot;        ///< File for an SVG image; empty: none.
+    std::string caller_plot; ///< As above, for what callers got.
 };
 
 /// Prints what requests lost, and why, by the instances' logs.
--- a/libs/mintknot/cli/src/losses.cpp
+++ b/libs/mintknot/cli/src/losses.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include <mintknot/losses/caller_report.hpp>
 #include <mintknot/losses/loss_report.hpp>
 
 #include <fmt/format.h>
@@ -30,9 +31,14 @@
     return static_cast<bool>(file) || file.eof();
 }
 
-bool write_plot(const std::string& path, const losses::loss_ledger& ledger) {
+/// Does nothing without a path. @return false, after a message, on failure.
+bool write_plot(
+    const std::string& path, const losses::loss_ledger& ledger,
+    std::string (*plot)(const losses::loss_ledger&)) {
+    if (path.empty())
+        return true;
     std::ofstream file(path);
-    file << losses::to_plot(ledger);
+    file << plot(ledger);
     file.close();
     if (!file)
         fmt::print(stderr, "{}: cannot be written\n", path);
@@ -53,7 +59,8 @@
         fmt::print("{}\n", losses::to_json(ledger).dump(2));
     else
         fmt::print("{}", losses::to_text(ledger));
-    if (!asked.plot.empty() && !write_plot(asked.plot, ledger))
+    if (!write_plot(asked.plot, ledger, losses::to_plot) ||
+        !write_plot(asked.caller_plot, ledger, losses::to_caller_plot))
         return exit_code::refused;
     return exit_code::ok;
 }
--- a/libs/mintknot/cli/src/verbs.cpp
+++ b/libs/mintknot/cli/src/verbs.cpp
@@ -1,17 +1,15 @@
 #include <mintknot/cli/verbs.hpp>
 
 #include "commands.hpp"
+#include "losses_verb.hpp"
+#include "verb_line.hpp"
 
 #include <mintknot/base/sha256.hpp>
-#include <mintknot/base/status_text.hpp>
 
-#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
-#include <cstdlib>
 #include <map>
-#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -19,76 +17,6 @@
 
 namespace {
 
-/// A verb's own command line. Built anew for each call.
-class verb_line {
-public:
-    verb_line(const std::string& verb, const std::string& purpose)
-        : line_(purpose, ' ', "")
-        , verb_(verb) {
-        // The library's own handler would exit with a code of its own.
-        line_.setExceptionHandling(false);
-    }
-
-    void add_server() {
-        server_.emplace(
-            "s", "server",
-            "operator address of any instance (or environment "
-            "MINTKNOT_SERVER)",
-            false, "", "host:port", line_);
-        key_.emplace(
-            "k", "key", "operator key (or environment MINTKNOT_KEY)", false, "",
-            "key", line_);
-        output_.emplace(
-            "o", "output", "table or json", false, "table", "format", line_);
-    }
-    TCLAP::CmdLine& line() { return line_; }
-
-    void parse(const std::vector<std::string>& arguments) {
-        std::vector<std::string> all{"mintknot " + verb_};
-        all.insert(all.end(), arguments.begin(), arguments.end());
-        line_.parse(all);
-    }
-
-    /// @return nothing, after a message, if an option is wrong.
-    std::optional<common_options> common() {
-        common_options options;
-        const auto address = base::parse_address(
-            or_environment(server_->getValue(), "MINTKNOT_SERVER"));
-        if (!address.ok()) {
-            fmt::print(
-                stderr, "--server: {}\n", base::text_of(address.status()));
-            return std::nullopt;
-        }
-        const std::string format = output_->getValue();
-        if (format != "table" && format != "json") {
-            fmt::print(
-                stderr, "--output: found '{}', allowed is table or json\n",
-                format);
-            return std::nullopt;
-        }
-        options.server = *address;
-        options.key = or_environment(key_->getValue(), "MINTKNOT_KEY");
-        options.json = format == "json";
-        return options;
-    }
-
-private:
-    static std::string
-    or_environment(const std::string& given, const char* variable) {
-        if (!given.empty())
-            return given;
-        const char* value = std::getenv(variable);
-        return value == nullptr ? std::string{} : value;
-    }
-
-    TCLAP::CmdLine line_;
-    std::string verb_;
-    std::optional<TCLAP::ValueArg<std::string>> server_;
-    std::optional<TCLAP::ValueArg<std::string>> key_;
-    std::optional<TCLAP::ValueArg<std::string>> output_;
-};
-
-using arguments = std::vector<std::string>;
 using text_argument = TCLAP::UnlabeledValueArg<std::string>;
 
 exit_code run_validate(const arguments& given) {
@@ -185,53 +113,6 @@
     return common ? drain(*common, name, undo) : exit_code::usage;
 }
 
-/// Reads "ROUTE=NUMBER". @return false, after a message, if it is none.
-bool read_weight(
-    const std::string& given, std::map<std::string, double>& weights) {
-    const std::size_t sign = given.rfind('=');
-    double weight = 0.0;
-    if (sign == std::string::npos || sign == 0 ||
-        !absl::SimpleAtod(given.substr(sign + 1), &weight) || weight < 0.0) {
-        fmt::print(
-            stderr, "--weight: found '{}', wanted is ROUTE=NUMBER\n", given);
-        return false;
-    }
-    weights[given.substr(0, sign)] = weight;
-    return true;
-}
-
-exit_code run_losses(const arguments& given) {
-    verb_line verb(
-        "losses", "Shows what requests lost, and why, by the instances' logs");
-    losses_request asked;
-    TCLAP::ValueArg<int> window(
-        "w", "window", "length of a window of time in milliseconds", false,
-        static_cast<int>(asked.window.count()), "ms", verb.line());
-    TCLAP::MultiArg<std::string> weights(
-        "", "weight", "what a request of a route counts for (1 if not given)",
-        false, "ROUTE=NUMBER", verb.line());
-    TCLAP::SwitchArg as_json("", "json", "print JSON", verb.line());
-    TCLAP::ValueArg<std::string> plot(
-        "p", "plot", "write an SVG image of the losses over time", false, "",
-        "file", verb.line());
-    TCLAP::UnlabeledMultiArg<std::string> logs(
-        "logs", "logs of all instances; - is standard input", true, "log",
-        verb.line());
-    verb.parse(given);
-    if (window.getValue() <= 0) {
-        fmt::print(stderr, "--window: must be above 0\n");
-        return exit_code::usage;
-    }
-    for (const std::string& weight : weights.getValue())
-        if (!read_weight(weight, asked.weights))
-            return exit_code::usage;
-    asked.window = base::milliseconds(window.getValue());
-    asked.json = as_json.getValue();
-    asked.plot = plot.getValue();
-    asked.logs = logs.getValue();
-    return show_losses(asked);
-}
-
 exit_code run_digest(const arguments& given) {
     verb_line verb("digest", "Prints the digest of a key, for key_sha256");
     text_argument key("key", "the key", true, "", "key", verb.line());
--- a/libs/mintknot/losses/include/mintknot/losses/loss_ledger.hpp
+++ b/libs/mintknot/losses/include/mintknot/losses/loss_ledger.hpp
@@ -4,6 +4,8 @@
 #define MINTKNOT_LOSSES_LOSS_LEDGER_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/losses/caller_account.hpp>
+#include <mintknot/losses/loss_cause.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -16,32 +18,6 @@
 
 namespace mintknot::losses {
 
-/// Why a request was not answered in time.
-enum class loss_cause {
-    none,                  ///< It was.
-    no_room,               ///< No decode engine had memory left.
-    no_server_reachable,   ///< No server, or none that could be reached.
-    broken_by_server,      ///< Its server broke off or fell silent.
-    servers_own_failure,   ///< Its server answered with a failure.
-    lost_with_instance,    ///< The instance ended before the request did.
-    retry_allowance_spent, ///< It needed a retry that was not allowed.
-    deadline_passed,       ///< Its time was over before it was answered.
-    caller_left,           ///< The caller closed its connection.
-    refused_at_the_door,   ///< Stopping, without configuration, or too full.
-    unknown_key,           ///< The caller showed no key that is known.
-    old_knowledge,         ///< It could not be told whether its key was good.
-    over_limit,            ///< Its organisation had used up its limit.
-    late_by_waiting,       ///< Answered late; it waited for room for long.
-    late_by_second_read,   ///< Answered late; its prompt was read again.
-    late_at_server,        ///< Answered late; its server took long.
-    other
-};
-
-std::string_view to_string(loss_cause value) noexcept;
-
-/// @return true for causes of answers that came, but late.
-bool is_late(loss_cause value) noexcept;
-
 /// What the requests are counted by.
 struct ledger_key {
     std::string route;
@@ -109,7 +85,8 @@
     std::map<std::string, std::map<loss_cause, std::int64_t>> by_organisation;
     /// Prompt tokens read again or for nothing, by reason.
     std::map<std::string, double> tokens_read_again;
-    std::map<std::string, std::string> data_centres;    ///< By instance.
+    std::map<std::string, std::string> data_centres; ///< By instance.
+    caller_account callers;
     std::unordered_map<std::string, open_request> open; ///< By request ID.
     std::deque<std::string> open_order; ///< Oldest first; may name ended ones.
 };
@@ -117,7 +94,8 @@
 /// Takes one line; what stands before its first brace is passed over.
 void take_line(loss_ledger& ledger, std::string_view line);
 
-/// Takes requests without an end for lost with their instance.
+/// Takes requests without an end for lost with their instance, and links the
+/// tries of each caller.
 void close_account(loss_ledger& ledger);
 
 } // namespace mintknot::losses
--- a/libs/mintknot/losses/src/loss_ledger.cpp
+++ b/libs/mintknot/losses/src/loss_ledger.cpp
@@ -1,60 +1,24 @@
 #include <mintknot/losses/loss_ledger.hpp>
 
-#include <nlohmann/json.hpp>
+#include "finished_line.hpp"
+#include "log_line.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace mintknot::losses {
 
 namespace {
 
-using nlohmann::json;
+using log_line::flag;
+using log_line::json;
+using log_line::text;
+using log_line::whole;
 
 /// A refusal within this time counts as given at once: one turn of the event
 /// loop under load.
 constexpr std::int64_t at_once_ms = 5;
 constexpr std::size_t shown_of_foreign_line = 80;
 
-constexpr std::array<std::pair<std::string_view, loss_cause>, 18> outcomes{{
-    {"no_capacity", loss_cause::no_room},
-    {"no_backend_server", loss_cause::no_server_reachable},
-    {"server_unreachable", loss_cause::no_server_reachable},
-    {"decode_broke_off", loss_cause::broken_by_server},
-    {"decode_silent", loss_cause::broken_by_server},
-    {"decode_rejected", loss_cause::no_room},
-    {"server_rejected", loss_cause::no_room},
-    {"server_broke_off", loss_cause::broken_by_server},
-    {"server_failure", loss_cause::servers_own_failure},
-    {"decode_failed", loss_cause::servers_own_failure},
-    {"bad_answer", loss_cause::servers_own_failure},
-    {"retry_allowance_spent", loss_cause::retry_allowance_spent},
-    {"deadline_passed", loss_cause::deadline_passed},
-    {"caller_left", loss_cause::caller_left},
-    {"answered", loss_cause::none},
-    {"unknown_key", loss_cause::unknown_key},
-    {"old_knowledge", loss_cause::old_knowledge},
-    {"over_limit", loss_cause::over_limit},
-}};
-
-std::string text(const json& line, const char* field) {
-    const auto found = line.find(field);
-    return found != line.end() && found->is_string() ? found->get<std::string>()
-                                                     : std::string{};
-}
-
-std::int64_t whole(const json& line, const char* field) {
-    const auto found = line.find(field);
-    return found != line.end() && found->is_number()
-               ? found->get<std::int64_t>()
-               : 0;
-}
-
-bool flag(const json& line, const char* field) {
-    const auto found = line.find(field);
-    return found != line.end() && found->is_boolean() && found->get<bool>();
-}
-
 std::int64_t window_of(const loss_ledger& ledger, std::int64_t at) {
     return at / std::max<std::int64_t>(1, ledger.options.window.count());
 }
@@ -71,13 +35,6 @@
         window_of(ledger, request.at), cause}];
 }
 
-loss_cause cause_of_failure(std::string_view outcome) {
-    for (const auto& [name, cause] : outcomes)
-        if (name == outcome)
-            return cause;
-    return loss_cause::other;
-}
-
 /// Of a request that was answered after its target.
 loss_cause cause_of_lateness(const json& line, const open_request& request) {
     if (request.reads > 1)
@@ -90,7 +47,7 @@
 loss_cause cause_of(const json& line, const open_request& request) {
     const std::string outcome = text(line, "outcome");
     if (outcome != "answered")
-        return cause_of_failure(outcome);
+        return cause_of_outcome(outcome);
     const std::int64_t target = whole(line, "target_ms");
     if (target <= 0 || whole(line, "first_byte_ms") <= target)
         return loss_cause::none;
@@ -115,7 +72,7 @@
     }
 }
 
-void note_try(first_try_account& account, const json& line, loss_cause cause) {
+void count_try(first_try_account& account, const json& line, loss_cause cause) {
     if (!flag(line, "returned")) {
         note_first_try(account, line, cause);
         return;
@@ -142,13 +99,24 @@
     note_reads(ledger, request, cause == loss_cause::none || is_late(cause));
 }
 
+/// The instance ended before the request: its caller got no answer.
+void lose_request(loss_ledger& ledger, const open_request& request) {
+    end_request(ledger, request, loss_cause::lost_with_instance);
+    caller_try lost;
+    lost.route = request.route;
+    lost.priority = unknown_name;
+    lost.organisation = unknown_name;
+    lost.instance = request.instance;
+    note_try(ledger.callers, lost);
+}
+
 void forget_oldest(loss_ledger& ledger) {
     while (ledger.open.size() > ledger.options.most_open) {
         const auto oldest = ledger.open.find(ledger.open_order.front());
         ledger.open_order.pop_front();
         if (oldest == ledger.open.end())
             continue;
-        end_request(ledger, oldest->second, loss_cause::lost_with_instance);
+        lose_request(ledger, oldest->second);
         ledger.open.erase(oldest);
     }
     // Names of requests that have ended are dropped once they are the most.
@@ -177,19 +145,13 @@
     const open_request request = request_of(ledger, line, id);
     const loss_cause cause = cause_of(line, request);
     end_request(ledger, request, cause);
-    note_try(ledger.first_tries[request.route], line, cause);
+    count_try(ledger.first_tries[request.route], line, cause);
+    note_try(ledger.callers, caller_try_of(line, request));
     ledger.open.erase(id);
 }
 
-/// @return true for refusals that the caller's key or organisation explains.
-bool concerns_organisation(loss_cause cause) {
-    return cause == loss_cause::unknown_key ||
-           cause == loss_cause::old_knowledge ||
-           cause == loss_cause::over_limit;
-}
-
 void take_given_up(loss_ledger& ledger, const json& line) {
-    const loss_cause cause = cause_of_failure(text(line, "reason"));
+    const loss_cause cause = cause_of_outcome(text(line, "reason"));
     if (concerns_organisation(cause))
         ++ledger.by_organisation[text(line, "organisation")][cause];
 }
@@ -199,7 +161,7 @@
     const std::string reason = text(line, "reason");
     if (reason == "no_route")
         return;
-    const loss_cause cause = cause_of_failure(reason);
+    const loss_cause cause = cause_of_outcome(reason);
     open_request request;
     request.route = "(none)";
     request.instance = text(line, "instance");
@@ -255,52 +217,6 @@
 
 } // namespace
 
-std::string_view to_string(loss_cause value) noexcept {
-    switch (value) {
-    case loss_cause::none:
-        return "in_target";
-    case loss_cause::no_room:
-        return "no_room";
-    case loss_cause::no_server_reachable:
-        return "no_server_reachable";
-    case loss_cause::broken_by_server:
-        return "broken_by_server";
-    case loss_cause::servers_own_failure:
-        return "servers_own_failure";
-    case loss_cause::lost_with_instance:
-        return "lost_with_instance";
-    case loss_cause::retry_allowance_spent:
-        return "retry_allowance_spent";
-    case loss_cause::deadline_passed:
-        return "deadline_passed";
-    case loss_cause::caller_left:
-        return "caller_left";
-    case loss_cause::refused_at_the_door:
-        return "refused_at_the_door";
-    case loss_cause::unknown_key:
-        return "unknown_key";
-    case loss_cause::old_knowledge:
-        return "old_knowledge";
-    case loss_cause::over_limit:
-        return "over_limit";
-    case loss_cause::late_by_waiting:
-        return "late_by_waiting";
-    case loss_cause::late_by_second_read:
-        return "late_by_second_read";
-    case loss_cause::late_at_server:
-        return "late_at_server";
-    case loss_cause::other:
-        return "other";
-    }
-    return "other";
-}
-
-bool is_late(loss_cause value) noexcept {
-    return value == loss_cause::late_by_waiting ||
-           value == loss_cause::late_by_second_read ||
-           value == loss_cause::late_at_server;
-}
-
 void take_line(loss_ledger& ledger, std::string_view line) {
     if (line.find_first_not_of(" \t\r") == std::string_view::npos)
         return;
@@ -323,9 +239,10 @@
 
 void close_account(loss_ledger& ledger) {
     for (const auto& [id, request] : ledger.open)
-        end_request(ledger, request, loss_cause::lost_with_instance);
+        lose_request(ledger, request);
     ledger.open.clear();
     ledger.open_order.clear();
+    link_tries(ledger.callers);
 }
 
 } // namespace mintknot::losses
--- a/libs/mintknot/losses/src/loss_report.cpp
+++ b/libs/mintknot/losses/src/loss_report.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/losses/loss_report.hpp>
 
+#include <mintknot/losses/caller_report.hpp>
+
 #include <fmt/format.h>
 
 namespace mintknot::losses {
@@ -151,6 +153,7 @@
     text += "all requests, by weight\n" + causes_text(by_cause(ledger));
     text += groups_text("route", by_route(ledger));
     text += groups_text("data centre", by_data_centre(ledger));
+    text += callers_text(ledger);
     text += first_tries_text(ledger);
     text += organisations_text(ledger);
     text += "prompt tokens read again or for nothing\n";
@@ -174,6 +177,7 @@
         {"routes", groups_json(by_route(ledger))},
         {"data_centres", groups_json(by_data_centre(ledger))},
         {"windows", groups_json(by_window(ledger))},
+        {"callers", callers_json(ledger)},
         {"first_tries", first_tries},
         {"organisations", organisations_json(ledger)},
         {"tokens_read_again", ledger.tokens_read_again}};
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -154,6 +154,8 @@
     policy::attempts attempts_;
     bool finished_ = false;
     int sends_ = 0; ///< Number of calls that may have reached a server.
+    /// Longest time between two events that were forwarded to the caller.
+    base::milliseconds longest_gap_{0};
 
 private:
     /// Checks that the key still belongs to the same organisation, unless the
@@ -171,6 +173,11 @@
         int status, std::string_view reason,
         std::optional<base::milliseconds> retry_after);
     void finish(std::string_view outcome);
+    /// @return the digest if the request was refused or the caller was refused
+    /// before, else nothing: only those tries have to be linked to others, and
+    /// the digest costs a hash of the body.
+    std::string_view
+    digest_for_log(std::string_view outcome, bool caller_retry) const;
 
     request_identity identity_;
     event::timer deadline_timer_;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -18,6 +18,7 @@
     std::string outcome; ///< "answered", or the code of a refusal.
     base::milliseconds first_byte{0};
     base::milliseconds total{0};
+    base::milliseconds longest_gap{0}; ///< Between events; 0: no stream.
 };
 
 /// Metrics of one instance, exported in the Prometheus text format. The number
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -326,25 +326,6 @@
         give_up(reason);
 }
 
-void exchange::finish(std::string_view outcome) {
-    finished_ = true;
-    deadline_timer_.stop();
-    return_usage();
-    context_.metrics.count_request(
-        {route_.name, std::string(outcome), first_byte_, since_arrival()});
-    context_.log.write(
-        "finished",
-        {{"request", request_.terms.id},
-         {"route", route_.name},
-         {"outcome", outcome},
-         {"sends", std::int64_t{sends_}},
-         {"returned", is_caller_retry()},
-         {"target_ms", route_.target_latency.count()},
-         {"waited_ms", first_send_.value_or(since_arrival()).count()},
-         {"first_byte_ms", first_byte_.count()},
-         {"total_ms", since_arrival().count()}});
-}
-
 void exchange::record_broken_call(
     const std::string& server_id, base::steady_time sent) const {
     const auto ran_for = std::chrono::duration_cast<base::milliseconds>(
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -9,6 +9,8 @@
 #include <mintknot/policy/timeouts.hpp>
 #include <mintknot/relay/server_notices.hpp>
 
+#include <algorithm>
+
 namespace mintknot::relay {
 
 namespace {
@@ -124,6 +126,7 @@
 void generation_exchange::forward_events(const std::string& events) {
     if (events.empty())
         return;
+    record_event_time();
     if (const auto id = traffic::last_event_id(events))
         last_event_ = id;
     if (!attempts_.answer_begun)
@@ -135,6 +138,15 @@
     }
 }
 
+void generation_exchange::record_event_time() {
+    const base::steady_time now = context_.loop.now();
+    if (last_event_at_)
+        longest_gap_ = std::max(
+            longest_gap_, std::chrono::duration_cast<base::milliseconds>(
+                              now - *last_event_at_));
+    last_event_at_ = now;
+}
+
 void generation_exchange::send_head() {
     attempts_.answer_begun = true;
     record_first_byte();
@@ -159,6 +171,8 @@
     if (decode_.call == nullptr)
         return;
     decode_.call->resume();
+    // The pause was due to the caller and is no gap of the engine.
+    last_event_at_ = context_.loop.now();
     watch_silence();
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -139,6 +139,8 @@
     /// Records the time until the first event.
     void record_start_times();
     void forward_events(const std::string& events);
+    /// Updates the longest gap between events.
+    void record_event_time();
     void send_head();
     /// Releases a kept prefill result that will not be used.
     void release_result();
@@ -150,7 +152,8 @@
     prefill_state prefill_;
     kept_result kept_;
     decode_state decode_;
-    std::optional<std::uint64_t> last_event_; ///< Last event forwarded.
+    std::optional<std::uint64_t> last_event_;        ///< Last event forwarded.
+    std::optional<base::steady_time> last_event_at_; ///< When it was.
     std::unique_ptr<wait_queue::ticket> queue_ticket_;
     bool was_queued_ = false; ///< Has waited for capacity before.
     event::timer wait_timer_;
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -63,6 +63,11 @@
             .Name("mintknot_request_seconds")
             .Help("From arrival to the end of the answer.")
             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& longest_gaps =
+        prometheus::BuildHistogram()
+            .Name("mintknot_longest_gap_seconds")
+            .Help("Longest time between two events of a stream.")
+            .Register(registry);
     prometheus::Family<prometheus::Histogram>& server_ages =
         prometheus::BuildHistogram()
             .Name("mintknot_servers_age_at_send_seconds")
@@ -89,6 +94,9 @@
         .Observe(seconds(request.first_byte));
     impl_->totals.Add({{"route", route}}, latency_buckets())
         .Observe(seconds(request.total));
+    if (request.longest_gap > base::milliseconds{0})
+        impl_->longest_gaps.Add({{"route", route}}, latency_buckets())
+            .Observe(seconds(request.longest_gap));
 }
 
 void relay_metrics::count_call(policy::call_result result) {
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -171,8 +171,8 @@
     return text_of(fields, name);
 }
 
-relay_fixture::relay_fixture()
-    : log(-1, "test", {})
+relay_fixture::relay_fixture(int log_descriptor)
+    : log(log_descriptor, "test", {})
     , pool(owner)
     , releases(pool, protocol)
     , prober(
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -65,7 +65,8 @@
 /// configuration has the routes `safe`, `unsafe`, `stream` and `resume`.
 class relay_fixture {
 public:
-    relay_fixture();
+    /// @param log_descriptor where log lines are written; -1: nowhere.
+    explicit relay_fixture(int log_descriptor = -1);
     ~relay_fixture();
 
     /// Starts a scripted server and adds it to the server table.
