Runtime: plain wording in the parts that follow the store

Cause: comments and local names used figurative terms (patience, news, what is told, a store that is away), which a reader has to translate first.

Change: comments and local names of document_sync, peer_feed, snapshot_fetcher, lapsed_servers and shared_store. Reasons and numbers are kept; no change of behaviour, log events, paths or bodies.

--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -9,15 +9,16 @@
 
 using state::collection;
 
-/// Part of the time within which a server that leaves gets no request any more
-/// for which a fleet gathers changes: a reader, and then whoever follows it, do
-/// so once. With 0.3 s the ten readers of 986 instances made 965 calls to the
-/// store on a calm day.
-constexpr int gathers_in_drain_bound = 5;
-/// How long a large group waits for its readers' news of servers.
+/// In a group with super-peers, changes are collected for the drain bound
+/// divided by this number before they are fetched: once by a reader and once by
+/// its followers. With 0.3 s the ten readers of 986 instances made 965 calls to
+/// the store on a calm day.
+constexpr int batches_per_drain_bound = 5;
+/// In a large group, time to wait for changes of servers from readers before a
+/// snapshot is fetched.
 constexpr base::milliseconds large_group_patience{1200};
-/// Snapshots of thousands of servers are large: a hundred instances that start
-/// at once are not to fill the memory of one that is asked by all.
+/// Bounds the snapshots in memory: those of thousands of servers are large, and
+/// a hundred instances that start together may all ask the same one.
 constexpr std::size_t snapshot_bytes_per_ms = 1000;
 constexpr base::milliseconds max_snapshots_ahead{1500};
 
@@ -36,11 +37,11 @@
     document_handlers handlers)
     : owner_(ports.loop)
     , drain_bound_(options.drain_bound)
-    , configuration_news_(
+    , configuration_bounds_(
           policy::staleness_bounds_for(options.configuration_bound))
-    , server_news_(policy::staleness_bounds_for(options.drain_bound))
+    , server_bounds_(policy::staleness_bounds_for(options.drain_bound))
     , handlers_(std::move(handlers))
-    , replica_(ports.codec, ports.log, replica_functions())
+    , replica_(ports.codec, ports.log, make_replica_handlers())
     , store_(
           ports.loop, ports.store, ports.pool, ports.log,
           {options.peer.host, options.peer.port, options.store_access,
@@ -48,11 +49,11 @@
     , configuration_reader_(
           ports.loop, store_, replica_, collection::configuration, ports.log,
           options_for(
-              configuration_news_, configuration_news_.unfollowed_watch),
+              configuration_bounds_, configuration_bounds_.unfollowed_watch),
           ports.draw)
     , server_reader_(
           ports.loop, store_, replica_, collection::servers, ports.log,
-          options_for(server_news_, server_news_.peer_checked_watch),
+          options_for(server_bounds_, server_bounds_.peer_checked_watch),
           ports.draw)
     , feed_(
           ports.loop, replica_,
@@ -67,7 +68,7 @@
     , fetcher_(
           ports.loop, ports.pool, replica_, ports.log, options.peer.port,
           options.data_centre)
-    , hold_(ports.loop) {
+    , start_delay_(ports.loop) {
     server_reader_.on_return([this] { lapsed_.store_returned(); });
     server_reader_.on_position([this] { on_server_position(); });
     configuration_reader_.on_position([this] { on_configuration_position(); });
@@ -83,8 +84,9 @@
     const auto confirmed = reader_of(what).confirmed();
     if (!confirmed)
         return std::nullopt;
-    const policy::staleness_bounds& times =
-        what == collection::configuration ? configuration_news_ : server_news_;
+    const policy::staleness_bounds& times = what == collection::configuration
+                                                ? configuration_bounds_
+                                                : server_bounds_;
     return *confirmed + times.max_age;
 }
 
@@ -99,8 +101,9 @@
     const auto confirmed = server_reader_.confirmed();
     if (confirmed && handlers_.on_servers_confirmed)
         handlers_.on_servers_confirmed(*confirmed);
-    // Followers learn at once that there is nothing new: held back, each
-    // instance on the way would add its wait to the age of what it knows.
+    // Followers are answered immediately, even if nothing has changed:
+    // otherwise each instance on the path would add its wait to the age of its
+    // data.
     feed_.confirmed(collection::servers);
     if (!server_reader_.position())
         return;
@@ -109,7 +112,7 @@
         handlers_.on_servers_known();
 }
 
-state::replica_handlers document_sync::replica_functions() {
+state::replica_handlers document_sync::make_replica_handlers() {
     return {
         [this](std::shared_ptr<const traffic::configuration> config) {
             handlers_.on_configuration(std::move(config));
@@ -134,16 +137,16 @@
         }};
 }
 
-void document_sync::start(base::milliseconds hold) {
-    if (hold.count() > 0)
-        hold_.start(hold, [this] { begin(); });
+void document_sync::start(base::milliseconds delay) {
+    if (delay.count() > 0)
+        start_delay_.start(delay, [this] { start_reading(); });
     else
-        begin();
+        start_reading();
 }
 
-void document_sync::begin() {
-    hold_.stop();
-    reads_ = true;
+void document_sync::start_reading() {
+    start_delay_.stop();
+    reading_ = true;
     configuration_reader_.start();
     if (scope_ == document_scope::everything)
         server_reader_.start();
@@ -151,35 +154,36 @@
 
 void document_sync::set_scope(document_scope scope) {
     const bool changed = scope != std::exchange(scope_, scope);
-    if (!reads_)
-        begin();
+    if (!reading_)
+        start_reading();
     else if (changed && scope == document_scope::everything)
-        follow_servers_again();
+        resume_following_servers();
     else if (changed)
         server_reader_.stop();
 }
 
-/// What was known before may be old: it is used once the reader has caught up.
-void document_sync::follow_servers_again() {
+/// The table from before the pause may be outdated. It is used again once the
+/// reader has caught up.
+void document_sync::resume_following_servers() {
     catching_up_ = true;
     replica_.tell_servers_again();
     server_reader_.start();
 }
 
 void document_sync::stop() {
-    hold_.stop();
+    start_delay_.stop();
     configuration_reader_.stop();
     server_reader_.stop();
 }
 
 void document_sync::use_large_group_pace() {
-    configuration_reader_.set_wait(configuration_news_.relayed_watch);
-    server_reader_.set_wait(server_news_.relayed_watch);
+    configuration_reader_.set_wait(configuration_bounds_.relayed_watch);
+    server_reader_.set_wait(server_bounds_.relayed_watch);
     fetcher_.set_server_patience(large_group_patience);
 }
 
 void document_sync::use_fleet_pace() {
-    server_reader_.set_gather(drain_bound_ / gathers_in_drain_bound);
+    server_reader_.set_gather(drain_bound_ / batches_per_drain_bound);
 }
 
 void document_sync::on_heartbeat(
@@ -202,12 +206,12 @@
 relay::local_answer
 document_sync::snapshot(const std::vector<collection>& parts) {
     const base::steady_time now = owner_.now();
-    if (snapshots_paid_ > now + max_snapshots_ahead)
+    if (snapshot_budget_used_until_ > now + max_snapshots_ahead)
         return {503, "text/plain", "busy\n"};
     std::string text = replica_.snapshot(parts);
-    snapshots_paid_ = std::max(snapshots_paid_, now) +
-                      base::milliseconds(static_cast<std::int64_t>(
-                          text.size() / snapshot_bytes_per_ms));
+    snapshot_budget_used_until_ = std::max(snapshot_budget_used_until_, now) +
+                                  base::milliseconds(static_cast<std::int64_t>(
+                                      text.size() / snapshot_bytes_per_ms));
     return {200, "application/json", std::move(text)};
 }
 
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Keeps this instance's documents in step with the store and with peers.
+/// Keeps this instance's copy of the documents up to date with the store and
+/// with peers.
 #ifndef MINTKNOT_RUNTIME_DOCUMENT_SYNC_HPP
 #define MINTKNOT_RUNTIME_DOCUMENT_SYNC_HPP
 
@@ -17,7 +18,7 @@
 
 namespace mintknot::runtime {
 
-/// What documents come through. Everything outlives the object.
+/// Dependencies of document_sync. They must outlive it.
 struct document_ports {
     event::loop& loop;
     state::store& store;
@@ -28,29 +29,29 @@
 };
 
 struct document_options {
-    base::address peer; ///< The own one; all instances use the same port.
+    base::address peer; ///< Of this instance; all use the same port.
     std::string data_centre;
     base::milliseconds drain_bound;         ///< See instance_settings.
     base::milliseconds configuration_bound; ///< Likewise.
     std::function<policy::store_access()> store_access;
 };
 
-/// Whom the object tells of changes.
+/// Functions that are called when documents change.
 struct document_handlers {
     std::function<void(std::shared_ptr<const traffic::configuration>)>
         on_configuration;
-    /// Removals come late where the row may only have lapsed.
+    /// Removals are delayed if the row may only have lapsed (lapsed_servers).
     std::function<void(
         const std::string& id, std::uint64_t version,
         std::optional<traffic::server>)>
         on_server;
     /// @return how many servers are in use.
     std::function<std::size_t()> servers_in_use;
-    /// Nothing newer than the configuration existed at that moment.
+    /// The known configuration was the newest at that time.
     std::function<void(base::steady_time)> on_confirmed;
-    /// All servers are known, as of one moment.
+    /// The server table is complete.
     std::function<void()> on_servers_known{};
-    /// The servers were as they are known here at that moment.
+    /// The known server table was up to date at that time.
     std::function<void(base::steady_time)> on_servers_confirmed{};
     /// See state::replica_handlers.
     std::function<void(const std::string& data_centre, bool closed)>
@@ -59,14 +60,14 @@
     std::function<void(const std::string& id)> on_draining{};
 };
 
-/// What an instance reads.
+/// Which collections an instance reads.
 enum class document_scope {
     everything,
-    configuration ///< Not the servers: others place its requests.
+    configuration ///< No servers: schedulers place the requests.
 };
 
-/// Follows the store: directly, or through the readers of a large group; takes
-/// from peers what the store does not tell; answers peers that ask.
+/// Follows the store directly or, in a large group, through readers; fetches
+/// snapshots from peers that have a newer version; answers requests of peers.
 class document_sync {
 public:
     document_sync(
@@ -75,50 +76,51 @@
     document_sync(const document_sync&) = delete;
     document_sync& operator=(const document_sync&) = delete;
 
-    /// @param hold how long the store is not read yet, unless set_scope() comes
-    /// before: peers may tell what to read, and what from them.
-    void start(base::milliseconds hold);
+    /// @param delay time until the store is first read, unless set_scope() is
+    /// called earlier. Meanwhile heartbeats of peers may show what has to be
+    /// read, and from whom.
+    void start(base::milliseconds delay);
     void stop();
-    /// Changes what is read from now on.
+    /// Changes which collections are read.
     void set_scope(document_scope scope);
-    /// From now on the group is large: watches at the store are held longer,
-    /// and readers are waited for.
+    /// Adapts to a large group: watches at the store are held longer, and the
+    /// instance waits longer for readers.
     void use_large_group_pace();
-    /// From now on there are super-peers: changes of servers, of which a fleet
-    /// of thousands has some each second, are fetched more rarely.
+    /// Adapts to a group with super-peers: among thousands of servers some
+    /// change each second, so changes are fetched less often.
     void use_fleet_pace();
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
-    /// Answers another instance.
+    /// Answers an HTTP request of another instance.
     void answer(const http1::request_head& head, relay::local_reply reply);
 
-    /// @return the newest version that is known of a collection.
+    /// @return the newest known version of a collection.
     std::uint64_t version(state::collection what) const;
     /// @return true once the configuration and the servers have been read.
     bool known() const;
-    /// @return true once all servers have been read, and are followed.
+    /// @return true if all servers have been read and changes are followed.
     bool knows_servers() const;
-    /// @return how long ago the store, or a reader, last answered.
+    /// @return the time since the store or a reader last answered.
     base::milliseconds silence() const;
 
 private:
-    state::replica_handlers replica_functions();
+    state::replica_handlers make_replica_handlers();
     const state::store_reader& reader_of(state::collection what) const;
     /// See shared_store_options.
     std::optional<base::steady_time> overdue_from(state::collection what) const;
     void on_configuration_position();
     void on_server_position();
-    void begin();
-    void follow_servers_again();
+    void start_reading();
+    void resume_following_servers();
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
 
     event::loop& owner_;
     base::milliseconds drain_bound_;
-    policy::staleness_bounds configuration_news_;
-    policy::staleness_bounds server_news_;
-    bool reads_ = false;
+    policy::staleness_bounds configuration_bounds_;
+    policy::staleness_bounds server_bounds_;
+    bool reading_ = false;
     document_scope scope_ = document_scope::everything;
-    bool catching_up_ = false; ///< With servers, after a time without them.
+    bool catching_up_ = false; ///< Reads servers again after a pause.
     document_handlers handlers_;
     state::replica replica_;
     shared_store store_;
@@ -127,9 +129,9 @@
     peer_feed feed_;
     lapsed_servers lapsed_;
     snapshot_fetcher fetcher_;
-    event::timer hold_;
-    /// When the snapshots that were given will have been paid for.
-    base::steady_time snapshots_paid_{};
+    event::timer start_delay_;
+    /// Until when the snapshots sent so far use up the budget.
+    base::steady_time snapshot_budget_used_until_{};
 };
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/runtime/src/lapsed_servers.cpp
+++ b/libs/mintknotd-platform/runtime/src/lapsed_servers.cpp
@@ -44,10 +44,10 @@
 
 void lapsed_servers::settle() {
     const base::steady_time now = owner_.now();
-    const bool held_already = hold_until_ + return_time_ > now;
-    const bool departure =
+    const bool was_held = hold_until_ + return_time_ > now;
+    const bool servers_left =
         now >= limit_ || !policy::is_mass_removal(held_.size(), known_());
-    if (held_already || departure) {
+    if (was_held || servers_left) {
         remove_held();
         return;
     }
@@ -62,10 +62,10 @@
 }
 
 void lapsed_servers::remove_held() {
-    const std::map<std::string, std::uint64_t> due = std::move(held_);
+    const std::map<std::string, std::uint64_t> removals = std::move(held_);
     held_.clear();
     limit_ = base::steady_time::max();
-    for (const auto& [id, version] : due)
+    for (const auto& [id, version] : removals)
         remove_(id, version);
 }
 
--- a/libs/mintknotd-platform/runtime/src/lapsed_servers.hpp
+++ b/libs/mintknotd-platform/runtime/src/lapsed_servers.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Servers whose rows have gone, perhaps only because the store was away.
+/// Servers whose rows are missing, possibly only because the store was
+/// unreachable.
 #ifndef MINTKNOT_RUNTIME_LAPSED_SERVERS_HPP
 #define MINTKNOT_RUNTIME_LAPSED_SERVERS_HPP
 
@@ -14,16 +15,16 @@
 
 namespace mintknot::runtime {
 
-/// Holds back the removal of servers. While the store is away servers cannot
-/// renew their rows, and living ones lapse: those are back soon after its
-/// return. A row that has gone in the meantime removes its server a moment
-/// later, unless a newer row has come by then.
+/// Delays the removal of servers. While the store is unreachable, servers
+/// cannot renew their rows, and those of running servers lapse; they reappear
+/// soon after the store has recovered. A server whose row is gone is removed
+/// after a delay, unless a newer row has arrived by then.
 class lapsed_servers {
 public:
-    /// @param drain_bound within which a server that leaves gets no request
-    /// any more: rows have less time than that to come back.
-    /// @param remove takes a removal; it ignores those that newer news of the
-    /// server have overtaken. @param known counts the servers at present.
+    /// @param drain_bound time after which a leaving server must receive no
+    /// more requests; rows have less than that to reappear.
+    /// @param remove removes a server unless a newer version of it is known.
+    /// @param known returns the current number of servers.
     lapsed_servers(
         event::loop& owner, logging::line_log& log,
         base::milliseconds drain_bound,
@@ -31,14 +32,14 @@
             remove,
         std::function<std::size_t()> known);
 
-    /// The store answers again after it has been away.
+    /// Called when the store answers again after an outage.
     void store_returned();
-    /// Takes the news that a row has gone.
-    /// @param seen the last moment at which it is known to have been there.
+    /// Called when a row is gone.
+    /// @param seen the last time at which it is known to have existed.
     void gone(
         const std::string& id, std::uint64_t version,
         std::optional<base::steady_time> seen);
-    /// A row of the server has come again.
+    /// Called when the server has a row again.
     void back(const std::string& id);
 
 private:
@@ -54,9 +55,9 @@
     std::function<std::size_t()> known_;
     std::map<std::string, std::uint64_t> held_; ///< Versions by server ID.
     base::steady_time hold_until_{};
-    /// Those that are held are not held any longer, whatever speaks for it.
+    /// Latest time at which the held removals must be carried out.
     base::steady_time limit_ = base::steady_time::max();
-    base::steady_time settles_{}; ///< With the timer.
+    base::steady_time settles_{}; ///< When the timer expires.
     event::timer timer_;
 };
 
--- a/libs/mintknotd-platform/runtime/src/peer_feed.cpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.cpp
@@ -53,13 +53,14 @@
     }
     if (changes->empty() && !final)
         return false;
-    state::store_answer told;
-    told.version = *position;
-    told.documents = std::move(*changes);
+    state::store_answer message;
+    message.version = *position;
+    message.documents = std::move(*changes);
     if (confirmation_)
-        told.confirmed = confirmation_(held.request.what);
+        message.confirmed = confirmation_(held.request.what);
     held.reply(
-        {status_ok, "application/msgpack", state::to_body(told, held.asked)});
+        {status_ok, "application/msgpack",
+         state::to_body(message, held.asked)});
     return true;
 }
 
--- a/libs/mintknotd-platform/runtime/src/peer_feed.hpp
+++ b/libs/mintknotd-platform/runtime/src/peer_feed.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Tells other instances what this one reads from the store.
+/// Passes on to other instances what this one reads from the store.
 #ifndef MINTKNOT_RUNTIME_PEER_FEED_HPP
 #define MINTKNOT_RUNTIME_PEER_FEED_HPP
 
@@ -15,21 +15,21 @@
 
 namespace mintknot::runtime {
 
-/// Holds each request until there are changes behind its version, or until its
-/// wait is over. An instance that is itself out of the store's reach says so
-/// (503), so that the asker turns to another one; changes that it no longer
-/// remembers are said to be gone (410).
+/// Holds each request until there are changes after its version or until its
+/// wait ends (long polling). Answers 503 if this instance cannot reach the
+/// store, so that the follower asks another one, and 410 if the changes are no
+/// longer in its history.
 ///
-/// Lifetime: loop and replica must outlive it.
+/// Lifetime: the loop and the replica must outlive it.
 class peer_feed {
 public:
-    /// @return up to where this instance has read a collection from the store;
-    /// nothing while that is out of reach.
+    /// @return the version up to which this instance has read a collection;
+    /// nullopt while the store is unreachable.
     using position_source =
         std::function<std::optional<std::uint64_t>(state::collection)>;
 
-    /// @return a moment at which nothing newer existed than what this instance
-    /// knows; nothing: it cannot be told.
+    /// @return the last time at which this instance is known to have been up to
+    /// date; nullopt if unknown.
     using confirmation_source =
         std::function<std::optional<base::steady_time>(state::collection)>;
 
@@ -40,8 +40,9 @@
     peer_feed& operator=(const peer_feed&) = delete;
 
     void ask(const state::change_request& request, relay::local_reply reply);
-    /// The collection has been confirmed anew, or cannot be any more: all that
-    /// wait are told so, for they must know how old their knowledge is.
+    /// Answers all held requests for the collection: it has been confirmed
+    /// again, or the store has become unreachable. Followers need this to know
+    /// the age of their data.
     void confirmed(state::collection what);
 
 private:
@@ -60,8 +61,8 @@
     };
     using held_requests = std::list<held_request>;
 
-    /// @param final true: an answer without changes is an answer, too.
-    /// @return false if the request is to be held on.
+    /// @param final true: answer even if there are no changes.
+    /// @return false if the request remains held.
     bool answer(const held_request& held, bool final) const;
 
     event::loop& owner_;
--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -9,42 +9,43 @@
 namespace {
 
 /// How long a reader holds a watch. A reader may be cut off from the store
-/// without knowing it yet: another one is asked after this time.
+/// without having noticed, so another one is asked after this time.
 constexpr base::milliseconds reader_wait{1000};
-/// Readers that one instance asks, in turn.
+/// Number of readers that one instance uses, in turn.
 constexpr std::size_t readers_asked = 2;
-/// What an answer may take beyond the wait.
+/// Time allowed for an answer beyond the wait.
 constexpr base::milliseconds answer_slack{400};
-/// How long a reader that failed is passed over.
-constexpr base::milliseconds suspicion{2000};
-/// How long the store holds a watch that is to confirm what is overdue.
+/// How long a reader that failed is skipped.
+constexpr base::milliseconds reader_backoff{2000};
+/// How long the store holds a watch for an overdue confirmation.
 constexpr base::milliseconds overdue_wait{50};
-/// Between two such watches of one instance: 176 a second from 88 of them, each
-/// of which has a price.
-constexpr base::milliseconds overdue_gap{500};
-/// How long a whole read is tried at readers: 10,000 rows take a reader with a
-/// core 0.5 s and one with 0.12 of it some 4 s (calculated).
-constexpr base::milliseconds shared_read_patience{6000};
-/// What the answer to a whole read may take: 4 MB over 20 Mbit/s.
-constexpr base::milliseconds whole_answer_time{3000};
+/// Between two such watches of one instance: 88 instances send 176 a second,
+/// and each call to the store is billed.
+constexpr base::milliseconds overdue_interval{500};
+/// How long a full read is tried at readers: a reader needs 0.5 s for 10,000
+/// rows with one core and about 4 s with 0.12 of a core (calculated).
+constexpr base::milliseconds reader_read_time{6000};
+/// Time allowed for the answer to a full read: 4 MB over 20 Mbit/s.
+constexpr base::milliseconds full_answer_time{3000};
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
 
 } // namespace
 
-/// A watch that goes to readers.
+/// A watch or a full read that is sent to readers.
 struct shared_store::peer_watch {
     explicit peer_watch(event::loop& owner)
         : limit(owner) {}
     state::change_request request;
-    bool whole = false; ///< All rows are wanted, not those behind a version.
-    base::milliseconds store_wait{0}; ///< If it goes to the store after all.
+    bool full_read = false; ///< A full read, not changes after a version.
+    base::milliseconds store_wait{0}; ///< Wait if the store has to be asked.
     state::store_handler on_answer;
-    bool stands_in = true;         ///< See policy::store_access.
-    std::vector<std::string> left; ///< Readers to be asked, the next one last.
+    bool store_is_fallback = true; ///< See policy::store_access.
+    /// Readers still to be asked, the next one last.
+    std::vector<std::string> remaining;
     std::unique_ptr<upstream::call> call;
-    base::steady_time asked; ///< When the reader at hand was.
+    base::steady_time asked; ///< When the current reader was asked.
     event::timer limit;
     int status = 0;
     std::string body;
@@ -64,36 +65,36 @@
 void shared_store::read(
     state::collection what, state::store_handler on_answer) {
     const policy::store_access access = options_.access();
-    if (!shares_read(what, access)) {
+    if (!reads_from_readers(what, access)) {
         source_.read(what, std::move(on_answer));
         return;
     }
     auto entry = std::make_unique<peer_watch>(owner_);
     entry->request = {what, 0, base::milliseconds{0}};
-    entry->whole = true;
+    entry->full_read = true;
     entry->on_answer = std::move(on_answer);
-    entry->left = trusted_readers(access.sources);
-    begin(std::move(entry));
+    entry->remaining = trusted_readers(access.sources);
+    start_watch(std::move(entry));
 }
 
-bool shared_store::shares_read(
+bool shared_store::reads_from_readers(
     state::collection what, const policy::store_access& access) {
     const bool can_share = access.full_reads_from_sources &&
                            what != state::collection::leases &&
-                           !access.sources.empty() && !reads_itself(access);
+                           !access.sources.empty() && !is_reader(access);
     if (!can_share) {
         reading_since_.erase(what);
         return false;
     }
     const base::steady_time now = owner_.now();
     const auto since = reading_since_.emplace(what, now).first;
-    if (now - since->second < shared_read_patience)
+    if (now - since->second < reader_read_time)
         return true;
     reading_since_.erase(since);
     return false;
 }
 
-bool shared_store::reads_itself(const policy::store_access& access) const {
+bool shared_store::is_reader(const policy::store_access& access) const {
     return std::find(
                access.sources.begin(), access.sources.end(),
                options_.own_host) != access.sources.end();
@@ -115,20 +116,20 @@
         readers = trusted_readers(access.sources);
     if (!readers.empty()) {
         const auto turn =
-            static_cast<std::ptrdiff_t>(++turns_[what] % readers.size());
+            static_cast<std::ptrdiff_t>(++watch_count_[what] % readers.size());
         std::rotate(readers.begin(), readers.begin() + turn, readers.end());
     }
     auto entry = std::make_unique<peer_watch>(owner_);
     entry->request = {what, after, reader_wait};
     entry->store_wait = wait;
     entry->on_answer = std::move(on_answer);
-    entry->stands_in = access.reads_store_as_fallback || direct;
-    entry->left = std::move(readers);
-    begin(std::move(entry));
+    entry->store_is_fallback = access.reads_store_as_fallback || direct;
+    entry->remaining = std::move(readers);
+    start_watch(std::move(entry));
 }
 
-void shared_store::begin(std::unique_ptr<peer_watch> entry) {
-    const std::uint64_t number = ++last_;
+void shared_store::start_watch(std::unique_ptr<peer_watch> entry) {
+    const std::uint64_t number = ++last_number_;
     open_.emplace(number, std::move(entry));
     ask_next(number);
 }
@@ -149,53 +150,54 @@
     if (!overdue(what))
         return false;
     const base::steady_time now = owner_.now();
-    const auto asked = asked_store_.find(what);
-    if (asked != asked_store_.end() && now - asked->second < overdue_gap)
+    const auto asked = last_direct_watch_.find(what);
+    if (asked != last_direct_watch_.end() &&
+        now - asked->second < overdue_interval)
         return false;
-    asked_store_[what] = now;
+    last_direct_watch_[what] = now;
     return true;
 }
 
-base::milliseconds shared_store::patience_with(const peer_watch& entry) const {
-    if (entry.whole)
-        return whole_answer_time;
+base::milliseconds shared_store::reader_timeout(const peer_watch& entry) const {
+    if (entry.full_read)
+        return full_answer_time;
     const base::milliseconds usual = entry.request.wait + answer_slack;
     const auto from = overdue_from(entry.request.what);
     if (!from)
         return usual;
     base::steady_time next = *from;
-    const auto asked = asked_store_.find(entry.request.what);
-    if (asked != asked_store_.end())
-        next = std::max(next, asked->second + overdue_gap);
+    const auto asked = last_direct_watch_.find(entry.request.what);
+    if (asked != last_direct_watch_.end())
+        next = std::max(next, asked->second + overdue_interval);
     return std::min(
         usual, std::chrono::ceil<base::milliseconds>(next - owner_.now()));
 }
 
-bool shared_store::has_answered_lately() const {
-    return answered_ != base::steady_time{} &&
-           owner_.now() - answered_ <= suspicion;
+bool shared_store::reader_reported_recently() const {
+    return unreachable_reported_at_ != base::steady_time{} &&
+           owner_.now() - unreachable_reported_at_ <= reader_backoff;
 }
 
 std::vector<std::string>
 shared_store::trusted_readers(std::vector<std::string> hosts) const {
-    if (reads_itself({hosts}))
+    if (is_reader({hosts}))
         return {};
     std::erase_if(hosts, [this](const std::string& host) {
-        const auto found = suspected_.find(host);
-        return found != suspected_.end() && found->second > owner_.now();
+        const auto found = backed_off_until_.find(host);
+        return found != backed_off_until_.end() && found->second > owner_.now();
     });
-    // Each instance has its own two, so that all readers share the work.
+    // Different instances use different readers, which spreads the load.
     return base::rendezvous_first(options_.own_host, hosts, readers_asked);
 }
 
 void shared_store::ask_next(std::uint64_t number) {
     peer_watch& entry = *open_.at(number);
-    if (entry.left.empty()) {
+    if (entry.remaining.empty()) {
         ask_store(number);
         return;
     }
-    const std::string host = entry.left.back();
-    entry.left.pop_back();
+    const std::string host = entry.remaining.back();
+    entry.remaining.pop_back();
     entry.status = 0;
     entry.body.clear();
     entry.asked = owner_.now();
@@ -213,18 +215,19 @@
          [this, number, host](upstream::call_failure) {
              give_up(number, host);
          }});
-    entry.limit.start(
-        patience_with(entry), [this, number, host] { on_limit(number, host); });
+    entry.limit.start(reader_timeout(entry), [this, number, host] {
+        on_limit(number, host);
+    });
 }
 
 void shared_store::on_limit(std::uint64_t number, const std::string& host) {
     peer_watch& entry = *open_.at(number);
-    const bool due = !entry.whole && skips_readers(entry.request.what);
+    const bool due = !entry.full_read && skips_readers(entry.request.what);
     if (due) {
-        entry.left.clear();
-        entry.stands_in = true;
+        entry.remaining.clear();
+        entry.store_is_fallback = true;
     }
-    // A reader that was asked a moment ago is not silent.
+    // A reader that was asked only just now has not failed.
     if (due && owner_.now() - entry.asked < answer_slack) {
         entry.call.reset();
         ask_next(number);
@@ -236,8 +239,9 @@
 void shared_store::ask_store(std::uint64_t number) {
     const auto node = open_.extract(number);
     peer_watch& entry = *node.mapped();
-    // Whoever reads a collection whole comes again after a pause.
-    if (entry.whole || (!entry.stands_in && has_answered_lately())) {
+    // The caller of a full read tries again after a pause.
+    if (entry.full_read ||
+        (!entry.store_is_fallback && reader_reported_recently())) {
         owner_.post([then = std::move(entry.on_answer)] { then({}); });
         return;
     }
@@ -251,20 +255,20 @@
     const peer_watch& entry = *open_.at(number);
     state::store_answer answer;
     if (entry.status == status_unavailable)
-        answered_ = owner_.now();
+        unreachable_reported_at_ = owner_.now();
     if (entry.status == status_gone) {
         answer.result = state::store_result::history_gone;
     } else if (entry.status == status_ok) {
-        auto told = state::store_answer_from(entry.body, entry.asked);
-        if (told.ok())
-            answer = *std::move(told);
+        auto message = state::store_answer_from(entry.body, entry.asked);
+        if (message.ok())
+            answer = *std::move(message);
     }
     if (answer.result == state::store_result::unreachable) {
         give_up(number, host);
         return;
     }
     const auto node = open_.extract(number);
-    if (entry.whole)
+    if (entry.full_read)
         reading_since_.erase(entry.request.what);
     node.mapped()->on_answer(std::move(answer));
 }
@@ -273,17 +277,17 @@
     peer_watch& entry = *open_.at(number);
     entry.limit.stop();
     entry.call.reset();
-    // A reader that has not read yet will have done so soon.
-    if (entry.whole && entry.status == status_unavailable) {
+    // The reader has not read the collection yet, but will have soon.
+    if (entry.full_read && entry.status == status_unavailable) {
         ask_next(number);
         return;
     }
-    suspected_[host] = owner_.now() + suspicion;
+    backed_off_until_[host] = owner_.now() + reader_backoff;
     log_.write(
         "reader_silent", {{"host", host},
                           {"collection", to_string(entry.request.what)},
                           {"status", std::int64_t{entry.status}},
-                          {"for_ms", suspicion.count()}});
+                          {"for_ms", reader_backoff.count()}});
     ask_next(number);
 }
 
--- a/libs/mintknotd-platform/runtime/src/shared_store.hpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The store as a large group reads it: a few instances for all.
+/// Access to the store in a large group, where a few instances read it for all.
 #ifndef MINTKNOT_RUNTIME_SHARED_STORE_HPP
 #define MINTKNOT_RUNTIME_SHARED_STORE_HPP
 
@@ -20,30 +20,34 @@
 
 namespace mintknot::runtime {
 
-/// Who reads the store, and how the others reach it.
+/// Who reads the store, and how other instances reach the readers.
 struct shared_store_options {
     std::string own_host;
     std::uint16_t peer_port = 0;
     std::function<policy::store_access()> access;
-    /// @return from when on what is known of a collection is so old that the
-    /// readers are not enough; nothing: never. May be empty.
+    /// @return the time from which the data of a collection is too old to rely
+    /// on readers; nullopt: never. The function may be empty.
     std::function<std::optional<base::steady_time>(state::collection)>
         overdue_from;
 };
 
-/// Watches go to two readers of the data centre, to one after the other, so
-/// that a reader which hears nothing delays news by one short watch only. A
-/// reader that fails or is out of the store's reach is passed over for a
-/// while; where none is left, and on a reader, the store itself is asked.
-/// Who has others to stand in for the readers waits as long as readers answer.
-/// Where a confirmation is overdue, each instance asks the store itself now and
-/// then, and does not wait for the reader at hand any longer: all readers of a
-/// data centre may hear nothing from the store without knowing it. Whole reads
-/// go to the store, whose link is the widest, but where readers are to share
-/// theirs: a reader that has not read yet is asked again for some seconds.
-/// Writes always go to the store.
+/// Watches are sent to two readers of the data centre in turn, so that a reader
+/// that no longer receives changes delays them by one short watch only. A
+/// reader that fails or cannot reach the store is skipped for some time. If no
+/// reader is left, or if this instance is a reader, the store itself is asked.
+/// Instances that do not use the store as a fallback wait as long as readers
+/// answer at all.
 ///
-/// Lifetime: everything that is passed in must outlive it.
+/// If a confirmation is overdue, each instance sends a watch to the store
+/// itself from time to time and stops waiting for the current reader: all
+/// readers of a data centre may be cut off from the store without having
+/// noticed.
+///
+/// Full reads go to the store, which has the fastest link, unless readers are
+/// to serve them; a reader that has not read the collection yet is then asked
+/// again for some seconds. Writes always go to the store.
+///
+/// Lifetime: all arguments must outlive it.
 class shared_store final : public state::store {
 public:
     shared_store(
@@ -67,21 +71,24 @@
 
     std::vector<std::string>
     trusted_readers(std::vector<std::string> hosts) const;
-    bool reads_itself(const policy::store_access& access) const;
-    /// @return true if a reader has said that it is out of the store's reach.
-    bool has_answered_lately() const;
-    /// @return true if a watch is to pass by the readers.
+    bool is_reader(const policy::store_access& access) const;
+    /// @return true if a reader has recently answered that it cannot reach the
+    /// store.
+    bool reader_reported_recently() const;
+    /// @return true if the next watch goes to the store instead of a reader.
     bool skips_readers(state::collection what);
     std::optional<base::steady_time> overdue_from(state::collection what) const;
     bool overdue(state::collection what) const;
-    /// @return how long the reader at hand is waited for.
-    base::milliseconds patience_with(const peer_watch& entry) const;
-    /// The reader at hand has not answered in time.
+    /// @return how long to wait for the answer of the current reader.
+    base::milliseconds reader_timeout(const peer_watch& entry) const;
+    /// The current reader has not answered in time.
     void on_limit(std::uint64_t number, const std::string& host);
-    /// @return true if a whole read is to go to readers; not for ever.
-    bool shares_read(state::collection what, const policy::store_access&);
-    void begin(std::unique_ptr<peer_watch> entry);
-    /// No reader has answered.
+    /// @return true if a full read goes to readers. False after they could not
+    /// serve it for some seconds.
+    bool
+    reads_from_readers(state::collection what, const policy::store_access&);
+    void start_watch(std::unique_ptr<peer_watch> entry);
+    /// Asks the store because no reader has answered.
     void ask_store(std::uint64_t number);
     void ask_next(std::uint64_t number);
     void finish(std::uint64_t number, const std::string& host);
@@ -92,16 +99,17 @@
     upstream::connection_pool& pool_;
     logging::line_log& log_;
     shared_store_options options_;
-    std::uint64_t last_ = 0;
+    std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, std::unique_ptr<peer_watch>> open_;
-    std::map<std::string, base::steady_time> suspected_;
-    /// When a reader last said that it is out of the store's reach.
-    base::steady_time answered_{};
-    /// Past the readers, when overdue.
-    std::map<state::collection, base::steady_time> asked_store_;
-    /// Watches so far. Each collection takes the readers in turn for itself.
-    std::map<state::collection, std::size_t> turns_;
-    /// Since when whole reads have been tried at readers in vain.
+    std::map<std::string, base::steady_time> backed_off_until_;
+    /// When a reader last answered that it cannot reach the store.
+    base::steady_time unreachable_reported_at_{};
+    /// Last watch that was sent to the store because of an overdue
+    /// confirmation.
+    std::map<state::collection, base::steady_time> last_direct_watch_;
+    /// Watches so far. The readers take turns separately for each collection.
+    std::map<state::collection, std::size_t> watch_count_;
+    /// Since when full reads have been tried at readers without success.
     std::map<state::collection, base::steady_time> reading_since_;
 };
 
--- a/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
+++ b/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
@@ -4,13 +4,14 @@
 
 namespace {
 
-/// How long the store's own news of a configuration is waited for.
+/// How long to wait for a newer configuration from the store.
 constexpr base::milliseconds configuration_patience{150};
-constexpr base::milliseconds min_gap{250};
+/// Between two fetches.
+constexpr base::milliseconds min_fetch_interval{250};
 /// Snapshots of thousands of servers take seconds on slow links.
-constexpr base::milliseconds call_time{4000};
-/// How much longer a peer of another data centre is waited for.
-constexpr int far_patience = 2;
+constexpr base::milliseconds call_timeout{4000};
+/// Factor on the wait before a peer of another data centre is asked.
+constexpr int remote_peer_factor = 2;
 
 } // namespace
 
@@ -49,18 +50,20 @@
     const std::string& host, const peers::heartbeat& heartbeat) {
     using state::collection;
     const base::steady_time now = owner_.now();
-    // A peer that knows no configuration has nothing to give.
-    const bool knows = heartbeat.configuration > 0;
-    const int factor = heartbeat.data_centre == data_centre_ ? 1 : far_patience;
+    // A peer without a configuration has no useful snapshot.
+    const bool has_documents = heartbeat.configuration > 0;
+    const int factor =
+        heartbeat.data_centre == data_centre_ ? 1 : remote_peer_factor;
     const bool configuration_due = configuration_lag_.lasts(
-        knows && is_ahead(collection::configuration, heartbeat.configuration),
+        has_documents &&
+            is_ahead(collection::configuration, heartbeat.configuration),
         now, configuration_patience * factor);
     const bool servers_due = servers_lag_.lasts(
-        knows && is_ahead(collection::servers, heartbeat.servers), now,
+        has_documents && is_ahead(collection::servers, heartbeat.servers), now,
         server_patience_ * factor);
-    if (call_ != nullptr || now - last_fetch_ < min_gap)
+    if (call_ != nullptr || now - last_fetch_ < min_fetch_interval)
         return;
-    if (servers_due || (knows && target_.lacks_history()))
+    if (servers_due || (has_documents && target_.lacks_history()))
         fetch(host, snapshot_path);
     else if (configuration_due)
         fetch(host, configuration_snapshot_path);
@@ -80,18 +83,18 @@
          [this](std::string_view piece) { body_.append(piece); },
          [this, host] { finish(host, status_ == 200); },
          [this, host](upstream::call_failure) { finish(host, false); }});
-    limit_.start(call_time, [this, host] { finish(host, false); });
+    limit_.start(call_timeout, [this, host] { finish(host, false); });
 }
 
-void snapshot_fetcher::finish(const std::string& host, bool whole) {
+void snapshot_fetcher::finish(const std::string& host, bool complete) {
     limit_.stop();
     call_.reset();
-    const absl::Status taken =
-        whole ? target_.apply_snapshot(body_, "peer " + host)
-              : absl::UnavailableError("no answer");
+    const absl::Status applied =
+        complete ? target_.apply_snapshot(body_, "peer " + host)
+                 : absl::UnavailableError("no answer");
     log_.write(
         "snapshot", {{"peer", host},
-                     {"taken", taken.ok()},
+                     {"taken", applied.ok()},
                      {"bytes", static_cast<std::int64_t>(body_.size())}});
     configuration_lag_ = {};
     servers_lag_ = {};
--- a/libs/mintknotd-platform/runtime/src/snapshot_fetcher.hpp
+++ b/libs/mintknotd-platform/runtime/src/snapshot_fetcher.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Fetches what a peer knows better.
+/// Fetches snapshots from peers that have newer documents.
 #ifndef MINTKNOT_RUNTIME_SNAPSHOT_FETCHER_HPP
 #define MINTKNOT_RUNTIME_SNAPSHOT_FETCHER_HPP
 
@@ -13,16 +13,16 @@
 
 namespace mintknot::runtime {
 
-/// The path under which instances give each other their snapshots.
+/// The path of the snapshot of all collections.
 inline constexpr std::string_view snapshot_path = "/mintknot/v1/snapshot";
-/// The same with the configuration only.
+/// The path of the snapshot of the configuration only.
 inline constexpr std::string_view configuration_snapshot_path =
     "/mintknot/v1/snapshot/configuration";
 
-/// Compares versions in heartbeats with the own ones. A peer that stays ahead
-/// for a moment is asked for its snapshot: normally the store's own news come
-/// first, and nothing is fetched. A peer of another data centre is waited for
-/// longer: bytes between data centres have a price.
+/// Compares the versions in heartbeats with those of this instance. If a peer
+/// remains ahead for some time, its snapshot is fetched. Normally the changes
+/// arrive from the store first and nothing is fetched. The wait is longer for
+/// peers of other data centres, because traffic between data centres is billed.
 class snapshot_fetcher {
 public:
     snapshot_fetcher(
@@ -30,24 +30,24 @@
         state::replica& target, logging::line_log& log, std::uint16_t port,
         std::string data_centre);
 
-    /// How long the store's own news of servers are waited for: no less than
-    /// changes are gathered.
+    /// Sets how long to wait for changes of servers from the store before a
+    /// snapshot is fetched: at least the time for which changes are collected.
     void set_server_patience(base::milliseconds patience);
     void
     on_heartbeat(const std::string& host, const peers::heartbeat& heartbeat);
 
 private:
-    /// Since when peers have been ahead in one collection.
+    /// Since when peers have had a newer version of a collection.
     struct lag {
         std::optional<base::steady_time> since;
-        /// @return true if a peer has been ahead for so long.
+        /// @return true if peers have been ahead for at least `patience`.
         bool
         lasts(bool ahead, base::steady_time now, base::milliseconds patience);
     };
 
     bool is_ahead(state::collection what, std::uint64_t version) const;
     void fetch(const std::string& host, std::string_view path);
-    void finish(const std::string& host, bool whole);
+    void finish(const std::string& host, bool complete);
 
     event::loop& owner_;
     upstream::connection_pool& pool_;
