Runtime: plain wording in the instance, its group and the sharing of limits

Change: comments and local names of instance, instance_group, heartbeat_content, settings_watch, loan_messages, repeat_lending and limit_sharing; instance_wiring.cpp is not touched. The status text of a datagram that is no loan message now reads like that of limits; it is not logged. No change of behaviour, settings, metrics or log events.

--- a/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
@@ -23,7 +23,7 @@
 
 namespace mintknot::runtime {
 
-/// Settings of an instance, in the product's own words.
+/// Settings of an instance.
 struct instance_settings {
     std::string name;
     std::string data_centre;
@@ -33,29 +33,29 @@
     /// For heartbeats and snapshots; all instances use the same port.
     base::address peer;
     std::vector<std::string> seed_hosts;
-    double processor_share = 1.0; ///< Of a core, that this instance may use.
-    /// All instances start, and no request comes for some seconds.
+    double processor_share = 1.0; ///< Of one core, for this instance.
+    /// All instances start together, and no request arrives for some seconds.
     bool first_start = false;
     /// See policy/super_peers.hpp; tests use smaller groups.
     std::size_t max_flat_group = policy::max_flat_group;
-    base::milliseconds grace{8000}; ///< From SIGTERM until it must be gone.
+    base::milliseconds grace{8000}; ///< From SIGTERM to the end of the process.
     policy::retry_bounds retry_bounds;
     policy::usage_bounds usage_bounds; ///< Of organisations.
-    /// Within which a server that says that it leaves gets no new request.
+    /// Time after which a server that has announced that it leaves must receive
+    /// no new requests.
     base::milliseconds drain_bound{2000};
-    /// Within which a change of the configuration, or the closing of a data
-    /// centre, is obeyed everywhere. Keys that are taken away may have longer.
+    /// Time within which all instances must apply a change of the configuration
+    /// or the closing of a data centre. Revoked keys may have a longer bound.
     base::milliseconds configuration_bound{2000};
-    /// How long another holder of orders must wait after the last one.
+    /// Length of the lease for phase orders: how long another holder must wait
+    /// after the last order.
     base::milliseconds order_lease{3000};
-    /// Schedulers place requests whatever the size of the group; else only in
-    /// a large one.
+    /// Schedulers place requests in groups of any size, not only in large ones.
     bool always_schedule = false;
     relay::relay_options relay;
 };
 
-/// What the outside world is reached through. Everything outlives the
-/// instance.
+/// Dependencies of an instance. They must outlive it.
 struct instance_ports {
     event::loop& loop;
     const relay::dialect& protocol;
@@ -65,10 +65,10 @@
     std::function<absl::StatusOr<instance_settings>()> reload;
 };
 
-/// Serves until SIGTERM or SIGINT: then it is not ready any more, finishes
-/// what it has begun, and stops the loop before its grace is over. SIGHUP, or
-/// a change of the settings, makes it read them again; what has become wrong
-/// leaves in force what was.
+/// Serves until SIGTERM or SIGINT. It then reports that it is not ready,
+/// completes open requests and stops the loop before the grace period ends. On
+/// SIGHUP, or if the settings have changed, it reads them again; if they cannot
+/// be read, the old ones remain in force.
 class instance {
 public:
     instance(instance_settings settings, instance_ports ports);
--- a/libs/mintknotd-platform/runtime/src/heartbeat_content.cpp
+++ b/libs/mintknotd-platform/runtime/src/heartbeat_content.cpp
@@ -4,9 +4,10 @@
 
 namespace {
 
-/// A sender far from both this instance and the server may be cut off from
-/// the server without it being so here.
-bool concerns_here(
+/// A sender in another data centre than both this instance and the server may
+/// be cut off from the server while this instance is not.
+/// @return true if the sender's warning applies to this instance.
+bool warning_applies(
     const relay::router_context& router, const peers::heartbeat& heartbeat,
     const std::string& server_id) {
     if (heartbeat.data_centre == router.options.data_centre)
@@ -51,7 +52,7 @@
         policy::note_peer_phase_change(
             state.health, change.server_id, now + change.left);
     for (const policy::server_warning& warning : heartbeat.warnings)
-        if (concerns_here(router, heartbeat, warning.server_id))
+        if (warning_applies(router, heartbeat, warning.server_id))
             policy::note_peer_warning(
                 state.health, warning.server_id, now + warning.left, now);
 }
--- a/libs/mintknotd-platform/runtime/src/heartbeat_content.hpp
+++ b/libs/mintknotd-platform/runtime/src/heartbeat_content.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// What an instance tells in its heartbeats, and takes from those of others.
+/// Content of the heartbeats that an instance sends, and what it applies from
+/// those that it receives.
 #ifndef MINTKNOT_RUNTIME_HEARTBEAT_CONTENT_HPP
 #define MINTKNOT_RUNTIME_HEARTBEAT_CONTENT_HPP
 
@@ -10,11 +11,11 @@
 
 namespace mintknot::runtime {
 
-/// @param with_loads false: loads are told to schedulers instead.
-/// @return the heartbeat without versions of documents.
+/// @param with_loads false if loads are reported to schedulers instead.
+/// @return a heartbeat without the versions of documents.
 peers::heartbeat describe(const relay::router_context& router, bool with_loads);
 
-/// Takes loads, retries, and what the sender knows of servers.
+/// Applies the loads, retries and server warnings of a heartbeat.
 void take_heartbeat(
     relay::router_context& router, const std::string& host,
     const peers::heartbeat& heartbeat);
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// The life of an instance, from its start to its stop.
+/// Start, readiness, metrics and shutdown of an instance.
 
 #include "instance_impl.hpp"
 
@@ -11,31 +11,32 @@
 
 namespace {
 
-/// How often a stop looks whether it may go on.
+/// Interval at which a shutdown checks whether the next step is due.
 constexpr base::milliseconds drain_poll{50};
-/// Between the last answer and the end of the process, for bytes on their way.
+/// Between the last answer and the end of the process, so that the last bytes
+/// are sent.
 constexpr base::milliseconds exit_delay{60};
 
-/// A timer that fires later is told of: the instance stood still, or had no
-/// processor, and what it knows is as much older.
+/// A timer that fires later than this is logged: the process was suspended or
+/// got no processor time, and its state is older by that time.
 constexpr base::milliseconds delay_bound{500};
 
-/// Of a gauge that has no value yet.
+/// Value of a gauge for an age that is not known yet.
 constexpr double never_confirmed = -1.0;
 
-/// How long the store is not read at the very first start, when no request
-/// comes for seconds: until then most instances of a very large group know that
-/// others read it for them.
-constexpr base::milliseconds first_start_hold{2500};
-/// The same later: some times the way to a seed and back, which tells a member
-/// of a very large group that it need not read. A read of 10,000 rows by one
-/// instance takes 20 calls and 4.5 MB (calculated).
-constexpr base::milliseconds restart_hold{60};
+/// Delay before the store is first read if all instances start together and no
+/// request arrives for some seconds. After it, most instances of a very large
+/// group know that others read the store for them.
+constexpr base::milliseconds first_start_read_delay{2500};
+/// The same for a restart: several round trips to a seed, from which a member
+/// of a very large group learns that it need not read the store. A read of
+/// 10,000 rows by one instance takes 20 calls and 4.5 MB (calculated).
+constexpr base::milliseconds restart_read_delay{60};
 
-base::milliseconds hold_of_documents(const instance_settings& settings) {
+base::milliseconds initial_read_delay(const instance_settings& settings) {
     if (settings.seed_hosts.empty())
         return base::milliseconds{0};
-    return settings.first_start ? first_start_hold : restart_hold;
+    return settings.first_start ? first_start_read_delay : restart_read_delay;
 }
 
 double seconds_or_never(std::optional<base::milliseconds> age) {
@@ -203,7 +204,7 @@
         "started", {{"data_centre", impl_->settings.data_centre},
                     {"entry", base::to_string(impl_->settings.entry)}});
     impl_->members_of_fleet.start();
-    impl_->documents.start(hold_of_documents(impl_->settings));
+    impl_->documents.start(initial_read_delay(impl_->settings));
     impl_->balancer.start();
     impl_->demands.start();
     impl_->reloads.start();
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// What an instance is to the group, and whom it sees there.
+/// The role of an instance in its group, and which members it addresses.
 
 #include "instance_impl.hpp"
 
@@ -15,9 +15,9 @@
 
 namespace {
 
-/// Pause between two questions to a scheduler for one request that waits: some
-/// times the way there and back.
-constexpr base::milliseconds min_question_gap{60};
+/// Interval between two queries to a scheduler for one waiting request: several
+/// round trips.
+constexpr base::milliseconds min_query_interval{60};
 
 } // namespace
 
@@ -158,21 +158,21 @@
             traffic::become_partial(context.state.servers);
         break;
     }
-    look_at_size();
+    update_group_size();
 }
 
 void instance::impl::on_servers_known() {
     context.state.servers.partial = false;
 }
 
-void instance::impl::look_at_size() {
+void instance::impl::update_group_size() {
     context.state.instances =
         policy::assumed_instances(peers::instances(group.table()));
     if (has_been_large || !placer.active())
         return;
     has_been_large = true;
     documents.use_large_group_pace();
-    context.queue.set_min_wake_interval(min_question_gap);
+    context.queue.set_min_wake_interval(min_query_interval);
 }
 
 std::string instance::impl::reader_of_demand() const {
@@ -199,7 +199,7 @@
 void instance::impl::on_heartbeat(
     const std::string& host, const peers::heartbeat& heartbeat) {
     take_heartbeat(context, host, heartbeat);
-    look_at_size();
+    update_group_size();
     documents.on_heartbeat(host, heartbeat);
 }
 
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The parts of an instance and how they are tied together.
+/// The components of an instance.
 #ifndef MINTKNOT_RUNTIME_INSTANCE_IMPL_HPP
 #define MINTKNOT_RUNTIME_INSTANCE_IMPL_HPP
 
@@ -22,24 +22,23 @@
 
 namespace mintknot::runtime {
 
-/// Members are in the order in which they depend on each other. What ties them
-/// is in instance_wiring.cpp, what it is to the group in instance_group.cpp,
-/// the life from start to stop in instance.cpp.
+/// Members are declared in the order of their dependencies. Construction and
+/// callbacks are in instance_wiring.cpp, the role in the group in
+/// instance_group.cpp, start and shutdown in instance.cpp.
 struct instance::impl {
     impl(instance_settings given, instance_ports outside);
     document_handlers document_functions();
     void on_server(
         const std::string& id, std::uint64_t version,
         std::optional<traffic::server> server);
-    /// @return what sends a datagram to the instance on a host.
+    /// @return a function that sends a datagram to the instance on a host.
     std::function<void(const std::string& host, const std::string& datagram)>
     datagram_sender();
     scheduling::placer_callbacks placer_functions();
     limits::usage_account_callbacks account_functions();
     crashes::crash_watch_callbacks crash_functions();
     std::vector<std::string> crash_judges() const;
-    /// @return members of the data centre that are no super-peers, where they
-    /// ask this instance.
+    /// @return hosts of the leaves that have joined this super-peer.
     std::vector<std::string> followers() const;
     std::vector<limits::group_peer> members() const;
     lending_ports lending_functions();
@@ -62,8 +61,8 @@
     peers::membership_handlers membership_functions();
     void on_roster(policy::group_role role, const peers::roster& value);
     void on_servers_known();
-    /// The size of the group may have changed.
-    void look_at_size();
+    /// Adapts to the size of the group. Called when it may have changed.
+    void update_group_size();
     peers::heartbeat describe_here();
     bool looks_after_phases() const;
     orders::sharing_ports sharing_functions();
@@ -109,8 +108,9 @@
     orders::demand_sharing demands;
     event::timer drain_timer;
     settings_watch reloads;
-    bool has_been_large = false;         ///< The group, at some time.
-    base::milliseconds longest_delay{0}; ///< Of the loop, since the start.
+    bool has_been_large = false; ///< The group has been large at some time.
+    /// Longest delay of the event loop since the start.
+    base::milliseconds longest_delay{0};
 };
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/runtime/src/limit_sharing.hpp
+++ b/libs/mintknotd-platform/runtime/src/limit_sharing.hpp
@@ -17,7 +17,7 @@
 
 namespace mintknot::runtime {
 
-/// How the sharing reaches other instances.
+/// Functions through which limit_sharing reaches other instances.
 struct limit_ports {
     std::string own_host;
     std::function<void(const std::string& host, const std::string& datagram)>
@@ -32,7 +32,7 @@
         report_recipients;
 };
 
-/// Lives on the loop's thread. Sends nothing while no limit is known.
+/// Used on the loop's thread only. Sends nothing while no limit is known.
 class limit_sharing {
 public:
     /// The router must outlive this object.
--- a/libs/mintknotd-platform/runtime/src/loan_messages.cpp
+++ b/libs/mintknotd-platform/runtime/src/loan_messages.cpp
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-/// First element of a message; heartbeats have 1, placements 2 to 4.
+/// First element of a message. Heartbeats have 1, placements 2 to 4.
 constexpr int request_format = 5;
 constexpr int offer_format = 6;
 
@@ -28,8 +28,8 @@
     return loan_offer{number, row.at(2).get<int>()};
 }
 
-/// The first element is a small number right behind the array's own byte: most
-/// datagrams are placements, and not to be parsed twice.
+/// Checks the first element, a small number right after the array's own byte.
+/// Most datagrams are placements, which should not be parsed twice.
 bool may_be_loan(std::string_view datagram) {
     return datagram.size() >= 2 &&
            (datagram[1] == request_format || datagram[1] == offer_format);
@@ -51,11 +51,11 @@
 
 absl::StatusOr<loan_message> decode_loan(std::string_view datagram) {
     if (!may_be_loan(datagram))
-        return absl::InvalidArgumentError("no message about a loan");
+        return absl::InvalidArgumentError("not a loan message");
     const json row =
         json::from_msgpack(datagram.begin(), datagram.end(), true, false);
     if (!is_loan(row))
-        return absl::InvalidArgumentError("no message about a loan");
+        return absl::InvalidArgumentError("not a loan message");
     try {
         return message_from(row);
     } catch (const json::exception&) {
--- a/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
+++ b/libs/mintknotd-platform/runtime/src/repeat_lending.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-/// Peers that one question goes to. Some have nothing to lend; a fleet in which
-/// one instance needs three repeats for each of its requests granted it 0.83 of
-/// them (test_retry_quota.cpp).
+/// Peers that each request is sent to. Some have nothing to lend: in a group in
+/// which one instance needs three retries for each of its requests, it was
+/// granted 0.83 of them (test_retry_quota.cpp).
 constexpr std::size_t max_peers_asked = 4;
-/// Between two questions for a service: the way there and back some dozen
-/// times, and 16 datagrams a second at most.
-constexpr base::milliseconds ask_gap{250};
+/// Between two requests for a service: some dozen round trips, and at most 16
+/// datagrams per second.
+constexpr base::milliseconds request_interval{250};
 
 } // namespace
 
@@ -28,15 +28,16 @@
 
 void repeat_lending::ask(const std::string& service, int repeats) {
     const base::steady_time now = router_.loop.now();
-    const auto before = asked_.find(service);
-    if (before != asked_.end() && now - before->second < ask_gap)
+    const auto before = last_request_.find(service);
+    if (before != last_request_.end() &&
+        now - before->second < request_interval)
         return;
-    asked_[service] = now;
-    drop_old_questions(now);
+    last_request_[service] = now;
+    drop_expired_requests(now);
     std::vector<std::string> hosts = ports_.peers();
     base::keep_some(hosts, max_peers_asked);
     const std::uint64_t number = ++last_number_;
-    questions_[number] = {service, now, {hosts.begin(), hosts.end()}};
+    pending_[number] = {service, now, {hosts.begin(), hosts.end()}};
     const std::string datagram = encode(loan_request{number, service, repeats});
     for (const std::string& host : hosts)
         ports_.send(host, datagram);
@@ -70,10 +71,10 @@
 
 void repeat_lending::on_message(
     const std::string& host, const loan_offer& offer) {
-    const auto found = questions_.find(offer.number);
-    if (found == questions_.end() || found->second.hosts.erase(host) == 0)
+    const auto found = pending_.find(offer.number);
+    if (found == pending_.end() || found->second.hosts.erase(host) == 0)
         return;
-    const question& asked = found->second;
+    const pending_request& asked = found->second;
     const int taken = policy::add_borrowed_retries(
         router_.state.retry_allowances[asked.service], offer.repeats,
         asked.asked, router_.loop.now());
@@ -84,8 +85,8 @@
                              {"repeats", std::int64_t{taken}}});
 }
 
-void repeat_lending::drop_old_questions(base::steady_time now) {
-    std::erase_if(questions_, [now](const auto& item) {
+void repeat_lending::drop_expired_requests(base::steady_time now) {
+    std::erase_if(pending_, [now](const auto& item) {
         return now - item.second.asked > policy::loan_lifetime;
     });
 }
--- a/libs/mintknotd-platform/runtime/src/settings_watch.cpp
+++ b/libs/mintknotd-platform/runtime/src/settings_watch.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// A change that no signal tells of is in force within this time.
-constexpr base::milliseconds period{2000};
+/// A change without a signal is in force within this time.
+constexpr base::milliseconds check_interval{2000};
 
 } // namespace
 
@@ -23,16 +23,16 @@
     , timer_(loop) {}
 
 void settings_watch::start() {
-    timer_.start(period, [this] {
-        look();
+    timer_.start(check_interval, [this] {
+        check();
         start();
     });
 }
 
-void settings_watch::look() {
+void settings_watch::check() {
     const auto fresh = source_();
     if (!fresh.ok()) {
-        // A file that stays bad is told of once.
+        // A file that remains unreadable is logged once.
         if (!rejected_)
             log_rejection("file", fresh.status());
         rejected_ = true;
