--- a/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Holds two thousand servers; its watches never end.
+/// Contains 2,000 servers; its watches never end.
 class full_store final : public state::store {
 public:
     explicit full_store(event::loop& owner)
@@ -62,8 +62,8 @@
         http1::request_head head;
         head.method = "GET";
         head.target = std::string(path);
-        documents.answer(head, [&](const relay::local_answer& told) {
-            status = told.status;
+        documents.answer(head, [&](const relay::local_answer& answer) {
+            status = answer.status;
         });
         return status;
     }
@@ -86,8 +86,9 @@
 }
 
 Test(document_sync, many_askers_do_not_fill_the_memory) {
-    // Found with 300 instances: after a kill of all, a hundred fetched 750 KB
-    // from the one that was ready first, which grew to 62 of its 88 MB.
+    // Found with 300 instances: after all had been killed, a hundred of them
+    // fetched 750 KB from the one that was ready first, whose memory grew to 62
+    // of its 88 MB.
     fixture f;
     cr_assert(f.status_of(snapshot_path) == 200);
     cr_assert(f.status_of(snapshot_path) == 503);
--- a/libs/mintknotd-platform/runtime/tests/test_instance.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_instance.cpp
@@ -83,7 +83,7 @@
     }
 };
 
-/// A store in memory that may be out of reach.
+/// A store in memory that may be unreachable.
 class memory_store final : public state::store {
 public:
     explicit memory_store(event::loop& owner)
@@ -110,7 +110,7 @@
     event::loop& owner_;
 };
 
-/// Gets a path from an address, again and again, until the status is seen.
+/// Polls an address until it answers with a given status.
 class status_waiter {
 public:
     status_waiter(event::loop& owner, base::address where)
@@ -248,7 +248,8 @@
 }
 
 Test(instance, takes_new_settings_without_a_signal) {
-    // With the longer grace of the new settings the stop is not over at once.
+    // With the longer grace period of the new settings the shutdown takes
+    // longer.
     fixture f;
     memory_store store(f.owner);
     int reads = 0;
--- a/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_leaving_servers.cpp
@@ -1,25 +1,26 @@
 /// @file
-/// How soon an instance that the store answers knows that a server leaves.
+/// Time until an instance that can reach the store learns that a server leaves.
 ///
-/// What users saw: a server said that it leaves, the store had taken that, and
-/// later than the drain bound requests still reached it, on days with several
-/// troubles at once.
+/// Observed failure: a server announced that it leaves, the store had accepted
+/// that, and requests still reached the server after the drain bound, in runs
+/// with several concurrent faults.
 ///
-/// The order of events that these tests play: both readers of a data centre
-/// hear nothing from the store and do not know it; a server says that it
-/// leaves; an instance that follows them is told "nothing new" or nothing at
-/// all, and takes that for the state of the store, which would answer it.
+/// Sequence of events in these tests: both readers of a data centre are cut off
+/// from the store without having noticed; a server announces that it leaves; a
+/// follower of the readers receives "no changes" or no answer, and assumes that
+/// this is the state of the store, which it could have asked.
 ///
-/// The cause: what an instance knew of the servers had no age, unlike its
-/// configuration. Each watch on the way was shorter than the drain bound, and
-/// their sum was not; whoever was told "nothing new" by a reader that heard
-/// nothing did not ask the store, which would have answered.
+/// Cause: the server table of an instance had no age, unlike its configuration.
+/// Each watch on the path was shorter than the drain bound, but their sum was
+/// not, and a follower that received "no changes" from a reader that was cut
+/// off did not ask the store.
 ///
-/// The evidence, from the logs of a day on which the rule was broken each time
-/// it was played: a server leaves at 4.9 s by the store's word; both readers of
-/// a data centre lose the store at 10.3 s after 10.9 s of silence; their eight
-/// followers, which reach the store, take the row at 10.4 s, and two of them
-/// have sent requests there at 8.9 and 9.1 s, 4.2 and 4.3 s after its word.
+/// Evidence, from the logs of a run in which the bound was exceeded each time:
+/// according to the store a server leaves at 4.9 s; both readers of a data
+/// centre notice at 10.3 s, after 10.9 s of silence, that they have lost the
+/// store; their eight followers, which can reach it, receive the row at 10.4 s,
+/// and two of them have sent requests to the server at 8.9 and 9.1 s, 4.2 and
+/// 4.3 s after its announcement.
 
 #include "document_sync.hpp"
 #include "plain_codec.hpp"
@@ -41,22 +42,22 @@
 
 namespace {
 
-/// What the operator promises: a server that leaves gets no request later.
+/// Time after which a leaving server must receive no more requests.
 constexpr base::milliseconds drain_bound{2000};
 /// From the choice of a server to the arrival of the request: a connection may
-/// have to come up, and the request passes through a data centre or two.
-constexpr base::milliseconds way_of_a_request =
+/// have to be opened, possibly to another data centre.
+constexpr base::milliseconds request_travel_time =
     upstream::call_options{}.connect_timeout + base::milliseconds{50};
-/// What a client of the store allows beyond the wait of a call.
+/// Time that a client of the store allows beyond the wait of a call.
 constexpr base::milliseconds call_slack{900};
-/// How long the group runs before anything happens. Where a watch stands then
-/// makes a difference: one that has just begun is the last to end.
-constexpr base::milliseconds calm_times[] = {
+/// How long the group runs before the change. The progress of the watches at
+/// that time matters: one that has just begun ends last.
+constexpr base::milliseconds run_up_times[] = {
     base::milliseconds{1100}, base::milliseconds{1600},
     base::milliseconds{2100}, base::milliseconds{2600}};
 constexpr std::uint64_t first_version = 7;
 
-/// Rows of one collection, and whoever waits for their next change.
+/// Rows of one collection, and callbacks for their next change.
 struct row_table {
     std::map<std::string, state::document> by_key;
     std::list<std::function<void()>> waiting;
@@ -84,7 +85,7 @@
     }
 };
 
-/// The store as one instance reaches it.
+/// The store as seen by one instance.
 class instance_store final : public state::store {
 public:
     instance_store(event::loop& owner, shared_rows& rows)
@@ -123,10 +124,10 @@
         state::collection, const std::string&, std::uint64_t,
         const std::string&, state::write_handler) override {}
 
-    /// Calls get no answer, and those under way have none any more.
+    /// Calls, including those in flight, get no answer.
     bool silent = false;
-    bool refuses = false; ///< New calls, at once.
-    /// Whether answers tell as of when nothing newer existed.
+    bool refuses = false; ///< New calls fail immediately.
+    /// Answers state the time at which they were up to date.
     bool confirms = true;
 
 private:
@@ -155,25 +156,25 @@
     void answer(
         state::collection what, std::uint64_t after,
         state::store_handler then) {
-        state::store_answer told;
-        told.result = state::store_result::ok;
-        told.version = rows_.version;
+        state::store_answer message;
+        message.result = state::store_result::ok;
+        message.version = rows_.version;
         if (confirms)
-            told.confirmed = owner_.now();
-        told.documents = changes(what, after);
-        owner_.post([told, then = std::move(then)] { then(told); });
+            message.confirmed = owner_.now();
+        message.documents = changes(what, after);
+        owner_.post([message, then = std::move(then)] { then(message); });
     }
 
     event::loop& owner_;
     shared_rows& rows_;
 };
 
-/// One instance of a large group, as far as it follows the store.
+/// The part of an instance that follows the store.
 struct member {
     member(
         event::loop& owner, shared_rows& rows, const std::string& host,
         std::uint16_t port, std::function<policy::store_access()> access)
-        : reach(owner, rows)
+        : store(owner, rows)
         , pool(owner)
         , server(
               owner,
@@ -190,7 +191,7 @@
               })
         , documents(std::make_unique<document_sync>(
               document_ports{
-                  owner, reach, codec, pool, log, [] { return 0.5; }},
+                  owner, store, codec, pool, log, [] { return 0.5; }},
               document_options{
                   {host, port},
                   "a",
@@ -218,10 +219,10 @@
 
     state::tests::plain_codec codec;
     logging::line_log log{-1, "test", {}};
-    instance_store reach;
+    instance_store store;
     upstream::connection_pool pool;
     relay::local_server server;
-    bool mute = false; ///< Peers get no answer, as behind a cut.
+    bool mute = false; ///< Peers get no answer, as in a network partition.
     std::vector<relay::local_reply> unanswered;
     std::map<std::string, bool> in_use; ///< Servers and data centres.
     std::function<void()> on_change;
@@ -229,35 +230,36 @@
 };
 
 struct group_shape {
-    base::milliseconds calm{1100};
-    bool with_relay = false; ///< Between the readers and who follows them.
-    bool readers_tell_ages = true; ///< Those of an earlier version do not.
-    bool small = false; ///< Everybody asks the store, and peers tell versions.
+    base::milliseconds run_up{1100};
+    bool with_relay = false;        ///< Between the readers and the follower.
+    bool readers_state_ages = true; ///< Those of an earlier version do not.
+    /// All instances ask the store, and heartbeats contain versions.
+    bool small = false;
 };
 
-/// Two readers of the store, and an instance that follows them, directly or
-/// through one that passes on what they have.
+/// Two readers of the store and an instance that follows them, directly or
+/// through a relay.
 struct group {
     explicit group(const group_shape& shape)
         : timer(owner)
-        , beat(owner) {
+        , heartbeat_timer(owner) {
         for (const char* id : {"a", "b", "c", "d", "e", "f"})
             rows.put_server(id, "ready");
         for (const std::string& host : readers)
             add(host, {{host}, true});
         for_each_reader([&](member& reader) {
-            reader.reach.confirms = shape.readers_tell_ages;
+            reader.store.confirms = shape.readers_state_ages;
         });
         if (shape.small) {
             add("127.0.0.9", {}, true);
-            tell_versions();
+            send_versions();
         } else if (shape.with_relay) {
             add("127.0.0.3", {readers, true});
             add("127.0.0.9", {{"127.0.0.3"}, false});
         } else {
             add("127.0.0.9", {readers, true});
         }
-        run_for(shape.calm);
+        run_for(shape.run_up);
         cr_assert(follower().in_use["a"]);
     }
 
@@ -275,16 +277,16 @@
 
     member& follower() { return *members.back(); }
 
-    /// As often as heartbeats do without a cause.
-    void tell_versions() {
-        beat.start(base::milliseconds(250), [this] {
-            peers::heartbeat told;
-            told.data_centre = "a";
-            told.configuration = 1;
-            told.servers =
+    /// Sends versions at the interval of periodic heartbeats.
+    void send_versions() {
+        heartbeat_timer.start(base::milliseconds(250), [this] {
+            peers::heartbeat message;
+            message.data_centre = "a";
+            message.configuration = 1;
+            message.servers =
                 members.front()->documents->version(state::collection::servers);
-            follower().documents->on_heartbeat(readers.front(), told);
-            tell_versions();
+            follower().documents->on_heartbeat(readers.front(), message);
+            send_versions();
         });
     }
 
@@ -299,15 +301,15 @@
     }
 
     /// Makes a change.
-    /// @return true if the follower leaves servers or data centres alone so
-    /// soon that no request arrives there beyond the bound.
-    bool obeys_in_time(
-        const std::vector<std::string>& left_alone,
+    /// @return true if the follower stops using the servers or data centres
+    /// early enough that no request arrives there after the bound.
+    bool applies_in_time(
+        const std::vector<std::string>& unused,
         const std::function<void()>& change) {
         const base::steady_time since = owner.now();
         follower().on_change = [&] {
             if (std::none_of(
-                    left_alone.begin(), left_alone.end(),
+                    unused.begin(), unused.end(),
                     [this](const std::string& one) {
                         return follower().in_use[one];
                     }))
@@ -316,12 +318,12 @@
         change();
         run_for(2 * drain_bound);
         follower().on_change = nullptr;
-        return owner.now() - since <= drain_bound - way_of_a_request;
+        return owner.now() - since <= drain_bound - request_travel_time;
     }
 
-    /// The rows of servers go.
-    bool leaves_alone_in_time(const std::vector<std::string>& ids) {
-        return obeys_in_time(ids, [&] {
+    /// Removes the rows of servers. @return see applies_in_time().
+    bool stops_using_in_time(const std::vector<std::string>& ids) {
+        return applies_in_time(ids, [&] {
             for (const std::string& id : ids)
                 rows.put_server(id, std::nullopt);
         });
@@ -333,83 +335,83 @@
     std::uint16_t port = 0;
     std::vector<std::unique_ptr<member>> members;
     event::timer timer;
-    event::timer beat;
+    event::timer heartbeat_timer;
 };
 
 } // namespace
 
 Test(leaving_servers, are_left_alone_in_time_while_all_is_well) {
-    group g({calm_times[0], true});
-    cr_assert(g.leaves_alone_in_time({"a"}));
+    group g({run_up_times[0], true});
+    cr_assert(g.stops_using_in_time({"a"}));
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_both_readers_hear_nothing) {
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm});
-        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time({"a"}));
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up});
+        g.for_each_reader([](member& reader) { reader.store.silent = true; });
+        cr_assert(g.stops_using_in_time({"a"}));
     }
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_both_readers_are_silent) {
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm});
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up});
         g.for_each_reader([](member& reader) { reader.mute = true; });
-        cr_assert(g.leaves_alone_in_time({"a"}));
+        cr_assert(g.stops_using_in_time({"a"}));
     }
 }
 
 Test(leaving_servers, are_left_alone_in_time_behind_a_relay_of_such_readers) {
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm, true});
-        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time({"a"}));
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up, true});
+        g.for_each_reader([](member& reader) { reader.store.silent = true; });
+        cr_assert(g.stops_using_in_time({"a"}));
     }
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_readers_tell_no_ages) {
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm, false, false});
-        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time({"a"}));
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up, false, false});
+        g.for_each_reader([](member& reader) { reader.store.silent = true; });
+        cr_assert(g.stops_using_in_time({"a"}));
     }
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_only_peers_tell) {
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm, false, true, true});
-        g.follower().reach.silent = true;
-        cr_assert(g.leaves_alone_in_time({"a"}));
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up, false, true, true});
+        g.follower().store.silent = true;
+        cr_assert(g.stops_using_in_time({"a"}));
     }
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_half_of_all_go_at_once) {
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm});
-        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
-        cr_assert(g.leaves_alone_in_time({"a", "b", "c"}));
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up});
+        g.for_each_reader([](member& reader) { reader.store.silent = true; });
+        cr_assert(g.stops_using_in_time({"a", "b", "c"}));
     }
 }
 
 Test(leaving_servers, are_left_alone_in_time_where_the_store_refuses_others) {
-    // The pauses between the follower's questions grow meanwhile.
-    group g({calm_times[0], true});
+    // Meanwhile the follower's intervals between retries grow.
+    group g({run_up_times[0], true});
     for (std::size_t other = 0; other + 1 < g.members.size(); ++other)
-        g.members[other]->reach.refuses = true;
+        g.members[other]->store.refuses = true;
     g.run_for(drain_bound);
     for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
         g.run_for(base::milliseconds(130));
-        cr_assert(g.leaves_alone_in_time({id}));
+        cr_assert(g.stops_using_in_time({id}));
     }
 }
 
 Test(leaving_servers, a_closed_data_centre_is_left_alone_in_time) {
-    // The word is the operator's, and has a bound of its own; no peer tells
-    // what version of it is known.
-    for (const base::milliseconds calm : calm_times) {
-        group g({calm});
-        g.for_each_reader([](member& reader) { reader.reach.silent = true; });
+    // Closing a data centre has a bound of its own, and heartbeats do not
+    // contain a version for it.
+    for (const base::milliseconds run_up : run_up_times) {
+        group g({run_up});
+        g.for_each_reader([](member& reader) { reader.store.silent = true; });
         g.follower().use("hall", true);
-        cr_assert(g.obeys_in_time({"hall"}, [&] { g.rows.close("hall"); }));
+        cr_assert(g.applies_in_time({"hall"}, [&] { g.rows.close("hall"); }));
     }
 }
--- a/libs/mintknotd-platform/runtime/tests/test_peer_feed.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_peer_feed.cpp
@@ -22,11 +22,11 @@
         , feed(
               owner, copy, [this](state::collection) { return position; },
               [this](state::collection) { return confirmed; }) {}
-    /// Asks, and stops the loop at the answer.
+    /// Sends a request and stops the loop when it is answered.
     void ask(std::uint64_t after, base::milliseconds wait) {
         feed.ask(
-            {servers, after, wait}, [this](const relay::local_answer& told) {
-                answers.push_back(told);
+            {servers, after, wait}, [this](const relay::local_answer& answer) {
+                answers.push_back(answer);
                 owner.stop();
             });
     }
@@ -83,7 +83,7 @@
 Test(peer_feed, what_the_store_has_not_told_is_not_told) {
     fixture f;
     f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
-    // From a peer's snapshot: others between 3 and 8 may be missing.
+    // From a peer's snapshot: versions between 3 and 8 may be missing.
     f.copy.apply(servers, {{"k", 8, "s"}}, "peer");
     f.position = 3;
     f.ask(3, short_wait);
@@ -104,8 +104,8 @@
 }
 
 Test(peer_feed, a_confirmation_is_told_at_once) {
-    // Held back until the wait is over, each instance on the way would add its
-    // wait to the age of what it knows.
+    // If it were held until the wait ends, each instance on the path would add
+    // its wait to the age of its data.
     fixture f;
     f.copy.apply_whole(servers, {{"i", 3, "s"}}, 3, "store");
     f.position = 3;
@@ -116,9 +116,9 @@
     f.feed.confirmed(servers);
     cr_assert(f.answers.size() == 1);
     cr_assert(f.read().documents.empty());
-    const auto told = state::store_answer_from(f.answers[0].body, asked);
-    cr_assert(*told->confirmed >= asked + base::milliseconds(65));
-    cr_assert(*told->confirmed <= asked + base::milliseconds(71));
+    const auto answer = state::store_answer_from(f.answers[0].body, asked);
+    cr_assert(*answer->confirmed >= asked + base::milliseconds(65));
+    cr_assert(*answer->confirmed <= asked + base::milliseconds(71));
 }
 
 Test(peer_feed, an_instance_without_the_store_confirms_nothing) {
--- a/libs/mintknotd-platform/runtime/tests/test_repeat_lending.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_repeat_lending.cpp
@@ -18,7 +18,7 @@
     loan_message value;
 };
 
-/// One instance of a large group, whose datagrams are kept.
+/// One instance of a large group; records its datagrams.
 struct fixture {
     fixture()
         : lending(
@@ -36,7 +36,7 @@
             };
     }
 
-    /// Spends until nothing is left. @return how many repeats.
+    /// Spends the whole allowance. @return the number of retries spent.
     int spend_all() {
         int spent = 0;
         while (spent < 1000 && relay::spend_retry(f.context, "s"))
@@ -58,10 +58,10 @@
 
 Test(repeat_lending, some_peers_are_asked_once_in_a_while) {
     fixture f;
-    cr_assert(f.spend_all() == 9, "its part of the extra");
+    cr_assert(f.spend_all() == 9, "its share of the extra retries");
     cr_assert(f.sent.size() == 4);
     cr_assert(f.spend_all() == 0);
-    cr_assert(f.sent.size() == 4, "asked again at once");
+    cr_assert(f.sent.size() == 4, "asked again immediately");
 }
 
 Test(repeat_lending, an_offer_counts_once_and_only_from_who_was_asked) {
@@ -81,7 +81,7 @@
     fixture f;
     cr_assert(f.f.context.state.retry_allowances.empty());
     f.lending.receive("p", encode(loan_request{7, "s", 8}));
-    cr_assert(f.sent.empty(), "lent repeats of an unknown service");
+    cr_assert(f.sent.empty(), "lent retries of an unknown service");
     cr_assert(relay::spend_retry(f.f.context, "s"));
     f.lending.receive("p", encode(loan_request{7, "s", 8}));
     cr_assert(f.sent.size() == 1 && f.sent[0].host == "p");
--- a/libs/mintknotd-platform/runtime/tests/test_settings_watch.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_settings_watch.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// A watch over settings that the test sets; `file` is what a read finds.
+/// A settings_watch whose source is `file`.
 struct watched_settings {
     watched_settings()
         : log(-1, "test", {})
--- a/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_shared_store.cpp
@@ -17,7 +17,7 @@
 constexpr base::milliseconds store_wait{10000};
 constexpr base::milliseconds test_limit{20000};
 
-/// Counts calls and answers watches with version 100.
+/// Counts calls and answers with version 100.
 class counting_store final : public state::store {
 public:
     explicit counting_store(event::loop& owner)
@@ -48,7 +48,7 @@
     event::loop& owner_;
 };
 
-/// Instances that answer watches; all have the port of the group.
+/// A shared_store and readers that answer its watches, all on one port.
 struct fixture {
     fixture()
         : log(-1, "test", {})
@@ -56,7 +56,7 @@
         , pool(owner)
         , limit(owner) {}
 
-    /// Adds a reader at a loopback address with a fixed answer.
+    /// Adds a reader with a fixed answer at a loopback address.
     void
     add_reader(const std::string& host, const relay::local_answer& answer) {
         asked[host] = 0;
@@ -80,7 +80,7 @@
                     "127.0.0.9", port,
                     [this] {
                         return policy::store_access{
-                            readers, stands_in, shares_reads};
+                            readers, store_is_fallback, shares_reads};
                     },
                     [this](state::collection what)
                         -> std::optional<base::steady_time> {
@@ -125,17 +125,17 @@
     std::list<relay::local_server> listening;
     std::map<std::string, int> asked;
     std::vector<std::string> readers;
-    bool stands_in = true;
+    bool store_is_fallback = true;
     std::optional<state::collection> overdue;
     bool shares_reads = false;
     std::optional<shared_store> shared;
 };
 
 relay::local_answer good(std::uint64_t version) {
-    state::store_answer told;
-    told.version = version;
-    told.documents = {{"i", version, "s"}};
-    return {200, "application/json", state::to_body(told)};
+    state::store_answer message;
+    message.version = version;
+    message.documents = {{"i", version, "s"}};
+    return {200, "application/json", state::to_body(message)};
 }
 
 const relay::local_answer no_store{503, "text/plain", "no store\n"};
@@ -154,8 +154,8 @@
 }
 
 Test(shared_store, each_collection_takes_the_readers_in_turn) {
-    // Two watches that take turns with each other would else always meet the
-    // same reader, and stay blind with it.
+    // Otherwise the alternating watches of two collections would each always
+    // use the same reader, and get no changes if that one is cut off.
     fixture f;
     f.add_reader("127.0.0.1", good(7));
     f.add_reader("127.0.0.2", good(8));
@@ -209,18 +209,18 @@
 
 Test(shared_store, who_has_others_to_stand_in_waits_for_them) {
     fixture f;
-    f.stands_in = false;
+    f.store_is_fallback = false;
     f.add_reader("127.0.0.1", no_store);
     f.add_reader("127.0.0.2", no_store);
     for (int i = 0; i < 4; ++i)
         cr_assert(f.watch().result == state::store_result::unreachable);
-    cr_assert(f.asked["127.0.0.1"] == 1, "passed over for a while");
+    cr_assert(f.asked["127.0.0.1"] == 1, "asked again during its backoff");
     cr_assert(f.source.watches == 0);
 }
 
 Test(shared_store, where_nobody_answers_the_store_is_asked_all_the_same) {
     fixture f;
-    f.stands_in = false;
+    f.store_is_fallback = false;
     f.add_reader("127.0.0.1", good(7));
     f.readers = {"127.0.0.3"}; // Nothing listens there.
     cr_assert(f.watch().version == 100);
@@ -228,11 +228,10 @@
 }
 
 Test(shared_store, an_overdue_confirmation_comes_from_the_store_itself) {
-    // Both readers of a data centre are turned away by the store, and the
-    // others are not.
+    // Both readers of a data centre cannot reach the store; the others can.
     constexpr auto configuration = state::collection::configuration;
     fixture f;
-    f.stands_in = false;
+    f.store_is_fallback = false;
     f.add_reader("127.0.0.1", no_store);
     f.add_reader("127.0.0.2", no_store);
     cr_assert(
@@ -240,9 +239,9 @@
     f.overdue = configuration;
     cr_assert(f.watch(configuration).version == 100);
     cr_assert(f.source.last_wait < store_wait);
-    // Each collection for itself.
+    // Each collection separately.
     cr_assert(f.watch(servers).result == state::store_result::unreachable);
-    // Not each time: a call to the store has a price.
+    // Not each time, because calls to the store are billed.
     cr_assert(
         f.watch(configuration).result == state::store_result::unreachable);
     cr_assert(f.source.watches == 1);
@@ -250,13 +249,13 @@
 
 Test(shared_store, a_confirmation_of_a_reader_is_counted_from_the_question) {
     fixture f;
-    state::store_answer told;
-    told.version = 7;
+    state::store_answer message;
+    message.version = 7;
     const base::steady_time elsewhere{};
-    told.confirmed = elsewhere - base::milliseconds(300);
+    message.confirmed = elsewhere - base::milliseconds(300);
     f.add_reader(
         "127.0.0.1",
-        {200, "application/msgpack", state::to_body(told, elsewhere)});
+        {200, "application/msgpack", state::to_body(message, elsewhere)});
     const base::steady_time before = f.owner.now();
     const state::store_answer answer = f.watch();
     cr_assert(*answer.confirmed >= before - base::milliseconds(300));
