Loss report: totals of lines left out are not added up

Cause: an instance writes in `left_out` the total since its start, each time that it has grown (line_log.cpp); the report added up these totals.

Change: the report counts what a line adds to the last total of its instance, and begins again at `started`. A test has lines with 12, 12 and 15, which stand for 15 lines left out.

The test was not run against the rule before.

--- a/libs/mintknot/losses/include/mintknot/losses/loss_ledger.hpp
+++ b/libs/mintknot/losses/include/mintknot/losses/loss_ledger.hpp
@@ -86,6 +86,8 @@
     /// Prompt tokens read again or for nothing, by reason.
     std::map<std::string, double> tokens_read_again;
     std::map<std::string, std::string> data_centres; ///< By instance.
+    /// What each instance says it has left out since its last start.
+    std::map<std::string, std::int64_t> left_out;
     caller_account callers;
     std::unordered_map<std::string, open_request> open; ///< By request ID.
     std::deque<std::string> open_order; ///< Oldest first; may name ended ones.
--- a/libs/mintknot/losses/src/loss_ledger.cpp
+++ b/libs/mintknot/losses/src/loss_ledger.cpp
@@ -196,6 +196,16 @@
         found->second.last_failure = text(line, "reason");
 }
 
+/// Instances write the total since their start, not what is new.
+void note_left_out(loss_ledger& ledger, const json& line) {
+    std::int64_t& known = ledger.left_out[text(line, "instance")];
+    if (text(line, "event") == "started")
+        known = 0;
+    const std::int64_t total = whole(line, "left_out");
+    ledger.lines.left_out += std::max<std::int64_t>(0, total - known);
+    known = std::max(known, total);
+}
+
 void take_event(loss_ledger& ledger, const json& line) {
     const std::string event = text(line, "event");
     const std::string id = text(line, "request");
@@ -232,7 +242,7 @@
         return;
     }
     ++ledger.lines.read;
-    ledger.lines.left_out += whole(parsed, "left_out");
+    note_left_out(ledger, parsed);
     take_event(ledger, parsed);
     forget_oldest(ledger);
 }
--- a/libs/mintknot/losses/tests/test_loss_ledger.cpp
+++ b/libs/mintknot/losses/tests/test_loss_ledger.cpp
@@ -127,6 +127,26 @@
     cr_assert(ledger.lines.left_out == 12);
 }
 
+// Guards against adding up totals: three lines that say 12, 12 and 15 stand for
+// 15 lines left out.
+Test(loss_ledger, totals_of_lines_left_out_are_not_added_up) {
+    loss_ledger ledger;
+    const auto left_out = [&](const char* event, int total) {
+        take_line(
+            ledger,
+            fmt::format(
+                R"({{"at":1,"instance":"i1","event":"{}","left_out":{}}})",
+                event, total));
+    };
+    left_out("peer_lost", 12);
+    left_out("peer_lost", 12);
+    left_out("peer_lost", 15);
+    cr_assert(ledger.lines.left_out == 15);
+    left_out("started", 0);
+    left_out("peer_lost", 4);
+    cr_assert(ledger.lines.left_out == 19);
+}
+
 Test(loss_ledger, a_refusal_at_the_door_is_a_loss_but_for_unknown_routes) {
     loss_ledger ledger;
     take_line(ledger, line("refused", "a", R"(,"reason":"stopping")"));
