Plain calls are admitted by expected completion while capacity is shared

Cause: calls were sent to plain servers whatever their queues held. At twice the capacity most arrivals were rejected by full servers, and a full queue of 24 calls takes 240 ms of a target of 300 ms.

Change: the scheduler of a domain (without one, each instance) sends a call to the server where it is expected to end first if that is within its target or a slot is free, and denies it at once otherwise. Instances learn the service times of servers from their calls, less the time in the queue, and load reports carry them with the delay of the reports, by which schedulers leave out calls that have ended since. Servers that reject calls get a limit. A denied call, also after a rejection, ends with refuse_for_capacity(). While capacity is not shared nothing is recorded, sent or decided differently.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
@@ -46,6 +46,14 @@
     std::optional<capacity_claim> claim;
 };
 
+/// What was expected of a plain server when a call was decided on.
+struct plain_forecast {
+    int calls_ahead = 0; ///< Calls that must end before it gets a slot.
+    base::milliseconds service{0}; ///< Time in the slot.
+    /// Age of `service`; nullopt: learned from other servers, or assumed.
+    std::optional<base::milliseconds> service_age;
+};
+
 /// The servers chosen for a request.
 struct placement {
     std::string server;  ///< Plain or decode; empty: none is free.
@@ -58,6 +66,8 @@
     capacity_denial denial = capacity_denial::none;
     /// Until a denied plain call could be sent; nothing: not known.
     std::optional<base::milliseconds> expected_wait;
+    /// Of a plain call with a claim, if loads are known.
+    std::optional<plain_forecast> plain{};
     /// Scheduler that placed the request; empty: this instance.
     std::string scheduler_host;
 };
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
@@ -16,6 +16,7 @@
 #include <mintknot/policy/capacity_forecast.hpp>
 #include <mintknot/policy/prefill_rates.hpp>
 #include <mintknot/policy/server_health.hpp>
+#include <mintknot/policy/service_times.hpp>
 #include <mintknot/traffic/configuration.hpp>
 #include <mintknot/traffic/load_view.hpp>
 #include <mintknot/traffic/server_table.hpp>
@@ -46,6 +47,8 @@
     bool all_loads_known = false;
     /// Servers to which the instance has idle connections; null: unknown.
     const std::set<std::string>* connected = nullptr;
+    /// Of plain servers (service_times.hpp); null: unknown.
+    const service_times* plain_times = nullptr;
 };
 
 /// Servers that a request has already used or must not use.
@@ -55,6 +58,20 @@
 const traffic::server*
 select_plain(const selection_inputs& inputs, const excluded_servers& excluded);
 
+/// Scores a server; the lowest score is chosen, and an infinite one never.
+using server_score = std::function<double(const traffic::server&)>;
+
+/// As select_plain(), by another score.
+const traffic::server* select_plain_by_score(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    const server_score& score);
+
+/// @return the score by which select_plain() chooses, in calls per slot.
+/// @param calls in flight at the server.
+double plain_score(
+    const selection_inputs& inputs, const traffic::server& candidate,
+    int calls);
+
 /// @return the prefill engine that would finish the prompt first, or null.
 const traffic::server* select_prefill(
     const selection_inputs& inputs, const excluded_servers& excluded,
--- a/libs/mintknotd-platform/policy/src/domain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/domain_admission.cpp
@@ -69,6 +69,21 @@
     return result;
 }
 
+/// Adds what is known of a plain call to its placement and, if it is placed,
+/// counts it.
+void complete_plain(
+    plain_admission_state& state, const selection_inputs& inputs,
+    const placement_query& query, const plain_decision& decision,
+    placement& result) {
+    result.expected_wait = decision.expected_wait;
+    result.plain = decision.forecast;
+    if (!result.server.empty())
+        note_plain_placed(state, inputs, query, result.server);
+    else if (result.denial != capacity_denial::none)
+        result.capacity.forecast = {
+            decision.expected_wait, plain_capacity(state, inputs).release_rate};
+}
+
 } // namespace
 
 double cost_of(const placement_query& query) {
@@ -100,8 +115,10 @@
         result.server = plain.server;
     else
         result = choose_servers(inputs, query);
-    result.expected_wait = plain.expected_wait;
-    if (result.server.empty() && result.denial == capacity_denial::none)
+    if (is_plain(query))
+        complete_plain(state.plain, inputs, query, plain, result);
+    if (result.server.empty() && result.denial == capacity_denial::none &&
+        !plain.unavailable)
         result.denial = capacity_denial::no_capacity;
     if (result.server.empty())
         note_denied(state.shares, request, inputs.now);
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -44,8 +44,6 @@
 constexpr double decode_connection_bonus = 0.1;
 constexpr double prefill_connection_bonus_ms = 10.0;
 
-/// Scores a server; lower is better, infinite if it cannot take the request.
-using score_function = std::function<double(const traffic::server&)>;
 using phase_test = bool (*)(traffic::engine_phase);
 
 constexpr double not_eligible = std::numeric_limits<double>::infinity();
@@ -77,7 +75,7 @@
 /// @param sample_share probability with which each server is considered.
 const traffic::server* best_of_sample(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    const score_function& score, bool with_avoided, double sample_share) {
+    const server_score& score, bool with_avoided, double sample_share) {
     const traffic::server* best = nullptr;
     double lowest = not_eligible;
     for (const traffic::server* candidate :
@@ -108,7 +106,7 @@
 /// the same ones.
 const traffic::server* best_of(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    const score_function& score, bool with_avoided) {
+    const server_score& score, bool with_avoided) {
     const std::size_t servers =
         traffic::open_servers(inputs.servers, inputs.service.name).size();
     if (servers > max_unsplit_servers && !inputs.all_loads_known) {
@@ -139,9 +137,9 @@
 /// merely full.
 const traffic::server* best_of(
     const selection_inputs& inputs, const excluded_servers& excluded,
-    const phase_test& suits, const score_function& score) {
+    const phase_test& suits, const server_score& score) {
     const bool with_avoided = !any_not_avoided(inputs, excluded, suits);
-    const score_function suited = [&](const traffic::server& candidate) {
+    const server_score suited = [&](const traffic::server& candidate) {
         return suits(candidate.phase) ? score(candidate) : not_eligible;
     };
     return best_of(inputs, excluded, suited, with_avoided);
@@ -161,21 +159,30 @@
 
 } // namespace
 
+double plain_score(
+    const selection_inputs& inputs, const traffic::server& candidate,
+    int calls) {
+    double score = static_cast<double>(calls) / std::max(candidate.slots, 1);
+    if (candidate.data_centre != inputs.own_data_centre)
+        score += plain_distance_cost;
+    score -= connection_bonus(inputs, candidate, plain_connection_bonus);
+    score += failure_cost * failure_share(inputs.health, candidate.id);
+    return score + jitter * inputs.draw_uniform();
+}
+
+const traffic::server* select_plain_by_score(
+    const selection_inputs& inputs, const excluded_servers& excluded,
+    const server_score& score) {
+    return best_of(inputs, excluded, any_phase, score);
+}
+
 const traffic::server*
 select_plain(const selection_inputs& inputs, const excluded_servers& excluded) {
-    return best_of(
-        inputs, excluded, any_phase,
-        [&inputs](const traffic::server& candidate) {
-            const traffic::server_load load =
-                traffic::total(inputs.loads, candidate.id);
-            double score =
-                static_cast<double>(load.calls) / std::max(candidate.slots, 1);
-            if (candidate.data_centre != inputs.own_data_centre)
-                score += plain_distance_cost;
-            score -=
-                connection_bonus(inputs, candidate, plain_connection_bonus);
-            score += failure_cost * failure_share(inputs.health, candidate.id);
-            return score + jitter * inputs.draw_uniform();
+    return select_plain_by_score(
+        inputs, excluded, [&inputs](const traffic::server& candidate) {
+            return plain_score(
+                inputs, candidate,
+                traffic::total(inputs.loads, candidate.id).calls);
         });
 }
 
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RELAY_RELAY_METRICS_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/policy/capacity_claim.hpp>
 #include <mintknot/policy/server_health.hpp>
 
 #include <memory>
@@ -32,6 +33,10 @@
     void count_request(const finished_request& request);
     void count_call(policy::call_result result);
     void count_retry(std::string_view reason);
+    /// Counts a decision on a plain call while capacity is shared.
+    void count_plain_decision(policy::capacity_denial denial);
+    /// Records the service time that a plain call was decided by.
+    void observe_plain_service(base::milliseconds time);
     /// Records how old the server table was when a request was sent to a
     /// server.
     void observe_server_table_age(base::milliseconds age);
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -97,6 +97,8 @@
     traffic::load_view loads;
     policy::health_view health;
     policy::prefill_rates prefill_rates;
+    /// Of plain servers; observed only while capacity is shared.
+    policy::service_times plain_times;
     std::unordered_map<std::string, policy::phase_demand> demands;
     std::unordered_map<std::string, peer_demand> demands_of_peers; ///< By host.
     std::unordered_map<std::string, policy::retry_allowance> retry_allowances;
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -59,6 +59,7 @@
 }
 
 void plain_exchange::on_placed(const policy::placement& placed) {
+    record_decision(placed);
     const traffic::server* chosen =
         traffic::find(context_.state.servers, placed.server);
     const bool unavailable =
@@ -67,19 +68,14 @@
     // that its data centre is closed: excluded, it is not chosen again.
     if (unavailable && tried_.insert(chosen->id).second)
         place();
-    else if (
-        chosen == nullptr && placed.denial != policy::capacity_denial::none &&
-        verdict_ == base::verdict::not_run)
-        refuse_for_capacity(
-            {1.0, placed.capacity.forecast, placed.expected_wait});
     else if (chosen == nullptr || unavailable)
-        apply_step(next_step(policy::call_end::no_server));
+        on_no_server(placed);
     else if (ensure_allowed())
-        send(*chosen, placed.scheduler_host);
+        send(*chosen, placed);
 }
 
 void plain_exchange::send(
-    const traffic::server& server, const std::string& placed_by) {
+    const traffic::server& server, const policy::placement& placed) {
     server_ = server.id;
     tried_.insert(server.id);
     add_load(context_, server_, {1, 0.0, 0.0});
@@ -90,15 +86,7 @@
     answer_ = {};
     answer_metadata_ = {};
     body_.clear();
-    context_.log.write(
-        "sent", {{"request", request_.terms.id},
-                 {"route", route_.name},
-                 {"server", server_},
-                 {"placed_by", placed_by},
-                 {"send", std::int64_t{sends_}},
-                 {"servers_age_ms", server_table_age_ms(context_)},
-                 {"config", static_cast<std::int64_t>(config_->version)},
-                 {"left_ms", time_left().count()}});
+    log_sent(placed);
     call_ = upstream::call::start(
         context_.pool, {server.id, server.where},
         call_for(call_options_for(server)), {},
@@ -163,6 +151,7 @@
 
 void plain_exchange::on_done() {
     if (attempts_.answer_begun) {
+        record_service_time();
         const std::string server = server_;
         release_load();
         call_.reset();
@@ -176,6 +165,8 @@
     if (end == policy::call_end::rejected) {
         --attempts_.runs;
         ++attempts_.rejections;
+        if (context_.state.capacity_sharing)
+            policy::note_rejections(context_.state.plain_times, server_, 1);
         after_call(
             end, answer_.status == status_misdirected
                      ? policy::call_result::misdirected
@@ -184,6 +175,8 @@
     }
     raise_verdict(base::verdict::ran);
     record_complete_answer();
+    if (end == policy::call_end::answered)
+        record_service_time();
     after_call(
         end, end == policy::call_end::answered ? policy::call_result::good
                                                : policy::call_result::failed);
@@ -256,6 +249,13 @@
         give_up(step.reason, outage_retry_after(context_, service_.name));
         return;
     }
+    // Servers rejected it as full, so its caller returns as if it had been
+    // denied capacity.
+    if (context_.state.capacity_sharing && what == policy::action::give_up &&
+        verdict_ == base::verdict::not_run && attempts_.rejections > 0) {
+        refuse_for_capacity({});
+        return;
+    }
     end_with_action(
         what, what == step.what ? step.reason : step.otherwise_reason);
 }
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -28,7 +28,15 @@
 
     void place();
     void on_placed(const policy::placement& placed);
-    void send(const traffic::server& server, const std::string& placed_by);
+    /// Ends the exchange, or decides what follows, without a server.
+    void on_no_server(const policy::placement& placed);
+    void send(const traffic::server& server, const policy::placement& placed);
+    /// Records the decision on a call that has a claim.
+    void record_decision(const policy::placement& placed);
+    void log_sent(const policy::placement& placed) const;
+    void log_denial(const policy::placement& placed) const;
+    /// Records for how long the current call occupied a slot of its server.
+    void record_service_time();
     void on_head(http1::response_head& head);
     void on_body(std::string_view piece);
     void on_done();
@@ -50,6 +58,8 @@
     std::unique_ptr<upstream::call> call_;
     std::string server_; ///< ID of the server of the current call, or empty.
     base::steady_time sent_at_; ///< When the current call was sent.
+    /// What was expected of the current call, if that is known.
+    std::optional<policy::plain_forecast> forecast_;
     policy::excluded_servers tried_;
     http1::response_head answer_;
     answer_metadata answer_metadata_;
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -53,6 +53,16 @@
             .Name("mintknot_repeats_total")
             .Help("Requests sent again, by reason.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& plain_decisions =
+        prometheus::BuildCounter()
+            .Name("mintknot_plain_decisions_total")
+            .Help("Plain calls by denial of capacity; none: sent.")
+            .Register(registry);
+    prometheus::Family<prometheus::Histogram>& plain_services =
+        prometheus::BuildHistogram()
+            .Name("mintknot_plain_service_seconds")
+            .Help("Service time by which plain calls were decided.")
+            .Register(registry);
     prometheus::Family<prometheus::Histogram>& first_bytes =
         prometheus::BuildHistogram()
             .Name("mintknot_first_byte_seconds")
@@ -100,6 +110,16 @@
     impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void relay_metrics::count_plain_decision(policy::capacity_denial denial) {
+    impl_->plain_decisions
+        .Add({{"denial", std::string(policy::to_string(denial))}})
+        .Increment();
+}
+
+void relay_metrics::observe_plain_service(base::milliseconds time) {
+    impl_->plain_services.Add({}, latency_buckets()).Observe(seconds(time));
+}
+
 void relay_metrics::observe_server_table_age(base::milliseconds age) {
     impl_->server_ages.Add({}, latency_buckets()).Observe(seconds(age));
 }
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -258,7 +258,7 @@
 policy::placement place_here(
     router_context& context, const policy::selection_inputs& inputs,
     const policy::placement_query& query) {
-    const policy::placement placed =
+    policy::placement placed =
         query.claim
             ? policy::place_claim(
                   context.state
@@ -284,6 +284,7 @@
         context.state.instances,
         context.loop.now(),
         [&context] { return context.draw_uniform(); }};
+    inputs.plain_times = &context.state.plain_times;
     inputs.mean_hold_time =
         policy::mean_hold_time(context.state.demands[target.name]);
     return inputs;
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -262,3 +262,132 @@
     cr_assert(f.ask(request("/unsafe/x")).body == "b");
     cr_assert(closed.requests.empty());
 }
+
+namespace {
+
+/// Makes a fixture share capacity.
+void share_capacity(relay_fixture& f) {
+    f.context.options.callers_compete = true;
+    f.context.state.capacity_sharing = true;
+}
+
+/// @return a placement that denies capacity.
+policy::placement denial() {
+    policy::placement denied;
+    denied.denial = policy::capacity_denial::late;
+    denied.expected_wait = base::milliseconds(80);
+    return denied;
+}
+
+} // namespace
+
+// Guards against calls that are sent, or wait, in spite of a denial.
+Test(plain_exchange, a_denied_call_is_refused_at_once) {
+    scripted_placer scheduler(
+        [](const policy::placement_query&) { return denial(); });
+    relay_fixture f;
+    share_capacity(f);
+    scripted_server& server =
+        f.add_server("i1", "app", plain, answering_with("yes"));
+    f.context.placement = &scheduler;
+    const base::steady_time asked = f.owner.now();
+    const caller_view seen = f.ask(request("/unsafe/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(seen.body == "no_capacity\n");
+    cr_assert(!seen.field("Retry-After").empty());
+    cr_assert(f.owner.now() - asked < base::milliseconds(1000));
+    cr_assert(server.requests.empty());
+    cr_assert(
+        f.metrics.text().find(
+            "mintknot_plain_decisions_total{denial=\"late\"} 1") !=
+        std::string::npos);
+}
+
+// Guards against repeated sends to servers that are known to be full: the retry
+// after a rejection asks for capacity again, with the target that is left.
+Test(plain_exchange, a_retry_after_a_rejection_passes_admission) {
+    std::vector<policy::capacity_claim> claims;
+    scripted_placer scheduler([&](const policy::placement_query& query) {
+        claims.push_back(query.claim.value());
+        return claims.size() == 1 ? policy::placement{.server = "i1"}
+                                  : denial();
+    });
+    relay_fixture f;
+    share_capacity(f);
+    scripted_server& server = f.add_server("i1", "app", plain, rejecting());
+    f.context.placement = &scheduler;
+    const caller_view seen = f.ask(request("/safe/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(seen.body == "no_capacity\n");
+    cr_assert(server.requests.size() == 1);
+    cr_assert(claims.size() == 2 && !claims.at(1).begun);
+    cr_assert(claims.at(1).target_left <= claims.at(0).target_left);
+    cr_assert(
+        f.context.state.plain_times.by_id.at("i1").rejections == 1,
+        "the server's limit falls");
+}
+
+// Guards against a call that may have run and is refused as one that has not.
+Test(plain_exchange, a_denial_after_a_lost_answer_does_not_claim_not_run) {
+    int asked = 0;
+    scripted_placer scheduler([&](const policy::placement_query& query) {
+        cr_assert(query.claim->begun == (asked > 0));
+        return ++asked == 1 ? policy::placement{.server = "i1"} : denial();
+    });
+    relay_fixture f;
+    share_capacity(f);
+    f.add_server("i1", "app", plain, resetting());
+    f.context.placement = &scheduler;
+    const caller_view seen = f.ask(request("/safe/x"));
+    cr_assert(seen.status == 502);
+    cr_assert(seen.field("Retry-After").empty());
+    cr_assert(asked == 2);
+}
+
+// Guards against service times that contain the time in the server's queue.
+Test(plain_exchange, time_in_the_queue_does_not_count_as_service) {
+    scripted_placer scheduler([](const policy::placement_query&) {
+        policy::placement placed{.server = "i1"};
+        placed.plain = policy::plain_forecast{192, base::milliseconds(10), {}};
+        return placed;
+    });
+    relay_fixture f;
+    share_capacity(f);
+    event::timer answer(f.owner);
+    f.add_server(
+        "i1", "app", plain,
+        [&](const received_request& to, const event::connection_ptr& link) {
+            answer.start(base::milliseconds(200), [to, link] {
+                link->write(answer_to(to, "yes"));
+            });
+        });
+    f.context.placement = &scheduler;
+    cr_assert(f.ask(request("/unsafe/x")).status == 200);
+    // 192 calls ahead at 64 slots: three quarters of the time.
+    const double mean = f.context.state.plain_times.by_id.at("i1").mean_ms;
+    cr_assert(mean >= 50.0 && mean < 100.0, "%f", mean);
+}
+
+// Guards against calls of an idle service that are refused, and against
+// observations where capacity is not shared.
+Test(plain_exchange, calls_of_an_idle_service_are_sent) {
+    for (const bool shared : {true, false}) {
+        relay_fixture f;
+        f.context.state.capacity_sharing = shared;
+        f.add_server("i1", "app", plain, answering_with("yes"));
+        for (int i = 0; i < 12; ++i)
+            cr_assert(f.ask(request("/unsafe/x")).status == 200);
+        cr_assert(f.context.state.plain_times.by_id.contains("i1") == shared);
+    }
+}
+
+// Guards against a service without servers that counts as one without capacity:
+// the return time of its callers follows the outage.
+Test(plain_exchange, an_outage_is_no_denial) {
+    relay_fixture f;
+    share_capacity(f);
+    f.add_dead_server("i1", "app");
+    const caller_view seen = f.ask(request("/unsafe/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(seen.body != "no_capacity\n", "%s", seen.body.c_str());
+}
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -162,6 +162,7 @@
         pool.drop(id);
         policy::forget(context.state.health, id);
         policy::forget(context.state.prefill_rates, id);
+        policy::forget(context.state.plain_times, id);
     }
     if (!placer.active())
         group.changed();
--- a/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/messages.hpp
+++ b/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/messages.hpp
@@ -49,6 +49,8 @@
     std::vector<observed_rate> rates; ///< Since the last report.
     policy::result_map
         results; ///< Since the last report; older senders have none.
+    /// Of plain servers since the last report; only while capacity is shared.
+    policy::observed_call_map call_times;
 };
 
 using message = std::variant<placement_request, placement_answer, load_report>;
--- a/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
+++ b/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
@@ -88,6 +88,7 @@
         standbys_last_sent_at_ = last_sent_at_;
     pending_report_map reports = collect();
     add_results(reports);
+    add_call_times(reports);
     add_observations(reports);
     reported_.clear();
     for (const auto& [host, entry] : reports) {
@@ -131,6 +132,19 @@
     }
 }
 
+void load_reporter::add_call_times(pending_report_map& reports) {
+    const scheduler_cache hosts(context_, directory_);
+    for (const auto& [id, observed] :
+         policy::take_unreported(context_.state.plain_times, last_sent_at_)) {
+        const std::string& host = hosts.of(id).active;
+        if (!context_.state.capacity_sharing || host.empty() ||
+            host == callbacks_.own_host)
+            continue;
+        reports[host].report.call_times[id] = observed;
+        reports[host].urgent = true;
+    }
+}
+
 void load_reporter::add_observations(pending_report_map& reports) {
     const std::vector<policy::server_warning> warnings =
         policy::own_warnings(context_.state.health, last_sent_at_);
--- a/libs/mintknotd-platform/scheduling/src/load_reporter.hpp
+++ b/libs/mintknotd-platform/scheduling/src/load_reporter.hpp
@@ -57,6 +57,8 @@
     pending_report_map collect();
     /// Adds the results of calls, for the schedulers of the servers.
     void add_results(pending_report_map& reports);
+    /// Adds the times of plain calls, for the schedulers of the servers.
+    void add_call_times(pending_report_map& reports);
     /// Adds the servers that are avoided here and the observed prefill rates.
     void add_observations(pending_report_map& reports);
 
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -2,7 +2,9 @@
 
 #include <mintknot/peers/message_parts.hpp>
 
+#include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace mintknot::scheduling {
 
@@ -17,6 +19,8 @@
 /// Index of the results in a load report that has any; older instances ignore
 /// it.
 constexpr std::size_t results_element = 4;
+/// Index of the times of plain calls; sent only while capacity is shared.
+constexpr std::size_t call_times_element = 5;
 /// Indexes of elements that newer senders add: to a request if the sender holds
 /// no rows of servers or has open connections, and to its answer.
 constexpr std::size_t wants_server_rows_element = 12;
@@ -26,6 +30,8 @@
 /// of a request and, in its answer, why it was denied.
 constexpr std::size_t claim_element = 14;
 constexpr std::size_t denial_element = 11;
+/// Index, within the denial, of the first element that plain calls add.
+constexpr std::size_t calls_ahead_element = 2;
 /// Bits of the last element of a claim.
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
@@ -175,10 +181,34 @@
     return versioned;
 }
 
+json to_json(const std::optional<base::milliseconds>& time) {
+    return time ? json(time->count()) : json(nullptr);
+}
+
+std::optional<base::milliseconds> time_from(const json& value) {
+    if (value.is_null())
+        return std::nullopt;
+    return base::milliseconds(value.get<std::int64_t>());
+}
+
+/// The denial and the wait; of a plain call also what was expected.
 json denial_to_json(const policy::placement& placed) {
-    const json wait = placed.expected_wait ? json(placed.expected_wait->count())
-                                           : json(nullptr);
-    return {static_cast<int>(placed.denial), wait};
+    json row = {static_cast<int>(placed.denial), to_json(placed.expected_wait)};
+    if (!placed.plain)
+        return row;
+    row.push_back(placed.plain->calls_ahead);
+    row.push_back(placed.plain->service.count());
+    row.push_back(to_json(placed.plain->service_age));
+    return row;
+}
+
+policy::plain_forecast plain_forecast_from(const json& row) {
+    policy::plain_forecast value;
+    value.calls_ahead = std::max(0, row.at(calls_ahead_element).get<int>());
+    value.service =
+        base::milliseconds(row.at(calls_ahead_element + 1).get<std::int64_t>());
+    value.service_age = time_from(row.at(calls_ahead_element + 2));
+    return value;
 }
 
 void read_denial(const json& row, policy::placement& placed) {
@@ -190,9 +220,9 @@
                               policy::capacity_denial::reserved_for_returns)
             ? static_cast<policy::capacity_denial>(denial)
             : policy::capacity_denial::no_capacity;
-    if (!row.at(1).is_null())
-        placed.expected_wait =
-            base::milliseconds(row.at(1).get<std::int64_t>());
+    placed.expected_wait = time_from(row.at(1));
+    if (row.size() > calls_ahead_element)
+        placed.plain = plain_forecast_from(row);
 }
 
 json to_json(const placement_answer& value) {
@@ -207,14 +237,15 @@
         value.placed.capacity.avoided,
         whole(value.placed.capacity.max_free_tokens),
         to_json(value.placed.capacity.forecast)};
-    const bool denied = value.placed.denial != policy::capacity_denial::none;
-    if (value.servers.empty() && !denied)
+    const bool decided = value.placed.denial != policy::capacity_denial::none ||
+                         value.placed.plain;
+    if (value.servers.empty() && !decided)
         return row;
     json servers = json::array();
     for (const traffic::versioned_server& versioned : value.servers)
         servers.push_back(to_json(versioned));
     row.push_back(std::move(servers));
-    if (denied)
+    if (decided)
         row.push_back(denial_to_json(value.placed));
     return row;
 }
@@ -238,6 +269,28 @@
     return value;
 }
 
+json to_json(const policy::observed_call_map& calls) {
+    json rows = json::array();
+    for (const auto& [id, observed] : calls)
+        rows.push_back(
+            {id, observed.calls, whole(observed.slot_ms),
+             whole(observed.delay_ms)});
+    return rows;
+}
+
+policy::observed_call_map call_times_from(const json& rows) {
+    policy::observed_call_map calls;
+    for (const json& row : peers::bounded(rows)) {
+        const policy::observed_calls observed{
+            row.at(1).get<int>(), number(row.at(2)), number(row.at(3))};
+        if (observed.calls <= 0 || observed.slot_ms < 0.0 ||
+            observed.delay_ms < 0.0)
+            throw json::other_error::create(501, "no time of calls", &row);
+        calls[row.at(0).get<std::string>()] = observed;
+    }
+    return calls;
+}
+
 json to_json(const load_report& value) {
     json rates = json::array();
     for (const observed_rate& rate : value.rates)
@@ -245,12 +298,14 @@
     json row = {
         report_format, peers::loads_to_json(value.loads),
         peers::warnings_to_json(value.avoided), rates};
-    if (value.results.empty())
+    if (value.results.empty() && value.call_times.empty())
         return row;
     json results = json::array();
     for (const auto& [id, counts] : value.results)
         results.push_back({id, counts.good, counts.bad, counts.rejected});
     row.push_back(std::move(results));
+    if (!value.call_times.empty())
+        row.push_back(to_json(value.call_times));
     return row;
 }
 
@@ -273,6 +328,8 @@
         return value;
     for (const json& entry : peers::bounded(row[results_element]))
         value.results[entry.at(0).get<std::string>()] = counts_from(entry);
+    if (row.size() > call_times_element)
+        value.call_times = call_times_from(row[call_times_element]);
     return value;
 }
 
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -35,6 +35,8 @@
     policy::capacity_denial denial = policy::capacity_denial::none;
     /// The shortest wait of the domains that denied a plain call.
     std::optional<base::milliseconds> expected_wait;
+    /// What the last domain that denied a plain call expected of it.
+    std::optional<policy::plain_forecast> plain;
     std::string asked_host; ///< The scheduler whose answer is awaited.
     int tries = 0;          ///< In the current domain.
     event::timer answer_timer;
@@ -92,6 +94,7 @@
             placed.capacity = entry.capacity_seen;
             placed.denial = entry.denial;
             placed.expected_wait = entry.expected_wait;
+            placed.plain = entry.plain;
             finish(number, placed);
             return;
         }
@@ -161,6 +164,8 @@
             entry.capacity_seen.forecast, placed.capacity.forecast);
         if (placed.denial != policy::capacity_denial::none)
             entry.denial = placed.denial;
+        if (placed.plain)
+            entry.plain = placed.plain;
         if (placed.expected_wait)
             entry.expected_wait = std::min(
                 *placed.expected_wait,
@@ -273,6 +278,13 @@
             policy::note_prefill_rate(
                 context.state.prefill_rates, observed.id, observed.rate);
         policy::note_peer_results(context.state.health, report.results, now());
+        if (!context.state.capacity_sharing)
+            return;
+        policy::note_reported_times(
+            context.state.plain_times, report.call_times, now());
+        for (const auto& [id, counts] : report.results)
+            policy::note_rejections(
+                context.state.plain_times, id, counts.rejected);
     }
 
     relay::router_context& context;
--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -158,3 +158,52 @@
     cr_assert(got.value.slots == 12 && got.value.born == 77);
     cr_assert(got.value.phase == engine.phase);
 }
+
+// Guards against times that are lost on the way, and against a new element for
+// receivers of groups that do not share capacity.
+Test(scheduling_messages, times_of_plain_calls_round_trip) {
+    load_report sent;
+    sent.loads["i"] = {3, 0.0, 0.0};
+    const std::string without = encode(sent);
+    sent.call_times["i"] = {5, 301.0, 40.0};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<load_report>(*value);
+    cr_assert(got.results.empty());
+    cr_assert(got.call_times.size() == 1);
+    cr_assert(got.call_times.at("i").calls == 5);
+    cr_assert(got.call_times.at("i").slot_ms == 301.0);
+    cr_assert(got.call_times.at("i").delay_ms == 40.0);
+    cr_assert(got.loads.at("i").calls == 3);
+    sent.call_times.clear();
+    cr_assert(encode(sent) == without, "no new element");
+    sent.call_times["i"] = {0, 301.0, 0.0};
+    cr_assert(!decode(encode(sent)).ok(), "no calls");
+    sent.call_times["i"] = {5, -1.0, 0.0};
+    cr_assert(!decode(encode(sent)).ok(), "negative time");
+}
+
+// Guards against an admitted call that reads as denied, and against an instance
+// that cannot tell the time in the queue from the time in the slot.
+Test(scheduling_messages, plain_forecast_round_trip) {
+    placement_answer sent{9, true, {"i", "", 0.0}};
+    sent.placed.plain =
+        policy::plain_forecast{7, base::milliseconds(61), std::nullopt};
+    const auto admitted = decode(encode(sent));
+    cr_assert(admitted.ok());
+    const auto& got = std::get<placement_answer>(*admitted).placed;
+    cr_assert(got.denial == policy::capacity_denial::none);
+    cr_assert(got.server == "i" && !got.expected_wait);
+    cr_assert(got.plain && got.plain->calls_ahead == 7);
+    cr_assert(got.plain->service == base::milliseconds(61));
+    cr_assert(!got.plain->service_age);
+    sent.placed.server.clear();
+    sent.placed.denial = policy::capacity_denial::late;
+    sent.placed.expected_wait = base::milliseconds(33);
+    sent.placed.plain->service_age = base::milliseconds(12);
+    const auto denied = decode(encode(sent));
+    const auto& refused = std::get<placement_answer>(*denied).placed;
+    cr_assert(refused.denial == policy::capacity_denial::late);
+    cr_assert(refused.expected_wait == base::milliseconds(33));
+    cr_assert(refused.plain->service_age == base::milliseconds(12));
+}
--- a/libs/mintknotd-platform/scheduling/tests/test_remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_remote_placer.cpp
@@ -359,3 +359,138 @@
     cr_assert(answer.servers[0].value.id == "d");
     cr_assert(answer.servers[0].version == b.version);
 }
+
+namespace {
+
+/// Adds a plain server with two slots to the service `app`.
+void add_plain(placer_fixture& b, const std::string& id) {
+    traffic::server row;
+    row.id = id;
+    row.service = "app";
+    row.slots = 2;
+    row.data_centre = "a";
+    traffic::apply(b.f.context.state.servers, id, ++b.version, row);
+}
+
+/// @return the scheduler's answer to a plain call with a target of 300 ms.
+policy::placement answer_to_plain(placer_fixture& b) {
+    placement_request request;
+    request.number = 1;
+    request.query.service = "app";
+    request.query.data_centre = "a";
+    request.query.claim.emplace().target_left = base::milliseconds(300);
+    b.placer.receive("asker", encode(request));
+    return std::get<placement_answer>(b.sent.back().value).placed;
+}
+
+/// Makes the instance one that has been a scheduler for a while, and so knows
+/// what is in flight.
+void settle(placer_fixture& b) {
+    auto& plain = b.f.context.state.admissions[{"app", ""}].plain;
+    plain.began = b.f.owner.now() - std::chrono::seconds(2);
+    plain.last_call = b.f.owner.now();
+}
+
+load_report report_of(int calls, int rejected) {
+    load_report report;
+    report.loads["i"] = {calls, 0.0, 0.0};
+    report.results["i"] = {8, 0, rejected};
+    report.call_times["i"] = {8, 480.0, 0.0};
+    return report;
+}
+
+} // namespace
+
+// Guards against a scheduler that does not use the times that instances report:
+// with the default of 50 ms it would send more calls.
+Test(remote_placer, scheduler_denies_calls_by_reported_times) {
+    placer_fixture b({"own"});
+    b.f.context.state.capacity_sharing = true;
+    add_plain(b, "i");
+    settle(b);
+    b.placer.receive("asker", encode(report_of(2, 0)));
+    int sent = 0;
+    policy::placement last;
+    while ((last = answer_to_plain(b)).denial == policy::capacity_denial::none)
+        cr_assert(++sent < 100);
+    cr_assert(last.denial == policy::capacity_denial::late);
+    cr_assert(last.server.empty() && last.expected_wait);
+    cr_assert(last.plain->service == base::milliseconds(60));
+    // Of 300 ms, 60 ms are for the slot, and each call ahead takes 30 ms.
+    cr_assert(sent == 8, "%d", sent);
+}
+
+// Guards against calls that go on to a server which rejects them as full.
+Test(remote_placer, scheduler_limits_a_server_by_reported_rejections) {
+    placer_fixture b({"own"});
+    b.f.context.state.capacity_sharing = true;
+    add_plain(b, "i");
+    settle(b);
+    b.placer.receive("asker", encode(report_of(2, 0)));
+    cr_assert(answer_to_plain(b).server == "i", "the queue seems free");
+    b.placer.receive("asker", encode(report_of(3, 2)));
+    const policy::placement denied = answer_to_plain(b);
+    cr_assert(denied.denial == policy::capacity_denial::no_capacity);
+}
+
+// Guards against a change of decisions where capacity is not shared.
+Test(remote_placer, observations_are_ignored_unless_capacity_is_shared) {
+    placer_fixture b({"own"});
+    add_plain(b, "i");
+    b.placer.receive("asker", encode(report_of(2, 2)));
+    cr_assert(b.f.context.state.plain_times.by_id.empty());
+}
+
+// Guards against times that reach no scheduler, or are sent where capacity is
+// not shared.
+Test(
+    remote_placer, times_of_plain_calls_are_reported_while_capacity_is_shared) {
+    for (const bool shared : {true, false}) {
+        placer_fixture b({"x"});
+        b.f.context.state.capacity_sharing = shared;
+        b.f.context.state.on_load_change = [&] { b.placer.loads_changed(); };
+        add_plain(b, "i");
+        relay::add_load(b.f.context, "i", {2, 0.0, 0.0});
+        policy::note_call_time(
+            b.f.context.state.plain_times, "i", base::milliseconds(90), 1, 2,
+            b.f.owner.now());
+        relay::remove_load(b.f.context, "i", {1, 0.0, 0.0});
+        b.f.run_until([&] { return !b.sent.empty(); });
+        const auto& report = std::get<load_report>(b.sent.at(0).value);
+        cr_assert(report.call_times.size() == (shared ? 1 : 0));
+        // Half of the time that the slots took was spent in the queue.
+        cr_assert(!shared || report.call_times.at("i").slot_ms == 60.0);
+    }
+}
+
+// Guards against a call that is sent in spite of its denial, because plain
+// servers of other data centres are asked for a free slot first.
+Test(remote_placer, a_denial_by_all_data_centres_is_final) {
+    placer_fixture b({"x"});
+    b.f.context.options.data_centre = "a";
+    b.f.context.state.capacity_sharing = true;
+    for (int i = 0; i < 13; ++i)
+        for (const char* place : {"a", "b"}) {
+            traffic::server row;
+            row.id = fmt::format("{}{}", place, i);
+            row.service = "app";
+            row.data_centre = place;
+            traffic::apply(b.f.context.state.servers, row.id, ++b.version, row);
+        }
+    policy::placement_query query;
+    query.service = "app";
+    query.claim.emplace();
+    const auto ticket = b.placer.request_placement(
+        query, [&](const policy::placement& placed) { b.got = placed; });
+    placement_answer denied{0, true, {}};
+    denied.placed.denial = policy::capacity_denial::late;
+    for (std::size_t domain = 0; domain < 2; ++domain) {
+        denied.placed.expected_wait = base::milliseconds(domain == 0 ? 90 : 40);
+        b.f.run_until([&] { return b.sent.size() > domain; });
+        denied.number = number_of(b.sent.at(domain));
+        b.placer.receive("x", encode(denied));
+    }
+    cr_assert(b.got && b.got->server.empty());
+    cr_assert(b.got->denial == policy::capacity_denial::late);
+    cr_assert(b.got->expected_wait == base::milliseconds(40), "the shortest");
+}
