Test of a rejected call without a retry; a long function is split

Change: the test, with and without capacity sharing; the end of a request that no domain has placed is a function of its own.

--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -391,3 +391,18 @@
     cr_assert(seen.status == 503);
     cr_assert(seen.body != "no_capacity\n", "%s", seen.body.c_str());
 }
+
+// Guards against the fixed return time of a call that servers rejected as full
+// and that has no retry left.
+Test(plain_exchange, a_rejected_call_without_retry_is_refused_for_capacity) {
+    for (const bool shared : {true, false}) {
+        relay_fixture f;
+        f.context.state.capacity_sharing = shared;
+        f.context.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
+        f.add_server("i1", "app", plain, rejecting());
+        const caller_view seen = f.ask(request("/unsafe/x"));
+        cr_assert(seen.status == 503);
+        cr_assert(
+            seen.body == (shared ? "no_capacity\n" : "server_rejected\n"));
+    }
+}
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -88,14 +88,7 @@
             return;
         pending_placement& entry = *found->second;
         if (entry.remaining_domains.empty()) {
-            policy::placement placed;
-            if (entry.denial == policy::capacity_denial::none)
-                placed = place_anywhere(entry.query);
-            placed.capacity = entry.capacity_seen;
-            placed.denial = entry.denial;
-            placed.expected_wait = entry.expected_wait;
-            placed.plain = entry.plain;
-            finish(number, placed);
+            finish_without_domain(number, entry);
             return;
         }
         const std::string host =
@@ -125,6 +118,19 @@
         });
     }
 
+    /// Finishes a request that no domain has placed.
+    void finish_without_domain(
+        std::uint64_t number, const pending_placement& entry) {
+        policy::placement placed;
+        if (entry.denial == policy::capacity_denial::none)
+            placed = place_anywhere(entry.query);
+        placed.capacity = entry.capacity_seen;
+        placed.denial = entry.denial;
+        placed.expected_wait = entry.expected_wait;
+        placed.plain = entry.plain;
+        finish(number, placed);
+    }
+
     bool holds_rows() const { return !context.state.servers.partial; }
 
     int tries_allowed() const {
