--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -35,6 +35,8 @@
     policy::capacity_denial denial = policy::capacity_denial::none;
     /// The shortest wait of the domains that denied a plain call.
     std::optional<base::milliseconds> expected_wait;
+    /// What the last domain that denied a plain call expected of it.
+    std::optional<policy::plain_forecast> plain;
     std::string asked_host; ///< The scheduler whose answer is awaited.
     int tries = 0;          ///< In the current domain.
     event::timer answer_timer;
@@ -86,13 +88,7 @@
             return;
         pending_placement& entry = *found->second;
         if (entry.remaining_domains.empty()) {
-            policy::placement placed;
-            if (entry.denial == policy::capacity_denial::none)
-                placed = place_anywhere(entry.query);
-            placed.capacity = entry.capacity_seen;
-            placed.denial = entry.denial;
-            placed.expected_wait = entry.expected_wait;
-            finish(number, placed);
+            finish_without_domain(number, entry);
             return;
         }
         const std::string host =
@@ -122,6 +118,19 @@
         });
     }
 
+    /// Finishes a request that no domain has placed.
+    void finish_without_domain(
+        std::uint64_t number, const pending_placement& entry) {
+        policy::placement placed;
+        if (entry.denial == policy::capacity_denial::none)
+            placed = place_anywhere(entry.query);
+        placed.capacity = entry.capacity_seen;
+        placed.denial = entry.denial;
+        placed.expected_wait = entry.expected_wait;
+        placed.plain = entry.plain;
+        finish(number, placed);
+    }
+
     bool holds_rows() const { return !context.state.servers.partial; }
 
     int tries_allowed() const {
@@ -161,6 +170,8 @@
             entry.capacity_seen.forecast, placed.capacity.forecast);
         if (placed.denial != policy::capacity_denial::none)
             entry.denial = placed.denial;
+        if (placed.plain)
+            entry.plain = placed.plain;
         if (placed.expected_wait)
             entry.expected_wait = std::min(
                 *placed.expected_wait,
@@ -273,6 +284,13 @@
             policy::note_prefill_rate(
                 context.state.prefill_rates, observed.id, observed.rate);
         policy::note_peer_results(context.state.health, report.results, now());
+        if (!context.state.capacity_sharing)
+            return;
+        policy::note_reported_times(
+            context.state.plain_times, report.call_times, now());
+        for (const auto& [id, counts] : report.results)
+            policy::note_rejections(
+                context.state.plain_times, id, counts.rejected);
     }
 
     relay::router_context& context;
