Memory profile of streams: admission by what engines will hold

Cause: one number for a stream's memory refuses streams that would fit and admits others that make an engine run out of memory. Change: services with large events, while capacity is shared, count each stream's memory over its life: policy/memory_profile and output_lengths, relay/stream_tracker, profiles in load reports, heartbeats and placement requests, the engine's forecast in placement answers, log fields and a metric.

--- a/libs/mintknotd-platform/logging/include/mintknot/logging/line_log.hpp
+++ b/libs/mintknotd-platform/logging/include/mintknot/logging/line_log.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace mintknot::logging {
 
@@ -43,6 +44,10 @@
 
     void write(std::string_view event, std::initializer_list<log_field> fields);
 
+    /// The same for fields that are collected at run time.
+    void
+    write_fields(std::string_view event, const std::vector<log_field>& fields);
+
     std::uint64_t left_out() const noexcept;
 
 private:
--- a/libs/mintknotd-platform/logging/src/line_log.cpp
+++ b/libs/mintknotd-platform/logging/src/line_log.cpp
@@ -66,6 +66,11 @@
 
 void line_log::write(
     std::string_view event, std::initializer_list<log_field> fields) {
+    write_fields(event, std::vector<log_field>(fields));
+}
+
+void line_log::write_fields(
+    std::string_view event, const std::vector<log_field>& fields) {
     if (!impl_->take_token()) {
         ++impl_->left_out;
         return;
--- a/libs/mintknotd-platform/peers/src/message_parts.cpp
+++ b/libs/mintknotd-platform/peers/src/message_parts.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/peers/message_parts.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace mintknot::peers {
@@ -12,12 +14,72 @@
 /// As the JSON library numbers its own errors of this kind.
 constexpr int error_number = 501;
 
+/// Index of the profile in a load that has one.
+constexpr std::size_t profile_element = 4;
+/// Unit of the values of a profile, in tokens.
+constexpr double profile_unit = 64.0;
+
 double number(const json& value) {
     return static_cast<double>(value.get<std::int64_t>());
 }
 
+std::int64_t in_units(double tokens) {
+    return std::max<std::int64_t>(0, std::llround(tokens / profile_unit));
+}
+
+json load_to_json(const std::string& id, const traffic::server_load& load) {
+    json row = {
+        id, load.calls, std::llround(load.prefill_tokens),
+        std::llround(load.memory_tokens)};
+    if (load.profile.present())
+        row.push_back(profile_to_json(load.profile));
+    return row;
+}
+
+traffic::server_load load_from(const json& row) {
+    traffic::server_load load{
+        row.at(1).get<int>(), number(row.at(2)), number(row.at(3))};
+    if (row.size() <= profile_element)
+        return load;
+    load.profile = profile_from(row[profile_element]);
+    load.profile.covered = load.memory_tokens;
+    return load;
+}
+
 } // namespace
 
+json profile_to_json(const traffic::memory_profile& profile) {
+    std::vector<std::int64_t> values{in_units(profile.highest.back())};
+    for (const double tokens : profile.mean)
+        values.push_back(in_units(tokens));
+    for (std::size_t i = 1; i < traffic::memory_profile::points; ++i)
+        values.push_back(
+            in_units(std::sqrt(std::max(0.0, profile.variance[i]))));
+    while (!values.empty() && values.back() == 0)
+        values.pop_back();
+    return values;
+}
+
+traffic::memory_profile profile_from(const json& row) {
+    constexpr std::size_t points = traffic::memory_profile::points;
+    std::array<double, 2 * points> values{};
+    for (std::size_t i = 0; i < std::min(row.size(), values.size()); ++i)
+        values[i] = std::max(0.0, number(row.at(i))) * profile_unit;
+    traffic::memory_profile profile;
+    for (std::size_t i = 0; i < points; ++i) {
+        const double part =
+            static_cast<double>(i) / static_cast<double>(points - 1);
+        profile.mean[i] = values[i + 1];
+        if (i > 0)
+            profile.variance[i] = values[points + i] * values[points + i];
+        // Streams that run grow evenly.
+        profile.highest[i] = std::max(
+            profile.mean[i],
+            profile.mean[0] + part * (values[0] - profile.mean[0]));
+    }
+    return profile;
+}
+
 const json& bounded(const json& rows) {
     if (!rows.is_array() || rows.size() > max_entries)
         throw json::other_error::create(
@@ -28,17 +90,14 @@
 json loads_to_json(const traffic::load_map& loads) {
     json rows = json::array();
     for (const auto& [id, load] : loads)
-        rows.push_back(
-            {id, load.calls, std::llround(load.prefill_tokens),
-             std::llround(load.memory_tokens)});
+        rows.push_back(load_to_json(id, load));
     return rows;
 }
 
 traffic::load_map loads_from(const json& rows) {
     traffic::load_map loads;
     for (const json& row : bounded(rows))
-        loads[row.at(0).get<std::string>()] = {
-            row.at(1).get<int>(), number(row.at(2)), number(row.at(3))};
+        loads[row.at(0).get<std::string>()] = load_from(row);
     return loads;
 }
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_forecast.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_forecast.hpp
@@ -20,6 +20,9 @@
     double free = 0.0;               ///< Available for new requests.
     double held = 0.0;               ///< Reserved by running requests.
     base::milliseconds usable_in{0}; ///< Time until it is no longer avoided.
+    /// Time until the request fits by the memory profile of the engine's
+    /// streams (memory_profile.hpp); nothing: by `free` and `held`.
+    std::optional<base::milliseconds> fits_in{};
 };
 
 /// The forecast for one request.
@@ -33,7 +36,8 @@
 
 /// Forecasts the wait of a request. Requests end independently of each other,
 /// so in a given time an engine releases the memory that it holds, times that
-/// time divided by the mean hold time.
+/// time divided by the mean hold time. Where the profile of an engine tells
+/// when the request will fit, the forecast follows it.
 /// @param needed tokens of the request.
 /// @param mean_hold_time mean time for which a request holds its memory.
 capacity_forecast forecast_capacity(
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/engine_needs.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/engine_needs.hpp
@@ -17,6 +17,10 @@
     std::optional<double> expected_output; ///< The caller's own estimate.
 };
 
+/// @return the output that a request is expected to have: the caller's estimate
+/// or a part of the maximum.
+double expected_output(const request_size& size);
+
 /// @return the tokens of decode memory to reserve: the prompt and a part of the
 /// output. Running requests are at different points of their output, so that
 /// each holds about half of it on average. Reserving 0.6 instead of 0.8 of the
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
@@ -42,16 +42,31 @@
     excluded_servers excluded_prefill; ///< Prefill engines.
     /// Some of the servers to which the instance has idle connections.
     std::set<std::string> connected;
+    /// Memory that the stream is expected to hold from now on, for services
+    /// with large events while capacity is shared (memory_profile.hpp).
+    std::optional<traffic::memory_profile> profile;
     /// Who asks; only while capacity is shared (capacity_sharing.hpp).
     std::optional<capacity_claim> claim;
 };
 
+/// Forecast of the memory of a decode engine.
+struct engine_outlook {
+    double peak_tokens = 0.0; ///< With the margin of memory_profile.hpp.
+    base::milliseconds peak_in{0};
+    /// Age of the last report of another instance about the engine's streams;
+    /// nothing: there is none.
+    std::optional<base::milliseconds> report_age;
+};
+
 /// The servers chosen for a request.
 struct placement {
     std::string server;  ///< Plain or decode; empty: none is free.
     std::string prefill; ///< Empty: the decode engine reads the prompt.
     /// Queued at the prefill engine before this prompt.
     double tokens_ahead = 0.0;
+    /// Forecast of the chosen decode engine, with the request, for a request
+    /// with a profile; nothing: not known.
+    std::optional<engine_outlook> outlook;
     /// State of the decode engines if none was free.
     capacity_summary capacity;
     /// Why a request with a claim got no server.
@@ -70,6 +85,12 @@
 placement
 choose_servers(const selection_inputs& inputs, const placement_query& query);
 
+/// @return what a query requires of a decode engine.
+/// @param data_centre of the prefill engine, or empty.
+decode_request decode_request_of(
+    const selection_inputs& inputs, const placement_query& query,
+    const std::string& data_centre);
+
 /// Excludes the servers that this instance avoids from a query that goes to a
 /// scheduler: the path from here to a server may be broken while that of the
 /// scheduler is not. If these are more than half of the servers, or more than
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
@@ -21,6 +21,7 @@
 #include <mintknot/traffic/server_table.hpp>
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -65,8 +66,26 @@
     double memory_tokens = 0.0;
     double memory_share = 1.0; ///< Usable part of an engine's memory.
     std::string data_centre;   ///< Of the prefill engine, or empty.
+    /// Expected memory from now on (memory_profile.hpp). If given, the request
+    /// must fit until its end, and memory_tokens does not count.
+    std::optional<traffic::memory_profile> profile{};
 };
 
+/// The memory of an engine as a request sees it.
+struct memory_use {
+    double before = 0.0; ///< Held or reserved by the requests in flight.
+    double after = 0.0;  ///< The same with the request, at its highest.
+    double usable = 0.0; ///< What may be held with the request.
+    base::milliseconds peak_in{0}; ///< Time until the highest point.
+};
+
+/// @return the memory that requests hold on an engine without and with another
+/// one: the sum of the reservations or, if the request has a profile, the
+/// forecast over its life.
+memory_use memory_use_of(
+    const selection_inputs& inputs, const traffic::server_load& load,
+    const decode_request& wanted);
+
 /// @return the decode engine with the most free memory or, if all are nearly
 /// full, the fullest one that can still take the request; null if none can.
 const traffic::server* select_decode(
--- a/libs/mintknotd-platform/policy/src/capacity_forecast.cpp
+++ b/libs/mintknotd-platform/policy/src/capacity_forecast.cpp
@@ -14,6 +14,8 @@
 /// @return the wait at one engine; nothing if it can never take the request.
 std::optional<base::milliseconds>
 wait_at(const engine_memory& engine, double needed, double rate) {
+    if (engine.fits_in)
+        return std::max(engine.usable_in, *engine.fits_in);
     const double missing = needed - engine.free;
     if (missing <= 0.0)
         return engine.usable_in;
--- a/libs/mintknotd-platform/policy/src/domain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/domain_admission.cpp
@@ -12,7 +12,8 @@
 }
 
 /// Sums up the free memory of the decode engines that take requests now.
-domain_capacity decode_capacity(const selection_inputs& inputs) {
+domain_capacity
+decode_capacity(const selection_inputs& inputs, const placement_query& query) {
     domain_capacity capacity;
     if (!inputs.service.engine)
         return capacity;
@@ -20,6 +21,11 @@
         static_cast<double>(inputs.service.engine->memory_tokens);
     const auto hold = static_cast<double>(
         std::max(inputs.mean_hold_time, base::milliseconds{1}).count());
+    // Without a memory of its own the request shows what the others take.
+    decode_request others = decode_request_of(inputs, query, {});
+    others.memory_tokens = 0.0;
+    if (others.profile)
+        others.profile = traffic::memory_profile{};
     for (const traffic::server* engine :
          traffic::open_servers(inputs.servers, inputs.service.name)) {
         const bool in_domain = inputs.only_data_centre.empty() ||
@@ -27,11 +33,12 @@
         if (!in_domain || engine->phase == traffic::engine_phase::prefill ||
             is_avoided(inputs.health, engine->id, inputs.now))
             continue;
-        const double held =
-            traffic::total(inputs.loads, engine->id).memory_tokens;
+        const memory_use use = memory_use_of(
+            inputs, traffic::total(inputs.loads, engine->id), others);
         capacity.total += memory;
-        capacity.free += std::max(0.0, memory - held);
-        capacity.release_rate += held / hold;
+        const double usable = others.profile ? use.usable : memory;
+        capacity.free += std::max(0.0, usable - use.after);
+        capacity.release_rate += use.before / hold;
     }
     return capacity;
 }
@@ -64,8 +71,8 @@
     placement result;
     result.denial = why;
     if (!is_plain(query))
-        result.capacity = summarize_capacity(
-            inputs, {query.memory_tokens, usable_memory_share, {}});
+        result.capacity =
+            summarize_capacity(inputs, decode_request_of(inputs, query, {}));
     return result;
 }
 
@@ -79,7 +86,7 @@
     const domain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query) {
     return is_plain(query) ? plain_capacity(state.plain, inputs)
-                           : decode_capacity(inputs);
+                           : decode_capacity(inputs, query);
 }
 
 placement place_claim(
--- a/libs/mintknotd-platform/policy/src/engine_needs.cpp
+++ b/libs/mintknotd-platform/policy/src/engine_needs.cpp
@@ -14,11 +14,14 @@
 
 } // namespace
 
-double memory_needed(const request_size& size) {
-    const double expected = std::min(
+double expected_output(const request_size& size) {
+    return std::min(
         size.max_output,
         size.expected_output.value_or(size.max_output * default_output_share));
-    return size.prompt + reserved_output_share * expected;
+}
+
+double memory_needed(const request_size& size) {
+    return size.prompt + reserved_output_share * expected_output(size);
 }
 
 base::milliseconds prefill_time_limit(
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -28,6 +28,16 @@
     return result;
 }
 
+engine_outlook outlook_of(
+    const selection_inputs& inputs, const traffic::server& engine,
+    const decode_request& wanted) {
+    const memory_use use =
+        memory_use_of(inputs, traffic::total(inputs.loads, engine.id), wanted);
+    return {
+        use.after, use.peak_in,
+        traffic::profile_age(inputs.loads, engine.id, inputs.now)};
+}
+
 /// Most servers that a query excludes; bounds the size of the datagram.
 constexpr std::size_t max_excluded = 32;
 
@@ -43,9 +53,9 @@
             ? select_prefill(
                   inputs, query.excluded_prefill, query.prompt_tokens)
             : nullptr;
-    const decode_request wanted{
-        query.memory_tokens, usable_memory_share,
-        prefill == nullptr ? std::string() : prefill->data_centre};
+    const decode_request wanted = decode_request_of(
+        inputs, query,
+        prefill == nullptr ? std::string() : prefill->data_centre);
     const traffic::server* decode = choose_decode(inputs, query, wanted);
     placement result;
     if (decode == nullptr) {
@@ -53,6 +63,8 @@
         return result;
     }
     result.server = decode->id;
+    if (wanted.profile)
+        result.outlook = outlook_of(inputs, *decode, wanted);
     if (prefill != nullptr &&
         expected_prefill_time(inputs, *prefill, query.prompt_tokens) <
             query.max_prefill_time) {
@@ -63,6 +75,17 @@
     return result;
 }
 
+decode_request decode_request_of(
+    const selection_inputs& inputs, const placement_query& query,
+    const std::string& data_centre) {
+    decode_request wanted{
+        query.memory_tokens, usable_memory_share, data_centre, query.profile};
+    // On the wire the points of a profile count from its arrival.
+    if (wanted.profile)
+        wanted.profile->start = inputs.now;
+    return wanted;
+}
+
 void exclude_avoided(
     placement_query& query, const traffic::server_table& servers,
     const health_view& health, base::steady_time now) {
@@ -125,7 +148,10 @@
     traffic::load_map loads;
     if (placed.server.empty())
         return loads;
-    loads[placed.server] = {1, 0.0, query.memory_tokens};
+    traffic::server_load& decode = loads[placed.server];
+    decode = {1, 0.0, query.memory_tokens};
+    if (query.profile)
+        decode.profile = *query.profile;
     if (!placed.prefill.empty())
         loads[placed.prefill] = {1, query.prompt_tokens, 0.0};
     return loads;
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/policy/selection.hpp>
 
 #include <mintknot/policy/group.hpp>
+#include <mintknot/policy/memory_profile.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -212,27 +213,64 @@
     return held <= spread_share ? held : spread_share + (1.0 - held);
 }
 
+double engine_memory_of(const selection_inputs& inputs) {
+    return inputs.service.engine
+               ? static_cast<double>(inputs.service.engine->memory_tokens)
+               : 0.0;
+}
+
+/// @return the memory of one engine for the forecast.
+engine_memory memory_for_forecast(
+    const selection_inputs& inputs, const traffic::server_load& load,
+    const decode_request& wanted) {
+    const memory_use use = memory_use_of(inputs, load, wanted);
+    engine_memory memory{use.usable - use.before, use.before};
+    if (!wanted.profile)
+        return memory;
+    memory.fits_in =
+        time_until_fit(load, *wanted.profile, use.usable, inputs.now);
+    // Beyond the time of the profile: what is missing, at the release rate.
+    memory.free = use.usable - use.after + wanted.memory_tokens;
+    return memory;
+}
+
 } // namespace
 
+memory_use memory_use_of(
+    const selection_inputs& inputs, const traffic::server_load& load,
+    const decode_request& wanted) {
+    const double memory = engine_memory_of(inputs);
+    if (!wanted.profile)
+        return {
+            load.memory_tokens, load.memory_tokens + wanted.memory_tokens,
+            memory * wanted.memory_share};
+    const memory_peak peak = forecast_peak(load, *wanted.profile, inputs.now);
+    // Without a scheduler another instance may take the same memory before its
+    // load is reported.
+    const double unreported = inputs.all_loads_known || inputs.instances <= 1
+                                  ? 0.0
+                                  : wanted.memory_tokens;
+    return {
+        expected_memory(load, inputs.now), peak.tokens,
+        memory * profiled_memory_share - unreported, peak.in};
+}
+
 const traffic::server* select_decode(
     const selection_inputs& inputs, const excluded_servers& excluded,
     const decode_request& wanted) {
-    const double memory =
-        inputs.service.engine
-            ? static_cast<double>(inputs.service.engine->memory_tokens)
-            : 0.0;
+    const double memory = engine_memory_of(inputs);
     return best_of(
         inputs, excluded, decode_phase, [&](const traffic::server& candidate) {
             const traffic::server_load load =
                 traffic::total(inputs.loads, candidate.id);
             if (load.calls >= candidate.slots)
                 return not_eligible;
-            const double after = load.memory_tokens + wanted.memory_tokens;
+            const memory_use use = memory_use_of(inputs, load, wanted);
             if (memory > 0.0 && load.memory_tokens > 0.0 &&
-                after > memory * wanted.memory_share)
+                use.after > use.usable)
                 return not_eligible;
             double score =
-                memory > 0.0 ? packing_score(after / memory) : load.calls;
+                memory > 0.0 ? packing_score(use.after / memory) : load.calls;
             if (candidate.data_centre != inputs.own_data_centre)
                 score += decode_distance_cost;
             if (!wanted.data_centre.empty() &&
@@ -249,25 +287,24 @@
     const selection_inputs& inputs, const decode_request& wanted) {
     capacity_summary summary;
     std::vector<engine_memory> memories;
-    const auto memory = static_cast<double>(
-        inputs.service.engine ? inputs.service.engine->memory_tokens : 0);
+    const double memory = engine_memory_of(inputs);
     for (const traffic::server* engine :
          traffic::open_servers(inputs.servers, inputs.service.name)) {
         if (!decode_phase(engine->phase) || !in_scope(inputs, *engine))
             continue;
         ++summary.engines;
-        const double held =
-            traffic::total(inputs.loads, engine->id).memory_tokens;
+        engine_memory state = memory_for_forecast(
+            inputs, traffic::total(inputs.loads, engine->id), wanted);
         const base::milliseconds unavailable_for = std::max(
             avoided_for(inputs.health, engine->id, inputs.now),
             time_until_token(inputs.health.limits, engine->id, inputs.now));
-        memories.push_back(
-            {memory * wanted.memory_share - held, held, unavailable_for});
+        state.usable_in = unavailable_for;
+        memories.push_back(state);
         if (unavailable_for > base::milliseconds{0})
             ++summary.avoided;
         else
             summary.max_free_tokens =
-                std::max(summary.max_free_tokens, memory - held);
+                std::max(summary.max_free_tokens, memory - state.held);
     }
     summary.forecast = forecast_capacity(
         memories, wanted.memory_tokens, inputs.mean_hold_time);
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -35,6 +35,8 @@
     /// Records how old the server table was when a request was sent to a
     /// server.
     void observe_server_table_age(base::milliseconds age);
+    /// Records the output of a stream over the estimate of its caller.
+    void observe_output_ratio(double ratio);
     void set_gauge(std::string_view name, double value);
 
     /// @return all metrics in the Prometheus text format.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -8,6 +8,7 @@
 #include <mintknot/policy/access.hpp>
 #include <mintknot/policy/admission.hpp>
 #include <mintknot/policy/domain_admission.hpp>
+#include <mintknot/policy/output_lengths.hpp>
 #include <mintknot/policy/phase_demand.hpp>
 #include <mintknot/policy/retry_after.hpp>
 #include <mintknot/policy/retry_allowance.hpp>
@@ -19,6 +20,7 @@
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
+#include <mintknot/relay/stream_tracker.hpp>
 #include <mintknot/relay/usage_limiter.hpp>
 #include <mintknot/relay/wait_queue.hpp>
 #include <mintknot/traffic/configuration.hpp>
@@ -95,6 +97,9 @@
     /// if it never was or if schedulers provide the servers.
     std::optional<base::steady_time> server_table_confirmed;
     traffic::load_view loads;
+    stream_tracker streams; ///< Those whose memory is followed.
+    std::unordered_map<std::string, policy::output_lengths>
+        output_lengths; ///< By service.
     policy::health_view health;
     policy::prefill_rates prefill_rates;
     std::unordered_map<std::string, policy::phase_demand> demands;
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -63,17 +63,19 @@
 }
 
 void generation_exchange::log_decode() const {
-    context_.log.write(
-        "decode", {{"request", request_.terms.id},
-                   {"route", route_.name},
-                   {"server", decode_.server},
-                   {"prefilled_by", kept_.server},
-                   {"with_result", decode_.used_result},
-                   {"placed_by", placed_by_},
-                   {"send", std::int64_t{sends_}},
-                   {"servers_age_ms", server_table_age_ms(context_)},
-                   {"config", static_cast<std::int64_t>(config_->version)},
-                   {"after_ms", since_arrival().count()}});
+    std::vector<logging::log_field> fields{
+        {"request", request_.terms.id},
+        {"route", route_.name},
+        {"server", decode_.server},
+        {"prefilled_by", kept_.server},
+        {"with_result", decode_.used_result},
+        {"placed_by", placed_by_},
+        {"send", std::int64_t{sends_}},
+        {"servers_age_ms", server_table_age_ms(context_)},
+        {"config", static_cast<std::int64_t>(config_->version)},
+        {"after_ms", since_arrival().count()}};
+    add_memory_fields(fields);
+    context_.log.write_fields("decode", fields);
 }
 
 void generation_exchange::send_decode(const traffic::server& engine) {
@@ -126,6 +128,8 @@
         return;
     if (const auto id = traffic::last_event_id(events))
         last_event_ = id;
+    if (decode_.tracked)
+        count_events(events);
     if (!attempts_.answer_begun)
         send_head();
     sink_.data(events);
@@ -191,6 +195,7 @@
         context_, decode_.server, policy::call_result::good, request_.terms.id);
     record_complete_answer();
     record_demand();
+    record_output();
     decode_.call.reset();
     release_decode();
     if (attempts_.answer_begun)
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -67,6 +67,9 @@
                                : policy::placement_kind::decode;
     needs.prompt_tokens = request_.terms.prompt_tokens;
     needs.memory_tokens = memory_needed();
+    if (follows_memory())
+        needs.profile = policy::profile_of(
+            expected_memory(), needs.memory_tokens, context_.loop.now());
     needs.max_prefill_time = policy::prefill_time_limit(
         route_.target_latency, since_arrival(),
         policy::mean_hand_over_time(context_.state.demands[service_.name]));
@@ -105,9 +108,7 @@
     }
     placed_by_ = placed.scheduler_host;
     decode_.server = decode->id;
-    decode_.reserved_tokens = memory_needed();
-    decode_.placed_at = context_.loop.now();
-    add_load(context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
+    reserve_decode(placed);
     const traffic::server* prefill =
         traffic::find(context_.state.servers, placed.prefill);
     if (prefill != nullptr && may_send_to(context_, *prefill) &&
@@ -195,23 +196,28 @@
 void generation_exchange::log_no_capacity(
     const policy::capacity_summary& room,
     std::optional<base::milliseconds> expected) {
-    context_.log.write(
-        "no_room",
-        {{"request", request_.terms.id},
-         {"needs", memory_needed()},
-         {"engines", std::int64_t{room.engines}},
-         {"avoided", std::int64_t{room.avoided}},
-         {"most_room", room.max_free_tokens},
-         {"peers",
-          static_cast<std::int64_t>(context_.state.loads.peers.size())},
-         {"expected_wait_ms", expected.value_or(unknown_wait).count()},
-         {"waited_ms", since_arrival().count()}});
+    std::vector<logging::log_field> fields{
+        {"request", request_.terms.id},
+        {"needs", memory_needed()},
+        {"engines", std::int64_t{room.engines}},
+        {"avoided", std::int64_t{room.avoided}},
+        {"most_room", room.max_free_tokens},
+        {"peers", static_cast<std::int64_t>(context_.state.loads.peers.size())},
+        {"expected_wait_ms", expected.value_or(unknown_wait).count()},
+        {"waited_ms", since_arrival().count()}};
+    add_needs_fields(fields);
+    context_.log.write_fields("no_room", fields);
 }
 
 void generation_exchange::release_decode() {
     if (decode_.server.empty())
         return;
-    remove_load(context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
+    if (decode_.tracked)
+        untrack_stream(context_, *decode_.tracked);
+    else
+        remove_load(
+            context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
+    decode_.tracked.reset();
     decode_.server.clear();
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -62,6 +62,10 @@
         bool used_result = false; ///< The call uses a kept prefill result.
         traffic::event_splitter splitter;
         policy::excluded_servers tried;
+        /// Valid while memory is reserved and the stream is followed.
+        std::optional<std::list<tracked_stream>::iterator> tracked;
+        /// Forecast of the engine's memory when it was chosen.
+        std::optional<policy::engine_outlook> outlook;
     };
 
     void run() override;
@@ -99,7 +103,23 @@
     /// @return false if the allowance is spent; retries taken stay prepaid.
     bool prepay(int retries);
     void release_decode();
+    /// Reserves memory on the decode engine; follows the stream's memory if its
+    /// service has large events.
+    void reserve_decode(const policy::placement& placed);
     double memory_needed() const;
+    /// @return true if the memory of this stream is followed over its life.
+    bool follows_memory() const;
+    policy::output_estimate output_estimate() const;
+    /// @return what is known of the memory that the stream will hold.
+    policy::stream_memory expected_memory() const;
+    /// Counts events, which raise the memory that the stream holds.
+    void count_events(std::string_view events);
+    /// Records and logs the output of a stream that has ended.
+    void record_output();
+    /// Adds to the fields of a log line what the memory forecast says.
+    /// The same for a request without an engine.
+    void add_needs_fields(std::vector<logging::log_field>& fields) const;
+    void add_memory_fields(std::vector<logging::log_field>& fields) const;
 
     /// @param ahead prompt tokens that are queued on the engine before these.
     void start_prefill(const traffic::server& engine, double ahead);
@@ -150,6 +170,8 @@
     prefill_state prefill_;
     kept_result kept_;
     decode_state decode_;
+    double events_ = 0.0; ///< Forwarded; counted if the memory is followed.
+    std::optional<base::steady_time> first_event_at_;
     std::optional<std::uint64_t> last_event_; ///< Last event forwarded.
     std::unique_ptr<wait_queue::ticket> queue_ticket_;
     bool was_queued_ = false; ///< Has waited for capacity before.
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -21,6 +21,12 @@
     return bounds;
 }
 
+const prometheus::Histogram::BucketBoundaries& ratio_buckets() {
+    static const prometheus::Histogram::BucketBoundaries bounds = {
+        0.25, 0.5, 0.7, 1.0, 1.4, 2.0, 4.0};
+    return bounds;
+}
+
 double seconds(base::milliseconds time) {
     return std::chrono::duration<double>(time).count();
 }
@@ -68,6 +74,11 @@
             .Name("mintknot_servers_age_at_send_seconds")
             .Help("Age of the view of the servers at each send.")
             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& output_ratios =
+        prometheus::BuildHistogram()
+            .Name("mintknot_output_over_estimate")
+            .Help("Output of streams over the estimate of their callers.")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges =
         prometheus::BuildGauge()
             .Name("mintknot_state")
@@ -104,6 +115,10 @@
     impl_->server_ages.Add({}, latency_buckets()).Observe(seconds(age));
 }
 
+void relay_metrics::observe_output_ratio(double ratio) {
+    impl_->output_ratios.Add({}, ratio_buckets()).Observe(ratio);
+}
+
 void relay_metrics::set_gauge(std::string_view name, double value) {
     impl_->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -274,6 +274,7 @@
 policy::selection_inputs
 make_selection_inputs(router_context& context, const traffic::service& target) {
     traffic::expire(context.state.loads, context.loop.now());
+    refresh_streams(context);
     policy::selection_inputs inputs{
         context.state.servers,
         context.state.loads,
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -184,6 +184,7 @@
 }
 
 peers::heartbeat instance::impl::describe_here() {
+    relay::refresh_streams(context);
     peers::heartbeat own = describe(context, !placer.active());
     own.configuration = documents.version(state::collection::configuration);
     own.servers = documents.version(state::collection::servers);
--- a/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
+++ b/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
@@ -82,6 +82,7 @@
 
 void load_reporter::send() {
     last_sent_at_ = context_.loop.now();
+    relay::refresh_streams(context_);
     const bool standbys_due =
         last_sent_at_ - standbys_last_sent_at_ >= options_.max_report_interval;
     if (standbys_due)
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -26,6 +26,10 @@
 /// of a request and, in its answer, why it was denied.
 constexpr std::size_t claim_element = 14;
 constexpr std::size_t denial_element = 11;
+/// The memory profile of a stream and, in the answer, the forecast of the
+/// engine; only for services with large events.
+constexpr std::size_t profile_element = 15;
+constexpr std::size_t outlook_element = 12;
 /// Bits of the last element of a claim.
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
@@ -103,6 +107,8 @@
         row.push_back(to_json(query.connected));
     if (query.claim)
         row.push_back(to_json(*query.claim));
+    if (query.claim && query.profile)
+        row.push_back(peers::profile_to_json(*query.profile));
     return row;
 }
 
@@ -130,6 +136,10 @@
         value.query.connected = servers_from(row[connected_element]);
     if (row.size() > claim_element)
         value.query.claim = claim_from(row[claim_element]);
+    if (row.size() > profile_element) {
+        value.query.profile = peers::profile_from(row[profile_element]);
+        value.query.profile->covered = value.query.memory_tokens;
+    }
     return value;
 }
 
@@ -195,6 +205,23 @@
             base::milliseconds(row.at(1).get<std::int64_t>());
 }
 
+/// The peak, the time until it, and the age of the last report, null if there
+/// is none.
+json to_json(const policy::engine_outlook& value) {
+    const json age =
+        value.report_age ? json(value.report_age->count()) : json(nullptr);
+    return {whole(value.peak_tokens), value.peak_in.count(), age};
+}
+
+policy::engine_outlook outlook_from(const json& row) {
+    policy::engine_outlook value;
+    value.peak_tokens = number(row.at(0));
+    value.peak_in = base::milliseconds(row.at(1).get<std::int64_t>());
+    if (!row.at(2).is_null())
+        value.report_age = base::milliseconds(row.at(2).get<std::int64_t>());
+    return value;
+}
+
 json to_json(const placement_answer& value) {
     json row = {
         answer_format,
@@ -208,14 +235,17 @@
         whole(value.placed.capacity.max_free_tokens),
         to_json(value.placed.capacity.forecast)};
     const bool denied = value.placed.denial != policy::capacity_denial::none;
-    if (value.servers.empty() && !denied)
+    const bool has_outlook = value.placed.outlook.has_value();
+    if (value.servers.empty() && !denied && !has_outlook)
         return row;
     json servers = json::array();
     for (const traffic::versioned_server& versioned : value.servers)
         servers.push_back(to_json(versioned));
     row.push_back(std::move(servers));
-    if (denied)
+    if (denied || has_outlook)
         row.push_back(denial_to_json(value.placed));
+    if (has_outlook)
+        row.push_back(to_json(*value.placed.outlook));
     return row;
 }
 
@@ -235,6 +265,8 @@
             value.servers.push_back(server_from(entry));
     if (row.size() > denial_element)
         read_denial(row[denial_element], value.placed);
+    if (row.size() > outlook_element)
+        value.placed.outlook = outlook_from(row[outlook_element]);
     return value;
 }
 
--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
+
 using namespace mintknot;
 using namespace mintknot::scheduling;
 
@@ -158,3 +160,85 @@
     cr_assert(got.value.slots == 12 && got.value.born == 77);
     cr_assert(got.value.phase == engine.phase);
 }
+
+namespace {
+
+traffic::memory_profile profile_of_one_stream() {
+    traffic::memory_profile profile;
+    profile.covered = 8000.0;
+    for (std::size_t i = 0; i < traffic::memory_profile::points; ++i) {
+        const double part = static_cast<double>(i);
+        profile.highest[i] = 5120.0 + 832.0 * part;
+        profile.mean[i] = profile.highest[i] * (1.0 - part / 10.0);
+        profile.variance[i] = 640.0 * part * 640.0 * part;
+    }
+    return profile;
+}
+
+bool similar(double left, double right) {
+    return std::abs(left - right) <= 64.0;
+}
+
+} // namespace
+
+// Guards against a scheduler that takes a stream's memory for constant, and
+// against profiles that take a large part of an instance's link.
+Test(scheduling_messages, memory_profiles_round_trip_in_few_bytes) {
+    load_report sent;
+    sent.loads["d"] = {1, 0.0, 8000.0};
+    const std::size_t without = encode(sent).size();
+    sent.loads["d"].profile = profile_of_one_stream();
+    const std::string datagram = encode(sent);
+    cr_assert(datagram.size() - without <= 24);
+    const auto value = decode(datagram);
+    cr_assert(value.ok());
+    const traffic::memory_profile& got =
+        std::get<load_report>(*value).loads.at("d").profile;
+    cr_assert(got.covered == 8000.0);
+    for (std::size_t i = 0; i < traffic::memory_profile::points; ++i) {
+        const traffic::memory_profile& is = sent.loads["d"].profile;
+        cr_assert(similar(got.mean[i], is.mean[i]));
+        cr_assert(similar(got.highest[i], is.highest[i]));
+        cr_assert(
+            similar(std::sqrt(got.variance[i]), std::sqrt(is.variance[i])));
+    }
+}
+
+// Guards against a request whose profile is lost on the way, or is sent by an
+// instance that shares no capacity.
+Test(scheduling_messages, a_profile_is_sent_behind_the_claim_only) {
+    placement_request sent;
+    sent.query.memory_tokens = 8000.0;
+    const std::string plain = encode(sent);
+    sent.query.profile = profile_of_one_stream();
+    cr_assert(encode(sent) == plain);
+    sent.query.claim.emplace();
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_request>(*value).query;
+    cr_assert(got.claim && got.profile);
+    cr_assert(got.profile->covered == 8000.0);
+    cr_assert(similar(got.profile->mean[3], sent.query.profile->mean[3]));
+    sent.query.profile.reset();
+    const auto without = decode(encode(sent));
+    cr_assert(!std::get<placement_request>(*without).query.profile);
+}
+
+Test(scheduling_messages, the_outlook_of_an_engine_round_trips) {
+    placement_answer sent{7, true, {"d", "", 0}};
+    const std::string without = encode(sent);
+    sent.placed.outlook = {
+        71000.0, base::milliseconds(1500), base::milliseconds(140)};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const policy::placement& got = std::get<placement_answer>(*value).placed;
+    cr_assert(got.server == "d");
+    cr_assert(got.denial == policy::capacity_denial::none);
+    cr_assert(got.outlook.has_value());
+    cr_assert(got.outlook->peak_tokens == 71000.0);
+    cr_assert(got.outlook->peak_in == base::milliseconds(1500));
+    cr_assert(got.outlook->report_age == base::milliseconds(140));
+    sent.placed.outlook.reset();
+    cr_assert(encode(sent) == without);
+    cr_assert(!std::get<placement_answer>(*decode(without)).placed.outlook);
+}
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/load_view.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/load_view.hpp
@@ -4,7 +4,9 @@
 #define MINTKNOT_TRAFFIC_LOAD_VIEW_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/traffic/memory_profile.hpp>
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -15,6 +17,9 @@
     int calls = 0;
     double prefill_tokens = 0.0; ///< Prompt tokens that are still to be read.
     double memory_tokens = 0.0;  ///< KV cache reserved for running requests.
+    /// Memory of the streams that are followed; what it does not cover of
+    /// `memory_tokens` counts as held at all times.
+    memory_profile profile{};
 
     bool empty() const noexcept { return calls <= 0; }
 };
@@ -35,6 +40,8 @@
     load_map own;
     std::unordered_map<std::string, remote> peers;
     load_map of_peers; ///< Sum over all peers, kept by the functions below.
+    /// When a peer last reported a profile, by server.
+    std::unordered_map<std::string, base::steady_time> profiles_reported;
 };
 
 /// How long a peer's last word counts.
@@ -44,12 +51,12 @@
 /// Takes back what add() added; empty entries are dropped.
 void remove(load_view& view, const std::string& id, const server_load& load);
 
-/// Replaces what a peer has in flight.
+/// Replaces what a peer has in flight. The profiles of the loads start now.
 void set_peer(
     load_view& view, const std::string& peer, load_map loads,
     base::steady_time now);
 
-/// Adds to what a peer has in flight.
+/// Adds to what a peer has in flight. The profiles of the loads start now.
 void add_to_peer(
     load_view& view, const std::string& peer, const load_map& loads,
     base::steady_time now);
@@ -60,6 +67,11 @@
 /// @return own and peers' work at a server.
 server_load total(const load_view& view, const std::string& id);
 
+/// @return the age of the last report of a peer that had a profile for the
+/// server; nothing if there is none.
+std::optional<base::milliseconds> profile_age(
+    const load_view& view, const std::string& id, base::steady_time now);
+
 /// @return own work at a server.
 server_load own(const load_view& view, const std::string& id);
 
--- a/libs/mintknotd-platform/traffic/src/load_view.cpp
+++ b/libs/mintknotd-platform/traffic/src/load_view.cpp
@@ -8,6 +8,7 @@
     left.calls += right.calls;
     left.prefill_tokens += right.prefill_tokens;
     left.memory_tokens += right.memory_tokens;
+    left.profile += right.profile;
     return left;
 }
 
@@ -15,6 +16,7 @@
     left.calls -= right.calls;
     left.prefill_tokens -= right.prefill_tokens;
     left.memory_tokens -= right.memory_tokens;
+    left.profile -= right.profile;
     return left;
 }
 
@@ -35,9 +37,23 @@
         from.erase(found);
 }
 
-void take_from_sum(load_map& sum, const load_map& loads) {
-    for (const auto& [id, load] : loads)
-        take(sum, id, load);
+void take_from_sum(load_view& view, const load_map& loads) {
+    for (const auto& [id, load] : loads) {
+        take(view.of_peers, id, load);
+        if (!view.profiles_reported.empty() && !view.of_peers.contains(id))
+            view.profiles_reported.erase(id);
+    }
+}
+
+/// Brings the profiles to the common start, so that their sum can be taken
+/// back exactly.
+void align_profiles(load_map& loads, base::steady_time now) {
+    for (auto& [id, load] : loads) {
+        if (!load.profile.present())
+            continue;
+        load.profile.start = now;
+        load.profile = resampled(load.profile, profile_grid(now));
+    }
 }
 
 } // namespace
@@ -54,17 +70,23 @@
     load_view& view, const std::string& peer, load_map loads,
     base::steady_time now) {
     load_view::remote& known = view.peers[peer];
-    take_from_sum(view.of_peers, known.loads);
+    take_from_sum(view, known.loads);
     known = {std::move(loads), now};
+    align_profiles(known.loads, now);
     add_to_sum(view.of_peers, known.loads);
+    for (const auto& [id, load] : known.loads)
+        if (load.profile.present())
+            view.profiles_reported[id] = now;
 }
 
 void add_to_peer(
     load_view& view, const std::string& peer, const load_map& loads,
     base::steady_time now) {
     load_view::remote& known = view.peers[peer];
-    add_to_sum(known.loads, loads);
-    add_to_sum(view.of_peers, loads);
+    load_map aligned = loads;
+    align_profiles(aligned, now);
+    add_to_sum(known.loads, aligned);
+    add_to_sum(view.of_peers, aligned);
     known.heard = now;
 }
 
@@ -72,7 +94,7 @@
     std::erase_if(view.peers, [&](const auto& item) {
         if (now - item.second.heard <= load_life)
             return false;
-        take_from_sum(view.of_peers, item.second.loads);
+        take_from_sum(view, item.second.loads);
         return true;
     });
 }
@@ -85,6 +107,14 @@
     return sum;
 }
 
+std::optional<base::milliseconds> profile_age(
+    const load_view& view, const std::string& id, base::steady_time now) {
+    const auto found = view.profiles_reported.find(id);
+    if (found == view.profiles_reported.end())
+        return std::nullopt;
+    return std::chrono::duration_cast<base::milliseconds>(now - found->second);
+}
+
 server_load own(const load_view& view, const std::string& id) {
     const auto found = view.own.find(id);
     return found == view.own.end() ? server_load{} : found->second;
