--- a/libs/mintknotd-platform/policy/src/memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/src/memory_profile.cpp
@@ -112,15 +112,9 @@
 
 private:
     held_memory point(std::size_t step) const {
-        constexpr std::size_t last = memory_profile::points - 1;
-        if (step <= last)
-            return {
-                profile_.mean[step], profile_.variance[step],
-                profile_.highest[step]};
-        const double left = std::exp2(-static_cast<double>(step - last));
         return {
-            profile_.mean[last] * left, profile_.variance[last] * left,
-            profile_.highest[last] * left};
+            profile_.mean[step], profile_.variance[step],
+            profile_.highest[step]};
     }
 
     double constant_; ///< Held at all times: of streams without a profile.
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -258,7 +258,7 @@
 policy::placement place_here(
     router_context& context, const policy::selection_inputs& inputs,
     const policy::placement_query& query) {
-    const policy::placement placed =
+    policy::placement placed =
         query.claim
             ? policy::place_claim(
                   context.state
--- a/libs/mintknotd-platform/traffic/src/memory_profile.cpp
+++ b/libs/mintknotd-platform/traffic/src/memory_profile.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 namespace mintknot::traffic {
 
@@ -14,17 +15,33 @@
 constexpr double min_covered = 0.5;
 /// Share of the last point that is expected one step later.
 constexpr double decay_per_step = 0.5;
+/// Steps beyond which nothing is left of a profile.
+constexpr double max_shift = 60.0;
 
-double value_at(const values& points, double position) {
-    constexpr std::size_t last = memory_profile::points - 1;
-    if (position <= 0.0)
-        return points.front();
-    if (position >= static_cast<double>(last))
-        return points[last] *
-               std::pow(decay_per_step, position - static_cast<double>(last));
-    const auto before = static_cast<std::size_t>(position);
-    const double part = position - static_cast<double>(before);
-    return points[before] + part * (points[before + 1] - points[before]);
+/// Where the points of a profile are among those of another one.
+struct point_shift {
+    std::int64_t whole = 0;
+    double part = 0.0;        ///< In [0, 1).
+    double beyond_last = 1.0; ///< Factor for a whole step after the last point.
+};
+
+values moved(const values& points, const point_shift& shift) {
+    constexpr auto last = static_cast<std::int64_t>(memory_profile::points) - 1;
+    values result{};
+    for (std::int64_t i = 0; i <= last; ++i) {
+        const std::int64_t before = i + shift.whole;
+        double& value = result[static_cast<std::size_t>(i)];
+        if (before < 0) {
+            value = points.front();
+        } else if (before < last) {
+            const auto at = static_cast<std::size_t>(before);
+            value = points[at] + shift.part * (points[at + 1] - points[at]);
+        } else {
+            value = points.back() * shift.beyond_last *
+                    std::ldexp(1.0, -static_cast<int>(before - last));
+        }
+    }
+    return result;
 }
 
 void add_scaled(
@@ -32,13 +49,13 @@
     const base::steady_time start = std::max(left.start, right.start);
     if (left.start != start)
         left = resampled(left, start);
-    const memory_profile moved =
+    const memory_profile aligned =
         right.start == start ? right : resampled(right, start);
-    left.covered += sign * moved.covered;
+    left.covered += sign * aligned.covered;
     for (std::size_t i = 0; i < memory_profile::points; ++i) {
-        left.mean[i] += sign * moved.mean[i];
-        left.variance[i] += sign * moved.variance[i];
-        left.highest[i] += sign * moved.highest[i];
+        left.mean[i] += sign * aligned.mean[i];
+        left.variance[i] += sign * aligned.variance[i];
+        left.highest[i] += sign * aligned.highest[i];
     }
 }
 
@@ -67,17 +84,19 @@
 
 memory_profile
 resampled(const memory_profile& profile, base::steady_time start) noexcept {
-    memory_profile moved = profile;
-    moved.start = start;
-    const double shift = std::chrono::duration<double>(start - profile.start) /
+    const double steps = std::chrono::duration<double>(start - profile.start) /
                          std::chrono::duration<double>(profile_step);
-    for (std::size_t i = 0; i < memory_profile::points; ++i) {
-        const double position = static_cast<double>(i) + shift;
-        moved.mean[i] = value_at(profile.mean, position);
-        moved.variance[i] = value_at(profile.variance, position);
-        moved.highest[i] = value_at(profile.highest, position);
-    }
-    return moved;
+    point_shift shift;
+    shift.whole = static_cast<std::int64_t>(
+        std::floor(std::clamp(steps, -max_shift, max_shift)));
+    shift.part = std::clamp(steps - static_cast<double>(shift.whole), 0.0, 1.0);
+    shift.beyond_last = std::pow(decay_per_step, shift.part);
+    memory_profile result = profile;
+    result.start = start;
+    result.mean = moved(profile.mean, shift);
+    result.variance = moved(profile.variance, shift);
+    result.highest = moved(profile.highest, shift);
+    return result;
 }
 
 base::steady_time profile_grid(base::steady_time now) noexcept {
