--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -236,25 +236,6 @@
 
 } // namespace
 
-memory_use memory_use_of(
-    const selection_inputs& inputs, const traffic::server_load& load,
-    const decode_request& wanted) {
-    const double memory = engine_memory_of(inputs);
-    if (!wanted.profile)
-        return {
-            load.memory_tokens, load.memory_tokens + wanted.memory_tokens,
-            memory * wanted.memory_share};
-    const memory_peak peak = forecast_peak(load, *wanted.profile, inputs.now);
-    // Without a scheduler another instance may take the same memory before its
-    // load is reported.
-    const double unreported = inputs.all_loads_known || inputs.instances <= 1
-                                  ? 0.0
-                                  : wanted.memory_tokens;
-    return {
-        expected_memory(load, inputs.now), peak.tokens,
-        memory * profiled_memory_share - unreported, peak.in};
-}
-
 const traffic::server* select_decode(
     const selection_inputs& inputs, const excluded_servers& excluded,
     const decode_request& wanted) {
--- a/libs/mintknotd-platform/policy/tests/stream_load.cpp
+++ b/libs/mintknotd-platform/policy/tests/stream_load.cpp
@@ -1,5 +1,7 @@
 #include "stream_load.hpp"
 
+#include "played_stream.hpp"
+
 #include <mintknot/policy/engine_needs.hpp>
 #include <mintknot/policy/memory_profile.hpp>
 #include <mintknot/policy/placement.hpp>
@@ -7,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -15,44 +18,6 @@
 
 namespace {
 
-using base::milliseconds;
-
-const base::steady_time begin = base::steady_time{} + std::chrono::hours(1);
-constexpr double engine_tokens = 72923.0;
-constexpr int slots = 12;
-constexpr double event_tokens = 69.0;
-constexpr double max_events = 130.0;
-constexpr milliseconds event_time{43};
-constexpr milliseconds tick{20};
-constexpr milliseconds warm_up{6000};
-constexpr milliseconds duration{36000};
-constexpr milliseconds longest_wait{500};
-constexpr milliseconds retry_interval{100};
-constexpr milliseconds first_event_time{150};
-constexpr milliseconds report_interval{500};
-constexpr milliseconds report_delay{60};
-
-struct stream {
-    double prompt = 0.0;
-    double length = 0.0; ///< In events.
-    double hint = 0.0;   ///< In tokens.
-    std::size_t instance = 0;
-    base::steady_time arrived;
-    std::string server;
-    traffic::server_load load;
-    base::steady_time begins;
-    double events = 0.0;
-    bool preempted = false;
-    bool paused = false;
-    bool counted = false;
-    bool large = false;
-
-    double held() const {
-        return 16.0 *
-               std::ceil((prompt + event_tokens * std::floor(events)) / 16.0);
-    }
-};
-
 class load_test {
 public:
     explicit load_test(const stream_load_options& options)
@@ -171,48 +136,14 @@
         return query;
     }
 
-    /// Chooses the fullest engine on which the stream fits at all times, with
-    /// the lengths of all streams known.
     bool place_by_oracle(stream& one) {
-        constexpr milliseconds bucket{50};
-        const auto first = static_cast<std::size_t>(
-            (now_ - begin + first_event_time) / bucket);
-        const auto buckets = static_cast<std::size_t>(
-            std::ceil(
-                one.length * std::chrono::duration<double>(event_time) /
-                bucket) +
-            1);
-        double fullest = 0.0;
-        for (const auto& [id, row] : table_.by_id) {
-            if (!has_slot(id))
-                continue;
-            std::vector<double>& held = oracle_[id];
-            held.resize(static_cast<std::size_t>(
-                (duration + std::chrono::seconds(10)) / bucket));
-            double peak = 0.0;
-            for (std::size_t i = 0; i < buckets; ++i)
-                peak = std::max(
-                    peak, held[first + i] + size_after(one, i, bucket));
-            if (peak <= engine_tokens && peak > fullest) {
-                fullest = peak;
-                one.server = id;
-            }
-        }
-        if (one.server.empty())
-            return false;
-        for (std::size_t i = 0; i < buckets; ++i)
-            oracle_[one.server][first + i] += size_after(one, i, bucket);
+        std::vector<std::string> free;
+        for (const auto& [id, row] : table_.by_id)
+            if (has_slot(id))
+                free.push_back(id);
         one.begins = now_ + first_event_time;
-        return true;
-    }
-
-    static double
-    size_after(const stream& one, std::size_t buckets, milliseconds bucket) {
-        const double events =
-            static_cast<double>(buckets + 1) *
-            std::chrono::duration<double>(bucket) /
-            std::chrono::duration<double, std::milli>(event_time);
-        return one.prompt + 16.0 + event_tokens * std::min(events, one.length);
+        one.server = oracle_.place(one, one.begins, free);
+        return !one.server.empty();
     }
 
     bool place(stream& one) {
@@ -352,7 +283,7 @@
     std::vector<traffic::load_view> views_;
     std::vector<output_lengths> lengths_;
     std::vector<base::steady_time> report_at_;
-    std::map<std::string, std::vector<double>> oracle_;
+    known_memory oracle_;
     std::deque<stream> queue_;
     std::vector<stream> running_;
     base::steady_time now_ = begin;
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/scheduling/messages.hpp>
 
+#include "outlook_message.hpp"
+
 #include <mintknot/peers/message_parts.hpp>
 
 #include <cmath>
@@ -205,23 +207,6 @@
             base::milliseconds(row.at(1).get<std::int64_t>());
 }
 
-/// The peak, the time until it, and the age of the last report, null if there
-/// is none.
-json to_json(const policy::engine_outlook& value) {
-    const json age =
-        value.report_age ? json(value.report_age->count()) : json(nullptr);
-    return {whole(value.peak_tokens), value.peak_in.count(), age};
-}
-
-policy::engine_outlook outlook_from(const json& row) {
-    policy::engine_outlook value;
-    value.peak_tokens = number(row.at(0));
-    value.peak_in = base::milliseconds(row.at(1).get<std::int64_t>());
-    if (!row.at(2).is_null())
-        value.report_age = base::milliseconds(row.at(2).get<std::int64_t>());
-    return value;
-}
-
 json to_json(const placement_answer& value) {
     json row = {
         answer_format,
@@ -245,7 +230,7 @@
     if (denied || has_outlook)
         row.push_back(denial_to_json(value.placed));
     if (has_outlook)
-        row.push_back(to_json(*value.placed.outlook));
+        row.push_back(outlook_to_json(*value.placed.outlook));
     return row;
 }
 
--- /dev/null
+++ b/libs/mintknotd-platform/scheduling/src/outlook_message.cpp
@@ -0,0 +1,25 @@
+#include "outlook_message.hpp"
+
+#include <cmath>
+#include <cstdint>
+
+namespace mintknot::scheduling {
+
+using nlohmann::json;
+
+json outlook_to_json(const policy::engine_outlook& value) {
+    const json age =
+        value.report_age ? json(value.report_age->count()) : json(nullptr);
+    return {std::llround(value.peak_tokens), value.peak_in.count(), age};
+}
+
+policy::engine_outlook outlook_from(const json& row) {
+    policy::engine_outlook value;
+    value.peak_tokens = static_cast<double>(row.at(0).get<std::int64_t>());
+    value.peak_in = base::milliseconds(row.at(1).get<std::int64_t>());
+    if (!row.at(2).is_null())
+        value.report_age = base::milliseconds(row.at(2).get<std::int64_t>());
+    return value;
+}
+
+} // namespace mintknot::scheduling
