--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/scheduling/messages.hpp>
 
+#include "outlook_message.hpp"
+
 #include <mintknot/peers/message_parts.hpp>
 
 #include <algorithm>
@@ -32,6 +34,10 @@
 constexpr std::size_t denial_element = 11;
 /// Index, within the denial, of the first element that plain calls add.
 constexpr std::size_t calls_ahead_element = 2;
+/// The memory profile of a stream and, in the answer, the forecast of the
+/// engine; only for services with large events.
+constexpr std::size_t profile_element = 15;
+constexpr std::size_t outlook_element = 12;
 /// Bits of the last element of a claim.
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
@@ -109,6 +115,8 @@
         row.push_back(to_json(query.connected));
     if (query.claim)
         row.push_back(to_json(*query.claim));
+    if (query.claim && query.profile)
+        row.push_back(peers::profile_to_json(*query.profile));
     return row;
 }
 
@@ -136,6 +144,10 @@
         value.query.connected = servers_from(row[connected_element]);
     if (row.size() > claim_element)
         value.query.claim = claim_from(row[claim_element]);
+    if (row.size() > profile_element) {
+        value.query.profile = peers::profile_from(row[profile_element]);
+        value.query.profile->covered = value.query.memory_tokens;
+    }
     return value;
 }
 
@@ -239,14 +251,17 @@
         to_json(value.placed.capacity.forecast)};
     const bool decided = value.placed.denial != policy::capacity_denial::none ||
                          value.placed.plain;
-    if (value.servers.empty() && !decided)
+    const bool has_outlook = value.placed.outlook.has_value();
+    if (value.servers.empty() && !decided && !has_outlook)
         return row;
     json servers = json::array();
     for (const traffic::versioned_server& versioned : value.servers)
         servers.push_back(to_json(versioned));
     row.push_back(std::move(servers));
-    if (decided)
+    if (decided || has_outlook)
         row.push_back(denial_to_json(value.placed));
+    if (has_outlook)
+        row.push_back(outlook_to_json(*value.placed.outlook));
     return row;
 }
 
@@ -266,6 +281,8 @@
             value.servers.push_back(server_from(entry));
     if (row.size() > denial_element)
         read_denial(row[denial_element], value.placed);
+    if (row.size() > outlook_element)
+        value.placed.outlook = outlook_from(row[outlook_element]);
     return value;
 }
 
