Engines are told how urgent a stream is

Cause: engines preempt the newest of the least urgent streams when out of memory, and were never told which these are.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
@@ -47,6 +47,12 @@
 /// @return the name of a denial in log lines and metrics.
 std::string_view to_string(capacity_denial value) noexcept;
 
+/// @return the urgency of a request for an engine, which preempts the newest of
+/// the least urgent streams when it is out of memory. Engines take 0 to 9 and
+/// assume 5; the values used here leave the extremes to the operator's own
+/// calls.
+int engine_urgency(int priority) noexcept;
+
 } // namespace mintknot::policy
 
 #endif
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -142,6 +142,9 @@
 
     std::string organisation_name() const; ///< Empty if none.
     call_parameters call_options_for(const traffic::server& server) const;
+    /// @return the urgency that engines are told; nothing unless capacity is
+    /// shared and streams of the service have different priorities.
+    std::optional<int> urgency() const;
     upstream::call_request call_for(const call_parameters& options) const;
 
     router_context& context_;
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -365,6 +365,12 @@
     return options;
 }
 
+std::optional<int> exchange::urgency() const {
+    if (!context_.state.capacity_sharing || !service_.mixed_priorities)
+        return std::nullopt;
+    return policy::engine_urgency(priority());
+}
+
 upstream::call_request
 exchange::call_for(const call_parameters& options) const {
     return {
