Capacity is short only while first tries exceed it

A denial by chance made capacity short for 500 ms. The strict allowances then denied each call without a free slot where the target is at most 2.5 service times, and these denials renewed the shortage. A priority without less urgent ones was not compared with the capacity at all. A pause of 10 s made capacity short too, and denials in the settling time were recorded.

Now capacity counts as short only while the first tries of the last 500 to 750 ms exceed what the servers complete by three standard deviations. Strict allowances for incomplete loads apply to a new state only, and no shortage is recorded while loads may be incomplete.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/plain_admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/plain_admission.hpp
@@ -36,7 +36,9 @@
     /// Until when capacity counts as short, by priority: a call of that or of a
     /// more urgent one was denied it.
     std::array<base::steady_time, priority_reserve::priorities> short_until{};
-    /// When the first call was decided on, and the last one.
+    /// When the first call was decided on, the first one after a pause in
+    /// which another instance may have decided, and the last one.
+    base::steady_time created{};
     base::steady_time began{};
     base::steady_time last_call{};
 };
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/priority_reserve.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/priority_reserve.hpp
@@ -19,7 +19,8 @@
 struct priority_demand {
     static constexpr std::size_t parts = 8;
     std::array<int, parts> calls{};
-    std::int64_t newest = 0; ///< Number of the newest part.
+    std::array<int, parts> first_tries{}; ///< Of these calls.
+    std::int64_t newest = 0;              ///< Number of the newest part.
     /// Calls that may use the whole of the servers' queues in spite of more
     /// urgent demand.
     double guaranteed = 0.0;
@@ -37,15 +38,20 @@
 std::size_t priority_index(int priority) noexcept;
 
 /// Records a call, before it is decided on.
+/// @param first_try the call was not refused or rejected before, as far as that
+/// is known.
 void note_demand(
-    priority_reserve& reserve, int priority, base::steady_time now);
+    priority_reserve& reserve, int priority, bool first_try,
+    base::steady_time now);
 
 /// @return the calls per millisecond of all more urgent priorities.
 double more_urgent_demand(
     const priority_reserve& reserve, int priority, base::steady_time now);
 
-/// @return true if calls of that priority, and more urgent ones, alone ask for
-/// more than the servers complete, or no less urgent ones ask.
+/// @return true if first tries of calls of that priority, and more urgent ones,
+/// have recently asked for more than the servers complete, and not by chance.
+/// Callers who return after refusals are not counted, so that refusals do not
+/// show a shortage that causes further ones.
 /// @param release_rate calls per millisecond that the servers complete.
 bool exceeds_capacity(
     const priority_reserve& reserve, int priority, double release_rate,
--- a/libs/mintknotd-platform/policy/src/plain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/plain_admission.cpp
@@ -104,10 +104,11 @@
         return plain_capacity(state_, inputs_).release_rate / sharers;
     }
 
-    /// Capacity is not short for urgent calls which would all be served if less
-    /// urgent ones were not.
+    /// Capacity is short only while demand exceeds it: with strict allowances
+    /// a small service denies calls also below its capacity. It is not short
+    /// for urgent calls which would all be served if less urgent ones were not.
     bool is_short() const {
-        if (is_settling())
+        if (is_new())
             return true;
         return inputs_.now <
                    state_.short_until[priority_index(claim_.priority)] &&
@@ -180,7 +181,8 @@
 
     void note_shortage() {
         // A call that is late already does not show that capacity is short.
-        if (claim_.target_left <= base::milliseconds{0})
+        // One that is denied while loads may be incomplete does not either.
+        if (claim_.target_left <= base::milliseconds{0} || is_settling())
             return;
         for (std::size_t i = priority_index(claim_.priority);
              i < state_.short_until.size(); ++i)
@@ -204,6 +206,15 @@
                 inputs_.now);
     }
 
+    /// @return true if a scheduler has just begun to place calls. It knows
+    /// little of what is in flight, so it leaves room at the servers.
+    bool is_new() const {
+        return inputs_.all_loads_known &&
+               inputs_.now - state_.created < settling_time;
+    }
+
+    /// @return true if loads and rejections may be incomplete, because other
+    /// instances may have placed the calls before.
     bool is_settling() const {
         return inputs_.all_loads_known &&
                inputs_.now - state_.began < settling_time;
@@ -244,10 +255,14 @@
 plain_decision admit_plain(
     plain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query) {
+    if (state.last_call == base::steady_time{})
+        state.created = inputs.now;
     if (inputs.now - state.last_call > quiet_time)
         state.began = inputs.now;
     state.last_call = inputs.now;
-    note_demand(state.reserve, query.claim->priority, inputs.now);
+    const bool first_try = !query.claim->caller_retry && !query.claim->begun &&
+                           query.excluded.empty();
+    note_demand(state.reserve, query.claim->priority, first_try, inputs.now);
     return plain_choice(state, inputs, query).decide();
 }
 
--- a/libs/mintknotd-platform/policy/src/priority_reserve.cpp
+++ b/libs/mintknotd-platform/policy/src/priority_reserve.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/policy/priority_reserve.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace mintknot::policy {
 
@@ -9,7 +10,12 @@
 constexpr base::milliseconds part_length{250};
 /// Parts over which demand is compared with the capacity: at the start of a
 /// burst two seconds would tell too late.
-constexpr std::size_t recent_parts = 2;
+constexpr std::size_t recent_parts = 3;
+/// Standard deviations of the number of calls by which demand must exceed the
+/// capacity: few calls arrive in that time at a small service, and by chance
+/// often more than it completes. With 2 parts and 1, servers of 1 to 6 slots
+/// refused up to 0.06 more calls below their capacity.
+constexpr double chance_deviations = 3.0;
 /// Share of the servers' time that all less urgent priorities keep together.
 constexpr double guaranteed_share = 0.1;
 /// How much of it may be saved up. Longer bursts of less urgent calls would
@@ -23,22 +29,27 @@
     return now.time_since_epoch() / part_length;
 }
 
-int calls_of(
-    const priority_demand& demand, base::steady_time now,
-    std::size_t parts = priority_demand::parts) {
+using part_counts = std::array<int, priority_demand::parts>;
+
+int sum_of(
+    const part_counts& counts, const priority_demand& demand,
+    base::steady_time now, std::size_t parts) {
     const std::int64_t oldest = part_of(now) - static_cast<std::int64_t>(parts);
     int sum = 0;
     for (std::size_t i = 0; i < parts; ++i) {
         const std::int64_t number =
             demand.newest - static_cast<std::int64_t>(i);
         if (number > oldest)
-            sum +=
-                demand.calls
-                    [static_cast<std::size_t>(number) % priority_demand::parts];
+            sum += counts
+                [static_cast<std::size_t>(number) % priority_demand::parts];
     }
     return sum;
 }
 
+int calls_of(const priority_demand& demand, base::steady_time now) {
+    return sum_of(demand.calls, demand, now, priority_demand::parts);
+}
+
 /// @return the length of so many parts, of which the newest has just begun.
 double length_ms(std::size_t parts, base::steady_time now) {
     const std::chrono::duration<double, std::milli> newest =
@@ -66,17 +77,23 @@
 }
 
 void note_demand(
-    priority_reserve& reserve, int priority, base::steady_time now) {
+    priority_reserve& reserve, int priority, bool first_try,
+    base::steady_time now) {
     priority_demand& demand = reserve.by_priority[priority_index(priority)];
     const std::int64_t current = part_of(now);
     const std::int64_t passed =
         std::min<std::int64_t>(current - demand.newest, priority_demand::parts);
-    for (std::int64_t i = 0; i < passed; ++i)
-        demand.calls
-            [static_cast<std::size_t>(current - i) % priority_demand::parts] =
-            0;
+    for (std::int64_t i = 0; i < passed; ++i) {
+        const std::size_t part =
+            static_cast<std::size_t>(current - i) % priority_demand::parts;
+        demand.calls[part] = 0;
+        demand.first_tries[part] = 0;
+    }
     demand.newest = current;
-    ++demand.calls[static_cast<std::size_t>(current) % priority_demand::parts];
+    const std::size_t newest =
+        static_cast<std::size_t>(current) % priority_demand::parts;
+    ++demand.calls[newest];
+    demand.first_tries[newest] += first_try ? 1 : 0;
 }
 
 double more_urgent_demand(
@@ -91,15 +108,12 @@
     const priority_reserve& reserve, int priority, double release_rate,
     base::steady_time now) {
     int calls = 0;
-    bool less_urgent = false;
-    for (std::size_t i = 0; i < reserve.by_priority.size(); ++i) {
-        const int found = calls_of(reserve.by_priority[i], now, recent_parts);
-        if (i <= priority_index(priority))
-            calls += found;
-        else
-            less_urgent = less_urgent || found > 0;
-    }
-    return !less_urgent || calls / length_ms(recent_parts, now) > release_rate;
+    for (std::size_t i = 0; i <= priority_index(priority); ++i)
+        calls += sum_of(
+            reserve.by_priority[i].first_tries, reserve.by_priority[i], now,
+            recent_parts);
+    const double completed = release_rate * length_ms(recent_parts, now);
+    return calls > completed + chance_deviations * std::sqrt(completed);
 }
 
 double reserved_share(
--- a/libs/mintknotd-platform/policy/tests/plain_load.cpp
+++ b/libs/mintknotd-platform/policy/tests/plain_load.cpp
@@ -149,6 +149,10 @@
         claim.priority = kind.priority;
         claim.target_left = base::milliseconds(static_cast<std::int64_t>(
             std::max(0.0, kind.target_ms - (now_ms_ - value.arrived_ms))));
+        // Of callers who return at once it is not known.
+        claim.caller_retry = value.heeded;
+        if (options_.ignore_shortage)
+            by.admission.plain.short_until = {};
         placed = place_claim(by.admission, inputs, query);
     } else {
         placed = choose_servers(inputs, query);
@@ -181,6 +185,7 @@
     again.returns = value.returns + 1;
     again.in_burst = value.in_burst;
     const bool heeds = draw() < kind.heeding_share;
+    again.heeded = heeds;
     at(now_ms_ + (heeds ? retry_after_ms : hasty_return_ms),
        [this, again] { begin(again); });
 }
--- a/libs/mintknotd-platform/policy/tests/plain_load.hpp
+++ b/libs/mintknotd-platform/policy/tests/plain_load.hpp
@@ -41,6 +41,7 @@
     int burst_ms = 6000;
     bool exponential = true; ///< Distribution of service times; else constant.
     double lost_reports = 0.0;
+    bool ignore_shortage = false; ///< As if no denial had been recorded.
     unsigned seed = 1;
 };
 
@@ -103,6 +104,7 @@
         double arrived_ms = 0.0;
         double sent_ms = 0.0;
         int returns = 0;
+        bool heeded = false; ///< Its caller returned at the time it was told.
         int rejections = 0;
         excluded_servers tried;
         std::size_t server = 0;
--- a/libs/mintknotd-platform/policy/tests/test_service_times.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_service_times.cpp
@@ -142,8 +142,8 @@
     priority_reserve reserve;
     base::steady_time now = start;
     for (int i = 0; i < 1000; ++i, now += milliseconds(2))
-        note_demand(reserve, 0, now);
-    note_demand(reserve, 2, now);
+        note_demand(reserve, 0, true, now);
+    note_demand(reserve, 2, true, now);
     cr_assert(more_urgent_demand(reserve, 0, now) == 0.0);
     const double demand = more_urgent_demand(reserve, 2, now);
     cr_assert(demand > 0.42 && demand <= 0.5, "%f", demand);
