A call that all servers rejected is refused for capacity

A call that was rejected, with a retry left but no other server, ended with "no_backend_server" and the return time of an outage. The branch for rejections now comes before the one for servers out of reach.

The new test gets "no_capacity" with one rejecting server and a retry budget while capacity is shared, and "no_backend_server" otherwise; all 107 tests of the relay pass.

--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -245,17 +245,17 @@
         deliver_answer(std::move(answer_), std::move(body_));
         return;
     }
-    if (step.server_out_of_reach) {
-        give_up(step.reason, outage_retry_after(context_, service_.name));
-        return;
-    }
     // Servers rejected it as full, so its caller returns as if it had been
-    // denied capacity.
+    // denied capacity, also if no other server is left.
     if (context_.state.capacity_sharing && what == policy::action::give_up &&
         verdict_ == base::verdict::not_run && attempts_.rejections > 0) {
         refuse_for_capacity({});
         return;
     }
+    if (step.server_out_of_reach) {
+        give_up(step.reason, outage_retry_after(context_, service_.name));
+        return;
+    }
     end_with_action(
         what, what == step.what ? step.reason : step.otherwise_reason);
 }
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -406,3 +406,18 @@
             seen.body == (shared ? "no_capacity\n" : "server_rejected\n"));
     }
 }
+
+// Guards against an outage that is reported where all servers are full: a retry
+// is left, but no server that has not rejected the call.
+Test(plain_exchange, a_call_rejected_by_all_servers_is_refused_for_capacity) {
+    for (const bool shared : {true, false}) {
+        relay_fixture f;
+        f.context.state.capacity_sharing = shared;
+        f.context.state.retry_bounds = {1.0, 20.0, base::milliseconds(10000)};
+        f.add_server("i1", "app", plain, rejecting());
+        const caller_view seen = f.ask(request("/unsafe/x"));
+        cr_assert(seen.status == 503);
+        cr_assert(
+            seen.body == (shared ? "no_capacity\n" : "no_backend_server\n"));
+    }
+}
