Old observations, replaced servers and calls that may have run

Calls that ended long ago were reported as new when a group grew past 24 instances: observations whose mean end is more than 2 s old are dropped, and delays are bounded by 2 s. A replaced server inherited the limit of the old one, or got one because its rejections start from 0: a count that falls resets the limit. A call that may have run was denied by a server's limit, by an unknown deadline that counted as passed, and recorded a shortage: only its known deadline bounds it now.

--- a/libs/mintknotd-platform/policy/src/plain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/plain_admission.cpp
@@ -130,6 +130,8 @@
     /// @return the longest wait with which a call may be sent.
     double max_wait_ms(const expectation& expected) const {
         // A request that may have run can't be refused as one that has not.
+        if (claim_.begun && claim_.deadline_left <= base::milliseconds{0})
+            return std::numeric_limits<double>::infinity();
         if (claim_.begun)
             return as_ms(claim_.deadline_left) - expected.service.ms;
         const double unreported =
@@ -149,7 +151,7 @@
         const bool in_time = expected.has_free_slot() ||
                              expected.wait_ms <= allowed ||
                              is_guess(expected, server);
-        if (in_time && !expected.is_full())
+        if (in_time && (claim_.begun || !expected.is_full()))
             return expected.service.ms *
                    (1.0 + plain_score(inputs_, server, expected.in_flight));
         reserved_seen_ |= !expected.is_full() && expected.wait_ms <= longest;
@@ -182,7 +184,8 @@
     void note_shortage() {
         // A call that is late already does not show that capacity is short.
         // One that is denied while loads may be incomplete does not either.
-        if (claim_.target_left <= base::milliseconds{0} || is_settling())
+        if (claim_.begun || claim_.target_left <= base::milliseconds{0} ||
+            is_settling())
             return;
         for (std::size_t i = priority_index(claim_.priority);
              i < state_.short_until.size(); ++i)
--- a/libs/mintknotd-platform/policy/src/plain_flow.cpp
+++ b/libs/mintknotd-platform/policy/src/plain_flow.cpp
@@ -35,6 +35,12 @@
     base::steady_time now) {
     if (rejections == flow.rejections_seen)
         return;
+    // The server was replaced: the limit of the old one does not hold.
+    if (rejections < flow.rejections_seen) {
+        flow = {};
+        flow.rejections_seen = rejections;
+        return;
+    }
     flow.rejections_seen = rejections;
     const int held = held_calls(flow, now);
     if (held < slots)
--- a/libs/mintknotd-platform/policy/src/service_times.cpp
+++ b/libs/mintknotd-platform/policy/src/service_times.cpp
@@ -21,6 +21,9 @@
 /// Upper bound on the unreported calls of one server. Small groups send no
 /// reports, and the calls are never taken.
 constexpr int max_unreported = 1000;
+/// Observations that ended on average so long ago are not reported: they are
+/// from before the group had schedulers.
+constexpr double max_delay_ms = 2000.0;
 
 void add(
     service_record& record, const observed_calls& seen, base::steady_time now) {
@@ -30,7 +33,7 @@
     const double mean = seen.slot_ms / seen.calls;
     const double weight = std::min(1.0, seen.calls / record.calls);
     record.mean_ms += weight * (mean - record.mean_ms);
-    const double delay = seen.delay_ms / seen.calls;
+    const double delay = std::min(max_delay_ms, seen.delay_ms / seen.calls);
     record.delay_ms += weight * (delay - record.delay_ms);
     record.learned_at = now;
 }
@@ -92,8 +95,10 @@
 observed_call_map take_unreported(service_times& times, base::steady_time now) {
     observed_call_map calls;
     for (const auto& [id, ended] : std::exchange(times.unreported, {})) {
-        observed_calls& seen = calls[id] = ended.seen;
+        observed_calls seen = ended.seen;
         seen.delay_ms = std::max(0.0, seen.calls * ms_of(now) - ended.ends_ms);
+        if (seen.delay_ms <= seen.calls * max_delay_ms)
+            calls[id] = seen;
     }
     return calls;
 }
--- a/libs/mintknotd-platform/policy/tests/test_plain_shortage.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_plain_shortage.cpp
@@ -26,6 +26,7 @@
 struct one_server {
     explicit one_server(int slots = 1) {
         service.name = "s";
+        service.max_connections = 1000000;
         row.id = "i";
         row.service = "s";
         row.slots = slots;
@@ -155,3 +156,20 @@
         not_repeated);
     cr_assert(repeated <= 0.6 * not_repeated);
 }
+
+// Guards against a call that may have run and is denied by a server's limit, or
+// because its deadline is not known.
+Test(plain_shortage, a_call_that_may_have_run_is_bounded_by_its_deadline) {
+    one_server s;
+    s.learn(milliseconds(0));
+    capacity_claim claim = with_target(140);
+    claim.begun = true;
+    cr_assert(!s.decide(milliseconds(0), 9, claim).server.empty());
+    s.state.plain.flows["i"].limit = 2;
+    s.state.plain.flows["i"].limited_at = s.start;
+    cr_assert(!s.decide(milliseconds(600), 9, claim).server.empty());
+    claim.deadline_left = milliseconds(100);
+    cr_assert(s.decide(milliseconds(700), 9, claim).server.empty());
+    for (const base::steady_time until : s.state.plain.short_until)
+        cr_assert(until == base::steady_time{});
+}
--- a/libs/mintknotd-platform/policy/tests/test_service_times.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_service_times.cpp
@@ -161,3 +161,26 @@
     now += milliseconds(4000);
     cr_assert(more_urgent_demand(reserve, 2, now) == 0.0, "demand has ended");
 }
+
+// Guards against calls of long ago that are reported as new when a group gets
+// schedulers.
+Test(service_times, old_observations_are_not_reported) {
+    service_times times;
+    note_call_time(times, "i", milliseconds(60), 0, 6, start);
+    cr_assert(take_unreported(times, start + milliseconds(2001)).empty());
+    note_call_time(times, "i", milliseconds(60), 0, 6, start);
+    cr_assert(take_unreported(times, start + milliseconds(1999)).size() == 1);
+    note_reported_times(times, {{"j", {8, 480.0, 1e9}}}, start);
+    cr_assert(service_time_of(&times, "j", 1.0, start).delay_ms <= 2000.0);
+}
+
+// Guards against a limit that a replaced server inherits, or gets because its
+// rejections are counted from the start.
+Test(plain_flow, a_replaced_server_has_no_limit) {
+    plain_flow flow;
+    note_placed(flow, 14, start);
+    note_rejections(flow, 5, 6, start);
+    cr_assert(limit_of(flow, start).has_value());
+    note_rejections(flow, 0, 6, start);
+    cr_assert(!limit_of(flow, start));
+}
