Merge fixes of the admission of plain calls after its review

Cause: the review of the merged part found that a shortage renewed itself, that quiet services were refused calls while settling, phantom calls after a lost report, and outages reported for rejections.

--- a/libs/mintknotd-platform/policy/src/plain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/plain_admission.cpp
@@ -104,10 +104,11 @@
         return plain_capacity(state_, inputs_).release_rate / sharers;
     }
 
-    /// Capacity is not short for urgent calls which would all be served if less
-    /// urgent ones were not.
+    /// Capacity is short only while demand exceeds it: with strict allowances
+    /// a small service denies calls also below its capacity. It is not short
+    /// for urgent calls which would all be served if less urgent ones were not.
     bool is_short() const {
-        if (is_settling())
+        if (is_new())
             return true;
         return inputs_.now <
                    state_.short_until[priority_index(claim_.priority)] &&
@@ -129,6 +130,8 @@
     /// @return the longest wait with which a call may be sent.
     double max_wait_ms(const expectation& expected) const {
         // A request that may have run can't be refused as one that has not.
+        if (claim_.begun && claim_.deadline_left <= base::milliseconds{0})
+            return std::numeric_limits<double>::infinity();
         if (claim_.begun)
             return as_ms(claim_.deadline_left) - expected.service.ms;
         const double unreported =
@@ -148,7 +151,7 @@
         const bool in_time = expected.has_free_slot() ||
                              expected.wait_ms <= allowed ||
                              is_guess(expected, server);
-        if (in_time && !expected.is_full())
+        if (in_time && (claim_.begun || !expected.is_full()))
             return expected.service.ms *
                    (1.0 + plain_score(inputs_, server, expected.in_flight));
         reserved_seen_ |= !expected.is_full() && expected.wait_ms <= longest;
@@ -180,7 +183,9 @@
 
     void note_shortage() {
         // A call that is late already does not show that capacity is short.
-        if (claim_.target_left <= base::milliseconds{0})
+        // One that is denied while loads may be incomplete does not either.
+        if (claim_.begun || claim_.target_left <= base::milliseconds{0} ||
+            is_settling())
             return;
         for (std::size_t i = priority_index(claim_.priority);
              i < state_.short_until.size(); ++i)
@@ -204,6 +209,15 @@
                 inputs_.now);
     }
 
+    /// @return true if a scheduler has just begun to place calls. It knows
+    /// little of what is in flight, so it leaves room at the servers.
+    bool is_new() const {
+        return inputs_.all_loads_known &&
+               inputs_.now - state_.created < settling_time;
+    }
+
+    /// @return true if loads and rejections may be incomplete, because other
+    /// instances may have placed the calls before.
     bool is_settling() const {
         return inputs_.all_loads_known &&
                inputs_.now - state_.began < settling_time;
@@ -244,10 +258,14 @@
 plain_decision admit_plain(
     plain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query) {
+    if (state.last_call == base::steady_time{})
+        state.created = inputs.now;
     if (inputs.now - state.last_call > quiet_time)
         state.began = inputs.now;
     state.last_call = inputs.now;
-    note_demand(state.reserve, query.claim->priority, inputs.now);
+    const bool first_try = !query.claim->caller_retry && !query.claim->begun &&
+                           query.excluded.empty();
+    note_demand(state.reserve, query.claim->priority, first_try, inputs.now);
     return plain_choice(state, inputs, query).decide();
 }
 
