--- a/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
@@ -1,5 +1,4 @@
-#include <mintknot/policy/domain_admission.hpp>
-#include <mintknot/policy/memory_profile.hpp>
+#include "two_engines.hpp"
 
 #include <criterion/criterion.h>
 
@@ -7,82 +6,12 @@
 
 using namespace mintknot;
 using namespace mintknot::policy;
+using namespace mintknot::policy::tests;
 
 namespace {
 
-const base::steady_time now = base::steady_time{} + std::chrono::hours(1);
 constexpr std::size_t last = traffic::memory_profile::points - 1;
 
-/// A stream of 70 events of 69 tokens, 50 ms each, that runs already.
-stream_memory
-running_stream(double events = 0.0, double expected_events = 70.0) {
-    stream_memory stream;
-    stream.prompt = 5000.0;
-    stream.tokens_per_event = 69.0;
-    stream.expected = expected_events * 69.0;
-    stream.max_output = 130.0 * 69.0;
-    stream.tail = forecast_output({}, "r", {}, now).tail;
-    stream.events = events;
-    stream.event_time = base::milliseconds(50);
-    stream.counted_at = now;
-    return stream;
-}
-
-traffic::memory_profile profile(const stream_memory& stream) {
-    return profile_of(stream, 8000.0, now);
-}
-
-/// Two engines of 72,923 tokens, and a request with a profile.
-struct fixture {
-    fixture() {
-        service.name = "s";
-        service.engine.emplace();
-        service.engine->memory_tokens = 72923;
-        for (const char* id : {"d", "e"}) {
-            traffic::server row;
-            row.id = id;
-            row.service = "s";
-            row.slots = 12;
-            row.phase = traffic::engine_phase::decode;
-            traffic::apply(servers, id, ++version, row);
-        }
-        query.service = "s";
-        query.kind = placement_kind::decode;
-        query.memory_tokens = 8000.0;
-        query.profile = profile(running_stream());
-    }
-
-    selection_inputs inputs() {
-        selection_inputs made{servers, loads,   health,
-                              rates,   service, "",
-                              1,       now,     [] { return 0.5; }};
-        made.all_loads_known = true;
-        made.mean_hold_time = base::milliseconds(3000);
-        return made;
-    }
-
-    void load_engine(
-        const std::string& id, int streams, double events, bool with_profile,
-        double expected_events = 70.0) {
-        traffic::load_map loaded;
-        for (int i = 0; i < streams; ++i) {
-            traffic::server_load one{1, 0.0, 8000.0};
-            if (with_profile)
-                one.profile = profile(running_stream(events, expected_events));
-            loaded[id] += one;
-        }
-        traffic::set_peer(loads, "peer of " + id, loaded, now);
-    }
-
-    traffic::service service;
-    traffic::server_table servers;
-    traffic::load_view loads;
-    health_view health;
-    prefill_rates rates;
-    placement_query query;
-    std::uint64_t version = 0;
-};
-
 } // namespace
 
 Test(memory_profile, a_stream_grows_and_then_ends) {
@@ -122,10 +51,13 @@
 
 // Guards against refusals of a stream that fits because others end soon.
 Test(memory_profile, what_ends_soon_makes_room) {
-    fixture f;
+    two_engines f;
     f.load_engine("d", 8, 25.0, true, 30.0);
     f.load_engine("e", 9, 2.0, true);
     cr_assert(choose_servers(f.inputs(), f.query).server == "d");
+    // The same streams, if they are expected to go on.
+    f.load_engine("d", 8, 25.0, true, 70.0);
+    cr_assert(choose_servers(f.inputs(), f.query).server.empty());
     f.query.profile.reset();
     f.load_engine("d", 8, 25.0, false);
     cr_assert(choose_servers(f.inputs(), f.query).server.empty());
@@ -134,7 +66,7 @@
 // Guards against streams that are admitted while others still have to grow:
 // the engine would run out of memory and preempt one of them.
 Test(memory_profile, streams_that_will_grow_keep_their_room) {
-    fixture f;
+    two_engines f;
     f.load_engine("d", 9, 2.0, true);
     f.load_engine("e", 9, 2.0, true);
     const traffic::server_load load = traffic::total(f.loads, "d");
@@ -145,7 +77,7 @@
 // Guards against older instances whose loads have no profile: what they have
 // reserved counts at all times.
 Test(memory_profile, loads_without_a_profile_count_at_all_times) {
-    fixture f;
+    two_engines f;
     f.load_engine("d", 9, 0.0, false);
     f.load_engine("e", 9, 0.0, false);
     const traffic::server_load load = traffic::total(f.loads, "d");
@@ -157,7 +89,7 @@
 // Guards against a wait that is unknown, or that does not agree with the
 // decision, after a refusal by the profile.
 Test(memory_profile, the_capacity_forecast_follows_the_profile) {
-    fixture f;
+    two_engines f;
     f.load_engine("d", 9, 40.0, true);
     f.load_engine("e", 9, 30.0, true);
     f.query.claim.emplace();
@@ -180,7 +112,7 @@
 // Guards against a load report that is late or lost: the profile ages along
 // its points, so that streams which have ended meanwhile make room.
 Test(memory_profile, a_late_report_ages) {
-    fixture f;
+    two_engines f;
     f.load_engine("d", 9, 40.0, true);
     const traffic::server_load load = traffic::total(f.loads, "d");
     const double if_none_ended = 9 * (5000.0 + (40 + 28) * 69.0);
@@ -190,12 +122,23 @@
     cr_assert(
         *traffic::profile_age(f.loads, "d", now + base::milliseconds(1400)) ==
         base::milliseconds(1400));
+    // Streams that are expected to have ended meanwhile make room.
+    stream_memory ending = running_stream(25.0, 30.0);
+    ending.tail = forecast_output({}, "r", {ending.expected, true}, now).tail;
+    traffic::load_map loaded;
+    for (int i = 0; i < 9; ++i)
+        loaded["d"] += {1, 0.0, 8000.0, profile(ending)};
+    traffic::set_peer(f.loads, "peer of d", loaded, now);
+    f.load_engine("e", 9, 0.0, false);
+    cr_assert(choose_servers(f.inputs(), f.query).server.empty());
+    const base::steady_time then = now + base::milliseconds(1400);
+    cr_assert(choose_servers(f.inputs(then), f.query).server == "d");
 }
 
 // Guards against an engine that restarts under its ID and keeps the memory of
 // its former streams: their instances report that they have ended.
 Test(memory_profile, a_restarted_engine_is_empty_once_its_streams_are_over) {
-    fixture f;
+    two_engines f;
     f.load_engine("d", 9, 2.0, true);
     f.load_engine("e", 9, 2.0, true);
     cr_assert(choose_servers(f.inputs(), f.query).server.empty());
