Tokens of memory profiles and learned outputs are bounded

Cause: a caller may state any number of tokens. An infinite estimate made the regression sums of a service, and all its later forecasts, invalid for good. A prompt of 1e12 tokens left a rounding error of the variance in the sum of an engine after the stream had ended, for as long as the engine had streams.

Change: estimates and outputs count with at most 16,777,216 tokens in the learned distribution; a profile, also one from a datagram, holds at most as many for each stream or message.

Measured: an_infinite_estimate_does_not_spoil_the_others and a_huge_stream_leaves_nothing_behind fail without the change and pass with it.

--- a/libs/mintknotd-platform/peers/src/message_parts.cpp
+++ b/libs/mintknotd-platform/peers/src/message_parts.cpp
@@ -64,7 +64,8 @@
     constexpr std::size_t points = traffic::memory_profile::points;
     std::array<double, 2 * points> values{};
     for (std::size_t i = 0; i < std::min(row.size(), values.size()); ++i)
-        values[i] = std::max(0.0, number(row.at(i))) * profile_unit;
+        values[i] = std::clamp(
+            number(row.at(i)) * profile_unit, 0.0, traffic::max_profile_tokens);
     traffic::memory_profile profile;
     for (std::size_t i = 0; i < points; ++i) {
         const double part =
--- a/libs/mintknotd-platform/policy/src/memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/src/memory_profile.cpp
@@ -141,7 +141,8 @@
             std::max(0.0, as_milliseconds(when - stream.counted_at));
         const double output =
             (stream.events + passed / event_ms) * stream.tokens_per_event;
-        const double held = stream.prompt + output;
+        const double held =
+            std::min(traffic::max_profile_tokens, stream.prompt + output);
         const double running = probability_running(stream, output, i);
         profile.mean[i] = running * held;
         // Also beyond the maximum, as the end is known to within a step only:
--- a/libs/mintknotd-platform/policy/src/output_lengths.cpp
+++ b/libs/mintknotd-platform/policy/src/output_lengths.cpp
@@ -15,6 +15,8 @@
 /// Decay of the counts for each stream: about the last 200 count, so that the
 /// distribution follows a change within a few minutes on one of 80 instances.
 constexpr double decay_factor = 0.995;
+/// Most tokens that an estimate or an output counts.
+constexpr double max_tokens = 16777216.0;
 /// Half-life of the counts without new streams.
 constexpr std::chrono::minutes half_life{10};
 /// Streams for which the prior of a route or a service counts.
@@ -55,6 +57,12 @@
     return mean_y + slope * (x - mean_x);
 }
 
+/// @return the logarithm of a number of tokens. An infinite one, which a caller
+/// may state, would make all later forecasts of the service invalid.
+double log_of(double tokens) {
+    return std::log(std::clamp(tokens, 1.0, max_tokens));
+}
+
 void note(output_ratios& seen, double x, double y, base::steady_time now) {
     const double ratio = std::exp(y - expected_log(seen, x));
     for (double& count : seen.counts)
@@ -115,8 +123,8 @@
 void note_output(
     output_lengths& lengths, const std::string& route,
     const output_estimate& expected, double actual, base::steady_time now) {
-    const double x = std::log(std::max(expected.tokens, 1.0));
-    const double y = std::log(std::max(actual, 1.0));
+    const double x = log_of(expected.tokens);
+    const double y = log_of(actual);
     note(
         expected.by_caller ? lengths.with_estimate : lengths.without_estimate,
         x, y, now);
@@ -137,7 +145,7 @@
     const output_estimate& estimate, base::steady_time now) {
     const output_ratios& service =
         estimate.by_caller ? lengths.with_estimate : lengths.without_estimate;
-    const double x = std::log(std::max(estimate.tokens, 1.0));
+    const double x = log_of(estimate.tokens);
     output_forecast forecast;
     forecast.tail = with_prior(
         service,
--- a/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
@@ -147,3 +147,18 @@
     cr_assert(
         forecast_peak(traffic::total(f.loads, "d"), {}, now).tokens < 1.0);
 }
+
+// Guards against a caller that states a huge prompt: its variance would leave a
+// rounding error in the sum of an engine after the stream has ended.
+Test(memory_profile, a_huge_stream_leaves_nothing_behind) {
+    stream_memory huge = running_stream();
+    huge.prompt = 1e12;
+    traffic::memory_profile sum = profile(running_stream());
+    const traffic::memory_profile before = sum;
+    sum += profile(huge);
+    sum -= profile(huge);
+    for (std::size_t i = 0; i <= last; ++i) {
+        cr_assert(std::abs(sum.mean[i] - before.mean[i]) < 1.0);
+        cr_assert(std::abs(sum.variance[i] - before.variance[i]) < 1.0);
+    }
+}
--- a/libs/mintknotd-platform/policy/tests/test_output_lengths.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_output_lengths.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <cmath>
+#include <limits>
 
 using namespace mintknot;
 using namespace mintknot::policy;
@@ -79,3 +80,18 @@
         note_pace(lengths, 70.0, base::milliseconds(7000));
     cr_assert(mean_event_time(lengths) > base::milliseconds(95));
 }
+
+// Guards against a caller that states an infinite output: the sums, and with
+// them all later forecasts of the service, would no longer be numbers.
+Test(output_lengths, an_infinite_estimate_does_not_spoil_the_others) {
+    const base::steady_time then = base::steady_time{} + std::chrono::hours(1);
+    output_lengths lengths;
+    const double infinite = std::numeric_limits<double>::infinity();
+    note_output(lengths, "r", {infinite, true}, 1000.0, then);
+    note_output(lengths, "r", {1000.0, true}, 1000.0, then);
+    const output_forecast seen =
+        forecast_output(lengths, "r", {1000.0, true}, then);
+    cr_assert(std::isfinite(seen.expected));
+    cr_assert(std::isfinite(
+        forecast_output(lengths, "r", {infinite, true}, then).expected));
+}
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/memory_profile.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/memory_profile.hpp
@@ -14,6 +14,11 @@
 /// Time between two points of a profile.
 inline constexpr base::milliseconds profile_step{500};
 
+/// Most tokens of a stream or of a message in a profile. Larger values, of
+/// callers that state any number, would leave rounding errors in sums from
+/// which they are taken back: 1e12 tokens leave a deviation of 1e4.
+inline constexpr double max_profile_tokens = 16777216.0;
+
 /// Tokens held at equidistant times: the sum of the expected values and of the
 /// variances over streams that end independently of each other. Profiles are
 /// additive; with time they need no update, because each point belongs to a
