Cheaper refusals by the memory profile

Cause: each evaluation of an engine resampled its profile twice, for the memory held now and for the peak, and computed a power of two for each point beyond the last one.

Change: the peak also gives the memory held now; values beyond the last point are halved in turn, which is exact. Decisions stay the same.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/memory_profile.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/memory_profile.hpp
@@ -49,6 +49,7 @@
 struct memory_peak {
     double tokens = 0.0;
     base::milliseconds in{0}; ///< Time until the peak.
+    double held_now = 0.0;    ///< Expected now, without the new stream.
 };
 
 /// @return the peak of the memory held by what is in flight and a new stream,
--- a/libs/mintknotd-platform/policy/src/decode_memory.cpp
+++ b/libs/mintknotd-platform/policy/src/decode_memory.cpp
@@ -19,8 +19,8 @@
                                   ? 0.0
                                   : wanted.memory_tokens;
     return {
-        expected_memory(load, inputs.now), peak.tokens,
-        memory * profiled_memory_share - unreported, peak.in};
+        peak.held_now, peak.tokens, memory * profiled_memory_share - unreported,
+        peak.in};
 }
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/src/memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/src/memory_profile.cpp
@@ -96,6 +96,7 @@
     /// @return the highest memory with another stream.
     memory_peak peak(const memory_profile& added) const {
         memory_peak found;
+        found.held_now = at(0).mean;
         for (std::size_t i = 0; i < memory_profile::points; ++i) {
             const held_memory held = at(i);
             const double variance =
@@ -104,8 +105,10 @@
                 held.mean + added.mean[i] +
                     margin_deviations * std::sqrt(variance),
                 held.highest + added.highest[i]);
-            if (tokens > found.tokens)
-                found = {tokens, profile_step * static_cast<std::int64_t>(i)};
+            if (tokens > found.tokens) {
+                found.tokens = tokens;
+                found.in = profile_step * static_cast<std::int64_t>(i);
+            }
         }
         return found;
     }
--- a/libs/mintknotd-platform/traffic/src/memory_profile.cpp
+++ b/libs/mintknotd-platform/traffic/src/memory_profile.cpp
@@ -28,6 +28,7 @@
 values moved(const values& points, const point_shift& shift) {
     constexpr auto last = static_cast<std::int64_t>(memory_profile::points) - 1;
     values result{};
+    double beyond = 0.0;
     for (std::int64_t i = 0; i <= last; ++i) {
         const std::int64_t before = i + shift.whole;
         double& value = result[static_cast<std::size_t>(i)];
@@ -37,8 +38,12 @@
             const auto at = static_cast<std::size_t>(before);
             value = points[at] + shift.part * (points[at + 1] - points[at]);
         } else {
-            value = points.back() * shift.beyond_last *
-                    std::ldexp(1.0, -static_cast<int>(before - last));
+            // Halved exactly with each step.
+            beyond = before == last || i == 0
+                         ? points.back() * shift.beyond_last *
+                               std::ldexp(1.0, -static_cast<int>(before - last))
+                         : beyond * decay_per_step;
+            value = beyond;
         }
     }
     return result;
