Retry-After stays within what callers can use while capacity is shared

Cause: refused callers were told 11 to 36 s for deadlines of 14 s, and 0.003 to 129 s where servers rest; they wait for a third of their time left at most. Change: refusals for lack of capacity and for unreachable servers tell at least 250 ms and at most a third of the caller's time left; as before while the switch is off. Result: test of the bounds, and of an exchange that told over 80 s before.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/retry_after.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/retry_after.hpp
@@ -59,6 +59,13 @@
 /// service.
 base::milliseconds outage_retry_after(base::milliseconds outage);
 
+/// @return the Retry-After bounded to what callers can use: from 250 ms to a
+/// third of their time left, which is how long they wait at most, or that third
+/// if it is shorter. Without the bounds, rests of servers and shares of the
+/// release rate gave 0.003 s and up to 129 s.
+base::milliseconds bounded_retry_after(
+    base::milliseconds retry_after, base::milliseconds time_left);
+
 } // namespace mintknot::policy
 
 #endif
--- a/libs/mintknotd-platform/policy/src/retry_after.cpp
+++ b/libs/mintknotd-platform/policy/src/retry_after.cpp
@@ -10,6 +10,9 @@
 /// Shortest Retry-After: waiting requests are tried again several times within
 /// this time anyway.
 constexpr base::milliseconds min_retry_after{250};
+/// Callers wait for at most this part of their time left, whatever Retry-After
+/// says.
+constexpr int obeyed_part = 3;
 /// Share of the released memory that callers who come back may take; the rest
 /// goes to first tries. Of 0.1, 0.2 and 0.5, it served as many first tries in
 /// time as 0.1 and more than 0.5 (83.9, 83.7 and 83.4 in 100, thirty simulated
@@ -64,4 +67,11 @@
     return std::clamp(outage, min_outage, max_outage);
 }
 
+base::milliseconds bounded_retry_after(
+    base::milliseconds retry_after, base::milliseconds time_left) {
+    const base::milliseconds longest =
+        std::max(base::milliseconds{0}, time_left / obeyed_part);
+    return std::clamp(retry_after, std::min(min_retry_after, longest), longest);
+}
+
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/tests/test_retry_after.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_retry_after.cpp
@@ -48,3 +48,21 @@
     cr_assert(
         retry_after >= milliseconds(200) && retry_after <= milliseconds(500));
 }
+
+// Guards against times that callers cannot use: 36 s for a deadline of 14 s
+// makes them all return after a third of it, and 3 ms at once.
+Test(retry_after, is_bounded_by_what_callers_obey) {
+    const milliseconds left(14000);
+    cr_assert(
+        bounded_retry_after(milliseconds(36000), left) == milliseconds(4666));
+    cr_assert(
+        bounded_retry_after(milliseconds(900), left) == milliseconds(900));
+    cr_assert(bounded_retry_after(milliseconds(3), left) == milliseconds(250));
+    cr_assert(
+        bounded_retry_after(milliseconds(3), milliseconds(300)) ==
+            milliseconds(100),
+        "a third is shorter than the least");
+    cr_assert(
+        bounded_retry_after(milliseconds(900), milliseconds(-5)) ==
+        milliseconds(0));
+}
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -105,6 +105,9 @@
     /// Ends the exchange because the servers have no capacity for it. The
     /// request must not have run. @param wanted what the request would take.
     void refuse_for_capacity(const wanted_capacity& wanted);
+    /// @return the Retry-After within what the caller can use
+    /// (policy::bounded_retry_after()) while capacity is shared; else as given.
+    base::milliseconds usable_retry_after(base::milliseconds retry_after) const;
     /// @return the claim of the request; nothing unless capacity is shared.
     std::optional<policy::capacity_claim> claim(bool waiting, bool begun) const;
     /// Checks, before each send, that the request may still go to a server: the
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -221,14 +221,23 @@
 
 void exchange::refuse_for_capacity(const wanted_capacity& wanted) {
     const auto limited = limited_retry_after(context_, service_.name);
-    give_up(
-        "no_capacity",
+    const base::milliseconds planned =
         limited ? *limited
                 : policy::schedule_retry_after(
                       context_.state.retry_after_schedules[service_.name],
                       {wanted.forecast, wanted.expected_wait, wanted.cost,
                        context_.state.instances},
-                      context_.loop.now()));
+                      context_.loop.now());
+    give_up("no_capacity", usable_retry_after(planned));
+}
+
+base::milliseconds
+exchange::usable_retry_after(base::milliseconds retry_after) const {
+    if (!context_.state.capacity_sharing)
+        return retry_after;
+    const base::milliseconds left =
+        request_.terms.deadline.value_or(default_deadline) - since_arrival();
+    return policy::bounded_retry_after(retry_after, left);
 }
 
 std::optional<policy::capacity_claim>
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -159,7 +159,9 @@
         wait_timer_.start(policy::unreachable_retry_delay, [this] { place(); });
         return;
     }
-    give_up("server_unreachable", outage_retry_after(context_, service_.name));
+    give_up(
+        "server_unreachable",
+        usable_retry_after(outage_retry_after(context_, service_.name)));
 }
 
 policy::unplaced_request generation_exchange::describe_unplaced() const {
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -253,7 +253,9 @@
         return;
     }
     if (step.server_out_of_reach) {
-        give_up(step.reason, outage_retry_after(context_, service_.name));
+        give_up(
+            step.reason,
+            usable_retry_after(outage_retry_after(context_, service_.name)));
         return;
     }
     end_with_action(
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -559,3 +559,23 @@
     cr_assert(same.ask(prompt("/stream/x")).complete);
     cr_assert(d.requests.at(0).field("Urgency").empty());
 }
+
+// Guards against a time to return at which the caller has long given up.
+Test(generation_exchange, a_refused_caller_is_told_a_time_that_it_obeys) {
+    relay_fixture f;
+    scripted_placer full([](const policy::placement_query&) {
+        policy::placement none;
+        none.capacity.engines = 1;
+        none.capacity.forecast = {std::chrono::seconds(90), 0.01};
+        return none;
+    });
+    f.context.placement = &full;
+    const auto told = [&f] {
+        const caller_view seen = f.ask(prompt("/stream/x"));
+        cr_assert(seen.status == 503);
+        return std::stod(seen.field("Retry-After")); // Milliseconds.
+    };
+    cr_assert(told() > 80000.0, "as before while capacity is not shared");
+    f.context.state.capacity_sharing = true;
+    cr_assert(told() <= 60000.0 / 3.0);
+}
