One schedule of returns for each domain, and capacity kept for them

Cause: each of 81 instances assigned return times at 1/81 of the release rate: 11 to 16 s in the median for deadlines of 14 s. All callers returned after a third of their time, at the same time. Change: policy/return_schedule paces the returns of a domain by what first tries leave of the release and keeps engines for those that are due. A refusal asks the scheduler (return_request, return_answer) or, without schedulers, the own schedule; without an answer the earlier rule holds within a third of the time left. So does the Retry-After while servers rest. Off with capacity_sharing.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/domain_admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/domain_admission.hpp
@@ -31,6 +31,13 @@
     const domain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query);
 
+/// Plans the return of a caller whose request is refused for lack of capacity.
+/// Precondition: the query has a claim.
+/// @param earliest no capacity is expected before.
+return_decision plan_return(
+    domain_admission_state& state, const selection_inputs& inputs,
+    const placement_query& query, base::milliseconds earliest);
+
 /// Chooses the servers of a request with a claim, or denies it capacity.
 /// Precondition: the query has a claim.
 placement place_claim(
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -103,8 +103,12 @@
         int status, std::string_view reason,
         std::optional<base::milliseconds> retry_after);
     /// Ends the exchange because the servers have no capacity for it. The
-    /// request must not have run. @param wanted what the request would take.
+    /// request must not have run. While capacity is shared, the scheduler of
+    /// the domain may be asked for a return time first. @param wanted what the
+    /// request would take.
     void refuse_for_capacity(const wanted_capacity& wanted);
+    /// Ends the exchange because no server can be reached, or all rest.
+    void give_up_out_of_reach(std::string_view reason);
     /// @return the claim of the request; nothing unless capacity is shared.
     std::optional<policy::capacity_claim> claim(bool waiting, bool begun) const;
     /// Checks, before each send, that the request may still go to a server: the
@@ -171,12 +175,28 @@
         int status, std::string_view reason,
         std::optional<base::milliseconds> retry_after);
     void finish(std::string_view outcome);
+    /// @return what the scheduler is told of this request once it is refused.
+    refused_request describe_refused(const wanted_capacity& wanted) const;
+    /// @return true if the caller may have been told a return time: the digest
+    /// costs a hash of the body, and is left out of the claims of first tries.
+    bool may_be_return() const;
+    std::uint64_t digest() const;
+    /// @return the time that the caller has left, whatever the route's timeout.
+    base::milliseconds caller_time_left() const;
+    void on_planned_return(
+        const planned_return& planned, const refused_request& refused,
+        const policy::capacity_forecast& forecast);
 
     request_identity identity_;
     event::timer deadline_timer_;
     base::steady_time deadline_;
     std::unique_ptr<usage_ticket> usage_ticket_;
     usage_grant usage_;
+    std::unique_ptr<ticket> return_ticket_;
+    /// How the return of the caller was planned, and by whom, for the log;
+    /// empty: it was not.
+    std::string return_plan_;
+    std::string return_planned_by_;
     base::milliseconds first_byte_{0};
     /// Time from the arrival of the request to its first call.
     std::optional<base::milliseconds> first_send_;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -32,6 +32,9 @@
     void count_request(const finished_request& request);
     void count_call(policy::call_result result);
     void count_retry(std::string_view reason);
+    /// Counts a refusal for lack of capacity by how its caller's return was
+    /// planned: `promised`, `final` or `unplanned`.
+    void count_return(std::string_view plan);
     /// Records how old the server table was when a request was sent to a
     /// server.
     void observe_server_table_age(base::milliseconds age);
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -19,6 +19,7 @@
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
+#include <mintknot/relay/return_planner.hpp>
 #include <mintknot/relay/usage_limiter.hpp>
 #include <mintknot/relay/wait_queue.hpp>
 #include <mintknot/traffic/configuration.hpp>
@@ -143,9 +144,10 @@
     health_prober& prober;
     relay_options options;
     router_state state{};
-    placer* placement = nullptr;     ///< Null: requests are placed locally.
-    usage_limiter* limits = nullptr; ///< Null: no usage limits apply.
-    crash_guard* crashes = nullptr;  ///< Null: no request is blocked.
+    placer* placement = nullptr;       ///< Null: requests are placed locally.
+    usage_limiter* limits = nullptr;   ///< Null: no usage limits apply.
+    crash_guard* crashes = nullptr;    ///< Null: no request is blocked.
+    return_planner* returns = nullptr; ///< Null: returns are planned here.
     wait_queue queue{loop};
     std::minstd_rand random{std::random_device{}()};
 
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -219,18 +219,6 @@
     send_router_answer(status, reason, retry_after);
 }
 
-void exchange::refuse_for_capacity(const wanted_capacity& wanted) {
-    const auto limited = limited_retry_after(context_, service_.name);
-    give_up(
-        "no_capacity",
-        limited ? *limited
-                : policy::schedule_retry_after(
-                      context_.state.retry_after_schedules[service_.name],
-                      {wanted.forecast, wanted.expected_wait, wanted.cost,
-                       context_.state.instances},
-                      context_.loop.now()));
-}
-
 std::optional<policy::capacity_claim>
 exchange::claim(bool waiting, bool begun) const {
     if (!context_.state.capacity_sharing)
@@ -242,8 +230,8 @@
         base::milliseconds{0}, route_.target_latency - since_arrival());
     result.deadline_left = std::max(base::milliseconds{0}, time_left());
     result.caller_retry = is_caller_retry();
-    if (result.caller_retry)
-        result.digest = number_of(identity_.digest());
+    if (may_be_return())
+        result.digest = digest();
     result.waiting = waiting;
     result.begun = begun;
     return result;
@@ -267,7 +255,9 @@
          {"verdict", base::to_string(verdict_)},
          {"sends", std::int64_t{sends_}},
          {"config", static_cast<std::int64_t>(config_->version)},
-         {"after_ms", since_arrival().count()}});
+         {"after_ms", since_arrival().count()},
+         {"return_plan", return_plan_},
+         {"planned_by", return_planned_by_}});
     finish(reason);
     sink_.send_complete(std::move(head), std::string(reason) + "\n");
 }
@@ -299,6 +289,16 @@
            policy::was_refused_before(found->second, request_.terms.deadline);
 }
 
+bool exchange::may_be_return() const {
+    const auto found = context_.state.deadlines.find(route_.name);
+    return found != context_.state.deadlines.end() &&
+           policy::may_have_returned(found->second, request_.terms.deadline);
+}
+
+std::uint64_t exchange::digest() const {
+    return number_of(identity_.digest());
+}
+
 void exchange::end_answer(std::string_view outcome) {
     if (finished_)
         return;
@@ -329,6 +329,7 @@
 void exchange::finish(std::string_view outcome) {
     finished_ = true;
     deadline_timer_.stop();
+    return_ticket_.reset();
     return_usage();
     context_.metrics.count_request(
         {route_.name, std::string(outcome), first_byte_, since_arrival()});
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -158,7 +158,7 @@
         wait_timer_.start(policy::unreachable_retry_delay, [this] { place(); });
         return;
     }
-    give_up("server_unreachable", outage_retry_after(context_, service_.name));
+    give_up_out_of_reach("server_unreachable");
 }
 
 policy::unplaced_request generation_exchange::describe_unplaced() const {
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -253,7 +253,7 @@
         return;
     }
     if (step.server_out_of_reach) {
-        give_up(step.reason, outage_retry_after(context_, service_.name));
+        give_up_out_of_reach(step.reason);
         return;
     }
     end_with_action(
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -53,6 +53,12 @@
             .Name("mintknot_repeats_total")
             .Help("Requests sent again, by reason.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& returns =
+        prometheus::BuildCounter()
+            .Name("mintknot_returns_total")
+            .Help("Refusals for lack of capacity by how the return of the "
+                  "caller was planned.")
+            .Register(registry);
     prometheus::Family<prometheus::Histogram>& first_bytes =
         prometheus::BuildHistogram()
             .Name("mintknot_first_byte_seconds")
@@ -100,6 +106,10 @@
     impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void relay_metrics::count_return(std::string_view plan) {
+    impl_->returns.Add({{"plan", std::string(plan)}}).Increment();
+}
+
 void relay_metrics::observe_server_table_age(base::milliseconds age) {
     impl_->server_ages.Add({}, latency_buckets()).Observe(seconds(age));
 }
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -19,6 +19,7 @@
 #include <mintknot/relay/local_server.hpp>
 #include <mintknot/runtime/instance.hpp>
 #include <mintknot/scheduling/remote_placer.hpp>
+#include <mintknot/scheduling/remote_return_planner.hpp>
 
 namespace mintknot::runtime {
 
@@ -101,6 +102,7 @@
     peers::peer_group group;
     peers::membership members_of_fleet;
     scheduling::remote_placer placer;
+    scheduling::remote_return_planner returns;
     repeat_lending lending;
     limit_sharing server_limits;
     limits::usage_accounts accounts;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -58,6 +58,7 @@
     , members_of_fleet(
           ports.loop, log, membership_settings(), membership_functions())
     , placer(context, placer_functions())
+    , returns(context, placer_functions())
     , lending(context, lending_functions())
     , server_limits(context, limit_functions())
     , accounts(context, account_functions(), settings.usage_bounds)
@@ -83,6 +84,7 @@
     context.state.instances = policy::assumed_instances(1);
     context.state.started = ports.loop.now();
     context.placement = &placer;
+    context.returns = &returns;
     relay::observe_server_notices(context);
     context.limits = &accounts;
     context.crashes = &crashes;
@@ -237,7 +239,7 @@
         !lending.receive(host, datagram) &&
         !server_limits.receive(host, datagram) &&
         !demands.receive(host, datagram) && !accounts.receive(host, datagram) &&
-        !crashes.receive(host, datagram))
+        !crashes.receive(host, datagram) && !returns.receive(host, datagram))
         placer.receive(host, datagram);
 }
 
