--- a/libs/mintknotd-platform/policy/include/mintknot/policy/return_schedule.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/return_schedule.hpp
@@ -116,7 +116,7 @@
 /// @return the cost of each return for which capacity is kept, in the order of
 /// their times and without the one of the request with that digest. A return
 /// that needs more than is free on any engine is kept capacity for up to a
-/// second before its time, as long as it takes to become free. At most 64 of
+/// second before its time, as long as it takes to become free. At most 256 of
 /// them, which bounds the time of a placement.
 std::vector<double> kept_costs(
     return_schedule& schedule, std::uint64_t digest, base::steady_time now);
--- a/libs/mintknotd-platform/policy/src/return_schedule.cpp
+++ b/libs/mintknotd-platform/policy/src/return_schedule.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t min_kept = 2;
 
 /// Most returns that a placement keeps capacity for.
-constexpr std::size_t max_kept = 64;
+constexpr std::size_t max_kept = 256;
 
 /// @return when the present shortage is expected to end; `now` at its first
 /// refusal.
--- a/libs/mintknotd-platform/policy/tests/burst_simulation.hpp
+++ b/libs/mintknotd-platform/policy/tests/burst_simulation.hpp
@@ -33,6 +33,8 @@
     bool previous_rule = false;
     double burst_factor = 2.0; ///< Of the load, for 4 s.
     unsigned seed = 7;
+    int schedulers = 1;   ///< Of one domain, by turns of callers and tries.
+    bool cut_off = false; ///< Data centres do not reach each other.
     /// When all schedulers lose their state; nothing: never.
     milliseconds restart{0};
     /// @return whether the datagrams of a refusal are lost.
@@ -117,6 +119,8 @@
         if (!split())
             return {""};
         std::vector<std::string> result = {caller.data_centre};
+        if (options_.cut_off)
+            return result;
         for (int i = 0; i < data_centres; ++i)
             if (std::to_string(i) != caller.data_centre)
                 result.push_back(std::to_string(i));
@@ -130,7 +134,8 @@
         const auto instance = static_cast<int>(
             (caller.digest * 7 + static_cast<unsigned>(caller.tries) * 5) %
             static_cast<unsigned>(options_.instances));
-        return states_[{domain, scheduled() ? 0 : instance}];
+        return states_[{
+            domain, scheduled() ? instance % options_.schedulers : instance}];
     }
 
     selection_inputs inputs_of(
--- a/libs/mintknotd-platform/policy/tests/test_return_schedule.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_return_schedule.cpp
@@ -208,7 +208,7 @@
 Test(return_schedule, a_return_is_kept_one_engine) {
     const std::vector<engine_room> engines = {
         {"a", 8100.0}, {"b", 3900.0}, {"c", 4100.0}};
-    const auto kept_from = [&](double cost, std::vector<double> kept) {
+    const auto kept_from = [&](double cost, const std::vector<double>& kept) {
         return engines_kept(engines, cost, kept);
     };
     cr_assert(kept_from(4000.0, {}) == std::set<std::string>{"b"});
--- a/libs/mintknotd-platform/policy/tests/test_return_schedule_load.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_return_schedule_load.cpp
@@ -105,3 +105,30 @@
         cr_expect(seen.again_share() <= 0.1);
     }
 }
+
+/// Two schedulers of one domain promise the same capacity, and half of the
+/// callers return to the other one: they are served or refused once more, and
+/// told a time that they obey.
+Test(return_schedule_load, two_schedulers_leave_times_within_bounds) {
+    for (const int instances : {76, 300}) {
+        scenario options{instances, false};
+        options.schedulers = 2;
+        const outcome seen = run(options);
+        print("two schedulers", instances, seen);
+        cr_expect(seen.beyond == 0);
+        cr_expect(seen.again_share() <= 0.25);
+    }
+}
+
+/// Data centres that are cut off from each other serve their own callers by
+/// their own schedules.
+Test(return_schedule_load, promises_hold_in_data_centres_cut_off) {
+    for (const int instances : {76, 300}) {
+        scenario options{instances, false};
+        options.cut_off = true;
+        const outcome seen = run(options);
+        print("cut off", instances, seen);
+        cr_expect(seen.beyond == 0);
+        cr_expect(seen.on_time_share() >= 0.9);
+    }
+}
