A request that fits nowhere is not denied for the sake of returns

Cause: while capacity was kept for returns, a request larger than the free memory of any engine was denied with reserved_for_returns. Change: such a request is denied with no_capacity.

--- a/libs/mintknotd-platform/policy/src/domain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/domain_admission.cpp
@@ -84,8 +84,13 @@
         return capacity.free - std::accumulate(kept.begin(), kept.end(), 0.0) >=
                cost_of(query);
     const std::vector<engine_room> rooms = free_memory(inputs);
-    const std::set<std::string> engines =
-        engines_kept(rooms, cost_of(query), kept);
+    const double cost = cost_of(query);
+    // What fits nowhere is denied for lack of capacity, not for returns.
+    if (std::none_of(rooms.begin(), rooms.end(), [cost](const auto& room) {
+            return room.free >= cost;
+        }))
+        return true;
+    const std::set<std::string> engines = engines_kept(rooms, cost, kept);
     query.excluded.insert(engines.begin(), engines.end());
     query.may_reuse_excluded = false;
     return engines.size() < rooms.size();
