Returns are planned for after the shortage; what is kept follows selection

Cause: returns planned before a shortage ends take the place of first tries that are still in time. A request that fits on no engine got the earliest time and moved those of all others by years. Callers with the same request shared one promise and were told the same time. With a long forecast wait, all refusals of one moment were told the same time. While capacity was kept, tried engines were not reused even if none was kept from the request, and the denial was no_capacity. Returns were assigned engines that rest, are full or have no token. Change: a shortage is expected to last as long again as it has lasted, at least 4 s in all; returns come after it, else in the last quarter of what the caller obeys with a fifth of the release. While first tries are denied, at most a fifth of what is free or released is kept. A request that never fits is refused for good, and next times are at most a minute ahead. Each caller has a promise of its own, which is told again only to one that was refused before and obeys it. Conversions of times are bounded. A schedule's promises have a file of their own; final, calm, pay, paid_at and costs_nearby have plain names.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
@@ -82,6 +82,12 @@
     capacity_forecast forecast; ///< Over all of them.
 };
 
+/// @return true if the engine can be selected for decoding now, whatever memory
+/// it has left: it is in scope, has a free slot, a connection and a token, and
+/// neither rests nor is avoided.
+bool takes_decode(
+    const selection_inputs& inputs, const traffic::server& engine);
+
 capacity_summary summarize_capacity(
     const selection_inputs& inputs, const decode_request& wanted);
 
--- a/libs/mintknotd-platform/policy/src/capacity_forecast.cpp
+++ b/libs/mintknotd-platform/policy/src/capacity_forecast.cpp
@@ -7,8 +7,14 @@
 
 namespace {
 
+/// Bound of a forecast in milliseconds, a week: a request of absurd size must
+/// not lead to a time that no integer holds.
+constexpr double longest_wait = 604800000.0;
+
 base::milliseconds time_for(double tokens, double rate) {
-    return base::milliseconds(static_cast<std::int64_t>(tokens / rate));
+    const double wait = tokens / rate;
+    return base::milliseconds(
+        static_cast<std::int64_t>(wait < longest_wait ? wait : longest_wait));
 }
 
 /// @return the wait at one engine; nothing if it can never take the request.
--- a/libs/mintknotd-platform/policy/src/domain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/domain_admission.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/policy/domain_admission.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <numeric>
 #include <set>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Bound of a service time in milliseconds, far above deadlines.
+constexpr double longest_service = 3600000.0;
+
 bool is_plain(const placement_query& query) {
     return query.kind == placement_kind::plain ||
            query.kind == placement_kind::plain_with_free_slot;
@@ -41,59 +45,86 @@
     return capacity;
 }
 
+/// @return the memory of an engine that requests may use; 0: unknown.
+double usable_memory(const selection_inputs& inputs) {
+    return inputs.service.engine
+               ? static_cast<double>(inputs.service.engine->memory_tokens) *
+                     usable_memory_share
+               : 0.0;
+}
+
 /// @return the usable free memory of each decode engine of the domain that
 /// takes requests now.
 std::vector<engine_room> free_memory(const selection_inputs& inputs) {
     std::vector<engine_room> rooms;
-    const double usable =
-        inputs.service.engine
-            ? static_cast<double>(inputs.service.engine->memory_tokens) *
-                  usable_memory_share
-            : 0.0;
+    const double usable = usable_memory(inputs);
     for (const traffic::server* engine :
-         traffic::open_servers(inputs.servers, inputs.service.name)) {
-        const bool in_domain = inputs.only_data_centre.empty() ||
-                               inputs.only_data_centre == engine->data_centre;
-        if (in_domain && engine->phase != traffic::engine_phase::prefill &&
-            !is_avoided(inputs.health, engine->id, inputs.now))
+         traffic::open_servers(inputs.servers, inputs.service.name))
+        if (takes_decode(inputs, *engine))
             rooms.push_back(
                 {engine->id,
                  usable -
                      traffic::total(inputs.loads, engine->id).memory_tokens});
-    }
     return rooms;
 }
 
-/// Excludes what is kept for promised returns from the servers that a request
-/// may use. @return whether it may use any.
-bool leave_kept(
+/// @return the cost of the returns that a request must leave capacity for.
+std::vector<double> costs_to_leave(
     return_schedule& returns, const selection_inputs& inputs,
-    const domain_capacity& capacity, placement_query& query) {
-    const capacity_claim& claim = *query.claim;
+    const domain_capacity& capacity, const capacity_claim& claim) {
+    const auto window =
+        static_cast<double>((keeps_before + return_grace).count());
+    const double most = most_kept(
+        returns, capacity.free + capacity.release_rate * window, inputs.now);
+    if (inputs.all_loads_known)
+        return kept_costs(
+            returns, claim.caller_retry ? claim.digest : 0, inputs.now, most);
     // Without a scheduler, a caller may return to an instance that does not
     // know its promise.
-    const bool alone = !inputs.all_loads_known;
-    if (alone && claim.caller_retry)
-        return true;
-    const std::vector<double> kept =
-        alone ? costs_nearby(returns, inputs.now)
-              : kept_costs(returns, claim.digest, inputs.now);
+    return claim.caller_retry
+               ? std::vector<double>{}
+               : kept_without_scheduler(returns, inputs.now, most);
+}
+
+/// @return the engines that a request of that cost may not use.
+std::set<std::string> engines_to_leave(
+    const selection_inputs& inputs, double cost,
+    const std::vector<double>& kept) {
     if (kept.empty())
-        return true;
-    if (is_plain(query))
-        return capacity.free - std::accumulate(kept.begin(), kept.end(), 0.0) >=
-               cost_of(query);
+        return {};
     const std::vector<engine_room> rooms = free_memory(inputs);
-    const double cost = cost_of(query);
     // What fits nowhere is denied for lack of capacity, not for returns.
     if (std::none_of(rooms.begin(), rooms.end(), [cost](const auto& room) {
             return room.free >= cost;
         }))
-        return true;
-    const std::set<std::string> engines = engines_kept(rooms, cost, kept);
-    query.excluded.insert(engines.begin(), engines.end());
+        return {};
+    return engines_kept(rooms, cost, kept);
+}
+
+/// Chooses servers other than `kept`, which may include servers that were tried
+/// before as far as the query allows that.
+placement choose_beside(
+    const selection_inputs& inputs, const placement_query& asked,
+    const std::set<std::string>& kept) {
+    if (kept.empty())
+        return choose_servers(inputs, asked);
+    excluded_servers left(kept.begin(), kept.end());
+    // Avoided engines are no substitute for those kept for returns.
+    for (const traffic::server* engine :
+         traffic::open_servers(inputs.servers, inputs.service.name))
+        if (is_avoided(inputs.health, engine->id, inputs.now))
+            left.insert(engine->id);
+    placement_query query = asked;
     query.may_reuse_excluded = false;
-    return engines.size() < rooms.size();
+    query.excluded.insert(left.begin(), left.end());
+    placement result = choose_servers(inputs, query);
+    if (result.server.empty() && asked.may_reuse_excluded) {
+        query.excluded = left;
+        result = choose_servers(inputs, query);
+    }
+    if (result.server.empty() && !choose_servers(inputs, asked).server.empty())
+        result.denial = capacity_denial::reserved_for_returns;
+    return result;
 }
 
 /// Records the demand of first tries, and ends the promise to a caller that has
@@ -106,31 +137,52 @@
     // placed: it asks each domain.
     const bool counts = placed || inputs.only_data_centre.empty() ||
                         inputs.only_data_centre == request.data_centre;
-    if (counts && !claim.caller_retry && !claim.waiting && !claim.begun)
+    const bool first_try =
+        !claim.caller_retry && !claim.waiting && !claim.begun;
+    if (counts && first_try && std::isfinite(request.cost))
         note_first_try(returns.first_tries, request.cost, inputs.now);
-    if (placed && claim.digest != 0)
+    if (!placed && !claim.caller_retry && !claim.begun)
+        note_first_try_denied(returns, inputs.now);
+    if (placed && claim.digest != 0 &&
+        (claim.caller_retry ||
+         returns_on_time(returns, claim.digest, inputs.now)))
         end_promise(returns, claim.digest);
 }
 
+/// What a request may use, unless it is denied.
+struct admission_result {
+    capacity_denial denial = capacity_denial::none;
+    std::set<std::string> kept; ///< Engines kept for returns.
+};
+
 /// Decides in the order plain admission, shares, promised returns.
-/// @param query without the servers that are kept for returns afterwards.
-capacity_denial deny(
+admission_result admit(
     domain_admission_state& state, const selection_inputs& inputs,
-    placement_query& query, const share_request& request) {
+    const placement_query& query, const share_request& request) {
     const capacity_claim& claim = *query.claim;
     const bool redeemed =
         claim.digest != 0 &&
         returns_on_time(state.returns, claim.digest, inputs.now);
     if (claim.begun || redeemed)
-        return capacity_denial::none;
+        return {};
     const domain_capacity capacity = capacity_of(state, inputs, query);
     const capacity_denial denial =
         admit_by_share(state.shares, request, capacity, inputs.now);
     if (denial != capacity_denial::none)
-        return denial;
-    return leave_kept(state.returns, inputs, capacity, query)
-               ? capacity_denial::none
-               : capacity_denial::reserved_for_returns;
+        return {denial, {}};
+    const std::vector<double> kept =
+        costs_to_leave(state.returns, inputs, capacity, claim);
+    if (!is_plain(query))
+        return {
+            capacity_denial::none,
+            engines_to_leave(inputs, request.cost, kept)};
+    const bool fits =
+        kept.empty() ||
+        capacity.free - std::accumulate(kept.begin(), kept.end(), 0.0) >=
+            request.cost;
+    return {
+        fits ? capacity_denial::none : capacity_denial::reserved_for_returns,
+        {}};
 }
 
 placement denied(
@@ -160,6 +212,9 @@
 return_decision plan_return(
     domain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query, base::milliseconds earliest) {
+    const double usable = usable_memory(inputs);
+    if (!is_plain(query) && usable > 0.0 && !(cost_of(query) <= usable))
+        return final_refusal(*query.claim);
     const domain_capacity capacity = capacity_of(state, inputs, query);
     return_terms terms;
     terms.cost = cost_of(query);
@@ -167,8 +222,8 @@
     terms.schedules = inputs.all_loads_known ? 1 : inputs.instances;
     terms.service_time = inputs.mean_hold_time;
     if (is_plain(query) && capacity.release_rate > 0.0)
-        terms.service_time = base::milliseconds(
-            static_cast<std::int64_t>(capacity.total / capacity.release_rate));
+        terms.service_time = base::milliseconds(static_cast<std::int64_t>(
+            std::min(capacity.total / capacity.release_rate, longest_service)));
     terms.earliest = earliest;
     if (!is_plain(query)) {
         // The caller returns to this domain, whatever others have free.
@@ -182,23 +237,22 @@
 
 placement place_claim(
     domain_admission_state& state, const selection_inputs& inputs,
-    const placement_query& asked) {
-    placement_query query = asked;
+    const placement_query& query) {
     const share_request request{
-        *asked.claim, inputs.own_data_centre, cost_of(asked)};
+        *query.claim, inputs.own_data_centre, cost_of(query)};
     plain_decision plain;
     if (is_plain(query))
         plain = admit_plain(state.plain, inputs, query);
-    capacity_denial denial = plain.denial;
-    if (denial == capacity_denial::none)
-        denial = deny(state, inputs, query, request);
+    admission_result admitted{plain.denial, {}};
+    if (admitted.denial == capacity_denial::none)
+        admitted = admit(state, inputs, query, request);
     placement result;
-    if (denial != capacity_denial::none)
-        result = denied(denial, inputs, query);
+    if (admitted.denial != capacity_denial::none)
+        result = denied(admitted.denial, inputs, query);
     else if (!plain.server.empty())
         result.server = plain.server;
     else
-        result = choose_servers(inputs, query);
+        result = choose_beside(inputs, query, admitted.kept);
     result.expected_wait = plain.expected_wait;
     if (result.server.empty() && result.denial == capacity_denial::none)
         result.denial = capacity_denial::no_capacity;
--- a/libs/mintknotd-platform/policy/src/retry_after.cpp
+++ b/libs/mintknotd-platform/policy/src/retry_after.cpp
@@ -24,13 +24,20 @@
 /// longer Retry-After none would come back.
 constexpr base::milliseconds max_outage{30000};
 
+/// Bound of the release time of one request in milliseconds, a week: one of
+/// absurd size must not lead to a time that no integer holds.
+constexpr double longest_release = 604800000.0;
+
+constexpr base::milliseconds longest_ahead{604800000};
+
 base::milliseconds
 release_time(const retry_after_inputs& terms, double release_rate) {
     const double share =
         retrying_share /
         static_cast<double>(std::max<std::size_t>(terms.instances, 1));
-    return base::milliseconds(
-        static_cast<std::int64_t>(terms.tokens / (release_rate * share)));
+    const double time = terms.tokens / (release_rate * share);
+    return base::milliseconds(static_cast<std::int64_t>(
+        time < longest_release ? time : longest_release));
 }
 
 } // namespace
@@ -42,7 +49,9 @@
         min_retry_after, terms.expected_wait.value_or(min_retry_after));
     schedule.last = std::max(schedule.last, now + wait);
     if (terms.forecast.release_rate > 0.0)
-        schedule.last += release_time(terms, terms.forecast.release_rate);
+        schedule.last = std::min<base::steady_time>(
+            schedule.last + release_time(terms, terms.forecast.release_rate),
+            now + longest_ahead);
     return base::time_left(schedule.last, now);
 }
 
--- a/libs/mintknotd-platform/policy/src/return_schedule.cpp
+++ b/libs/mintknotd-platform/policy/src/return_schedule.cpp
@@ -1,8 +1,10 @@
 #include <mintknot/policy/return_schedule.hpp>
 
+#include "return_promises.hpp"
+
 #include <algorithm>
+#include <cmath>
 #include <optional>
-#include <queue>
 
 namespace mintknot::policy {
 
@@ -15,9 +17,13 @@
 /// Least share of the release that returns get; see retrying_share in
 /// retry_after.cpp.
 constexpr double min_return_share = 0.2;
-/// A shortage is expected to last as long as the shorter bursts that were seen.
-/// Returns before its end take the place of first tries that are still in time.
-constexpr base::milliseconds expected_shortage{4000};
+/// Shortest time for which a shortage is expected to last: that of the shorter
+/// bursts that were seen. Returns before its end take the place of first tries
+/// that are still in time.
+constexpr base::milliseconds min_shortage{4000};
+/// Bound of the distance of the next free times, far above what callers obey: a
+/// request of absurd size must not move them out of reach.
+constexpr base::milliseconds max_ahead{60000};
 /// Number of forecast waits after which a caller returns. A forecast is a mean;
 /// with one wait 0.06 to 0.1 of the returns of large streams found no engine
 /// free, with four 0.01 to 0.03 (76 to 986 instances, twice the load). Without
@@ -26,85 +32,26 @@
 constexpr int waits_with_scheduler = 4;
 constexpr int waits_without_scheduler = 12;
 /// A time without a refusal after which a refusal begins a new shortage.
-constexpr base::milliseconds calm{1000};
-/// Longest time before a return for which capacity is kept.
-constexpr base::milliseconds keeps_before{1000};
-/// For how many returns an instance without a scheduler keeps capacity at
-/// least: it does not know those promised by others.
-constexpr std::size_t min_kept = 2;
-
-/// Most returns that a placement keeps capacity for.
-constexpr std::size_t max_kept = 256;
-
-/// @return when the present shortage is expected to end; `now` at its first
-/// refusal.
+constexpr base::milliseconds time_between_shortages{1000};
+/// @return when the present shortage is expected to end: it lasts as long again
+/// as it has lasted.
 base::steady_time
 note_shortage(return_schedule& schedule, base::steady_time now) {
-    if (now - schedule.last_refusal > calm)
+    if (now - schedule.last_refusal > time_between_shortages)
         schedule.shortage_began = now;
     schedule.last_refusal = now;
-    if (schedule.shortage_began == now)
-        return now;
-    return std::max(now, schedule.shortage_began + expected_shortage);
+    const auto lasted = now - schedule.shortage_began;
+    return schedule.shortage_began +
+           std::max<base::steady_time::duration>(2 * lasted, min_shortage);
 }
 
+/// @return the time in which a cost is released, at most `max_ahead`.
 base::steady_time::duration time_for(double cost, double rate) {
+    const auto longest = static_cast<double>(max_ahead.count());
+    const double time = cost / rate;
     return std::chrono::duration_cast<base::steady_time::duration>(
-        std::chrono::duration<double, std::milli>(cost / rate));
-}
-
-/// How fast returns are scheduled.
-struct return_pace {
-    double now = 0.0;   ///< Cost per millisecond until the shortage ends,
-    double later = 0.0; ///< and after that.
-    base::steady_time shortage_end;
-};
-
-/// @return the time at which a return of that cost has been paid for.
-base::steady_time
-paid_at(base::steady_time from, double cost, const return_pace& pace) {
-    const base::steady_time slowly = from + time_for(cost, pace.now);
-    if (slowly <= pace.shortage_end)
-        return slowly;
-    const auto before =
-        std::max(base::steady_time::duration{0}, pace.shortage_end - from);
-    const double paid =
-        pace.now * std::chrono::duration<double, std::milli>(before).count();
-    return from + before + time_for(cost - paid, pace.later);
-}
-
-return_pace
-pace_of(double first_tries, double release, base::steady_time shortage_end) {
-    return_pace pace;
-    pace.now = min_return_share * release;
-    pace.later = std::max(pace.now, release - first_tries);
-    pace.shortage_end = shortage_end;
-    return pace;
-}
-
-void remove(return_schedule& schedule, std::uint64_t digest) {
-    const auto found = schedule.promises.find(digest);
-    if (found == schedule.promises.end())
-        return;
-    schedule.upcoming.erase({found->second.kept_from, digest});
-    schedule.kept.erase({found->second.due, digest});
-    schedule.promises.erase(found);
-}
-
-/// Moves promises for which capacity is kept from now on, and drops those that
-/// have lapsed.
-void advance(return_schedule& schedule, base::steady_time now) {
-    while (!schedule.upcoming.empty() &&
-           schedule.upcoming.begin()->first <= now) {
-        const std::uint64_t digest = schedule.upcoming.begin()->second;
-        schedule.upcoming.erase(schedule.upcoming.begin());
-        schedule.kept.insert({schedule.promises.at(digest).due, digest});
-    }
-    while (!schedule.kept.empty() &&
-           schedule.kept.begin()->first + return_grace < now) {
-        ++schedule.lapsed;
-        remove(schedule, schedule.kept.begin()->second);
-    }
+        std::chrono::duration<double, std::milli>(
+            time < longest ? std::max(time, 0.0) : longest));
 }
 
 std::size_t rank_of(const capacity_claim& claim) {
@@ -119,30 +66,25 @@
     return std::min(longest_obeyed(left), left - service_time);
 }
 
-std::optional<return_decision> standing_promise(
-    const return_schedule& schedule, std::uint64_t digest,
-    base::steady_time now) {
-    const auto found = schedule.promises.find(digest);
-    if (found == schedule.promises.end() ||
-        found->second.due <= now + return_tolerance)
+/// @return the promise to a caller that was refused before, if it stands and
+/// the caller obeys its time. Otherwise the promise is replaced.
+std::optional<return_decision> repeat_promise(
+    return_schedule& schedule, const capacity_claim& claim,
+    base::milliseconds latest, base::steady_time now) {
+    const auto own = earliest_of(schedule, claim.digest);
+    if (!claim.caller_retry || !own)
         return std::nullopt;
+    const base::steady_time due = schedule.promises.at(*own).due;
+    if (due <= now + return_tolerance || due > now + latest) {
+        remove_promise(schedule, *own);
+        return std::nullopt;
+    }
     return_decision decision;
     decision.kind = return_kind::promised;
-    decision.retry_after = base::time_left(found->second.due, now);
+    decision.retry_after = base::time_left(due, now);
     return decision;
 }
 
-/// Moves the next free times of the priority and of all less urgent ones.
-void pay(
-    return_schedule& schedule, std::size_t rank, double cost,
-    base::steady_time earliest, const return_pace& pace, double release) {
-    for (std::size_t i = rank; i < schedule.next.size(); ++i)
-        schedule.next[i] =
-            paid_at(std::max(schedule.next[i], earliest), cost, pace);
-    schedule.next_of_all =
-        std::max(schedule.next_of_all, earliest) + time_for(cost, release);
-}
-
 /// @return a time in which capacity becomes free nearly always, up to `latest`
 /// as long as the forecast itself is within it.
 base::milliseconds
@@ -152,16 +94,86 @@
     return std::max(terms.earliest, std::min(terms.earliest * waits, latest));
 }
 
-void add_promise(
+/// @return how long before a return capacity is kept for it.
+base::milliseconds kept_for(const return_terms& terms) {
+    return std::clamp(
+        terms.earliest * waits_with_scheduler, return_tolerance, keeps_before);
+}
+
+/// The pace of returns, and the times between which one caller may return.
+struct return_window {
+    double release = 0.0; ///< Cost per millisecond.
+    double pace = 0.0;    ///< Of returns after the shortage.
+    base::steady_time now;
+    base::steady_time soonest; ///< The capacity is nearly always free by then.
+    base::steady_time shortage_end;
+    base::steady_time latest;
+};
+
+/// @return a time after the expected end of the shortage.
+std::optional<base::steady_time> time_after_shortage(
+    return_schedule& schedule, std::size_t rank, double cost,
+    const return_window& window) {
+    const base::steady_time from =
+        std::max(window.soonest, window.shortage_end);
+    const base::steady_time due =
+        std::max({from, schedule.next[rank], schedule.next_of_all});
+    if (due > window.latest)
+        return std::nullopt;
+    const auto bound = window.now + max_ahead;
+    for (std::size_t i = rank; i < schedule.next.size(); ++i)
+        schedule.next[i] = std::min<base::steady_time>(
+            std::max(schedule.next[i], from) + time_for(cost, window.pace),
+            bound);
+    schedule.next_of_all = std::min<base::steady_time>(
+        std::max(schedule.next_of_all, from) + time_for(cost, window.release),
+        bound);
+    return due;
+}
+
+/// @return a time in the last quarter of what the caller obeys.
+std::optional<base::steady_time> time_in_shortage(
+    return_schedule& schedule, double cost, const return_window& window) {
+    const base::steady_time from = std::max(
+        window.soonest, window.latest - (window.latest - window.now) / 4);
+    const base::steady_time due = std::max(from, schedule.next_in_shortage);
+    if (due > window.latest)
+        return std::nullopt;
+    schedule.next_in_shortage = std::min<base::steady_time>(
+        due + time_for(cost, min_return_share * window.release),
+        window.now + max_ahead);
+    return due;
+}
+
+std::optional<base::steady_time> choose_time(
+    return_schedule& schedule, std::size_t rank, double cost,
+    const return_window& window) {
+    if (schedule.promises.size() >= max_return_promises)
+        return std::nullopt;
+    const auto due = time_after_shortage(schedule, rank, cost, window);
+    return due ? due : time_in_shortage(schedule, cost, window);
+}
+
+/// @return the part of the release that this schedule may plan.
+double own_release(const return_terms& terms) {
+    return terms.release_rate /
+           static_cast<double>(std::max<std::size_t>(terms.schedules, 1));
+}
+
+return_window window_of(
     return_schedule& schedule, const capacity_claim& claim,
-    const return_terms& terms, base::steady_time due) {
-    const base::steady_time kept_from =
-        due - std::clamp(
-                  terms.earliest * waits_with_scheduler, return_tolerance,
-                  keeps_before);
-    schedule.promises[claim.digest] = {due, kept_from, terms.cost};
-    schedule.upcoming.insert({kept_from, claim.digest});
-    ++schedule.promised;
+    const return_terms& terms, double pace, base::steady_time now) {
+    const base::milliseconds left = claim.deadline_left;
+    const base::milliseconds latest = latest_return(left, terms.service_time);
+    const base::milliseconds soonest =
+        bounded_retry_after(base::milliseconds{0}, left);
+    return {
+        own_release(terms),
+        pace,
+        now,
+        now + std::max(soonest, safe_wait(terms, latest)),
+        note_shortage(schedule, now),
+        now + latest};
 }
 
 } // namespace
@@ -176,101 +188,43 @@
     return std::min(std::max(retry_after, min_retry_after), longest);
 }
 
+return_decision final_refusal(const capacity_claim& claim) {
+    return_decision decision;
+    decision.kind = return_kind::refused;
+    decision.retry_after = claim.deadline_left;
+    return decision;
+}
+
 return_decision plan_return(
     return_schedule& schedule, const capacity_claim& claim,
     const return_terms& terms, base::steady_time now) {
-    advance(schedule, now);
-    if (const auto standing = standing_promise(schedule, claim.digest, now))
-        return *standing;
-    remove(schedule, claim.digest);
-    const auto schedules =
-        static_cast<double>(std::max<std::size_t>(terms.schedules, 1));
-    const double release = terms.release_rate / schedules;
+    advance_promises(schedule, now);
     const base::milliseconds left = claim.deadline_left;
+    const double release = own_release(terms);
+    if (claim.digest == 0 || left <= base::milliseconds{0} || !(release > 0.0))
+        return {};
+    if (!std::isfinite(terms.cost))
+        return final_refusal(claim);
+    const base::milliseconds latest = latest_return(left, terms.service_time);
+    if (const auto repeated = repeat_promise(schedule, claim, latest, now))
+        return *repeated;
+    if (schedule.by_digest.count(claim.digest) >= max_promises_of_digest)
+        return {};
     return_decision decision;
-    if (claim.digest == 0 || left <= base::milliseconds{0} || release <= 0.0)
-        return decision;
     decision.first_tries =
         expected_first_tries(schedule.first_tries, terms.cost, now);
-    const return_pace pace =
-        pace_of(decision.first_tries, release, note_shortage(schedule, now));
-    decision.pace = pace.later;
-    decision.shortage_left = base::time_left(pace.shortage_end, now);
-    const base::milliseconds soonest =
-        bounded_retry_after(base::milliseconds{0}, left);
-    const base::milliseconds latest = latest_return(left, terms.service_time);
-    const base::steady_time due = std::max(
-        {now + std::max(soonest, safe_wait(terms, latest)),
-         schedule.next[rank_of(claim)], schedule.next_of_all});
-    if (due > now + latest || schedule.promises.size() >= max_return_promises) {
-        decision.kind = return_kind::final;
-        decision.retry_after = left;
-        return decision;
-    }
-    add_promise(schedule, claim, terms, due);
-    pay(schedule, rank_of(claim), terms.cost, now + soonest, pace, release);
-    decision.kind = return_kind::promised;
-    decision.retry_after = base::time_left(due, now);
+    decision.pace =
+        std::max(min_return_share * release, release - decision.first_tries);
+    const return_window window =
+        window_of(schedule, claim, terms, decision.pace, now);
+    decision.shortage_left = base::time_left(window.shortage_end, now);
+    const auto due = choose_time(schedule, rank_of(claim), terms.cost, window);
+    decision.kind = due ? return_kind::promised : return_kind::refused;
+    decision.retry_after = due ? base::time_left(*due, now) : left;
+    if (due)
+        add_promise(
+            schedule, {claim.digest, *due, *due - kept_for(terms), terms.cost});
     return decision;
 }
 
-std::vector<double> kept_costs(
-    return_schedule& schedule, std::uint64_t digest, base::steady_time now) {
-    advance(schedule, now);
-    std::vector<double> costs;
-    for (const auto& [due, owner] : schedule.kept) {
-        if (costs.size() >= max_kept)
-            break;
-        if (owner != digest)
-            costs.push_back(schedule.promises.at(owner).cost);
-    }
-    return costs;
-}
-
-std::vector<double>
-costs_nearby(return_schedule& schedule, base::steady_time now) {
-    std::vector<double> costs = kept_costs(schedule, 0, now);
-    const auto& upcoming = schedule.upcoming;
-    if (costs.empty() && !upcoming.empty() &&
-        upcoming.begin()->first <= now + keeps_before)
-        costs.push_back(schedule.promises.at(upcoming.begin()->second).cost);
-    if (!costs.empty())
-        costs.resize(std::max(costs.size(), min_kept), costs.front());
-    return costs;
-}
-
-bool returns_on_time(
-    return_schedule& schedule, std::uint64_t digest, base::steady_time now) {
-    advance(schedule, now);
-    const auto own = schedule.promises.find(digest);
-    return own != schedule.promises.end() &&
-           own->second.due <= now + return_tolerance;
-}
-
-void end_promise(return_schedule& schedule, std::uint64_t digest) {
-    if (schedule.promises.contains(digest))
-        ++schedule.served;
-    remove(schedule, digest);
-}
-
-std::set<std::string> engines_kept(
-    const std::vector<engine_room>& engines, double cost,
-    const std::vector<double>& kept) {
-    std::priority_queue<std::pair<double, std::size_t>> left;
-    for (std::size_t i = 0; i < engines.size(); ++i)
-        left.push({engines[i].free, i});
-    for (const double each : kept) {
-        if (left.empty())
-            break;
-        const auto [free, index] = left.top();
-        left.pop();
-        left.push({free - each, index});
-    }
-    std::set<std::string> result;
-    for (; !left.empty(); left.pop())
-        if (left.top().first < cost)
-            result.insert(engines[left.top().second].id);
-    return result;
-}
-
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -74,6 +74,16 @@
            inputs.only_data_centre == candidate.data_centre;
 }
 
+/// @return true if the server is in scope and may be sent a request now, apart
+/// from its load and from being avoided.
+bool can_be_selected(
+    const selection_inputs& inputs, const traffic::server& candidate) {
+    return in_scope(inputs, candidate) &&
+           !rests(inputs.health.resting, candidate.id, inputs.now) &&
+           has_token(inputs.health.limits, candidate.id, inputs.now) &&
+           has_connection_left(inputs, candidate);
+}
+
 /// @param sample_share probability with which each server is considered.
 const traffic::server* best_of_sample(
     const selection_inputs& inputs, const excluded_servers& excluded,
@@ -84,16 +94,12 @@
          traffic::open_servers(inputs.servers, inputs.service.name)) {
         if (sample_share < 1.0 && inputs.draw_uniform() >= sample_share)
             continue;
-        if (excluded.contains(candidate->id) || !in_scope(inputs, *candidate))
-            continue;
-        if (rests(inputs.health.resting, candidate->id, inputs.now) ||
-            !has_token(inputs.health.limits, candidate->id, inputs.now))
+        if (excluded.contains(candidate->id) ||
+            !can_be_selected(inputs, *candidate))
             continue;
         if (!with_avoided &&
             is_avoided(inputs.health, candidate->id, inputs.now))
             continue;
-        if (!has_connection_left(inputs, *candidate))
-            continue;
         const double value = score(*candidate);
         if (value >= lowest)
             continue;
@@ -245,6 +251,13 @@
         });
 }
 
+bool takes_decode(
+    const selection_inputs& inputs, const traffic::server& engine) {
+    return decode_phase(engine.phase) && can_be_selected(inputs, engine) &&
+           !is_avoided(inputs.health, engine.id, inputs.now) &&
+           traffic::total(inputs.loads, engine.id).calls < engine.slots;
+}
+
 capacity_summary summarize_capacity(
     const selection_inputs& inputs, const decode_request& wanted) {
     capacity_summary summary;
--- a/libs/mintknotd-platform/policy/tests/engine_pool_simulation.hpp
+++ b/libs/mintknotd-platform/policy/tests/engine_pool_simulation.hpp
@@ -75,6 +75,16 @@
         running_.push({until, engine, load});
     }
 
+    /// Lets an engine rest until a time.
+    void rest(const std::string& engine, base::steady_time until) {
+        health_.resting.until[engine] = until;
+    }
+
+    /// Lets an engine be avoided until a time.
+    void avoid(const std::string& engine, base::steady_time until) {
+        note_peer_warning(health_, engine, until, simulation_start);
+    }
+
     /// Frees what has ended by then. To be called before each decision.
     void advance(base::steady_time now) {
         for (; !running_.empty() && running_.top().until <= now; running_.pop())
--- a/libs/mintknotd-platform/relay/src/exchange_refusal.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_refusal.cpp
@@ -79,7 +79,7 @@
     case policy::return_kind::promised:
         return_plan_ = promised;
         break;
-    case policy::return_kind::final:
+    case policy::return_kind::refused:
         return_plan_ = final;
         break;
     case policy::return_kind::unknown:
--- a/libs/mintknotd-platform/relay/src/return_planner.cpp
+++ b/libs/mintknotd-platform/relay/src/return_planner.cpp
@@ -14,7 +14,7 @@
     switch (kind) {
     case policy::return_kind::promised:
         return "promised";
-    case policy::return_kind::final:
+    case policy::return_kind::refused:
         return "final";
     default:
         return "unknown";
--- a/libs/mintknotd-platform/scheduling/src/remote_return_planner.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_return_planner.cpp
@@ -29,7 +29,7 @@
     if (answer.promised)
         decision.kind = policy::return_kind::promised;
     else if (answer.retry_after > base::milliseconds{0})
-        decision.kind = policy::return_kind::final;
+        decision.kind = policy::return_kind::refused;
     return decision;
 }
 
