Numbers of datagrams are bounded when they are decoded

Cause: a float in place of an integer, or a request of absurd size, led to conversions that are undefined, and a cost beyond all engines reached the return schedule. Change: scheduling/message_numbers accepts only integers, bounds costs to 1e12 tokens and times of claims to an hour, and encodes infinite costs as the bound.

--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/scheduling/messages.hpp>
 
+#include "message_numbers.hpp"
+
 #include <mintknot/peers/message_parts.hpp>
 
 #include <cmath>
@@ -33,12 +35,8 @@
 /// Rates are sent in thousandths.
 constexpr double rate_unit = 1000.0;
 
-std::int64_t whole(double value) {
-    return static_cast<std::int64_t>(std::llround(value));
-}
-
 double number(const json& value) {
-    return static_cast<double>(value.get<std::int64_t>());
+    return static_cast<double>(integer_from(value));
 }
 
 json to_json(const policy::excluded_servers& servers) {
@@ -70,12 +68,13 @@
 
 policy::capacity_claim claim_from(const json& row) {
     policy::capacity_claim claim;
-    claim.priority = row.at(0).get<int>();
+    claim.priority = static_cast<int>(
+        std::clamp<std::int64_t>(integer_from(row.at(0)), 0, max_priority));
     claim.organisation = row.at(1).get<std::string>();
-    claim.target_left = base::milliseconds(row.at(2).get<std::int64_t>());
-    claim.deadline_left = base::milliseconds(row.at(3).get<std::int64_t>());
-    claim.digest = row.at(4).get<std::uint64_t>();
-    const auto flags = row.at(5).get<unsigned>();
+    claim.target_left = time_from(row.at(2));
+    claim.deadline_left = time_from(row.at(3));
+    claim.digest = unsigned_from(row.at(4));
+    const auto flags = unsigned_from(row.at(5));
     claim.caller_retry = (flags & caller_retry_flag) != 0;
     claim.waiting = (flags & waiting_flag) != 0;
     claim.begun = (flags & begun_flag) != 0;
@@ -108,7 +107,7 @@
 
 placement_request request_from(const json& row) {
     placement_request value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = unsigned_from(row.at(1));
     value.data_centre = row.at(2).get<std::string>();
     value.query.service = row.at(3).get<std::string>();
     const int kind = row.at(4).get<int>();
@@ -116,10 +115,9 @@
         kind > static_cast<int>(policy::placement_kind::prefill_and_decode))
         throw json::other_error::create(501, "unknown kind", &row);
     value.query.kind = static_cast<policy::placement_kind>(kind);
-    value.query.prompt_tokens = number(row.at(5));
-    value.query.memory_tokens = number(row.at(6));
-    value.query.max_prefill_time =
-        base::milliseconds(row.at(7).get<std::int64_t>());
+    value.query.prompt_tokens = cost_from(row.at(5));
+    value.query.memory_tokens = cost_from(row.at(6));
+    value.query.max_prefill_time = base::milliseconds(integer_from(row.at(7)));
     value.query.may_reuse_excluded = row.at(8).get<bool>();
     value.query.excluded = servers_from(row.at(9));
     value.query.excluded_prefill = servers_from(row.at(10));
@@ -143,7 +141,7 @@
 policy::capacity_forecast forecast_from(const json& row) {
     policy::capacity_forecast value;
     if (!row.at(0).is_null())
-        value.wait = base::milliseconds(row.at(0).get<std::int64_t>());
+        value.wait = base::milliseconds(integer_from(row.at(0)));
     value.release_rate = number(row.at(1)) / rate_unit;
     return value;
 }
@@ -161,7 +159,7 @@
     traffic::versioned_server versioned;
     traffic::server& server = versioned.value;
     server.id = row.at(0).get<std::string>();
-    versioned.version = row.at(1).get<std::uint64_t>();
+    versioned.version = unsigned_from(row.at(1));
     server.service = row.at(2).get<std::string>();
     server.where = {
         row.at(3).get<std::string>(), row.at(4).get<std::uint16_t>()};
@@ -171,7 +169,7 @@
     if (phase < 0 || phase > static_cast<int>(traffic::engine_phase::decode))
         throw json::other_error::create(501, "unknown phase", &row);
     server.phase = static_cast<traffic::engine_phase>(phase);
-    server.born = row.at(8).get<std::uint64_t>();
+    server.born = unsigned_from(row.at(8));
     return versioned;
 }
 
@@ -191,8 +189,7 @@
             ? static_cast<policy::capacity_denial>(denial)
             : policy::capacity_denial::no_capacity;
     if (!row.at(1).is_null())
-        placed.expected_wait =
-            base::milliseconds(row.at(1).get<std::int64_t>());
+        placed.expected_wait = base::milliseconds(integer_from(row.at(1)));
 }
 
 json to_json(const placement_answer& value) {
@@ -221,7 +218,7 @@
 
 placement_answer answer_from(const json& row) {
     placement_answer value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = unsigned_from(row.at(1));
     value.knows_service = row.at(2).get<bool>();
     value.placed.server = row.at(3).get<std::string>();
     value.placed.prefill = row.at(4).get<std::string>();
--- a/libs/mintknotd-platform/scheduling/src/return_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/return_messages.cpp
@@ -1,9 +1,10 @@
 #include <mintknot/scheduling/return_messages.hpp>
 
+#include "message_numbers.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <vector>
 
 namespace mintknot::scheduling {
@@ -16,15 +17,6 @@
 constexpr int request_format = 22;
 constexpr int answer_format = 23;
 
-/// Bound of times in a message, far above the deadlines of callers. Keeps a
-/// malformed one from overflowing a time.
-constexpr std::int64_t max_time_ms = 3600000;
-
-base::milliseconds time_from(const json& value) {
-    return base::milliseconds(
-        std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, max_time_ms));
-}
-
 json to_json(const return_request& value) {
     const policy::capacity_claim& claim = value.refused.claim;
     return {
@@ -34,7 +26,7 @@
         value.data_centre,
         {claim.priority, claim.organisation, claim.target_left.count(),
          claim.deadline_left.count(), claim.digest, claim.caller_retry},
-        std::llround(value.refused.cost),
+        whole(value.refused.cost),
         value.refused.earliest.count()};
 }
 
@@ -45,26 +37,26 @@
 
 return_request request_from(const json& row) {
     return_request value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = unsigned_from(row.at(1));
     value.refused.service = row.at(2).get<std::string>();
     value.data_centre = row.at(3).get<std::string>();
     policy::capacity_claim& claim = value.refused.claim;
     const json& sent = row.at(4);
-    claim.priority = sent.at(0).get<int>();
+    claim.priority = static_cast<int>(
+        std::clamp<std::int64_t>(integer_from(sent.at(0)), 0, max_priority));
     claim.organisation = sent.at(1).get<std::string>();
     claim.target_left = time_from(sent.at(2));
     claim.deadline_left = time_from(sent.at(3));
-    claim.digest = sent.at(4).get<std::uint64_t>();
+    claim.digest = unsigned_from(sent.at(4));
     claim.caller_retry = sent.at(5).get<bool>();
-    value.refused.cost = static_cast<double>(
-        std::max<std::int64_t>(row.at(5).get<std::int64_t>(), 0));
+    value.refused.cost = cost_from(row.at(5));
     value.refused.earliest = time_from(row.at(6));
     return value;
 }
 
 return_answer answer_from(const json& row) {
     return_answer value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = unsigned_from(row.at(1));
     value.promised = row.at(2).get<bool>();
     value.retry_after = time_from(row.at(3));
     return value;
--- a/libs/mintknotd-platform/scheduling/tests/test_return_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_return_messages.cpp
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
+
 using namespace mintknot;
 using namespace mintknot::scheduling;
 
@@ -58,12 +60,37 @@
     for (std::size_t size = 0; size < whole.size(); ++size)
         cr_assert(!decode_return(whole.substr(0, size)).ok());
     cr_assert(!decode_return("\x92\x17\x07").ok());
+    // A float in place of an integer, out of range of any.
+    std::string with_float = whole;
+    with_float.replace(
+        with_float.find("\xcd\x1e\xaa"), 3,
+        std::string("\xcb\x7f\xe0\x00\x00\x00\x00\x00\x00", 9));
+    cr_assert(!decode_return(with_float).ok());
     const auto far = decode_return(
         encode(return_answer{1, true, base::milliseconds::max()}));
     cr_assert(
         std::get<return_answer>(*far).retry_after <= std::chrono::hours(1));
 }
 
+/// Guards against a request of absurd size whose cost no integer holds.
+Test(return_messages, costs_are_bounded) {
+    for (const double cost : {1e300, double{HUGE_VAL}, -5.0, std::nan("")}) {
+        return_request sent = full_request();
+        sent.refused.cost = cost;
+        const auto value = decode_return(encode(sent));
+        cr_assert(value.ok());
+        const double got = std::get<return_request>(*value).refused.cost;
+        cr_assert(got >= 0.0 && got <= 1e12);
+        placement_request asked;
+        asked.query.memory_tokens = cost;
+        const auto placed = decode(encode(asked));
+        cr_assert(placed.ok());
+        const double memory =
+            std::get<placement_request>(*placed).query.memory_tokens;
+        cr_assert(memory >= 0.0 && memory <= 1e12);
+    }
+}
+
 /// Guards against an instance of an earlier version that takes these datagrams
 /// for others: it ignores them, and the sender uses its own rule.
 Test(return_messages, other_datagrams_are_told_apart) {
