Only the instance that places promises returns, and it recognises callers

Cause: after lost answers, or with a scheduler of an earlier version, another host promised times for which nothing was kept. A return was recognised only by an instance that had seen a longer deadline on the route within 30 s. The bound of a time was taken before the wait for the scheduler. Names in datagrams created state for domains without servers. While the switch was off, questions were answered, log fields and gauges were added, and state remained. Change: the planner uses the placer's view of the scheduler and asks no other host; one that has never answered is left alone for 30 s, and meanwhile the earlier rule holds, within a third of the time left. Each claim has the digest; a request without a deadline gets no promise. The time left is that at the answer. State is created only for a domain that has a server. While the switch is off, nothing is answered, logged or measured, and the state is cleared.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/admission.hpp
@@ -30,13 +30,6 @@
     const longest_deadline& longest,
     std::optional<base::milliseconds> deadline);
 
-/// As above with a smaller margin: also true for callers with deadlines of a
-/// few hundred milliseconds that return after a third of them, and sometimes
-/// for first tries.
-bool may_have_returned(
-    const longest_deadline& longest,
-    std::optional<base::milliseconds> deadline);
-
 /// A request for which no server is free.
 struct unplaced_request {
     base::milliseconds waited{0}; ///< Since its arrival.
--- a/libs/mintknotd-platform/policy/src/admission.cpp
+++ b/libs/mintknotd-platform/policy/src/admission.cpp
@@ -12,9 +12,6 @@
 /// A caller that was refused comes back with at least this much less time: the
 /// shortest Retry-After, less a margin for callers that come back early.
 constexpr base::milliseconds min_time_spent{200};
-/// The same for callers with short deadlines, of which a third is shorter than
-/// the shortest Retry-After.
-constexpr base::milliseconds min_time_to_return{100};
 
 /// See caller_first_event_timeout().
 constexpr base::milliseconds min_caller_timeout{2000};
@@ -45,12 +42,6 @@
     return deadline && *deadline + min_time_spent < longest.value;
 }
 
-bool may_have_returned(
-    const longest_deadline& longest,
-    std::optional<base::milliseconds> deadline) {
-    return deadline && *deadline + min_time_to_return < longest.value;
-}
-
 bool can_meet_target(
     const unplaced_request& request,
     std::optional<base::milliseconds> expected_wait, base::milliseconds start) {
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -177,9 +177,6 @@
     void finish(std::string_view outcome);
     /// @return what the scheduler is told of this request once it is refused.
     refused_request describe_refused(const wanted_capacity& wanted) const;
-    /// @return true if the caller may have been told a return time: the digest
-    /// costs a hash of the body, and is left out of the claims of first tries.
-    bool may_be_return() const;
     std::uint64_t digest() const;
     /// @return the time that the caller has left, whatever the route's timeout.
     base::milliseconds caller_time_left() const;
@@ -193,10 +190,6 @@
     std::unique_ptr<usage_ticket> usage_ticket_;
     usage_grant usage_;
     std::unique_ptr<ticket> return_ticket_;
-    /// How the return of the caller was planned, and by whom, for the log;
-    /// empty: it was not.
-    std::string return_plan_;
-    std::string return_planned_by_;
     base::milliseconds first_byte_{0};
     /// Time from the arrival of the request to its first call.
     std::optional<base::milliseconds> first_send_;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -246,6 +246,11 @@
     router_context& context, const traffic::service& target,
     policy::placement_query query, const placement_handler& then);
 
+/// @return the admission control of the domain of those inputs; null if it has
+/// no server: names from datagrams must not fill the state.
+policy::domain_admission_state*
+admission_of(router_context& context, const policy::selection_inputs& inputs);
+
 /// Chooses the servers of a request in this instance, by admission control if
 /// it has a claim. Consumes tokens of limited servers (server_limit.hpp).
 policy::placement place_here(
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -230,8 +230,7 @@
         base::milliseconds{0}, route_.target_latency - since_arrival());
     result.deadline_left = std::max(base::milliseconds{0}, time_left());
     result.caller_retry = is_caller_retry();
-    if (may_be_return())
-        result.digest = digest();
+    result.digest = digest();
     result.waiting = waiting;
     result.begun = begun;
     return result;
@@ -255,9 +254,7 @@
          {"verdict", base::to_string(verdict_)},
          {"sends", std::int64_t{sends_}},
          {"config", static_cast<std::int64_t>(config_->version)},
-         {"after_ms", since_arrival().count()},
-         {"return_plan", return_plan_},
-         {"planned_by", return_planned_by_}});
+         {"after_ms", since_arrival().count()}});
     finish(reason);
     sink_.send_complete(std::move(head), std::string(reason) + "\n");
 }
@@ -289,12 +286,6 @@
            policy::was_refused_before(found->second, request_.terms.deadline);
 }
 
-bool exchange::may_be_return() const {
-    const auto found = context_.state.deadlines.find(route_.name);
-    return found != context_.state.deadlines.end() &&
-           policy::may_have_returned(found->second, request_.terms.deadline);
-}
-
 std::uint64_t exchange::digest() const {
     return number_of(identity_.digest());
 }
--- a/libs/mintknotd-platform/relay/src/exchange_refusal.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_refusal.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr std::string_view no_capacity = "no_capacity";
-/// Values of `return_plan` in `given_up`.
-constexpr std::string_view promised = "promised";
-constexpr std::string_view final = "final";
-constexpr std::string_view unplanned = "unplanned";
+/// Values of `return_plan` in `return_told`.
+constexpr std::string_view promised_plan = "promised";
+constexpr std::string_view final_plan = "final";
+constexpr std::string_view unplanned_plan = "unplanned";
 
 } // namespace
 
@@ -26,7 +26,8 @@
     refused_request refused;
     refused.service = service_.name;
     refused.claim = claim(false, false).value_or(policy::capacity_claim{});
-    refused.claim.digest = digest();
+    // Without a deadline it is not known whether the caller obeys a time.
+    refused.claim.digest = request_.terms.deadline ? digest() : 0;
     refused.claim.deadline_left = caller_time_left();
     refused.cost = wanted.cost;
     refused.earliest = wanted.expected_wait.value_or(base::milliseconds{0});
@@ -73,21 +74,34 @@
 void exchange::on_planned_return(
     const planned_return& planned, const refused_request& refused,
     const policy::capacity_forecast& forecast) {
-    base::milliseconds retry_after = planned.decision.retry_after;
-    return_planned_by_ = planned.planned_by;
+    // The answer may have taken a part of the caller's time.
+    refused_request present = refused;
+    present.claim.deadline_left = caller_time_left();
+    const base::milliseconds left = present.claim.deadline_left;
+    base::milliseconds retry_after{0};
+    std::string_view plan;
     switch (planned.decision.kind) {
     case policy::return_kind::promised:
-        return_plan_ = promised;
+        plan = promised_plan;
+        retry_after = std::min(
+            planned.decision.retry_after, policy::longest_obeyed(left));
         break;
     case policy::return_kind::refused:
-        return_plan_ = final;
+        plan = final_plan;
+        retry_after = left;
         break;
     case policy::return_kind::unknown:
-        return_plan_ = unplanned;
-        retry_after = unplanned_return(context_, refused, forecast);
+        plan = unplanned_plan;
+        retry_after = unplanned_return(context_, present, forecast);
         break;
     }
-    context_.metrics.count_return(return_plan_);
+    context_.metrics.count_return(plan);
+    context_.log.write(
+        "return_told", {{"request", request_.terms.id},
+                        {"return_plan", plan},
+                        {"planned_by", planned.planned_by},
+                        {"come_back_ms", retry_after.count()},
+                        {"left_ms", left.count()}});
     give_up(no_capacity, retry_after);
 }
 
--- a/libs/mintknotd-platform/relay/src/return_planner.cpp
+++ b/libs/mintknotd-platform/relay/src/return_planner.cpp
@@ -68,11 +68,12 @@
         make_selection_inputs(context, service->second);
     inputs.only_data_centre = data_centre;
     inputs.all_loads_known = is_scheduler;
-    policy::domain_admission_state& state =
-        context.state.admissions[{refused.service, data_centre}];
+    policy::domain_admission_state* state = admission_of(context, inputs);
+    if (state == nullptr)
+        return {};
     const policy::return_decision decision = policy::plan_return(
-        state, inputs, query_of(service->second, refused), refused.earliest);
-    log_plan(context, data_centre, refused, state.returns, decision);
+        *state, inputs, query_of(service->second, refused), refused.earliest);
+    log_plan(context, data_centre, refused, state->returns, decision);
     return decision;
 }
 
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -255,16 +255,28 @@
     return nullptr;
 }
 
+policy::domain_admission_state*
+admission_of(router_context& context, const policy::selection_inputs& inputs) {
+    auto& states = context.state.admissions;
+    const std::pair key(inputs.service.name, inputs.only_data_centre);
+    const auto known = states.find(key);
+    if (known != states.end())
+        return &known->second;
+    for (const traffic::server* server :
+         traffic::open_servers(context.state.servers, key.first))
+        if (key.second.empty() || server->data_centre == key.second)
+            return &states[key];
+    return nullptr;
+}
+
 policy::placement place_here(
     router_context& context, const policy::selection_inputs& inputs,
     const policy::placement_query& query) {
-    const policy::placement placed =
-        query.claim
-            ? policy::place_claim(
-                  context.state
-                      .admissions[{query.service, inputs.only_data_centre}],
-                  inputs, query)
-            : policy::choose_servers(inputs, query);
+    policy::domain_admission_state* state =
+        query.claim ? admission_of(context, inputs) : nullptr;
+    policy::placement placed = state != nullptr
+                                   ? policy::place_claim(*state, inputs, query)
+                                   : policy::choose_servers(inputs, query);
     policy::charge_placement(
         context.state.health.limits, context.state.servers, query.service,
         placed, context.loop.now());
--- a/libs/mintknotd-platform/relay/tests/test_return_planner.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_return_planner.cpp
@@ -149,6 +149,8 @@
     cr_assert(retry_after_of(f.ask(stream(14000))) > 14000);
     cr_assert(planner.asked.empty());
     cr_assert(f.context.state.admissions.empty());
+    cr_assert(
+        f.metrics.text().find("mintknot_returns_total") == std::string::npos);
 }
 
 /// Guards against the bounds seen before: 0.003 s and 129 s.
@@ -182,10 +184,85 @@
     policy::return_schedule& schedule =
         f.context.state.admissions[{"llm", ""}].returns;
     cr_assert(policy::kept_costs(schedule, 0, f.owner.now()).size() == 1);
-    const std::string other =
-        request("/stream/y", "Id: r2\r\nTokens: 5000\r\nDeadline: 14000\r\n");
+    const auto denial_of_other = [&f] {
+        policy::placement_query query;
+        query.service = "llm";
+        query.kind = policy::placement_kind::decode;
+        query.memory_tokens = 5000.0;
+        query.claim.emplace();
+        return place_here(
+                   f.context,
+                   make_selection_inputs(
+                       f.context, f.config.services.at("llm")),
+                   query)
+            .denial;
+    };
+    cr_assert(
+        denial_of_other() == policy::capacity_denial::reserved_for_returns);
     const caller_view back = f.ask(stream(14000 - told - 20, "second"));
     cr_assert(back.status == 200, "%d", back.status);
     cr_assert(schedule.served == 1);
-    cr_assert(f.ask(other).status == 200, "nothing is kept any longer");
+    cr_assert(denial_of_other() == policy::capacity_denial::none);
+}
+
+/// Guards against a return that is not recognised by an instance that has not
+/// seen a longer deadline on the route.
+Test(return_planner, each_claim_has_the_digest) {
+    relay_fixture f;
+    add_full_engine(f);
+    const int told = retry_after_of(f.ask(stream(14000)));
+    f.context.state.deadlines.clear();
+    const base::steady_time due = f.owner.now() + milliseconds(told);
+    f.run_until([&] { return f.owner.now() >= due - milliseconds(30); });
+    traffic::remove(f.context.state.loads, "d", {1, 0.0, 9500.0});
+    cr_assert(f.ask(stream(14000 - told)).status == 200);
+    const auto& schedule = f.context.state.admissions[{"llm", ""}].returns;
+    cr_assert(schedule.served == 1);
+}
+
+/// Guards against a promise to a caller whose patience is not known.
+Test(return_planner, without_a_deadline_nothing_is_promised) {
+    relay_fixture f;
+    add_full_engine(f);
+    retry_after_of(f.ask(request("/stream/x", "Id: r1\r\nTokens: 5000\r\n")));
+    for (const auto& [domain, state] : f.context.state.admissions)
+        cr_assert(state.returns.promises.empty());
+}
+
+/// Guards against a time that was within what the caller obeys only before the
+/// scheduler was asked.
+Test(return_planner, the_bound_is_that_of_the_time_of_the_answer) {
+    relay_fixture f;
+    add_full_engine(f);
+    scripted_planner planner;
+    f.context.returns = &planner;
+    event::timer late(f.owner);
+    late.start(milliseconds(600), [&] {
+        planner.answer(policy::return_kind::promised, milliseconds(1000));
+    });
+    const int told = retry_after_of(f.ask(stream(3000)));
+    cr_assert(told <= 2400 / 3, "%d", told);
+}
+
+/// Guards against state that grows by names from datagrams.
+Test(return_planner, domains_without_servers_have_no_state) {
+    relay_fixture f;
+    add_full_engine(f);
+    refused_request refused;
+    refused.service = "llm";
+    refused.claim.digest = 5;
+    refused.claim.deadline_left = milliseconds(30000);
+    refused.cost = 3000.0;
+    plan_return_here(f.context, "nowhere", true, refused);
+    policy::placement_query query;
+    query.service = "llm";
+    query.kind = policy::placement_kind::decode;
+    query.claim.emplace();
+    policy::selection_inputs inputs =
+        make_selection_inputs(f.context, f.config.services.at("llm"));
+    inputs.only_data_centre = "nowhere";
+    place_here(f.context, inputs, query);
+    cr_assert(f.context.state.admissions.empty());
+    plan_return_here(f.context, "", true, refused);
+    cr_assert(f.context.state.admissions.size() == 1);
 }
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -100,7 +100,8 @@
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
         metrics.set_gauge(name, value);
-    relay::observe_returns(context);
+    if (context.state.capacity_sharing)
+        relay::observe_returns(context);
     return {200, "text/plain; version=0.0.4", metrics.text()};
 }
 
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -58,7 +58,11 @@
     , members_of_fleet(
           ports.loop, log, membership_settings(), membership_functions())
     , placer(context, placer_functions())
-    , returns(context, placer_functions())
+    , returns(
+          context, placer_functions(),
+          [this](const policy::domain& which) {
+              return placer.scheduler_of(which);
+          })
     , lending(context, lending_functions())
     , server_limits(context, limit_functions())
     , accounts(context, account_functions(), settings.usage_bounds)
@@ -116,6 +120,8 @@
                 context.state.config != nullptr &&
                 policy::shares_capacity(
                     *context.state.config, context.options.callers_compete);
+            if (!context.state.capacity_sharing)
+                context.state.admissions.clear();
             group.changed();
         },
         [this](
--- a/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/remote_placer.hpp
+++ b/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/remote_placer.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_SCHEDULING_REMOTE_PLACER_HPP
 #define MINTKNOT_SCHEDULING_REMOTE_PLACER_HPP
 
+#include <mintknot/policy/domain.hpp>
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/router_state.hpp>
 
@@ -66,6 +67,9 @@
     std::unique_ptr<relay::placement_ticket> request_placement(
         policy::placement_query query, relay::placement_handler then) override;
 
+    /// @return the scheduler of a domain in the view of this instance; empty if
+    /// there is none.
+    std::string scheduler_of(const policy::domain& which) const;
     /// To be called when load of this instance has ended, or server health has
     /// changed.
     void loads_changed();
--- a/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/remote_return_planner.hpp
+++ b/libs/mintknotd-platform/scheduling/include/mintknot/scheduling/remote_return_planner.hpp
@@ -4,15 +4,21 @@
 #ifndef MINTKNOT_SCHEDULING_REMOTE_RETURN_PLANNER_HPP
 #define MINTKNOT_SCHEDULING_REMOTE_RETURN_PLANNER_HPP
 
+#include <mintknot/policy/domain.hpp>
 #include <mintknot/relay/return_planner.hpp>
 #include <mintknot/scheduling/remote_placer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace mintknot::scheduling {
 
+/// @return the host that schedules a domain, as the placer sees it; empty if
+/// there is none. Only that one keeps capacity for what it promises.
+using scheduler_finder = std::function<std::string(const policy::domain&)>;
+
 /// Asks the scheduler of the own data centre's domain once. A caller that waits
 /// for a refusal is not held any longer: without an answer in time the instance
 /// uses its own rule (relay::unplanned_return()).
@@ -21,7 +27,7 @@
     /// The router must outlive the planner.
     remote_return_planner(
         relay::router_context& context, placer_callbacks ports,
-        placer_options options = {});
+        scheduler_finder find, placer_options options = {});
     ~remote_return_planner() override;
     remote_return_planner(const remote_return_planner&) = delete;
     remote_return_planner& operator=(const remote_return_planner&) = delete;
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -305,6 +305,10 @@
         impl_->alive_token, [this, number] { impl_->pending.erase(number); });
 }
 
+std::string remote_placer::scheduler_of(const policy::domain& which) const {
+    return impl_->directory.find(which);
+}
+
 void remote_placer::loads_changed() {
     impl_->reporter.loads_changed();
 }
--- a/libs/mintknotd-platform/scheduling/src/remote_return_planner.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_return_planner.cpp
@@ -1,18 +1,18 @@
 #include <mintknot/scheduling/remote_return_planner.hpp>
 
-#include "scheduler_directory.hpp"
-
 #include <mintknot/policy/answer_timeout.hpp>
 #include <mintknot/policy/domain.hpp>
 #include <mintknot/scheduling/return_messages.hpp>
 
 #include <map>
-#include <set>
 
 namespace mintknot::scheduling {
 
 namespace {
 
+/// How long a host that has never answered is not asked again.
+constexpr base::milliseconds time_without_answers{30000};
+
 /// A refusal that waits for its return time.
 struct pending_return {
     explicit pending_return(event::loop& owner)
@@ -23,6 +23,13 @@
     event::timer answer_timer;
 };
 
+/// What is known of a host that was asked.
+struct asked_host {
+    bool answers = false;     ///< It has answered before.
+    bool silent_once = false; ///< It missed the last answer.
+    base::steady_time skipped_until;
+};
+
 policy::return_decision decision_of(const return_answer& answer) {
     policy::return_decision decision;
     decision.retry_after = answer.retry_after;
@@ -38,11 +45,11 @@
 struct remote_return_planner::impl {
     impl(
         relay::router_context& shared, placer_callbacks outside,
-        placer_options settings)
+        scheduler_finder find, placer_options settings)
         : context(shared)
         , callbacks(std::move(outside))
-        , options(settings)
-        , directory(shared, callbacks, settings.suspect_time) {}
+        , find_scheduler(std::move(find))
+        , options(settings) {}
 
     base::steady_time now() const { return context.loop.now(); }
 
@@ -72,7 +79,7 @@
                 context.state.servers, entry.refused.service,
                 context.options.data_centre)
                 .front();
-        const std::string host = directory.find(which);
+        const std::string host = find_scheduler(which);
         if (host.empty() || host == callbacks.own_host) {
             const bool is_scheduler = !host.empty();
             finish(
@@ -83,6 +90,10 @@
                          host});
             return;
         }
+        if (asked_hosts[host].skipped_until > now()) {
+            finish(number, {});
+            return;
+        }
         entry.asked_host = host;
         callbacks.send(
             host,
@@ -93,13 +104,16 @@
             [this, number, host] { on_silence(number, host); });
     }
 
-    /// A single lost datagram does not make the host suspect: its standby would
-    /// promise capacity that the host does not know to be promised.
+    /// No other host is asked instead: it does not place the requests, so that
+    /// nothing would be kept for what it promises. A host that has never
+    /// answered is of an earlier version.
     void on_silence(std::uint64_t number, const std::string& host) {
-        if (!silent_once.insert(host).second) {
-            silent_once.erase(host);
-            directory.suspect(host);
-        }
+        asked_host& seen = asked_hosts[host];
+        if (!seen.answers)
+            seen.skipped_until = now() + time_without_answers;
+        else if (seen.silent_once)
+            seen.skipped_until = now() + options.suspect_time;
+        seen.silent_once = !seen.silent_once;
         finish(number, {});
     }
 
@@ -111,6 +125,8 @@
     }
 
     void on_message(const std::string& host, const return_request& request) {
+        if (!context.state.capacity_sharing)
+            return;
         policy::return_decision decision;
         if (!callbacks.knows_servers || callbacks.knows_servers())
             decision = relay::plan_return_here(
@@ -124,7 +140,9 @@
 
     void on_message(const std::string& host, const return_answer& answer) {
         policy::note_answer_received(times, host, now());
-        silent_once.erase(host);
+        const auto seen = asked_hosts.find(host);
+        if (seen != asked_hosts.end())
+            seen->second = {true, false, {}};
         const auto found = pending.find(answer.number);
         // An answer after the timeout: the caller was told another time, and
         // the promise lapses.
@@ -134,19 +152,20 @@
 
     relay::router_context& context;
     placer_callbacks callbacks;
+    scheduler_finder find_scheduler;
     placer_options options;
     std::uint64_t last_number = 0;
     std::map<std::uint64_t, std::unique_ptr<pending_return>> pending;
     policy::answer_times times;
-    scheduler_directory directory;
-    std::set<std::string> silent_once; ///< Hosts that missed the last answer.
+    std::map<std::string, asked_host> asked_hosts;
     std::shared_ptr<bool> alive_token = std::make_shared<bool>(true);
 };
 
 remote_return_planner::remote_return_planner(
     relay::router_context& context, placer_callbacks ports,
-    placer_options options)
-    : impl_(std::make_unique<impl>(context, std::move(ports), options)) {}
+    scheduler_finder find, placer_options options)
+    : impl_(std::make_unique<impl>(
+          context, std::move(ports), std::move(find), options)) {}
 
 remote_return_planner::~remote_return_planner() = default;
 
