Tests of a return that is placed, and of the state after the switch goes off

Cause: no test failed when a caller that returns at its time was treated as an ordinary request, or when the state survived the switch. Change: relay::set_capacity_sharing() sets the switch and drops the state; one test each for it and for the placement of a return.

--- a/libs/mintknotd-platform/policy/tests/test_domain_admission.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_domain_admission.cpp
@@ -46,8 +46,7 @@
     }
 
     placement place(const placement_query& query) {
-        placement placed =
-            place_claim(state, pool.inputs("", due), query);
+        placement placed = place_claim(state, pool.inputs("", due), query);
         if (!placed.server.empty())
             pool.reserve(
                 placed.server, query.memory_tokens, due + milliseconds(3000));
@@ -91,6 +90,13 @@
     cr_assert(none.denial == capacity_denial::no_capacity);
 }
 
+/// Guards against a caller that is denied the capacity that is kept for it.
+Test(domain_admission, a_caller_that_returns_at_its_time_is_placed) {
+    promised_fixture f(1);
+    cr_assert(f.place(query_of(1, 5000.0)).server == "e0");
+    cr_assert(f.state.returns.served == 1);
+}
+
 /// Guards against a first try that is denied an engine that it tried before,
 /// although no engine is kept from it.
 Test(domain_admission, tried_engines_are_used_again_beside_kept_ones) {
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -246,6 +246,10 @@
     router_context& context, const traffic::service& target,
     policy::placement_query query, const placement_handler& then);
 
+/// Sets whether capacity is shared; if it is not, the state of admission
+/// control is dropped.
+void set_capacity_sharing(router_state& state, bool shares);
+
 /// @return the admission control of the domain of those inputs; null if it has
 /// no server: names from datagrams must not fill the state.
 policy::domain_admission_state*
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -255,6 +255,12 @@
     return nullptr;
 }
 
+void set_capacity_sharing(router_state& state, bool shares) {
+    state.capacity_sharing = shares;
+    if (!shares)
+        state.admissions.clear();
+}
+
 policy::domain_admission_state*
 admission_of(router_context& context, const policy::selection_inputs& inputs) {
     auto& states = context.state.admissions;
--- a/libs/mintknotd-platform/relay/tests/test_return_planner.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_return_planner.cpp
@@ -244,6 +244,18 @@
     cr_assert(told <= 2400 / 3, "%d", told);
 }
 
+/// Guards against promises that hold again when the switch is set once more.
+Test(return_planner, state_is_dropped_when_the_switch_goes_off) {
+    relay_fixture f;
+    add_full_engine(f);
+    retry_after_of(f.ask(stream(14000)));
+    set_capacity_sharing(f.context.state, true);
+    cr_assert(f.context.state.admissions.size() == 1);
+    set_capacity_sharing(f.context.state, false);
+    cr_assert(f.context.state.admissions.empty());
+    cr_assert(!f.context.state.capacity_sharing);
+}
+
 /// Guards against state that grows by names from datagrams.
 Test(return_planner, domains_without_servers_have_no_state) {
     relay_fixture f;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -116,12 +116,11 @@
     return {
         [this](std::shared_ptr<const traffic::configuration> config) {
             context.state.config = std::move(config);
-            context.state.capacity_sharing =
-                context.state.config != nullptr &&
-                policy::shares_capacity(
-                    *context.state.config, context.options.callers_compete);
-            if (!context.state.capacity_sharing)
-                context.state.admissions.clear();
+            relay::set_capacity_sharing(
+                context.state, context.state.config != nullptr &&
+                                   policy::shares_capacity(
+                                       *context.state.config,
+                                       context.options.callers_compete));
             group.changed();
         },
         [this](
