Counts of datagrams are read as integers only

Cause: counts, kinds and ports of placement messages were converted from any number, which is undefined for a float that is out of range. Change: they are read by message_numbers as well, and bounded to their type.

--- a/libs/mintknotd-platform/scheduling/src/message_numbers.cpp
+++ b/libs/mintknotd-platform/scheduling/src/message_numbers.cpp
@@ -39,6 +39,12 @@
     return value.get<std::int64_t>();
 }
 
+int int_from(const json& value) {
+    return static_cast<int>(std::clamp<std::int64_t>(
+        integer_from(value), std::numeric_limits<int>::min(),
+        std::numeric_limits<int>::max()));
+}
+
 std::uint64_t unsigned_from(const json& value) {
     require_integer(value);
     return value.get<std::uint64_t>();
--- a/libs/mintknotd-platform/scheduling/src/message_numbers.hpp
+++ b/libs/mintknotd-platform/scheduling/src/message_numbers.hpp
@@ -13,7 +13,7 @@
 namespace mintknot::scheduling {
 
 /// Least urgent priority that is told apart.
-inline constexpr std::int64_t max_priority = 9;
+inline constexpr int max_priority = 9;
 
 /// @return the nearest integer, within the range of costs; 0 if it is none.
 std::int64_t whole(double value);
@@ -21,6 +21,7 @@
 /// @throws nlohmann::json::exception unless it is an integer, as the functions
 /// below do. Larger ones than fit are the largest.
 std::int64_t integer_from(const nlohmann::json& value);
+int int_from(const nlohmann::json& value);
 std::uint64_t unsigned_from(const nlohmann::json& value);
 
 /// @return a cost in tokens between 0 and 1e12.
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -68,8 +68,7 @@
 
 policy::capacity_claim claim_from(const json& row) {
     policy::capacity_claim claim;
-    claim.priority = static_cast<int>(
-        std::clamp<std::int64_t>(integer_from(row.at(0)), 0, max_priority));
+    claim.priority = std::clamp(int_from(row.at(0)), 0, max_priority);
     claim.organisation = row.at(1).get<std::string>();
     claim.target_left = time_from(row.at(2));
     claim.deadline_left = time_from(row.at(3));
@@ -110,7 +109,7 @@
     value.number = unsigned_from(row.at(1));
     value.data_centre = row.at(2).get<std::string>();
     value.query.service = row.at(3).get<std::string>();
-    const int kind = row.at(4).get<int>();
+    const int kind = int_from(row.at(4));
     if (kind < static_cast<int>(policy::placement_kind::plain) ||
         kind > static_cast<int>(policy::placement_kind::prefill_and_decode))
         throw json::other_error::create(501, "unknown kind", &row);
@@ -162,10 +161,12 @@
     versioned.version = unsigned_from(row.at(1));
     server.service = row.at(2).get<std::string>();
     server.where = {
-        row.at(3).get<std::string>(), row.at(4).get<std::uint16_t>()};
+        row.at(3).get<std::string>(),
+        static_cast<std::uint16_t>(
+            std::min<std::uint64_t>(unsigned_from(row.at(4)), 65535))};
     server.data_centre = row.at(5).get<std::string>();
-    server.slots = row.at(6).get<int>();
-    const int phase = row.at(7).get<int>();
+    server.slots = int_from(row.at(6));
+    const int phase = int_from(row.at(7));
     if (phase < 0 || phase > static_cast<int>(traffic::engine_phase::decode))
         throw json::other_error::create(501, "unknown phase", &row);
     server.phase = static_cast<traffic::engine_phase>(phase);
@@ -180,7 +181,7 @@
 }
 
 void read_denial(const json& row, policy::placement& placed) {
-    const int denial = row.at(0).get<int>();
+    const int denial = int_from(row.at(0));
     // A newer scheduler may have further reasons.
     placed.denial =
         denial >= 0 &&
@@ -223,8 +224,8 @@
     value.placed.server = row.at(3).get<std::string>();
     value.placed.prefill = row.at(4).get<std::string>();
     value.placed.tokens_ahead = number(row.at(5));
-    value.placed.capacity.engines = row.at(6).get<int>();
-    value.placed.capacity.avoided = row.at(7).get<int>();
+    value.placed.capacity.engines = int_from(row.at(6));
+    value.placed.capacity.avoided = int_from(row.at(7));
     value.placed.capacity.max_free_tokens = number(row.at(8));
     value.placed.capacity.forecast = forecast_from(row.at(9));
     if (row.size() > servers_element)
@@ -253,7 +254,7 @@
 
 policy::result_counts counts_from(const json& entry) {
     const policy::result_counts counts{
-        entry.at(1).get<int>(), entry.at(2).get<int>(), entry.at(3).get<int>()};
+        int_from(entry.at(1)), int_from(entry.at(2)), int_from(entry.at(3))};
     if (counts.good < 0 || counts.bad < 0 || counts.rejected < 0)
         throw json::other_error::create(501, "negative count", &entry);
     return counts;
@@ -288,7 +289,7 @@
     if (!row.is_array() || row.empty() || !row[0].is_number_integer())
         return absl::InvalidArgumentError("not a message");
     try {
-        switch (row[0].get<int>()) {
+        switch (int_from(row[0])) {
         case request_format:
             return message(request_from(row));
         case answer_format:
--- a/libs/mintknotd-platform/scheduling/src/return_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/return_messages.cpp
@@ -42,8 +42,7 @@
     value.data_centre = row.at(3).get<std::string>();
     policy::capacity_claim& claim = value.refused.claim;
     const json& sent = row.at(4);
-    claim.priority = static_cast<int>(
-        std::clamp<std::int64_t>(integer_from(sent.at(0)), 0, max_priority));
+    claim.priority = std::clamp(int_from(sent.at(0)), 0, max_priority);
     claim.organisation = sent.at(1).get<std::string>();
     claim.target_left = time_from(sent.at(2));
     claim.deadline_left = time_from(sent.at(3));
