Capacity is shared by priority, organisation and data centre while it is short

Cause: priority counted only in the wait queue of one instance, and a burst of one organisation displaced all others. Engines preempted streams without regard to their urgency.

Change: while capacity is short, a request leaves free what those who go first wait for or are expected to take: more urgent priorities, then organisations, then data centres that were served less. Plain calls, which do not wait, are held to the max-min fair rate of their organisation. Engines are told an urgency where streams of a service have different priorities. Denials carry what they rest on to the instance, which logs it; metrics count what was served and denied.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
@@ -34,6 +34,12 @@
     bool begun = false;
 };
 
+/// @return the urgency of a request for an engine, which preempts the newest of
+/// the least urgent streams when it is out of memory. Engines take 0 to 9 and
+/// assume 5; the values used here leave the extremes to the operator's own
+/// calls.
+int engine_urgency(int priority) noexcept;
+
 /// Why a domain denies capacity to a request.
 enum class capacity_denial {
     none,                  ///< Not denied.
@@ -44,6 +50,15 @@
     reserved_for_returns,  ///< Kept for callers that return at their time.
 };
 
+/// What a denial by priority or share rests on; for log lines.
+struct denial_inputs {
+    double free = 0.0; ///< In servers where the request fits.
+    double kept = 0.0; ///< Of it, for requests that go first.
+    /// Since a request last found no capacity.
+    base::milliseconds shortage_age{0};
+    std::string kept_for; ///< The first of those who go first.
+};
+
 /// @return the name of a denial in log lines and metrics.
 std::string_view to_string(capacity_denial value) noexcept;
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/domain_admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/domain_admission.hpp
@@ -18,7 +18,8 @@
 /// What the admission control of one domain remembers. Lost with its process.
 struct domain_admission_state {
     plain_admission_state plain;
-    fair_share_state shares;
+    fair_share_state shares; ///< Of streams.
+    fair_share_state plain_shares;
     return_schedule returns;
 };
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
@@ -56,7 +56,9 @@
     capacity_summary capacity;
     /// Why a request with a claim got no server.
     capacity_denial denial = capacity_denial::none;
-    /// Until a denied plain call could be sent; nothing: not known.
+    denial_inputs denied_by; ///< Only if denied by priority or share.
+    /// Until a denied request could be placed behind those that go first;
+    /// nothing: not known.
     std::optional<base::milliseconds> expected_wait;
     /// Scheduler that placed the request; empty: this instance.
     std::string scheduler_host;
--- a/libs/mintknotd-platform/policy/src/domain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/domain_admission.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/policy/domain_admission.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace mintknot::policy {
 
@@ -11,8 +12,23 @@
            query.kind == placement_kind::plain_with_free_slot;
 }
 
-/// Sums up the free memory of the decode engines that take requests now.
-domain_capacity decode_capacity(const selection_inputs& inputs) {
+/// Counts the free memory of an engine in whole requests: pieces that are too
+/// small for the request are of no use to it.
+void add_free(
+    domain_capacity& capacity, const traffic::server& engine, double free,
+    double needed) {
+    if (free <= 0.0)
+        return;
+    capacity.free += needed > 0.0 ? std::floor(free / needed) * needed : free;
+    if (free > capacity.largest_free) {
+        capacity.largest_free = free;
+        capacity.emptiest = engine.id;
+    }
+}
+
+/// Sums up the memory of the decode engines that take requests now.
+/// @param needed memory of the request.
+domain_capacity decode_capacity(const selection_inputs& inputs, double needed) {
     domain_capacity capacity;
     if (!inputs.service.engine)
         return capacity;
@@ -27,17 +43,26 @@
         if (!in_domain || engine->phase == traffic::engine_phase::prefill ||
             is_avoided(inputs.health, engine->id, inputs.now))
             continue;
-        const double held =
-            traffic::total(inputs.loads, engine->id).memory_tokens;
+        const traffic::server_load load =
+            traffic::total(inputs.loads, engine->id);
         capacity.total += memory;
-        capacity.free += std::max(0.0, memory - held);
-        capacity.release_rate += held / hold;
+        if (load.calls < engine->slots)
+            add_free(
+                capacity, *engine,
+                memory * usable_memory_share - load.memory_tokens, needed);
+        capacity.release_rate += load.memory_tokens / hold;
     }
     return capacity;
 }
 
+/// Plain calls and streams have different units of cost.
+fair_share_state&
+shares_of(domain_admission_state& state, const placement_query& query) {
+    return is_plain(query) ? state.plain_shares : state.shares;
+}
+
 /// Decides in the order plain admission, shares, promised returns.
-capacity_denial deny(
+share_decision decide(
     domain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query, const share_request& request) {
     const capacity_claim& claim = *query.claim;
@@ -45,24 +70,45 @@
         claim.digest != 0 &&
         redeem_return(state.returns, claim.digest, inputs.now);
     if (claim.begun || redeemed)
-        return capacity_denial::none;
+        return {};
     const domain_capacity capacity = capacity_of(state, inputs, query);
-    const capacity_denial denial =
-        admit_by_share(state.shares, request, capacity, inputs.now);
-    if (denial != capacity_denial::none)
-        return denial;
+    fair_share_state& shares = shares_of(state, query);
+    share_decision decision =
+        is_plain(query)
+            ? admit_call_by_share(shares, request, capacity, inputs.now)
+            : admit_by_share(shares, request, capacity, inputs.now);
+    if (decision.denial != capacity_denial::none)
+        return decision;
     const double kept =
         kept_for_returns(state.returns, claim.digest, inputs.now);
     if (kept > 0.0 && capacity.free - kept < request.cost)
-        return capacity_denial::reserved_for_returns;
-    return capacity_denial::none;
+        decision.denial = capacity_denial::reserved_for_returns;
+    return decision;
+}
+
+share_request
+request_of(const selection_inputs& inputs, const placement_query& query) {
+    share_request request{*query.claim, inputs.own_data_centre, cost_of(query)};
+    if (!inputs.all_loads_known)
+        request.part_of_demand =
+            1.0 /
+            static_cast<double>(std::max<std::size_t>(inputs.instances, 1));
+    return request;
+}
+
+/// @return the query without a server that is left to others.
+placement_query without(placement_query query, const std::string& server) {
+    if (!server.empty())
+        query.excluded.insert(server);
+    return query;
 }
 
 placement denied(
-    capacity_denial why, const selection_inputs& inputs,
+    const share_decision& decision, const selection_inputs& inputs,
     const placement_query& query) {
     placement result;
-    result.denial = why;
+    result.denial = decision.denial;
+    result.denied_by = decision.inputs;
     if (!is_plain(query))
         result.capacity = summarize_capacity(
             inputs, {query.memory_tokens, usable_memory_share, {}});
@@ -78,35 +124,44 @@
 domain_capacity capacity_of(
     const domain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query) {
-    return is_plain(query) ? plain_capacity(state.plain, inputs)
-                           : decode_capacity(inputs);
+    return is_plain(query)
+               ? plain_capacity(state.plain, inputs)
+               : decode_capacity(
+                     inputs,
+                     std::max(query.memory_tokens, state.shares.mean_cost));
 }
 
 placement place_claim(
     domain_admission_state& state, const selection_inputs& inputs,
     const placement_query& query) {
-    const share_request request{
-        *query.claim, inputs.own_data_centre, cost_of(query)};
+    const share_request request = request_of(inputs, query);
+    fair_share_state& shares = shares_of(state, query);
+    note_asked(shares, request, inputs.now);
     plain_decision plain;
     if (is_plain(query))
         plain = admit_plain(state.plain, inputs, query);
-    capacity_denial denial = plain.denial;
-    if (denial == capacity_denial::none)
-        denial = deny(state, inputs, query, request);
+    share_decision decision;
+    decision.denial = plain.denial;
+    if (plain.denial == capacity_denial::none)
+        decision = decide(state, inputs, query, request);
     placement result;
-    if (denial != capacity_denial::none)
-        result = denied(denial, inputs, query);
+    if (decision.denial != capacity_denial::none)
+        result = denied(decision, inputs, query);
     else if (!plain.server.empty())
         result.server = plain.server;
     else
-        result = choose_servers(inputs, query);
+        result = choose_servers(inputs, without(query, decision.set_aside));
+    if (!result.server.empty()) {
+        note_served(shares, request, inputs.now);
+        return result;
+    }
     result.expected_wait = plain.expected_wait;
-    if (result.server.empty() && result.denial == capacity_denial::none)
+    if (!is_plain(query))
+        result.expected_wait = decision.expected_wait;
+    if (result.denial == capacity_denial::none)
         result.denial = capacity_denial::no_capacity;
-    if (result.server.empty())
-        note_denied(state.shares, request, inputs.now);
-    else
-        note_served(state.shares, request, inputs.now);
+    note_denied(
+        shares, request, result.denial, decision.expected_wait, inputs.now);
     return result;
 }
 
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -43,6 +43,9 @@
         resume_after;         ///< ID of the last event forwarded.
     bool strip_key = false;   ///< Remove the caller's key from the request.
     std::string organisation; ///< Owner of the key; empty if there is none.
+    /// How urgent the request is for an engine, 0 being the most urgent; see
+    /// policy::engine_urgency(). Not sent if all have the same.
+    std::optional<int> urgency{};
 };
 
 /// What the head of a server's answer says about the answer.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -105,6 +105,10 @@
     /// Ends the exchange because the servers have no capacity for it. The
     /// request must not have run. @param wanted what the request would take.
     void refuse_for_capacity(const wanted_capacity& wanted);
+    /// Counts, while capacity is shared, that the request got capacity or was
+    /// refused it. Each request counts once as served.
+    /// @param cost as in a placement query.
+    void count_share(policy::capacity_denial denial, double cost);
     /// @return the claim of the request; nothing unless capacity is shared.
     std::optional<policy::capacity_claim> claim(bool waiting, bool begun) const;
     /// Checks, before each send, that the request may still go to a server: the
@@ -142,6 +146,9 @@
 
     std::string organisation_name() const; ///< Empty if none.
     call_parameters call_options_for(const traffic::server& server) const;
+    /// @return the urgency that engines are told; nothing unless capacity is
+    /// shared and streams of the service have different priorities.
+    std::optional<int> urgency() const;
     upstream::call_request call_for(const call_parameters& options) const;
 
     router_context& context_;
@@ -172,6 +179,7 @@
         std::optional<base::milliseconds> retry_after);
     void finish(std::string_view outcome);
 
+    bool counted_as_served_ = false; ///< By count_share().
     request_identity identity_;
     event::timer deadline_timer_;
     base::steady_time deadline_;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RELAY_RELAY_METRICS_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/policy/capacity_claim.hpp>
 #include <mintknot/policy/server_health.hpp>
 
 #include <memory>
@@ -20,8 +21,17 @@
     base::milliseconds total{0};
 };
 
-/// Metrics of one instance, exported in the Prometheus text format. The number
-/// of route labels is bounded; further routes are counted under "other".
+/// A request that got capacity or was refused it.
+struct capacity_use {
+    int priority = 0;
+    std::string organisation;
+    policy::capacity_denial denial = policy::capacity_denial::none;
+    double cost = 0.0; ///< Decode memory in tokens; 1 for a plain call.
+};
+
+/// Metrics of one instance, exported in the Prometheus text format. The numbers
+/// of route, priority and organisation labels are bounded; further ones are
+/// counted under "other".
 class relay_metrics {
 public:
     relay_metrics();
@@ -32,6 +42,7 @@
     void count_request(const finished_request& request);
     void count_call(policy::call_result result);
     void count_retry(std::string_view reason);
+    void count_share(const capacity_use& use);
     /// Records how old the server table was when a request was sent to a
     /// server.
     void observe_server_table_age(base::milliseconds age);
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -231,6 +231,14 @@
                       context_.loop.now()));
 }
 
+void exchange::count_share(policy::capacity_denial denial, double cost) {
+    if (!context_.state.capacity_sharing || counted_as_served_)
+        return;
+    counted_as_served_ = denial == policy::capacity_denial::none;
+    context_.metrics.count_share(
+        {priority(), organisation_name(), denial, cost});
+}
+
 std::optional<policy::capacity_claim>
 exchange::claim(bool waiting, bool begun) const {
     if (!context_.state.capacity_sharing)
@@ -384,6 +392,12 @@
     return options;
 }
 
+std::optional<int> exchange::urgency() const {
+    if (!context_.state.capacity_sharing || !service_.mixed_priorities)
+        return std::nullopt;
+    return policy::engine_urgency(priority());
+}
+
 upstream::call_request
 exchange::call_for(const call_parameters& options) const {
     return {
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -79,6 +79,7 @@
 void generation_exchange::send_decode(const traffic::server& engine) {
     call_parameters options = call_options_for(engine);
     options.resume_after = last_event_;
+    options.urgency = urgency();
     if (decode_.used_result)
         options.prefill_result = kept_.location;
     decode_.call = upstream::call::start(
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -89,11 +89,11 @@
     const traffic::server* decode =
         traffic::find(context_.state.servers, placed.server);
     if (decode == nullptr || !may_send_to(context_, *decode)) {
-        policy::capacity_summary seen = placed.capacity;
+        policy::placement seen = placed;
         // The scheduler does not know yet that the engine takes no new
         // requests; it will choose another one shortly.
         if (!placed.server.empty())
-            seen.forecast.wait = base::milliseconds{0};
+            seen.capacity.forecast.wait = base::milliseconds{0};
         wait_for_capacity(seen);
         return;
     }
@@ -104,6 +104,7 @@
         return;
     }
     placed_by_ = placed.scheduler_host;
+    count_share(policy::capacity_denial::none, memory_needed());
     decode_.server = decode->id;
     decode_.reserved_tokens = memory_needed();
     decode_.placed_at = context_.loop.now();
@@ -134,9 +135,8 @@
     return true;
 }
 
-void generation_exchange::wait_for_capacity(
-    const policy::capacity_summary& seen) {
-    const auto expected = expected_wait(seen.forecast);
+void generation_exchange::wait_for_capacity(const policy::placement& placed) {
+    const auto expected = expected_wait(placed);
     const base::milliseconds start =
         policy::mean_first_event_time(context_.state.demands[service_.name]);
     const policy::unplaced_request unplaced = describe_unplaced();
@@ -146,8 +146,9 @@
         join_queue(!policy::can_meet_target(unplaced, expected, start));
         return;
     }
-    log_no_capacity(seen, expected);
-    refuse_for_capacity({memory_needed(), seen.forecast, expected});
+    log_no_capacity(placed, expected);
+    count_share(placed.denial, memory_needed());
+    refuse_for_capacity({memory_needed(), placed.capacity.forecast, expected});
 }
 
 void generation_exchange::wait_for_connection() {
@@ -178,12 +179,15 @@
     return {late, priority(), request_.arrived};
 }
 
-std::optional<base::milliseconds> generation_exchange::expected_wait(
-    const policy::capacity_forecast& forecast) const {
+std::optional<base::milliseconds>
+generation_exchange::expected_wait(const policy::placement& placed) const {
     const double ahead =
         context_.queue.tokens_ahead(service_.name, rank(false)) +
         peer_tokens_ahead(context_.state, service_.name, context_.loop.now());
-    return policy::wait_behind(forecast, ahead);
+    const auto in_queue = policy::wait_behind(placed.capacity.forecast, ahead);
+    if (!in_queue || !placed.expected_wait)
+        return in_queue;
+    return std::max(*in_queue, *placed.expected_wait);
 }
 
 void generation_exchange::join_queue(bool late) {
@@ -193,8 +197,9 @@
 }
 
 void generation_exchange::log_no_capacity(
-    const policy::capacity_summary& room,
+    const policy::placement& placed,
     std::optional<base::milliseconds> expected) {
+    const policy::capacity_summary& room = placed.capacity;
     context_.log.write(
         "no_room",
         {{"request", request_.terms.id},
@@ -205,7 +210,15 @@
          {"peers",
           static_cast<std::int64_t>(context_.state.loads.peers.size())},
          {"expected_wait_ms", expected.value_or(unknown_wait).count()},
-         {"waited_ms", since_arrival().count()}});
+         {"waited_ms", since_arrival().count()},
+         {"route", route_.name},
+         {"priority", std::int64_t{priority()}},
+         {"organisation", organisation_name()},
+         {"denial", policy::to_string(placed.denial)},
+         {"free", placed.denied_by.free},
+         {"kept", placed.denied_by.kept},
+         {"kept_for", placed.denied_by.kept_for},
+         {"shortage_age_ms", placed.denied_by.shortage_age.count()}});
 }
 
 void generation_exchange::release_decode() {
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -78,20 +78,21 @@
     /// still choose it. @return true if the engine was excluded by this call.
     bool exclude_leaving_prefill(const policy::placement& placed);
     /// Joins the wait queue, or refuses the request if waiting is not worth it.
-    /// @param seen the free capacity of the engines, from the last placement.
-    void wait_for_capacity(const policy::capacity_summary& seen);
+    /// @param placed the last placement, with the free capacity of the engines.
+    void wait_for_capacity(const policy::placement& placed);
     /// Pauses before the next placement, or refuses the request: engines exist,
     /// but too many connections in a row have failed.
     void wait_for_connection();
     policy::unplaced_request describe_unplaced() const;
     policy::queue_rank rank(bool late) const;
-    /// @return the expected wait behind all requests ahead in the queues; empty
-    /// if it cannot be predicted.
+    /// @return the expected wait behind all requests ahead in the queues, and
+    /// behind those that the placement says go first; empty if it cannot be
+    /// predicted.
     std::optional<base::milliseconds>
-    expected_wait(const policy::capacity_forecast& forecast) const;
+    expected_wait(const policy::placement& placed) const;
     void join_queue(bool late);
     void log_no_capacity(
-        const policy::capacity_summary& seen,
+        const policy::placement& placed,
         std::optional<base::milliseconds> expected);
     /// @return true if a kept prefill result can still be handed over.
     bool result_usable() const;
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -31,6 +31,7 @@
     log_prefill();
     call_parameters options = call_options_for(engine);
     options.stage = call_stage::prefill;
+    options.urgency = urgency();
     kept_ = {};
     kept_.location = base::to_string(engine.where);
     prefill_.call = upstream::call::start(
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -69,13 +69,16 @@
         place();
     else if (
         chosen == nullptr && placed.denial != policy::capacity_denial::none &&
-        verdict_ == base::verdict::not_run)
+        verdict_ == base::verdict::not_run) {
+        count_share(placed.denial, 1.0);
         refuse_for_capacity(
             {1.0, placed.capacity.forecast, placed.expected_wait});
-    else if (chosen == nullptr || unavailable)
+    } else if (chosen == nullptr || unavailable)
         apply_step(next_step(policy::call_end::no_server));
-    else if (ensure_allowed())
+    else if (ensure_allowed()) {
+        count_share(policy::capacity_denial::none, 1.0);
         send(*chosen, placed.scheduler_host);
+    }
 }
 
 void plain_exchange::send(
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -7,6 +7,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <set>
 
 namespace mintknot::relay {
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr std::size_t max_routes = 64;
+constexpr std::size_t max_organisations = 64;
+/// Priorities from this one on are counted together.
+constexpr int max_priority_label = 9;
 
 const prometheus::Histogram::BucketBoundaries& latency_buckets() {
     static const prometheus::Histogram::BucketBoundaries bounds = {
@@ -21,6 +25,17 @@
     return bounds;
 }
 
+/// @return the label, or "other" if it is new and there are too many.
+std::string bounded_label(
+    std::set<std::string>& known, const std::string& label, std::size_t bound) {
+    if (known.contains(label))
+        return label;
+    if (known.size() >= bound)
+        return "other";
+    known.insert(label);
+    return label;
+}
+
 double seconds(base::milliseconds time) {
     return std::chrono::duration<double>(time).count();
 }
@@ -29,12 +44,7 @@
 
 struct relay_metrics::impl {
     std::string route_label(const std::string& route) {
-        if (routes.contains(route))
-            return route;
-        if (routes.size() >= max_routes)
-            return "other";
-        routes.insert(route);
-        return route;
+        return bounded_label(routes, route, max_routes);
     }
 
     prometheus::Registry registry;
@@ -73,7 +83,19 @@
             .Name("mintknot_state")
             .Help("What the instance believes at present.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& capacity_requests =
+        prometheus::BuildCounter()
+            .Name("mintknot_capacity_requests_total")
+            .Help("Requests served or refused capacity, by priority.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& capacity_costs =
+        prometheus::BuildCounter()
+            .Name("mintknot_capacity_cost_total")
+            .Help("Tokens of memory (1 for a plain call) served or refused, by "
+                  "organisation.")
+            .Register(registry);
     std::set<std::string> routes;
+    std::set<std::string> organisations;
 };
 
 relay_metrics::relay_metrics()
@@ -100,6 +122,21 @@
     impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void relay_metrics::count_share(const capacity_use& use) {
+    const bool served = use.denial == policy::capacity_denial::none;
+    const std::string result =
+        served ? "served" : std::string(policy::to_string(use.denial));
+    const std::string priority =
+        std::to_string(std::clamp(use.priority, 0, max_priority_label));
+    impl_->capacity_requests.Add({{"priority", priority}, {"result", result}})
+        .Increment();
+    const std::string organisation = bounded_label(
+        impl_->organisations, use.organisation, max_organisations);
+    impl_->capacity_costs
+        .Add({{"organisation", organisation}, {"result", result}})
+        .Increment(use.cost);
+}
+
 void relay_metrics::observe_server_table_age(base::milliseconds age) {
     impl_->server_ages.Add({}, latency_buckets()).Observe(seconds(age));
 }
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -99,6 +99,8 @@
         head.fields.push_back({"Stage", "prefill"});
     if (!terms.prefill_result.empty())
         head.fields.push_back({"From", terms.prefill_result});
+    if (terms.urgency)
+        head.fields.push_back({"Urgency", std::to_string(*terms.urgency)});
     if (terms.resume_after)
         head.fields.push_back({"After", std::to_string(*terms.resume_after)});
     return head;
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -516,3 +516,72 @@
     cr_assert(seen.complete);
     cr_assert(seen.body == all_events);
 }
+
+namespace {
+
+/// A fixture whose streams have the priorities 0 and 2.
+struct two_priorities : relay_fixture {
+    two_priorities() {
+        for (traffic::route& route : config.routes)
+            if (route.name == "resume")
+                route.priority = 2;
+        configure();
+        p = &add_server("p", "llm", prefill, good_prefill("k1"));
+        d = &add_server("d", "llm", decode, good_decode());
+    }
+    scripted_server* p = nullptr;
+    scripted_server* d = nullptr;
+};
+
+} // namespace
+
+// Guards against engines that preempt urgent streams for others.
+Test(generation_exchange, engines_are_told_how_urgent_a_request_is) {
+    two_priorities f;
+    f.context.state.capacity_sharing = true;
+    cr_assert(f.ask(prompt("/stream/x")).complete);
+    cr_assert(f.ask(prompt("/resume/x")).complete);
+    for (const scripted_server* engine : {f.p, f.d}) {
+        cr_assert(engine->requests.at(0).field("Urgency") == "3");
+        cr_assert(engine->requests.at(1).field("Urgency") == "5");
+    }
+}
+
+// Guards against a changed request where the switch is off or there is nothing
+// to tell apart.
+Test(generation_exchange, no_urgency_without_sharing_or_with_one_priority) {
+    two_priorities off;
+    cr_assert(off.ask(prompt("/stream/x")).complete);
+    cr_assert(off.d->requests.at(0).field("Urgency").empty());
+    relay_fixture same;
+    same.context.state.capacity_sharing = true;
+    scripted_server& d = same.add_server("d", "llm", decode, good_decode());
+    cr_assert(same.ask(prompt("/stream/x")).complete);
+    cr_assert(d.requests.at(0).field("Urgency").empty());
+}
+
+// Guards against a request that is held although others go first for longer
+// than its target.
+Test(generation_exchange, a_denied_request_is_refused_if_others_go_first) {
+    relay_fixture f;
+    f.context.state.capacity_sharing = true;
+    f.add_server("d", "llm", decode, good_decode());
+    int placements = 0;
+    scripted_placer scheduler([&](const policy::placement_query& query) {
+        ++placements;
+        cr_assert(query.claim.has_value());
+        policy::placement denied;
+        denied.denial = policy::capacity_denial::over_share;
+        denied.denied_by = {5000.0, 9000.0, base::milliseconds(40), "o"};
+        denied.expected_wait = base::milliseconds(3000);
+        denied.capacity.forecast = {base::milliseconds(0), 50.0};
+        return denied;
+    });
+    f.context.placement = &scheduler;
+    cr_assert(f.ask(prompt("/stream/x")).status == 503);
+    cr_assert(placements == 1);
+    const std::string metrics = f.metrics.text();
+    cr_assert(
+        metrics.find("mintknot_capacity_requests_total{priority=\"0\","
+                     "result=\"over_share\"} 1") != std::string::npos);
+}
--- a/libs/mintknotd-platform/relay/tests/test_router_state.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_router_state.cpp
@@ -52,3 +52,16 @@
     cr_assert(peer_tokens_ahead(state, "llm", later) == 5.0);
     cr_assert(state.waiting_of_peers.size() == 1);
 }
+
+// Guards against metrics that grow with the number of organisations.
+Test(relay_metrics, labels_of_organisations_are_bounded) {
+    relay_metrics metrics;
+    for (int i = 0; i < 500; ++i)
+        metrics.count_share(
+            {i, "o" + std::to_string(i), policy::capacity_denial::none, 10.0});
+    const std::string text = metrics.text();
+    cr_assert(
+        text.find("mintknot_capacity_cost_total{organisation=\"other\","
+                  "result=\"served\"} 4360") != std::string::npos);
+    cr_assert(text.find("priority=\"10\"") == std::string::npos);
+}
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -26,6 +26,8 @@
 /// of a request and, in its answer, why it was denied.
 constexpr std::size_t claim_element = 14;
 constexpr std::size_t denial_element = 11;
+/// Index in the denial element: what a denial by priority or share rests on.
+constexpr std::size_t denial_inputs_element = 2;
 /// Bits of the last element of a claim.
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
@@ -178,7 +180,13 @@
 json denial_to_json(const policy::placement& placed) {
     const json wait = placed.expected_wait ? json(placed.expected_wait->count())
                                            : json(nullptr);
-    return {static_cast<int>(placed.denial), wait};
+    json row = {static_cast<int>(placed.denial), wait};
+    const policy::denial_inputs& inputs = placed.denied_by;
+    if (!inputs.kept_for.empty())
+        row.push_back(
+            {whole(inputs.free), whole(inputs.kept),
+             inputs.shortage_age.count(), inputs.kept_for});
+    return row;
 }
 
 void read_denial(const json& row, policy::placement& placed) {
@@ -193,6 +201,13 @@
     if (!row.at(1).is_null())
         placed.expected_wait =
             base::milliseconds(row.at(1).get<std::int64_t>());
+    if (row.size() <= denial_inputs_element)
+        return;
+    const json& inputs = row[denial_inputs_element];
+    placed.denied_by = {
+        number(inputs.at(0)), number(inputs.at(1)),
+        base::milliseconds(inputs.at(2).get<std::int64_t>()),
+        inputs.at(3).get<std::string>()};
 }
 
 json to_json(const placement_answer& value) {
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -33,13 +33,21 @@
         capacity_seen; ///< Sum of the domains that had no capacity.
     /// Of the last domain that denied capacity to the request's claim.
     policy::capacity_denial denial = policy::capacity_denial::none;
-    /// The shortest wait of the domains that denied a plain call.
+    policy::denial_inputs denied_by;
+    /// The shortest wait of the domains that denied the request.
     std::optional<base::milliseconds> expected_wait;
     std::string asked_host; ///< The scheduler whose answer is awaited.
     int tries = 0;          ///< In the current domain.
     event::timer answer_timer;
 };
 
+/// A denial by priority or share tells more than one for lack of capacity.
+void note_denial(pending_placement& entry, const policy::placement& placed) {
+    entry.denial = placed.denial;
+    if (!placed.denied_by.kept_for.empty())
+        entry.denied_by = placed.denied_by;
+}
+
 } // namespace
 
 struct remote_placer::impl {
@@ -91,6 +99,7 @@
                 placed = place_anywhere(entry.query);
             placed.capacity = entry.capacity_seen;
             placed.denial = entry.denial;
+            placed.denied_by = entry.denied_by;
             placed.expected_wait = entry.expected_wait;
             finish(number, placed);
             return;
@@ -160,7 +169,7 @@
         entry.capacity_seen.forecast = policy::merge_forecasts(
             entry.capacity_seen.forecast, placed.capacity.forecast);
         if (placed.denial != policy::capacity_denial::none)
-            entry.denial = placed.denial;
+            note_denial(entry, placed);
         if (placed.expected_wait)
             entry.expected_wait = std::min(
                 *placed.expected_wait,
--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -69,6 +69,22 @@
     cr_assert(got.placed.denial == policy::capacity_denial::over_share);
     cr_assert(got.placed.expected_wait == base::milliseconds(120));
     cr_assert(got.servers.empty());
+    cr_assert(got.placed.denied_by.kept_for.empty());
+}
+
+// Guards against a denial whose reasons are known at the scheduler only.
+Test(scheduling_messages, a_denial_tells_what_it_rests_on) {
+    placement_answer sent{9, true, {}};
+    sent.placed.denial = policy::capacity_denial::reserved_for_priority;
+    sent.placed.denied_by = {
+        21000.0, 15700.0, base::milliseconds(80), "priority 0"};
+    const auto value = decode(encode(sent));
+    cr_assert(value.ok());
+    const policy::denial_inputs& got =
+        std::get<placement_answer>(*value).placed.denied_by;
+    cr_assert(got.free == 21000.0 && got.kept == 15700.0);
+    cr_assert(got.shortage_age == base::milliseconds(80));
+    cr_assert(got.kept_for == "priority 0");
 }
 
 Test(scheduling_messages, answer_round_trip) {
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/configuration.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/configuration.hpp
@@ -64,6 +64,9 @@
     std::string health_path;
     std::size_t max_connections = 100; ///< At one server, from all callers.
     std::optional<engine_spec> engine; ///< Only for model engines.
+    /// Streams of the service may have different priorities, by their route or
+    /// organisation. Set by index().
+    bool mixed_priorities = false;
 };
 
 /// Bounds on what a caller may send, and how long it may take.
@@ -86,7 +89,8 @@
     std::unordered_map<std::string, std::size_t> by_place;
 };
 
-/// Builds `by_place`. To be called once, after the routes are complete.
+/// Builds `by_place` and sets `service::mixed_priorities`. To be called once,
+/// after the routes are complete.
 void index(configuration& value);
 
 /// @return the route with the longest prefix that begins the path, or null.
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/organisation_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/organisation_table.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,9 +58,12 @@
     const organisation* find_by_name(std::string_view name) const;
 
     std::size_t size() const noexcept { return organisations_.size(); }
+    /// @return the priorities that organisations have, each once.
+    const std::set<int>& priorities() const noexcept { return priorities_; }
 
 private:
     std::vector<organisation> organisations_;
+    std::set<int> priorities_;
     std::string keys_; ///< All keys, one behind the other.
     absl::flat_hash_map<std::string_view, std::uint32_t> index_by_key_;
     absl::flat_hash_map<std::string_view, std::uint32_t> index_by_name_;
--- a/libs/mintknotd-platform/traffic/src/configuration.cpp
+++ b/libs/mintknotd-platform/traffic/src/configuration.cpp
@@ -2,6 +2,9 @@
 
 #include <absl/strings/ascii.h>
 
+#include <algorithm>
+#include <set>
+
 namespace mintknot::traffic {
 
 namespace {
@@ -21,9 +24,30 @@
     return has_port ? host.substr(0, colon) : host;
 }
 
+/// @return the priorities that streams of the service may have.
+std::set<int>
+priorities_of(const configuration& value, const std::string& service) {
+    std::set<int> found;
+    for (const route& entry : value.routes)
+        if (entry.kind == route_kind::streaming &&
+            std::any_of(
+                entry.services.begin(), entry.services.end(),
+                [&service](const weighted_service& part) {
+                    return part.name == service;
+                }))
+            found.insert(entry.priority);
+    if (!found.empty() && value.organisations != nullptr)
+        found.insert(
+            value.organisations->priorities().begin(),
+            value.organisations->priorities().end());
+    return found;
+}
+
 } // namespace
 
 void index(configuration& value) {
+    for (auto& [name, entry] : value.services)
+        entry.mixed_priorities = priorities_of(value, name).size() > 1;
     value.by_place.clear();
     for (std::size_t i = 0; i < value.routes.size(); ++i) {
         const route& entry = value.routes[i];
--- a/libs/mintknotd-platform/traffic/src/organisation_table.cpp
+++ b/libs/mintknotd-platform/traffic/src/organisation_table.cpp
@@ -33,6 +33,8 @@
     for (organisation_row& row : rows) {
         const auto index = static_cast<std::uint32_t>(organisations_.size());
         organisations_.push_back(std::move(row.value));
+        if (organisations_.back().priority)
+            priorities_.insert(*organisations_.back().priority);
         index_by_name_.try_emplace(organisations_.back().name, index);
         for (const std::string& key : row.keys) {
             if (key.empty())
