Requests wait behind their own data centre, not behind all of their organisation

Cause: the expected wait of a new request counted all that waits of its organisation. Without organisations that is everybody, so that a data centre below its share was refused for the queue of one above it.

Change: it counts what waits of the request's own data centre. Load tests of shares of data centres, and of one that is cut off.

--- a/libs/mintknotd-platform/policy/src/fair_share.cpp
+++ b/libs/mintknotd-platform/policy/src/fair_share.cpp
@@ -94,7 +94,7 @@
 struct ranking {
     predecessors by_priority;
     predecessors by_share;
-    double own_waiting = 0.0; ///< Of its organisation.
+    double own_waiting = 0.0; ///< Of its organisation and data centre.
     double waiting_in_priority = 0.0;
 };
 
@@ -108,7 +108,8 @@
     if (self == own.organisations.end())
         return found;
     found.waiting_in_priority = waiting_cost(own, now);
-    found.own_waiting = waiting_cost(self->second, now);
+    found.own_waiting =
+        waiting_cost(self->second.data_centres[request.data_centre], now);
     add_competitors(
         found.by_share, state, own.organisations, self->first, own.fair,
         request, now);
--- a/libs/mintknotd-platform/policy/tests/shared_domain_simulation.hpp
+++ b/libs/mintknotd-platform/policy/tests/shared_domain_simulation.hpp
@@ -49,6 +49,8 @@
     /// Callers and placements of this time count.
     milliseconds counted_from{6000};
     milliseconds counted_until{12000};
+    /// Results are by data centre instead of by organisation.
+    bool by_data_centre = false;
     double lost_questions = 0.0;
     milliseconds scheduler_replaced_at{0}; ///< 0: never.
     /// By priority.
@@ -85,7 +87,10 @@
                 since >= options_.counted_until)
                 continue;
             const record& end = records_[caller.digest];
-            shares_seen& kind = seen[{caller.priority, caller.organisation}];
+            shares_seen& kind = seen[{
+                caller.priority, options_.by_data_centre
+                                     ? caller.data_centre
+                                     : caller.organisation}];
             ++kind.callers;
             kind.in_time += end.placed && end.in_time ? 1 : 0;
             kind.late += end.placed && !end.in_time ? 1 : 0;
