The inputs of a denial are the last element, whatever stands before them

Cause: a denial of plain calls may add elements of its own.

Change: the inputs are recognised as the array that ends the denial.

Result: tests of scheduling pass, 25 of 25.

--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -26,8 +26,6 @@
 /// of a request and, in its answer, why it was denied.
 constexpr std::size_t claim_element = 14;
 constexpr std::size_t denial_element = 11;
-/// Index in the denial element: what a denial by priority or share rests on.
-constexpr std::size_t denial_inputs_element = 2;
 /// Bits of the last element of a claim.
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
@@ -201,9 +199,11 @@
     if (!row.at(1).is_null())
         placed.expected_wait =
             base::milliseconds(row.at(1).get<std::int64_t>());
-    if (row.size() <= denial_inputs_element)
+    // What a denial by priority or share rests on is an array, after any other
+    // elements.
+    const json& inputs = row.back();
+    if (!inputs.is_array())
         return;
-    const json& inputs = row[denial_inputs_element];
     placed.denied_by = {
         number(inputs.at(0)), number(inputs.at(1)),
         base::milliseconds(inputs.at(2).get<std::int64_t>()),
