Remove the placeholders of the parts of capacity sharing that are not built

Cause: the skeleton had functions that decide nothing, for return promises and shares, and summed up all engines for each placement. On the wire nothing was sent with these values.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
@@ -40,8 +40,14 @@
     no_capacity,           ///< No server can take the request.
     late,                  ///< It would miss its target, and capacity is short.
     reserved_for_priority, ///< Kept for more urgent requests.
-    over_share,            ///< Its organisation or data centre has had more.
-    reserved_for_returns,  ///< Kept for callers that return at their time.
+};
+
+/// Capacity of the servers of one domain, in units of cost: tokens of decode
+/// memory, or calls of plain servers.
+struct domain_capacity {
+    double total = 0.0;
+    double free = 0.0;
+    double release_rate = 0.0; ///< Cost released per millisecond.
 };
 
 /// @return the name of a denial in log lines and metrics.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/domain_admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/domain_admission.hpp
@@ -9,28 +9,15 @@
 #ifndef MINTKNOT_POLICY_DOMAIN_ADMISSION_HPP
 #define MINTKNOT_POLICY_DOMAIN_ADMISSION_HPP
 
-#include <mintknot/policy/fair_share.hpp>
 #include <mintknot/policy/plain_admission.hpp>
-#include <mintknot/policy/return_schedule.hpp>
 
 namespace mintknot::policy {
 
 /// What the admission control of one domain remembers. Lost with its process.
 struct domain_admission_state {
     plain_admission_state plain;
-    fair_share_state shares;
-    return_schedule returns;
 };
 
-/// @return the cost of a request: the decode memory that it reserves, in
-/// tokens; 1 for a plain call.
-double cost_of(const placement_query& query);
-
-/// @return the capacity of the domain for requests of that kind.
-domain_capacity capacity_of(
-    const domain_admission_state& state, const selection_inputs& inputs,
-    const placement_query& query);
-
 /// Chooses the servers of a request with a claim, or denies it capacity.
 /// Precondition: the query has a claim.
 placement place_claim(
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/plain_admission.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/plain_admission.hpp
@@ -16,7 +16,6 @@
 #define MINTKNOT_POLICY_PLAIN_ADMISSION_HPP
 
 #include <mintknot/policy/capacity_claim.hpp>
-#include <mintknot/policy/fair_share.hpp>
 #include <mintknot/policy/placement.hpp>
 #include <mintknot/policy/plain_flow.hpp>
 #include <mintknot/policy/priority_reserve.hpp>
--- a/libs/mintknotd-platform/policy/src/capacity_claim.cpp
+++ b/libs/mintknotd-platform/policy/src/capacity_claim.cpp
@@ -29,10 +29,6 @@
         return "late";
     case capacity_denial::reserved_for_priority:
         return "reserved_for_priority";
-    case capacity_denial::over_share:
-        return "over_share";
-    case capacity_denial::reserved_for_returns:
-        return "reserved_for_returns";
     }
     return "unknown";
 }
--- a/libs/mintknotd-platform/policy/src/plain_admission.cpp
+++ b/libs/mintknotd-platform/policy/src/plain_admission.cpp
@@ -21,7 +21,7 @@
 /// are distributed exponentially).
 constexpr double service_allowance = 2.5;
 constexpr double wait_allowance = 2.0;
-/// How long capacity counts as short after a denial, as in fair_share.hpp.
+/// How long capacity counts as short after a denial.
 constexpr base::milliseconds shortage_time{500};
 /// Wait that a call leaves for those that peers have placed and not reported
 /// yet, where each instance places its own: the mean age of reported loads.
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -229,7 +229,7 @@
     placed.denial =
         denial >= 0 &&
                 denial <= static_cast<int>(
-                              policy::capacity_denial::reserved_for_returns)
+                              policy::capacity_denial::reserved_for_priority)
             ? static_cast<policy::capacity_denial>(denial)
             : policy::capacity_denial::no_capacity;
     placed.expected_wait = time_from(row.at(1));
