--- a/libs/mintknotd-platform/policy/tests/test_plain_admission.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_plain_admission.cpp
@@ -25,7 +25,7 @@
 
 void log_figures(const std::string& name, const plain_load& load) {
     for (const load_result& result : load.results)
-        cr_log_warn(
+        cr_log_info(
             "%s: %d callers, %d tries, %d in time, %d late, %d refused, %d "
             "failed; all: "
             "%.3f of the possible in time, %.4f of %d arrivals rejected, %d "
@@ -61,7 +61,7 @@
         cr_assert(load.longest_refusal_ms < 20.0);
         sum += load.in_time_share();
     }
-    cr_log_warn("%s: mean %.3f", name.c_str(), sum / seeds);
+    cr_log_info("%s: mean %.3f", name.c_str(), sum / seeds);
     cr_assert(sum / seeds >= min_share, "%s: %f", name.c_str(), sum / seeds);
 }
 
--- a/libs/mintknotd-platform/policy/tests/test_plain_shortage.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_plain_shortage.cpp
@@ -95,7 +95,7 @@
                 const double found = refused_share(options, seeds);
                 options.ignore_shortage = true;
                 const double ignored = refused_share(options, seeds);
-                cr_log_warn(
+                cr_log_info(
                     "%d slots, target %.0f, load %.2f after %.1f: refused "
                     "%.4f, with the shortage ignored %.4f",
                     slots, target_ms, load_factor, load_before, found, ignored);
@@ -151,7 +151,7 @@
     const double repeated = refused_share(options, 30) - without_loss;
     options.repeat_empty_reports = false;
     const double not_repeated = refused_share(options, 30) - without_loss;
-    cr_log_warn(
+    cr_log_info(
         "refused because of lost reports: %.4f, not repeated %.4f", repeated,
         not_repeated);
     cr_assert(repeated <= 0.6 * not_repeated);
