Claims of returning callers carry no digest until a rule reads it

Cause: while capacity is shared, each return hashed its body for the digest of its claim, which only the return schedule reads; that is not in the tree. Change: the digest stays 0, which means unknown; the element on the wire stays.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/capacity_claim.hpp
@@ -24,8 +24,8 @@
     base::milliseconds target_left{0};
     /// Until the caller's deadline or the route's timeout; 0: unknown.
     base::milliseconds deadline_left{0};
-    /// Identifies the request across all tries of its caller; 0: unknown. Set
-    /// only if `caller_retry`, because it costs a hash of the body.
+    /// Identifies the request across all tries of its caller; 0: unknown. Not
+    /// set yet: no rule reads it, and it costs a hash of the body.
     std::uint64_t digest = 0;
     /// The caller was refused before, as far as its deadline shows.
     bool caller_retry = false;
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -8,8 +8,6 @@
 #include <mintknot/relay/request_digest.hpp>
 
 #include <algorithm>
-#include <cstdint>
-#include <cstdlib>
 
 namespace mintknot::relay {
 
@@ -29,12 +27,6 @@
     return request.body == nullptr ? std::string_view{} : *request.body;
 }
 
-/// @return the first 64 bits of a digest in hexadecimal digits.
-std::uint64_t number_of(const std::string& digest) {
-    constexpr std::size_t digits = 16;
-    return std::strtoull(digest.substr(0, digits).c_str(), nullptr, 16);
-}
-
 int status_of(base::verdict verdict, bool out_of_time) {
     if (verdict == base::verdict::not_run)
         return status_unavailable;
@@ -251,8 +243,6 @@
         base::milliseconds{0}, route_.target_latency - since_arrival());
     result.deadline_left = std::max(base::milliseconds{0}, time_left());
     result.caller_retry = is_caller_retry();
-    if (result.caller_retry)
-        result.digest = number_of(identity_.digest());
     result.waiting = waiting;
     result.begun = begun;
     return result;
