--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -23,6 +23,9 @@
         "i", "instances", "instances", false, 3, "N", line);
     TCLAP::SwitchArg planned(
         "p", "planned", "planned work only: nothing may be cut off", line);
+    TCLAP::SwitchArg suspensions(
+        "", "suspensions",
+        "of the faults only: instances stand still, servers are killed", line);
     TCLAP::SwitchArg schedulers(
         "d", "schedulers", "place requests through schedulers", line);
     TCLAP::ValueArg<int> max_flat_group(
@@ -71,6 +74,7 @@
         options.length = std::chrono::seconds(length.getValue());
         options.instances = static_cast<std::size_t>(instances.getValue());
         options.planned_only = planned.getValue();
+        options.suspensions = suspensions.getValue();
         options.schedulers = schedulers.getValue();
         options.max_flat_group =
             static_cast<std::size_t>(max_flat_group.getValue());
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -17,7 +17,9 @@
 /// Fewest and most milliseconds between two faults.
 constexpr int min_wake_gap = 150;
 constexpr int max_gap = 900;
-constexpr int max_pause = 1500;
+constexpr millisecond_range pauses{100, 1500};
+/// Of instances, where only these stand still.
+constexpr millisecond_range suspensions{300, 3000};
 constexpr int shortest_link_fault = 50;
 constexpr int longest_link_fault = 2500;
 constexpr base::milliseconds late{180};
@@ -139,10 +141,19 @@
 
 void fault_injector::plan_next() {
     timer_.start(base::milliseconds(draw(min_wake_gap, max_gap)), [this] {
-        if (kinds_ == fault_kinds::planned_work)
+        switch (kinds_) {
+        case fault_kinds::none:
+            break;
+        case fault_kinds::planned_work:
             planned_work();
-        else
+            break;
+        case fault_kinds::suspensions:
+            suspension();
+            break;
+        case fault_kinds::all:
             fault();
+            break;
+        }
         plan_next();
     });
 }
@@ -184,19 +195,19 @@
         break;
     case 1: {
         const std::size_t index = pick(system_.servers().size());
-        pause(system_.servers()[index], server_part(index));
+        pause(system_.servers()[index], server_part(index), pauses);
         break;
     }
     case 2: {
         const std::size_t index = pick(system_.instances().size());
-        pause(system_.instances()[index], instance_part(index));
+        pause(system_.instances()[index], instance_part(index), pauses);
         break;
     }
     case 3:
         kill_instance(pick(system_.instances().size()));
         break;
     case 4:
-        pause(system_.store(), "store");
+        pause(system_.store(), "store", pauses);
         break;
     case 5:
         note("the store forgets its history");
@@ -214,6 +225,15 @@
     }
 }
 
+void fault_injector::suspension() {
+    if (draw(0, 2) == 0) {
+        kill_server(pick(system_.servers().size()));
+        return;
+    }
+    const std::size_t index = pick(system_.instances().size());
+    pause(system_.instances()[index], instance_part(index), suspensions);
+}
+
 void fault_injector::fail_link(const std::string& name) {
     if (!broken_links_.insert(name).second)
         return;
@@ -298,15 +318,17 @@
     stopping_.erase(index);
 }
 
-void fault_injector::pause(soak_process& process, const std::string& part) {
+void fault_injector::pause(
+    soak_process& process, const std::string& part,
+    const millisecond_range& range) {
     if (process.paused)
         return;
-    const int time = draw(100, max_pause);
-    note(fmt::format("pause {} for {} ms", part, time));
+    const int milliseconds = draw(range.min, range.max);
+    note(fmt::format("pause {} for {} ms", part, milliseconds));
     begin(part);
     process.paused = true;
     process.running->signal(SIGSTOP);
-    later(time, [this, &process, part] { resume(process, part); });
+    later(milliseconds, [this, &process, part] { resume(process, part); });
 }
 
 void fault_injector::resume(soak_process& process, const std::string& part) {
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -22,7 +22,14 @@
 enum class fault_kinds {
     none,
     planned_work, ///< Stops, drains, SIGHUP, new configurations.
-    all           ///< Also kills, pauses and broken links.
+    suspensions,  ///< Instances stand still for a while, servers are killed.
+    all           ///< Planned work, kills, pauses and broken links.
+};
+
+/// Shortest and longest time that is drawn.
+struct millisecond_range {
+    int min;
+    int max;
 };
 
 /// Draws one fault after another, by a seed. Series overlap: a fault does not
@@ -61,6 +68,7 @@
     void plan_next();
     void planned_work();
     void fault();
+    void suspension();
 
     void fail_link(const std::string& name);
     void kill_server(std::size_t index);
@@ -70,7 +78,9 @@
     void stop_instance(std::size_t index);
     void wait_for_stopped(std::size_t index);
     void start_instance(std::size_t index);
-    void pause(soak_process& process, const std::string& part);
+    void pause(
+        soak_process& process, const std::string& part,
+        const millisecond_range& range);
     void resume(soak_process& process, const std::string& part);
     /// @return an instance that still runs an earlier build.
     std::optional<std::size_t> earlier_instance() const;
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -54,6 +54,14 @@
     bool kept = false;
 };
 
+fault_kinds kinds_of(const soak_options& options) {
+    if (options.undisturbed)
+        return fault_kinds::none;
+    if (options.planned_only)
+        return fault_kinds::planned_work;
+    return options.suspensions ? fault_kinds::suspensions : fault_kinds::all;
+}
+
 class soak {
 public:
     explicit soak(const soak_options& options)
@@ -65,12 +73,7 @@
                options.earlier_program, options.advertised_limits,
                options.scarce_capacity})
         , clients_(owner_, entries(), options.seed)
-        , faults_(
-              owner_, system_,
-              options.undisturbed    ? fault_kinds::none
-              : options.planned_only ? fault_kinds::planned_work
-                                     : fault_kinds::all,
-              options.seed)
+        , faults_(owner_, system_, kinds_of(options), options.seed)
         , poll_timer_(owner_)
         , crash_timer_(owner_)
         , word_timer_(owner_)
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -22,6 +22,8 @@
     /// Only planned work: SIGTERM to instances and servers, SIGHUP, new
     /// configurations.
     bool planned_only = false;
+    /// Of all faults only: instances stand still and servers are killed.
+    bool suspensions = false;
     /// No work and no faults at all.
     bool undisturbed = false;
     /// For each kind a request that crashes every server that runs it comes
