Runs on servers that may have ended before are not held against requests

Cause: behind a proxy a request to a server that has ended is accepted and then breaks. An instance in touch knows of the end, as its calls broke then. One that was suspended goes on to send to the servers of before, and one that has just started has no history: for it the ends are as late as the first such call. So four servers that had ended 0.8 to 2 s earlier seemed to end one after the other under one request. Calls of less than 3 ms were not counted, but with what waits after a suspension they took up to 12 ms.

As no plain server was up, no answer could clear the request.

Change: a run counts only if its server is known to have been up when it began. The instance that sent it says so if it heard the server in the 300 ms before, not counting what waited during an interruption; within 5 s after a start or an interruption of 0.2 s or more a run without that is doubtful. An evaluator takes runs on servers that were not heard only from 5 s after its own start or interruption on. Doubtful runs still explain crashes for others.

Tests: crash_evidence::runs_on_servers_that_may_have_ended_block_nothing, crash_evidence::a_doubtful_cause_still_explains_crashes and crash_watch::runs_after_an_interruption_are_doubtful fail when the rule is taken out again. Instances of before neither send nor need the new element of a report.

--- a/libs/mintknotd-platform/crashes/include/mintknot/crashes/crash_watch.hpp
+++ b/libs/mintknotd-platform/crashes/include/mintknot/crashes/crash_watch.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_CRASHES_CRASH_WATCH_HPP
 #define MINTKNOT_CRASHES_CRASH_WATCH_HPP
 
+#include <mintknot/policy/server_liveness.hpp>
 #include <mintknot/relay/crash_guard.hpp>
 #include <mintknot/relay/router_state.hpp>
 
@@ -59,6 +60,11 @@
         base::milliseconds ran_for) override;
     void report_answer(const relay::request_identity& request) override;
 
+    /// To be called when this process runs again after a suspension, and with
+    /// the begin of time at its start: runs on servers that may have ended
+    /// meanwhile are not held against their requests.
+    void note_interruption(const policy::interruption& gap);
+
     /// To be called when the row of a server was removed or shows a new
     /// incarnation.
     void server_replaced(const std::string& server_id);
--- a/libs/mintknotd-platform/crashes/src/crash_detector.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_detector.cpp
@@ -1,5 +1,6 @@
 #include "crash_detector.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace mintknot::crashes {
@@ -25,12 +26,14 @@
 
 crash_detector::crash_detector(
     relay::router_context& router,
+    const std::vector<policy::interruption>& interruptions,
     std::function<std::optional<relay::health_check>(const std::string& id)>
         health_check_for,
     std::function<
         void(const std::string& incarnation, std::vector<broken_run> runs)>
         on_ended)
     : router_(router)
+    , interruptions_(interruptions)
     , health_check_for_(std::move(health_check_for))
     , on_ended_(std::move(on_ended)) {}
 
@@ -44,9 +47,10 @@
         tracked.timer = std::make_unique<event::timer>(router_.loop);
     }
     if (tracked.runs.size() < max_runs)
-        tracked.runs.push_back({run, router_.loop.now()});
+        tracked.runs.push_back(
+            {run, router_.loop.now(), router_.pool.last_heard(server.id)});
     if (tracked.ended_at) {
-        report_runs(tracked);
+        on_ended_(tracked.incarnation, take_reports(tracked));
         return;
     }
     if (tracked.check != nullptr || tracked.check_planned)
@@ -104,11 +108,16 @@
     const std::string& id, tracked_server& tracked) {
     ++count_;
     tracked.ended_at = router_.loop.now();
+    const std::vector<broken_run> runs = take_reports(tracked);
+    const auto doubtful =
+        std::count_if(runs.begin(), runs.end(), [](const broken_run& run) {
+            return run.liveness == policy::server_liveness::doubtful;
+        });
     router_.log.write(
-        "server_ended",
-        {{"server", id},
-         {"runs", static_cast<std::int64_t>(tracked.runs.size())}});
-    report_runs(tracked);
+        "server_ended", {{"server", id},
+                         {"runs", static_cast<std::int64_t>(runs.size())},
+                         {"doubtful", static_cast<std::int64_t>(doubtful)}});
+    on_ended_(tracked.incarnation, runs);
     schedule_removal(id, tracked, late_report_time);
 }
 
@@ -126,15 +135,21 @@
         on_server_ended(id, tracked);
 }
 
-void crash_detector::report_runs(tracked_server& tracked) {
+std::vector<broken_run> crash_detector::take_reports(tracked_server& tracked) {
     std::vector<broken_run> runs;
-    for (timestamped_run& entry : tracked.runs) {
-        entry.run.ago = std::chrono::duration_cast<base::milliseconds>(
-            router_.loop.now() - entry.at);
-        runs.push_back(std::move(entry.run));
-    }
+    for (const timestamped_run& entry : tracked.runs)
+        runs.push_back(to_report(entry));
     tracked.runs.clear();
-    on_ended_(tracked.incarnation, std::move(runs));
+    return runs;
+}
+
+broken_run crash_detector::to_report(const timestamped_run& entry) const {
+    broken_run run = entry.run;
+    run.ago = std::chrono::duration_cast<base::milliseconds>(
+        router_.loop.now() - entry.at);
+    run.liveness = policy::liveness_when_sent(
+        {entry.at - run.ran_for, entry.at, entry.server_heard}, interruptions_);
+    return run;
 }
 
 void crash_detector::schedule_removal(
--- a/libs/mintknotd-platform/crashes/src/crash_detector.hpp
+++ b/libs/mintknotd-platform/crashes/src/crash_detector.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Detects servers that end while they run requests of this instance.
-#ifndef MINTKNOT_CRASHES_ENDED_SERVERS_HPP
-#define MINTKNOT_CRASHES_ENDED_SERVERS_HPP
+#ifndef MINTKNOT_CRASHES_CRASH_DETECTOR_HPP
+#define MINTKNOT_CRASHES_CRASH_DETECTOR_HPP
 
 #include "crash_messages.hpp"
 #include "liveness_check.hpp"
@@ -26,12 +26,15 @@
 /// callbacks refer to must outlive it.
 class crash_detector {
 public:
+    /// @param interruptions times in which this process did not run; kept by
+    /// the owner, who adds to them.
     /// @param health_check_for see crash_watch_callbacks::health_check_for.
     /// @param on_ended called when a server has ended, and again with calls
     /// that broke a little later. Its first argument combines the ID of the
     /// server and its incarnation.
     crash_detector(
         relay::router_context& router,
+        const std::vector<policy::interruption>& interruptions,
         std::function<std::optional<relay::health_check>(const std::string& id)>
             health_check_for,
         std::function<
@@ -47,10 +50,11 @@
     std::size_t count() const noexcept { return count_; }
 
 private:
-    /// A run and the time when it broke.
+    /// A run, when it broke and when its server had last been heard by then.
     struct timestamped_run {
         broken_run run;
         base::steady_time at;
+        std::optional<base::steady_time> server_heard;
     };
 
     /// A server at which calls broke.
@@ -70,12 +74,15 @@
     void check(const std::string& id);
     void on_verdict(const std::string& id, liveness_verdict found);
     void on_server_ended(const std::string& id, tracked_server& tracked);
-    void report_runs(tracked_server& tracked);
+    /// @return the runs that have not been reported yet, which are now.
+    std::vector<broken_run> take_reports(tracked_server& tracked);
+    broken_run to_report(const timestamped_run& entry) const;
     void schedule_removal(
         const std::string& id, tracked_server& tracked,
         base::milliseconds time);
 
     relay::router_context& router_;
+    const std::vector<policy::interruption>& interruptions_;
     std::function<std::optional<relay::health_check>(const std::string& id)>
         health_check_for_;
     std::function<void(
--- a/libs/mintknotd-platform/crashes/src/crash_messages.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_messages.cpp
@@ -9,12 +9,15 @@
 namespace {
 
 using nlohmann::json;
+using policy::server_liveness;
 
 /// Message type, the first element of each message. Smaller numbers belong to
 /// other libraries.
 constexpr int report_format = 16;
 constexpr int block_format = 17;
 constexpr int clear_format = 18;
+/// Of the element of a run that tells whether its server was up.
+constexpr std::size_t liveness_position = 4;
 /// The ID that the JSON library gives its own errors of this kind.
 constexpr int error_number = 501;
 
@@ -39,12 +42,34 @@
     return {row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>()};
 }
 
+/// The liveness is appended only if it is not the usual one, which instances of
+/// an earlier version, who do not know it, take all runs to have.
+json to_json(const broken_run& run) {
+    json row = {
+        run.key.digest, run.key.body_bytes, run.ran_for.count(),
+        run.ago.count()};
+    if (run.liveness != server_liveness::assumed)
+        row.push_back(static_cast<int>(run.liveness));
+    return row;
+}
+
+server_liveness liveness_from(const json& run) {
+    if (run.size() <= liveness_position)
+        return server_liveness::assumed;
+    switch (run.at(liveness_position).get<int>()) {
+    case static_cast<int>(server_liveness::doubtful):
+        return server_liveness::doubtful;
+    case static_cast<int>(server_liveness::heard):
+        return server_liveness::heard;
+    default:
+        return server_liveness::assumed;
+    }
+}
+
 json to_json(const crash_report& value) {
     json runs = json::array();
     for (const broken_run& run : value.runs)
-        runs.push_back(
-            {run.key.digest, run.key.body_bytes, run.ran_for.count(),
-             run.ago.count()});
+        runs.push_back(to_json(run));
     return {report_format, value.server_incarnation, runs};
 }
 
@@ -66,7 +91,8 @@
     value.server_incarnation = row.at(1).get<std::string>();
     for (const json& run : bounded(row.at(2)))
         value.runs.push_back(
-            {key_from(run), time_from(run.at(2)), time_from(run.at(3))});
+            {key_from(run), time_from(run.at(2)), time_from(run.at(3)),
+             liveness_from(run)});
     return value;
 }
 
--- a/libs/mintknotd-platform/crashes/src/crash_messages.hpp
+++ b/libs/mintknotd-platform/crashes/src/crash_messages.hpp
@@ -19,6 +19,7 @@
     policy::request_key key;
     base::milliseconds ran_for{0};
     base::milliseconds ago{0}; ///< Since the run broke, at the time of sending.
+    policy::server_liveness liveness = policy::server_liveness::assumed;
 };
 
 /// Reports that a server has ended unexpectedly.
--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -29,7 +29,7 @@
         : router(shared)
         , callbacks(std::move(outside))
         , detector(
-              shared, callbacks.health_check_for,
+              shared, interruptions, callbacks.health_check_for,
               [this](
                   const std::string& incarnation,
                   std::vector<broken_run> runs) {
@@ -89,7 +89,8 @@
             const base::steady_time broken_at = now() - run.ago;
             policy::note_crash(
                 evidence, run.key,
-                {report.server_incarnation, broken_at - run.ran_for, broken_at},
+                {report.server_incarnation, broken_at - run.ran_for, broken_at,
+                 run.liveness},
                 now());
         }
         schedule_evaluation();
@@ -226,6 +227,7 @@
     relay::router_context& router;
     crash_watch_callbacks callbacks;
     policy::crash_evidence evidence;
+    std::vector<policy::interruption> interruptions;
     crash_detector detector;
     std::map<std::uint64_t, std::unique_ptr<event::timer>> pending_resends;
     std::uint64_t last_resend_id = 0;
@@ -262,6 +264,11 @@
         {{request.digest(), request.body_bytes()}, ran_for}, *server);
 }
 
+void crash_watch::note_interruption(const policy::interruption& gap) {
+    policy::note_interruption(impl_->interruptions, gap);
+    impl_->evidence.complete_since = gap.ended + policy::row_lapse_time;
+}
+
 void crash_watch::server_replaced(const std::string& server_id) {
     impl_->detector.replaced(server_id);
 }
--- a/libs/mintknotd-platform/crashes/tests/test_crash_messages.cpp
+++ b/libs/mintknotd-platform/crashes/tests/test_crash_messages.cpp
@@ -9,7 +9,7 @@
     const crash_report sent{
         "s1/7",
         {{{"d1", 10}, base::milliseconds(60), base::milliseconds(9)},
-         {{"d2", 0}, {}, {}}}};
+         {{"d2", 0}, {}, {}, policy::server_liveness::doubtful}}};
     const auto seen = decode_crash_message(encode(sent));
     cr_assert(seen.ok());
     const auto& report = std::get<crash_report>(*seen);
@@ -19,6 +19,8 @@
     cr_assert(report.runs[0].key.body_bytes == 10);
     cr_assert(report.runs[0].ran_for == base::milliseconds(60));
     cr_assert(report.runs[0].ago == base::milliseconds(9));
+    cr_assert(report.runs[0].liveness == policy::server_liveness::assumed);
+    cr_assert(report.runs[1].liveness == policy::server_liveness::doubtful);
 }
 
 Test(crash_messages, announcements_round_trip) {
--- a/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
@@ -52,6 +52,13 @@
         return relay::health_check{{id, server->where}, "/health", {}};
     }
 
+    void run_for(base::milliseconds time) {
+        event::timer wait(owner);
+        bool over = false;
+        wait.start(time, [&] { over = true; });
+        run_until([&] { return over; });
+    }
+
     /// Adds a server that ends while it runs a request whose target ends in
     /// /crash; `good` answers other requests.
     scripted_server& add_crashing_server(
@@ -152,10 +159,7 @@
     f.add_server("s", "app", plain, resetting);
     for (int i = 0; i < 5; ++i)
         cr_assert(f.ask(crashing("unsafe", i)).status == 502);
-    event::timer wait(f.owner);
-    bool over = false;
-    wait.start(base::milliseconds(600), [&] { over = true; });
-    f.run_until([&] { return over; });
+    f.run_for(base::milliseconds(600));
     cr_assert(f.watch.servers_ended() == 0);
     cr_assert(f.sent.empty());
 }
@@ -167,10 +171,7 @@
     leaving.draining = true;
     traffic::apply(f.context.state.servers, "s", 100, leaving);
     f.watch.report_broken_call(identity("d"), "s", base::milliseconds(5));
-    event::timer wait(f.owner);
-    bool over = false;
-    wait.start(base::milliseconds(400), [&] { over = true; });
-    f.run_until([&] { return over; });
+    f.run_for(base::milliseconds(400));
     cr_assert(f.watch.servers_ended() == 0);
 }
 
@@ -178,10 +179,7 @@
     crash_watch_fixture f;
     f.add_server("s", "app", plain, ok());
     f.watch.report_broken_call(identity("d"), "s", base::milliseconds(5));
-    event::timer wait(f.owner);
-    bool over = false;
-    wait.start(base::milliseconds(300), [&] { over = true; });
-    f.run_until([&] { return over; });
+    f.run_for(base::milliseconds(300));
     cr_assert(f.watch.servers_ended() == 0);
     f.watch.server_replaced("s");
     cr_assert(f.watch.servers_ended() == 1);
@@ -189,6 +187,25 @@
         f.sent_to<crash_report>("evaluator")->runs.at(0).key.digest == "d");
 }
 
+// Guards against blame for the end of servers that ended before this instance
+// started, or while it was suspended.
+Test(crash_watch, runs_after_an_interruption_are_doubtful) {
+    crash_watch_fixture f;
+    f.watch.note_interruption({base::steady_time::min(), f.owner.now()});
+    for (const char* server : {"s", "t", "u"}) {
+        f.add_dead_server(server, "app");
+        const std::size_t before = f.watch.servers_ended();
+        f.watch.report_broken_call(
+            identity("d"), server, base::milliseconds(8));
+        f.run_until([&] { return f.watch.servers_ended() == before + 1; });
+    }
+    cr_assert(
+        f.sent_to<crash_report>("evaluator")->runs.at(0).liveness ==
+        policy::server_liveness::doubtful);
+    f.run_for(2 * policy::crash_report_time);
+    cr_assert(f.watch.blocked() == 0);
+}
+
 Test(crash_watch, evaluators_get_reports_and_all_hosts_get_blocks) {
     crash_watch_fixture f;
     f.add_dead_server("s", "app");
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/crash_evidence.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/crash_evidence.hpp
@@ -15,7 +15,9 @@
 ///   crash. If many servers terminate at once, the requests that ran on all of
 ///   them had been running before, while a request that causes the crashes is
 ///   sent anew after each.
-/// - A request sent to a server that had already terminated is not counted.
+/// - A request sent to a server that had already terminated is not counted, nor
+///   one of which that is not known (server_liveness.hpp): neither the instance
+///   that sent it nor the one that evaluates it has seen the server up.
 ///
 /// Log events: `server_ended`, `request_blocked`, `request_cleared`, `given_up`
 /// with `crashes_servers`.
@@ -23,6 +25,7 @@
 #define MINTKNOT_POLICY_CRASH_EVIDENCE_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/policy/server_liveness.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +58,7 @@
     std::string server_incarnation; ///< Server ID and incarnation.
     base::steady_time began{};
     base::steady_time broke{};
+    server_liveness liveness = server_liveness::assumed; ///< When it began.
 };
 
 /// A request that was running on crashed servers.
@@ -82,6 +86,9 @@
     /// interrupted.
     std::map<std::string, base::steady_time> ends;
     std::map<std::string, blocked_request> blocked;
+    /// Servers may have ended before this time without a report to this
+    /// instance: a run that began earlier counts only if its server was heard.
+    base::steady_time complete_since{};
     /// Recently cleared requests; delayed block notices are ignored for them.
     std::map<std::string, base::steady_time> cleared;
 };
--- a/libs/mintknotd-platform/policy/src/crash_evidence.cpp
+++ b/libs/mintknotd-platform/policy/src/crash_evidence.cpp
@@ -59,8 +59,21 @@
 struct observed_crash {
     base::steady_time began;
     base::steady_time ended;
+    bool server_was_up = true; ///< Known to have been, when the run began.
 };
 
+bool server_was_up(const crash_evidence& evidence, const crash_record& crash) {
+    switch (crash.liveness) {
+    case server_liveness::doubtful:
+        return false;
+    case server_liveness::assumed:
+        return crash.began >= evidence.complete_since;
+    case server_liveness::heard:
+        return true;
+    }
+    return false;
+}
+
 /// @return the crashes that the request may have caused, ordered by time.
 std::vector<observed_crash> possible_crashes(
     const crash_evidence& evidence, const crash_suspect& suspect,
@@ -72,7 +85,8 @@
             end == evidence.ends.end() ? crash.broke : end->second;
         if (!explained.contains(crash.server_incarnation) &&
             crash.began < ended + max_report_skew)
-            ends.push_back({crash.began, ended});
+            ends.push_back(
+                {crash.began, ended, server_was_up(evidence, crash)});
     }
     std::sort(
         ends.begin(), ends.end(),
@@ -177,6 +191,7 @@
         });
     if (known != suspect.crashes.end()) {
         known->began = std::min(known->began, crash.began);
+        known->liveness = std::max(known->liveness, crash.liveness);
         return;
     }
     suspect.last = now;
@@ -194,8 +209,10 @@
         if (blocked_for(evidence, digest, now))
             continue;
         const crash_suspect& suspect = evidence.suspects.at(digest);
-        const std::vector<observed_crash> ends = possible_crashes(
+        std::vector<observed_crash> ends = possible_crashes(
             evidence, suspect, explained_incarnations(evidence, digest, now));
+        std::erase_if(
+            ends, [](const observed_crash& end) { return !end.server_was_up; });
         if (count_consecutive(ends) < max_crashes)
             continue;
         if (!evidence.blocked.contains(digest))
--- a/libs/mintknotd-platform/policy/tests/test_crash_evidence.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_crash_evidence.cpp
@@ -132,6 +132,52 @@
     cr_assert(!l.evidence.suspects.contains("refused"));
 }
 
+// Guards against blame for the end of servers that had ended before, by
+// instances that have just started or were suspended.
+Test(crash_evidence, runs_on_servers_that_may_have_ended_block_nothing) {
+    for (const server_liveness liveness :
+         {server_liveness::doubtful, server_liveness::assumed,
+          server_liveness::heard}) {
+        evidence_fixture l;
+        l.evidence.complete_since = l.now + row_lapse_time;
+        for (const char* incarnation : {"a", "b", "d", "e"}) {
+            l.now += milliseconds(12);
+            note_crash(
+                l.evidence, key("common"),
+                {incarnation, l.now - milliseconds(8), l.now, liveness}, l.now);
+        }
+        l.evaluate_after();
+        cr_assert(l.blocked("common") == (liveness == server_liveness::heard));
+    }
+}
+
+Test(crash_evidence, runs_after_the_evidence_is_complete_block_a_request) {
+    evidence_fixture l;
+    l.evidence.complete_since = l.now;
+    for (const char* incarnation : {"a", "b", "d"})
+        l.crash("c", incarnation);
+    cr_assert(l.evaluate_after().size() == 1);
+}
+
+// Guards against an innocent request that takes the place of its cause because
+// the cause ran on servers that may have ended before.
+Test(crash_evidence, a_doubtful_cause_still_explains_crashes) {
+    evidence_fixture l;
+    for (const char* incarnation : {"a", "b", "d"}) {
+        l.now += gap;
+        note_crash(
+            l.evidence, key("beside"),
+            {incarnation, l.now - gap / 2, l.now, server_liveness::heard},
+            l.now);
+        note_crash(
+            l.evidence, key("cause"),
+            {incarnation, l.now - milliseconds(10), l.now,
+             server_liveness::doubtful},
+            l.now);
+    }
+    cr_assert(l.evaluate_after().empty());
+}
+
 Test(crash_evidence, a_complete_answer_clears_a_request) {
     evidence_fixture l;
     l.crash("c", "a");
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -17,9 +17,11 @@
 /// are sent.
 constexpr base::milliseconds exit_delay{60};
 
-/// A timer that fires later than this is logged: the process was suspended or
-/// got no processor time, and its state is older by that time.
-constexpr base::milliseconds delay_bound{500};
+/// A timer that fires later than this shows that the process was suspended or
+/// got no processor time, and that its state is older by that time.
+constexpr base::milliseconds interruption_bound{200};
+/// Interruptions longer than this are logged.
+constexpr base::milliseconds logged_interruption{500};
 
 /// Value of a gauge for an age that is not known yet.
 constexpr double never_confirmed = -1.0;
@@ -127,6 +129,10 @@
 
 void instance::impl::on_delay(base::milliseconds delay) {
     longest_delay = std::max(longest_delay, delay);
+    const base::steady_time now = ports.loop.now();
+    crashes.note_interruption({now - delay, now});
+    if (delay <= logged_interruption)
+        return;
     log.write(
         "loop_delayed",
         {{"for_ms", delay.count()},
@@ -197,9 +203,11 @@
     impl_->ports.loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [this](int number) {
         impl_->on_signal(number);
     });
-    impl_->ports.loop.on_delay(delay_bound, [this](base::milliseconds delay) {
-        impl_->on_delay(delay);
-    });
+    impl_->ports.loop.on_delay(
+        interruption_bound,
+        [this](base::milliseconds delay) { impl_->on_delay(delay); });
+    impl_->crashes.note_interruption(
+        {base::steady_time::min(), impl_->ports.loop.now()});
     impl_->log.write(
         "started", {{"data_centre", impl_->settings.data_centre},
                     {"entry", base::to_string(impl_->settings.entry)}});
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,7 +50,7 @@
         const std::string& id, event::connection_ptr connection,
         base::milliseconds idle_for);
 
-    /// Closes the idle connections to a server.
+    /// Closes the idle connections to a server and forgets when it was heard.
     void drop(const std::string& id);
 
     /// Has the head of every answer to a call told, before the call's owner
@@ -61,6 +62,12 @@
     /// Tells the observer.
     void tell_answer(const std::string& id, const http1::response_head& head);
 
+    /// Notes that a server has just sent something on a call's connection.
+    void note_heard(const std::string& id);
+    /// @return when a server has last sent something on a call's connection;
+    /// empty if it has not within the last seconds, or was dropped since.
+    std::optional<base::steady_time> last_heard(const std::string& id) const;
+
     /// @return servers with idle connections, in no order.
     std::vector<std::string> idle_servers() const;
     std::size_t idle(const std::string& id) const;
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -119,6 +119,7 @@
     void on_data(std::string_view bytes) {
         // The handlers may destroy the call.
         const std::shared_ptr<impl> self = shared_from_this();
+        pool.note_heard(where.id);
         pending.append(bytes);
         while (!finished && !pending.empty()) {
             const std::size_t used = parser->put(
--- a/libs/mintknotd-platform/upstream/src/connection_pool.cpp
+++ b/libs/mintknotd-platform/upstream/src/connection_pool.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr base::milliseconds sweep_period{1000};
+/// How long it is remembered when a server was heard.
+constexpr base::milliseconds heard_lifetime{10000};
 
 struct idle_connection {
     event::connection_ptr link;
@@ -37,6 +39,11 @@
             idle.erase(found);
     }
 
+    void start_sweeps() {
+        if (!sweep_timer.active())
+            sweep_timer.start(sweep_period, [this] { sweep(); });
+    }
+
     void sweep() {
         const base::steady_time now = owner.now();
         for (auto it = idle.begin(); it != idle.end();) {
@@ -48,13 +55,17 @@
             });
             it = it->second.empty() ? idle.erase(it) : std::next(it);
         }
-        if (total > 0)
+        std::erase_if(heard, [now](const auto& entry) {
+            return entry.second + heard_lifetime <= now;
+        });
+        if (total > 0 || !heard.empty())
             sweep_timer.start(sweep_period, [this] { sweep(); });
     }
 
     event::loop& owner;
     event::timer sweep_timer;
     std::unordered_map<std::string, std::list<idle_connection>> idle;
+    std::unordered_map<std::string, base::steady_time> heard;
     std::size_t total = 0;
     std::function<void(const std::string&, const http1::response_head&)>
         observer;
@@ -103,11 +114,11 @@
     impl_->idle[id].push_back(
         {std::move(connection), impl_->owner.now() + idle_for});
     ++impl_->total;
-    if (!impl_->sweep_timer.active())
-        impl_->sweep_timer.start(sweep_period, [this] { impl_->sweep(); });
+    impl_->start_sweeps();
 }
 
 void connection_pool::drop(const std::string& id) {
+    impl_->heard.erase(id);
     const auto found = impl_->idle.find(id);
     if (found == impl_->idle.end())
         return;
@@ -129,6 +140,19 @@
         impl_->observer(id, head);
 }
 
+void connection_pool::note_heard(const std::string& id) {
+    impl_->heard[id] = impl_->owner.now();
+    impl_->start_sweeps();
+}
+
+std::optional<base::steady_time>
+connection_pool::last_heard(const std::string& id) const {
+    const auto found = impl_->heard.find(id);
+    if (found == impl_->heard.end())
+        return std::nullopt;
+    return found->second;
+}
+
 std::vector<std::string> connection_pool::idle_servers() const {
     std::vector<std::string> ids;
     for (const auto& [id, connections] : impl_->idle)
