Reports of before an answer do not undo a clearing

Cause: an answer erased what was known against its request, but was not remembered by those who came to know of the crashes only later. Reports are sent when the servers have been checked, 0.15 s after the calls broke, and again 0.3 s later: those put together what the answer had cleared, and 0.2 s later the request was blocked. An answer between the end of a call and its report cleared nothing at all.

Played: crash_watch::repeated_reports_do_not_undo_a_clearing and crash_watch::answer_during_the_check_of_servers_clears_request, both red on the code before.

Change: clearings are remembered for 10 s also where nothing was known of the request, and a run that broke before one tells only when its server ended. An answer to a request with runs that are not reported yet is told to the evaluators. Bounded: 4,096 clearings.

--- a/libs/mintknotd-platform/crashes/src/crash_detector.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_detector.cpp
@@ -62,6 +62,33 @@
     tracked.timer->start(due, [this, id = server.id] { check(id); });
 }
 
+bool crash_detector::has_unreported(const std::string& digest) const {
+    return any_unreported([&digest](const policy::request_key& key) {
+        return key.digest == digest;
+    });
+}
+
+bool crash_detector::has_unreported(std::uint64_t body_bytes) const {
+    return any_unreported([body_bytes](const policy::request_key& key) {
+        return key.body_bytes == body_bytes;
+    });
+}
+
+bool crash_detector::any_unreported(
+    const std::function<bool(const policy::request_key&)>& matches) const {
+    const auto match = [&matches](const timestamped_run& entry) {
+        return matches(entry.run.key);
+    };
+    return std::any_of(
+        servers_.begin(), servers_.end(), [&match](const auto& entry) {
+            const tracked_server& server = entry.second;
+            return std::any_of(server.runs.begin(), server.runs.end(), match) ||
+                   std::any_of(
+                       server.unconfirmed_runs.begin(),
+                       server.unconfirmed_runs.end(), match);
+        });
+}
+
 void crash_detector::check(const std::string& id) {
     const auto wanted = health_check_for_(id);
     if (!wanted) {
--- a/libs/mintknotd-platform/crashes/src/crash_detector.hpp
+++ b/libs/mintknotd-platform/crashes/src/crash_detector.hpp
@@ -46,6 +46,10 @@
     /// To be called when the row of a server was removed or shows a new
     /// incarnation.
     void replaced(const std::string& id);
+    /// @return true if calls of such a request, by digest or by the size of its
+    /// body, broke that have not been reported yet.
+    bool has_unreported(const std::string& digest) const;
+    bool has_unreported(std::uint64_t body_bytes) const;
     /// @return the number of servers that have ended since the start.
     std::size_t count() const noexcept { return count_; }
 
@@ -71,6 +75,8 @@
         std::optional<base::steady_time> ended_at;
     };
 
+    bool any_unreported(
+        const std::function<bool(const policy::request_key&)>& matches) const;
     void check(const std::string& id);
     void on_verdict(const std::string& id, liveness_verdict found);
     void on_server_ended(const std::string& id, tracked_server& tracked);
--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -195,7 +195,9 @@
     void on_message(const std::string& host, const clear_announcement& notice) {
         const bool was_blocked =
             policy::blocked_for(evidence, notice.digest, now()).has_value();
-        if (!policy::clear(evidence, notice.digest, now()) || !was_blocked)
+        policy::clear(evidence, notice.digest, now());
+        policy::remember_cleared(evidence, notice.digest, now());
+        if (!was_blocked)
             return;
         log_cleared(notice.digest, host);
         send_to_all(callbacks.leaf_hosts(), encode(notice));
@@ -209,8 +211,10 @@
     void clear(const std::string& digest) {
         const bool was_blocked =
             policy::blocked_for(evidence, digest, now()).has_value();
-        if (!policy::clear(evidence, digest, now()))
+        const bool unreported = detector.has_unreported(digest);
+        if (!policy::clear(evidence, digest, now()) && !unreported)
             return;
+        policy::remember_cleared(evidence, digest, now());
         const clear_announcement notice{digest};
         if (!was_blocked) {
             send_to_evaluators(notice);
@@ -274,7 +278,8 @@
 }
 
 void crash_watch::report_answer(const relay::request_identity& request) {
-    if (policy::may_be_known(impl_->evidence, request.body_bytes()))
+    if (policy::may_be_known(impl_->evidence, request.body_bytes()) ||
+        impl_->detector.has_unreported(request.body_bytes()))
         impl_->clear(request.digest());
 }
 
--- a/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
@@ -59,6 +59,16 @@
         run_until([&] { return over; });
     }
 
+    /// Receives a peer's reports of three crashes, one second apart.
+    void receive_reports(const std::string& digest) {
+        base::milliseconds ago{3000};
+        for (const char* incarnation : {"s/0", "t/0", "u/0"}) {
+            const broken_run run{{digest, 2}, base::milliseconds(7), ago};
+            watch.receive("peer", encode(crash_report{incarnation, {run}}));
+            ago -= base::milliseconds(1000);
+        }
+    }
+
     /// Adds a server that ends while it runs a request whose target ends in
     /// /crash; `good` answers other requests.
     scripted_server& add_crashing_server(
@@ -253,6 +263,33 @@
     cr_assert(f.watch.blocked() == 0);
 }
 
+// Guards against reports that are sent again, or come late, and count after the
+// answer that has cleared their request.
+Test(crash_watch, repeated_reports_do_not_undo_a_clearing) {
+    crash_watch_fixture f;
+    f.receive_reports("d");
+    f.watch.receive("peer", encode(clear_announcement{"d"}));
+    f.receive_reports("d");
+    f.run_for(2 * policy::crash_report_time);
+    cr_assert(f.watch.blocked() == 0);
+}
+
+// Guards against a report that is sent after its request was answered, as the
+// servers were checked meanwhile.
+Test(crash_watch, answer_during_the_check_of_servers_clears_request) {
+    crash_watch_fixture f;
+    for (const char* server : {"s", "t", "u"}) {
+        f.add_dead_server(server, "app");
+        f.watch.report_broken_call(
+            identity("d"), server, base::milliseconds(8));
+    }
+    f.watch.report_answer(identity("d"));
+    f.run_until([&] { return f.watch.servers_ended() == 3; });
+    f.run_for(2 * policy::crash_report_time);
+    cr_assert(f.watch.blocked() == 0);
+    cr_assert(f.sent_to<clear_announcement>("evaluator")->digest == "d");
+}
+
 Test(crash_watch, waiting_request_is_refused_once_blocked) {
     crash_watch_fixture f;
     f.add_crashing_server("d1", "llm", decode, good_decode());
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/crash_evidence.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/crash_evidence.hpp
@@ -89,7 +89,8 @@
     /// Servers may have ended before this time without a report to this
     /// instance: a run that began earlier counts only if its server was heard.
     base::steady_time complete_since{};
-    /// Recently cleared requests; delayed block notices are ignored for them.
+    /// Recently cleared requests; delayed block notices, and reports of runs
+    /// that broke before the clearing, are ignored for them. Bounded.
     std::map<std::string, base::steady_time> cleared;
 };
 
@@ -101,7 +102,8 @@
 };
 
 /// Records that a request was running when its server crashed. Reports of the
-/// same crash count once.
+/// same crash count once; those of before a recent clearing of the request only
+/// tell when the server crashed.
 void note_crash(
     crash_evidence& evidence, const request_key& key, const crash_record& crash,
     base::steady_time now);
@@ -117,10 +119,16 @@
 next_evaluation(const crash_evidence& evidence);
 
 /// Clears a request after a server has answered it completely.
-/// @return true if it was suspected or blocked.
+/// @return true if it was suspected or blocked; it is remembered as cleared
+/// then.
 bool clear(
     crash_evidence& evidence, const std::string& digest, base::steady_time now);
 
+/// Remembers that a request was cleared that is neither suspected nor blocked
+/// yet: reports of its crashes are still on their way.
+void remember_cleared(
+    crash_evidence& evidence, const std::string& digest, base::steady_time now);
+
 /// Applies a block notice of another instance.
 /// @return true if the request was not blocked here before.
 bool note_block(
--- a/libs/mintknotd-platform/policy/src/crash_evidence.cpp
+++ b/libs/mintknotd-platform/policy/src/crash_evidence.cpp
@@ -24,6 +24,7 @@
 constexpr base::milliseconds max_report_skew{5};
 /// Upper bound of the delivery time of a block notice.
 constexpr base::milliseconds cleared_lifetime{10000};
+constexpr std::size_t max_cleared = 4096;
 
 base::milliseconds block_time(int times) {
     return first_block_time * (1 << std::min(times - 1, max_doublings));
@@ -46,6 +47,14 @@
         }));
 }
 
+void make_room(std::map<std::string, base::steady_time>& cleared) {
+    if (cleared.size() < max_cleared)
+        return;
+    cleared.erase(std::min_element(
+        cleared.begin(), cleared.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+}
+
 void make_room(std::map<std::string, blocked_request>& blocked) {
     if (blocked.size() < max_blocked)
         return;
@@ -163,6 +172,14 @@
     return due;
 }
 
+/// @return true if the request was recently cleared, after that time.
+bool cleared_after(
+    const crash_evidence& evidence, const std::string& digest,
+    base::steady_time time) {
+    const auto found = evidence.cleared.find(digest);
+    return found != evidence.cleared.end() && found->second >= time;
+}
+
 block_entry entry_of(
     const std::string& digest, const blocked_request& block,
     base::steady_time now) {
@@ -180,6 +197,8 @@
     if (crash.broke - crash.began < min_run)
         return;
     note_crash_time(evidence, crash);
+    if (cleared_after(evidence, key.digest, crash.broke))
+        return;
     if (!evidence.suspects.contains(key.digest))
         make_room(evidence.suspects);
     crash_suspect& suspect = evidence.suspects[key.digest];
@@ -241,10 +260,18 @@
     const bool suspected = evidence.suspects.erase(digest) > 0;
     const bool blocked = evidence.blocked.erase(digest) > 0;
     if (suspected || blocked)
-        evidence.cleared[digest] = now;
+        remember_cleared(evidence, digest, now);
     return suspected || blocked;
 }
 
+void remember_cleared(
+    crash_evidence& evidence, const std::string& digest,
+    base::steady_time now) {
+    if (!evidence.cleared.contains(digest))
+        make_room(evidence.cleared);
+    evidence.cleared[digest] = now;
+}
+
 bool note_block(
     crash_evidence& evidence, const block_entry& entry, base::steady_time now) {
     if (entry.left <= base::milliseconds{0} ||
