Who announced a block passes its end on

Callers saw: an instance went on to refuse a request for 0.4 s and more after the one that had blocked it had learned that it was answered elsewhere.

Cause: an instance that knows of an answer tells whoever announces the block. That one obeyed and told its leaves only; the others that it had told before held the block until one of their own announcements, four instances a second, met an instance that knew better.

Change: who announced a block first sends its clearing to all that it hears. crash_watch::announced_block_is_cleared_where_it_was_announced failed before: nothing was sent to the others.

--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace mintknot::crashes {
@@ -122,6 +123,8 @@
 
     /// Announces new blocks to all instances and starts the periodic resends.
     void broadcast_blocks(const std::vector<policy::block_entry>& new_blocks) {
+        for (const policy::block_entry& block : new_blocks)
+            announced.insert(block.key.digest);
         for (std::size_t i = 0; i < new_blocks.size(); i += max_entries) {
             const auto begin =
                 new_blocks.begin() + static_cast<std::ptrdiff_t>(i);
@@ -139,6 +142,9 @@
 
     void resend_blocks() {
         policy::expire(evidence, now());
+        std::erase_if(announced, [this](const std::string& digest) {
+            return !policy::blocked_for(evidence, digest, now());
+        });
         std::vector<policy::block_entry> known =
             policy::blocks(evidence, now());
         if (known.empty())
@@ -200,6 +206,10 @@
         if (!was_blocked)
             return;
         log_cleared(notice.digest, host);
+        // Who knows of the answer tells those who announce the block, and these
+        // tell all whom they have told of it.
+        if (announced.erase(notice.digest) > 0)
+            send_to_all(callbacks.peers(), encode(notice));
         send_to_all(callbacks.leaf_hosts(), encode(notice));
     }
 
@@ -222,6 +232,7 @@
                 [this, notice] { send_to_evaluators(notice); });
             return;
         }
+        announced.erase(digest);
         const std::string datagram = encode(notice);
         log_cleared(digest, callbacks.own_host);
         send_to_all(callbacks.peers(), datagram);
@@ -231,6 +242,8 @@
     relay::router_context& router;
     crash_watch_callbacks callbacks;
     policy::crash_evidence evidence;
+    /// Digests of the blocks in force that this instance announced first.
+    std::set<std::string> announced;
     std::vector<policy::interruption> interruptions;
     crash_detector detector;
     std::map<std::uint64_t, std::unique_ptr<event::timer>> pending_resends;
--- a/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
@@ -290,6 +290,18 @@
     cr_assert(f.sent_to<clear_announcement>("evaluator")->digest == "d");
 }
 
+// Guards against instances that go on refusing a request because only the one
+// that announced its block has heard that it was cleared.
+Test(crash_watch, announced_block_is_cleared_where_it_was_announced) {
+    crash_watch_fixture f;
+    f.receive_reports("d");
+    f.run_until([&] { return f.watch.blocked() == 1; });
+    f.watch.receive("evaluator", encode(clear_announcement{"d"}));
+    cr_assert(f.watch.blocked() == 0);
+    for (const char* host : {"evaluator", "peer", "leaf"})
+        cr_assert(f.sent_to<clear_announcement>(host).has_value());
+}
+
 Test(crash_watch, waiting_request_is_refused_once_blocked) {
     crash_watch_fixture f;
     f.add_crashing_server("d1", "llm", decode, good_decode());
