An instance that starts after a restore learns of the newer configuration

Callers saw: an instance that started 1.8 s after a restore served by the configuration of the backup for 0.86 s, though its peers held a newer one.

Cause: the peers pass over the older configuration of the copy but keep their own under the version of its row. An instance that has read the copy itself has the same version there, and took what a peer says for nothing new.

Before its restart it had logged configuration_superseded for that same row. Looked for elsewhere after the case of leaving servers, whose rows were already compared by content.

Change: as for leaving servers, a peer's row of the same version, or of an earlier era, is looked into while the own one may stem from the backup; a higher version in its text is taken.

restored_store::an_instance_that_starts_learns_of_a_newer_configuration and restored_store::a_peer_without_history_does_not_end_the_lack_of_it failed before.

--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -81,9 +81,13 @@
     bool is_current(collection what) const noexcept;
 
     /// @return true if the first full read came from a store that has been
-    /// restored from a backup at some time, and no peer's snapshot was taken
-    /// since: peers may know of draining servers that the backup has as ready.
+    /// restored from a backup at some time, and no snapshot of a peer with
+    /// history was taken since: peers may know of draining servers that the
+    /// backup has as ready, or of a newer configuration.
+    bool lacks_history(collection what) const noexcept;
     bool lacks_history() const noexcept;
+    /// From now on the snapshot of any peer ends the lack of history.
+    void accept_any_history() noexcept;
 
     /// @return what has changed behind a version, up to another one, which has
     /// been read from the store; nothing if it is no longer all known.
@@ -149,10 +153,18 @@
     /// server to use.
     bool reverts_draining(
         const document& change, const traffic::server& server) const;
-    /// @return true if a peer knows a server as draining that the first full
-    /// read, possibly of a restored backup, has as ready. The peer's row has
-    /// the same version, or one of an earlier era.
+    /// @return true if a peer knows a server as draining that is known as ready
+    /// here. Precondition: is_comparable_history().
     bool keeps_draining(const document& known, const document& of_peer) const;
+    /// @return true if that row of a peer, possibly older than a known one,
+    /// says more than the first full read of a restored backup.
+    bool is_comparable_history(
+        const documents& all, const document& known,
+        const document& of_peer) const;
+    /// Takes what a peer knows better although its row is not newer.
+    void take_history(
+        collection what, document& known, const document& of_peer,
+        std::string_view source);
     /// @return true if a row restored from a backup would bring back a document
     /// that was removed after the backup was made.
     static bool reverts_removal(const documents& all, const document& change);
@@ -173,6 +185,7 @@
     /// Version in the text of the configuration in force.
     std::uint64_t configuration_version_ = 0;
     std::uint64_t swept_ = 0;
+    bool accepts_any_history_ = false;
     bool one_by_one_ = true; ///< Whether rows that are taken get a line each.
 };
 
--- a/libs/mintknotd-platform/state/src/replica.cpp
+++ b/libs/mintknotd-platform/state/src/replica.cpp
@@ -85,8 +85,16 @@
     return of(what).known;
 }
 
+bool replica::lacks_history(collection what) const noexcept {
+    return of(what).lacks_history;
+}
+
 bool replica::lacks_history() const noexcept {
-    return servers_.lacks_history;
+    return servers_.lacks_history || configuration_.lacks_history;
+}
+
+void replica::accept_any_history() noexcept {
+    accepts_any_history_ = true;
 }
 
 bool replica::is_current(collection what) const noexcept {
@@ -177,12 +185,7 @@
     documents& all = of(what);
     const auto found = all.by_key.find(change.key);
     if (found != all.by_key.end() && found->second.version >= change.version) {
-        if (what == collection::servers &&
-            keeps_draining(found->second, change)) {
-            found->second.text = change.text;
-            if (handlers_.on_draining)
-                handlers_.on_draining(change.key);
-        }
+        take_history(what, found->second, change, source);
         return;
     }
     if (reverts_removal(all, change))
@@ -210,6 +213,24 @@
         forget_removed(all);
 }
 
+void replica::take_history(
+    collection what, document& known, const document& of_peer,
+    std::string_view source) {
+    if (!is_comparable_history(of(what), known, of_peer))
+        return;
+    if (what == collection::configuration) {
+        const auto config = codec_.read_configuration(*of_peer.text);
+        if (!config.ok() || config->version <= configuration_version_)
+            return;
+        known.text = of_peer.text;
+        decode_configuration(known, source);
+    } else if (keeps_draining(known, of_peer)) {
+        known.text = of_peer.text;
+        if (handlers_.on_draining)
+            handlers_.on_draining(of_peer.key);
+    }
+}
+
 bool replica::reverts_removal(const documents& all, const document& change) {
     const auto found = all.by_key.find(change.key);
     return found != all.by_key.end() && !found->second.text && change.text &&
--- a/libs/mintknotd-platform/state/src/replica_decode.cpp
+++ b/libs/mintknotd-platform/state/src/replica_decode.cpp
@@ -58,14 +58,18 @@
            !traffic::is_other_life(*known, server);
 }
 
-bool replica::keeps_draining(
-    const document& known, const document& of_peer) const {
-    const bool may_be_restored = known.version <= servers_.first_read;
+bool replica::is_comparable_history(
+    const documents& all, const document& known,
+    const document& of_peer) const {
+    const bool may_be_restored = known.version <= all.first_read;
     const bool comparable = known.version == of_peer.version ||
                             era_of(known.version) > era_of(of_peer.version);
-    if (!may_be_restored || !comparable || !known.text || !of_peer.text ||
-        known.text == of_peer.text)
-        return false;
+    return may_be_restored && comparable && known.text && of_peer.text &&
+           known.text != of_peer.text;
+}
+
+bool replica::keeps_draining(
+    const document& known, const document& of_peer) const {
     const auto here = codec_.read_server(known.key, *known.text);
     const auto there = codec_.read_server(known.key, *of_peer.text);
     return here.ok() && there.ok() && !here->draining && there->draining &&
--- a/libs/mintknotd-platform/state/src/replica_snapshot.cpp
+++ b/libs/mintknotd-platform/state/src/replica_snapshot.cpp
@@ -20,8 +20,13 @@
     collection what = collection::configuration;
     std::vector<document> documents;
     bool known = false;
+    bool lacks_history = false;
 };
 
+/// Whether the sender has started since the latest restore and has not heard
+/// what the store held before it; older instances do not tell.
+constexpr const char* lacks_history_field = "lacks_history";
+
 std::optional<snapshot_part>
 snapshot_part_from(collection what, const nlohmann::json& part) {
     if (!part.is_object() || !part.contains("documents"))
@@ -30,8 +35,8 @@
     if (!documents)
         return std::nullopt;
     return snapshot_part{
-        what, std::move(*documents),
-        base::field_or<bool>(part, "known", false)};
+        what, std::move(*documents), base::field_or<bool>(part, "known", false),
+        base::field_or<bool>(part, lacks_history_field, false)};
 }
 
 std::optional<std::vector<document>>
@@ -52,8 +57,12 @@
         nlohmann::json rows = nlohmann::json::array();
         for (const auto& [key, entry] : of(what).by_key)
             rows.push_back(to_json(entry));
-        result[std::string(to_string(what))] = {
-            {"known", of(what).known}, {"documents", std::move(rows)}};
+        nlohmann::json& part = result[std::string(to_string(what))];
+        part = {{"known", of(what).known}, {"documents", std::move(rows)}};
+        // An instance that was there at the latest restore knows what it lost.
+        const documents& docs = of(what);
+        if (docs.lacks_history && era_of(docs.first_read) == docs.era)
+            part[lacks_history_field] = true;
     }
     nlohmann::json closures = nlohmann::json::array();
     for (const auto& [key, entry] : closures_.by_key)
@@ -94,7 +103,8 @@
         if (part.known && !docs.known)
             docs.era = era_of(docs.newest);
         docs.known |= part.known;
-        docs.lacks_history &= !part.known;
+        if (part.known && (!part.lacks_history || accepts_any_history_))
+            docs.lacks_history = false;
     }
     return absl::OkStatus();
 }
--- a/libs/mintknotd-platform/state/tests/test_restored_store.cpp
+++ b/libs/mintknotd-platform/state/tests/test_restored_store.cpp
@@ -214,6 +214,43 @@
     cr_assert(started.servers["a"] == "ready", "written in the new era");
 }
 
+// Guards against an instance that starts with the older configuration of a
+// backup and keeps it, as the peers' newer one stands in the same row.
+Test(restored_store, an_instance_that_starts_learns_of_a_newer_configuration) {
+    fixture peer;
+    peer.copy.apply_whole(
+        configuration, {{"c", old_era(32), "1234"}}, old_era(32), "store");
+    const std::vector<document> backup = {{"c", new_era(20), "12"}};
+    peer.copy.apply_whole(configuration, backup, new_era(20), "store");
+    fixture started;
+    started.copy.apply_whole(configuration, backup, new_era(20), "store");
+    cr_assert(started.configured == 2);
+    cr_assert(started.copy.lacks_history());
+    cr_assert(
+        started.copy.apply_snapshot(peer.copy.snapshot({configuration}), "p")
+            .ok());
+    cr_assert(started.configured == 4);
+    cr_assert(!started.copy.lacks_history());
+    started.copy.apply(configuration, {{"c", new_era(21), "12345"}}, "store");
+    cr_assert(started.configured == 5);
+}
+
+// Guards against two instances that start together and take each other's
+// knowledge for that of before the restore.
+Test(restored_store, a_peer_without_history_does_not_end_the_lack_of_it) {
+    const std::vector<document> backup = {{"a", new_era(2), "x"}};
+    fixture first;
+    fixture second;
+    first.copy.apply_whole(servers, backup, new_era(4), "store");
+    second.copy.apply_whole(servers, backup, new_era(4), "store");
+    const std::string told = first.copy.snapshot({servers});
+    cr_assert(second.copy.apply_snapshot(told, "p").ok());
+    cr_assert(second.copy.lacks_history());
+    second.copy.accept_any_history();
+    cr_assert(second.copy.apply_snapshot(told, "p").ok());
+    cr_assert(!second.copy.lacks_history());
+}
+
 Test(restored_store, a_store_that_was_never_restored_needs_no_peer) {
     fixture f;
     f.copy.apply_whole(servers, {{"a", 5, "x"}}, 6, "store");
