An instance that starts after a restore serves once a peer has told what it knows

Cause: the instance took the restored store for complete.

The era of the first read told already that the store has been restored at some time.

Without peers in the settings it does not wait. After the wait it serves what it knows, as each data centre that is cut off does.

history_wait::nothing_is_served_before_a_peer_has_told_what_it_knows failed before: the configuration was in force before the peer was heard.

--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -36,6 +36,7 @@
     const document_ports& ports, const document_options& options,
     document_handlers handlers)
     : owner_(ports.loop)
+    , log_(ports.log)
     , drain_bound_(options.drain_bound)
     , configuration_bounds_(
           policy::staleness_bounds_for(options.configuration_bound))
@@ -67,8 +68,10 @@
           [this] { return handlers_.servers_in_use(); })
     , fetcher_(
           ports.loop, ports.pool, replica_, ports.log, options.peer.port,
-          options.data_centre)
-    , start_delay_(ports.loop) {
+          options.data_centre, [this] { on_snapshot_taken(); })
+    , start_delay_(ports.loop)
+    , history_timer_(ports.loop)
+    , has_peers_(options.has_peers) {
     server_reader_.on_return([this] { lapsed_.store_returned(); });
     server_reader_.on_position([this] { on_server_position(); });
     configuration_reader_.on_position([this] { on_configuration_position(); });
@@ -115,7 +118,7 @@
 state::replica_handlers document_sync::make_replica_handlers() {
     return {
         [this](std::shared_ptr<const traffic::configuration> config) {
-            handlers_.on_configuration(std::move(config));
+            take(std::move(config));
         },
         [this](
             const std::string& id, std::uint64_t version,
@@ -137,6 +140,49 @@
         }};
 }
 
+void document_sync::take(std::shared_ptr<const traffic::configuration> config) {
+    if (!awaits_history()) {
+        handlers_.on_configuration(std::move(config));
+        return;
+    }
+    held_configuration_ = std::move(config);
+    if (history_timer_.active())
+        return;
+    held_since_ = owner_.now();
+    release_configuration();
+}
+
+bool document_sync::awaits_history() const {
+    return has_peers_ && !history_wait_over_ && replica_.lacks_history();
+}
+
+void document_sync::on_snapshot_taken() {
+    told_history_ = replica_.lacks_history() ? policy::told_history::ignorance
+                                             : policy::told_history::all;
+    release_configuration();
+}
+
+void document_sync::release_configuration() {
+    if (held_configuration_ == nullptr)
+        return;
+    const base::steady_time due =
+        held_since_ + policy::max_history_wait(told_history_);
+    if (awaits_history() && owner_.now() < due) {
+        history_timer_.start(due, [this] { release_configuration(); });
+        return;
+    }
+    history_wait_over_ = awaits_history();
+    if (history_wait_over_)
+        replica_.accept_any_history();
+    history_timer_.stop();
+    const auto waited = std::chrono::duration_cast<base::milliseconds>(
+        owner_.now() - held_since_);
+    log_.write(
+        "history_awaited",
+        {{"for_ms", waited.count()}, {"found", !history_wait_over_}});
+    handlers_.on_configuration(std::exchange(held_configuration_, nullptr));
+}
+
 void document_sync::start(base::milliseconds delay) {
     if (delay.count() > 0)
         start_delay_.start(delay, [this] { start_reading(); });
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -9,6 +9,7 @@
 #include "shared_store.hpp"
 #include "snapshot_fetcher.hpp"
 
+#include <mintknot/policy/history_wait.hpp>
 #include <mintknot/policy/staleness_bounds.hpp>
 #include <mintknot/state/store_reader.hpp>
 
@@ -34,6 +35,7 @@
     base::milliseconds drain_bound;         ///< See instance_settings.
     base::milliseconds configuration_bound; ///< Likewise.
     std::function<policy::store_access()> store_access;
+    bool has_peers = false; ///< Others may know more than a restored store.
 };
 
 /// Functions that are called when documents change.
@@ -68,6 +70,10 @@
 
 /// Follows the store directly or, in a large group, through readers; fetches
 /// snapshots from peers that have a newer version; answers requests of peers.
+///
+/// The first configuration of a store that was restored from a backup is held
+/// back until a peer has told what the backup may lack, or for
+/// policy::max_history_wait(). Log event: `history_awaited`.
 class document_sync {
 public:
     document_sync(
@@ -105,6 +111,11 @@
 
 private:
     state::replica_handlers make_replica_handlers();
+    void take(std::shared_ptr<const traffic::configuration> config);
+    /// @return true while a peer may know more than the store that was read.
+    bool awaits_history() const;
+    void release_configuration();
+    void on_snapshot_taken();
     const state::store_reader& reader_of(state::collection what) const;
     /// See shared_store_options.
     std::optional<base::steady_time> overdue_from(state::collection what) const;
@@ -115,6 +126,7 @@
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
 
     event::loop& owner_;
+    logging::line_log& log_;
     base::milliseconds drain_bound_;
     policy::staleness_bounds configuration_bounds_;
     policy::staleness_bounds server_bounds_;
@@ -130,6 +142,12 @@
     lapsed_servers lapsed_;
     snapshot_fetcher fetcher_;
     event::timer start_delay_;
+    std::shared_ptr<const traffic::configuration> held_configuration_;
+    base::steady_time held_since_{};
+    event::timer history_timer_;
+    policy::told_history told_history_ = policy::told_history::nothing;
+    bool has_peers_;
+    bool history_wait_over_ = false;
     /// Until when the snapshots sent so far use up the budget.
     base::steady_time snapshot_budget_used_until_{};
 };
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -48,8 +48,8 @@
           {ports.loop, ports.store, ports.codec, pool, log,
            [this] { return context.draw_uniform(); }},
           {settings.peer, settings.data_centre, settings.drain_bound,
-           settings.configuration_bound,
-           [this] { return store_access_here(); }},
+           settings.configuration_bound, [this] { return store_access_here(); },
+           !settings.seed_hosts.empty()},
           document_functions())
     , group(
           ports.loop, log,
--- a/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
+++ b/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
@@ -17,13 +17,15 @@
 
 snapshot_fetcher::snapshot_fetcher(
     event::loop& owner, upstream::connection_pool& pool, state::replica& target,
-    logging::line_log& log, std::uint16_t port, std::string data_centre)
+    logging::line_log& log, std::uint16_t port, std::string data_centre,
+    std::function<void()> on_taken)
     : owner_(owner)
     , pool_(pool)
     , target_(target)
     , log_(log)
     , port_(port)
     , data_centre_(std::move(data_centre))
+    , on_taken_(std::move(on_taken))
     , limit_(owner) {}
 
 void snapshot_fetcher::set_server_patience(base::milliseconds patience) {
@@ -63,9 +65,12 @@
         server_patience_ * factor);
     if (call_ != nullptr || now - last_fetch_ < min_fetch_interval)
         return;
-    if (servers_due || (has_documents && target_.lacks_history()))
+    const auto lacks_history = [&](collection what) {
+        return has_documents && target_.lacks_history(what);
+    };
+    if (servers_due || lacks_history(collection::servers))
         fetch(host, snapshot_path);
-    else if (configuration_due)
+    else if (configuration_due || lacks_history(collection::configuration))
         fetch(host, configuration_snapshot_path);
 }
 
@@ -99,6 +104,8 @@
     configuration_lag_ = {};
     servers_lag_ = {};
     body_.clear();
+    if (applied.ok())
+        on_taken_();
 }
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/runtime/src/snapshot_fetcher.hpp
+++ b/libs/mintknotd-platform/runtime/src/snapshot_fetcher.hpp
@@ -25,10 +25,11 @@
 /// peers of other data centres, because traffic between data centres is billed.
 class snapshot_fetcher {
 public:
+    /// @param on_taken called after each snapshot that was taken.
     snapshot_fetcher(
         event::loop& owner, upstream::connection_pool& pool,
         state::replica& target, logging::line_log& log, std::uint16_t port,
-        std::string data_centre);
+        std::string data_centre, std::function<void()> on_taken);
 
     /// Sets how long to wait for changes of servers from the store before a
     /// snapshot is fetched: at least the time for which changes are collected.
@@ -55,6 +56,7 @@
     logging::line_log& log_;
     std::uint16_t port_;
     std::string data_centre_;
+    std::function<void()> on_taken_;
     std::unique_ptr<upstream::call> call_;
     event::timer limit_;
     std::string body_;
