The forecast of free decode memory asks the rule of admission

Callers saw: a time to come back, and at that time another refusal.

Cause: two rules for one question. Admission takes the mean of each time of the profile plus three deviations, and takes streams that should have ended for running until a report says otherwise.

Evidence: memory_bounds::a_request_fits_after_the_forecast_wait, red since it was written: two engines, at the forecast time place_claim() refused again.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/memory_profile.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/memory_profile.hpp
@@ -58,12 +58,16 @@
     const traffic::server_load& load, const traffic::memory_profile& added,
     base::steady_time now);
 
-/// @return the time until a stream with that profile would fit into `usable`
-/// tokens if no other is placed before it; nothing if it does not fit within
-/// the time of the profile.
+/// Longest time for which it is forecast when a stream will fit. Beyond its
+/// points a profile is halved with each step.
+inline constexpr base::milliseconds max_fit_time{8000};
+
+/// @return the time until a stream with that profile fits into `usable` tokens
+/// by forecast_peak(), asked again with the same load at that time; nothing if
+/// it does not after `limit`.
 std::optional<base::milliseconds> time_until_fit(
     const traffic::server_load& load, const traffic::memory_profile& added,
-    double usable, base::steady_time now);
+    double usable, base::steady_time now, base::milliseconds limit);
 
 /// @return the memory that is expected to be held on an engine now.
 double expected_memory(const traffic::server_load& load, base::steady_time now);
--- a/libs/mintknotd-platform/policy/src/memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/src/memory_profile.cpp
@@ -25,6 +25,8 @@
 /// profile counts again. Without this, 0.064 of the streams of the load test
 /// were preempted.
 constexpr double min_running_share = 0.75;
+/// Accuracy of the time until a stream fits.
+constexpr base::milliseconds fit_resolution{20};
 /// Below this probability the learned distribution says nothing.
 constexpr double min_probability = 0.002;
 
@@ -164,30 +166,23 @@
 
 std::optional<base::milliseconds> time_until_fit(
     const traffic::server_load& load, const memory_profile& added,
-    double usable, base::steady_time now) {
-    const engine_forecast engine(load, now);
-    const double own = *std::max_element(added.mean.begin(), added.mean.end());
-    const double others = engine.peak(added).tokens - own;
-    const double held_now = std::max(engine.at(0).mean, 1.0);
-    double excess_before = 0.0;
-    for (std::size_t i = 0; i < memory_profile::points; ++i) {
-        // By then it is known which streams have ended: the margin that is kept
-        // for the others shrinks with what they hold.
-        const double excess =
-            own + others * engine.at(i).mean / held_now - usable;
-        const base::milliseconds later =
-            profile_step * static_cast<std::int64_t>(i);
-        if (excess <= 0.0 && i == 0)
-            return later;
-        if (excess <= 0.0) {
-            const double part = excess_before / (excess_before - excess);
-            return later - profile_step +
-                   base::milliseconds(static_cast<std::int64_t>(
-                       part * static_cast<double>(profile_step.count())));
-        }
-        excess_before = excess;
+    double usable, base::steady_time now, base::milliseconds limit) {
+    const auto fits_after = [&](base::milliseconds time) {
+        return forecast_peak(load, added, now + time).tokens <= usable;
+    };
+    if (!fits_after(limit))
+        return std::nullopt;
+    base::milliseconds too_soon{0};
+    base::milliseconds fits{0};
+    while (!fits_after(fits)) {
+        too_soon = fits;
+        fits = std::min(fits + profile_step, limit);
+    }
+    while (fits - too_soon > fit_resolution) {
+        const base::milliseconds middle = too_soon + (fits - too_soon) / 2;
+        (fits_after(middle) ? fits : too_soon) = middle;
     }
-    return std::nullopt;
+    return fits;
 }
 
 double
