A new scheduler leaves room for loads that are not reported to it yet

Cause: a scheduler took engines for as empty as the reports that it had. They come within 0.5 s; until the last one it filled engines that were full.

Change: within 0.5 s after the first peer was heard, and while fewer peers are heard than there are instances, a scheduler takes what was not reported to be like what was: the load of an engine over the share of the time that has passed, with the deviation of the number of unknown streams.

--- a/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
@@ -8,6 +8,8 @@
 using namespace mintknot::policy;
 using namespace mintknot::policy::tests;
 
+using base::milliseconds;
+
 namespace {
 
 constexpr std::size_t last = traffic::memory_profile::points - 1;
@@ -49,6 +51,22 @@
     cr_assert(seen.mean[1] > 5000.0 && seen.mean[3] > 1000.0);
 }
 
+// Guards against a new scheduler that takes engines for empty whose streams
+// have not been reported to it yet.
+Test(memory_profile, a_new_scheduler_leaves_room_for_what_is_not_reported) {
+    two_engines f;
+    f.load_engine("d", 5, 2.0, true);
+    f.load_engine("e", 5, 2.0, true);
+    const auto placed_after = [&f](milliseconds time) {
+        selection_inputs inputs = f.inputs(now + time);
+        inputs.instances = 30;
+        return !choose_servers(inputs, f.query).server.empty();
+    };
+    cr_assert(!placed_after(milliseconds(50)));
+    cr_assert(!placed_after(milliseconds(200)));
+    cr_assert(placed_after(milliseconds(500)));
+}
+
 // Guards against refusals of a stream that fits because others end soon.
 Test(memory_profile, what_ends_soon_makes_room) {
     two_engines f;
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/load_view.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/load_view.hpp
@@ -40,6 +40,8 @@
     load_map own;
     std::unordered_map<std::string, remote> peers;
     load_map of_peers; ///< Sum over all peers, kept by the functions below.
+    /// When the first of the present peers was heard, others not being known.
+    base::steady_time first_heard{};
     /// When a peer last reported a profile, by server.
     std::unordered_map<std::string, base::steady_time> profiles_reported;
 };
--- a/libs/mintknotd-platform/traffic/src/load_view.cpp
+++ b/libs/mintknotd-platform/traffic/src/load_view.cpp
@@ -45,6 +45,13 @@
     }
 }
 
+load_view::remote&
+peer_entry(load_view& view, const std::string& peer, base::steady_time now) {
+    if (view.peers.empty())
+        view.first_heard = now;
+    return view.peers[peer];
+}
+
 /// Brings the profiles to the common start, so that their sum can be taken
 /// back exactly.
 void align_profiles(load_map& loads, base::steady_time now) {
@@ -69,7 +76,7 @@
 void set_peer(
     load_view& view, const std::string& peer, load_map loads,
     base::steady_time now) {
-    load_view::remote& known = view.peers[peer];
+    load_view::remote& known = peer_entry(view, peer, now);
     take_from_sum(view, known.loads);
     known = {std::move(loads), now};
     align_profiles(known.loads, now);
@@ -82,7 +89,7 @@
 void add_to_peer(
     load_view& view, const std::string& peer, const load_map& loads,
     base::steady_time now) {
-    load_view::remote& known = view.peers[peer];
+    load_view::remote& known = peer_entry(view, peer, now);
     load_map aligned = loads;
     align_profiles(aligned, now);
     add_to_sum(known.loads, aligned);
