Blocks, capacity summaries, resends and planned work stand in files of their own

Only moved: request_blocks (how long a request is refused, what clears it), capacity_summary, delayed_actions, soak_planned_work, soak_parts and scratch_directory.

--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -2,11 +2,11 @@
 
 #include "crash_detector.hpp"
 #include "crash_messages.hpp"
+#include "delayed_actions.hpp"
 
 #include <mintknot/base/random.hpp>
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -36,6 +36,7 @@
                   std::vector<broken_run> runs) {
                   report_crash(incarnation, std::move(runs));
               })
+        , resends(shared.loop)
         , evaluation_timer(shared.loop)
         , block_resend_timer(shared.loop) {}
 
@@ -53,8 +54,8 @@
             send_to_evaluators(report);
             for (broken_run& run : report.runs)
                 run.ago += resend_delay;
-            run_after_resend_delay(
-                [this, report] { send_to_evaluators(report); });
+            resends.run_after(
+                resend_delay, [this, report] { send_to_evaluators(report); });
             next = end;
         }
     }
@@ -63,21 +64,6 @@
         send_to_all(callbacks.evaluators(), encode(message));
     }
 
-    /// Runs an action once after resend_delay.
-    void run_after_resend_delay(std::function<void()> action) {
-        const std::uint64_t id = ++last_resend_id;
-        auto& timer = pending_resends[id];
-        timer = std::make_unique<event::timer>(router.loop);
-        timer->start(resend_delay, [this, id, action = std::move(action)] {
-            action();
-            router.loop.post(
-                [this, id, alive = std::weak_ptr<bool>(alive_token)] {
-                    if (!alive.expired())
-                        pending_resends.erase(id);
-                });
-        });
-    }
-
     void send_to_all(
         const std::vector<std::string>& hosts, const std::string& datagram) {
         for (const std::string& host : hosts)
@@ -206,8 +192,7 @@
         if (!was_blocked)
             return;
         log_cleared(notice.digest, host);
-        // Who knows of the answer tells those who announce the block, and these
-        // tell all whom they have told of it.
+        // Only the announcer of a block is told by who knows of the answer.
         if (announced.erase(notice.digest) > 0)
             send_to_all(callbacks.peers(), encode(notice));
         send_to_all(callbacks.leaf_hosts(), encode(notice));
@@ -228,8 +213,8 @@
         const clear_announcement notice{digest};
         if (!was_blocked) {
             send_to_evaluators(notice);
-            run_after_resend_delay(
-                [this, notice] { send_to_evaluators(notice); });
+            resends.run_after(
+                resend_delay, [this, notice] { send_to_evaluators(notice); });
             return;
         }
         announced.erase(digest);
@@ -246,8 +231,7 @@
     std::set<std::string> announced;
     std::vector<policy::interruption> interruptions;
     crash_detector detector;
-    std::map<std::uint64_t, std::unique_ptr<event::timer>> pending_resends;
-    std::uint64_t last_resend_id = 0;
+    delayed_actions resends;
     std::size_t resend_rounds = 0;
     event::timer evaluation_timer;
     event::timer block_resend_timer;
--- a/libs/mintknotd-platform/policy/src/crash_evidence.cpp
+++ b/libs/mintknotd-platform/policy/src/crash_evidence.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/policy/crash_evidence.hpp>
 
+#include "request_blocks.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -8,32 +10,16 @@
 namespace {
 
 constexpr std::size_t max_suspects = 2048;
-constexpr std::size_t max_blocked = 1024;
 constexpr std::size_t max_ends = 4096;
 /// Number of crashes stored per request; more do not change the result.
 constexpr std::size_t max_crashes_kept = 8;
 /// How long a crash counts against a request.
 constexpr base::milliseconds suspect_lifetime{10 * 60 * 1000};
-/// How long after its end a block still lengthens the next one.
-constexpr base::milliseconds block_history_time{10 * 60 * 1000};
-constexpr int max_doublings = 5;
 /// Minimum run time of a request that can have caused a crash. A proxy in front
 /// of a missing server closes calls immediately.
 constexpr base::milliseconds min_run{3};
 /// Maximum difference between the times in reports of different instances.
 constexpr base::milliseconds max_report_skew{5};
-/// Upper bound of the delivery time of a block notice.
-constexpr base::milliseconds cleared_lifetime{10000};
-constexpr std::size_t max_cleared = 4096;
-
-base::milliseconds block_time(int times) {
-    return first_block_time * (1 << std::min(times - 1, max_doublings));
-}
-
-bool is_in_force(const blocked_request& block, base::steady_time now) {
-    return block.until > now;
-}
-
 /// Evicts the suspect with the fewest crashes if the table is full, so that
 /// many requests with one crash each do not displace those with more.
 void make_room(std::map<std::string, crash_suspect>& suspects) {
@@ -47,23 +33,6 @@
         }));
 }
 
-void make_room(std::map<std::string, base::steady_time>& cleared) {
-    if (cleared.size() < max_cleared)
-        return;
-    cleared.erase(std::min_element(
-        cleared.begin(), cleared.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
-}
-
-void make_room(std::map<std::string, blocked_request>& blocked) {
-    if (blocked.size() < max_blocked)
-        return;
-    blocked.erase(std::min_element(
-        blocked.begin(), blocked.end(), [](const auto& a, const auto& b) {
-            return a.second.until < b.second.until;
-        }));
-}
-
 /// Crash of a server and the start of the request's run there.
 struct observed_crash {
     base::steady_time began;
@@ -172,23 +141,6 @@
     return due;
 }
 
-/// @return true if the request was recently cleared, after that time.
-bool cleared_after(
-    const crash_evidence& evidence, const std::string& digest,
-    base::steady_time time) {
-    const auto found = evidence.cleared.find(digest);
-    return found != evidence.cleared.end() && found->second >= time;
-}
-
-block_entry entry_of(
-    const std::string& digest, const blocked_request& block,
-    base::steady_time now) {
-    return {
-        {digest, block.body_bytes},
-        base::time_left(block.until, now),
-        block.times};
-}
-
 } // namespace
 
 void note_crash(
@@ -234,13 +186,7 @@
             ends, [](const observed_crash& end) { return !end.server_was_up; });
         if (count_consecutive(ends) < max_crashes)
             continue;
-        if (!evidence.blocked.contains(digest))
-            make_room(evidence.blocked);
-        blocked_request& block = evidence.blocked[digest];
-        block.body_bytes = suspect.body_bytes;
-        ++block.times;
-        block.until = now + block_time(block.times);
-        fresh.push_back(entry_of(digest, block, now));
+        fresh.push_back(add_block(evidence, {digest, suspect.body_bytes}, now));
     }
     return fresh;
 }
@@ -254,91 +200,8 @@
     return next;
 }
 
-bool clear(
-    crash_evidence& evidence, const std::string& digest,
-    base::steady_time now) {
-    const bool suspected = evidence.suspects.erase(digest) > 0;
-    const bool blocked = evidence.blocked.erase(digest) > 0;
-    if (suspected || blocked)
-        remember_cleared(evidence, digest, now);
-    return suspected || blocked;
-}
-
-void remember_cleared(
-    crash_evidence& evidence, const std::string& digest,
-    base::steady_time now) {
-    if (!evidence.cleared.contains(digest))
-        make_room(evidence.cleared);
-    evidence.cleared[digest] = now;
-}
-
-bool note_block(
-    crash_evidence& evidence, const block_entry& entry, base::steady_time now) {
-    if (entry.left <= base::milliseconds{0} ||
-        recently_cleared(evidence, entry.key.digest, now))
-        return false;
-    const bool known = blocked_for(evidence, entry.key.digest, now).has_value();
-    if (!evidence.blocked.contains(entry.key.digest))
-        make_room(evidence.blocked);
-    blocked_request& block = evidence.blocked[entry.key.digest];
-    block.body_bytes = entry.key.body_bytes;
-    block.times = std::max(block.times, entry.times);
-    block.until = std::max(
-        block.until, now + std::min(entry.left, block_time(block.times)));
-    return !known;
-}
-
-bool recently_cleared(
-    const crash_evidence& evidence, const std::string& digest,
-    base::steady_time now) {
-    const auto found = evidence.cleared.find(digest);
-    return found != evidence.cleared.end() &&
-           now - found->second < cleared_lifetime;
-}
-
-bool may_be_blocked(
-    const crash_evidence& evidence, std::uint64_t body_bytes,
-    base::steady_time now) {
-    return std::any_of(
-        evidence.blocked.begin(), evidence.blocked.end(),
-        [&](const auto& entry) {
-            return entry.second.body_bytes == body_bytes &&
-                   is_in_force(entry.second, now);
-        });
-}
-
-bool may_be_known(const crash_evidence& evidence, std::uint64_t body_bytes) {
-    const auto same_size = [body_bytes](const auto& entry) {
-        return entry.second.body_bytes == body_bytes;
-    };
-    return std::any_of(
-               evidence.suspects.begin(), evidence.suspects.end(), same_size) ||
-           std::any_of(
-               evidence.blocked.begin(), evidence.blocked.end(), same_size);
-}
-
-std::optional<base::milliseconds> blocked_for(
-    const crash_evidence& evidence, const std::string& digest,
-    base::steady_time now) {
-    const auto found = evidence.blocked.find(digest);
-    if (found == evidence.blocked.end() || !is_in_force(found->second, now))
-        return std::nullopt;
-    return base::time_left(found->second.until, now);
-}
-
-std::vector<block_entry>
-blocks(const crash_evidence& evidence, base::steady_time now) {
-    std::vector<block_entry> result;
-    for (const auto& [digest, block] : evidence.blocked)
-        if (is_in_force(block, now))
-            result.push_back(entry_of(digest, block, now));
-    return result;
-}
-
 void expire(crash_evidence& evidence, base::steady_time now) {
-    std::erase_if(evidence.blocked, [now](const auto& entry) {
-        return entry.second.until + block_history_time <= now;
-    });
+    expire_blocks(evidence, now);
     std::erase_if(evidence.suspects, [&](const auto& entry) {
         return entry.second.last + suspect_lifetime <= now &&
                !evidence.blocked.contains(entry.first);
@@ -346,9 +209,6 @@
     std::erase_if(evidence.ends, [now](const auto& entry) {
         return entry.second + suspect_lifetime <= now;
     });
-    std::erase_if(evidence.cleared, [now](const auto& entry) {
-        return now - entry.second >= cleared_lifetime;
-    });
 }
 
 } // namespace mintknot::policy
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -1,5 +1,7 @@
 #include "soak_faults.hpp"
 
+#include "soak_parts.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -23,8 +25,6 @@
 constexpr int shortest_link_fault = 50;
 constexpr int longest_link_fault = 2500;
 constexpr base::milliseconds late{180};
-/// How often a stopping process is looked at.
-constexpr int end_poll = 50;
 /// How long a server is away that has ended by itself.
 constexpr int crash_downtime = 2500;
 
@@ -45,14 +45,6 @@
      {.mode = link_mode::silence, .way = silent_way::to_caller}},
 }};
 
-std::string server_part(std::size_t index) {
-    return fmt::format("server-{}", index);
-}
-
-std::string instance_part(std::size_t index) {
-    return fmt::format("instance-{}", index);
-}
-
 } // namespace
 
 fault_injector::fault_injector(
@@ -158,36 +150,6 @@
     });
 }
 
-void fault_injector::planned_work() {
-    const std::size_t index = pick(system_.instances().size());
-    switch (draw(0, 3)) {
-    case 0:
-        if (stopping_.empty())
-            stop_instance(earlier_instance().value_or(index));
-        break;
-    case 1:
-        if (draining_.empty())
-            drain_server(pick(system_.servers().size()));
-        break;
-    case 2:
-        note("new configuration");
-        system_.change_configuration();
-        break;
-    default:
-        if (stopping_.contains(index))
-            break;
-        note(fmt::format("SIGHUP instance {}", index));
-        system_.instances()[index].running->signal(SIGHUP);
-    }
-}
-
-std::optional<std::size_t> fault_injector::earlier_instance() const {
-    for (std::size_t i = 0; i < system_.instances().size(); ++i)
-        if (system_.is_earlier(i))
-            return i;
-    return std::nullopt;
-}
-
 void fault_injector::fault() {
     switch (draw(0, 10)) {
     case 0:
@@ -264,25 +226,6 @@
     });
 }
 
-void fault_injector::drain_server(std::size_t index) {
-    note(fmt::format("SIGTERM server {}", index));
-    draining_.insert(index);
-    resume(system_.servers()[index], server_part(index));
-    system_.servers()[index].running->signal(SIGTERM);
-    wait_for_drained(index);
-}
-
-void fault_injector::wait_for_drained(std::size_t index) {
-    later(end_poll, [this, index] {
-        if (system_.servers()[index].running->running()) {
-            wait_for_drained(index);
-            return;
-        }
-        system_.restart_server(index);
-        draining_.erase(index);
-    });
-}
-
 void fault_injector::kill_instance(std::size_t index) {
     if (stopping_.contains(index))
         return;
@@ -293,31 +236,6 @@
     later(draw(50, 800), [this, index] { start_instance(index); });
 }
 
-void fault_injector::stop_instance(std::size_t index) {
-    note(fmt::format("SIGTERM instance {}", index));
-    stopping_.insert(index);
-    resume(system_.instances()[index], instance_part(index));
-    begin(instance_part(index));
-    system_.instances()[index].running->signal(SIGTERM);
-    wait_for_stopped(index);
-}
-
-void fault_injector::wait_for_stopped(std::size_t index) {
-    later(end_poll, [this, index] {
-        if (system_.instances()[index].running->running())
-            wait_for_stopped(index);
-        else
-            start_instance(index);
-    });
-}
-
-void fault_injector::start_instance(std::size_t index) {
-    note(fmt::format("start instance {}", index));
-    system_.restart_instance(index);
-    end(instance_part(index));
-    stopping_.erase(index);
-}
-
 void fault_injector::pause(
     soak_process& process, const std::string& part,
     const millisecond_range& range) {
--- /dev/null
+++ b/testing/soak/src/soak_parts.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// Names of the parts of a soak's system in disturbances.
+#ifndef MINTKNOT_SOAK_SOAK_PARTS_HPP
+#define MINTKNOT_SOAK_SOAK_PARTS_HPP
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace mintknot::soak {
+
+/// How often a process is looked at that may have ended, in milliseconds.
+inline constexpr int end_poll = 50;
+
+inline std::string server_part(std::size_t index) {
+    return fmt::format("server-{}", index);
+}
+
+inline std::string instance_part(std::size_t index) {
+    return fmt::format("instance-{}", index);
+}
+
+} // namespace mintknot::soak
+
+#endif
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.hpp"
 
+#include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
 #include "soak_system.hpp"
@@ -9,7 +10,6 @@
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
-#include <filesystem>
 #include <functional>
 #include <memory>
 #include <set>
@@ -34,26 +34,6 @@
 /// Time between a restore and the first attempt to repeat that write.
 constexpr base::milliseconds rewrite_delay{600};
 
-/// A directory that goes with the object, unless it is to be kept.
-struct scratch_directory {
-    scratch_directory()
-        : path((std::filesystem::temp_directory_path() / "soak-XXXXXX")
-                   .string()) {
-        if (::mkdtemp(path.data()) == nullptr)
-            path.clear();
-    }
-    ~scratch_directory() {
-        if (kept)
-            return;
-        std::error_code ignored;
-        std::filesystem::remove_all(path, ignored);
-    }
-    scratch_directory(const scratch_directory&) = delete;
-    scratch_directory& operator=(const scratch_directory&) = delete;
-    std::string path;
-    bool kept = false;
-};
-
 fault_kinds kinds_of(const soak_options& options) {
     if (options.undisturbed)
         return fault_kinds::none;
