--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -235,7 +235,6 @@
     std::size_t resend_rounds = 0;
     event::timer evaluation_timer;
     event::timer block_resend_timer;
-    std::shared_ptr<bool> alive_token = std::make_shared<bool>(true);
 };
 
 crash_watch::crash_watch(
