Callers of a new scheduler wait for the reports, and are not sent away

Found by reading the change again: in the first tenth of a second a new scheduler had no usable memory, so that the forecast found no engine either, and who asked was refused at once in place of waiting for the reports.

Change: only the placement is held back then; the forecast follows what is known. Where all loads are known none is copied any more, as each placement did for each engine.

--- a/libs/mintknotd-platform/policy/src/decode_memory.cpp
+++ b/libs/mintknotd-platform/policy/src/decode_memory.cpp
@@ -56,18 +56,24 @@
             load.memory_tokens, load.memory_tokens + wanted.memory_tokens,
             memory * wanted.memory_share};
     const double reported = reported_share(inputs);
-    const memory_peak peak = forecast_peak(
-        whole_load(load, std::max(reported, min_reported_share)),
-        *wanted.profile, inputs.now);
+    const memory_peak peak =
+        reported < 1.0
+            ? forecast_peak(
+                  whole_load(load, std::max(reported, min_reported_share)),
+                  *wanted.profile, inputs.now)
+            : forecast_peak(load, *wanted.profile, inputs.now);
     // Without a scheduler another instance may take the same memory before its
     // load is reported.
     const double unreported = inputs.all_loads_known || inputs.instances <= 1
                                   ? 0.0
                                   : wanted.memory_tokens;
-    const double usable = reported < min_reported_share
-                              ? 0.0
-                              : memory * profiled_memory_share - unreported;
-    return {peak.held_now, peak.tokens, usable, peak.in};
+    const double usable = memory * profiled_memory_share - unreported;
+    // The forecast of the wait still follows what is known: more will be soon.
+    const double after =
+        reported < min_reported_share
+            ? std::max(peak.tokens, usable + wanted.memory_tokens)
+            : peak.tokens;
+    return {peak.held_now, after, usable, peak.in};
 }
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_memory_profile.cpp
@@ -60,7 +60,13 @@
     const auto placed_after = [&f](milliseconds time) {
         selection_inputs inputs = f.inputs(now + time);
         inputs.instances = 30;
-        return !choose_servers(inputs, f.query).server.empty();
+        const placement placed = choose_servers(inputs, f.query);
+        // It waits for the reports and is not sent away for seconds.
+        cr_assert(
+            !placed.server.empty() ||
+            placed.capacity.forecast.wait.value_or(milliseconds::max()) <=
+                milliseconds(500));
+        return !placed.server.empty();
     };
     cr_assert(!placed_after(milliseconds(50)));
     cr_assert(!placed_after(milliseconds(200)));
