Log and count what tells a lost path from a lost server

Callers of cut instances got 503. Now: upstream_connections_failed and _refused, and peer_warning with peer, server and time. No decision changes.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/server_health.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/server_health.hpp
@@ -118,7 +118,8 @@
 void end_phase_change(health_view& view, const std::string& id);
 
 /// Records a peer's warning, unless an own call has just succeeded.
-void note_peer_warning(
+/// @return true if no warning of the server was in force before.
+bool note_peer_warning(
     health_view& view, const std::string& id, base::steady_time until,
     base::steady_time now);
 
--- a/libs/mintknotd-platform/policy/src/server_avoidance.cpp
+++ b/libs/mintknotd-platform/policy/src/server_avoidance.cpp
@@ -53,15 +53,17 @@
     view.peer_phase_change_until[id] = base::steady_time{};
 }
 
-void note_peer_warning(
+bool note_peer_warning(
     health_view& view, const std::string& id, base::steady_time until,
     base::steady_time now) {
     const auto found = view.own_records.find(id);
     if (found != view.own_records.end() &&
         now - found->second.last_success < own_success_validity)
-        return;
+        return false;
     base::steady_time& warned = view.warned_until[id];
+    const bool fresh = warned <= now && until > now;
     warned = std::max(warned, until);
+    return fresh;
 }
 
 std::vector<server_warning>
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -190,6 +190,12 @@
     router_context& context, const std::string& server_id,
     policy::call_result result, const std::string& request_id);
 
+/// Records a peer's warning to avoid a server for some time, and logs it if
+/// none was in force before.
+void note_peer_warning(
+    router_context& context, const std::string& peer,
+    const policy::server_warning& warning);
+
 /// Records the retries that a peer reports, and discards reports older than the
 /// retry window.
 void note_peer_retries(
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -79,6 +79,19 @@
     context.prober.watch(server_id);
 }
 
+void note_peer_warning(
+    router_context& context, const std::string& peer,
+    const policy::server_warning& warning) {
+    const base::steady_time now = context.loop.now();
+    if (!policy::note_peer_warning(
+            context.state.health, warning.server_id, now + warning.left, now))
+        return;
+    context.log.write(
+        "peer_warning", {{"peer", peer},
+                         {"server", warning.server_id},
+                         {"for_ms", warning.left.count()}});
+}
+
 void note_peer_retries(
     router_state& state, const std::string& peer, std::uint64_t incarnation,
     const policy::usage_map& usage, base::steady_time now) {
--- a/libs/mintknotd-platform/runtime/src/heartbeat_content.cpp
+++ b/libs/mintknotd-platform/runtime/src/heartbeat_content.cpp
@@ -53,8 +53,7 @@
             state.health, change.server_id, now + change.left);
     for (const policy::server_warning& warning : heartbeat.warnings)
         if (warning_applies(router, heartbeat, warning.server_id))
-            policy::note_peer_warning(
-                state.health, warning.server_id, now + warning.left, now);
+            relay::note_peer_warning(router, host, warning);
 }
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -76,6 +76,8 @@
         {"caller_connections", gauge(entry.connections())},
         {"idle_upstream_connections", gauge(pool.idle_total())},
         {"upstream_connections_opened", gauge(pool.counters().opened)},
+        {"upstream_connections_failed", gauge(pool.counters().failed)},
+        {"upstream_connections_refused", gauge(pool.counters().refused)},
         {"peers", gauge(group.table().heard.size())},
         {"closed_data_centres",
          gauge(context.state.servers.closed_data_centres.size())},
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -277,9 +277,7 @@
     void on_message(const std::string& host, const load_report& report) {
         traffic::set_peer(context.state.loads, host, report.loads, now());
         for (const policy::server_warning& server : report.avoided)
-            policy::note_peer_warning(
-                context.state.health, server.server_id, now() + server.left,
-                now());
+            relay::note_peer_warning(context, host, server);
         for (const observed_rate& observed : report.rates)
             policy::note_prefill_rate(
                 context.state.prefill_rates, observed.id, observed.rate);
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -29,7 +29,8 @@
 struct pool_counters {
     std::uint64_t opened = 0;
     std::uint64_t reused = 0;
-    std::uint64_t failed = 0; ///< Connections that did not come up.
+    std::uint64_t failed = 0;  ///< Connections that did not come up.
+    std::uint64_t refused = 0; ///< Of these, those that were refused.
 };
 
 /// Keeps idle connections. One that ends or says anything while it is idle is
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -74,6 +74,8 @@
             ++pool.counters().failed;
         else
             ++pool.counters().opened;
+        if (result == event::connect_result::refused)
+            ++pool.counters().refused;
         if (finished) {
             if (opened != nullptr)
                 pool.give(where.id, std::move(opened), default_idle);
