Soak cuts instances from all servers and checks what their callers get

Each instance can have a link of its own to each server: the stand-in of the store shows each reader the addresses of its own links. The proxy can leave new connections unanswered (the accept queue is full), refuse them, or refuse them while open ones go on.

--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -64,6 +64,11 @@
     TCLAP::ValueArg<int> plain_servers(
         "", "plain-servers", "servers that are no engines", false, 2, "N",
         line);
+    TCLAP::SwitchArg cuts(
+        "", "cuts", "instances are cut from servers that others reach", line);
+    TCLAP::ValueArg<int> data_centres(
+        "", "data-centres", "data centres of the instances", false, 1, "N",
+        line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -94,6 +99,9 @@
             options.restores.emplace_back(std::chrono::seconds(when));
         options.undisturbed = undisturbed.getValue();
         options.scarce_capacity = scarce.getValue();
+        options.random_cuts = cuts.getValue();
+        options.data_centres =
+            static_cast<std::size_t>(data_centres.getValue());
         options.callers = static_cast<std::size_t>(callers.getValue());
         options.limits_end = std::chrono::seconds(limits_end.getValue());
         for (const std::string& text : limits.getValue()) {
@@ -116,9 +124,12 @@
             fmt::print("  broken: {}\n", broken);
         if (!result.logs.empty())
             fmt::print("  logs: {}\n", result.logs);
-        if (verbose.getValue() || !result.broken.empty())
+        if (verbose.getValue() || !result.broken.empty()) {
             for (const std::string& fault : result.faults)
                 fmt::print("  {}\n", fault);
+            for (const std::string& cut : result.cuts)
+                fmt::print("  {}\n", cut);
+        }
         std::fflush(stdout);
         failed += result.broken.empty() ? 0 : 1;
     }
--- a/testing/soak/src/platform_store_main.cpp
+++ b/testing/soak/src/platform_store_main.cpp
@@ -4,6 +4,7 @@
 /// seconds old: after a short outage it serves the backup in a new era.
 
 #include "row_store.hpp"
+#include "row_views.hpp"
 
 #include "scripted_server.hpp"
 
@@ -12,6 +13,8 @@
 #include <absl/strings/str_split.h>
 #include <fmt/format.h>
 
+#include <tclap/CmdLine.h>
+
 #include <csignal>
 #include <cstdio>
 #include <deque>
@@ -56,12 +59,14 @@
     std::string table;
     std::uint64_t after = 0;
     base::steady_time until;
+    std::string reader; ///< Host field of the request.
 };
 
 class store_stand_in {
 public:
-    explicit store_stand_in(event::loop& owner)
+    store_stand_in(event::loop& owner, std::string views_file)
         : owner_(owner)
+        , views_(std::move(views_file))
         , timer_(owner)
         , server_(
               owner, [this](
@@ -130,6 +135,7 @@
         const relay::tests::received_request& request,
         const event::connection_ptr& link) {
         const std::string& target = request.head.target;
+        const std::string reader = request.field("Host");
         auto query = query_of(target);
         const bool writes = target.starts_with("/mintknot/rows-tx");
         if (owner_.now() < outage_end_ ||
@@ -147,7 +153,7 @@
             const auto [status, result] = rows_.transact(body, owner_.now());
             answer(link, status, result);
         } else if (target.starts_with("/mintknot/rows-get")) {
-            answer(link, 200, rows_.read(query["table"]));
+            answer(link, 200, views_.apply(reader, rows_.read(query["table"])));
         } else if (target.starts_with("/mintknot/rows-feed")) {
             const std::uint64_t after = std::stoull(query["after"]);
             if (!rows_.remembers(after)) {
@@ -157,7 +163,8 @@
             watches_.push_back(
                 {link, query["table"], after,
                  owner_.now() +
-                     base::milliseconds(std::stoll(query["wait_ms"]))});
+                     base::milliseconds(std::stoll(query["wait_ms"])),
+                 reader});
         } else {
             answer(link, 404, {});
         }
@@ -175,13 +182,14 @@
                 ++it;
                 continue;
             }
-            answer(it->link, 200, changes);
+            answer(it->link, 200, views_.apply(it->reader, changes));
             it = watches_.erase(it);
         }
         timer_.start(watch_poll, [this] { tick(); });
     }
 
     event::loop& owner_;
+    soak::row_views views_;
     event::timer timer_;
     relay::tests::scripted_server server_;
     soak::row_store rows_;
@@ -193,9 +201,14 @@
 
 } // namespace
 
-int main() {
+int main(int argc, char** argv) {
+    TCLAP::CmdLine line("Stand-in for the platform's store", ' ', "1");
+    TCLAP::ValueArg<std::string> views(
+        "", "views", "file with the addresses that readers see", false, "",
+        "FILE", line);
+    line.parse(argc, argv);
     event::loop owner;
-    store_stand_in store(owner);
+    store_stand_in store(owner, views.getValue());
     if (!store.open())
         return 1;
     owner.run();
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -1,5 +1,7 @@
 #include "soak_checks.hpp"
 
+#include "soak_parts.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -13,8 +15,6 @@
 constexpr int status_unavailable = 503;
 /// How long after its caller has left a request may still reach a server.
 constexpr base::milliseconds leaving_slack{1000};
-/// How long what was done to a part of the system excuses it.
-constexpr base::milliseconds contact_time{3000};
 /// A request that has crashed so many servers is to be known everywhere after
 /// contact_time; so many tries more are borne.
 constexpr std::size_t allowed_crashes = 3;
@@ -34,15 +34,6 @@
 /// With what the refusal of such a request begins.
 constexpr std::string_view taken_for_crashing = "crashes_servers";
 
-bool is_disturbed(
-    const std::vector<disturbance>& all, const std::string& part,
-    base::steady_time at) {
-    return std::any_of(all.begin(), all.end(), [&](const disturbance& one) {
-        return one.part == part && one.from <= at &&
-               at - contact_time <= one.until;
-    });
-}
-
 /// @return true if anything was done to the part in that time.
 bool is_disturbed_between(
     const std::vector<disturbance>& all, const std::string& part,
@@ -79,6 +70,15 @@
 
 } // namespace
 
+bool is_disturbed(
+    const std::vector<disturbance>& all, const std::string& part,
+    base::steady_time at) {
+    return std::any_of(all.begin(), all.end(), [&](const disturbance& one) {
+        return one.part == part && one.from <= at &&
+               at - contact_time <= one.until;
+    });
+}
+
 std::string expected_body(const caller_record& record) {
     if (!is_stream(record.kind))
         return "answer to " + record.id;
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -52,6 +52,11 @@
     base::steady_time until = base::steady_time::max();
 };
 
+/// @return true if something was done to the part within contact_time before.
+bool is_disturbed(
+    const std::vector<disturbance>& all, const std::string& part,
+    base::steady_time at);
+
 /// What the servers have noted, by request.
 struct server_notes {
     run_counts runs;
--- a/testing/soak/src/soak_parts.hpp
+++ b/testing/soak/src/soak_parts.hpp
@@ -3,6 +3,8 @@
 #ifndef MINTKNOT_SOAK_SOAK_PARTS_HPP
 #define MINTKNOT_SOAK_SOAK_PARTS_HPP
 
+#include <mintknot/base/time.hpp>
+
 #include <fmt/format.h>
 
 #include <string>
@@ -11,6 +13,9 @@
 
 /// How often a process is looked at that may have ended, in milliseconds.
 inline constexpr int end_poll = 50;
+/// How long what was done to a part of the system excuses it, and the time
+/// within which instances adapt to a cut.
+inline constexpr base::milliseconds contact_time{3000};
 
 inline std::string server_part(std::size_t index) {
     return fmt::format("server-{}", index);
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -42,6 +42,16 @@
     return options.suspensions ? fault_kinds::suspensions : fault_kinds::all;
 }
 
+std::vector<server_cut>
+cuts_of(const soak_options& options, std::size_t servers) {
+    if (!options.random_cuts)
+        return options.cuts;
+    return draw_cuts(
+        {options.instances, options.data_centres, servers,
+         options.plain_servers, options.length},
+        options.seed);
+}
+
 class soak {
 public:
     explicit soak(const soak_options& options)
@@ -51,9 +61,12 @@
               {options.schedulers, options.max_flat_group,
                options.decode_engines, options.plain_servers,
                options.earlier_program, options.advertised_limits,
-               options.scarce_capacity})
+               options.scarce_capacity,
+               options.random_cuts || !options.cuts.empty(),
+               options.data_centres})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
+        , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
         , poll_timer_(owner_)
         , crash_timer_(owner_)
         , word_timer_(owner_)
@@ -76,6 +89,7 @@
         }
         clients_.start(options_.callers, caller_pause);
         faults_.start();
+        cuts_.start();
         if (!options_.crashing.empty())
             send_crashing();
         word_timer_.start(time_to_words, [this] { speak(); });
@@ -89,6 +103,7 @@
         word_timer_.stop();
         limit_timer_.stop();
         faults_.heal();
+        cuts_.heal();
         if (!all_serve(recovery_time))
             result_.broken.emplace_back(
                 "not everything was served again in time");
@@ -234,6 +249,8 @@
         add(broken_in_touch(clients_.records(), notes, faults_.disturbances()));
         add(broken_by_crashes(
             clients_.records(), notes, faults_.disturbances()));
+        add(broken_by_cuts(
+            clients_.records(), cuts_.past(), faults_.disturbances()));
         add(broken_by_words(clients_.records(), notes, faults_.disturbances()));
         add(broken_by_limits(
             clients_.records(), notes, faults_.disturbances(),
@@ -245,6 +262,7 @@
         if (options_.planned_only)
             add(broken_by_planned_work(clients_.records(), notes));
         result_.faults = faults_.notes();
+        result_.cuts = cuts_.notes();
     }
 
     /// @return the advertised limits that are valid numbers, by server part.
@@ -269,6 +287,7 @@
     event::loop owner_;
     soak_clients clients_;
     fault_injector faults_;
+    cut_schedule cuts_;
     event::timer poll_timer_;
     event::timer crash_timer_;
     event::timer word_timer_;
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_SOAK_SOAK_RUN_HPP
 #define MINTKNOT_SOAK_SOAK_RUN_HPP
 
+#include "server_cuts.hpp"
 #include "soak_checks.hpp"
 
 #include <mintknot/base/time.hpp>
@@ -46,6 +47,12 @@
     std::size_t plain_servers = 2;
     /// Callers compete for scarce decode memory; see group_form.
     bool scarce_capacity = false;
+    /// Cuts of instances from servers; instances reach servers over links of
+    /// their own then.
+    std::vector<server_cut> cuts;
+    /// Draws cuts by the seed in place of the given ones.
+    bool random_cuts = false;
+    std::size_t data_centres = 1;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
     /// Larger groups have super-peers; 0: as the program is built.
@@ -58,6 +65,7 @@
 struct soak_result {
     std::vector<std::string> broken; ///< Promises, a line each.
     std::vector<std::string> faults; ///< What was done, with its time.
+    std::vector<std::string> cuts;   ///< Likewise.
     /// Request rates that servers with limits received, a line each.
     std::vector<std::string> measured_rates;
     /// Directory with settings, logs and ledger, kept where a promise was
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -24,6 +24,10 @@
 /// Where the link of a server leads before the server has started.
 const base::address nowhere{"127.0.0.1", 1};
 
+std::string own_server_link(std::size_t instance, std::size_t server) {
+    return fmt::format("way-{}-{}", instance, server);
+}
+
 std::uint16_t free_port() {
     event::loop owner;
     event::datagrams probe(owner);
@@ -96,6 +100,7 @@
     , form_(form)
     , port_(free_port()) {
     store_.program = "platform-store";
+    store_.arguments = {"--views", path("views")};
     store_.running = std::make_unique<harness::child_process>(
         store_.program, store_.arguments, path("store.log"));
     store_port_ = store_.running->wait_for_port();
@@ -112,8 +117,40 @@
             add_link(fmt::format("store-{}", i), {"127.0.0.1", store_port_}));
         entry_links_.push_back(
             add_link(fmt::format("callers-{}", i), own_entry(i)));
+        if (form.own_server_links)
+            add_own_server_links(i);
+    }
+    write_views();
+    for (std::size_t i = 0; i < instances; ++i)
         restart_instance(i);
+}
+
+void soak_system::add_own_server_links(std::size_t instance) {
+    std::vector<base::address> links;
+    for (std::size_t server = 0; server < servers_.size(); ++server) {
+        const auto port = proxy_.add_link(
+            own_server_link(instance, server), server_links_[server]);
+        links.push_back(
+            port.ok() ? base::address{"127.0.0.1", *port} : nowhere);
+    }
+    own_server_links_.push_back(std::move(links));
+}
+
+void soak_system::write_views() const {
+    json views = json::object();
+    for (std::size_t i = 0; i < own_server_links_.size(); ++i) {
+        json& view = views[base::to_string(store_links_[i])];
+        for (std::size_t server = 0; server < servers_.size(); ++server)
+            view[base::to_string(server_links_[server])] =
+                base::to_string(own_server_links_[i][server]);
     }
+    std::ofstream(path("views")) << views.dump();
+}
+
+void soak_system::set_server_fault(
+    std::size_t instance, std::size_t server,
+    const standins::link_fault& fault) {
+    set_fault(own_server_link(instance, server), fault);
 }
 
 void soak_system::add_server(const std::string& phase) {
@@ -135,7 +172,7 @@
 
 void soak_system::set_fault(
     const std::string& link, const standins::link_fault& fault) {
-    // Every name comes from links(): there is nothing to be reported.
+    // The link exists, so there is nothing to be reported.
     proxy_.set_fault(link, fault).IgnoreError();
 }
 
@@ -143,6 +180,10 @@
     return directory_ + "/" + name;
 }
 
+char soak_system::data_centre(std::size_t instance) const {
+    return static_cast<char>('a' + instance % form_.data_centres);
+}
+
 std::string soak_system::host(std::size_t instance) const {
     return fmt::format("127.0.0.{}", 11 + instance);
 }
@@ -186,11 +227,12 @@
     const auto readiness_port = static_cast<std::uint16_t>(port_ + 2);
     std::ofstream out(file);
     out << fmt::format(
-        "node=e{}\nzone=a\nip={}\nlisten.front={}\nlisten.readiness={}\n"
+        "node=e{}\nzone={}\nip={}\nlisten.front={}\nlisten.readiness={}\n"
         "port_range={},{}\nseeds={}:1,{}:1\nlimits.memory_mb=110\n"
         "limits.max_fds=900\nbounds.grace_s=4\nbounds.budget_extra=58\n"
         "platform.address={}\n",
-        instance, host(instance), base::to_string(own_entry(instance)),
+        instance, data_centre(instance), host(instance),
+        base::to_string(own_entry(instance)),
         base::to_string({host(instance), readiness_port}), port_, port_ + 3,
         host(0), host(1), base::to_string(store_links_[instance]));
     if (form_.scarce_capacity)
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -40,6 +40,9 @@
     /// Engines have memory for a few streams, events hold many tokens, routes
     /// have different priorities, and the settings say that callers compete.
     bool scarce_capacity = false;
+    /// Each instance reaches each server over a link of its own.
+    bool own_server_links = false;
+    std::size_t data_centres = 1; ///< Instances are in them in turn.
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
@@ -77,6 +80,10 @@
     /// @return the names of all links.
     const std::vector<std::string>& links() const { return links_; }
     void set_fault(const std::string& link, const standins::link_fault& fault);
+    /// Sets the fault of an instance's own link to a server.
+    void set_server_fault(
+        std::size_t instance, std::size_t server,
+        const standins::link_fault& fault);
 
     /// @return where callers reach an instance: its link.
     base::address entry(std::size_t instance) const;
@@ -86,8 +93,11 @@
 
 private:
     void add_server(const std::string& phase);
+    void add_own_server_links(std::size_t instance);
+    void write_views() const;
     base::address add_link(const std::string& name, const base::address& to);
     std::string host(std::size_t instance) const;
+    char data_centre(std::size_t instance) const;
     base::address own_entry(std::size_t instance) const;
     std::string write_settings(std::size_t instance) const;
     std::string path(const std::string& name) const;
@@ -99,6 +109,8 @@
     std::vector<base::address> server_links_;
     std::vector<base::address> store_links_; ///< One for each instance.
     std::vector<base::address> entry_links_; ///< One for each instance.
+    /// By instance and server; empty without own server links.
+    std::vector<std::vector<base::address>> own_server_links_;
     std::uint16_t port_ = 0; ///< First of four that all instances use.
     std::uint16_t store_port_ = 0;
     int configuration_ = 0;
--- a/testing/soak/tests/check_soak.cpp
+++ b/testing/soak/tests/check_soak.cpp
@@ -10,9 +10,12 @@
     for (const std::string& broken : result.broken)
         fmt::print(
             "seed {}: {} (logs: {})\n", options.seed, broken, result.logs);
-    for (const std::string& fault : result.faults)
-        if (!result.broken.empty())
+    if (!result.broken.empty()) {
+        for (const std::string& fault : result.faults)
             fmt::print("  {}\n", fault);
+        for (const std::string& cut : result.cuts)
+            fmt::print("  {}\n", cut);
+    }
     cr_assert(result.broken.empty());
     cr_assert(result.answered > 0);
 }
--- a/testing/soak/tests/test_soak_checks.cpp
+++ b/testing/soak/tests/test_soak_checks.cpp
@@ -1,3 +1,4 @@
+#include "server_cuts.hpp"
 #include "soak_checks.hpp"
 
 #include <criterion/criterion.h>
@@ -187,3 +188,70 @@
     }
     cr_assert(broken_by_words(records, notes, {}).size() == 1);
 }
+
+namespace {
+
+const base::steady_time cut_from{base::milliseconds{100000}};
+
+std::vector<past_cut> one_cut() {
+    return {{{0}, true, cut_from, cut_from + base::milliseconds{6000}}};
+}
+
+std::vector<caller_record>
+tries(std::size_t instance, int served, int failed, base::milliseconds at) {
+    std::vector<caller_record> records;
+    for (int i = 0; i < served + failed; ++i) {
+        caller_record record;
+        record.instance = instance;
+        record.sent = cut_from + at;
+        record.status = i < served ? 200 : 503;
+        record.whole = true;
+        records.push_back(record);
+    }
+    return records;
+}
+
+std::vector<caller_record> operator+(
+    std::vector<caller_record> left, const std::vector<caller_record>& right) {
+    left.insert(left.end(), right.begin(), right.end());
+    return left;
+}
+
+constexpr base::milliseconds in_time{3500};
+
+} // namespace
+
+Test(soak_checks, a_cut_instance_has_to_serve_two_thirds_as_often) {
+    const auto others = tries(1, 100, 0, in_time);
+    cr_assert_eq(
+        broken_by_cuts(tries(0, 65, 35, in_time) + others, one_cut(), {})
+            .size(),
+        1U);
+    cr_assert(broken_by_cuts(tries(0, 67, 33, in_time) + others, one_cut(), {})
+                  .empty());
+}
+
+Test(soak_checks, a_few_failures_at_a_cut_instance_are_borne) {
+    const auto others = tries(1, 100, 0, in_time);
+    cr_assert(broken_by_cuts(tries(0, 0, 10, in_time) + others, one_cut(), {})
+                  .empty());
+    cr_assert_eq(
+        broken_by_cuts(tries(0, 0, 11, in_time) + others, one_cut(), {}).size(),
+        1U);
+}
+
+Test(soak_checks, a_cut_counts_from_the_time_to_adapt_on) {
+    const auto others = tries(1, 100, 0, in_time);
+    cr_assert(
+        broken_by_cuts(
+            tries(0, 0, 50, base::milliseconds{2900}) + others, one_cut(), {})
+            .empty());
+}
+
+Test(soak_checks, instances_that_were_disturbed_otherwise_do_not_count) {
+    const auto others = tries(1, 100, 0, in_time);
+    cr_assert(broken_by_cuts(
+                  tries(0, 0, 50, in_time) + others, one_cut(),
+                  {{"instance-0", cut_from}})
+                  .empty());
+}
--- a/testing/standins/include/mintknot/standins/fault_proxy.hpp
+++ b/testing/standins/include/mintknot/standins/fault_proxy.hpp
@@ -16,12 +16,15 @@
 
 enum class link_mode {
     pass,
-    delay,       ///< Every piece is late.
-    stall,       ///< Nothing passes after so many bytes of an answer.
-    cut,         ///< Connections are closed, and new ones at once.
-    reset,       ///< The same by a reset, so that unread bytes are lost.
-    silence,     ///< Nothing passes one way or both; connections stay open.
-    drop_answer, ///< Requests pass; connections close before the answer.
+    delay,        ///< Every piece is late.
+    stall,        ///< Nothing passes after so many bytes of an answer.
+    cut,          ///< Connections are closed, and new ones at once.
+    reset,        ///< The same by a reset, so that unread bytes are lost.
+    silence,      ///< Nothing passes one way or both; connections stay open.
+    drop_answer,  ///< Requests pass; connections close before the answer.
+    partition,    ///< Nothing passes, and new connections are not answered.
+    reset_refuse, ///< Open connections are reset, new ones are refused.
+    refuse_new,   ///< Open connections pass, new ones are refused.
 };
 
 /// Which way a silence holds bytes back.
--- a/testing/standins/src/fault_proxy.cpp
+++ b/testing/standins/src/fault_proxy.cpp
@@ -10,6 +10,9 @@
 #include <set>
 #include <thread>
 #include <utility>
+#include <vector>
+
+#include <fcntl.h>
 
 namespace mintknot::standins {
 
@@ -18,9 +21,26 @@
 using asio::ip::tcp;
 
 constexpr std::size_t piece_bytes = 16384;
+/// Enough for an accept queue with a backlog of zero, which holds one.
+constexpr int queue_fillers = 2;
 
 class connection;
 
+/// What a link does with new connections.
+enum class arrivals { accepted, refused, unanswered };
+
+arrivals arrivals_under(const link_fault& fault) {
+    switch (fault.mode) {
+    case link_mode::partition:
+        return arrivals::unanswered;
+    case link_mode::reset_refuse:
+    case link_mode::refuse_new:
+        return arrivals::refused;
+    default:
+        return arrivals::accepted;
+    }
+}
+
 /// A listener with its fault and its open connections.
 struct proxy_link {
     proxy_link(asio::io_context& context, const base::address& target)
@@ -31,6 +51,10 @@
     base::address to;
     link_fault fault;
     std::set<std::shared_ptr<connection>> open;
+    std::uint16_t port = 0;
+    arrivals state = arrivals::accepted;
+    /// Fill the accept queue, so that the system drops further SYNs.
+    std::vector<tcp::socket> fillers;
 };
 
 /// One forwarded connection. All of it runs on the proxy's thread.
@@ -66,7 +90,8 @@
     void fault_changed() {
         if (link_.fault.mode == link_mode::cut)
             return close();
-        if (link_.fault.mode == link_mode::reset)
+        if (link_.fault.mode == link_mode::reset ||
+            link_.fault.mode == link_mode::reset_refuse)
             return reset();
         release(up_);
         release(down_);
@@ -104,6 +129,8 @@
 
     bool holds_back(const way& at, std::size_t bytes) const {
         const link_fault& fault = link_.fault;
+        if (fault.mode == link_mode::partition)
+            return true;
         if (fault.mode == link_mode::stall)
             return at.answer && at.passed + bytes > fault.after_bytes;
         if (fault.mode != link_mode::silence || fault.way == silent_way::both)
@@ -155,6 +182,33 @@
     way down_{server_, caller_, true};
 };
 
+/// @return an acceptor on a port of loopback; on any free one for port 0. It
+/// is closed if the port cannot be bound.
+tcp::acceptor
+bound_acceptor(const asio::any_io_executor& executor, std::uint16_t port) {
+    tcp::acceptor acceptor(executor);
+    asio::error_code error;
+    acceptor.open(tcp::v4(), error);
+    // A process that is started later must not keep the port listening.
+    if (!error)
+        ::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    // So that the port can be bound again while connections are open.
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind({asio::ip::address_v4::loopback(), port}, error);
+    if (error)
+        acceptor.close(error);
+    return acceptor;
+}
+
+/// Replaces the listener by a socket on its port that does not listen yet.
+void bind_again(proxy_link& link) {
+    asio::error_code ignored;
+    link.acceptor.close(ignored); // Nobody can bind the port while it listens.
+    link.acceptor = bound_acceptor(link.acceptor.get_executor(), link.port);
+}
+
 void accept_next(proxy_link& link) {
     link.acceptor.async_accept(
         [&link](asio::error_code error, tcp::socket peer) {
@@ -171,6 +225,39 @@
         });
 }
 
+void ignore_arrivals(proxy_link& link) {
+    bind_again(link);
+    asio::error_code ignored;
+    link.acceptor.listen(0, ignored);
+    const tcp::endpoint where = link.acceptor.local_endpoint(ignored);
+    for (int i = 0; i < queue_fillers; ++i) {
+        tcp::socket& filler =
+            link.fillers.emplace_back(link.acceptor.get_executor());
+        filler.async_connect(where, [](asio::error_code) {});
+    }
+}
+
+void accept_arrivals(proxy_link& link) {
+    bind_again(link);
+    asio::error_code ignored;
+    link.acceptor.listen(asio::socket_base::max_listen_connections, ignored);
+    accept_next(link);
+}
+
+void apply_arrivals(proxy_link& link) {
+    const arrivals wanted = arrivals_under(link.fault);
+    if (wanted == link.state)
+        return;
+    link.fillers.clear();
+    link.state = wanted;
+    if (wanted == arrivals::refused)
+        bind_again(link);
+    else if (wanted == arrivals::unanswered)
+        ignore_arrivals(link);
+    else
+        accept_arrivals(link);
+}
+
 } // namespace
 
 struct fault_proxy::impl {
@@ -213,16 +300,13 @@
 fault_proxy::add_link(const std::string& name, const base::address& to) {
     return impl_->on_thread([&]() -> absl::StatusOr<std::uint16_t> {
         auto link = std::make_unique<proxy_link>(impl_->context, to);
+        link->acceptor = bound_acceptor(impl_->context.get_executor(), 0);
         asio::error_code error;
-        link->acceptor.open(tcp::v4(), error);
-        if (!error)
-            link->acceptor.bind({asio::ip::address_v4::loopback(), 0}, error);
-        if (!error)
-            link->acceptor.listen(
-                asio::socket_base::max_listen_connections, error);
+        link->acceptor.listen(asio::socket_base::max_listen_connections, error);
         if (error)
             return absl::UnavailableError(error.message());
         const auto port = link->acceptor.local_endpoint().port();
+        link->port = port;
         accept_next(*link);
         impl_->links[name] = std::move(link);
         return port;
@@ -238,6 +322,7 @@
 fault_proxy::set_fault(const std::string& name, const link_fault& fault) {
     return impl_->on_link(name, [&](proxy_link& link) {
         link.fault = fault;
+        apply_arrivals(link);
         const auto open = link.open; // Closing removes from the set.
         for (const auto& item : open)
             item->fault_changed();
--- a/testing/standins/tests/test_fault_proxy.cpp
+++ b/testing/standins/tests/test_fault_proxy.cpp
@@ -116,3 +116,30 @@
     cr_assert(link.get().body == "other");
     cr_assert(!link.proxy.retarget("none", where).ok());
 }
+
+Test(fault_proxy, a_partition_leaves_new_connections_unanswered) {
+    proxied_server link;
+    cr_assert(link.get().ok());
+    link.fail({link_mode::partition});
+    net::http_client client;
+    const auto answer = client.call(
+        link.where, {.path = "/",
+                     .connect_timeout = base::milliseconds{150},
+                     .read_timeout = base::milliseconds{2000}});
+    cr_assert(!answer.answered());
+    cr_assert(answer.run == base::verdict::not_run);
+    link.fail({link_mode::pass});
+    cr_assert(link.get().ok());
+    cr_assert_eq(link.calls.load(), 2);
+}
+
+Test(fault_proxy, a_refusing_link_heals) {
+    proxied_server link;
+    link.fail({link_mode::refuse_new});
+    cr_assert(link.get().run == base::verdict::not_run);
+    link.fail({link_mode::reset_refuse});
+    cr_assert(link.get().run == base::verdict::not_run);
+    link.fail({link_mode::pass});
+    cr_assert(link.get().ok());
+    cr_assert_eq(link.calls.load(), 1);
+}
