Callers of instances that have lost all servers are served through peers

Callers saw: 503 at once (connections refused) or after 0.6 s and more (unanswered) at instances partitioned from all servers, while peers of these instances reached every one of them. Cause: an instance had one way to a server, its own connection. Now a peer is asked to connect (CONNECT on the peer port) when the own connection fails, after half of the connect timeout, or at once where the own way failed the last time. Nothing is sent before a connection is up, so no request runs twice by it, and verdicts, limits, deadlines and retries stay with the instance that read the request. A call on a kept connection without an answer for 300 ms has the way checked; if it hangs, kept connections go.

--- /dev/null
+++ b/libs/mintknotd-platform/policy/src/server_paths.cpp
@@ -0,0 +1,151 @@
+#include <mintknot/policy/server_paths.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mintknot::policy {
+
+namespace {
+
+/// How long the result of an attempt to connect counts.
+constexpr base::milliseconds evidence_lifetime{2000};
+/// Number of servers that have to be out of reach at once. A single one may
+/// have ended.
+constexpr std::ptrdiff_t servers_to_be_isolated = 2;
+/// How long a peer that had no path is not asked again if there are others.
+constexpr base::milliseconds failed_peer_pause{1000};
+/// How long a peer that has connected is preferred.
+constexpr base::milliseconds preferred_peer_time{5000};
+/// Part of the connect timeout after which a peer is asked.
+constexpr int timeout_parts = 2;
+
+bool is_recent(base::steady_time at, base::steady_time now) {
+    return at != base::steady_time{} && now - at <= evidence_lifetime;
+}
+
+bool is_direct_lost(const server_path& path) {
+    return path.direct_failure > path.direct_success;
+}
+
+const server_path* find_server(const path_view& view, const std::string& id) {
+    const auto found = view.servers.find(id);
+    return found == view.servers.end() ? nullptr : &found->second;
+}
+
+struct ranked_peer {
+    double rank = 0.0;
+    tunnel_peer peer;
+};
+
+/// A data centre may be cut as a whole, so that asking more of its instances is
+/// in vain.
+void move_remote_peer_to_second(std::vector<ranked_peer>& ranked) {
+    if (ranked.empty() || !ranked.front().peer.same_data_centre)
+        return;
+    const auto second = ranked.begin() + 1;
+    const auto remote =
+        std::find_if(second, ranked.end(), [](const ranked_peer& candidate) {
+            return !candidate.peer.same_data_centre;
+        });
+    if (remote != ranked.end())
+        std::rotate(second, remote, remote + 1);
+}
+
+/// Lower ranks are asked first.
+int rank_of(
+    const path_view& view, const tunnel_peer& peer, base::steady_time now) {
+    const auto found = view.peers.find(peer.host);
+    const peer_path known =
+        found == view.peers.end() ? peer_path{} : found->second;
+    const bool failed = known.failure > known.success &&
+                        now - known.failure <= failed_peer_pause;
+    if (failed)
+        return 3;
+    if (known.success > known.failure &&
+        now - known.success <= preferred_peer_time)
+        return 0;
+    return peer.same_data_centre ? 1 : 2;
+}
+
+} // namespace
+
+void note_direct_success(
+    path_view& view, const std::string& id, base::steady_time now) {
+    view.servers[id].direct_success = now;
+    view.direct_success = now;
+}
+
+void note_direct_failure(
+    path_view& view, const std::string& id, base::steady_time now) {
+    view.servers[id].direct_failure = now;
+}
+
+void note_tunnel_success(
+    path_view& view, const std::string& id, const std::string& host,
+    base::steady_time now) {
+    view.servers[id].tunnel_success = now;
+    view.peers[host].success = now;
+}
+
+void note_tunnel_failure(
+    path_view& view, const std::string& host, base::steady_time now) {
+    std::erase_if(view.peers, [now](const auto& item) {
+        return now - item.second.failure > preferred_peer_time &&
+               now - item.second.success > preferred_peer_time;
+    });
+    view.peers[host].failure = now;
+}
+
+void forget(path_view& view, const std::string& id) {
+    view.servers.erase(id);
+}
+
+bool is_isolated(const path_view& view, base::steady_time now) {
+    const auto lost = std::count_if(
+        view.servers.begin(), view.servers.end(), [&](const auto& item) {
+            const base::steady_time failure = item.second.direct_failure;
+            return is_recent(failure, now) && failure > view.direct_success;
+        });
+    return lost >= servers_to_be_isolated;
+}
+
+bool is_path_lost(
+    const path_view& view, const std::string& id, base::steady_time now) {
+    if (is_isolated(view, now))
+        return true;
+    const server_path* path = find_server(view, id);
+    return path != nullptr && is_direct_lost(*path) &&
+           is_recent(path->direct_failure, now) &&
+           is_recent(path->tunnel_success, now);
+}
+
+base::milliseconds time_before_tunnel(
+    const path_view& view, const std::string& id, base::milliseconds timeout,
+    base::steady_time now) {
+    const server_path* path = find_server(view, id);
+    const bool lost = path != nullptr && is_direct_lost(*path) &&
+                      is_recent(path->direct_failure, now);
+    if (lost || is_isolated(view, now))
+        return base::milliseconds{0};
+    return timeout / timeout_parts;
+}
+
+std::vector<std::string> choose_tunnel_peers(
+    const path_view& view, const std::vector<tunnel_peer>& peers,
+    base::steady_time now, const std::function<double()>& draw_uniform) {
+    std::vector<ranked_peer> ranked;
+    for (const tunnel_peer& peer : peers)
+        ranked.push_back({rank_of(view, peer, now) + draw_uniform(), peer});
+    std::sort(
+        ranked.begin(), ranked.end(),
+        [](const ranked_peer& left, const ranked_peer& right) {
+            return left.rank < right.rank;
+        });
+    move_remote_peer_to_second(ranked);
+    std::vector<std::string> hosts;
+    for (std::size_t i = 0; i < std::min(max_tunnel_peers, ranked.size()); ++i)
+        hosts.push_back(std::move(ranked[i].peer.host));
+    return hosts;
+}
+
+} // namespace mintknot::policy
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/local_server.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/local_server.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RELAY_LOCAL_SERVER_HPP
 
 #include <mintknot/base/address.hpp>
+#include <mintknot/event/connection.hpp>
 #include <mintknot/event/loop.hpp>
 #include <mintknot/http1/message.hpp>
 
@@ -28,6 +29,10 @@
 /// gone.
 using local_reply = std::function<void(const local_answer&)>;
 
+/// Takes over a connection after the head of a CONNECT request.
+using tunnel_handler =
+    std::function<void(const http1::request_head&, event::connection_ptr)>;
+
 /// Answers each request with the result of a handler function. Rejects requests
 /// with large heads or bodies, and connections above a fixed number.
 class local_server {
@@ -35,7 +40,10 @@
     using handler =
         std::function<void(const http1::request_head&, local_reply)>;
 
-    local_server(event::loop& owner, handler answer);
+    /// @param on_tunnel takes CONNECT requests; without it, the handler of all
+    /// other requests answers them.
+    local_server(
+        event::loop& owner, handler answer, tunnel_handler on_tunnel = {});
     ~local_server();
     local_server(const local_server&) = delete;
     local_server& operator=(const local_server&) = delete;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -14,6 +14,7 @@
 #include <mintknot/policy/retry_allowance.hpp>
 #include <mintknot/policy/selection.hpp>
 #include <mintknot/policy/server_health.hpp>
+#include <mintknot/policy/server_paths.hpp>
 #include <mintknot/relay/crash_guard.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/health_prober.hpp>
@@ -101,6 +102,7 @@
     std::unordered_map<std::string, policy::output_lengths>
         output_lengths; ///< By service.
     policy::health_view health;
+    policy::path_view paths;
     policy::prefill_rates prefill_rates;
     /// Of plain servers; observed only while capacity is shared.
     policy::service_times plain_times;
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -87,7 +87,8 @@
     if (decode_.used_result)
         options.prefill_result = kept_.location;
     decode_.call = upstream::call::start(
-        context_.pool, {engine.id, engine.where}, call_for(options), {},
+        context_.pool, {engine.id, engine.where, request_.terms.id},
+        call_for(options), {},
         {[this](const http1::response_head& head) {
              return is_answer_to_request(head);
          },
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -35,7 +35,8 @@
     kept_ = {};
     kept_.location = base::to_string(engine.where);
     prefill_.call = upstream::call::start(
-        context_.pool, {engine.id, engine.where}, call_for(options), {},
+        context_.pool, {engine.id, engine.where, request_.terms.id},
+        call_for(options), {},
         {[this](const http1::response_head& head) {
              return is_answer_to_request(head);
          },
--- a/libs/mintknotd-platform/relay/src/local_server.cpp
+++ b/libs/mintknotd-platform/relay/src/local_server.cpp
@@ -5,6 +5,8 @@
 #include <mintknot/http1/message_parser.hpp>
 #include <mintknot/http1/serialize.hpp>
 
+#include <utility>
+
 namespace mintknot::relay {
 
 namespace {
@@ -28,10 +30,13 @@
         bool reading = false;   ///< Guards against reentrancy.
     };
 
-    impl(event::loop& loop, handler answer_function)
+    impl(
+        event::loop& loop, handler answer_function,
+        tunnel_handler tunnel_function)
         : owner(loop)
         , listener(loop)
-        , answer(std::move(answer_function)) {}
+        , answer(std::move(answer_function))
+        , on_tunnel(std::move(tunnel_function)) {}
 
     void accept(event::connection_ptr link) {
         if (open >= max_connections) {
@@ -70,6 +75,12 @@
         link->close();
     }
 
+    event::connection_ptr release_connection(session& state) {
+        --open;
+        state.idle.stop();
+        return std::exchange(state.link, nullptr);
+    }
+
     /// Handles the received requests in order.
     void process_pending(const std::shared_ptr<session>& state) {
         if (state->reading)
@@ -100,6 +111,10 @@
 
     void dispatch(const std::shared_ptr<session>& state) {
         const http1::request_head head = state->parser->head();
+        if (on_tunnel && head.method == "CONNECT") {
+            on_tunnel(head, release_connection(*state));
+            return;
+        }
         state->parser = std::make_unique<http1::request_parser>(request_limits);
         state->answering = true;
         state->idle.stop();
@@ -129,11 +144,14 @@
     event::loop& owner;
     event::listener listener;
     handler answer;
+    tunnel_handler on_tunnel;
     std::size_t open = 0;
 };
 
-local_server::local_server(event::loop& owner, handler answer)
-    : impl_(std::make_shared<impl>(owner, std::move(answer))) {}
+local_server::local_server(
+    event::loop& owner, handler answer, tunnel_handler on_tunnel)
+    : impl_(std::make_shared<impl>(
+          owner, std::move(answer), std::move(on_tunnel))) {}
 
 local_server::~local_server() {
     close();
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -88,7 +88,7 @@
     body_.clear();
     log_sent(placed);
     call_ = upstream::call::start(
-        context_.pool, {server.id, server.where},
+        context_.pool, {server.id, server.where, request_.terms.id},
         call_for(call_options_for(server)), {},
         {[this](const http1::response_head& head) {
              return is_answer_to_request(head);
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -78,6 +78,14 @@
         {"upstream_connections_opened", gauge(pool.counters().opened)},
         {"upstream_connections_failed", gauge(pool.counters().failed)},
         {"upstream_connections_refused", gauge(pool.counters().refused)},
+        {"tunnels_opened", gauge(connector.counters().tunnels_opened)},
+        {"tunnels_failed", gauge(connector.counters().tunnels_failed)},
+        {"tunnels_served", gauge(tunnels.counters().served)},
+        {"tunnels_rejected", gauge(tunnels.counters().rejected)},
+        {"tunnels_open", gauge(tunnels.open())},
+        {"isolated", policy::is_isolated(context.state.paths, ports.loop.now())
+                         ? 1.0
+                         : 0.0},
         {"peers", gauge(group.table().heard.size())},
         {"closed_data_centres",
          gauge(context.state.servers.closed_data_centres.size())},
@@ -167,7 +175,7 @@
     const auto since = std::chrono::duration_cast<base::milliseconds>(
         ports.loop.now() - context.state.stop_began);
     switch (policy::next_drain_step(
-        since, settings.grace, entry.active_requests())) {
+        since, settings.grace, entry.active_requests() + tunnels.open())) {
     case policy::drain_step::serve:
         break;
     case policy::drain_step::close_idle:
@@ -183,6 +191,7 @@
 void instance::impl::leave(base::milliseconds since) {
     entry.close();
     entry.close_idle();
+    tunnels.close();
     documents.stop();
     balancer.stop();
     log.write(
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -31,6 +31,14 @@
     return result;
 }
 
+std::vector<policy::tunnel_peer> instance::impl::tunnel_peers() const {
+    std::vector<policy::tunnel_peer> result;
+    for (const auto& [host, peer] : group.table().heard)
+        if (!peer.leaving)
+            result.push_back({host, peer.data_centre == settings.data_centre});
+    return result;
+}
+
 std::vector<std::string> instance::impl::crash_judges() const {
     std::vector<std::string> hosts = peers::staying(group.table(), {});
     if (members_of_fleet.role() != policy::group_role::leaf)
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -17,6 +17,8 @@
 #include <mintknot/policy/domain.hpp>
 #include <mintknot/relay/entry_server.hpp>
 #include <mintknot/relay/local_server.hpp>
+#include <mintknot/relay/server_connector.hpp>
+#include <mintknot/relay/tunnel_server.hpp>
 #include <mintknot/runtime/instance.hpp>
 #include <mintknot/scheduling/remote_placer.hpp>
 
@@ -27,6 +29,10 @@
 /// instance_group.cpp, start and shutdown in instance.cpp.
 struct instance::impl {
     impl(instance_settings given, instance_ports outside);
+    upstream::pool_callbacks pool_functions();
+    relay::connector_callbacks connector_functions();
+    /// @return the peers that may be asked to connect to a server.
+    std::vector<policy::tunnel_peer> tunnel_peers() const;
     document_handlers document_functions();
     void on_server(
         const std::string& id, std::uint64_t version,
@@ -93,6 +99,8 @@
     relay::health_prober prober;
     relay::router_context context;
     relay::entry_server entry;
+    relay::server_connector connector;
+    relay::tunnel_server tunnels;
     relay::local_server readiness;
     relay::local_server metrics_server;
     relay::local_server peer_server;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -18,7 +18,7 @@
     : settings(std::move(given))
     , ports(std::move(outside))
     , log(STDOUT_FILENO, settings.name, {})
-    , pool(ports.loop)
+    , pool(ports.loop, pool_functions())
     , releases(pool, ports.protocol)
     , prober(
           ports.loop, pool, ports.protocol, log,
@@ -30,6 +30,8 @@
     , context{ports.loop, pool,     ports.protocol, log,
               metrics,    releases, prober,         settings.relay}
     , entry(context)
+    , connector(context, connector_functions())
+    , tunnels(context, connector)
     , readiness(
           ports.loop,
           relay::synchronous_handler([this](const http1::request_head&) {
@@ -43,6 +45,9 @@
           ports.loop,
           [this](const http1::request_head& head, relay::local_reply reply) {
               documents.answer(head, std::move(reply));
+          },
+          [this](const http1::request_head& head, event::connection_ptr peer) {
+              tunnels.serve(head, std::move(peer));
           })
     , documents(
           {ports.loop, ports.store, ports.codec, pool, log,
@@ -106,6 +111,20 @@
     };
 }
 
+upstream::pool_callbacks instance::impl::pool_functions() {
+    return {
+        [this](
+            const upstream::target& where, base::milliseconds timeout,
+            upstream::connect_handler on_done) {
+            connector.connect(where, timeout, std::move(on_done));
+        },
+        [this](const upstream::target& where) { connector.check(where); }};
+}
+
+relay::connector_callbacks instance::impl::connector_functions() {
+    return {[this] { return tunnel_peers(); }, settings.peer.port};
+}
+
 document_handlers instance::impl::document_functions() {
     return {
         [this](std::shared_ptr<const traffic::configuration> config) {
@@ -161,6 +180,7 @@
         crashes.server_replaced(id);
         pool.drop(id);
         policy::forget(context.state.health, id);
+        policy::forget(context.state.paths, id);
         policy::forget(context.state.prefill_rates, id);
         policy::forget(context.state.plain_times, id);
     }
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -23,8 +23,35 @@
 struct target {
     std::string id;
     base::address where;
+    std::string request; ///< ID of the request, for log lines; may be empty.
 };
 
+/// The result of an attempt to connect to a server.
+struct connect_outcome {
+    event::connection_ptr link; ///< Null: it did not come up.
+    event::connect_result result = event::connect_result::unreachable;
+    /// The connection leads through a peer; it is used for one call only.
+    bool tunnelled = false;
+};
+
+using connect_handler = std::function<void(connect_outcome)>;
+
+/// Opens a new connection to a server. The handler is called once, within the
+/// timeout, and not from within the call.
+using connect_function = std::function<void(
+    const target& where, base::milliseconds timeout, connect_handler on_done)>;
+
+/// How a pool reaches servers.
+struct pool_callbacks {
+    connect_function connect;
+    /// Called when a call on a kept connection is not answered for long. The
+    /// connection may have died without a sign.
+    std::function<void(const target& where)> on_silence;
+};
+
+/// How long an unused connection is kept whose server names no time.
+inline constexpr base::milliseconds default_idle_time{12000};
+
 /// Counters since the start of the process.
 struct pool_counters {
     std::uint64_t opened = 0;
@@ -37,11 +64,20 @@
 /// dropped: bytes that nobody asked for belong to no request.
 class connection_pool {
 public:
+    /// Connects directly and ignores silent connections.
     explicit connection_pool(event::loop& owner);
+    connection_pool(event::loop& owner, pool_callbacks callbacks);
     ~connection_pool();
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
 
+    /// Opens a new connection, as pool_callbacks::connect says.
+    void connect(
+        const target& where, base::milliseconds timeout,
+        connect_handler on_done);
+    /// Tells that a call on a kept connection is not answered.
+    void report_silence(const target& where);
+
     /// @return an idle connection that has not been started, or null. The
     /// caller must attach its own handlers with connection::set_handlers.
     event::connection_ptr take(const std::string& id);
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// How long a connection is kept whose server names no time of its own.
-constexpr base::milliseconds default_idle{12000};
+/// How long a call on a kept connection may be unanswered before it is told.
+constexpr base::milliseconds silence_bound{300};
 /// Distance kept from the end of the time that a server names.
 constexpr base::milliseconds idle_margin{700};
 constexpr base::milliseconds shortest_named_idle{250};
@@ -18,16 +18,16 @@
 base::milliseconds idle_time(const http1::response_head& head) {
     const std::string* text = http1::find_field(head.fields, "Keep-Alive");
     if (text == nullptr)
-        return default_idle;
+        return default_idle_time;
     const std::size_t start = text->find("timeout=");
     if (start == std::string::npos)
-        return default_idle;
+        return default_idle_time;
     const int named = std::atoi(text->c_str() + start + 8);
     const base::milliseconds whole = std::chrono::seconds(named);
     if (whole <= base::milliseconds{0})
         return base::milliseconds{0};
     return std::min(
-        default_idle, std::max(shortest_named_idle, whole - idle_margin));
+        default_idle_time, std::max(shortest_named_idle, whole - idle_margin));
 }
 
 } // namespace
@@ -44,7 +44,8 @@
         , where(std::move(server))
         , request(std::move(what))
         , options(bounds)
-        , handlers(std::move(told)) {}
+        , handlers(std::move(told))
+        , silence_timer(connections.owner()) {}
 
     void begin() {
         event::connection_ptr idle =
@@ -57,38 +58,49 @@
                     return;
                 }
                 self->send_on(idle);
+                self->watch_silence();
             });
             return;
         }
-        event::connect(
-            pool.owner(), where.where, options.connect_timeout,
-            [self = shared_from_this()](
-                event::connection_ptr opened, event::connect_result result) {
-                self->on_connected(std::move(opened), result);
+        pool.connect(
+            where, options.connect_timeout,
+            [self = shared_from_this()](connect_outcome outcome) {
+                self->on_connected(std::move(outcome));
             });
     }
 
-    void
-    on_connected(event::connection_ptr opened, event::connect_result result) {
-        if (opened == nullptr)
+    void on_connected(connect_outcome outcome) {
+        const bool refused = outcome.result == event::connect_result::refused;
+        if (outcome.link == nullptr)
             ++pool.counters().failed;
         else
             ++pool.counters().opened;
-        if (result == event::connect_result::refused)
+        if (refused)
             ++pool.counters().refused;
         if (finished) {
-            if (opened != nullptr)
-                pool.give(where.id, std::move(opened), default_idle);
+            drop_unused(std::move(outcome));
             return;
         }
-        if (opened == nullptr) {
-            fail(
-                result == event::connect_result::refused
-                    ? call_failure::refused
-                    : call_failure::unreachable);
+        if (outcome.link == nullptr) {
+            fail(refused ? call_failure::refused : call_failure::unreachable);
             return;
         }
-        send_on(std::move(opened));
+        reusable = !outcome.tunnelled;
+        send_on(std::move(outcome.link));
+    }
+
+    void drop_unused(connect_outcome outcome) {
+        if (outcome.link == nullptr)
+            return;
+        if (outcome.tunnelled)
+            outcome.link->close();
+        else
+            pool.give(where.id, std::move(outcome.link), default_idle_time);
+    }
+
+    void watch_silence() {
+        silence_timer.start(
+            silence_bound, [this] { pool.report_silence(where); });
     }
 
     void send_on(event::connection_ptr open) {
@@ -121,6 +133,7 @@
     void on_data(std::string_view bytes) {
         // The handlers may destroy the call.
         const std::shared_ptr<impl> self = shared_from_this();
+        silence_timer.stop();
         pool.note_heard(where.id);
         pending.append(bytes);
         while (!finished && !pending.empty()) {
@@ -192,6 +205,7 @@
 
     void succeed() {
         finished = true;
+        silence_timer.stop();
         const bool keep = reusable && pending.empty() &&
                           parser->head().keep_alive &&
                           link->queued_bytes() == 0;
@@ -228,6 +242,7 @@
 
     void fail(call_failure why) {
         finished = true;
+        silence_timer.stop();
         drop_link();
         const call_handlers last = std::move(handlers);
         last.on_failure(why);
@@ -237,6 +252,7 @@
         if (finished)
             return;
         finished = true;
+        silence_timer.stop();
         drop_link();
         // A handler may be running: let the closures go after it.
         pool.owner().post([dropped = std::move(handlers)] {});
@@ -248,6 +264,7 @@
     call_request request;
     call_options options;
     call_handlers handlers;
+    event::timer silence_timer;
     event::connection_ptr link;
     std::unique_ptr<http1::response_parser> parser;
     std::string pending; ///< Received, not yet parsed.
--- a/libs/mintknotd-platform/upstream/src/connection_pool.cpp
+++ b/libs/mintknotd-platform/upstream/src/connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <list>
 #include <unordered_map>
+#include <utility>
 
 namespace mintknot::upstream {
 
@@ -19,8 +20,9 @@
 } // namespace
 
 struct connection_pool::impl {
-    explicit impl(event::loop& loop)
+    impl(event::loop& loop, pool_callbacks functions)
         : owner(loop)
+        , callbacks(std::move(functions))
         , sweep_timer(loop) {}
 
     void forget(const std::string& id, const event::connection* link) {
@@ -63,6 +65,7 @@
     }
 
     event::loop& owner;
+    pool_callbacks callbacks;
     event::timer sweep_timer;
     std::unordered_map<std::string, std::list<idle_connection>> idle;
     std::unordered_map<std::string, base::steady_time> heard;
@@ -73,10 +76,32 @@
 };
 
 connection_pool::connection_pool(event::loop& owner)
-    : impl_(std::make_unique<impl>(owner)) {}
+    : connection_pool(owner, {}) {}
+
+connection_pool::connection_pool(event::loop& owner, pool_callbacks callbacks)
+    : impl_(std::make_unique<impl>(owner, std::move(callbacks))) {}
 
 connection_pool::~connection_pool() = default;
 
+void connection_pool::connect(
+    const target& where, base::milliseconds timeout, connect_handler on_done) {
+    if (impl_->callbacks.connect) {
+        impl_->callbacks.connect(where, timeout, std::move(on_done));
+        return;
+    }
+    event::connect(
+        impl_->owner, where.where, timeout,
+        [on_done = std::move(on_done)](
+            event::connection_ptr opened, event::connect_result result) {
+            on_done({std::move(opened), result, false});
+        });
+}
+
+void connection_pool::report_silence(const target& where) {
+    if (impl_->callbacks.on_silence)
+        impl_->callbacks.on_silence(where);
+}
+
 event::connection_ptr connection_pool::take(const std::string& id) {
     const auto found = impl_->idle.find(id);
     if (found == impl_->idle.end())
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -120,6 +120,8 @@
             result.left, result.faults.size(), result.broken.size());
         for (const std::string& rate : result.measured_rates)
             fmt::print("  {}\n", rate);
+        for (const std::string& served : result.served_during_cuts)
+            fmt::print("  {}\n", served);
         for (const std::string& broken : result.broken)
             fmt::print("  broken: {}\n", broken);
         if (!result.logs.empty())
--- a/testing/soak/src/server_cuts.cpp
+++ b/testing/soak/src/server_cuts.cpp
@@ -213,11 +213,6 @@
 constexpr std::size_t allowed_failures = 10;
 constexpr std::size_t one_failure_in = 50;
 
-struct tally {
-    std::size_t sent = 0;
-    std::size_t served = 0;
-};
-
 /// @return true if the instance was cut from some server in that time.
 bool is_cut_within(
     const std::vector<past_cut>& cuts, std::size_t instance,
@@ -246,42 +241,58 @@
     sum.served += record.status == 200 && record.whole ? 1 : 0;
 }
 
-bool is_broken(const tally& here, const tally& elsewhere) {
+bool is_broken(const cut_tally& cut) {
+    const tally& here = cut.here;
     const std::size_t failed = here.sent - here.served;
-    return here.served * elsewhere.sent * share_denominator <
-               elsewhere.served * here.sent * share_numerator &&
+    return here.served * cut.elsewhere.sent * share_denominator <
+               cut.elsewhere.served * here.sent * share_numerator &&
            failed > allowed_failures + here.sent / one_failure_in;
 }
 
+cut_tally tally_of(
+    const past_cut& cut, const std::vector<caller_record>& records,
+    const std::vector<past_cut>& cuts,
+    const std::vector<disturbance>& disturbances) {
+    cut_tally found;
+    found.instances = cut.instances;
+    for (const caller_record& record : records) {
+        if (record.sent < cut.from + contact_time || record.sent > cut.until ||
+            !counts(record, disturbances))
+            continue;
+        if (cut.instances.contains(record.instance))
+            add(found.here, record);
+        else if (!is_cut_within(cuts, record.instance, cut.from, cut.until))
+            add(found.elsewhere, record);
+    }
+    return found;
+}
+
 } // namespace
 
-std::vector<std::string> broken_by_cuts(
+std::vector<cut_tally> cut_tallies(
     const std::vector<caller_record>& records,
     const std::vector<past_cut>& cuts,
     const std::vector<disturbance>& disturbances) {
+    std::vector<cut_tally> found;
+    for (const past_cut& cut : cuts)
+        if (cut.from_all_servers && cut.until > cut.from + contact_time)
+            found.push_back(tally_of(cut, records, cuts, disturbances));
+    return found;
+}
+
+std::string to_string(const cut_tally& cut) {
+    return fmt::format(
+        "instances {} cut from all servers served {} of {} requests, the "
+        "others {} of {}",
+        fmt::join(cut.instances, " "), cut.here.served, cut.here.sent,
+        cut.elsewhere.served, cut.elsewhere.sent);
+}
+
+std::vector<std::string> broken_by_cuts(const std::vector<cut_tally>& tallies) {
     std::vector<std::string> broken;
-    for (const past_cut& cut : cuts) {
-        const base::steady_time from = cut.from + contact_time;
-        if (!cut.from_all_servers || cut.until <= from)
-            continue;
-        tally here;
-        tally elsewhere;
-        for (const caller_record& record : records) {
-            if (record.sent < from || record.sent > cut.until ||
-                !counts(record, disturbances))
-                continue;
-            if (cut.instances.contains(record.instance))
-                add(here, record);
-            else if (!is_cut_within(cuts, record.instance, cut.from, cut.until))
-                add(elsewhere, record);
-        }
-        if (is_broken(here, elsewhere))
-            broken.push_back(fmt::format(
-                "instances {} cut from all servers served {} of {} requests, "
-                "the others {} of {}",
-                fmt::join(cut.instances, " "), here.served, here.sent,
-                elsewhere.served, elsewhere.sent));
-    }
+    for (const cut_tally& cut : tallies)
+        if (is_broken(cut))
+            broken.push_back(to_string(cut));
     return broken;
 }
 
--- a/testing/soak/src/server_cuts.hpp
+++ b/testing/soak/src/server_cuts.hpp
@@ -75,16 +75,34 @@
     std::vector<past_cut> past_;
 };
 
-/// @return a line for each cut from all servers during which, from contact_time
-/// after its begin on, the requests of callers at these instances were served
-/// less than two thirds as often as those at the others, and more than ten and
-/// one in fifty of them failed. Instances that were disturbed otherwise do not
-/// count.
-std::vector<std::string> broken_by_cuts(
+/// Requests, and those of them that were answered with success and whole.
+struct tally {
+    std::size_t sent = 0;
+    std::size_t served = 0;
+};
+
+/// What callers got while instances were cut from all servers.
+struct cut_tally {
+    std::set<std::size_t> instances;
+    tally here;      ///< At the instances that were cut.
+    tally elsewhere; ///< At those that were cut from no server.
+};
+
+/// @return the requests that were sent from contact_time after the begin of
+/// each cut from all servers until its end. Instances that were disturbed
+/// otherwise do not count.
+std::vector<cut_tally> cut_tallies(
     const std::vector<caller_record>& records,
     const std::vector<past_cut>& cuts,
     const std::vector<disturbance>& disturbances);
 
+std::string to_string(const cut_tally& cut);
+
+/// @return a line for each cut during which the requests at the instances that
+/// were cut were served less than two thirds as often as those at the others,
+/// and more than ten and one in fifty of them failed.
+std::vector<std::string> broken_by_cuts(const std::vector<cut_tally>& tallies);
+
 } // namespace mintknot::soak
 
 #endif
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -249,8 +249,11 @@
         add(broken_in_touch(clients_.records(), notes, faults_.disturbances()));
         add(broken_by_crashes(
             clients_.records(), notes, faults_.disturbances()));
-        add(broken_by_cuts(
-            clients_.records(), cuts_.past(), faults_.disturbances()));
+        const std::vector<cut_tally> tallies = cut_tallies(
+            clients_.records(), cuts_.past(), faults_.disturbances());
+        for (const cut_tally& cut : tallies)
+            result_.served_during_cuts.push_back(to_string(cut));
+        add(broken_by_cuts(tallies));
         add(broken_by_words(clients_.records(), notes, faults_.disturbances()));
         add(broken_by_limits(
             clients_.records(), notes, faults_.disturbances(),
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -66,6 +66,8 @@
     std::vector<std::string> broken; ///< Promises, a line each.
     std::vector<std::string> faults; ///< What was done, with its time.
     std::vector<std::string> cuts;   ///< Likewise.
+    /// What callers got during cuts from all servers, a line each.
+    std::vector<std::string> served_during_cuts;
     /// Request rates that servers with limits received, a line each.
     std::vector<std::string> measured_rates;
     /// Directory with settings, logs and ledger, kept where a promise was
--- a/testing/soak/tests/check_soak.cpp
+++ b/testing/soak/tests/check_soak.cpp
@@ -7,6 +7,8 @@
 
 void check_soak(const soak_options& options) {
     const soak_result result = run_soak(options);
+    for (const std::string& served : result.served_during_cuts)
+        fmt::print("seed {}: {}\n", options.seed, served);
     for (const std::string& broken : result.broken)
         fmt::print(
             "seed {}: {} (logs: {})\n", options.seed, broken, result.logs);
--- a/testing/soak/tests/test_soak_checks.cpp
+++ b/testing/soak/tests/test_soak_checks.cpp
@@ -219,39 +219,38 @@
 
 constexpr base::milliseconds in_time{3500};
 
+std::vector<std::string> broken_during(
+    const std::vector<caller_record>& records,
+    const std::vector<disturbance>& disturbances) {
+    return broken_by_cuts(cut_tallies(records, one_cut(), disturbances));
+}
+
 } // namespace
 
 Test(soak_checks, a_cut_instance_has_to_serve_two_thirds_as_often) {
     const auto others = tries(1, 100, 0, in_time);
     cr_assert_eq(
-        broken_by_cuts(tries(0, 65, 35, in_time) + others, one_cut(), {})
-            .size(),
-        1U);
-    cr_assert(broken_by_cuts(tries(0, 67, 33, in_time) + others, one_cut(), {})
-                  .empty());
+        broken_during(tries(0, 65, 35, in_time) + others, {}).size(), 1U);
+    cr_assert(broken_during(tries(0, 67, 33, in_time) + others, {}).empty());
 }
 
 Test(soak_checks, a_few_failures_at_a_cut_instance_are_borne) {
     const auto others = tries(1, 100, 0, in_time);
-    cr_assert(broken_by_cuts(tries(0, 0, 10, in_time) + others, one_cut(), {})
-                  .empty());
+    cr_assert(broken_during(tries(0, 0, 10, in_time) + others, {}).empty());
     cr_assert_eq(
-        broken_by_cuts(tries(0, 0, 11, in_time) + others, one_cut(), {}).size(),
-        1U);
+        broken_during(tries(0, 0, 11, in_time) + others, {}).size(), 1U);
 }
 
 Test(soak_checks, a_cut_counts_from_the_time_to_adapt_on) {
     const auto others = tries(1, 100, 0, in_time);
     cr_assert(
-        broken_by_cuts(
-            tries(0, 0, 50, base::milliseconds{2900}) + others, one_cut(), {})
+        broken_during(tries(0, 0, 50, base::milliseconds{2900}) + others, {})
             .empty());
 }
 
 Test(soak_checks, instances_that_were_disturbed_otherwise_do_not_count) {
     const auto others = tries(1, 100, 0, in_time);
-    cr_assert(broken_by_cuts(
-                  tries(0, 0, 50, in_time) + others, one_cut(),
-                  {{"instance-0", cut_from}})
+    cr_assert(broken_during(
+                  tries(0, 0, 50, in_time) + others, {{"instance-0", cut_from}})
                   .empty());
 }
