--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -176,6 +176,10 @@
 /// @return the age of the server table for a log line; negative if unknown.
 std::int64_t server_table_age_ms(const router_context& context);
 
+/// Reports to the peers that the load of this instance has decreased or that
+/// the health of a server has changed.
+void notify_load_change(router_context& context);
+
 /// Adds load in flight at a server, and triggers a report to the peers.
 void add_load(
     router_context& context, const std::string& server_id,
@@ -186,24 +190,6 @@
     router_context& context, const std::string& server_id,
     const traffic::server_load& load);
 
-/// Records the result of a call, unless it is likely due to the path to the
-/// server (policy/server_paths.hpp). If the server is now to be avoided, logs
-/// this and starts its health checks.
-void note_call_result(
-    router_context& context, const std::string& server_id,
-    policy::call_result result, const std::string& request_id);
-
-/// @return the servers that peers are to avoid as well: not those that only
-/// this instance does not reach.
-std::vector<policy::server_warning>
-warnings_for_peers(const router_context& context);
-
-/// Records a peer's warning to avoid a server for some time, and logs it if
-/// none was in force before.
-void note_peer_warning(
-    router_context& context, const std::string& peer,
-    const policy::server_warning& warning);
-
 /// Records the retries that a peer reports, and discards reports older than the
 /// retry window.
 void note_peer_retries(
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -8,6 +8,7 @@
 #include <mintknot/policy/group.hpp>
 #include <mintknot/policy/timeouts.hpp>
 #include <mintknot/relay/server_notices.hpp>
+#include <mintknot/relay/server_results.hpp>
 
 #include <algorithm>
 
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -6,6 +6,7 @@
 #include "generation_exchange.hpp"
 
 #include <mintknot/policy/timeouts.hpp>
+#include <mintknot/relay/server_results.hpp>
 
 namespace mintknot::relay {
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <mintknot/policy/timeouts.hpp>
 #include <mintknot/relay/server_notices.hpp>
+#include <mintknot/relay/server_results.hpp>
 
 namespace mintknot::relay {
 
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -15,11 +15,6 @@
 /// Logged if the age of the server table is unknown.
 constexpr base::milliseconds unknown_age{-1};
 
-void notify_load_change(router_context& context) {
-    if (context.state.on_load_change)
-        context.state.on_load_change();
-}
-
 } // namespace
 
 policy::configuration_freshness
@@ -45,6 +40,11 @@
     return server_table_age(context).value_or(unknown_age).count();
 }
 
+void notify_load_change(router_context& context) {
+    if (context.state.on_load_change)
+        context.state.on_load_change();
+}
+
 void add_load(
     router_context& context, const std::string& server_id,
     const traffic::server_load& load) {
@@ -61,57 +61,6 @@
     context.queue.notify_capacity_freed();
 }
 
-void note_call_result(
-    router_context& context, const std::string& server_id,
-    policy::call_result result, const std::string& request_id) {
-    context.metrics.count_call(result);
-    const base::steady_time now = context.loop.now();
-    if (policy::may_be_due_to_path(result) &&
-        policy::is_path_lost(context.state.paths, server_id, now)) {
-        context.log.write(
-            "path_blamed", {{"request", request_id},
-                            {"server", server_id},
-                            {"because", policy::to_string(result)}});
-        return;
-    }
-    if (!policy::note_call_result(context.state.health, server_id, result, now))
-        return;
-    const auto left = base::time_left(
-        policy::avoided_until(context.state.health, server_id), now);
-    context.log.write(
-        "server_avoided", {{"request", request_id},
-                           {"server", server_id},
-                           {"because", policy::to_string(result)},
-                           {"for_ms", left.count()}});
-    notify_load_change(context);
-    context.prober.watch(server_id);
-}
-
-std::vector<policy::server_warning>
-warnings_for_peers(const router_context& context) {
-    const base::steady_time now = context.loop.now();
-    const policy::path_view& paths = context.state.paths;
-    std::vector<policy::server_warning> warnings =
-        policy::own_warnings(context.state.health, now);
-    std::erase_if(warnings, [&](const policy::server_warning& warning) {
-        return policy::is_path_lost(paths, warning.server_id, now);
-    });
-    return warnings;
-}
-
-void note_peer_warning(
-    router_context& context, const std::string& peer,
-    const policy::server_warning& warning) {
-    const base::steady_time now = context.loop.now();
-    if (!policy::note_peer_warning(
-            context.state.health, warning.server_id, now + warning.left, now))
-        return;
-    context.log.write(
-        "peer_warning", {{"peer", peer},
-                         {"server", warning.server_id},
-                         {"for_ms", warning.left.count()}});
-}
-
 void note_peer_retries(
     router_state& state, const std::string& peer, std::uint64_t incarnation,
     const policy::usage_map& usage, base::steady_time now) {
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay_fixture.hpp"
 #include "scripted_placer.hpp"
+#include <mintknot/relay/server_results.hpp>
 
 #include <mintknot/http1/serialize.hpp>
 
--- a/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
@@ -2,6 +2,7 @@
 
 #include <mintknot/relay/local_server.hpp>
 #include <mintknot/relay/server_connector.hpp>
+#include <mintknot/relay/server_results.hpp>
 #include <mintknot/relay/tunnel_server.hpp>
 
 #include <criterion/criterion.h>
--- a/libs/mintknotd-platform/runtime/src/heartbeat_content.cpp
+++ b/libs/mintknotd-platform/runtime/src/heartbeat_content.cpp
@@ -1,5 +1,7 @@
 #include "heartbeat_content.hpp"
 
+#include <mintknot/relay/server_results.hpp>
+
 namespace mintknot::runtime {
 
 namespace {
--- a/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
+++ b/libs/mintknotd-platform/scheduling/src/load_reporter.cpp
@@ -1,5 +1,7 @@
 #include "load_reporter.hpp"
 
+#include <mintknot/relay/server_results.hpp>
+
 #include <algorithm>
 #include <deque>
 #include <utility>
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/policy/answer_timeout.hpp>
 #include <mintknot/policy/domain.hpp>
+#include <mintknot/relay/server_results.hpp>
 #include <mintknot/scheduling/messages.hpp>
 
 #include <algorithm>
--- a/libs/mintknotd-platform/scheduling/tests/test_remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_remote_placer.cpp
@@ -1,4 +1,5 @@
 #include "relay_fixture.hpp"
+#include <mintknot/relay/server_results.hpp>
 
 #include <mintknot/policy/domain.hpp>
 #include <mintknot/scheduling/messages.hpp>
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -57,6 +57,11 @@
     const std::vector<disturbance>& all, const std::string& part,
     base::steady_time at);
 
+/// @return true if anything was done to the part in that time.
+bool is_disturbed_between(
+    const std::vector<disturbance>& all, const std::string& part,
+    base::steady_time from, base::steady_time until);
+
 /// What the servers have noted, by request.
 struct server_notes {
     run_counts runs;
