--- a/testing/soak/src/server_cuts.cpp
+++ b/testing/soak/src/server_cuts.cpp
@@ -211,6 +211,7 @@
 constexpr std::size_t share_numerator = 2;
 constexpr std::size_t share_denominator = 3;
 constexpr std::size_t allowed_failures = 10;
+constexpr int status_ok = 200;
 constexpr std::size_t one_failure_in = 50;
 
 /// @return true if the instance was cut from some server in that time.
@@ -238,7 +239,11 @@
 
 void add(tally& sum, const caller_record& record) {
     ++sum.sent;
-    sum.served += record.status == 200 && record.whole ? 1 : 0;
+    if (record.status != status_ok || !record.whole)
+        return;
+    ++sum.served;
+    sum.time += std::chrono::duration_cast<base::milliseconds>(
+        record.ended - record.sent);
 }
 
 bool is_broken(const cut_tally& cut) {
@@ -255,13 +260,17 @@
     const std::vector<disturbance>& disturbances) {
     cut_tally found;
     found.instances = cut.instances;
+    const base::steady_time adapted = cut.from + contact_time;
     for (const caller_record& record : records) {
-        if (record.sent < cut.from + contact_time || record.sent > cut.until ||
+        if (record.sent < cut.from || record.sent > cut.until ||
             !counts(record, disturbances))
             continue;
+        const bool early = record.sent < adapted;
         if (cut.instances.contains(record.instance))
-            add(found.here, record);
-        else if (!is_cut_within(cuts, record.instance, cut.from, cut.until))
+            add(early ? found.early : found.here, record);
+        else if (
+            !early &&
+            !is_cut_within(cuts, record.instance, cut.from, cut.until))
             add(found.elsewhere, record);
     }
     return found;
@@ -280,12 +289,18 @@
     return found;
 }
 
+std::string to_string(const tally& sum) {
+    const auto served = static_cast<std::int64_t>(sum.served);
+    return fmt::format(
+        "{} of {} requests in {} ms", sum.served, sum.sent,
+        sum.time.count() / std::max<std::int64_t>(served, 1));
+}
+
 std::string to_string(const cut_tally& cut) {
     return fmt::format(
-        "instances {} cut from all servers served {} of {} requests, the "
-        "others {} of {}",
-        fmt::join(cut.instances, " "), cut.here.served, cut.here.sent,
-        cut.elsewhere.served, cut.elsewhere.sent);
+        "instances {} cut from all servers served {}, the others {}; {} before",
+        fmt::join(cut.instances, " "), to_string(cut.here),
+        to_string(cut.elsewhere), to_string(cut.early));
 }
 
 std::vector<std::string> broken_by_cuts(const std::vector<cut_tally>& tallies) {
--- a/testing/soak/src/server_cuts.hpp
+++ b/testing/soak/src/server_cuts.hpp
@@ -79,23 +79,27 @@
 struct tally {
     std::size_t sent = 0;
     std::size_t served = 0;
+    base::milliseconds time{0}; ///< Sum over those that were served.
 };
 
 /// What callers got while instances were cut from all servers.
 struct cut_tally {
     std::set<std::size_t> instances;
-    tally here;      ///< At the instances that were cut.
+    tally early;     ///< At the instances that were cut, within contact_time.
+    tally here;      ///< The same, later.
     tally elsewhere; ///< At those that were cut from no server.
 };
 
-/// @return the requests that were sent from contact_time after the begin of
-/// each cut from all servers until its end. Instances that were disturbed
+/// @return the requests that were sent during each cut from all servers that
+/// lasts longer than contact_time. Instances that were disturbed
 /// otherwise do not count.
 std::vector<cut_tally> cut_tallies(
     const std::vector<caller_record>& records,
     const std::vector<past_cut>& cuts,
     const std::vector<disturbance>& disturbances);
 
+/// @return what was served, with its mean time.
+std::string to_string(const tally& sum);
 std::string to_string(const cut_tally& cut);
 
 /// @return a line for each cut during which the requests at the instances that
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -21,6 +21,7 @@
     request_kind kind = request_kind::safe;
     std::size_t instance = 0; ///< That it was sent to.
     base::steady_time sent{};
+    base::steady_time ended{};
     int status = 0;     ///< 0: no answer at all.
     bool whole = false; ///< The answer was complete.
     std::string body;
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -144,6 +144,7 @@
             return;
         const std::unique_ptr<exchange> done = std::move(found->second);
         exchanges.erase(found);
+        done->record.ended = owner.now();
         if (done->of_load)
             records.push_back(done->record);
         if (done->on_record)
