--- a/libs/mintknotd-platform/policy/src/server_paths.cpp
+++ b/libs/mintknotd-platform/policy/src/server_paths.cpp
@@ -33,25 +33,6 @@
     return lost ? &found->second : nullptr;
 }
 
-struct ranked_peer {
-    double rank = 0.0;
-    tunnel_peer peer;
-};
-
-/// A data centre may be cut as a whole, so that asking more of its instances is
-/// in vain.
-void move_remote_peer_to_second(std::vector<ranked_peer>& ranked) {
-    if (ranked.empty() || !ranked.front().peer.same_data_centre)
-        return;
-    const auto second = ranked.begin() + 1;
-    const auto remote =
-        std::find_if(second, ranked.end(), [](const ranked_peer& candidate) {
-            return !candidate.peer.same_data_centre;
-        });
-    if (remote != ranked.end())
-        std::rotate(second, remote, remote + 1);
-}
-
 /// Lower ranks are asked first.
 int rank_of(
     const path_view& view, const tunnel_peer& peer, base::steady_time now) {
@@ -133,18 +114,17 @@
 std::vector<std::string> choose_tunnel_peers(
     const path_view& view, const std::vector<tunnel_peer>& peers,
     base::steady_time now, const std::function<double()>& draw_uniform) {
-    std::vector<ranked_peer> ranked;
+    std::vector<std::pair<double, std::string>> ranked;
     for (const tunnel_peer& peer : peers)
-        ranked.push_back({rank_of(view, peer, now) + draw_uniform(), peer});
-    std::sort(
-        ranked.begin(), ranked.end(),
-        [](const ranked_peer& left, const ranked_peer& right) {
-            return left.rank < right.rank;
-        });
-    move_remote_peer_to_second(ranked);
+        ranked.emplace_back(
+            rank_of(view, peer, now) + draw_uniform(), peer.host);
+    const std::size_t count = std::min(max_tunnel_peers, ranked.size());
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+        ranked.end());
     std::vector<std::string> hosts;
-    for (std::size_t i = 0; i < std::min(max_tunnel_peers, ranked.size()); ++i)
-        hosts.push_back(std::move(ranked[i].peer.host));
+    for (std::size_t i = 0; i < count; ++i)
+        hosts.push_back(std::move(ranked[i].second));
     return hosts;
 }
 
--- a/libs/mintknotd-platform/policy/tests/test_server_paths.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_server_paths.cpp
@@ -81,10 +81,8 @@
     cr_assert(hosts == (std::vector<std::string>{"far", "other", "near"}));
 }
 
-Test(server_paths, a_data_centre_that_is_cut_as_a_whole_is_not_asked_alone) {
+Test(server_paths, peers_of_the_data_centre_are_asked_before_others) {
     const auto hosts =
-        choose({}, {{"a1", true}, {"a2", true}, {"a3", true}, {"b1", false}});
-    cr_assert_eq(hosts.size(), max_tunnel_peers);
-    cr_assert_eq(hosts[0], "a1");
-    cr_assert_eq(hosts[1], "b1");
+        choose({}, {{"b1", false}, {"a1", true}, {"b2", false}, {"a2", true}});
+    cr_assert(hosts == (std::vector<std::string>{"a1", "a2", "b1"}));
 }
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/server_connector.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/server_connector.hpp
@@ -28,7 +28,8 @@
 
 /// Tries the own way to a server and, by the rules of policy/server_paths.hpp,
 /// a tunnel through a peer; the first connection that comes up is used. As
-/// nothing is sent before, a request cannot run twice by it. Log events:
+/// nothing is sent before, a request cannot run twice by it. Kept connections
+/// to a server that does not answer new ones are closed. Log events:
 /// `tunnel`, `path_lost`, `path_regained`.
 ///
 /// Used only on the event loop's thread. The context must outlive it.
@@ -51,10 +52,6 @@
         const upstream::target& where, base::milliseconds timeout,
         upstream::connect_handler on_done);
 
-    /// Checks the way to a server that does not answer on a kept connection. If
-    /// a new connection is not answered either, the kept ones are closed.
-    void check(const upstream::target& where);
-
     const connector_counters& counters() const;
 
 private:
--- a/libs/mintknotd-platform/relay/src/server_connector.cpp
+++ b/libs/mintknotd-platform/relay/src/server_connector.cpp
@@ -2,7 +2,6 @@
 
 #include "connect_attempt.hpp"
 
-#include <set>
 #include <string>
 #include <utility>
 
@@ -10,8 +9,6 @@
 
 namespace {
 
-constexpr base::milliseconds check_timeout{200};
-
 std::string_view to_string(event::connect_result result) {
     return result == event::connect_result::refused ? "refused" : "unanswered";
 }
@@ -131,20 +128,6 @@
             .count();
     }
 
-    void check(const upstream::target& where) {
-        if (traffic::find(context.state.servers, where.id) == nullptr ||
-            !checking.insert(where.id).second)
-            return;
-        connect_directly(
-            where, check_timeout,
-            [self = shared_from_this(),
-             where](upstream::connect_outcome outcome) {
-                self->checking.erase(where.id);
-                if (outcome.link != nullptr)
-                    self->keep(where, std::move(outcome.link));
-            });
-    }
-
     void keep(const upstream::target& where, event::connection_ptr link) const {
         context.pool.give(
             where.id, std::move(link), upstream::default_idle_time);
@@ -180,7 +163,6 @@
     router_context& context;
     connector_callbacks callbacks;
     connector_counters counters;
-    std::set<std::string> checking; ///< Servers with a check under way.
     bool was_isolated = false;
 };
 
@@ -202,10 +184,6 @@
     impl_->connect_directly(where, timeout, std::move(on_done));
 }
 
-void server_connector::check(const upstream::target& where) {
-    impl_->check(where);
-}
-
 const connector_counters& server_connector::counters() const {
     return impl_->counters;
 }
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -29,7 +29,7 @@
 /// instance_group.cpp, start and shutdown in instance.cpp.
 struct instance::impl {
     impl(instance_settings given, instance_ports outside);
-    upstream::pool_callbacks pool_functions();
+    upstream::connect_function connect_to_servers();
     relay::connector_callbacks connector_functions();
     /// @return the peers that may be asked to connect to a server.
     std::vector<policy::tunnel_peer> tunnel_peers() const;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -18,7 +18,7 @@
     : settings(std::move(given))
     , ports(std::move(outside))
     , log(STDOUT_FILENO, settings.name, {})
-    , pool(ports.loop, pool_functions())
+    , pool(ports.loop, connect_to_servers())
     , releases(pool, ports.protocol)
     , prober(
           ports.loop, pool, ports.protocol, log,
@@ -111,14 +111,12 @@
     };
 }
 
-upstream::pool_callbacks instance::impl::pool_functions() {
-    return {
-        [this](
-            const upstream::target& where, base::milliseconds timeout,
-            upstream::connect_handler on_done) {
-            connector.connect(where, timeout, std::move(on_done));
-        },
-        [this](const upstream::target& where) { connector.check(where); }};
+upstream::connect_function instance::impl::connect_to_servers() {
+    return [this](
+               const upstream::target& where, base::milliseconds timeout,
+               upstream::connect_handler on_done) {
+        connector.connect(where, timeout, std::move(on_done));
+    };
 }
 
 relay::connector_callbacks instance::impl::connector_functions() {
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -41,14 +41,6 @@
 using connect_function = std::function<void(
     const target& where, base::milliseconds timeout, connect_handler on_done)>;
 
-/// How a pool reaches servers.
-struct pool_callbacks {
-    connect_function connect;
-    /// Called when a call on a kept connection is not answered for long. The
-    /// connection may have died without a sign.
-    std::function<void(const target& where)> on_silence;
-};
-
 /// How long an unused connection is kept whose server names no time.
 inline constexpr base::milliseconds default_idle_time{12000};
 
@@ -64,19 +56,16 @@
 /// dropped: bytes that nobody asked for belong to no request.
 class connection_pool {
 public:
-    /// Connects directly and ignores silent connections.
-    explicit connection_pool(event::loop& owner);
-    connection_pool(event::loop& owner, pool_callbacks callbacks);
+    /// @param open opens new connections; empty: directly.
+    explicit connection_pool(event::loop& owner, connect_function open = {});
     ~connection_pool();
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
 
-    /// Opens a new connection, as pool_callbacks::connect says.
+    /// Opens a new connection.
     void connect(
         const target& where, base::milliseconds timeout,
         connect_handler on_done);
-    /// Tells that a call on a kept connection is not answered.
-    void report_silence(const target& where);
 
     /// @return an idle connection that has not been started, or null. The
     /// caller must attach its own handlers with connection::set_handlers.
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -9,12 +9,7 @@
 
 namespace mintknot::upstream {
 
-namespace {
-
-/// How long a call on a kept connection may be unanswered before it is told.
-constexpr base::milliseconds silence_bound{300};
-
-} // namespace
+namespace {} // namespace
 
 bool nothing_was_sent(call_failure why) noexcept {
     return why == call_failure::unreachable || why == call_failure::refused;
@@ -28,8 +23,7 @@
         , where(std::move(server))
         , request(std::move(what))
         , options(bounds)
-        , handlers(std::move(told))
-        , silence_timer(connections.owner()) {}
+        , handlers(std::move(told)) {}
 
     void begin() {
         event::connection_ptr idle =
@@ -42,7 +36,6 @@
                     return;
                 }
                 self->send_on(idle);
-                self->watch_silence();
             });
             return;
         }
@@ -82,11 +75,6 @@
             pool.give(where.id, std::move(outcome.link), default_idle_time);
     }
 
-    void watch_silence() {
-        silence_timer.start(
-            silence_bound, [this] { pool.report_silence(where); });
-    }
-
     void send_on(event::connection_ptr open) {
         link = std::move(open);
         link->set_handlers(
@@ -117,7 +105,6 @@
     void on_data(std::string_view bytes) {
         // The handlers may destroy the call.
         const std::shared_ptr<impl> self = shared_from_this();
-        silence_timer.stop();
         pool.note_heard(where.id);
         pending.append(bytes);
         while (!finished && !pending.empty()) {
@@ -189,7 +176,6 @@
 
     void succeed() {
         finished = true;
-        silence_timer.stop();
         const bool keep = reusable && pending.empty() &&
                           parser->head().keep_alive &&
                           link->queued_bytes() == 0;
@@ -226,7 +212,6 @@
 
     void fail(call_failure why) {
         finished = true;
-        silence_timer.stop();
         drop_link();
         const call_handlers last = std::move(handlers);
         last.on_failure(why);
@@ -236,7 +221,6 @@
         if (finished)
             return;
         finished = true;
-        silence_timer.stop();
         drop_link();
         // A handler may be running: let the closures go after it.
         pool.owner().post([dropped = std::move(handlers)] {});
@@ -248,7 +232,6 @@
     call_request request;
     call_options options;
     call_handlers handlers;
-    event::timer silence_timer;
     event::connection_ptr link;
     std::unique_ptr<http1::response_parser> parser;
     std::string pending; ///< Received, not yet parsed.
--- a/libs/mintknotd-platform/upstream/src/connection_pool.cpp
+++ b/libs/mintknotd-platform/upstream/src/connection_pool.cpp
@@ -20,9 +20,9 @@
 } // namespace
 
 struct connection_pool::impl {
-    impl(event::loop& loop, pool_callbacks functions)
+    impl(event::loop& loop, connect_function opens)
         : owner(loop)
-        , callbacks(std::move(functions))
+        , open(std::move(opens))
         , sweep_timer(loop) {}
 
     void forget(const std::string& id, const event::connection* link) {
@@ -65,7 +65,7 @@
     }
 
     event::loop& owner;
-    pool_callbacks callbacks;
+    connect_function open; ///< Empty: connects directly.
     event::timer sweep_timer;
     std::unordered_map<std::string, std::list<idle_connection>> idle;
     std::unordered_map<std::string, base::steady_time> heard;
@@ -75,18 +75,15 @@
     pool_counters counters;
 };
 
-connection_pool::connection_pool(event::loop& owner)
-    : connection_pool(owner, {}) {}
-
-connection_pool::connection_pool(event::loop& owner, pool_callbacks callbacks)
-    : impl_(std::make_unique<impl>(owner, std::move(callbacks))) {}
+connection_pool::connection_pool(event::loop& owner, connect_function open)
+    : impl_(std::make_unique<impl>(owner, std::move(open))) {}
 
 connection_pool::~connection_pool() = default;
 
 void connection_pool::connect(
     const target& where, base::milliseconds timeout, connect_handler on_done) {
-    if (impl_->callbacks.connect) {
-        impl_->callbacks.connect(where, timeout, std::move(on_done));
+    if (impl_->open) {
+        impl_->open(where, timeout, std::move(on_done));
         return;
     }
     event::connect(
@@ -97,11 +94,6 @@
         });
 }
 
-void connection_pool::report_silence(const target& where) {
-    if (impl_->callbacks.on_silence)
-        impl_->callbacks.on_silence(where);
-}
-
 event::connection_ptr connection_pool::take(const std::string& id) {
     const auto found = impl_->idle.find(id);
     if (found == impl_->idle.end())
