The line on a regained path tells the result that showed it

path_regained said "opened" also where evidence had only grown old, and tunnel an age where the own way had not failed yet. Log fields only.

--- a/libs/mintknotd-platform/relay/src/server_connector.cpp
+++ b/libs/mintknotd-platform/relay/src/server_connector.cpp
@@ -10,7 +10,15 @@
 namespace {
 
 std::string_view to_string(event::connect_result result) {
-    return result == event::connect_result::refused ? "refused" : "unanswered";
+    switch (result) {
+    case event::connect_result::opened:
+        return "opened";
+    case event::connect_result::refused:
+        return "refused";
+    case event::connect_result::unreachable:
+        return "unanswered";
+    }
+    return "unknown";
 }
 
 } // namespace
@@ -83,8 +91,7 @@
             isolated ? "path_lost" : "path_regained",
             {{"request", where.request},
              {"server", where.id},
-             {"result",
-              isolated ? to_string(result) : std::string_view("opened")}});
+             {"result", to_string(result)}});
     }
 
     /// Connections that were open may hang as new ones do.
@@ -121,7 +128,8 @@
     /// negative if the own connection is still awaited.
     std::int64_t time_since_failure(const std::string& id) const {
         const auto found = context.state.paths.lost.find(id);
-        if (found == context.state.paths.lost.end())
+        if (found == context.state.paths.lost.end() ||
+            found->second.failure == base::steady_time{})
             return -1;
         return std::chrono::duration_cast<base::milliseconds>(
                    now() - found->second.failure)
