--- a/libs/mintknotd-platform/relay/include/mintknot/relay/tunnel_server.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/tunnel_server.hpp
@@ -34,7 +34,8 @@
 
     /// Takes over the connection of a peer that has sent a request for a
     /// tunnel.
-    void serve(const http1::request_head& head, event::connection_ptr peer);
+    void
+    serve(const http1::request_head& head, const event::connection_ptr& peer);
 
     /// @return the number of tunnels that are open.
     std::size_t open() const;
--- a/libs/mintknotd-platform/relay/src/tunnel_server.cpp
+++ b/libs/mintknotd-platform/relay/src/tunnel_server.cpp
@@ -165,7 +165,7 @@
 tunnel_server::~tunnel_server() = default;
 
 void tunnel_server::serve(
-    const http1::request_head& head, event::connection_ptr peer) {
+    const http1::request_head& head, const event::connection_ptr& peer) {
     impl_->serve(tunnel_request_of(head), peer);
 }
 
--- a/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
@@ -121,8 +121,8 @@
         , server(context, connector) {
         on_tunnel = [this](
                         const http1::request_head& head,
-                        event::connection_ptr link) {
-            server.serve(head, std::move(link));
+                        const event::connection_ptr& link) {
+            server.serve(head, link);
         };
     }
 
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -46,9 +46,9 @@
           [this](const http1::request_head& head, relay::local_reply reply) {
               documents.answer(head, std::move(reply));
           },
-          [this](const http1::request_head& head, event::connection_ptr peer) {
-              tunnels.serve(head, std::move(peer));
-          })
+          [this](
+              const http1::request_head& head,
+              const event::connection_ptr& peer) { tunnels.serve(head, peer); })
     , documents(
           {ports.loop, ports.store, ports.codec, pool, log,
            [this] { return context.draw_uniform(); }},
--- a/testing/soak/src/server_cuts.cpp
+++ b/testing/soak/src/server_cuts.cpp
@@ -80,8 +80,7 @@
     }
 
     std::set<std::size_t> draw_servers() {
-        const std::set<std::size_t> all =
-            all_but(terms_.servers, terms_.servers);
+        std::set<std::size_t> all = all_but(terms_.servers, terms_.servers);
         switch (draw(0, 5)) {
         case 0:
             return several(terms_.servers);
