Log versions of engines, and streams that callers take up

Neither incident log told a stream that a caller takes up from a new one, nor which version an engine has. Rows of servers are read with the version of their software, requests with the stream that they take up (`Resumes`, `Last-Event-Id`); lines `taken_up` and `decode` name them. No decision changes.

Tests: documents::reads_the_version_of_a_servers_software, protocol::reads_which_stream_a_request_takes_up.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -15,6 +15,14 @@
 
 namespace mintknot::relay {
 
+/// A stream that a caller takes up after its connection broke.
+struct resumption {
+    /// ID of the request that brought the stream's first event; empty: the
+    /// caller does not say.
+    std::string first_request;
+    std::string last_event; ///< ID of the last event that the caller has.
+};
+
 /// What the head of a caller's request says about the request.
 struct request_metadata {
     std::string id; ///< Empty if the caller sent none.
@@ -25,6 +33,7 @@
     bool declares_tokens = false; ///< Any token count was given.
     /// The caller's API key; empty if the request has no key or several.
     std::optional<std::string> key;
+    std::optional<resumption> resumes; ///< Empty: the stream is a new one.
 };
 
 /// Which part of a request an outgoing call runs.
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -54,7 +54,7 @@
     ++attempts_.runs;
     policy::note_sent(charges_);
     record_send();
-    log_decode();
+    log_decode(*engine);
     send_decode(*engine);
     watch_silence();
 }
@@ -65,11 +65,12 @@
                context_.options.named_server_lifetime;
 }
 
-void generation_exchange::log_decode() const {
+void generation_exchange::log_decode(const traffic::server& engine) const {
     std::vector<logging::log_field> fields{
         {"request", request_.terms.id},
         {"route", route_.name},
-        {"server", decode_.server},
+        {"server", engine.id},
+        {"version", engine.version},
         {"prefilled_by", kept_.server},
         {"with_result", decode_.used_result},
         {"placed_by", placed_by_},
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -29,6 +29,11 @@
 }
 
 void generation_exchange::run() {
+    if (request_.terms.resumes)
+        context_.log.write(
+            "taken_up", {{"request", request_.terms.id},
+                         {"resumes", request_.terms.resumes->first_request},
+                         {"last_event", request_.terms.resumes->last_event}});
     place();
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -138,7 +138,7 @@
     /// instance without the full server table is not told when an engine stops
     /// taking requests in the meantime.
     bool placement_expired() const;
-    void log_decode() const;
+    void log_decode(const traffic::server& engine) const;
     void send_decode(const traffic::server& engine);
     void on_decode_head(http1::response_head& head);
     void on_decode_body(std::string_view piece);
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
@@ -36,6 +36,8 @@
     /// When this life of it began, in milliseconds of its wall clock; 0: it
     /// does not tell. Only compared for equality.
     std::uint64_t born = 0;
+    /// Of its software; empty: unknown, and then equal to no other.
+    std::string version{};
 };
 
 /// @return true if both rows tell of lives that are not the same one.
