Soak with engines of several versions, whose streams callers take up

Engines have a software version, which their rows and their events name. Rollouts overlap and lead back; half of the instances, and two engines, are killed every three seconds; callers take broken streams up at any instance and name the request that brought the first event. Checked by the users' rules: no more than two streams hold events of two versions, at any instance; of twelve or more taken up at instances in touch, while two decode engines of their version serve, at least half as many go on as new ones begin. What was compared is printed, with a word where it was too little.

--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -33,7 +33,6 @@
 
 constexpr base::milliseconds heartbeat{300};
 constexpr base::milliseconds work_time{15};
-constexpr base::milliseconds event_time{12};
 constexpr base::milliseconds handle_life{500};
 /// How long it serves on after it has said that it leaves.
 constexpr base::milliseconds serve_on{3000};
@@ -60,12 +59,18 @@
     std::string service;
     std::string phase; ///< Empty: a plain server.
     std::string ledger;
-    std::string limit;        ///< Requests per second, as sent in answers.
-    base::address advertised; ///< Where instances reach it.
+    std::string limit;   ///< Requests per second, as sent in answers.
+    std::string version; ///< Of its software; empty: its row has none.
+    base::milliseconds event_time{12}; ///< Between two events of a stream.
+    base::address advertised;          ///< Where instances reach it.
 };
 
-std::string event_of(const std::string& id, int number) {
-    return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+/// @param version named as the event's type, if it is not empty.
+std::string
+event_of(const std::string& id, int number, const std::string& version) {
+    const std::string type =
+        version.empty() ? std::string() : fmt::format("event: {}\n", version);
+    return fmt::format("id: {}\n{}data: {} {}\n\n", number, type, id, number);
 }
 
 class engine_stand_in {
@@ -127,6 +132,8 @@
         // A server that is no engine has no phase.
         if (options_.phase == "prefill" || options_.phase == "decode")
             row["phase"] = options_.phase;
+        if (!options_.version.empty())
+            row["version"] = options_.version;
         const nlohmann::json put = {
             {"put",
              {{{"table", "servers"},
@@ -312,8 +319,8 @@
             link->write(std::string(http1::last_chunk));
             return;
         }
-        link->write(http1::chunk(event_of(id, number)));
-        after(event_time, [this, id, number, link] {
+        link->write(http1::chunk(event_of(id, number, options_.version)));
+        after(options_.event_time, [this, id, number, link] {
             send_event(id, number + 1, link);
         });
     }
@@ -362,6 +369,10 @@
     const auto ledger = text("ledger", "file that takes the runs", true);
     const auto limit =
         text("limit", "rate limit to advertise, in requests per second", false);
+    const auto version = text("software", "version of its software", false);
+    TCLAP::ValueArg<int> event_time(
+        "", "event-ms", "milliseconds between two events", false, 12, "MS",
+        line);
     const auto address = text("address", "where instances reach it", true);
     line.parse(argc, argv);
     const auto where = base::parse_address(store->getValue());
@@ -371,7 +382,8 @@
     event::loop owner;
     engine_stand_in engine(
         owner, {*where, id->getValue(), service->getValue(), phase->getValue(),
-                ledger->getValue(), limit->getValue(), *advertised});
+                ledger->getValue(), limit->getValue(), version->getValue(),
+                base::milliseconds(event_time.getValue()), *advertised});
     if (!engine.open())
         return 1;
     owner.run();
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -69,6 +69,10 @@
     TCLAP::ValueArg<int> data_centres(
         "", "data-centres", "data centres of the instances", false, 1, "N",
         line);
+    TCLAP::SwitchArg versions(
+        "", "versions",
+        "engines of several software versions, streams that are taken up",
+        line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -112,6 +116,8 @@
                 return 2;
             options.advertised_limits[server] = parts.second;
         }
+        if (versions.getValue())
+            soak::plan_versions(options);
         const soak::soak_result result = soak::run_soak(options);
         fmt::print(
             "seed {}: {} requests, {} answered, {} refused, {} left, {} "
@@ -122,6 +128,8 @@
             fmt::print("  {}\n", rate);
         for (const std::string& served : result.served_during_cuts)
             fmt::print("  {}\n", served);
+        if (!result.versions.empty())
+            fmt::print("  versions: {}\n", result.versions);
         for (const std::string& broken : result.broken)
             fmt::print("  broken: {}\n", broken);
         if (!result.logs.empty())
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -1,6 +1,7 @@
 #include "soak_checks.hpp"
 
 #include "soak_parts.hpp"
+#include "stream_events.hpp"
 
 #include <fmt/format.h>
 
@@ -66,11 +67,18 @@
     });
 }
 
+bool is_in_touch(
+    const std::vector<disturbance>& all, std::size_t instance,
+    base::steady_time at) {
+    return !is_any_disturbed(all, parts_of_contact(instance), at);
+}
+
 std::string expected_body(const caller_record& record) {
     if (!is_stream(record.kind))
         return "answer to " + record.id;
     std::string body;
-    for (int number = 1; number <= events_of_a_stream; ++number)
+    for (int number = record.last_event + 1; number <= events_of_a_stream;
+         ++number)
         body +=
             fmt::format("id: {}\ndata: {} {}\n\n", number, record.id, number);
     return body;
@@ -113,10 +121,11 @@
         if (count > max_runs(record.kind))
             broken.push_back(fmt::format("{} ran {} times", record.id, count));
         const std::string expected = expected_body(record);
+        const std::string body = without_versions(record.body);
         const bool success = record.status >= 200 && record.status < 300;
-        if (success && record.whole && record.body != expected)
+        if (success && record.whole && body != expected)
             broken.push_back(fmt::format("{} got another body", record.id));
-        if (success && !expected.starts_with(record.body))
+        if (success && !expected.starts_with(body))
             broken.push_back(
                 fmt::format("{} got bytes of something else", record.id));
         if (success && count == 0)
@@ -185,9 +194,7 @@
             const auto found = marked.find(arrival.request);
             if (found != marked.end() && found->second->mark == mark &&
                 arrival.at > bound &&
-                !is_any_disturbed(
-                    disturbances, parts_of_contact(found->second->instance),
-                    arrival.at))
+                is_in_touch(disturbances, found->second->instance, arrival.at))
                 late.insert(arrival.request);
         }
         if (late.size() > allowed_tries)
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -29,10 +29,15 @@
     /// same in all tries. Empty: any other request.
     std::string mark;
     bool retry_after = false;
+    base::milliseconds retry_after_time{0}; ///< That the answer names.
     /// The connection ended without a byte of an answer.
     bool unanswered = false;
     /// When the caller went away before its answer was whole.
     std::optional<base::steady_time> left_at;
+    /// The request that brought the first event of a stream that this one
+    /// takes up; empty: it begins anew.
+    std::string resumes;
+    int last_event = 0; ///< That the caller has of such a stream.
 };
 
 /// Runs of each request, as the servers have noted them.
@@ -63,6 +68,12 @@
     const std::vector<disturbance>& all, const std::string& part,
     base::steady_time from, base::steady_time until);
 
+/// @return true if nothing was done lately to the instance, to its way to the
+/// store or to the store.
+bool is_in_touch(
+    const std::vector<disturbance>& all, std::size_t instance,
+    base::steady_time at);
+
 /// What the servers have noted, by request.
 struct server_notes {
     run_counts runs;
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -1,9 +1,13 @@
 #include "soak_clients.hpp"
 
+#include "stream_events.hpp"
+
 #include <mintknot/upstream/call.hpp>
 
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -15,6 +19,12 @@
 /// One caller in so many leaves early, within this time.
 constexpr std::size_t one_leaves_in = 12;
 constexpr std::size_t longest_stay_ms = 200;
+/// Requests that take up one stream, and the time before one if no answer
+/// names another.
+constexpr int max_take_ups = 4;
+constexpr base::milliseconds take_up_pause{50};
+constexpr base::milliseconds max_take_up_pause{1000};
+constexpr int status_unavailable = 503;
 
 std::string_view path_of(request_kind kind) {
     switch (kind) {
@@ -30,6 +40,27 @@
     return "/";
 }
 
+/// @return the time that a Retry-After field names; zero: none.
+base::milliseconds retry_after_of(const http1::response_head& head) {
+    const std::string* text = http1::find_field(head.fields, "Retry-After");
+    double seconds = 0.0;
+    if (text == nullptr || !absl::SimpleAtod(*text, &seconds))
+        return base::milliseconds{0};
+    return std::chrono::ceil<base::milliseconds>(
+        std::chrono::duration<double>(seconds));
+}
+
+int last_event_of(const caller_record& record) {
+    const std::vector<stream_event> events = whole_events(record.body);
+    return events.empty() ? record.last_event : events.back().number;
+}
+
+/// @return true if the caller has events of a stream that has not ended.
+bool is_broken_stream(const caller_record& record) {
+    return record.kind == request_kind::resumable && !record.left_at &&
+           (record.status != 200 || !record.whole) && last_event_of(record) > 0;
+}
+
 } // namespace
 
 struct soak_clients::impl {
@@ -91,39 +122,88 @@
             kind, std::string(path_of(kind)), entry, {}, std::move(on_record));
     }
 
+    /// Takes up the stream of a request that has ended, a moment later.
+    void plan_take_up(const caller_record& broken) {
+        const std::string stream =
+            broken.resumes.empty() ? broken.id : broken.resumes;
+        if (stopped || ++take_ups[stream] > max_take_ups)
+            return;
+        const base::milliseconds pause =
+            broken.status == status_unavailable
+                ? std::clamp(
+                      broken.retry_after_time, take_up_pause, max_take_up_pause)
+                : take_up_pause;
+        timers.push_back(std::make_unique<event::timer>(owner));
+        timers.back()->start(
+            pause, [this, stream, last_event = last_event_of(broken)] {
+                if (!stopped)
+                    take_up(stream, last_event);
+            });
+    }
+
+    void take_up(const std::string& stream, int last_event) {
+        caller_record record;
+        record.kind = request_kind::resumable;
+        record.instance = draw(entries.size());
+        record.resumes = stream;
+        record.last_event = last_event;
+        start_exchange(
+            std::move(record), std::string(path_of(request_kind::resumable)),
+            {});
+    }
+
     std::uint64_t send_to(
         request_kind kind, const std::string& path, std::size_t entry,
         const std::string& mark,
         std::function<void(const caller_record&)> on_record) {
+        caller_record record;
+        record.kind = kind;
+        record.instance = entry;
+        record.mark = mark;
+        return start_exchange(std::move(record), path, std::move(on_record));
+    }
+
+    static http1::field_list fields_of(const caller_record& record) {
+        http1::field_list fields = {
+            {"Host", "soak.example"},
+            {"X-Mintknot-Request-Id", record.id},
+            {"X-Mintknot-Deadline-Ms", "4000"},
+            {"X-Mintknot-Token-Count", "500,50"}};
+        if (!record.resumes.empty()) {
+            fields.push_back({"Resumes", record.resumes});
+            fields.push_back(
+                {"Last-Event-Id", std::to_string(record.last_event)});
+        }
+        return fields;
+    }
+
+    std::uint64_t start_exchange(
+        caller_record record, const std::string& path,
+        std::function<void(const caller_record&)> on_record) {
         const std::uint64_t number = ++last;
         auto& at = exchanges[number];
         at = std::make_unique<exchange>(owner);
+        at->record = std::move(record);
         at->record.id = fmt::format("r{}", number);
-        at->record.kind = kind;
-        at->record.instance = entry;
-        at->record.mark = mark;
         at->record.sent = owner.now();
         at->on_record = std::move(on_record);
         upstream::call_request request;
         request.head.method = "POST";
         request.head.target = path;
-        request.head.fields = {
-            {"Host", "soak.example"},
-            {"X-Mintknot-Request-Id", at->record.id},
-            {"X-Mintknot-Deadline-Ms", "4000"},
-            {"X-Mintknot-Token-Count", "500,50"}};
-        request.body =
-            std::make_shared<const std::string>(mark.empty() ? "hello" : mark);
+        request.head.fields = fields_of(at->record);
+        request.body = std::make_shared<const std::string>(
+            at->record.mark.empty() ? "hello" : at->record.mark);
+        const base::address& entry = entries[at->record.instance];
         exchange* raw = at.get();
         at->limit.start(request_limit, [this, number] { finish(number); });
         at->call = upstream::call::start(
-            pool, {base::to_string(entries[entry]), entries[entry]},
-            std::move(request), {},
+            pool, {base::to_string(entry), entry}, std::move(request), {},
             {nullptr,
              [raw](http1::response_head& head) {
                  raw->record.status = head.status;
                  raw->record.retry_after =
                      http1::find_field(head.fields, "Retry-After") != nullptr;
+                 raw->record.retry_after_time = retry_after_of(head);
              },
              [raw](std::string_view piece) { raw->record.body.append(piece); },
              [this, raw, number] {
@@ -147,6 +227,8 @@
         done->record.ended = owner.now();
         if (done->of_load)
             records.push_back(done->record);
+        if (takes_up && done->of_load && is_broken_stream(done->record))
+            plan_take_up(done->record);
         if (done->on_record)
             done->on_record(done->record);
     }
@@ -158,7 +240,9 @@
     std::vector<std::unique_ptr<event::timer>> timers;
     std::map<std::uint64_t, std::unique_ptr<exchange>> exchanges;
     std::vector<caller_record> records;
+    std::map<std::string, int> take_ups; ///< By stream.
     std::uint64_t last = 0;
+    bool takes_up = false;
     bool stopped = false;
 };
 
@@ -175,6 +259,10 @@
     }
 }
 
+void soak_clients::take_up_streams() {
+    impl_->takes_up = true;
+}
+
 void soak_clients::stop() {
     impl_->stopped = true;
 }
--- a/testing/soak/src/soak_clients.hpp
+++ b/testing/soak/src/soak_clients.hpp
@@ -29,6 +29,9 @@
     soak_clients& operator=(const soak_clients&) = delete;
 
     void start(std::size_t callers, base::milliseconds pause);
+    /// From now on callers take up resumable streams that break, at any
+    /// instance.
+    void take_up_streams();
     /// No request begins any more; those under way go on.
     void stop();
     std::size_t open() const;
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <numeric>
 
 namespace mintknot::soak {
 
@@ -65,16 +66,38 @@
 }
 
 void fault_injector::drain_random_server() {
-    const std::size_t index = pick(system_.servers().size());
+    drain_one_server(pick(system_.servers().size()));
+}
+
+void fault_injector::drain_one_server(std::size_t index) {
     if (!draining_.contains(index))
         drain_server(index);
 }
 
+void fault_injector::kill_instances(std::size_t count) {
+    std::vector<std::size_t> order(system_.instances().size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::shuffle(order.begin(), order.end(), random_);
+    for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
+        kill_instance(order[i]);
+}
+
+void fault_injector::kill_engines(std::size_t count) {
+    std::vector<std::size_t> order;
+    for (const std::size_t engine : system_.engines())
+        if (system_.servers()[engine].arguments.front() == "decode")
+            order.push_back(engine);
+    std::shuffle(order.begin(), order.end(), random_);
+    for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
+        kill_server(order[i]);
+}
+
 void fault_injector::watch_servers() {
     for (std::size_t i = 0; i < system_.servers().size(); ++i) {
         if (draining_.contains(i) || system_.servers()[i].running->running())
             continue;
         note(fmt::format("server {} has ended", i));
+        system_.end_life(i);
         begin(server_part(i));
         draining_.insert(i);
         later(crash_downtime, [this, i] {
@@ -216,6 +239,7 @@
     if (draining_.contains(index))
         return;
     note(fmt::format("kill server {}", index));
+    system_.end_life(index);
     begin(server_part(index));
     system_.servers()[index].running->signal(SIGKILL);
     draining_.insert(index);
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -46,6 +46,12 @@
     /// Drains a random server even in undisturbed runs, unless it is already
     /// draining.
     void drain_random_server();
+    /// Drains one server, unless it is already draining; it comes back.
+    void drain_one_server(std::size_t index);
+    /// Kills some random instances at the same moment; they come back.
+    void kill_instances(std::size_t count);
+    /// Kills some random engines that decode; they come back.
+    void kill_engines(std::size_t count);
     /// No fault begins any more, links pass again, paused processes go on.
     void heal();
     /// @return what was done, a line each, with its time.
--- a/testing/soak/src/soak_planned_work.cpp
+++ b/testing/soak/src/soak_planned_work.cpp
@@ -41,6 +41,7 @@
 
 void fault_injector::drain_server(std::size_t index) {
     note(fmt::format("SIGTERM server {}", index));
+    system_.end_life(index);
     draining_.insert(index);
     resume(system_.servers()[index], server_part(index));
     system_.servers()[index].running->signal(SIGTERM);
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -29,6 +29,10 @@
 constexpr base::milliseconds crashing_pause{400};
 constexpr base::milliseconds time_to_words{1000};
 constexpr int status_not_found = 404;
+/// Between two engines of a rollout: a drain takes some seconds, so that
+/// several are away at once.
+constexpr base::milliseconds rollout_pause{700};
+constexpr std::size_t engines_killed = 2;
 /// Time between the last write that a restore loses and the restore.
 constexpr base::milliseconds lost_write_lead{400};
 /// Time between a restore and the first attempt to repeat that write.
@@ -63,7 +67,8 @@
                options.earlier_program, options.advertised_limits,
                options.scarce_capacity,
                options.random_cuts || !options.cuts.empty(),
-               options.data_centres})
+               options.data_centres, options.engine_version,
+               options.event_time})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
@@ -87,6 +92,8 @@
             result_.broken.emplace_back("the system did not start");
             return;
         }
+        if (!options_.engine_version.empty())
+            clients_.take_up_streams();
         clients_.start(options_.callers, caller_pause);
         faults_.start();
         cuts_.start();
@@ -98,6 +105,8 @@
                 options_.limits_end, [this] { toggle_limits(); });
         for (const base::milliseconds when : options_.restores)
             plan_restore(when);
+        plan_rollouts();
+        plan_kills();
         run_until([] { return false; }, options_.length);
         crash_timer_.stop();
         word_timer_.stop();
@@ -113,6 +122,28 @@
         judge();
     }
 
+    void plan_rollouts() {
+        for (const rollout& planned : options_.rollouts) {
+            base::milliseconds at = planned.at;
+            for (const std::size_t engine : system_.engines()) {
+                later(at, [this, engine, version = planned.version] {
+                    system_.set_version(engine, version);
+                    faults_.drain_one_server(engine);
+                });
+                at += rollout_pause;
+            }
+        }
+    }
+
+    void plan_kills() {
+        for (const base::milliseconds when : options_.instance_kills)
+            later(when, [this] {
+                faults_.kill_instances(options_.instances / 2);
+            });
+        for (const base::milliseconds when : options_.engine_kills)
+            later(when, [this] { faults_.kill_engines(engines_killed); });
+    }
+
     void plan_restore(base::milliseconds when) {
         later(when - lost_write_lead, [this] {
             system_.change_configuration();
@@ -258,6 +289,13 @@
         add(broken_by_limits(
             clients_.records(), notes, faults_.disturbances(),
             parsed_limits()));
+        if (!options_.engine_version.empty()) {
+            const version_tally tally = tally_versions(
+                clients_.records(), system_.engine_lives(),
+                faults_.disturbances());
+            result_.versions = to_string(tally);
+            add(broken_by_versions(tally));
+        }
         result_.measured_rates =
             measured_rates(clients_.records(), notes, parsed_limits());
         if (options_.scarce_capacity)
@@ -303,6 +341,21 @@
 
 } // namespace
 
+void plan_versions(soak_options& options) {
+    constexpr base::milliseconds event_time{60};
+    constexpr base::milliseconds kill_interval{3000};
+    const base::milliseconds part = options.length / 4;
+    options.engine_version = "v1";
+    options.event_time = event_time;
+    options.rollouts = {
+        {part / 2, "v1.1"}, {2 * part, "v1.2"}, {3 * part, "v1"}};
+    for (base::milliseconds at = kill_interval; at < options.length;
+         at += kill_interval) {
+        options.instance_kills.push_back(at);
+        options.engine_kills.push_back(at + kill_interval / 2);
+    }
+}
+
 soak_result run_soak(const soak_options& options) {
     soak running(options);
     return running.run();
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -15,6 +15,12 @@
 
 namespace mintknot::soak {
 
+/// Engines are replaced in turn by ones of another software version.
+struct rollout {
+    base::milliseconds at; ///< When the first one is drained.
+    std::string version;
+};
+
 struct soak_options {
     std::uint64_t seed = 1;
     base::milliseconds length{8000};
@@ -53,6 +59,14 @@
     /// Draws cuts by the seed in place of the given ones.
     bool random_cuts = false;
     std::size_t data_centres = 1;
+    /// Of the software of all engines at the start; empty: engines tell none.
+    std::string engine_version;
+    std::vector<rollout> rollouts; ///< They may overlap.
+    /// Between two events of a stream; zero: as the stand-in has it.
+    base::milliseconds event_time{0};
+    /// When half of the instances, and two engines, are killed.
+    std::vector<base::milliseconds> instance_kills;
+    std::vector<base::milliseconds> engine_kills;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
     /// Larger groups have super-peers; 0: as the program is built.
@@ -68,6 +82,9 @@
     std::vector<std::string> cuts;   ///< Likewise.
     /// What callers got during cuts from all servers, a line each.
     std::vector<std::string> served_during_cuts;
+    /// What became of streams while several versions served; empty: there was
+    /// one.
+    std::string versions;
     /// Request rates that servers with limits received, a line each.
     std::vector<std::string> measured_rates;
     /// Directory with settings, logs and ledger, kept where a promise was
@@ -79,6 +96,10 @@
     std::size_t left = 0;     ///< By callers that left early.
 };
 
+/// Sets engine versions, rollouts that overlap and lead back to the first
+/// version, and kills of half of the instances, over the length of a soak.
+void plan_versions(soak_options& options);
+
 /// Runs a system under load, does random harm to it, ends the harm, waits
 /// until it serves every kind of request again, and checks the promises.
 soak_result run_soak(const soak_options& options);
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -1,5 +1,7 @@
 #include "soak_system.hpp"
 
+#include "soak_parts.hpp"
+
 #include <mintknot/event/datagrams.hpp>
 #include <mintknot/event/loop.hpp>
 #include <mintknot/upstream/call.hpp>
@@ -160,6 +162,7 @@
     servers_.emplace_back();
     servers_.back().program = "platform-engine";
     servers_.back().arguments = {phase};
+    versions_.push_back(phase.empty() ? std::string() : form_.engine_version);
     restart_server(number);
 }
 
@@ -213,6 +216,13 @@
     const auto limit = form_.advertised_limits.find(index);
     if (limit != form_.advertised_limits.end())
         arguments.insert(arguments.end(), {"--limit", limit->second});
+    const std::string& version = versions_[index];
+    if (!version.empty())
+        arguments.insert(arguments.end(), {"--software", version});
+    if (form_.event_time > base::milliseconds{0})
+        arguments.insert(
+            arguments.end(),
+            {"--event-ms", std::to_string(form_.event_time.count())});
     server.running.reset();
     server.running = std::make_unique<harness::child_process>(
         server.program, arguments, path("server.log"));
@@ -220,6 +230,28 @@
     proxy_.retarget(fmt::format("server-{}", index), {"127.0.0.1", port})
         .IgnoreError();
     server.paused = false;
+    if (!version.empty())
+        lives_.push_back(
+            {server_part(index), version, phase == "decode",
+             base::steady_clock::now()});
+}
+
+void soak_system::set_version(std::size_t server, const std::string& version) {
+    versions_[server] = version;
+}
+
+void soak_system::end_life(std::size_t server) {
+    for (engine_life& life : lives_)
+        if (life.part == server_part(server))
+            life.until = std::min(life.until, base::steady_clock::now());
+}
+
+std::vector<std::size_t> soak_system::engines() const {
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < servers_.size(); ++i)
+        if (!servers_[i].arguments.front().empty())
+            found.push_back(i);
+    return found;
 }
 
 std::string soak_system::write_settings(std::size_t instance) const {
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_SOAK_SOAK_SYSTEM_HPP
 
 #include "soak_checks.hpp"
+#include "version_checks.hpp"
 
 #include <mintknot/base/address.hpp>
 #include <mintknot/harness/child_process.hpp>
@@ -43,6 +44,10 @@
     /// Each instance reaches each server over a link of its own.
     bool own_server_links = false;
     std::size_t data_centres = 1; ///< Instances are in them in turn.
+    /// Of the software of all engines at the start; empty: rows have none.
+    std::string engine_version;
+    /// Between two events of a stream; zero: as the stand-in has it.
+    base::milliseconds event_time{0};
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
@@ -63,6 +68,14 @@
     /// Starts a process that has ended.
     void restart_server(std::size_t index);
     void restart_instance(std::size_t index);
+    /// Sets the software version that an engine has from its next start on.
+    void set_version(std::size_t server, const std::string& version);
+    /// To be called when a server ends or begins to leave.
+    void end_life(std::size_t server);
+    /// @return the lives of all engines that have a version.
+    const std::vector<engine_life>& engine_lives() const { return lives_; }
+    /// @return the numbers of the engines, of both phases.
+    std::vector<std::size_t> engines() const;
 
     /// Writes the next version of the configuration. @return false if the
     /// store did not take it.
@@ -115,6 +128,8 @@
     std::uint16_t store_port_ = 0;
     int configuration_ = 0;
     int server_lives_ = 0;
+    std::vector<std::string> versions_; ///< Of the next life, by server.
+    std::vector<engine_life> lives_;
     soak_process store_;
     std::vector<soak_process> servers_;
     std::vector<soak_process> instances_;
--- /dev/null
+++ b/testing/soak/tests/test_stream_versions.cpp
@@ -0,0 +1,47 @@
+#include "check_soak.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::soak;
+
+namespace {
+
+/// Rollouts that overlap, with kills of instances and engines.
+soak_options several_versions(std::uint64_t seed) {
+    soak_options options;
+    options.seed = seed;
+    options.length = base::milliseconds(14000);
+    options.instances = 5;
+    options.data_centres = 2;
+    options.decode_engines = 10;
+    options.callers = 60;
+    options.undisturbed = true;
+    plan_versions(options);
+    return options;
+}
+
+} // namespace
+
+Test(stream_versions, a_stream_does_not_go_on_at_another_version) {
+    check_soak(several_versions(1));
+}
+
+Test(stream_versions, a_scheduler_names_engines_of_the_streams_version) {
+    soak_options options = several_versions(2);
+    options.schedulers = true;
+    check_soak(options);
+}
+
+Test(stream_versions, leaves_take_up_streams_at_their_version) {
+    soak_options options = several_versions(3);
+    options.instances = 9;
+    options.max_flat_group = 4;
+    check_soak(options);
+}
+
+Test(stream_versions, beside_other_faults_streams_are_not_joined) {
+    soak_options options = several_versions(4);
+    options.undisturbed = false;
+    check_soak(options);
+}
