Streams go on only at the software version that began them

Cause: the version of an engine was not read, so that any engine of the service was held for one that can go on: inside an answer (resume() placed anew without a constraint), and over a caller's tries (`Resumes` was not read, and the instance that knew the beginning was often gone).

What nobody knows is refused, not run; a version without engines ends at once. A service with one version for longer than any stream lives needs no memory. The sender checks what a scheduler names: an earlier build drops the version, which travels as one more excluded server.

Engines of the soak and servers of the relay's fixture have a version now.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/placement.hpp
@@ -38,6 +38,9 @@
     base::milliseconds max_prefill_time{0};
     /// Whether an excluded server may be used if there is no other.
     bool may_reuse_excluded = false;
+    /// Software version that all servers must have (stream_origin.hpp); empty:
+    /// any.
+    std::optional<std::string> version{};
     excluded_servers excluded;         ///< Plain servers or decode engines.
     excluded_servers excluded_prefill; ///< Prefill engines.
     /// Some of the servers to which the instance has idle connections.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/selection.hpp
@@ -50,6 +50,9 @@
     const std::set<std::string>* connected = nullptr;
     /// Of plain servers (service_times.hpp); null: unknown.
     const service_times* plain_times = nullptr;
+    /// Software version that the server must have (stream_origin.hpp); empty:
+    /// any.
+    std::optional<std::string> only_version{};
 };
 
 /// Servers that a request has already used or must not use.
@@ -86,6 +89,7 @@
     /// Expected memory from now on (memory_profile.hpp). If given, the request
     /// must fit until its end, and memory_tokens does not count.
     std::optional<traffic::memory_profile> profile{};
+    std::string version{}; ///< Of the prefill engine, or empty.
 };
 
 /// The memory of an engine as a request sees it.
--- a/libs/mintknotd-platform/policy/src/placement.cpp
+++ b/libs/mintknotd-platform/policy/src/placement.cpp
@@ -53,9 +53,11 @@
             ? select_prefill(
                   inputs, query.excluded_prefill, query.prompt_tokens)
             : nullptr;
-    const decode_request wanted = decode_request_of(
+    decode_request wanted = decode_request_of(
         inputs, query,
         prefill == nullptr ? std::string() : prefill->data_centre);
+    if (prefill != nullptr)
+        wanted.version = prefill->version;
     const traffic::server* decode = choose_decode(inputs, query, wanted);
     placement result;
     if (decode == nullptr) {
--- a/libs/mintknotd-platform/policy/src/selection.cpp
+++ b/libs/mintknotd-platform/policy/src/selection.cpp
@@ -20,6 +20,12 @@
 /// Cost of moving a KV cache between data centres, where a transfer takes twice
 /// as long, as a share of the memory of a decode engine.
 constexpr double move_distance_cost = 0.1;
+/// The same between engines of two software versions.
+constexpr double move_version_cost = 0.1;
+/// Cost of an engine of a version with few engines, as a share of its memory
+/// and in milliseconds of prefill: only these can continue its streams.
+constexpr double scarce_version_cost = 0.3;
+constexpr double prefill_scarce_version_cost = 30.0;
 /// Cost of another data centre, in milliseconds of prefill: a round trip.
 constexpr double prefill_distance_cost = 15.0;
 /// Share of the memory of an engine up to which requests go to the emptiest
@@ -68,6 +74,26 @@
     return connected ? bonus : 0.0;
 }
 
+/// @return how scarce the version of a server is among the open servers of its
+/// service: 0 for the version that most of them have, nearly 1 if hardly any
+/// has it. Does not matter to a request that needs this version.
+double
+scarcity(const selection_inputs& inputs, const traffic::server& candidate) {
+    const auto versions =
+        inputs.servers.open_versions.find(inputs.service.name);
+    if (inputs.only_version || versions == inputs.servers.open_versions.end() ||
+        versions->second.size() < 2)
+        return 0.0;
+    std::size_t most = 1;
+    std::size_t own = 0;
+    for (const auto& [version, count] : versions->second) {
+        most = std::max(most, count);
+        if (version == candidate.version)
+            own = count;
+    }
+    return 1.0 - static_cast<double>(own) / static_cast<double>(most);
+}
+
 /// @param sample_share probability with which each server is considered.
 const traffic::server* best_of_sample(
     const selection_inputs& inputs, const excluded_servers& excluded,
@@ -198,6 +224,7 @@
                 score += prefill_distance_cost;
             score -= connection_bonus(
                 inputs, candidate, prefill_connection_bonus_ms);
+            score += prefill_scarce_version_cost * scarcity(inputs, candidate);
             score += prefill_failure_cost_ms *
                      failure_share(inputs.health, candidate.id);
             return score + prefill_jitter_ms * inputs.draw_uniform();
@@ -234,6 +261,9 @@
             if (!wanted.data_centre.empty() &&
                 candidate.data_centre != wanted.data_centre)
                 score += move_distance_cost;
+            if (!wanted.version.empty() && candidate.version != wanted.version)
+                score += move_version_cost;
+            score += scarce_version_cost * scarcity(inputs, candidate);
             score -=
                 connection_bonus(inputs, candidate, decode_connection_bonus);
             score += failure_cost * failure_share(inputs.health, candidate.id);
--- a/libs/mintknotd-platform/policy/src/selection_scope.hpp
+++ b/libs/mintknotd-platform/policy/src/selection_scope.hpp
@@ -5,13 +5,17 @@
 #define MINTKNOT_POLICY_SELECTION_SCOPE_HPP
 
 #include <mintknot/policy/selection.hpp>
+#include <mintknot/policy/stream_origin.hpp>
 
 namespace mintknot::policy {
 
-/// @return true if the server is in the data centre that the selection is
-/// limited to.
+/// @return true if the server is in the data centre and has the version that
+/// the selection is limited to.
 inline bool
 in_scope(const selection_inputs& inputs, const traffic::server& candidate) {
+    if (inputs.only_version &&
+        !is_same_version(*inputs.only_version, candidate.version))
+        return false;
     return inputs.only_data_centre.empty() ||
            inputs.only_data_centre == candidate.data_centre;
 }
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -80,6 +80,20 @@
         const traffic::route& route, const traffic::service& service);
 
     virtual void run() = 0;
+    /// Runs the exchange once it is known at which software version a stream
+    /// that the caller takes up may go on; refuses it if that is not known.
+    void run_at_version();
+    /// To be called before the first event of a stream goes to the caller: from
+    /// then on the stream goes on at this version only.
+    void note_stream_begun(const std::string& version);
+    /// @return true if the stream cannot use the server: another version of the
+    /// software began it.
+    bool is_other_version(const traffic::server& server) const;
+    /// @return true if no server that takes requests has the version that the
+    /// stream needs. @param suits whether a server could run the request.
+    bool is_version_gone(bool (*suits)(traffic::engine_phase phase)) const;
+    /// Ends an exchange whose stream cannot go on for want of such a server.
+    void end_without_version();
     /// Cancels all calls to servers that are in flight.
     virtual void cancel_calls() = 0;
     /// @return true if a call that is in flight may be running the request.
@@ -160,6 +174,9 @@
     policy::attempts attempts_;
     bool finished_ = false;
     int sends_ = 0; ///< Number of calls that may have reached a server.
+    /// Software version at which the stream goes on; empty text: unknown, and
+    /// then nowhere. Nothing: the stream has not begun.
+    std::optional<std::string> stream_version_;
     /// Longest time between two events that were forwarded to the caller.
     base::milliseconds longest_gap_{0};
 
@@ -171,6 +188,8 @@
     /// @return false if the request is blocked; the exchange has then ended.
     bool ensure_not_blocked();
     void on_deadline();
+    void on_origin(const origin_answer& answer);
+    void log_taken_up(const origin_answer& answer) const;
     void request_usage();
     void on_usage_grant(const usage_grant& grant);
     /// Refunds the grant of a request that has not run.
@@ -189,6 +208,7 @@
     event::timer deadline_timer_;
     base::steady_time deadline_;
     std::unique_ptr<usage_ticket> usage_ticket_;
+    std::unique_ptr<ticket> origin_ticket_;
     usage_grant usage_;
     base::milliseconds first_byte_{0};
     /// Time from the arrival of the request to its first call.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -6,6 +6,7 @@
 #include <mintknot/base/time.hpp>
 #include <mintknot/policy/capacity_claim.hpp>
 #include <mintknot/policy/server_health.hpp>
+#include <mintknot/policy/stream_origin.hpp>
 
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
     void count_request(const finished_request& request);
     void count_call(policy::call_result result);
     void count_retry(std::string_view reason);
+    /// Counts a stream that a caller takes up.
+    void count_taken_up(policy::origin_verdict verdict);
     /// Counts a decision on a plain call while capacity is shared.
     void count_plain_decision(policy::capacity_denial denial);
     /// Records the service time that a plain call was decided by.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -15,12 +15,14 @@
 #include <mintknot/policy/selection.hpp>
 #include <mintknot/policy/server_health.hpp>
 #include <mintknot/policy/server_paths.hpp>
+#include <mintknot/policy/version_history.hpp>
 #include <mintknot/relay/crash_guard.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/health_prober.hpp>
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
+#include <mintknot/relay/stream_origins.hpp>
 #include <mintknot/relay/stream_tracker.hpp>
 #include <mintknot/relay/usage_limiter.hpp>
 #include <mintknot/relay/wait_queue.hpp>
@@ -97,6 +99,7 @@
     /// The last time at which `servers` was confirmed to be up to date; nullopt
     /// if it never was or if schedulers provide the servers.
     std::optional<base::steady_time> server_table_confirmed;
+    policy::version_history versions; ///< Of servers.
     traffic::load_view loads;
     stream_tracker streams; ///< Those whose memory is followed.
     std::unordered_map<std::string, policy::output_lengths>
@@ -152,9 +155,10 @@
     health_prober& prober;
     relay_options options;
     router_state state{};
-    placer* placement = nullptr;     ///< Null: requests are placed locally.
-    usage_limiter* limits = nullptr; ///< Null: no usage limits apply.
-    crash_guard* crashes = nullptr;  ///< Null: no request is blocked.
+    placer* placement = nullptr;       ///< Null: requests are placed locally.
+    usage_limiter* limits = nullptr;   ///< Null: no usage limits apply.
+    crash_guard* crashes = nullptr;    ///< Null: no request is blocked.
+    stream_origins* origins = nullptr; ///< Null: streams are not followed.
     wait_queue queue{loop};
     std::minstd_rand random{std::random_device{}()};
 
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -4,7 +4,6 @@
 #include "plain_exchange.hpp"
 
 #include <mintknot/http1/serialize.hpp>
-#include <mintknot/policy/usage_account.hpp>
 #include <mintknot/relay/request_digest.hpp>
 
 #include <algorithm>
@@ -20,7 +19,6 @@
 constexpr std::string_view crashes_servers = "crashes_servers";
 
 constexpr int status_unauthorized = 401;
-constexpr int status_too_many_requests = 429;
 constexpr int status_unavailable = 503;
 
 std::string_view body_of(const caller_request& request) {
@@ -80,33 +78,7 @@
     if (who != nullptr && who->limit.limited() && context_.limits != nullptr)
         request_usage();
     else
-        run();
-}
-
-void exchange::request_usage() {
-    const request_metadata& terms = request_.terms;
-    const double tokens = terms.prompt_tokens + terms.max_output_tokens;
-    const double cost = policy::usage_cost(
-        request_.organisation->limit,
-        terms.declares_tokens ? std::optional(tokens) : std::nullopt);
-    usage_ticket_ = context_.limits->request_grant(
-        *request_.organisation, cost,
-        [this](const usage_grant& grant) { on_usage_grant(grant); });
-}
-
-void exchange::on_usage_grant(const usage_grant& grant) {
-    usage_ = grant;
-    if (grant.granted)
-        run();
-    else
-        refuse(status_too_many_requests, "over_limit", grant.retry_after);
-}
-
-void exchange::return_usage() {
-    usage_ticket_.reset();
-    if (usage_.granted && verdict_ == base::verdict::not_run)
-        context_.limits->refund(request_.organisation->name, usage_);
-    usage_.granted = false;
+        run_at_version();
 }
 
 bool exchange::ensure_allowed() {
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -83,6 +83,7 @@
 }
 
 void generation_exchange::send_decode(const traffic::server& engine) {
+    decode_.version = engine.version;
     call_parameters options = call_options_for(engine);
     options.resume_after = last_event_;
     options.urgency = urgency();
@@ -137,8 +138,10 @@
         last_event_ = id;
     if (decode_.tracked)
         count_events(events);
-    if (!attempts_.answer_begun)
+    if (!attempts_.answer_begun) {
+        note_stream_begun(decode_.version);
         send_head();
+    }
     sink_.data(events);
     if (sink_.congested() && decode_.call != nullptr) {
         silence_timer_.stop();
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -12,6 +12,13 @@
 
 /// Value in a log line if the wait for capacity cannot be predicted.
 constexpr base::milliseconds unknown_wait{-1};
+/// Engines of another version that a scheduler, of an earlier build, may name
+/// for a stream.
+constexpr int max_version_mismatches = 16;
+
+bool can_decode(traffic::engine_phase phase) {
+    return phase != traffic::engine_phase::prefill;
+}
 
 } // namespace
 
@@ -29,11 +36,6 @@
 }
 
 void generation_exchange::run() {
-    if (request_.terms.resumes)
-        context_.log.write(
-            "taken_up", {{"request", request_.terms.id},
-                         {"resumes", request_.terms.resumes->first_request},
-                         {"last_event", request_.terms.resumes->last_event}});
     place();
 }
 
@@ -79,6 +81,7 @@
         route_.target_latency, since_arrival(),
         policy::mean_hand_over_time(context_.state.demands[service_.name]));
     needs.may_reuse_excluded = policy::may_reuse_tried_engine(attempts_);
+    needs.version = stream_version_;
     needs.excluded = decode_.tried;
     needs.excluded_prefill = prefill_.tried;
     needs.claim =
@@ -105,6 +108,10 @@
         wait_for_capacity(seen);
         return;
     }
+    if (is_other_version(*decode)) {
+        place_again_without(decode->id);
+        return;
+    }
     if (!ensure_allowed())
         return;
     if (exclude_leaving_prefill(placed)) {
@@ -117,12 +124,25 @@
     const traffic::server* prefill =
         traffic::find(context_.state.servers, placed.prefill);
     if (prefill != nullptr && may_send_to(context_, *prefill) &&
+        !is_other_version(*prefill) &&
         prepay(policy::retries_to_prepay(charges_, policy::calls_with_prefill)))
         start_prefill(*prefill, placed.tokens_ahead);
     else
         start_decode();
 }
 
+void generation_exchange::place_again_without(const std::string& engine) {
+    context_.log.write(
+        "version_mismatch", {{"request", request_.terms.id},
+                             {"server", engine},
+                             {"version", *stream_version_}});
+    decode_.tried.insert(engine);
+    if (++version_mismatches_ > max_version_mismatches)
+        end_without_version();
+    else
+        place();
+}
+
 bool generation_exchange::exclude_leaving_prefill(
     const policy::placement& placed) {
     const traffic::server* engine =
@@ -142,6 +162,10 @@
 
 void generation_exchange::wait_for_capacity(
     const policy::capacity_summary& seen) {
+    if (is_version_gone(can_decode)) {
+        end_without_version();
+        return;
+    }
     const auto expected = expected_wait(seen.forecast);
     const base::milliseconds start =
         policy::mean_first_event_time(context_.state.demands[service_.name]);
@@ -178,11 +202,14 @@
             route_.target_latency, route_.target_gap) -
         since_arrival();
     unplaced.time_left = std::min(time_left(), until_caller_leaves);
-    unplaced.begun = attempts_.prefills > 0 || attempts_.runs > 0;
+    unplaced.begun = attempts_.prefills > 0 || attempts_.runs > 0 ||
+                     stream_version_.has_value();
     return unplaced;
 }
 
 policy::queue_rank generation_exchange::rank(bool late) const {
+    if (stream_version_)
+        return {false, policy::bound_stream_priority, request_.arrived};
     return {late, priority(), request_.arrived};
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -51,7 +51,8 @@
     /// State of the current decode call, and the engines tried so far.
     struct decode_state {
         std::unique_ptr<upstream::call> call;
-        std::string server; ///< Where memory is reserved; empty if nowhere.
+        std::string server;  ///< Where memory is reserved; empty if nowhere.
+        std::string version; ///< Of the engine that was called last.
         double reserved_tokens = 0.0;
         base::steady_time placed_at;
         base::steady_time started_at;
@@ -77,6 +78,9 @@
     /// Requests a placement; on_placed() continues with the result.
     void place();
     void on_placed(const policy::placement& placed);
+    /// Places the stream again: the engine that was named for it has another
+    /// software version. Ends the exchange if that happens too often.
+    void place_again_without(const std::string& engine);
     /// Excludes the prefill engine of a placement if this instance knows that
     /// it takes no new requests. A scheduler that is cut off from the store may
     /// still choose it. @return true if the engine was excluded by this call.
@@ -177,7 +181,8 @@
     double events_ = 0.0; ///< Forwarded; counted if the memory is followed.
     std::optional<base::steady_time> first_event_at_;
     std::unique_ptr<wait_queue::ticket> queue_ticket_;
-    bool was_queued_ = false; ///< Has waited for capacity before.
+    bool was_queued_ = false;    ///< Has waited for capacity before.
+    int version_mismatches_ = 0; ///< Engines named that could not be used.
     event::timer wait_timer_;
     event::timer silence_timer_;
 };
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -52,6 +52,7 @@
 void plain_exchange::place() {
     policy::placement_query query;
     query.service = service_.name;
+    query.version = stream_version_;
     query.excluded = tried_;
     query.claim = claim(false, verdict_ != base::verdict::not_run);
     placement_ = place_request(
@@ -64,7 +65,8 @@
     const traffic::server* chosen =
         traffic::find(context_.state.servers, placed.server);
     const bool unavailable =
-        chosen != nullptr && !may_send_to(context_, *chosen);
+        chosen != nullptr &&
+        (!may_send_to(context_, *chosen) || is_other_version(*chosen));
     // The scheduler may not know yet that the server takes no new requests or
     // that its data centre is closed: excluded, it is not chosen again.
     if (unavailable && tried_.insert(chosen->id).second)
@@ -78,6 +80,7 @@
 void plain_exchange::send(
     const traffic::server& server, const policy::placement& placed) {
     server_ = server.id;
+    server_version_ = server.version;
     tried_.insert(server.id);
     add_load(context_, server_, {1, 0.0, 0.0});
     sent_at_ = context_.loop.now();
@@ -127,6 +130,8 @@
     raise_verdict(base::verdict::ran);
     attempts_.answer_begun = true;
     record_first_byte();
+    if (answer_metadata_.event_stream)
+        note_stream_begun(server_version_);
     http1::response_head head = answer_;
     http1::erase_hop_fields(head.fields);
     sink_.begin(std::move(head));
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -59,6 +59,11 @@
             .Name("mintknot_repeats_total")
             .Help("Requests sent again, by reason.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& taken_up =
+        prometheus::BuildCounter()
+            .Name("mintknot_streams_taken_up_total")
+            .Help("Streams that callers take up, by what is known of them.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& plain_decisions =
         prometheus::BuildCounter()
             .Name("mintknot_plain_decisions_total")
@@ -129,6 +134,11 @@
     impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void relay_metrics::count_taken_up(policy::origin_verdict verdict) {
+    impl_->taken_up.Add({{"outcome", std::string(policy::to_string(verdict))}})
+        .Increment();
+}
+
 void relay_metrics::count_plain_decision(policy::capacity_denial denial) {
     impl_->plain_decisions
         .Add({{"denial", std::string(policy::to_string(denial))}})
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -238,8 +238,10 @@
 }
 
 policy::placement place_here(
-    router_context& context, const policy::selection_inputs& inputs,
+    router_context& context, const policy::selection_inputs& any_version,
     const policy::placement_query& query) {
+    policy::selection_inputs inputs = any_version;
+    inputs.only_version = query.version;
     policy::placement placed =
         query.claim
             ? policy::place_claim(
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -50,6 +50,10 @@
     const std::string key = text_of(head.fields, "Key");
     if (!key.empty())
         terms.key = key;
+    resumption resumes{
+        text_of(head.fields, "Resumes"), text_of(head.fields, "After")};
+    if (!resumes.first_request.empty() || !resumes.last_event.empty())
+        terms.resumes = std::move(resumes);
     return terms;
 }
 
@@ -208,28 +212,30 @@
 
 scripted_server& relay_fixture::add_server(
     const std::string& id, const std::string& service,
-    traffic::engine_phase phase, script behaviour) {
+    traffic::engine_phase phase, script behaviour, const std::string& version) {
     scripted_server& added = servers_.emplace_back(owner, std::move(behaviour));
     cr_assert(added.open({"127.0.0.1", 0}).ok());
-    add_row(id, service, phase, added.port());
+    add_row(id, service, phase, added.port(), version);
     return added;
 }
 
 void relay_fixture::add_dead_server(
     const std::string& id, const std::string& service) {
     const bound_port& port = dead_ports_.emplace_back();
-    add_row(id, service, traffic::engine_phase::none, port.number());
+    add_row(id, service, traffic::engine_phase::none, port.number(), "v1");
 }
 
 void relay_fixture::add_row(
     const std::string& id, const std::string& service,
-    traffic::engine_phase phase, std::uint16_t port) {
+    traffic::engine_phase phase, std::uint16_t port,
+    const std::string& version) {
     traffic::server row;
     row.id = id;
     row.service = service;
     row.where = {"127.0.0.1", port};
     row.phase = phase;
     row.slots = 64;
+    row.version = version;
     traffic::apply(context.state.servers, id, ++version_, row);
 }
 
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -72,7 +72,8 @@
     /// Starts a scripted server and adds it to the server table.
     scripted_server& add_server(
         const std::string& id, const std::string& service,
-        traffic::engine_phase phase, script behaviour);
+        traffic::engine_phase phase, script behaviour,
+        const std::string& version = "v1");
     /// Adds a server that refuses all connections to the server table.
     void add_dead_server(const std::string& id, const std::string& service);
 
@@ -101,7 +102,8 @@
 private:
     void add_row(
         const std::string& id, const std::string& service,
-        traffic::engine_phase phase, std::uint16_t port);
+        traffic::engine_phase phase, std::uint16_t port,
+        const std::string& version);
     std::list<scripted_server> servers_;
     std::list<bound_port> dead_ports_;
     std::uint64_t version_ = 0;
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -39,6 +39,24 @@
     return result;
 }
 
+std::vector<policy::instance_location> instance::impl::staying_peers() const {
+    std::vector<policy::instance_location> result;
+    for (const auto& [host, peer] : group.table().heard)
+        if (!peer.leaving)
+            result.push_back({host, peer.data_centre});
+    return result;
+}
+
+std::optional<std::string>
+instance::impl::only_version_of(const std::string& service) const {
+    if (context.state.config == nullptr || context.state.servers.partial)
+        return std::nullopt;
+    return policy::only_version(
+        context.state.versions, service,
+        policy::longest_stream(*context.state.config) + policy::origin_grace,
+        ports.loop.now());
+}
+
 std::vector<std::string> instance::impl::crash_judges() const {
     std::vector<std::string> hosts = peers::staying(group.table(), {});
     if (members_of_fleet.role() != policy::group_role::leaf)
@@ -162,8 +180,10 @@
     case policy::group_role::leaf:
         group.follow(value.super_peers, value.instances);
         documents.set_scope(document_scope::configuration);
-        if (!context.state.servers.partial)
+        if (!context.state.servers.partial) {
             traffic::become_partial(context.state.servers);
+            context.state.versions = {};
+        }
         break;
     }
     update_group_size();
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -12,6 +12,7 @@
 #include <mintknot/limits/usage_accounts.hpp>
 #include <mintknot/orders/demand_sharing.hpp>
 #include <mintknot/orders/phase_balancer.hpp>
+#include <mintknot/origins/origin_directory.hpp>
 #include <mintknot/peers/membership.hpp>
 #include <mintknot/peers/peer_group.hpp>
 #include <mintknot/policy/domain.hpp>
@@ -43,6 +44,13 @@
     scheduling::placer_callbacks placer_functions();
     limits::usage_account_callbacks account_functions();
     crashes::crash_watch_callbacks crash_functions();
+    origins::origin_callbacks origin_functions();
+    /// @return the other instances that are heard and do not stop.
+    std::vector<policy::instance_location> staying_peers() const;
+    /// @return the only version that a service has had for as long as a stream
+    /// of it may live; empty if that is not known.
+    std::optional<std::string>
+    only_version_of(const std::string& service) const;
     std::vector<std::string> crash_judges() const;
     /// @return hosts of the leaves that have joined this super-peer.
     std::vector<std::string> followers() const;
@@ -112,6 +120,7 @@
     limit_sharing server_limits;
     limits::usage_accounts accounts;
     crashes::crash_watch crashes;
+    origins::origin_directory origins;
     orders::phase_balancer balancer;
     orders::demand_sharing demands;
     event::timer drain_timer;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -67,6 +67,7 @@
     , server_limits(context, limit_functions())
     , accounts(context, account_functions(), settings.usage_bounds)
     , crashes(context, crash_functions())
+    , origins(context, origin_functions())
     , balancer(
           context, ports.store, balancer_options(),
           [this] { return looks_after_phases(); })
@@ -91,6 +92,7 @@
     relay::observe_server_notices(context);
     context.limits = &accounts;
     context.crashes = &crashes;
+    context.origins = &origins;
     context.state.on_retries_low =
         [this](const std::string& service, int repeats) {
             lending.ask(service, repeats);
@@ -145,6 +147,7 @@
         [this] { on_servers_known(); },
         [this](base::steady_time moment) {
             context.state.server_table_confirmed = moment;
+            policy::note_complete_view(context.state.versions, moment);
         },
         [this](const std::string& data_centre, bool closed) {
             traffic::set_closed(context.state.servers, data_centre, closed);
@@ -166,8 +169,13 @@
         known != nullptr && server.has_value() && known->phase != server->phase;
     const bool reborn = known != nullptr && server.has_value() &&
                         traffic::is_other_life(*known, *server);
+    const std::optional<traffic::server> before =
+        known == nullptr ? std::nullopt : std::optional(*known);
     if (!traffic::apply(context.state.servers, id, version, std::move(server)))
         return;
+    policy::note_server_change(
+        context.state.versions, before ? &*before : nullptr,
+        traffic::find(context.state.servers, id), ports.loop.now());
     if (changed)
         policy::end_phase_change(context.state.health, id);
     context.queue.notify_capacity_freed();
@@ -226,6 +234,14 @@
         [this](const std::string& id) { return check_of(id); }};
 }
 
+origins::origin_callbacks instance::impl::origin_functions() {
+    return {
+        datagram_sender(), [this] { return staying_peers(); },
+        [this](const std::string& service) {
+            return only_version_of(service);
+        }};
+}
+
 lending_ports instance::impl::lending_functions() {
     return {datagram_sender(), [this] {
                 return peers::staying(group.table(), {});
@@ -256,7 +272,7 @@
         !lending.receive(host, datagram) &&
         !server_limits.receive(host, datagram) &&
         !demands.receive(host, datagram) && !accounts.receive(host, datagram) &&
-        !crashes.receive(host, datagram))
+        !crashes.receive(host, datagram) && !origins.receive(host, datagram))
         placer.receive(host, datagram);
 }
 
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -38,6 +38,12 @@
 /// engine; only for services with large events.
 constexpr std::size_t profile_element = 15;
 constexpr std::size_t outlook_element = 12;
+/// Index, within a server's row, of its version; newer senders add it.
+constexpr std::size_t version_element = 9;
+/// Begins the entry of the excluded servers that names the version which all
+/// servers must have. An instance of an earlier build takes it for a server
+/// that it does not know; whoever asked it checks the version of its choice.
+constexpr std::string_view version_mark = "version:";
 /// Bits of the last element of a claim.
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
@@ -60,6 +66,23 @@
     return rows;
 }
 
+/// @return the decode engines that a query excludes, and its version.
+json excluded_to_json(const policy::placement_query& query) {
+    json rows = to_json(query.excluded);
+    if (query.version)
+        rows.push_back(std::string(version_mark) + *query.version);
+    return rows;
+}
+
+/// Takes the version out of the excluded servers.
+void read_version(policy::placement_query& query) {
+    const auto mark = query.excluded.lower_bound(std::string(version_mark));
+    if (mark == query.excluded.end() || !mark->starts_with(version_mark))
+        return;
+    query.version = mark->substr(version_mark.size());
+    query.excluded.erase(mark);
+}
+
 policy::excluded_servers servers_from(const json& rows) {
     policy::excluded_servers servers;
     for (const json& row : peers::bounded(rows))
@@ -106,7 +129,7 @@
         whole(query.memory_tokens),
         query.max_prefill_time.count(),
         query.may_reuse_excluded,
-        to_json(query.excluded),
+        excluded_to_json(query),
         to_json(query.excluded_prefill),
         query.data_centre};
     if (value.wants_server_rows || !query.connected.empty() || query.claim)
@@ -136,6 +159,7 @@
         base::milliseconds(row.at(7).get<std::int64_t>());
     value.query.may_reuse_excluded = row.at(8).get<bool>();
     value.query.excluded = servers_from(row.at(9));
+    read_version(value.query);
     value.query.excluded_prefill = servers_from(row.at(10));
     value.query.data_centre = row.at(11).get<std::string>();
     if (row.size() > wants_server_rows_element)
@@ -172,7 +196,7 @@
             server.service,    server.where.host,
             server.where.port, server.data_centre,
             server.slots,      static_cast<int>(server.phase),
-            server.born};
+            server.born,       server.version};
 }
 
 traffic::versioned_server server_from(const json& row) {
@@ -190,6 +214,8 @@
         throw json::other_error::create(501, "unknown phase", &row);
     server.phase = static_cast<traffic::engine_phase>(phase);
     server.born = row.at(8).get<std::uint64_t>();
+    if (row.size() > version_element)
+        server.version = row[version_element].get<std::string>();
     return versioned;
 }
 
--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/scheduling/messages.hpp>
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 #include <cmath>
 
@@ -35,6 +36,44 @@
     cr_assert(got.query.data_centre == "a");
 }
 
+Test(scheduling_messages, an_earlier_build_reads_a_query_with_a_version) {
+    placement_request sent;
+    sent.query.service = "llm";
+    sent.query.excluded = {"d1", "w1"};
+    sent.query.version = "v1.2";
+    const std::string datagram = encode(sent);
+    const auto value = decode(datagram);
+    cr_assert(value.ok());
+    const auto& got = std::get<placement_request>(*value).query;
+    cr_assert(got.version == "v1.2");
+    cr_assert(got.excluded == sent.query.excluded);
+    // An earlier build reads the version as one more server to exclude.
+    const auto row = nlohmann::json::from_msgpack(datagram);
+    cr_assert(row.size() == 12);
+    cr_assert(row.at(9).size() == 3);
+    for (const nlohmann::json& id : row.at(9))
+        cr_assert(id.is_string());
+}
+
+Test(scheduling_messages, the_row_of_an_earlier_build_has_no_version) {
+    placement_answer sent;
+    traffic::server server;
+    server.id = "d1";
+    server.version = "v1.2";
+    sent.servers = {{server, 7}};
+    auto row = nlohmann::json::from_msgpack(encode(sent));
+    cr_assert(
+        std::get<placement_answer>(*decode(encode(sent)))
+            .servers[0]
+            .value.version == "v1.2");
+    row.at(10).at(0).erase(9);
+    const auto bytes = nlohmann::json::to_msgpack(row);
+    const auto earlier = decode(std::string(bytes.begin(), bytes.end()));
+    cr_assert(earlier.ok());
+    cr_assert(
+        std::get<placement_answer>(*earlier).servers[0].value.version.empty());
+}
+
 Test(scheduling_messages, claim_round_trip) {
     placement_request sent;
     sent.query.service = "llm";
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/server_table.hpp
@@ -54,6 +54,8 @@
     std::unordered_map<std::string, entry> by_id;
     /// Servers that take new requests; see takes_new().
     std::map<std::string, std::vector<const server*>> open_by_service;
+    /// How many of them have each software version, by service and version.
+    std::map<std::string, std::map<std::string, std::size_t>> open_versions;
     /// Data centres whose servers get nothing new; they are not open.
     std::set<std::string> closed_data_centres;
     /// Servers that have said themselves that they leave, and which life of
--- a/libs/mintknotd-platform/traffic/src/server_table.cpp
+++ b/libs/mintknotd-platform/traffic/src/server_table.cpp
@@ -30,12 +30,20 @@
 
 /// Puts a server among those of its service, which are sorted by ID.
 void add_open(server_table& table, const server& added) {
+    ++table.open_versions[added.service][added.version];
     std::vector<const server*>& servers = table.open_by_service[added.service];
     servers.insert(
         std::lower_bound(servers.begin(), servers.end(), added.id, id_is_less),
         &added);
 }
 
+void count_out(
+    std::map<std::string, std::size_t>& versions, const std::string& version) {
+    const auto counted = versions.find(version);
+    if (--counted->second == 0)
+        versions.erase(counted);
+}
+
 void remove_open(server_table& table, const server& removed) {
     const auto service = table.open_by_service.find(removed.service);
     if (service == table.open_by_service.end())
@@ -43,8 +51,10 @@
     std::vector<const server*>& servers = service->second;
     const auto found = std::lower_bound(
         servers.begin(), servers.end(), removed.id, id_is_less);
-    if (found != servers.end() && *found == &removed)
-        servers.erase(found);
+    if (found == servers.end() || *found != &removed)
+        return;
+    servers.erase(found);
+    count_out(table.open_versions[removed.service], removed.version);
     if (servers.empty())
         table.open_by_service.erase(service);
 }
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -67,8 +67,7 @@
                options.earlier_program, options.advertised_limits,
                options.scarce_capacity,
                options.random_cuts || !options.cuts.empty(),
-               options.data_centres, options.engine_version,
-               options.event_time})
+               options.data_centres, options.event_time})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
@@ -92,7 +91,7 @@
             result_.broken.emplace_back("the system did not start");
             return;
         }
-        if (!options_.engine_version.empty())
+        if (options_.take_ups)
             clients_.take_up_streams();
         clients_.start(options_.callers, caller_pause);
         faults_.start();
@@ -289,7 +288,7 @@
         add(broken_by_limits(
             clients_.records(), notes, faults_.disturbances(),
             parsed_limits()));
-        if (!options_.engine_version.empty()) {
+        if (options_.take_ups) {
             const version_tally tally = tally_versions(
                 clients_.records(), system_.engine_lives(),
                 faults_.disturbances());
@@ -345,7 +344,7 @@
     constexpr base::milliseconds event_time{60};
     constexpr base::milliseconds kill_interval{3000};
     const base::milliseconds part = options.length / 4;
-    options.engine_version = "v1";
+    options.take_ups = true;
     options.event_time = event_time;
     options.rollouts = {
         {part / 2, "v1.1"}, {2 * part, "v1.2"}, {3 * part, "v1"}};
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -59,9 +59,8 @@
     /// Draws cuts by the seed in place of the given ones.
     bool random_cuts = false;
     std::size_t data_centres = 1;
-    /// Of the software of all engines at the start; empty: engines tell none.
-    std::string engine_version;
     std::vector<rollout> rollouts; ///< They may overlap.
+    bool take_ups = false; ///< Callers take up resumable streams that break.
     /// Between two events of a stream; zero: as the stand-in has it.
     base::milliseconds event_time{0};
     /// When half of the instances, and two engines, are killed.
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -23,6 +23,8 @@
 constexpr base::milliseconds call_limit{2000};
 constexpr std::size_t prefill_engines = 2;
 constexpr int status_ok = 200;
+/// Of the software of all engines at the start.
+constexpr const char* first_version = "v1";
 /// Where the link of a server leads before the server has started.
 const base::address nowhere{"127.0.0.1", 1};
 
@@ -162,7 +164,7 @@
     servers_.emplace_back();
     servers_.back().program = "platform-engine";
     servers_.back().arguments = {phase};
-    versions_.push_back(phase.empty() ? std::string() : form_.engine_version);
+    versions_.push_back(phase.empty() ? std::string() : first_version);
     restart_server(number);
 }
 
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -44,8 +44,6 @@
     /// Each instance reaches each server over a link of its own.
     bool own_server_links = false;
     std::size_t data_centres = 1; ///< Instances are in them in turn.
-    /// Of the software of all engines at the start; empty: rows have none.
-    std::string engine_version;
     /// Between two events of a stream; zero: as the stand-in has it.
     base::milliseconds event_time{0};
 };
