--- a/libs/mintknotd-platform/origins/include/mintknot/origins/origin_directory.hpp
+++ b/libs/mintknotd-platform/origins/include/mintknot/origins/origin_directory.hpp
@@ -37,10 +37,9 @@
     std::uint64_t answered = 0; ///< Questions of others that were answered.
 };
 
-/// Tells three other instances of each beginning, twice, as datagrams may be
-/// lost: at once and a moment later. Asks six for a stream that is not known
-/// here (policy/stream_origin.hpp). Nothing is stored: what all of these
-/// instances forget is lost.
+/// Tells three other instances of each beginning, and asks six for a stream
+/// that is not known here (policy/stream_origin.hpp). Nothing is stored: what
+/// all of these instances forget is lost.
 ///
 /// Used only on the event loop's thread. The router and everything that the
 /// callbacks refer to must outlive it.
--- a/libs/mintknotd-platform/origins/src/origin_directory.cpp
+++ b/libs/mintknotd-platform/origins/src/origin_directory.cpp
@@ -21,8 +21,6 @@
 constexpr base::milliseconds max_answer_timeout{150};
 /// Times that a silent instance is asked.
 constexpr int max_rounds = 2;
-/// Each notice is sent again after this delay, with others.
-constexpr base::milliseconds resend_delay{150};
 constexpr base::milliseconds min_eviction_log_interval{1000};
 
 /// A question that waits for answers.
@@ -44,15 +42,14 @@
     impl(relay::router_context& shared, origin_callbacks outside)
         : router(shared)
         , callbacks(std::move(outside))
-        , resend_timer(shared.loop)
         , last_number(base::random_bits()) {}
 
     base::steady_time now() const { return router.loop.now(); }
 
-    void note(const origin_entry& entry) {
+    void note(const origin_notice& notice) {
         const std::uint64_t evicted = table.evicted;
         policy::note_origin(
-            table, entry.stream, entry.version, entry.life, now());
+            table, notice.stream, notice.version, notice.life, now());
         if (table.evicted == evicted ||
             now() - eviction_logged_at < min_eviction_log_interval)
             return;
@@ -63,27 +60,12 @@
              {"kept", static_cast<std::int64_t>(table.by_stream.size())}});
     }
 
-    void tell(const origin_entry& entry) {
-        const std::string datagram = encode(origin_notice{{entry}});
+    void tell(const origin_notice& notice) {
+        const std::string datagram = encode(notice);
         for (const std::string& host : policy::origin_hosts(
-                 entry.stream, callbacks.members(), policy::origin_holders)) {
+                 notice.stream, callbacks.members(), policy::origin_holders))
             callbacks.send(host, datagram);
-            unsent[host].push_back(entry);
-        }
         ++counters.told;
-        if (!unsent.empty() && !resend_timer.active())
-            resend_timer.start(resend_delay, [this] { resend(); });
-    }
-
-    void resend() {
-        for (const auto& [host, entries] : std::exchange(unsent, {}))
-            for (std::size_t i = 0; i < entries.size(); i += max_entries) {
-                const auto begin =
-                    entries.begin() + static_cast<std::ptrdiff_t>(i);
-                const auto end = begin + static_cast<std::ptrdiff_t>(std::min(
-                                             max_entries, entries.size() - i));
-                callbacks.send(host, encode(origin_notice{{begin, end}}));
-            }
     }
 
     std::uint64_t
@@ -180,8 +162,7 @@
     }
 
     void on_message(const std::string&, const origin_notice& notice) {
-        for (const origin_entry& entry : notice.entries)
-            note(entry);
+        note(notice);
     }
 
     void on_message(const std::string& host, const origin_query& query) {
@@ -219,9 +200,6 @@
     policy::origin_table table;
     policy::answer_times paces;
     origin_counters counters;
-    /// Told once, to be told again, by host.
-    std::map<std::string, std::vector<origin_entry>> unsent;
-    event::timer resend_timer;
     base::steady_time eviction_logged_at{};
     std::uint64_t last_number;
     std::map<std::uint64_t, std::unique_ptr<pending_query>> pending;
@@ -240,11 +218,11 @@
     if (stream.request_id.empty() || version.empty() ||
         version.size() > max_text_bytes)
         return;
-    const origin_entry entry{
+    const origin_notice notice{
         policy::stream_key(stream.organisation, stream.request_id), version,
         life};
-    impl_->note(entry);
-    impl_->tell(entry);
+    impl_->note(notice);
+    impl_->tell(notice);
 }
 
 std::unique_ptr<relay::ticket> origin_directory::find(
--- a/libs/mintknotd-platform/origins/src/origin_messages.cpp
+++ b/libs/mintknotd-platform/origins/src/origin_messages.cpp
@@ -45,10 +45,7 @@
 }
 
 json to_json(const origin_notice& value) {
-    json rows = json::array();
-    for (const origin_entry& entry : value.entries)
-        rows.push_back({entry.stream, entry.version, entry.life.count()});
-    return {notice_format, rows};
+    return {notice_format, value.stream, value.version, value.life.count()};
 }
 
 json to_json(const origin_query& value) {
@@ -62,15 +59,7 @@
 }
 
 origin_notice notice_from(const json& row) {
-    const json& rows = row.at(1);
-    if (!rows.is_array() || rows.size() > max_entries)
-        malformed("too many entries", rows);
-    origin_notice value;
-    for (const json& entry : rows)
-        value.entries.push_back(
-            {text_from(entry.at(0)), text_from(entry.at(1)),
-             time_from(entry.at(2))});
-    return value;
+    return {text_from(row.at(1)), text_from(row.at(2)), time_from(row.at(3))};
 }
 
 origin_query query_from(const json& row) {
--- a/libs/mintknotd-platform/origins/src/origin_messages.hpp
+++ b/libs/mintknotd-platform/origins/src/origin_messages.hpp
@@ -13,22 +13,16 @@
 #include <string>
 #include <string_view>
 #include <variant>
-#include <vector>
 
 namespace mintknot::origins {
 
-/// The beginning of a stream.
-struct origin_entry {
+/// Tells of the beginning of a stream.
+struct origin_notice {
     std::string stream; ///< See policy::stream_key().
     std::string version;
     base::milliseconds life{0}; ///< For how long it is to be remembered.
 };
 
-/// Tells of beginnings.
-struct origin_notice {
-    std::vector<origin_entry> entries;
-};
-
 /// Asks which version began a stream.
 struct origin_query {
     std::uint64_t number = 0; ///< The reply repeats it.
@@ -47,8 +41,6 @@
 
 using origin_message = std::variant<origin_notice, origin_query, origin_reply>;
 
-/// Most entries of a notice, so that it fits into one packet.
-inline constexpr std::size_t max_entries = 12;
 /// Longest text in a message, in bytes; longer versions are not told.
 inline constexpr std::size_t max_text_bytes = 64;
 
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/queue_order.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/queue_order.hpp
@@ -6,14 +6,9 @@
 #include <mintknot/base/time.hpp>
 
 #include <compare>
-#include <limits>
 
 namespace mintknot::policy {
 
-/// Priority of a stream that has begun and can go on at one software version
-/// only: before that of all routes.
-inline constexpr int bound_stream_priority = std::numeric_limits<int>::min();
-
 /// Rank of a waiting request; the lowest goes first. Requests that can still
 /// meet their target go first, then those of a route with higher priority, then
 /// earlier arrivals. Without this order the net benefit did not change beyond
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -170,8 +170,9 @@
     const base::milliseconds start =
         policy::mean_first_event_time(context_.state.demands[service_.name]);
     const policy::unplaced_request unplaced = describe_unplaced();
-    // A stream that has begun waits even if no capacity is predicted in time.
-    if (attempts_.answer_begun ||
+    // A stream that has begun, here or in an earlier request, waits even if no
+    // capacity is predicted in time.
+    if (stream_version_ || attempts_.answer_begun ||
         policy::should_wait(unplaced, expected, start)) {
         join_queue(!policy::can_meet_target(unplaced, expected, start));
         return;
@@ -202,14 +203,11 @@
             route_.target_latency, route_.target_gap) -
         since_arrival();
     unplaced.time_left = std::min(time_left(), until_caller_leaves);
-    unplaced.begun = attempts_.prefills > 0 || attempts_.runs > 0 ||
-                     stream_version_.has_value();
+    unplaced.begun = attempts_.prefills > 0 || attempts_.runs > 0;
     return unplaced;
 }
 
 policy::queue_rank generation_exchange::rank(bool late) const {
-    if (stream_version_)
-        return {false, policy::bound_stream_priority, request_.arrived};
     return {late, priority(), request_.arrived};
 }
 
