Soak with parts of prompts that crash engines

Unlike requests with one part come at all instances every quarter of a second, beside sound ones that share their first part and their documents; an engine ends 30 to 110 ms after the first event of its answer. Checked by the users' rules: at most three requests with the part reach engines, sent by instances in touch, later than contact_time after the fifth end; from twice that on sound ones begin at least half as often as before the first; nobody else is refused for it. What was compared is printed, with a word where it was too little. Bodies of all callers differ now, as the digest of a request has its body.

--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -41,6 +41,12 @@
 /// How long a request that crashes its server runs before it does: it has no
 /// answer by then.
 constexpr base::milliseconds crash_time{10};
+/// An engine ends so long after its first event, if the prompt has a part that
+/// crashes engines; the time differs by request.
+constexpr base::milliseconds min_part_crash_time{30};
+constexpr std::size_t part_crash_spread_ms = 80;
+/// With what such a part begins.
+constexpr std::string_view crashing_part = "bad";
 /// With what the body of such a request begins.
 constexpr std::string_view crash_mark = "crash";
 constexpr int events_of_a_stream = 20;
@@ -203,7 +209,7 @@
             return;
         }
         const bool crashes = request.body.starts_with(crash_mark);
-        if (crashes)
+        if (crashes || has_crashing_part(request))
             note("marked", id);
         if (crashes && request.field("X-Mintknot-Phase") != "prefill")
             after(crash_time, [this, id] { crash(id); });
@@ -217,6 +223,12 @@
             reject(link, id, status_misdirected);
     }
 
+    static bool has_crashing_part(const received_request& request) {
+        const std::string parts = request.field("X-Mintknot-Prompt-Prefix");
+        return parts.find("," + std::string(crashing_part)) !=
+               std::string::npos;
+    }
+
     void reply(
         const event::connection_ptr& link, int status, http1::field_list fields,
         const std::string& body) {
@@ -311,6 +323,12 @@
         head.body = http1::framing::chunked;
         link->write(http1::serialize(head));
         send_event(id, from + 1, link);
+        if (has_crashing_part(request))
+            after(
+                min_part_crash_time +
+                    base::milliseconds(
+                        std::hash<std::string>{}(id) % part_crash_spread_ms),
+                [this, id] { crash(id); });
     }
 
     void send_event(
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -38,6 +38,9 @@
     TCLAP::SwitchArg crashing(
         "c", "crashing", "requests come that crash each server that runs them",
         line);
+    TCLAP::SwitchArg crashing_parts(
+        "", "crashing-parts",
+        "requests come with parts in their prompts that crash engines", line);
     TCLAP::SwitchArg words(
         "w", "words",
         "servers say in answers only that they leave, or ask for rest", line);
@@ -95,6 +98,9 @@
         if (crashing.getValue())
             options.crashing = {
                 soak::request_kind::stream, soak::request_kind::unsafe};
+        if (crashing_parts.getValue())
+            options.crashing_parts = {
+                soak::request_kind::stream, soak::request_kind::resumable};
         if (words.getValue()) {
             options.say_leaving = {0, 2};
             options.ask_rest = {1, 3, 2 + options.decode_engines};
@@ -128,6 +134,8 @@
             fmt::print("  {}\n", rate);
         for (const std::string& served : result.served_during_cuts)
             fmt::print("  {}\n", served);
+        for (const std::string& part : result.parts)
+            fmt::print("  {}\n", part);
         if (!result.versions.empty())
             fmt::print("  versions: {}\n", result.versions);
         for (const std::string& broken : result.broken)
--- a/testing/soak/src/soak_checks.cpp
+++ b/testing/soak/src/soak_checks.cpp
@@ -175,7 +175,9 @@
     for (const caller_record& record : records) {
         if (!record.mark.empty())
             marked[record.id] = &record;
-        else if (record.body.starts_with(taken_for_crashing))
+        else if (
+            record.crashing_part.empty() &&
+            record.body.starts_with(taken_for_crashing))
             broken.push_back(
                 fmt::format("{} was refused for another's crashes", record.id));
     }
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -34,6 +34,11 @@
     bool unanswered = false;
     /// When the caller went away before its answer was whole.
     std::optional<base::steady_time> left_at;
+    /// The first part of its prompt; empty: it has no parts.
+    std::string first_part;
+    /// A part of its prompt that crashes each engine that begins to write an
+    /// answer; empty: it is sound.
+    std::string crashing_part;
     /// The request that brought the first event of a stream that this one
     /// takes up; empty: it begins anew.
     std::string resumes;
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -25,6 +25,8 @@
 constexpr base::milliseconds take_up_pause{50};
 constexpr base::milliseconds max_take_up_pause{1000};
 constexpr int status_unavailable = 503;
+/// Documents that prompts share.
+constexpr std::size_t documents = 5;
 
 std::string_view path_of(request_kind kind) {
     switch (kind) {
@@ -40,6 +42,22 @@
     return "/";
 }
 
+bool is_generation(request_kind kind) {
+    return kind == request_kind::stream || kind == request_kind::resumable;
+}
+
+/// @return the parts of a prompt: one that all requests of the kind share, a
+/// document, in some requests one that crashes engines, and one of its own.
+std::string prompt_parts(
+    const caller_record& record, std::size_t document, std::uint64_t own) {
+    const std::string crashing = record.crashing_part.empty()
+                                     ? std::string()
+                                     : record.crashing_part + ":50,";
+    return fmt::format(
+        "{}:100,d0c{:05x}:100,{}{:08x}:250", record.first_part, document,
+        crashing, own);
+}
+
 /// @return the time that a Retry-After field names; zero: none.
 base::milliseconds retry_after_of(const http1::response_head& head) {
     const std::string* text = http1::find_field(head.fields, "Retry-After");
@@ -163,12 +181,16 @@
         return start_exchange(std::move(record), path, std::move(on_record));
     }
 
-    static http1::field_list fields_of(const caller_record& record) {
+    http1::field_list fields_of(const caller_record& record) {
         http1::field_list fields = {
             {"Host", "soak.example"},
             {"X-Mintknot-Request-Id", record.id},
             {"X-Mintknot-Deadline-Ms", "4000"},
             {"X-Mintknot-Token-Count", "500,50"}};
+        if (is_generation(record.kind))
+            fields.push_back(
+                {"X-Mintknot-Prompt-Prefix",
+                 prompt_parts(record, draw(documents), last)});
         if (!record.resumes.empty()) {
             fields.push_back({"Resumes", record.resumes});
             fields.push_back(
@@ -185,6 +207,9 @@
         at = std::make_unique<exchange>(owner);
         at->record = std::move(record);
         at->record.id = fmt::format("r{}", number);
+        if (is_generation(at->record.kind))
+            at->record.first_part =
+                fmt::format("a0a0a0a{}", static_cast<int>(at->record.kind));
         at->record.sent = owner.now();
         at->on_record = std::move(on_record);
         upstream::call_request request;
@@ -192,7 +217,8 @@
         request.head.target = path;
         request.head.fields = fields_of(at->record);
         request.body = std::make_shared<const std::string>(
-            at->record.mark.empty() ? "hello" : at->record.mark);
+            at->record.mark.empty() ? "hello from " + at->record.id
+                                    : at->record.mark);
         const base::address& entry = entries[at->record.instance];
         exchange* raw = at.get();
         at->limit.start(request_limit, [this, number] { finish(number); });
@@ -291,6 +317,15 @@
     impl_->send_to(kind, std::string(path_of(kind)), entry, mark, {});
 }
 
+void soak_clients::send_crashing_part(
+    request_kind kind, std::size_t entry, const std::string& part) {
+    caller_record record;
+    record.kind = kind;
+    record.instance = entry;
+    record.crashing_part = part;
+    impl_->start_exchange(std::move(record), std::string(path_of(kind)), {});
+}
+
 void soak_clients::send(
     request_kind kind, std::size_t entry,
     std::function<void(const caller_record&)> on_record) {
--- a/testing/soak/src/soak_clients.hpp
+++ b/testing/soak/src/soak_clients.hpp
@@ -51,6 +51,11 @@
     /// the records. @param mark begins with "crash".
     void send_crashing(
         request_kind kind, std::size_t entry, const std::string& mark);
+    /// Sends one request, unlike all others, with a part in its prompt that
+    /// crashes each engine that begins to answer it.
+    /// @param part begins with "bad".
+    void send_crashing_part(
+        request_kind kind, std::size_t entry, const std::string& part);
 
 private:
     struct impl;
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.hpp"
 
+#include "part_checks.hpp"
 #include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
@@ -28,6 +29,8 @@
 /// Between two tries of a request that crashes servers.
 constexpr base::milliseconds crashing_pause{400};
 constexpr base::milliseconds time_to_words{1000};
+/// Between two requests with the same part that crashes engines.
+constexpr base::milliseconds part_pause{250};
 constexpr int status_not_found = 404;
 /// Between two engines of a rollout: a drain takes some seconds, so that
 /// several are away at once.
@@ -98,12 +101,15 @@
         cuts_.start();
         if (!options_.crashing.empty())
             send_crashing();
+        if (!options_.crashing_parts.empty())
+            later(options_.parts_begin, [this] { send_crashing_parts(); });
         word_timer_.start(time_to_words, [this] { speak(); });
         if (options_.limits_end > base::milliseconds{0})
             limit_timer_.start(
                 options_.limits_end, [this] { toggle_limits(); });
         for (const base::milliseconds when : options_.restores)
             plan_restore(when);
+        faults_end_ = owner_.now() + options_.length;
         plan_rollouts();
         plan_kills();
         run_until([] { return false; }, options_.length);
@@ -172,6 +178,16 @@
         crash_timer_.start(crashing_pause, [this] { send_crashing(); });
     }
 
+    void send_crashing_parts() {
+        for (std::size_t i = 0; i < options_.crashing_parts.size(); ++i)
+            clients_.send_crashing_part(
+                options_.crashing_parts[i], part_tries_ % options_.instances,
+                fmt::format("bad{:05x}", i));
+        ++part_tries_;
+        if (owner_.now() < faults_end_)
+            later(part_pause, [this] { send_crashing_parts(); });
+    }
+
     void speak() {
         for (const std::size_t server : options_.say_leaving)
             system_.servers().at(server).running->signal(SIGUSR1);
@@ -288,6 +304,11 @@
         add(broken_by_limits(
             clients_.records(), notes, faults_.disturbances(),
             parsed_limits()));
+        const std::vector<part_tally> parts =
+            tally_parts(clients_.records(), notes, faults_.disturbances());
+        for (const part_tally& part : parts)
+            result_.parts.push_back(to_string(part));
+        add(broken_by_parts(parts));
         if (options_.take_ups) {
             const version_tally tally = tally_versions(
                 clients_.records(), system_.engine_lives(),
@@ -335,6 +356,8 @@
     event::timer limit_timer_;
     std::vector<std::unique_ptr<event::timer>> timers_;
     std::size_t crashing_tries_ = 0;
+    std::size_t part_tries_ = 0;
+    base::steady_time faults_end_{};
     soak_result result_;
 };
 
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -36,6 +36,10 @@
     /// For each kind a request that crashes every server that runs it comes
     /// again and again, at all instances in turn.
     std::vector<request_kind> crashing;
+    /// For each kind unlike requests with one part in their prompts that
+    /// crashes engines come at all instances in turn, from parts_begin on.
+    std::vector<request_kind> crashing_parts;
+    base::milliseconds parts_begin{3000};
     /// Servers, by number, that say in answers only that they leave, and that
     /// ask for rest, from a second after the start on.
     std::vector<std::size_t> say_leaving;
@@ -81,6 +85,8 @@
     std::vector<std::string> cuts;   ///< Likewise.
     /// What callers got during cuts from all servers, a line each.
     std::vector<std::string> served_during_cuts;
+    /// What became of requests with parts that crash engines, a line each.
+    std::vector<std::string> parts;
     /// What became of streams while several versions served; empty: there was
     /// one.
     std::string versions;
--- a/testing/soak/src/version_checks.cpp
+++ b/testing/soak/src/version_checks.cpp
@@ -71,6 +71,7 @@
                                record.kind == request_kind::resumable;
         tally.taken_up += record.resumes.empty() ? 0 : 1;
         if (!is_stream || record.left_at || !record.mark.empty() ||
+            !record.crashing_part.empty() ||
             !is_in_touch(disturbances, record.instance, record.sent))
             continue;
         if (record.resumes.empty()) {
