Datagrams are read and written in one place; soak and scheduling sources split

Only structure.

A row of 16 elements has a longer header: found by scheduling_messages::a_profile_is_sent_behind_the_claim_only, and tested by datagram::a_message_of_many_elements_is_read.

--- a/libs/mintknotd-platform/limits/src/usage_messages.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_messages.cpp
@@ -1,6 +1,6 @@
 #include "usage_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include <mintknot/base/datagram.hpp>
 
 #include <cmath>
 #include <vector>
@@ -44,7 +44,7 @@
 template<typename Enum> Enum enumerator(const json& value, Enum last) {
     const int number = value.get<int>();
     if (number < 0 || number > static_cast<int>(last))
-        throw json::other_error::create(501, "unknown enumerator", &value);
+        base::throw_malformed("unknown enumerator", value);
     return static_cast<Enum>(number);
 }
 
@@ -52,7 +52,7 @@
 double cost_from(const json& value) {
     const auto cost = value.get<std::int64_t>();
     if (cost < 0)
-        throw json::other_error::create(501, "negative cost", &value);
+        base::throw_malformed("negative cost", value);
     return static_cast<double>(cost);
 }
 
@@ -77,14 +77,6 @@
     return {row.at(1).get<std::string>(), cost_from(row.at(2))};
 }
 
-/// Checks the message type, a small number right after the array's header byte,
-/// without parsing: most datagrams are of other types and would otherwise be
-/// parsed twice.
-bool may_be_usage_message(std::string_view datagram) {
-    return datagram.size() >= 2 && datagram[1] >= request_format &&
-           datagram[1] <= charge_format;
-}
-
 usage_message message_from(const json& row) {
     switch (row.at(0).get<int>()) {
     case request_format:
@@ -96,29 +88,20 @@
     case charge_format:
         return charge_from(row);
     default:
-        throw json::other_error::create(501, "unknown format", &row);
+        base::throw_malformed("unknown format", row);
     }
 }
 
 } // namespace
 
 std::string encode(const usage_message& value) {
-    const json row =
-        std::visit([](const auto& known) { return to_json(known); }, value);
-    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram(
+        std::visit([](const auto& known) { return to_json(known); }, value));
 }
 
 absl::StatusOr<usage_message> decode_usage(std::string_view datagram) {
-    if (!may_be_usage_message(datagram))
-        return absl::InvalidArgumentError("not a usage message");
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    try {
-        return message_from(row);
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field is malformed");
-    }
+    return base::decode_datagram(
+        datagram, {request_format, charge_format}, message_from);
 }
 
 } // namespace mintknot::limits
--- a/libs/mintknotd-platform/runtime/src/loan_messages.cpp
+++ b/libs/mintknotd-platform/runtime/src/loan_messages.cpp
@@ -1,6 +1,6 @@
 #include "loan_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include <mintknot/base/datagram.hpp>
 
 namespace mintknot::runtime {
 
@@ -28,39 +28,16 @@
     return loan_offer{number, row.at(2).get<int>()};
 }
 
-/// Checks the first element, a small number right after the array's own byte.
-/// Most datagrams are placements, which should not be parsed twice.
-bool may_be_loan(std::string_view datagram) {
-    return datagram.size() >= 2 &&
-           (datagram[1] == request_format || datagram[1] == offer_format);
-}
-
-bool is_loan(const json& row) {
-    return row.is_array() && !row.empty() &&
-           (row[0] == request_format || row[0] == offer_format);
-}
-
 } // namespace
 
 std::string encode(const loan_message& value) {
-    const json row =
-        std::visit([](const auto& known) { return to_json(known); }, value);
-    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram(
+        std::visit([](const auto& known) { return to_json(known); }, value));
 }
 
 absl::StatusOr<loan_message> decode_loan(std::string_view datagram) {
-    if (!may_be_loan(datagram))
-        return absl::InvalidArgumentError("not a loan message");
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    if (!is_loan(row))
-        return absl::InvalidArgumentError("not a loan message");
-    try {
-        return message_from(row);
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field is malformed");
-    }
+    return base::decode_datagram(
+        datagram, {request_format, offer_format}, message_from);
 }
 
 } // namespace mintknot::runtime
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -1,11 +1,13 @@
 #include <mintknot/scheduling/messages.hpp>
 
+#include "load_report_message.hpp"
+#include "message_numbers.hpp"
 #include "outlook_message.hpp"
 
+#include <mintknot/base/datagram.hpp>
 #include <mintknot/peers/message_parts.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 
 namespace mintknot::scheduling {
@@ -17,12 +19,6 @@
 /// Message type, the first element of each message. Heartbeats use 1.
 constexpr int request_format = 2;
 constexpr int answer_format = 3;
-constexpr int report_format = 4;
-/// Index of the results in a load report that has any; older instances ignore
-/// it.
-constexpr std::size_t results_element = 4;
-/// Index of the times of plain calls; sent only while capacity is shared.
-constexpr std::size_t call_times_element = 5;
 /// Indexes of elements that newer senders add: to a request if the sender holds
 /// no rows of servers or has open connections, and to its answer.
 constexpr std::size_t wants_server_rows_element = 12;
@@ -48,16 +44,6 @@
 constexpr unsigned caller_retry_flag = 1;
 constexpr unsigned waiting_flag = 2;
 constexpr unsigned begun_flag = 4;
-/// Rates are sent in thousandths.
-constexpr double rate_unit = 1000.0;
-
-std::int64_t whole(double value) {
-    return static_cast<std::int64_t>(std::llround(value));
-}
-
-double number(const json& value) {
-    return static_cast<double>(value.get<std::int64_t>());
-}
 
 json to_json(const policy::excluded_servers& servers) {
     json rows = json::array();
@@ -312,98 +298,31 @@
     return value;
 }
 
-json to_json(const policy::observed_call_map& calls) {
-    json rows = json::array();
-    for (const auto& [id, observed] : calls)
-        rows.push_back(
-            {id, observed.calls, whole(observed.slot_ms),
-             whole(observed.delay_ms)});
-    return rows;
-}
-
-policy::observed_call_map call_times_from(const json& rows) {
-    policy::observed_call_map calls;
-    for (const json& row : peers::bounded(rows)) {
-        const policy::observed_calls observed{
-            row.at(1).get<int>(), number(row.at(2)), number(row.at(3))};
-        if (observed.calls <= 0 || observed.slot_ms < 0.0 ||
-            observed.delay_ms < 0.0)
-            throw json::other_error::create(501, "no time of calls", &row);
-        calls[row.at(0).get<std::string>()] = observed;
-    }
-    return calls;
-}
-
 json to_json(const load_report& value) {
-    json rates = json::array();
-    for (const observed_rate& rate : value.rates)
-        rates.push_back({rate.id, whole(rate.rate * rate_unit)});
-    json row = {
-        report_format, peers::loads_to_json(value.loads),
-        peers::warnings_to_json(value.avoided), rates};
-    if (value.results.empty() && value.call_times.empty())
-        return row;
-    json results = json::array();
-    for (const auto& [id, counts] : value.results)
-        results.push_back({id, counts.good, counts.bad, counts.rejected});
-    row.push_back(std::move(results));
-    if (!value.call_times.empty())
-        row.push_back(to_json(value.call_times));
-    return row;
+    return load_report_to_json(value);
 }
 
-policy::result_counts counts_from(const json& entry) {
-    const policy::result_counts counts{
-        entry.at(1).get<int>(), entry.at(2).get<int>(), entry.at(3).get<int>()};
-    if (counts.good < 0 || counts.bad < 0 || counts.rejected < 0)
-        throw json::other_error::create(501, "negative count", &entry);
-    return counts;
-}
-
-load_report report_from(const json& row) {
-    load_report value;
-    value.loads = peers::loads_from(row.at(1));
-    value.avoided = peers::warnings_from(row.at(2));
-    for (const json& entry : peers::bounded(row.at(3)))
-        value.rates.push_back(
-            {entry.at(0).get<std::string>(), number(entry.at(1)) / rate_unit});
-    if (row.size() <= results_element)
-        return value;
-    for (const json& entry : peers::bounded(row[results_element]))
-        value.results[entry.at(0).get<std::string>()] = counts_from(entry);
-    if (row.size() > call_times_element)
-        value.call_times = call_times_from(row[call_times_element]);
-    return value;
+message message_from(const json& row) {
+    switch (row.at(0).get<int>()) {
+    case request_format:
+        return request_from(row);
+    case answer_format:
+        return answer_from(row);
+    default:
+        return load_report_from(row);
+    }
 }
 
 } // namespace
 
 std::string encode(const message& value) {
-    const json row =
-        std::visit([](const auto& known) { return to_json(known); }, value);
-    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram(
+        std::visit([](const auto& known) { return to_json(known); }, value));
 }
 
 absl::StatusOr<message> decode(std::string_view datagram) {
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    if (!row.is_array() || row.empty() || !row[0].is_number_integer())
-        return absl::InvalidArgumentError("not a message");
-    try {
-        switch (row[0].get<int>()) {
-        case request_format:
-            return message(request_from(row));
-        case answer_format:
-            return message(answer_from(row));
-        case report_format:
-            return message(report_from(row));
-        default:
-            return absl::InvalidArgumentError("unknown format");
-        }
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field is malformed");
-    }
+    return base::decode_datagram(
+        datagram, {request_format, load_report_format}, message_from);
 }
 
 } // namespace mintknot::scheduling
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,14 +1,13 @@
 #include "soak_run.hpp"
 
-#include "part_checks.hpp"
 #include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
+#include "soak_judgement.hpp"
 #include "soak_system.hpp"
 
 #include <mintknot/event/loop.hpp>
 
-#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
 #include <functional>
@@ -284,65 +283,14 @@
     }
 
     void judge() {
-        result_.requests = clients_.records().size();
-        for (const caller_record& record : clients_.records()) {
-            result_.answered += record.status == 200 && record.whole ? 1 : 0;
-            result_.refused += record.status == 503 ? 1 : 0;
-            result_.left += record.left_at ? 1 : 0;
-        }
-        const server_notes notes = system_.notes();
-        add(broken_promises(clients_.records(), notes));
-        add(broken_in_touch(clients_.records(), notes, faults_.disturbances()));
-        add(broken_by_crashes(
-            clients_.records(), notes, faults_.disturbances()));
-        const std::vector<cut_tally> tallies = cut_tallies(
-            clients_.records(), cuts_.past(), faults_.disturbances());
-        for (const cut_tally& cut : tallies)
-            result_.served_during_cuts.push_back(to_string(cut));
-        add(broken_by_cuts(tallies));
-        add(broken_by_words(clients_.records(), notes, faults_.disturbances()));
-        add(broken_by_limits(
-            clients_.records(), notes, faults_.disturbances(),
-            parsed_limits()));
-        const std::vector<part_tally> parts =
-            tally_parts(clients_.records(), notes, faults_.disturbances());
-        for (const part_tally& part : parts)
-            result_.parts.push_back(to_string(part));
-        add(broken_by_parts(parts));
-        if (options_.take_ups) {
-            const version_tally tally = tally_versions(
-                clients_.records(), system_.engine_lives(),
-                faults_.disturbances());
-            result_.versions = to_string(tally);
-            add(broken_by_versions(tally));
-        }
-        result_.measured_rates =
-            measured_rates(clients_.records(), notes, parsed_limits());
-        if (options_.scarce_capacity)
-            add(broken_by_refusals(clients_.records()));
-        // A cut resets what is open, so that not all work is planned.
-        if (options_.planned_only && cuts_.past().empty())
-            add(broken_by_planned_work(clients_.records(), notes));
+        add_judgement(
+            result_, options_,
+            {clients_.records(), system_.notes(), faults_.disturbances(),
+             cuts_.past(), system_.engine_lives()});
         result_.faults = faults_.notes();
         result_.cuts = cuts_.notes();
     }
 
-    /// @return the advertised limits that are valid numbers, by server part.
-    limits_by_server parsed_limits() const {
-        limits_by_server found;
-        for (const auto& [server, limit] : options_.advertised_limits) {
-            double rate = 0.0;
-            if (absl::SimpleAtod(limit, &rate) && rate >= 0.0)
-                found[fmt::format("server-{}", server)] = rate;
-        }
-        return found;
-    }
-
-    void add(const std::vector<std::string>& broken) {
-        result_.broken.insert(
-            result_.broken.end(), broken.begin(), broken.end());
-    }
-
     soak_options options_;
     scratch_directory directory_;
     soak_system system_;
@@ -363,21 +311,6 @@
 
 } // namespace
 
-void plan_versions(soak_options& options) {
-    constexpr base::milliseconds event_time{60};
-    constexpr base::milliseconds kill_interval{3000};
-    const base::milliseconds part = options.length / 4;
-    options.take_ups = true;
-    options.event_time = event_time;
-    options.rollouts = {
-        {part / 2, "v1.1"}, {2 * part, "v1.2"}, {3 * part, "v1"}};
-    for (base::milliseconds at = kill_interval; at < options.length;
-         at += kill_interval) {
-        options.instance_kills.push_back(at);
-        options.engine_kills.push_back(at + kill_interval / 2);
-    }
-}
-
 soak_result run_soak(const soak_options& options) {
     soak running(options);
     return running.run();
