Requests with a part of a prompt that crashes engines are kept from them

Cause: evidence was kept for the digest of a whole request, which each of them had for itself; the parts of prompts were not read.

Evidence: 17 engines ended within 124 ms of a stream of one route; 52 digests broke, the one that broke three times an innocent one; no `request_blocked`.

Why this works: ends are counted for each part of requests whose answer had just begun, since the part was last seen sound anywhere; instances are asked before a block. The bad part never is sound, the shared ones are all the time. Parts that always come together are blocked together only. Every instance refuses the requests then, before prefills, repeats and streams that are taken up.

--- a/libs/mintknotd-platform/crashes/include/mintknot/crashes/crash_watch.hpp
+++ b/libs/mintknotd-platform/crashes/include/mintknot/crashes/crash_watch.hpp
@@ -38,7 +38,8 @@
 
 /// When a call breaks, checks whether its server is still alive; if it is not,
 /// reports the requests that ran there to the evaluators. Blocks requests by
-/// the rules of policy/crash_evidence.hpp. A new block is announced to all
+/// the rules of policy/crash_evidence.hpp, and parts of prompts by those of
+/// policy/part_evidence.hpp. A new block is announced to all
 /// instances at once. While there are blocks, they are resent to a few
 /// instances periodically, so that instances that restart or return from a
 /// network partition learn of them. Sends nothing while no server crashes.
@@ -53,11 +54,12 @@
     crash_watch(const crash_watch&) = delete;
     crash_watch& operator=(const crash_watch&) = delete;
 
-    std::optional<base::milliseconds>
-    blocked_for(const relay::request_identity& request) const override;
+    std::optional<relay::crash_block>
+    find_block(const relay::request_identity& request) const override;
     void report_broken_call(
-        const relay::request_identity& request, const std::string& server_id,
-        base::milliseconds ran_for) override;
+        const relay::request_identity& request,
+        const relay::broken_call& call) override;
+    void report_sound(const relay::request_identity& request) override;
     void report_answer(const relay::request_identity& request) override;
 
     /// To be called when this process runs again after a suspension, and with
@@ -72,9 +74,11 @@
     /// @return false if the datagram is not a crash message.
     bool receive(const std::string& host, std::string_view datagram);
 
-    /// For metrics: the number of requests that are blocked now, and of servers
-    /// that have ended while running requests of this instance since its start.
+    /// For metrics: the number of requests and of parts of prompts that are
+    /// blocked now, and of servers that have ended while running requests of
+    /// this instance since its start.
     std::size_t blocked() const;
+    std::size_t blocked_parts() const;
     std::size_t servers_ended() const;
 
 private:
--- a/libs/mintknotd-platform/crashes/src/crash_messages.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_messages.cpp
@@ -1,6 +1,6 @@
 #include "crash_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include <mintknot/base/datagram.hpp>
 
 #include <algorithm>
 
@@ -16,40 +16,26 @@
 constexpr int report_format = 16;
 constexpr int block_format = 17;
 constexpr int clear_format = 18;
-/// Of the element of a run that tells whether its server was up.
+/// Of the element of a run that tells whether its server was up, and of that
+/// with the parts of its prompt.
 constexpr std::size_t liveness_position = 4;
-/// The ID that the JSON library gives its own errors of this kind.
-constexpr int error_number = 501;
-
-[[noreturn]] void malformed(const char* what, const json& value) {
-    throw json::other_error::create(error_number, what, &value);
-}
-
-const json& bounded(const json& rows) {
-    if (!rows.is_array() || rows.size() > max_entries)
-        malformed("too many entries", rows);
-    return rows;
-}
-
-base::milliseconds time_from(const json& value) {
-    const auto count = value.get<std::int64_t>();
-    if (count < 0)
-        malformed("negative time", value);
-    return base::milliseconds(count);
-}
-
+constexpr std::size_t parts_position = 5;
 policy::request_key key_from(const json& row) {
     return {row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>()};
 }
 
 /// The liveness is appended only if it is not the usual one, which instances of
-/// an earlier version, who do not know it, take all runs to have.
+/// an earlier version, who do not know it, take all runs to have, or if parts
+/// follow, which these pass over.
 json to_json(const broken_run& run) {
     json row = {
         run.key.digest, run.key.body_bytes, run.ran_for.count(),
         run.ago.count()};
-    if (run.liveness != server_liveness::assumed)
+    if (run.liveness != server_liveness::assumed || !run.parts.empty())
         row.push_back(static_cast<int>(run.liveness));
+    if (!run.parts.empty())
+        row.push_back(
+            std::vector<std::string>(run.parts.begin(), run.parts.end()));
     return row;
 }
 
@@ -66,6 +52,15 @@
     }
 }
 
+policy::prompt_parts parts_from(const json& run) {
+    policy::prompt_parts parts;
+    if (run.size() > parts_position)
+        for (const json& part :
+             base::bounded_rows(run.at(parts_position), max_entries))
+            parts.insert(part.get<std::string>());
+    return parts;
+}
+
 json to_json(const crash_report& value) {
     json runs = json::array();
     for (const broken_run& run : value.runs)
@@ -89,18 +84,19 @@
 crash_report report_from(const json& row) {
     crash_report value;
     value.server_incarnation = row.at(1).get<std::string>();
-    for (const json& run : bounded(row.at(2)))
+    for (const json& run : base::bounded_rows(row.at(2), max_entries))
         value.runs.push_back(
-            {key_from(run), time_from(run.at(2)), time_from(run.at(3)),
-             liveness_from(run)});
+            {key_from(run), base::non_negative_time(run.at(2)),
+             base::non_negative_time(run.at(3)), liveness_from(run),
+             parts_from(run)});
     return value;
 }
 
 block_announcement blocks_from(const json& row) {
     block_announcement value;
-    for (const json& block : bounded(row.at(1)))
+    for (const json& block : base::bounded_rows(row.at(1), max_entries))
         value.blocks.push_back(
-            {key_from(block), time_from(block.at(2)),
+            {key_from(block), base::non_negative_time(block.at(2)),
              std::max(1, block.at(3).get<int>())});
     return value;
 }
@@ -116,35 +112,16 @@
     }
 }
 
-/// Checks the message type, a small number right after the array's header byte,
-/// without parsing: most datagrams are placements, which would otherwise be
-/// parsed twice.
-bool may_be_about_crashes(std::string_view datagram) {
-    return datagram.size() >= 2 && datagram[1] >= report_format &&
-           datagram[1] <= clear_format;
-}
-
 } // namespace
 
 std::string encode(const crash_message& value) {
-    const json row =
-        std::visit([](const auto& known) { return to_json(known); }, value);
-    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram(
+        std::visit([](const auto& known) { return to_json(known); }, value));
 }
 
 absl::StatusOr<crash_message> decode_crash_message(std::string_view datagram) {
-    if (!may_be_about_crashes(datagram))
-        return absl::InvalidArgumentError("not a crash message");
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    if (!row.is_array() || row.empty() || !row[0].is_number_integer())
-        return absl::InvalidArgumentError("not a crash message");
-    try {
-        return message_from(row);
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field is malformed");
-    }
+    return base::decode_datagram(
+        datagram, {report_format, clear_format}, message_from);
 }
 
 } // namespace mintknot::crashes
--- a/libs/mintknotd-platform/crashes/src/crash_messages.hpp
+++ b/libs/mintknotd-platform/crashes/src/crash_messages.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_CRASHES_CRASH_MESSAGES_HPP
 
 #include <mintknot/policy/crash_evidence.hpp>
+#include <mintknot/policy/part_evidence.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -20,6 +21,8 @@
     base::milliseconds ran_for{0};
     base::milliseconds ago{0}; ///< Since the run broke, at the time of sending.
     policy::server_liveness liveness = policy::server_liveness::assumed;
+    /// Parts of its prompt that may have ended the server.
+    policy::prompt_parts parts{};
 };
 
 /// Reports that a server has ended unexpectedly.
--- a/libs/mintknotd-platform/crashes/src/crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_watch.cpp
@@ -3,6 +3,8 @@
 #include "crash_detector.hpp"
 #include "crash_messages.hpp"
 #include "delayed_actions.hpp"
+#include "part_watch.hpp"
+#include "recipients.hpp"
 
 #include <mintknot/base/random.hpp>
 
@@ -18,10 +20,8 @@
 /// may be lost.
 constexpr base::milliseconds resend_delay{300};
 constexpr base::milliseconds block_resend_interval{1000};
-/// Recipients of each resend of blocks: this many peers, and one in
-/// leaf_fraction of the leaves.
-constexpr std::size_t peers_per_resend = 4;
-constexpr std::size_t leaf_fraction = 4;
+/// Runs in one report, each with the parts of its prompt.
+constexpr std::size_t max_runs_sent = 8;
 
 } // namespace
 
@@ -38,7 +38,10 @@
               })
         , resends(shared.loop)
         , evaluation_timer(shared.loop)
-        , block_resend_timer(shared.loop) {}
+        , block_resend_timer(shared.loop)
+        , parts(
+              shared, callbacks,
+              shared.loop.now() + policy::part_learning_time) {}
 
     base::steady_time now() const { return router.loop.now(); }
 
@@ -47,8 +50,8 @@
         const std::string& server_incarnation, std::vector<broken_run> runs) {
         for (auto next = runs.begin(); next != runs.end();) {
             const auto left = static_cast<std::size_t>(runs.end() - next);
-            const auto end =
-                next + static_cast<std::ptrdiff_t>(std::min(max_entries, left));
+            const auto end = next + static_cast<std::ptrdiff_t>(
+                                        std::min(max_runs_sent, left));
             crash_report report{server_incarnation, {next, end}};
             record_crash(report);
             send_to_evaluators(report);
@@ -61,17 +64,11 @@
     }
 
     void send_to_evaluators(const crash_message& message) {
-        send_to_all(callbacks.evaluators(), encode(message));
-    }
-
-    void send_to_all(
-        const std::vector<std::string>& hosts, const std::string& datagram) {
-        for (const std::string& host : hosts)
-            if (host != callbacks.own_host)
-                callbacks.send(host, datagram);
+        send_to_hosts(callbacks, callbacks.evaluators(), encode(message));
     }
 
     void record_crash(const crash_report& report) {
+        parts.record(report);
         for (const broken_run& run : report.runs) {
             const base::steady_time broken_at = now() - run.ago;
             policy::note_crash(
@@ -118,8 +115,7 @@
                                          max_entries, new_blocks.size() - i));
             const std::string datagram =
                 encode(block_announcement{{begin, end}});
-            send_to_all(callbacks.peers(), datagram);
-            send_to_all(callbacks.leaf_hosts(), datagram);
+            send_to_everybody(callbacks, datagram);
         }
         if (!new_blocks.empty() && !block_resend_timer.active())
             block_resend_timer.start(
@@ -135,24 +131,10 @@
             policy::blocks(evidence, now());
         if (known.empty())
             return;
-        if (known.size() > max_entries) {
-            const std::size_t first = base::random_below(known.size());
-            std::rotate(
-                known.begin(),
-                known.begin() + static_cast<std::ptrdiff_t>(first),
-                known.end());
-            known.resize(max_entries);
-        }
-        const std::string datagram =
-            encode(block_announcement{std::move(known)});
-        std::vector<std::string> recipients = callbacks.peers();
-        base::keep_some(recipients, peers_per_resend);
-        send_to_all(recipients, datagram);
-        const std::vector<std::string> leaves = callbacks.leaf_hosts();
-        for (std::size_t i = resend_rounds % leaf_fraction; i < leaves.size();
-             i += leaf_fraction)
-            callbacks.send(leaves[i], datagram);
-        ++resend_rounds;
+        keep_random_run(known, max_entries);
+        send_to_some(
+            callbacks, resend_rounds++,
+            encode(block_announcement{std::move(known)}));
         block_resend_timer.start(
             block_resend_interval, [this] { resend_blocks(); });
     }
@@ -178,7 +160,7 @@
             return;
         const std::string datagram =
             encode(block_announcement{std::move(new_blocks)});
-        send_to_all(callbacks.leaf_hosts(), datagram);
+        send_to_hosts(callbacks, callbacks.leaf_hosts(), datagram);
         if (!block_resend_timer.active())
             block_resend_timer.start(
                 block_resend_interval, [this] { resend_blocks(); });
@@ -194,8 +176,8 @@
         log_cleared(notice.digest, host);
         // Only the announcer of a block is told by who knows of the answer.
         if (announced.erase(notice.digest) > 0)
-            send_to_all(callbacks.peers(), encode(notice));
-        send_to_all(callbacks.leaf_hosts(), encode(notice));
+            send_to_hosts(callbacks, callbacks.peers(), encode(notice));
+        send_to_hosts(callbacks, callbacks.leaf_hosts(), encode(notice));
     }
 
     void log_cleared(const std::string& digest, const std::string& by) {
@@ -220,8 +202,7 @@
         announced.erase(digest);
         const std::string datagram = encode(notice);
         log_cleared(digest, callbacks.own_host);
-        send_to_all(callbacks.peers(), datagram);
-        send_to_all(callbacks.leaf_hosts(), datagram);
+        send_to_everybody(callbacks, datagram);
     }
 
     relay::router_context& router;
@@ -235,6 +216,7 @@
     std::size_t resend_rounds = 0;
     event::timer evaluation_timer;
     event::timer block_resend_timer;
+    part_watch parts;
 };
 
 crash_watch::crash_watch(
@@ -243,25 +225,32 @@
 
 crash_watch::~crash_watch() = default;
 
-std::optional<base::milliseconds>
-crash_watch::blocked_for(const relay::request_identity& request) const {
+std::optional<relay::crash_block>
+crash_watch::find_block(const relay::request_identity& request) const {
+    if (auto block = impl_->parts.find_block(request.parts()))
+        return block;
     const base::steady_time now = impl_->now();
     if (!policy::may_be_blocked(impl_->evidence, request.body_bytes(), now))
         return std::nullopt;
-    return policy::blocked_for(impl_->evidence, request.digest(), now);
+    const auto left =
+        policy::blocked_for(impl_->evidence, request.digest(), now);
+    if (!left)
+        return std::nullopt;
+    return relay::crash_block{*left, {}};
 }
 
 void crash_watch::report_broken_call(
-    const relay::request_identity& request, const std::string& server_id,
-    base::milliseconds ran_for) {
+    const relay::request_identity& request, const relay::broken_call& call) {
     const traffic::server* server =
-        traffic::find(impl_->router.state.servers, server_id);
+        traffic::find(impl_->router.state.servers, call.server_id);
     // A server that leaves ends by design: that is not a crash.
     if (server == nullptr ||
         traffic::leaves(impl_->router.state.servers, *server))
         return;
-    impl_->detector.report_broken_call(
-        {{request.digest(), request.body_bytes()}, ran_for}, *server);
+    broken_run run{{request.digest(), request.body_bytes()}, call.ran_for};
+    if (call.answer_just_begun)
+        run.parts = request.parts();
+    impl_->detector.report_broken_call(run, *server);
 }
 
 void crash_watch::note_interruption(const policy::interruption& gap) {
@@ -273,13 +262,20 @@
     impl_->detector.replaced(server_id);
 }
 
+void crash_watch::report_sound(const relay::request_identity& request) {
+    impl_->parts.note_sound(request.parts());
+}
+
 void crash_watch::report_answer(const relay::request_identity& request) {
+    report_sound(request);
     if (policy::may_be_known(impl_->evidence, request.body_bytes()) ||
         impl_->detector.has_unreported(request.body_bytes()))
         impl_->clear(request.digest());
 }
 
 bool crash_watch::receive(const std::string& host, std::string_view datagram) {
+    if (impl_->parts.receive(host, datagram))
+        return true;
     const auto value = decode_crash_message(datagram);
     if (!value.ok())
         return false;
@@ -292,6 +288,10 @@
     return policy::blocks(impl_->evidence, impl_->now()).size();
 }
 
+std::size_t crash_watch::blocked_parts() const {
+    return impl_->parts.blocked();
+}
+
 std::size_t crash_watch::servers_ended() const {
     return impl_->detector.count();
 }
--- a/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
+++ b/libs/mintknotd-platform/crashes/tests/test_crash_watch.cpp
@@ -180,7 +180,7 @@
     traffic::server leaving = *traffic::find(f.context.state.servers, "s");
     leaving.draining = true;
     traffic::apply(f.context.state.servers, "s", 100, leaving);
-    f.watch.report_broken_call(identity("d"), "s", base::milliseconds(5));
+    f.watch.report_broken_call(identity("d"), {"s", base::milliseconds(5)});
     f.run_for(base::milliseconds(400));
     cr_assert(f.watch.servers_ended() == 0);
 }
@@ -188,7 +188,7 @@
 Test(crash_watch, immediate_restart_is_detected_by_replaced_row) {
     crash_watch_fixture f;
     f.add_server("s", "app", plain, ok());
-    f.watch.report_broken_call(identity("d"), "s", base::milliseconds(5));
+    f.watch.report_broken_call(identity("d"), {"s", base::milliseconds(5)});
     f.run_for(base::milliseconds(300));
     cr_assert(f.watch.servers_ended() == 0);
     f.watch.server_replaced("s");
@@ -206,7 +206,7 @@
         f.add_dead_server(server, "app");
         const std::size_t before = f.watch.servers_ended();
         f.watch.report_broken_call(
-            identity("d"), server, base::milliseconds(8));
+            identity("d"), {server, base::milliseconds(8)});
         f.run_until([&] { return f.watch.servers_ended() == before + 1; });
     }
     cr_assert(
@@ -219,7 +219,7 @@
 Test(crash_watch, evaluators_get_reports_and_all_hosts_get_blocks) {
     crash_watch_fixture f;
     f.add_dead_server("s", "app");
-    f.watch.report_broken_call(identity("d"), "s", base::milliseconds(5));
+    f.watch.report_broken_call(identity("d"), {"s", base::milliseconds(5)});
     f.run_until([&] { return f.watch.servers_ended() == 1; });
     cr_assert(
         f.sent_to<crash_report>("evaluator")->server_incarnation == "s/0");
@@ -235,8 +235,8 @@
         cr_assert(
             f.sent_to<block_announcement>(host)->blocks.at(0).key.digest ==
             "d");
-    cr_assert(f.watch.blocked_for(identity("d")).has_value());
-    cr_assert(!f.watch.blocked_for(identity("e")));
+    cr_assert(f.watch.find_block(identity("d")).has_value());
+    cr_assert(!f.watch.find_block(identity("e")));
 }
 
 Test(crash_watch, received_block_is_forwarded_and_resent) {
@@ -281,7 +281,7 @@
     for (const char* server : {"s", "t", "u"}) {
         f.add_dead_server(server, "app");
         f.watch.report_broken_call(
-            identity("d"), server, base::milliseconds(8));
+            identity("d"), {server, base::milliseconds(8)});
     }
     f.watch.report_answer(identity("d"));
     f.run_until([&] { return f.watch.servers_ended() == 3; });
--- a/libs/mintknotd-platform/policy/src/request_blocks.cpp
+++ b/libs/mintknotd-platform/policy/src/request_blocks.cpp
@@ -7,17 +7,9 @@
 namespace {
 
 constexpr std::size_t max_blocked = 1024;
-/// How long after its end a block still lengthens the next one.
-constexpr base::milliseconds block_history_time{10 * 60 * 1000};
 constexpr int max_doublings = 5;
-/// Upper bound of the delivery time of a block notice.
-constexpr base::milliseconds cleared_lifetime{10000};
 constexpr std::size_t max_cleared = 4096;
 
-base::milliseconds block_time(int times) {
-    return first_block_time * (1 << std::min(times - 1, max_doublings));
-}
-
 bool is_in_force(const blocked_request& block, base::steady_time now) {
     return block.until > now;
 }
@@ -50,6 +42,10 @@
 
 } // namespace
 
+base::milliseconds block_time(int times) {
+    return first_block_time * (1 << std::min(times - 1, max_doublings));
+}
+
 block_entry add_block(
     crash_evidence& evidence, const request_key& key, base::steady_time now) {
     if (!evidence.blocked.contains(key.digest))
--- a/libs/mintknotd-platform/policy/src/request_blocks.hpp
+++ b/libs/mintknotd-platform/policy/src/request_blocks.hpp
@@ -7,6 +7,14 @@
 
 namespace mintknot::policy {
 
+/// How long after its end a block still lengthens the next one.
+inline constexpr base::milliseconds block_history_time{10 * 60 * 1000};
+/// Upper bound of the delivery time of a block notice.
+inline constexpr base::milliseconds cleared_lifetime{10000};
+
+/// @return the length of a block that is not the first one.
+base::milliseconds block_time(int times);
+
 /// Blocks a request, for longer than the last time.
 block_entry add_block(
     crash_evidence& evidence, const request_key& key, base::steady_time now);
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mintknot::relay {
 
@@ -33,6 +34,8 @@
     bool declares_tokens = false; ///< Any token count was given.
     /// The caller's API key; empty if the request has no key or several.
     std::optional<std::string> key;
+    /// IDs of the parts of the prompt, in order; the last is its own.
+    std::vector<std::string> prompt_parts;
     std::optional<resumption> resumes; ///< Empty: the stream is a new one.
 };
 
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -146,9 +146,12 @@
     void end_with_action(policy::action what, std::string_view reason);
 
     /// Logs and reports a call whose connection ended before the answer was
-    /// complete.
+    /// complete. @param answer_just_begun see broken_call.
     void record_broken_call(
-        const std::string& server_id, base::steady_time sent) const;
+        const std::string& server_id, base::steady_time sent,
+        bool answer_just_begun) const;
+    /// Reports that a server goes on writing the answer.
+    void record_sound() const;
     /// Reports that a server has run the request and sent a complete answer.
     void record_complete_answer() const;
 
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -48,7 +48,8 @@
           [this] {
               return request_digest(
                   organisation_name(), request_.head, body_of(request_));
-          })
+          },
+          shared_parts(service.name, request_.terms.prompt_parts))
     , deadline_timer_(context.loop)
     , deadline_(
           request_.arrived +
@@ -88,14 +89,18 @@
 bool exchange::ensure_not_blocked() {
     if (context_.crashes == nullptr)
         return true;
-    const auto left = context_.crashes->blocked_for(identity_);
-    if (!left)
+    const auto block = context_.crashes->find_block(identity_);
+    if (!block)
         return true;
+    if (!block->parts.empty())
+        context_.log.write(
+            "part_refused",
+            {{"request", request_.terms.id}, {"parts", block->parts}});
     cancel_calls();
     if (attempts_.answer_begun)
         abort_answer(crashes_servers);
     else
-        give_up(crashes_servers, *left);
+        give_up(crashes_servers, block->left);
     return false;
 }
 
@@ -298,7 +303,8 @@
 }
 
 void exchange::record_broken_call(
-    const std::string& server_id, base::steady_time sent) const {
+    const std::string& server_id, base::steady_time sent,
+    bool answer_just_begun) const {
     const auto ran_for = std::chrono::duration_cast<base::milliseconds>(
         context_.loop.now() - sent);
     context_.log.write(
@@ -307,7 +313,13 @@
                        {"server", server_id},
                        {"after_ms", ran_for.count()}});
     if (context_.crashes != nullptr)
-        context_.crashes->report_broken_call(identity_, server_id, ran_for);
+        context_.crashes->report_broken_call(
+            identity_, {server_id, ran_for, answer_just_begun});
+}
+
+void exchange::record_sound() const {
+    if (context_.crashes != nullptr)
+        context_.crashes->report_sound(identity_);
 }
 
 void exchange::record_complete_answer() const {
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -18,6 +18,9 @@
 
 /// Bytes kept of an answer that is not a stream, for the caller or the log.
 constexpr std::size_t max_failure_bytes = 64 * 1024;
+/// Time between two events of a call that counts at most as time in which the
+/// engine was seen to live: events may have waited for this process.
+constexpr base::milliseconds max_progress_per_event{100};
 
 } // namespace
 
@@ -48,6 +51,8 @@
     decode_.tried.insert(decode_.server);
     decode_.started_at = context_.loop.now();
     decode_.streaming = false;
+    decode_.written_for = base::milliseconds{0};
+    decode_.event_at.reset();
     decode_.splitter = {};
     decode_.failure_body.clear();
     ++sends_;
@@ -149,8 +154,21 @@
     }
 }
 
+void generation_exchange::record_progress(base::steady_time now) {
+    const bool was_sound = decode_.written_for >= policy::sound_time;
+    if (decode_.event_at)
+        decode_.written_for += std::min(
+            std::chrono::duration_cast<base::milliseconds>(
+                now - *decode_.event_at),
+            max_progress_per_event);
+    decode_.event_at = now;
+    if (!was_sound && decode_.written_for >= policy::sound_time)
+        record_sound();
+}
+
 void generation_exchange::record_event_time() {
     const base::steady_time now = context_.loop.now();
+    record_progress(now);
     if (last_event_at_)
         longest_gap_ = std::max(
             longest_gap_, std::chrono::duration_cast<base::milliseconds>(
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -60,7 +60,9 @@
         return;
     }
     raise_verdict(base::verdict::may_have_run);
-    record_broken_call(decode_.server, decode_.started_at);
+    record_broken_call(
+        decode_.server, decode_.started_at,
+        decode_.written_for < policy::sound_time);
     after_decode(policy::call_end::broken_off, policy::call_result::broken);
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -59,7 +59,10 @@
         http1::response_head answer;
         answer_metadata metadata;
         std::string failure_body;
-        bool streaming = false;   ///< The current answer is an event stream.
+        bool streaming = false; ///< The current answer is an event stream.
+        /// For how long the current call has been seen to write events.
+        base::milliseconds written_for{0};
+        std::optional<base::steady_time> event_at; ///< Its last event.
         bool used_result = false; ///< The call uses a kept prefill result.
         traffic::event_splitter splitter;
         policy::excluded_servers tried;
@@ -163,6 +166,8 @@
     /// Records the time until the first event.
     void record_start_times();
     void forward_events(const std::string& events);
+    /// Updates for how long the current call has been writing.
+    void record_progress(base::steady_time now);
     /// Updates the longest gap between events.
     void record_event_time();
     void send_head();
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -3,6 +3,7 @@
 #include <mintknot/http1/serialize.hpp>
 #include <mintknot/relay/server_notices.hpp>
 
+#include <absl/strings/str_split.h>
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
@@ -50,6 +51,8 @@
     const std::string key = text_of(head.fields, "Key");
     if (!key.empty())
         terms.key = key;
+    terms.prompt_parts =
+        absl::StrSplit(text_of(head.fields, "Parts"), ',', absl::SkipEmpty());
     resumption resumes{
         text_of(head.fields, "Resumes"), text_of(head.fields, "After")};
     if (!resumes.first_request.empty() || !resumes.last_event.empty())
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -104,6 +104,7 @@
         {"limited_servers",
          gauge(policy::count_limited_servers(context.state.health.limits))},
         {"blocked_requests", gauge(crashes.blocked())},
+        {"blocked_parts", gauge(crashes.blocked_parts())},
         {"servers_ended", gauge(crashes.servers_ended())},
         {"stream_origins", gauge(origins.table().by_stream.size())},
         {"stream_origins_evicted", gauge(origins.table().evicted)},
