--- a/libs/mintknotd-platform/crashes/tests/test_part_watch.cpp
+++ b/libs/mintknotd-platform/crashes/tests/test_part_watch.cpp
@@ -90,8 +90,10 @@
         watch_group g(4, 2);
         g.watches.at(host)->note_sound({"first"});
         g.report("h1", 3, {"first", "bad"});
-        g.f.run_until([&] { return g.blocked_at_all({"bad"}); });
+        g.report("h1", 1, {"first", "x"});
+        g.f.run_until([&] { return g.blocked_at_all({"bad", "first"}); });
         cr_assert(!g.watches.at("h2")->find_block({"first"}));
+        cr_assert(g.watches.at("h2")->find_block({"bad"}).has_value());
     }
 }
 
