A stream that ends inside an event has been broken off

What callers would see: an answer with neither a length nor chunks ends with its connection; cut inside an event by a closed connection, it was passed on, half event included, as complete, and a resumable one was not resumed.

Cause: the end of the connection was taken for the end of the answer, whatever stood last.

Why this works: such a stream is complete only behind an empty line; otherwise it is treated as any broken call, at engines and at plain servers.

taken_up_streams::one_that_ends_inside_an_event_has_been_broken_off failed before. test_relay 145 of 145, test_traffic 27 of 27.

--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -207,6 +207,10 @@
 
 void generation_exchange::on_decode_done() {
     silence_timer_.stop();
+    if (decode_.streaming && was_cut_inside_event()) {
+        on_decode_failure(upstream::call_failure::ended);
+        return;
+    }
     if (decode_.streaming) {
         finish_stream();
         return;
@@ -226,6 +230,12 @@
         policy::call_result::failed);
 }
 
+bool generation_exchange::was_cut_inside_event() const {
+    return decode_.answer.body == http1::framing::close &&
+           decode_.metadata.event_stream &&
+           traffic::ends_inside_event(decode_.splitter.rest);
+}
+
 void generation_exchange::finish_stream() {
     // Bytes after the last complete event still belong to the body.
     forward_events(decode_.splitter.rest);
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -150,6 +150,9 @@
     void on_decode_head(http1::response_head& head);
     void on_decode_body(std::string_view piece);
     void on_decode_done();
+    /// @return true if the answer, which ends with its connection, has ended
+    /// inside an event.
+    bool was_cut_inside_event() const;
     void finish_stream();
     void on_decode_failure(upstream::call_failure why);
     void on_decode_silence();
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -5,6 +5,9 @@
 #include <mintknot/policy/timeouts.hpp>
 #include <mintknot/relay/server_notices.hpp>
 #include <mintknot/relay/server_results.hpp>
+#include <mintknot/traffic/event_splitter.hpp>
+
+#include <algorithm>
 
 namespace mintknot::relay {
 
@@ -12,6 +15,8 @@
 
 /// Answers up to this size are buffered until they are complete.
 constexpr std::size_t max_buffered_bytes = 256 * 1024;
+/// Of the end of a stream, for traffic::ends_inside_event().
+constexpr std::size_t bytes_remembered = 4;
 
 } // namespace
 
@@ -113,6 +118,7 @@
 
 void plain_exchange::on_body(std::string_view piece) {
     if (attempts_.answer_begun) {
+        remember_last_bytes(piece);
         sink_.data(piece);
         if (sink_.congested())
             call_->pause();
@@ -135,10 +141,24 @@
     http1::response_head head = answer_;
     http1::erase_hop_fields(head.fields);
     sink_.begin(std::move(head));
+    remember_last_bytes(body_);
     sink_.data(body_);
     body_.clear();
 }
 
+void plain_exchange::remember_last_bytes(std::string_view piece) {
+    last_bytes_.append(
+        piece.substr(piece.size() - std::min(piece.size(), bytes_remembered)));
+    last_bytes_.erase(
+        0, last_bytes_.size() - std::min(last_bytes_.size(), bytes_remembered));
+}
+
+bool plain_exchange::was_cut_inside_event() const {
+    return attempts_.answer_begun && answer_.body == http1::framing::close &&
+           answer_metadata_.event_stream &&
+           traffic::ends_inside_event(last_bytes_);
+}
+
 void plain_exchange::on_sink_writable() {
     if (call_ != nullptr)
         call_->resume();
@@ -156,6 +176,10 @@
 }
 
 void plain_exchange::on_done() {
+    if (was_cut_inside_event()) {
+        on_failure(upstream::call_failure::ended);
+        return;
+    }
     if (attempts_.answer_begun) {
         record_service_time();
         const std::string server = server_;
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -43,6 +43,10 @@
     void on_failure(upstream::call_failure why);
     void on_silence();
     void start_streaming();
+    void remember_last_bytes(std::string_view piece);
+    /// @return true if a stream, which ends with its connection, has ended
+    /// inside an event.
+    bool was_cut_inside_event() const;
 
     /// @return how a complete answer counts for the choice of the next step.
     policy::call_end end_of_answer() const;
@@ -65,6 +69,7 @@
     http1::response_head answer_;
     answer_metadata answer_metadata_;
     std::string body_;
+    std::string last_bytes_; ///< Of a streamed answer.
     event::timer silence_timer_;
 };
 
--- a/libs/mintknotd-platform/relay/tests/test_taken_up_streams.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_taken_up_streams.cpp
@@ -117,6 +117,33 @@
     }
 }
 
+Test(taken_up_streams, one_that_ends_inside_an_event_has_been_broken_off) {
+    // The answer has neither a length nor chunks: it ends with its connection.
+    const script ends_inside = [](const received_request& to,
+                                  const event::connection_ptr& link) {
+        link->write(
+            "HTTP/1.1 200 OK\r\nId: " + to.field("Id") +
+            "\r\nSeal: s\r\nContent-Type: events\r\n\r\n" + event_text(1) +
+            "id: 2\nda");
+        link->close();
+    };
+    two_versions t;
+    bool broken = false;
+    t.f.add_server(
+        "a", "llm", decode,
+        [&](const received_request& to, const event::connection_ptr& link) {
+            (std::exchange(broken, true) ? good_decode()
+                                         : ends_inside)(to, link);
+        });
+    cr_assert(t.f.ask(new_stream).body == all_events);
+    two_versions other;
+    other.f.add_server("a", "llm", decode, ends_inside);
+    other.f.add_server("b", "app", traffic::engine_phase::none, ends_inside);
+    for (const char* path : {"/stream/x", "/safe/x"})
+        cr_assert(
+            !other.f.ask(request(path, "Id: r1\r\nTokens: 9\r\n")).complete);
+}
+
 Test(taken_up_streams, before_its_first_event_a_stream_may_use_any_version) {
     two_versions t;
     t.f.add_server("a", "llm", decode, breaks_at_once(), "v1");
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/event_splitter.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/event_splitter.hpp
@@ -23,6 +23,10 @@
 /// that is a number.
 std::optional<std::uint64_t> last_event_id(std::string_view events);
 
+/// @return true if a stream whose last bytes these are has ended inside an
+/// event, and so was broken off. Four bytes are enough.
+bool ends_inside_event(std::string_view last_bytes);
+
 } // namespace mintknot::traffic
 
 #endif
--- a/libs/mintknotd-platform/traffic/src/event_splitter.cpp
+++ b/libs/mintknotd-platform/traffic/src/event_splitter.cpp
@@ -59,4 +59,9 @@
     return found;
 }
 
+bool ends_inside_event(std::string_view last_bytes) {
+    return !last_bytes.empty() && !last_bytes.ends_with("\n\n") &&
+           !last_bytes.ends_with("\r\n\r\n");
+}
+
 } // namespace mintknot::traffic
--- a/libs/mintknotd-platform/traffic/tests/test_event_splitter.cpp
+++ b/libs/mintknotd-platform/traffic/tests/test_event_splitter.cpp
@@ -30,3 +30,11 @@
     cr_assert(!last_event_id("data: x\n\n"));
     cr_assert(!last_event_id("id: abc\n\n"));
 }
+
+Test(event_splitter, the_last_bytes_tell_whether_an_event_was_cut) {
+    cr_assert(!ends_inside_event(""));
+    cr_assert(!ends_inside_event("a\n\n"));
+    cr_assert(!ends_inside_event("\r\n\r\n"));
+    cr_assert(ends_inside_event("a\n"));
+    cr_assert(ends_inside_event("id: "));
+}
