Processes of the soak do not inherit connections of the harness

What the soak saw: a connection that the proxy had closed or reset stayed open for the other side, as processes started later held it too, so that streams hung until their deadlines and a caller's leaving was not seen.

--- a/testing/harness/src/child_process.cpp
+++ b/testing/harness/src/child_process.cpp
@@ -27,6 +27,8 @@
     sigprocmask(SIG_SETMASK, &none, nullptr);
     dup2(output, STDOUT_FILENO);
     dup2(errors, STDERR_FILENO);
+    // An inherited connection would stay open when its owner closes it.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execv(path.c_str(), arguments.data());
     _exit(signal_base - 1);
 }
