--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -238,17 +238,17 @@
 }
 
 policy::placement place_here(
-    router_context& context, const policy::selection_inputs& any_version,
+    router_context& context, const policy::selection_inputs& inputs,
     const policy::placement_query& query) {
-    policy::selection_inputs inputs = any_version;
-    inputs.only_version = query.version;
+    policy::selection_inputs scoped = inputs;
+    scoped.only_version = query.version;
     policy::placement placed =
         query.claim
             ? policy::place_claim(
                   context.state
-                      .admissions[{query.service, inputs.only_data_centre}],
-                  inputs, query)
-            : policy::choose_servers(inputs, query);
+                      .admissions[{query.service, scoped.only_data_centre}],
+                  scoped, query)
+            : policy::choose_servers(scoped, query);
     policy::charge_placement(
         context.state.health.limits, context.state.servers, query.service,
         placed, context.loop.now());
--- a/testing/soak/src/version_checks.cpp
+++ b/testing/soak/src/version_checks.cpp
@@ -50,6 +50,28 @@
            (record.whole || !whole_events(record.body).empty());
 }
 
+/// @return true if the request is a sound stream at an instance in touch.
+bool is_counted(
+    const caller_record& record, const std::vector<disturbance>& disturbances) {
+    const bool is_stream = record.kind == request_kind::stream ||
+                           record.kind == request_kind::resumable;
+    return is_stream && !record.left_at && record.mark.empty() &&
+           record.crashing_part.empty() &&
+           is_in_touch(disturbances, record.instance, record.sent);
+}
+
+/// @return the number of decode engines of these versions that served well.
+std::ptrdiff_t count_engines(
+    const std::set<std::string>& versions,
+    const std::vector<engine_life>& lives, base::steady_time at,
+    const std::vector<disturbance>& disturbances) {
+    return std::count_if(
+        lives.begin(), lives.end(), [&](const engine_life& life) {
+            return life.decodes && versions.contains(life.version) &&
+                   served_well(life, at, disturbances);
+        });
+}
+
 double share(std::size_t part, std::size_t all) {
     return all == 0 ? 0.0
                     : static_cast<double>(part) / static_cast<double>(all);
@@ -67,12 +89,8 @@
         if (found.size() > 1)
             tally.joined.push_back(stream);
     for (const caller_record& record : records) {
-        const bool is_stream = record.kind == request_kind::stream ||
-                               record.kind == request_kind::resumable;
         tally.taken_up += record.resumes.empty() ? 0 : 1;
-        if (!is_stream || record.left_at || !record.mark.empty() ||
-            !record.crashing_part.empty() ||
-            !is_in_touch(disturbances, record.instance, record.sent))
+        if (!is_counted(record, disturbances))
             continue;
         if (record.resumes.empty()) {
             ++tally.new_counted;
@@ -80,14 +98,9 @@
             continue;
         }
         const auto known = versions.find(record.resumes);
-        if (known == versions.end())
-            continue;
-        const auto engines = std::count_if(
-            lives.begin(), lives.end(), [&](const engine_life& life) {
-                return life.decodes && known->second.contains(life.version) &&
-                       served_well(life, record.sent, disturbances);
-            });
-        if (engines < min_engines)
+        if (known == versions.end() ||
+            count_engines(known->second, lives, record.sent, disturbances) <
+                min_engines)
             continue;
         ++tally.resumed_counted;
         tally.resumed_begun += goes_on(record) ? 1 : 0;
