A supervisor's test waits until the sibling has begun

Cause: the test. The child gives up within some 6 ms; a sibling whose thread has not begun by then is rightly never run, and can't tell that it was stopped. The test is as strict as before: the child only waits for the sibling's begin.

--- a/libs/mintknotd/supervise/tests/test_supervisor.cpp
+++ b/libs/mintknotd/supervise/tests/test_supervisor.cpp
@@ -47,11 +47,15 @@
 
 Test(supervisor, gives_up_and_tells_its_parent) {
     supervisor group("test", quick);
-    group.add({"child", [](const std::stop_token&, pulse&) {
+    // A sibling that has not begun when the child is given up never does.
+    std::latch sibling_begun(1);
+    group.add({"child", [&](const std::stop_token&, pulse&) {
+                   sibling_begun.wait();
                    throw std::runtime_error("always");
                }});
     bool stopped_sibling = false;
     group.add({"sibling", [&](const std::stop_token& stop, pulse&) {
+                   sibling_begun.count_down();
                    wait_for_stop(stop);
                    stopped_sibling = true;
                }});
