A placement does not copy its inputs

Its two callers make these inputs and set what else comes from the query; they set the version too now. No decision changes. Two blank lines in message sources.

--- a/libs/mintknotd-platform/crashes/src/crash_messages.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_messages.cpp
@@ -20,6 +20,7 @@
 /// with the parts of its prompt.
 constexpr std::size_t liveness_position = 4;
 constexpr std::size_t parts_position = 5;
+
 policy::request_key key_from(const json& row) {
     return {row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>()};
 }
--- a/libs/mintknotd-platform/crashes/src/part_messages.cpp
+++ b/libs/mintknotd-platform/crashes/src/part_messages.cpp
@@ -16,6 +16,7 @@
 constexpr int query_format = 26;
 constexpr int reply_format = 27;
 constexpr int clear_format = 28;
+
 json to_json(const policy::prompt_parts& parts) {
     json rows = json::array();
     for (const std::string& part : parts)
--- a/libs/mintknotd-platform/relay/src/router_state.cpp
+++ b/libs/mintknotd-platform/relay/src/router_state.cpp
@@ -233,6 +233,7 @@
         return context.placement->request_placement(std::move(query), then);
     policy::selection_inputs inputs = make_selection_inputs(context, target);
     inputs.connected = &query.connected;
+    inputs.only_version = query.version;
     then(place_here(context, inputs, query));
     return nullptr;
 }
@@ -240,15 +241,13 @@
 policy::placement place_here(
     router_context& context, const policy::selection_inputs& inputs,
     const policy::placement_query& query) {
-    policy::selection_inputs scoped = inputs;
-    scoped.only_version = query.version;
     policy::placement placed =
         query.claim
             ? policy::place_claim(
                   context.state
-                      .admissions[{query.service, scoped.only_data_centre}],
-                  scoped, query)
-            : policy::choose_servers(scoped, query);
+                      .admissions[{query.service, inputs.only_data_centre}],
+                  inputs, query)
+            : policy::choose_servers(inputs, query);
     policy::charge_placement(
         context.state.health.limits, context.state.servers, query.service,
         placed, context.loop.now());
--- a/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
+++ b/libs/mintknotd-platform/scheduling/src/remote_placer.cpp
@@ -213,6 +213,7 @@
         inputs.own_data_centre = query.data_centre;
         inputs.all_loads_known = is_scheduler;
         inputs.connected = &query.connected;
+        inputs.only_version = query.version;
         return relay::place_here(context, inputs, query);
     }
 
