Logs tell a silent engine from a loop that stood still, and name the configuration

What was missing to tell the hypotheses on lost streams apart: whether a silence came before an end, and whose it was; which configuration came meanwhile, and for how long reading it held up everything else; how a call broke.

decode_silent is a line of its own. broken_off and given_up name the configuration at arrival and now, and the longest delay of a timer in the last second; configuration has bytes and read_ms; call_broke says how.

--- a/libs/mintknotd-platform/event/include/mintknot/event/loop.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/loop.hpp
@@ -41,6 +41,10 @@
         base::milliseconds bound,
         std::function<void(base::milliseconds delay)> handler);
 
+    /// @return the longest delay of a timer that has fired within the last
+    /// second; 0 if none was late.
+    base::milliseconds recent_delay() const;
+
     struct impl;
     /// For the other classes of this library.
     impl& native() { return *impl_; }
--- a/libs/mintknotd-platform/event/src/loop.cpp
+++ b/libs/mintknotd-platform/event/src/loop.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// See loop::recent_delay().
+constexpr base::milliseconds recent_time{1000};
+
 void wait_for_signal(
     boost::asio::signal_set& signals,
     const std::shared_ptr<std::function<void(int)>>& handler) {
@@ -60,13 +63,28 @@
     impl_->on_delay = std::move(handler);
 }
 
-void loop::impl::note_fired(base::steady_time due) {
-    if (!on_delay || due <= delay_told)
+base::milliseconds loop::recent_delay() const {
+    return impl_->recent_delay(now());
+}
+
+base::milliseconds loop::impl::recent_delay(base::steady_time now) const {
+    const bool recent = now - longest_delay_seen <= recent_time;
+    return recent ? longest_delay : base::milliseconds{0};
+}
+
+void loop::impl::note_delay(base::milliseconds delay, base::steady_time now) {
+    if (delay < recent_delay(now))
         return;
+    longest_delay = delay;
+    longest_delay_seen = now;
+}
+
+void loop::impl::note_fired(base::steady_time due) {
     const base::steady_time now = base::steady_clock::now();
     const auto delay =
         std::chrono::duration_cast<base::milliseconds>(now - due);
-    if (delay <= delay_bound)
+    note_delay(delay, now);
+    if (!on_delay || due <= delay_told || delay <= delay_bound)
         return;
     delay_told = now;
     on_delay(delay);
--- a/libs/mintknotd-platform/event/src/loop_impl.hpp
+++ b/libs/mintknotd-platform/event/src/loop_impl.hpp
@@ -26,8 +26,12 @@
     base::milliseconds delay_bound = base::milliseconds::max();
     std::function<void(base::milliseconds)> on_delay;
     base::steady_time delay_told{}; ///< Timers that were due by then are told.
+    base::milliseconds longest_delay{0};    ///< Of those of a recent time.
+    base::steady_time longest_delay_seen{}; ///< When `longest_delay` was.
 
     void note_fired(base::steady_time due);
+    void note_delay(base::milliseconds delay, base::steady_time now);
+    base::milliseconds recent_delay(base::steady_time now) const;
 };
 
 /// @return the endpoint, with the unspecified address for a bad host.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -148,8 +148,8 @@
     /// Logs and reports a call whose connection ended before the answer was
     /// complete. @param answer_just_begun see broken_call.
     void record_broken_call(
-        const std::string& server_id, base::steady_time sent,
-        bool answer_just_begun) const;
+        const std::string& server_id, upstream::call_failure why,
+        base::steady_time sent, bool answer_just_begun) const;
     /// Reports that a server goes on writing the answer.
     void record_sound() const;
     /// Reports that a server has run the request and sent a complete answer.
@@ -160,6 +160,10 @@
     /// rejection may lack the request ID.
     bool is_answer_to_request(const http1::response_head& head) const;
 
+    /// @return the version of the configuration in force, for log lines; the
+    /// request may have been routed by an older one.
+    std::int64_t current_configuration_version() const;
+
     std::string organisation_name() const; ///< Empty if none.
     call_parameters call_options_for(const traffic::server& server) const;
     /// @return the urgency that engines are told; nothing unless capacity is
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -243,6 +243,8 @@
          {"verdict", base::to_string(verdict_)},
          {"sends", std::int64_t{sends_}},
          {"config", static_cast<std::int64_t>(config_->version)},
+         {"config_now", current_configuration_version()},
+         {"loop_delay_ms", context_.loop.recent_delay().count()},
          {"after_ms", since_arrival().count()}});
     finish(reason);
     sink_.send_complete(std::move(head), std::string(reason) + "\n");
@@ -290,6 +292,9 @@
                        {"route", route_.name},
                        {"reason", reason},
                        {"sends", std::int64_t{sends_}},
+                       {"config", static_cast<std::int64_t>(config_->version)},
+                       {"config_now", current_configuration_version()},
+                       {"loop_delay_ms", context_.loop.recent_delay().count()},
                        {"after_ms", since_arrival().count()}});
     finish(reason);
     sink_.abort();
@@ -303,14 +308,15 @@
 }
 
 void exchange::record_broken_call(
-    const std::string& server_id, base::steady_time sent,
-    bool answer_just_begun) const {
+    const std::string& server_id, upstream::call_failure why,
+    base::steady_time sent, bool answer_just_begun) const {
     const auto ran_for = std::chrono::duration_cast<base::milliseconds>(
         context_.loop.now() - sent);
     context_.log.write(
         "call_broke", {{"request", request_.terms.id},
                        {"digest", identity_.digest()},
                        {"server", server_id},
+                       {"how", upstream::to_string(why)},
                        {"after_ms", ran_for.count()}});
     if (context_.crashes != nullptr)
         context_.crashes->report_broken_call(
@@ -333,6 +339,11 @@
            (terms.request_id.empty() && terms.not_executed);
 }
 
+std::int64_t exchange::current_configuration_version() const {
+    const auto& current = context_.state.config;
+    return current == nullptr ? 0 : static_cast<std::int64_t>(current->version);
+}
+
 std::string exchange::organisation_name() const {
     return request_.organisation == nullptr ? std::string{}
                                             : request_.organisation->name;
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -61,7 +61,7 @@
     }
     raise_verdict(base::verdict::may_have_run);
     record_broken_call(
-        decode_.server, decode_.started_at,
+        decode_.server, why, decode_.started_at,
         decode_.written_for < policy::sound_time);
     after_decode(policy::call_end::broken_off, policy::call_result::broken);
 }
@@ -71,7 +71,9 @@
         policy::after_decode_call(policy::call_end::silent, route_, attempts_);
     // Silence alone does not end an answer. The call is cancelled only if the
     // request may continue on another engine and the allowance covers that.
-    if (step.what == policy::action::keep_waiting || !prepay(1)) {
+    const bool leaves = step.what != policy::action::keep_waiting && prepay(1);
+    log_silence(leaves);
+    if (!leaves) {
         note_call_result(
             context_, decode_.server, policy::call_result::silent,
             request_.terms.id);
@@ -83,6 +85,29 @@
     after_decode(policy::call_end::silent, policy::call_result::silent);
 }
 
+void generation_exchange::log_silence(bool leaves) const {
+    const traffic::server* engine =
+        traffic::find(context_.state.servers, decode_.server);
+    const bool takes_new = engine != nullptr &&
+                           traffic::takes_new(context_.state.servers, *engine);
+    const base::steady_time now = context_.loop.now();
+    const auto silent_for = std::chrono::duration_cast<base::milliseconds>(
+        now - last_event_at_.value_or(decode_.started_at));
+    context_.log.write(
+        "decode_silent",
+        {{"request", request_.terms.id},
+         {"server", decode_.server},
+         {"version", decode_.version},
+         {"takes_new", takes_new},
+         {"silent_ms", silent_for.count()},
+         {"loop_delay_ms", context_.loop.recent_delay().count()},
+         {"last_event", static_cast<std::int64_t>(last_event_.value_or(0))},
+         {"leaves", leaves},
+         {"config", static_cast<std::int64_t>(config_->version)},
+         {"config_now", current_configuration_version()},
+         {"after_ms", since_arrival().count()}});
+}
+
 void generation_exchange::after_decode(
     policy::call_end end, policy::call_result result) {
     note_call_result(context_, decode_.server, result, request_.terms.id);
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -156,6 +156,8 @@
     void finish_stream();
     void on_decode_failure(upstream::call_failure why);
     void on_decode_silence();
+    /// @param leaves whether the engine is left for another one.
+    void log_silence(bool leaves) const;
     void after_rejected_decode();
     void log_rejection() const;
     void watch_silence();
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -131,7 +131,7 @@
             policy::call_result::unreachable, "prefill_unreachable");
         return;
     }
-    record_broken_call(prefill_.server, prefill_.started_at, false);
+    record_broken_call(prefill_.server, why, prefill_.started_at, false);
     after_failed_prefill(policy::call_result::broken, "prefill_broke_off");
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -222,7 +222,7 @@
         return;
     }
     raise_verdict(base::verdict::may_have_run);
-    record_broken_call(server_, sent_at_, true);
+    record_broken_call(server_, why, sent_at_, true);
     after_call(policy::call_end::broken_off, policy::call_result::broken);
 }
 
--- a/libs/mintknotd-platform/state/src/replica_decode.cpp
+++ b/libs/mintknotd-platform/state/src/replica_decode.cpp
@@ -19,7 +19,10 @@
 replica::decode_configuration(const document& change, std::string_view source) {
     if (!change.text)
         return decode_result::rejected;
+    const base::steady_time started = base::steady_clock::now();
     auto config = codec_.read_configuration(*change.text);
+    const auto read_time = std::chrono::duration_cast<base::milliseconds>(
+        base::steady_clock::now() - started);
     if (!config.ok()) {
         log_rejected(
             collection::configuration, change, source, config.status());
@@ -40,6 +43,8 @@
         {{"version", static_cast<std::int64_t>(config->version)},
          {"row", static_cast<std::int64_t>(change.version)},
          {"routes", static_cast<std::int64_t>(config->routes.size())},
+         {"bytes", static_cast<std::int64_t>(change.text->size())},
+         {"read_ms", read_time.count()},
          {"source", source}});
     handlers_.on_configuration(
         std::make_shared<const traffic::configuration>(*std::move(config)));
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/call.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/call.hpp
@@ -24,6 +24,9 @@
 /// @return true if no byte of the call has gone out.
 bool nothing_was_sent(call_failure why) noexcept;
 
+/// @return the name of the reason in log lines.
+std::string_view to_string(call_failure why) noexcept;
+
 /// What a call tells its owner. At most one of on_done and on_failure is
 /// called, and nothing after it.
 struct call_handlers {
