A silent engine is left only once another one has taken the stream

What callers saw: streams of a resumable route ended with a closed connection, in the middle of an answer that a sound engine, silent for a second, went on to write.

Cause: the call was closed first, and only then another engine was looked for. Each way in which that fails lost the answer: no engine of the stream's version, all full, all reject, none reachable, the next one fails or breaks off, a block of a part of the prompt. Class: what is held is given up before what replaces it is certain.

Why this works: the silent call stays open beside the search, and ends with the other engine's first event, 200 ms after the request was sent there, or with the request. All that ended the request before only ends the search. An event of the silent engine ends it too. Two calls overlap for 200 ms at most, half of what the users' rule on streams at two engines allows. The allowance is asked where a retry is sent, no longer before the search. A single engine is asked again after two seconds.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/timeouts.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/timeouts.hpp
@@ -21,14 +21,23 @@
 /// @param expected prefill time, from the observed rate of the engine.
 base::milliseconds prefill_timeout(base::milliseconds expected);
 
-/// @return the time without data after which a decode engine is considered
-/// failed, and a resumable stream continues on another one. Log event:
-/// `resumed` with reason `decode_silent`. Without this timeout the net benefit
-/// did not change beyond chance, but a stream on an engine that stops sending
-/// ends only with its deadline.
+/// @return the time without data after which another engine is looked for that
+/// may continue a resumable stream; the silent call stays open until then. Log
+/// events: `decode_silent`, `resumed` with reason `decode_silent`. Without this
+/// timeout the net benefit did not change beyond chance, but a stream on an
+/// engine that stops sending ends only with its deadline.
 /// @param any_event whether the stream has had its first event.
 base::milliseconds event_timeout(bool any_event);
 
+/// How long a silent decode call stays open after the request was sent to
+/// another engine, at most: engines reject at once what they do not run, and
+/// two engines must not work on a stream 400 ms after it has continued.
+inline constexpr base::milliseconds silent_call_overlap{200};
+
+/// A sound engine writes again after a shorter silence. Beyond it a request may
+/// be sent once more to the engine that is silent, for want of another one.
+inline constexpr base::milliseconds max_sound_silence{2000};
+
 /// @return the time without data after which a plain server is considered
 /// failed, and a repeatable request is sent to another one: a few target
 /// latencies, but early enough that the other one can still answer.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -128,6 +128,8 @@
     /// caller's key may have been revoked or the request blocked while it
     /// waited. @return false if it may not; the exchange has then ended.
     bool ensure_allowed();
+    /// @return true if the request is blocked: it must not be sent.
+    bool is_blocked() const;
     /// @return the priority of the organisation or, if it has none, of the
     /// route.
     int priority() const;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -35,6 +35,11 @@
     void count_request(const finished_request& request);
     void count_call(policy::call_result result);
     void count_retry(std::string_view reason);
+    /// Counts a silent decode call beside which another engine was looked for.
+    /// @param outcome why that ended: `left` for the other engine,
+    /// `engine_wrote` first, `engine_broke`, `request_ended`, or why the search
+    /// failed.
+    void count_silent_call(std::string_view outcome);
     /// Counts a stream that a caller takes up.
     void count_taken_up(policy::origin_verdict verdict);
     /// Counts a decision on a plain call while capacity is shared.
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -86,6 +86,11 @@
     return ensure_key_valid() && ensure_not_blocked();
 }
 
+bool exchange::is_blocked() const {
+    return context_.crashes != nullptr &&
+           context_.crashes->find_block(identity_).has_value();
+}
+
 bool exchange::ensure_not_blocked() {
     if (context_.crashes == nullptr)
         return true;
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -40,7 +40,7 @@
         place();
         return;
     }
-    if (!ensure_allowed())
+    if (!ensure_sendable())
         return;
     if (!prepay(policy::retries_to_prepay(charges_, 1))) {
         apply_step(policy::after_allowance_spent(
@@ -48,11 +48,12 @@
         return;
     }
     decode_.used_result = result_usable();
-    decode_.tried.insert(decode_.server);
+    decode_tried_.insert(decode_.server);
     decode_.started_at = context_.loop.now();
     decode_.streaming = false;
     decode_.written_for = base::milliseconds{0};
     decode_.event_at.reset();
+    decode_.silence_noted = false;
     decode_.splitter = {};
     decode_.failure_body.clear();
     ++sends_;
@@ -94,16 +95,15 @@
     options.urgency = urgency();
     if (decode_.used_result)
         options.prefill_result = kept_.location;
+    if (silent_ && silent_->server == engine.id)
+        drop_silent_call("left");
+    if (silent_)
+        overlap_timer_.start(
+            policy::silent_call_overlap, [this] { drop_silent_call("left"); });
+    decode_.number = ++decode_calls_;
     decode_.call = upstream::call::start(
         context_.pool, {engine.id, engine.where, request_.terms.id},
-        call_for(options), {},
-        {[this](const http1::response_head& head) {
-             return is_answer_to_request(head);
-         },
-         [this](http1::response_head& head) { on_decode_head(head); },
-         [this](std::string_view piece) { on_decode_body(piece); },
-         [this] { on_decode_done(); },
-         [this](upstream::call_failure why) { on_decode_failure(why); }});
+        call_for(options), {}, handlers_of_call(decode_.number));
 }
 
 void generation_exchange::watch_silence() {
@@ -113,11 +113,7 @@
 }
 
 void generation_exchange::on_decode_head(http1::response_head& head) {
-    decode_.answer = head;
-    decode_.metadata = context_.protocol.read_answer(head);
-    decode_.streaming = is_success(head.status) &&
-                        decode_.metadata.has_signature &&
-                        !decode_.metadata.has_content_coding;
+    read_head(decode_, head);
     if (!decode_.streaming)
         return;
     // The decode engine has taken over the prefill result.
@@ -125,12 +121,23 @@
     raise_verdict(base::verdict::ran);
 }
 
+void generation_exchange::read_head(
+    decode_state& decode, const http1::response_head& head) const {
+    decode.answer = head;
+    decode.metadata = context_.protocol.read_answer(head);
+    decode.streaming = is_success(head.status) &&
+                       decode.metadata.has_signature &&
+                       !decode.metadata.has_content_coding;
+}
+
 void generation_exchange::on_decode_body(std::string_view piece) {
     if (!decode_.streaming) {
         if (decode_.failure_body.size() < max_failure_bytes)
             decode_.failure_body.append(piece);
         return;
     }
+    drop_silent_call("left");
+    decode_.silence_noted = false;
     watch_silence();
     forward_events(traffic::push(decode_.splitter, piece));
 }
@@ -207,6 +214,7 @@
 
 void generation_exchange::on_decode_done() {
     silence_timer_.stop();
+    overlap_timer_.stop();
     if (decode_.streaming && was_cut_inside_event()) {
         on_decode_failure(upstream::call_failure::ended);
         return;
@@ -240,6 +248,7 @@
     // Bytes after the last complete event still belong to the body.
     forward_events(decode_.splitter.rest);
     decode_.splitter.rest.clear();
+    drop_silent_call("left");
     note_call_result(
         context_, decode_.server, policy::call_result::good, request_.terms.id);
     record_complete_answer();
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -24,7 +24,7 @@
     // requests, not this one in particular: it may be tried again later.
     if (policy::rests(
             context_.state.health.resting, decode_.server, context_.loop.now()))
-        decode_.tried.erase(decode_.server);
+        decode_tried_.erase(decode_.server);
     release_decode();
     const policy::next_step step = policy::after_decode_call(
         policy::call_end::rejected, route_, attempts_);
@@ -49,12 +49,11 @@
 
 void generation_exchange::on_decode_failure(upstream::call_failure why) {
     silence_timer_.stop();
+    overlap_timer_.stop();
     decode_.call.reset();
     if (upstream::nothing_was_sent(why)) {
-        --attempts_.runs;
-        --sends_;
+        note_unsent_decode();
         ++attempts_.unreachable;
-        policy::note_decode_unreachable(charges_);
         after_decode(
             policy::call_end::unreachable, policy::call_result::unreachable);
         return;
@@ -66,46 +65,10 @@
     after_decode(policy::call_end::broken_off, policy::call_result::broken);
 }
 
-void generation_exchange::on_decode_silence() {
-    const policy::next_step step =
-        policy::after_decode_call(policy::call_end::silent, route_, attempts_);
-    // Silence alone does not end an answer. The call is cancelled only if the
-    // request may continue on another engine and the allowance covers that.
-    const bool leaves = step.what != policy::action::keep_waiting && prepay(1);
-    log_silence(leaves);
-    if (!leaves) {
-        note_call_result(
-            context_, decode_.server, policy::call_result::silent,
-            request_.terms.id);
-        return;
-    }
-    raise_verdict(base::verdict::may_have_run);
-    // The engine stops processing the request when its connection closes.
-    decode_.call.reset();
-    after_decode(policy::call_end::silent, policy::call_result::silent);
-}
-
-void generation_exchange::log_silence(bool leaves) const {
-    const traffic::server* engine =
-        traffic::find(context_.state.servers, decode_.server);
-    const bool takes_new = engine != nullptr &&
-                           traffic::takes_new(context_.state.servers, *engine);
-    const base::steady_time now = context_.loop.now();
-    const auto silent_for = std::chrono::duration_cast<base::milliseconds>(
-        now - last_event_at_.value_or(decode_.started_at));
-    context_.log.write(
-        "decode_silent",
-        {{"request", request_.terms.id},
-         {"server", decode_.server},
-         {"version", decode_.version},
-         {"takes_new", takes_new},
-         {"silent_ms", silent_for.count()},
-         {"loop_delay_ms", context_.loop.recent_delay().count()},
-         {"last_event", static_cast<std::int64_t>(last_event_.value_or(0))},
-         {"leaves", leaves},
-         {"config", static_cast<std::int64_t>(config_->version)},
-         {"config_now", current_configuration_version()},
-         {"after_ms", since_arrival().count()}});
+void generation_exchange::note_unsent_decode() {
+    --attempts_.runs;
+    --sends_;
+    policy::note_decode_unreachable(charges_);
 }
 
 void generation_exchange::after_decode(
@@ -118,8 +81,9 @@
 void generation_exchange::apply_step(const policy::next_step& step) {
     switch (step.what) {
     case policy::action::deliver:
-        deliver_answer(
-            std::move(decode_.answer), std::move(decode_.failure_body));
+        if (!return_to_silent_call(step.reason))
+            deliver_answer(
+                std::move(decode_.answer), std::move(decode_.failure_body));
         return;
     case policy::action::send_again:
         place();
@@ -138,7 +102,8 @@
         return;
     case policy::action::give_up:
     case policy::action::break_off:
-        end_with_action(step.what, step.reason);
+        if (!return_to_silent_call(step.reason))
+            end_with_action(step.what, step.reason);
         return;
     }
 }
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -29,7 +29,8 @@
     : exchange(
           context, sink, std::move(request), std::move(config), route, service)
     , wait_timer_(context.loop)
-    , silence_timer_(context.loop) {}
+    , silence_timer_(context.loop)
+    , overlap_timer_(context.loop) {}
 
 generation_exchange::~generation_exchange() {
     cancel_calls();
@@ -40,18 +41,15 @@
 }
 
 void generation_exchange::cancel_calls() {
-    placement_.reset();
-    queue_ticket_.reset();
-    wait_timer_.stop();
-    silence_timer_.stop();
-    end_prefill();
-    decode_.call.reset();
-    release_decode();
-    release_result();
+    cancel_search();
+    drop_silent_call("request_ended");
 }
 
 bool generation_exchange::may_be_running() const {
-    return decode_.call != nullptr && decode_.call->sent();
+    const auto sent = [](const decode_state& decode) {
+        return decode.call != nullptr && decode.call->sent();
+    };
+    return sent(decode_) || (silent_ && sent(*silent_));
 }
 
 double generation_exchange::memory_needed() const {
@@ -80,9 +78,9 @@
     needs.max_prefill_time = policy::prefill_time_limit(
         route_.target_latency, since_arrival(),
         policy::mean_hand_over_time(context_.state.demands[service_.name]));
-    needs.may_reuse_excluded = policy::may_reuse_tried_engine(attempts_);
+    needs.may_reuse_excluded = may_reuse_tried_engine();
     needs.version = stream_version_;
-    needs.excluded = decode_.tried;
+    needs.excluded = decode_tried_;
     needs.excluded_prefill = prefill_.tried;
     needs.claim =
         claim(was_queued_, attempts_.answer_begun || describe_unplaced().begun);
@@ -112,7 +110,7 @@
         place_again_without(decode->id);
         return;
     }
-    if (!ensure_allowed())
+    if (!ensure_sendable())
         return;
     if (exclude_leaving_prefill(placed)) {
         place();
@@ -136,11 +134,11 @@
         "version_mismatch", {{"request", request_.terms.id},
                              {"server", engine},
                              {"version", *stream_version_}});
-    decode_.tried.insert(engine);
-    if (++version_mismatches_ > max_version_mismatches)
-        end_without_version();
-    else
+    decode_tried_.insert(engine);
+    if (++version_mismatches_ <= max_version_mismatches)
         place();
+    else if (!return_to_silent_call("version_mismatch"))
+        end_without_version();
 }
 
 bool generation_exchange::exclude_leaving_prefill(
@@ -162,7 +160,7 @@
 
 void generation_exchange::wait_for_capacity(
     const policy::capacity_summary& seen) {
-    if (is_version_gone(can_decode)) {
+    if (!silent_ && is_version_gone(can_decode)) {
         end_without_version();
         return;
     }
@@ -171,8 +169,8 @@
         policy::mean_first_event_time(context_.state.demands[service_.name]);
     const policy::unplaced_request unplaced = describe_unplaced();
     // A stream that has begun, here or in an earlier request, waits even if no
-    // capacity is predicted in time.
-    if (stream_version_ || attempts_.answer_begun ||
+    // capacity is predicted in time. So does one that may be running.
+    if (silent_ || stream_version_ || attempts_.answer_begun ||
         policy::should_wait(unplaced, expected, start)) {
         join_queue(!policy::can_meet_target(unplaced, expected, start));
         return;
@@ -183,7 +181,7 @@
 
 void generation_exchange::wait_for_connection() {
     const policy::unplaced_request unplaced = describe_unplaced();
-    if (attempts_.answer_begun ||
+    if (silent_ || attempts_.answer_begun ||
         policy::should_wait(
             unplaced, policy::unreachable_retry_delay, base::milliseconds{0})) {
         wait_timer_.start(policy::unreachable_retry_delay, [this] { place(); });
@@ -241,16 +239,15 @@
     context_.log.write_fields("no_room", fields);
 }
 
-void generation_exchange::release_decode() {
-    if (decode_.server.empty())
+void generation_exchange::release(decode_state& decode) {
+    if (decode.server.empty())
         return;
-    if (decode_.tracked)
-        untrack_stream(context_, *decode_.tracked);
+    if (decode.tracked)
+        untrack_stream(context_, *decode.tracked);
     else
-        remove_load(
-            context_, decode_.server, {1, 0.0, decode_.reserved_tokens});
-    decode_.tracked.reset();
-    decode_.server.clear();
+        remove_load(context_, decode.server, {1, 0.0, decode.reserved_tokens});
+    decode.tracked.reset();
+    decode.server.clear();
 }
 
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -48,9 +48,10 @@
         base::steady_time expires_at;
     };
 
-    /// State of the current decode call, and the engines tried so far.
+    /// State of a decode call.
     struct decode_state {
         std::unique_ptr<upstream::call> call;
+        int number = 0;      ///< Of the call, counted from 1 in this exchange.
         std::string server;  ///< Where memory is reserved; empty if nowhere.
         std::string version; ///< Of the engine that was called last.
         double reserved_tokens = 0.0;
@@ -65,7 +66,8 @@
         std::optional<base::steady_time> event_at; ///< Its last event.
         bool used_result = false; ///< The call uses a kept prefill result.
         traffic::event_splitter splitter;
-        policy::excluded_servers tried;
+        /// Its silence counts against the engine, once until it writes again.
+        bool silence_noted = false;
         /// Valid while memory is reserved and the stream is followed.
         std::optional<std::list<tracked_stream>::iterator> tracked;
         /// Forecast of the engine's memory when it was chosen.
@@ -109,7 +111,9 @@
     /// Takes retries from the allowance until the given number is prepaid.
     /// @return false if the allowance is spent; retries taken stay prepaid.
     bool prepay(int retries);
-    void release_decode();
+    void release_decode() { release(decode_); }
+    /// Releases the memory that is reserved for a decode call.
+    void release(decode_state& decode);
     /// Reserves memory on the decode engine; follows the stream's memory if its
     /// service has large events.
     void reserve_decode(const policy::placement& placed);
@@ -147,7 +151,10 @@
     bool placement_expired() const;
     void log_decode(const traffic::server& engine) const;
     void send_decode(const traffic::server& engine);
+    upstream::call_handlers handlers_of_call(int number);
     void on_decode_head(http1::response_head& head);
+    void
+    read_head(decode_state& decode, const http1::response_head& head) const;
     void on_decode_body(std::string_view piece);
     void on_decode_done();
     /// @return true if the answer, which ends with its connection, has ended
@@ -155,12 +162,39 @@
     bool was_cut_inside_event() const;
     void finish_stream();
     void on_decode_failure(upstream::call_failure why);
-    void on_decode_silence();
-    /// @param leaves whether the engine is left for another one.
-    void log_silence(bool leaves) const;
+    /// A decode call has ended, or is cancelled, before anything was sent.
+    void note_unsent_decode();
     void after_rejected_decode();
     void log_rejection() const;
     void watch_silence();
+
+    /// Silence alone does not end an answer: the call stays open while the
+    /// request looks for another engine, until that one has taken the stream
+    /// (policy::silent_call_overlap).
+    void on_decode_silence();
+    /// @param leaves whether another engine is looked for.
+    void log_silence(bool leaves) const;
+    /// @return true if this is the call that has been silent.
+    bool is_silent_call(int number) const;
+    /// Goes on with the silent call and ends the search for another engine.
+    void take_back_silent_call(std::string_view reason);
+    /// The same if there is a silent call, because the search has failed; looks
+    /// again if the engine stays silent. @return false if there is none.
+    bool return_to_silent_call(std::string_view reason);
+    /// Cancels what the search for another engine has begun.
+    void cancel_search();
+    /// @param reason see relay_metrics::count_silent_call().
+    void drop_silent_call(std::string_view reason);
+    /// The silent engine answers. Unless with the stream, the search goes on.
+    void on_silent_head(http1::response_head& head);
+    void on_silent_done();
+    void on_silent_failure(upstream::call_failure why);
+    /// As ensure_allowed(), but a block only ends the search for another engine
+    /// while there is a silent call.
+    bool ensure_sendable();
+    /// @return true if an engine that was tried before may be chosen again.
+    bool may_reuse_tried_engine() const;
+
     /// Records the memory share and time that a finished decode took.
     void record_demand();
     /// Records how the decode call ended, then performs the next step.
@@ -186,6 +220,10 @@
     prefill_state prefill_;
     kept_result kept_;
     decode_state decode_;
+    policy::excluded_servers decode_tried_;
+    int decode_calls_ = 0; ///< Started so far.
+    /// The call whose engine fell silent, while another engine is looked for.
+    std::optional<decode_state> silent_;
     std::optional<std::uint64_t> last_event_;        ///< Last event forwarded.
     std::optional<base::steady_time> last_event_at_; ///< When it was.
     double events_ = 0.0; ///< Forwarded; counted if the memory is followed.
@@ -195,6 +233,7 @@
     int version_mismatches_ = 0; ///< Engines named that could not be used.
     event::timer wait_timer_;
     event::timer silence_timer_;
+    event::timer overlap_timer_; ///< Runs while two decode calls are open.
 };
 
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -59,6 +59,11 @@
             .Name("mintknot_repeats_total")
             .Help("Requests sent again, by reason.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& silent_calls =
+        prometheus::BuildCounter()
+            .Name("mintknot_silent_decodes_total")
+            .Help("Silent decode calls that were to be left, by outcome.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& taken_up =
         prometheus::BuildCounter()
             .Name("mintknot_streams_taken_up_total")
@@ -134,6 +139,10 @@
     impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void relay_metrics::count_silent_call(std::string_view outcome) {
+    impl_->silent_calls.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
 void relay_metrics::count_taken_up(policy::origin_verdict verdict) {
     impl_->taken_up.Add({{"outcome", std::string(policy::to_string(verdict))}})
         .Increment();
