A silent plain server is left only once another one has been chosen

What callers saw: a call that may be repeated got 502 after three times its target, while its server would have answered in time, where no other server took it: none was left, or the request had been blocked meanwhile.

Cause: as with streams, the call was closed before another server was chosen. Class: what is held is given up before what replaces it is certain.

Evidence: both tests of silent_servers failed before (502 after 0.6 s, the answer came at 1.5 s), and pass now; 162 tests of relay pass.

Why this works: the search runs beside the call. The call ends when the search has found a server and the allowance covers it; the first bytes of the silent server end the search; without a server the search is made again after the same time. The choice of a server is in a file of its own now. What stays: the other server may reject the call, and then the first one has been left.

--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -54,36 +54,9 @@
     server_.clear();
 }
 
-void plain_exchange::place() {
-    policy::placement_query query;
-    query.service = service_.name;
-    query.version = stream_version_;
-    query.excluded = tried_;
-    query.claim = claim(false, verdict_ != base::verdict::not_run);
-    placement_ = place_request(
-        context_, service_, std::move(query),
-        [this](const policy::placement& placed) { on_placed(placed); });
-}
-
-void plain_exchange::on_placed(const policy::placement& placed) {
-    record_decision(placed);
-    const traffic::server* chosen =
-        traffic::find(context_.state.servers, placed.server);
-    const bool unavailable =
-        chosen != nullptr &&
-        (!may_send_to(context_, *chosen) || is_other_version(*chosen));
-    // The scheduler may not know yet that the server takes no new requests or
-    // that its data centre is closed: excluded, it is not chosen again.
-    if (unavailable && tried_.insert(chosen->id).second)
-        place();
-    else if (chosen == nullptr || unavailable)
-        on_no_server(placed);
-    else if (ensure_allowed())
-        send(*chosen, placed);
-}
-
 void plain_exchange::send(
     const traffic::server& server, const policy::placement& placed) {
+    record_decision(placed);
     server_ = server.id;
     server_version_ = server.version;
     tried_.insert(server.id);
@@ -112,6 +85,7 @@
 
 void plain_exchange::on_head(http1::response_head& head) {
     silence_timer_.stop();
+    placement_.reset();
     answer_ = head;
     answer_metadata_ = context_.protocol.read_answer(head);
 }
@@ -235,19 +209,6 @@
     apply_step(next_step(end));
 }
 
-void plain_exchange::on_silence() {
-    note_call_result(
-        context_, server_, policy::call_result::slow, request_.terms.id);
-    const policy::next_step step = next_step(policy::call_end::silent);
-    if (step.what == policy::action::keep_waiting ||
-        !spend_retry(context_, service_.name))
-        return;
-    raise_verdict(base::verdict::may_have_run);
-    cancel_calls();
-    context_.metrics.count_retry(step.reason);
-    place();
-}
-
 policy::next_step plain_exchange::next_step(policy::call_end end) const {
     return policy::after_plain_call(
         end, route_, attempts_,
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -28,6 +28,11 @@
 
     void place();
     void on_placed(const policy::placement& placed);
+    /// Cancels the call to a silent server, as another one has been chosen.
+    /// @return false if the request may not be sent again.
+    bool leave_silent_server();
+    /// Looks for another server once more if the silent one stays silent.
+    void look_again_later();
     /// Ends the exchange, or decides what follows, without a server.
     void on_no_server(const policy::placement& placed);
     void send(const traffic::server& server, const policy::placement& placed);
--- a/libs/mintknotd-platform/relay/src/plain_exchange_admission.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange_admission.cpp
@@ -41,6 +41,7 @@
 }
 
 void plain_exchange::on_no_server(const policy::placement& placed) {
+    record_decision(placed);
     if (placed.denial == policy::capacity_denial::none ||
         verdict_ != base::verdict::not_run) {
         apply_step(next_step(policy::call_end::no_server));
