After a standstill what has come is read before timers find silence

What callers saw: nothing that is shown.

Cause: the reactor hands over 127 ready sockets at a time and runs timers that are due right behind them. With more sockets, each timer for silence fires although what it waits for has come. Class: a verdict on what was not looked at.

Evidence: late_loop/what_came_on_many_connections_is_read_before_a_timer_fires, 400 connections, a standstill of 300 ms: 127 of 400 were read before the timer fired; now 400.

Why this works: a timer that fires more than 20 ms late waits for a descriptor of the loop's own, made ready at that moment; the system reports it behind all others that were ready before. Holds for all timers alike: silence of engines and servers, heartbeats, watches, tunnels.

--- a/libs/mintknotd-platform/event/include/mintknot/event/loop.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/loop.hpp
@@ -54,7 +54,8 @@
 };
 
 /// Calls a handler once at a time, or never if it is stopped or destroyed.
-/// Lifetime: the loop must outlive the timer.
+/// After a standstill of the loop, what has come on connections meanwhile is
+/// handled first. Lifetime: the loop must outlive the timer.
 class timer {
 public:
     explicit timer(loop& owner);
--- a/libs/mintknotd-platform/event/src/loop.cpp
+++ b/libs/mintknotd-platform/event/src/loop.cpp
@@ -9,6 +9,8 @@
 
 /// See loop::recent_delay().
 constexpr base::milliseconds recent_time{1000};
+/// A timer that fires later than this waits for what has come meanwhile.
+constexpr base::milliseconds late_bound{20};
 
 void wait_for_signal(
     boost::asio::signal_set& signals,
@@ -79,15 +81,16 @@
     longest_delay_seen = now;
 }
 
-void loop::impl::note_fired(base::steady_time due) {
+base::milliseconds loop::impl::note_fired(base::steady_time due) {
     const base::steady_time now = base::steady_clock::now();
     const auto delay =
         std::chrono::duration_cast<base::milliseconds>(now - due);
     note_delay(delay, now);
-    if (!on_delay || due <= delay_told || delay <= delay_bound)
-        return;
-    delay_told = now;
-    on_delay(delay);
+    if (on_delay && due > delay_told && delay > delay_bound) {
+        delay_told = now;
+        on_delay(delay);
+    }
+    return delay;
 }
 
 struct timer::impl {
@@ -116,9 +119,17 @@
          handler = std::move(handler)](const boost::system::error_code& code) {
             if (code || state->generation != generation)
                 return;
-            state->active = false;
-            state->owning_loop.note_fired(when);
-            handler();
+            if (state->owning_loop.note_fired(when) <= late_bound) {
+                state->active = false;
+                handler();
+                return;
+            }
+            state->owning_loop.late.add([state, generation, handler] {
+                if (state->generation != generation)
+                    return;
+                state->active = false;
+                handler();
+            });
         });
 }
 
--- a/libs/mintknotd-platform/event/src/loop_impl.hpp
+++ b/libs/mintknotd-platform/event/src/loop_impl.hpp
@@ -3,6 +3,8 @@
 #ifndef MINTKNOT_EVENT_LOOP_IMPL_HPP
 #define MINTKNOT_EVENT_LOOP_IMPL_HPP
 
+#include "late_handlers.hpp"
+
 #include <mintknot/base/address.hpp>
 #include <mintknot/event/loop.hpp>
 
@@ -21,6 +23,7 @@
 struct loop::impl {
     boost::asio::io_context context{1};
     boost::asio::signal_set signals{context};
+    late_handlers late{context};
     /// Handlers run one after another, so that one buffer serves all reads.
     std::array<char, read_buffer_bytes> read_buffer{};
     base::milliseconds delay_bound = base::milliseconds::max();
@@ -29,7 +32,8 @@
     base::milliseconds longest_delay{0};    ///< Of those of a recent time.
     base::steady_time longest_delay_seen{}; ///< When `longest_delay` was.
 
-    void note_fired(base::steady_time due);
+    /// @return how late the timer fires.
+    base::milliseconds note_fired(base::steady_time due);
     void note_delay(base::milliseconds delay, base::steady_time now);
     base::milliseconds recent_delay(base::steady_time now) const;
 };
