--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -50,6 +50,8 @@
 /// With what the body of such a request begins.
 constexpr std::string_view crash_mark = "crash";
 constexpr int events_of_a_stream = 20;
+/// One stream in so many pauses.
+constexpr std::size_t streams_for_a_pause = 3;
 constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
@@ -68,7 +70,9 @@
     std::string limit;   ///< Requests per second, as sent in answers.
     std::string version; ///< Of its software; empty: its row has none.
     base::milliseconds event_time{12}; ///< Between two events of a stream.
-    base::address advertised;          ///< Where instances reach it.
+    /// Pause of some streams in their middle; zero: none.
+    base::milliseconds pause{0};
+    base::address advertised; ///< Where instances reach it.
 };
 
 /// @param version named as the event's type, if it is not empty.
@@ -322,7 +326,7 @@
         head.fields.push_back({"Content-Type", "text/event-stream"});
         head.body = http1::framing::chunked;
         link->write(http1::serialize(head));
-        send_event(id, from + 1, link);
+        write_event(id, from + 1, link);
         if (has_crashing_part(request))
             after(
                 min_part_crash_time +
@@ -331,18 +335,29 @@
                 [this, id] { crash(id); });
     }
 
-    void send_event(
+    void write_event(
         const std::string& id, int number, const event::connection_ptr& link) {
         if (number > events_of_a_stream) {
             link->write(std::string(http1::last_chunk));
             return;
         }
         link->write(http1::chunk(event_of(id, number, options_.version)));
-        after(options_.event_time, [this, id, number, link] {
-            send_event(id, number + 1, link);
+        const base::milliseconds pause =
+            pauses_after(id, number) ? options_.pause : base::milliseconds{0};
+        after(options_.event_time + pause, [this, id, number, link] {
+            write_event(id, number + 1, link);
         });
     }
 
+    /// @return true if the stream of the request pauses after this event, the
+    /// same one at all engines.
+    static bool pauses_after(const std::string& id, int number) {
+        const std::size_t drawn = std::hash<std::string>{}(id);
+        const auto event = static_cast<int>(
+            drawn / streams_for_a_pause % (events_of_a_stream - 1));
+        return drawn % streams_for_a_pause == 0 && event + 1 == number;
+    }
+
     void after(base::milliseconds delay, std::function<void()> action) {
         const std::uint64_t number = ++last_timer_;
         auto& timer = timers_[number];
@@ -391,6 +406,9 @@
     TCLAP::ValueArg<int> event_time(
         "", "event-ms", "milliseconds between two events", false, 12, "MS",
         line);
+    TCLAP::ValueArg<int> pause(
+        "", "pause-ms", "pause in some streams, in milliseconds", false, 0,
+        "MS", line);
     const auto address = text("address", "where instances reach it", true);
     line.parse(argc, argv);
     const auto where = base::parse_address(store->getValue());
@@ -401,7 +419,8 @@
     engine_stand_in engine(
         owner, {*where, id->getValue(), service->getValue(), phase->getValue(),
                 ledger->getValue(), limit->getValue(), version->getValue(),
-                base::milliseconds(event_time.getValue()), *advertised});
+                base::milliseconds(event_time.getValue()),
+                base::milliseconds(pause.getValue()), *advertised});
     if (!engine.open())
         return 1;
     owner.run();
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -76,6 +76,11 @@
         "", "versions",
         "engines of several software versions, streams that are taken up",
         line);
+    TCLAP::SwitchArg pauses(
+        "", "pauses",
+        "engines pause in streams and go on, versions are rolled out, "
+        "configurations are large",
+        line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -124,6 +129,8 @@
         }
         if (versions.getValue())
             soak::plan_versions(options);
+        if (pauses.getValue())
+            soak::plan_pauses(options);
         const soak::soak_result result = soak::run_soak(options);
         fmt::print(
             "seed {}: {} requests, {} answered, {} refused, {} left, {} "
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -69,7 +69,8 @@
                options.earlier_program, options.advertised_limits,
                options.scarce_capacity,
                options.random_cuts || !options.cuts.empty(),
-               options.data_centres, options.event_time})
+               options.data_centres, options.event_time, options.pause,
+               options.unused_routes})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -67,6 +67,9 @@
     bool take_ups = false; ///< Callers take up resumable streams that break.
     /// Between two events of a stream; zero: as the stand-in has it.
     base::milliseconds event_time{0};
+    /// Engines pause in the middle of some streams and go on; zero: never.
+    base::milliseconds pause{0};
+    std::size_t unused_routes = 0; ///< In each configuration.
     /// When half of the instances, and two engines, are killed.
     std::vector<base::milliseconds> instance_kills;
     std::vector<base::milliseconds> engine_kills;
@@ -105,6 +108,10 @@
 /// version, and kills of half of the instances, over the length of a soak.
 void plan_versions(soak_options& options);
 
+/// Sets engines that pause in the middle of streams, rollouts of engine
+/// versions and large configurations, over the length of a soak.
+void plan_pauses(soak_options& options);
+
 /// Runs a system under load, does random harm to it, ends the harm, waits
 /// until it serves every kind of request again, and checks the promises.
 soak_result run_soak(const soak_options& options);
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -1,5 +1,6 @@
 #include "soak_system.hpp"
 
+#include "soak_configuration.hpp"
 #include "soak_parts.hpp"
 
 #include <mintknot/event/datagrams.hpp>
@@ -40,62 +41,6 @@
     return probe.port();
 }
 
-json route(
-    const std::string& name, const std::string& kind,
-    const std::string& service, int attempts, bool resumable,
-    int priority = 1) {
-    return {
-        {"name", name},
-        {"host", "soak.example"},
-        {"path_prefix", "/" + name + "/"},
-        {"kind", kind},
-        {"timeout_ms", 4000},
-        {"target_latency_ms", 400},
-        {"priority", priority},
-        {"service", service},
-        {"max_attempts", attempts},
-        {"resumable", resumable}};
-}
-
-/// Memory for four streams of 500 prompt tokens.
-constexpr int scarce_engine_tokens = 2500;
-constexpr int large_event_tokens = 32;
-
-json engine_document(bool scarce_capacity) {
-    json engine = {{"kv_tokens", 100000}, {"handle_ttl_s", 0.5}};
-    if (scarce_capacity) {
-        engine["kv_tokens"] = scarce_engine_tokens;
-        engine["stride"] = large_event_tokens;
-    }
-    return engine;
-}
-
-json configuration_document(int version, bool scarce_capacity) {
-    const int urgent = scarce_capacity ? 0 : 1;
-    const int patient = scarce_capacity ? 2 : 1;
-    json routes = {
-        route("safe", "safe", "app", 2, false),
-        route("unsafe", "unsafe", "app", 1, false),
-        route("stream", "streaming", "llm", 1, false, urgent),
-        route("resumable", "streaming", "llm", 2, true, patient)};
-    routes.push_back(
-        route(fmt::format("v{}", version), "safe", "app", 2, false));
-    return {
-        {"version", version},
-        {"routes", routes},
-        {"services",
-         {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 200}},
-          {{"name", "llm"},
-           {"health_path", "/health"},
-           {"max_conns", 200},
-           {"engine", engine_document(scarce_capacity)}}}},
-        {"limits",
-         {{"max_header_bytes", 16384},
-          {"max_body_bytes", 4194304},
-          {"header_timeout_ms", 3000},
-          {"idle_timeout_ms", 15000}}}};
-}
-
 } // namespace
 
 soak_system::soak_system(
@@ -225,6 +170,10 @@
         arguments.insert(
             arguments.end(),
             {"--event-ms", std::to_string(form_.event_time.count())});
+    if (form_.pause > base::milliseconds{0})
+        arguments.insert(
+            arguments.end(),
+            {"--pause-ms", std::to_string(form_.pause.count())});
     server.running.reset();
     server.running = std::make_unique<harness::child_process>(
         server.program, arguments, path("server.log"));
@@ -309,10 +258,9 @@
          {{{"table", "op"},
            {"part", ""},
            {"key", "config"},
-           {"value",
-            absl::Base64Escape(
-                configuration_document(configuration_, form_.scarce_capacity)
-                    .dump())}}}}};
+           {"value", absl::Base64Escape(configuration_text(
+                         {configuration_, form_.scarce_capacity,
+                          form_.unused_routes}))}}}}};
     event::loop owner;
     upstream::connection_pool pool(owner);
     event::timer limit(owner);
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -46,6 +46,10 @@
     std::size_t data_centres = 1; ///< Instances are in them in turn.
     /// Between two events of a stream; zero: as the stand-in has it.
     base::milliseconds event_time{0};
+    /// Pause of some streams in their middle; zero: none.
+    base::milliseconds pause{0};
+    /// In each configuration, to make it large.
+    std::size_t unused_routes = 0;
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
