--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -99,6 +99,9 @@
     /// @return true if a call that is in flight may be running the request.
     virtual bool may_be_running() const = 0;
 
+    /// @return the deadline that the caller states, from the arrival, or one
+    /// beyond the timeout of any route.
+    base::milliseconds caller_deadline() const;
     base::milliseconds time_left() const;
     base::milliseconds since_arrival() const;
     /// Raises the verdict to `seen` if that is higher; never lowers it.
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -25,12 +25,6 @@
     return request.body == nullptr ? std::string_view{} : *request.body;
 }
 
-int status_of(base::verdict verdict, bool out_of_time) {
-    if (verdict == base::verdict::not_run)
-        return status_unavailable;
-    return out_of_time ? 504 : 502;
-}
-
 } // namespace
 
 exchange::exchange(
@@ -51,11 +45,7 @@
           },
           shared_parts(service.name, request_.terms.prompt_parts))
     , deadline_timer_(context.loop)
-    , deadline_(
-          request_.arrived +
-          std::min(
-              route.timeout,
-              request_.terms.deadline.value_or(default_deadline))) {
+    , deadline_(request_.arrived + std::min(route.timeout, caller_deadline())) {
     ++context_.state.open_requests;
 }
 
@@ -155,6 +145,10 @@
         give_up("deadline_passed");
 }
 
+base::milliseconds exchange::caller_deadline() const {
+    return request_.terms.deadline.value_or(default_deadline);
+}
+
 base::milliseconds exchange::time_left() const {
     return base::time_left(deadline_, context_.loop.now());
 }
@@ -168,52 +162,6 @@
     verdict_ = base::raised(verdict_, seen);
 }
 
-void exchange::give_up(std::string_view reason) {
-    give_up(reason, policy::default_retry_after);
-}
-
-void exchange::give_up(
-    std::string_view reason, base::milliseconds retry_after) {
-    if (finished_)
-        return;
-    const bool out_of_time = time_left() <= base::milliseconds{0};
-    const int status = status_of(verdict_, out_of_time);
-    std::optional<base::milliseconds> retry_after_field;
-    if (verdict_ == base::verdict::not_run)
-        retry_after_field = retry_after;
-    send_router_answer(status, reason, retry_after_field);
-}
-
-void exchange::refuse(
-    int status, std::string_view reason,
-    std::optional<base::milliseconds> retry_after) {
-    if (finished_)
-        return;
-    cancel_calls();
-    send_router_answer(status, reason, retry_after);
-}
-
-void exchange::refuse_for_capacity(const wanted_capacity& wanted) {
-    const auto limited = limited_retry_after(context_, service_.name);
-    const base::milliseconds planned =
-        limited ? *limited
-                : policy::schedule_retry_after(
-                      context_.state.retry_after_schedules[service_.name],
-                      {wanted.forecast, wanted.expected_wait, wanted.cost,
-                       context_.state.instances},
-                      context_.loop.now());
-    give_up("no_capacity", usable_retry_after(planned));
-}
-
-base::milliseconds
-exchange::usable_retry_after(base::milliseconds retry_after) const {
-    if (!context_.state.capacity_sharing)
-        return retry_after;
-    const base::milliseconds left =
-        request_.terms.deadline.value_or(default_deadline) - since_arrival();
-    return policy::bounded_retry_after(retry_after, left);
-}
-
 std::optional<policy::capacity_claim>
 exchange::claim(bool waiting, bool begun) const {
     if (!context_.state.capacity_sharing)
@@ -230,40 +178,6 @@
     return result;
 }
 
-void exchange::send_router_answer(
-    int status, std::string_view reason,
-    std::optional<base::milliseconds> retry_after) {
-    http1::response_head head;
-    head.status = status;
-    head.fields = context_.protocol.own_answer(request_.terms.id, retry_after);
-    record_first_byte();
-    context_.log.write(
-        "given_up",
-        {{"request", request_.terms.id},
-         {"route", route_.name},
-         {"reason", reason},
-         {"status", std::int64_t{status}},
-         {"come_back_ms", retry_after.value_or(base::milliseconds{0}).count()},
-         {"organisation", organisation_name()},
-         {"verdict", base::to_string(verdict_)},
-         {"sends", std::int64_t{sends_}},
-         {"config", static_cast<std::int64_t>(config_->version)},
-         {"config_now", current_configuration_version()},
-         {"loop_delay_ms", context_.loop.recent_delay().count()},
-         {"after_ms", since_arrival().count()}});
-    finish(reason);
-    sink_.send_complete(std::move(head), std::string(reason) + "\n");
-}
-
-void exchange::deliver_answer(http1::response_head head, std::string body) {
-    if (finished_)
-        return;
-    record_first_byte();
-    http1::erase_hop_fields(head.fields);
-    finish(head.status < 400 ? "answered" : "server_failure");
-    sink_.send_complete(std::move(head), std::move(body));
-}
-
 void exchange::record_first_byte() {
     if (first_byte_ == base::milliseconds{0})
         first_byte_ = since_arrival();
@@ -282,36 +196,6 @@
            policy::was_refused_before(found->second, request_.terms.deadline);
 }
 
-void exchange::end_answer(std::string_view outcome) {
-    if (finished_)
-        return;
-    finish(outcome);
-    sink_.end();
-}
-
-void exchange::abort_answer(std::string_view reason) {
-    if (finished_)
-        return;
-    context_.log.write(
-        "broken_off", {{"request", request_.terms.id},
-                       {"route", route_.name},
-                       {"reason", reason},
-                       {"sends", std::int64_t{sends_}},
-                       {"config", static_cast<std::int64_t>(config_->version)},
-                       {"config_now", current_configuration_version()},
-                       {"loop_delay_ms", context_.loop.recent_delay().count()},
-                       {"after_ms", since_arrival().count()}});
-    finish(reason);
-    sink_.abort();
-}
-
-void exchange::end_with_action(policy::action what, std::string_view reason) {
-    if (what == policy::action::break_off)
-        abort_answer(reason);
-    else
-        give_up(reason);
-}
-
 void exchange::record_broken_call(
     const std::string& server_id, upstream::call_failure why,
     base::steady_time sent, bool answer_just_begun) const {
--- a/libs/mintknotd-platform/relay/tests/pausing_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/pausing_fixture.hpp
@@ -14,20 +14,11 @@
 /// For how long a sound engine writes nothing.
 inline constexpr base::milliseconds pause_of_engine{1500};
 
-inline const std::string all_events =
-    event_text(1) + event_text(2) + event_text(3);
-
 inline std::string prompt(int tokens = 100) {
     return request(
         "/resume/x", "Id: r1\r\nTokens: " + std::to_string(tokens) + "\r\n");
 }
 
-inline script rejecting() {
-    return [](const received_request& to, const event::connection_ptr& link) {
-        link->write(rejection_of(to));
-    };
-}
-
 /// A router with the engine `d1`, which writes one event, pauses and writes the
 /// rest. Other engines have more load, so that a stream begins at `d1`.
 struct pausing_fixture : relay_fixture {
@@ -67,7 +58,7 @@
     void assert_whole_answer(const caller_view& seen) {
         cr_assert(seen.complete, "cut: %s", seen.text.c_str());
         cr_assert(seen.status == 200, "%s", seen.text.c_str());
-        cr_assert(seen.body == all_events, "%s", seen.body.c_str());
+        cr_assert(seen.body == all_events(), "%s", seen.body.c_str());
         run_until([this] { return context.state.open_requests == 0; });
     }
 
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -5,7 +5,7 @@
 #define MINTKNOT_RELAY_TESTS_RELAY_FIXTURE_HPP
 
 #include "bound_port.hpp"
-#include "scripted_server.hpp"
+#include "server_scripts.hpp"
 
 #include <mintknot/event/listener.hpp>
 #include <mintknot/http1/message_parser.hpp>
@@ -113,22 +113,6 @@
 std::string
 request(const std::string& path, const std::string& fields = "Id: r1\r\n");
 
-/// @return an answer to the request that carries the server's signature.
-std::string answer_to(
-    const received_request& to, const std::string& body, int status = 200);
-/// @return an answer that states that the request has not run.
-std::string rejection_of(const received_request& to);
-
-/// @return a prefill engine that answers with the handle of a result.
-script good_prefill(const std::string& handle);
-/// @return a decode engine that streams the events 1 to 3, or those after the
-/// event to resume from.
-script good_decode();
-/// @return the text of the event with the given ID.
-std::string event_text(int id);
-/// @return the head of an event stream that answers the request.
-std::string stream_head(const received_request& to);
-
 } // namespace mintknot::relay::tests
 
 #endif
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -16,14 +16,6 @@
 constexpr auto prefill = traffic::engine_phase::prefill;
 constexpr auto decode = traffic::engine_phase::decode;
 
-const std::string all_events = event_text(1) + event_text(2) + event_text(3);
-
-script rejecting() {
-    return [](const received_request& to, const event::connection_ptr& link) {
-        link->write(rejection_of(to));
-    };
-}
-
 /// Sends one event and a part of the next, then resets or closes the
 /// connection.
 script interrupting(bool reset) {
@@ -51,7 +43,7 @@
     scripted_server& d = f.add_server("d", "llm", decode, good_decode());
     const caller_view seen = f.ask(prompt("/stream/x"));
     cr_assert(seen.status == 200);
-    cr_assert(seen.body == all_events);
+    cr_assert(seen.body == all_events());
     cr_assert(p.requests.size() == 1);
     cr_assert(p.requests[0].field("Stage") == "prefill");
     cr_assert(d.requests.size() == 1);
@@ -70,7 +62,7 @@
     scripted_server& p2 = f.add_server("p2", "llm", prefill, broken);
     p2.behaviour = good_prefill("k2");
     scripted_server& d = f.add_server("d", "llm", decode, good_decode());
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
     cr_assert(p1.requests.size() <= 1);
     cr_assert(d.requests.size() == 1);
     cr_assert(d.requests[0].field("From") == "k2");
@@ -79,7 +71,7 @@
 Test(generation_exchange, prefill_falls_back_to_decode_engines) {
     relay_fixture f;
     scripted_server& d = f.add_server("d", "llm", decode, good_decode());
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
     cr_assert(d.requests[0].field("From").empty());
 }
 
@@ -98,7 +90,7 @@
     };
     d1.behaviour = first_rejects;
     d2.behaviour = first_rejects;
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
     cr_assert(d1.requests.size() == 1);
     cr_assert(d2.requests.size() == 1);
     cr_assert(d2.requests[0].field("From") == "k1");
@@ -136,7 +128,7 @@
         scripted_server& d2 = f.add_server("d2", "llm", decode, first_breaks);
         const caller_view seen = f.ask(prompt("/resume/x"));
         cr_assert(seen.complete);
-        cr_assert(seen.body == all_events);
+        cr_assert(seen.body == all_events());
         cr_assert(d1.requests.size() == 1);
         cr_assert(d2.requests.size() == 1);
     }
@@ -178,7 +170,7 @@
     soon.start(base::milliseconds(60), [&] {
         traffic::remove(f.context.state.loads, "d", {1, 0.0, 9000.0});
     });
-    cr_assert(f.ask(prompt("/stream/x", 5000)).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x", 5000)).body == all_events());
 }
 
 Test(generation_exchange, does_not_wait_for_capacity_that_comes_too_late) {
@@ -204,7 +196,7 @@
     relay_fixture f;
     f.add_server("d", "llm", decode, good_decode());
     f.context.placement = &scheduler;
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
 }
 
 namespace {
@@ -238,7 +230,7 @@
         f.add_server("d", "llm", decode, good_decode());
         make_unavailable(f, "leaving", closes);
         f.context.placement = &scheduler;
-        cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+        cr_assert(f.ask(prompt("/stream/x")).body == all_events());
         cr_assert(leaving.requests.empty());
         cr_assert(prefills.requests.size() == 1);
     }
@@ -283,7 +275,7 @@
         f.context.placement = &scheduler;
         f.context.options.named_server_lifetime = prefill_duration / 2;
         f.context.state.servers.partial = partial;
-        cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+        cr_assert(f.ask(prompt("/stream/x")).body == all_events());
         // An instance with server rows would have learned it from them, so that
         // it uses the placement.
         cr_assert((after_leaving == 0) == partial);
@@ -297,7 +289,7 @@
     cr_assert(f.ask(prompt("/stream/x")).status == 503);
     cr_assert(engine.requests.empty());
     traffic::set_closed(f.context.state.servers, "left", false);
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
 }
 
 Test(generation_exchange, queues_at_peers_lengthen_the_expected_wait) {
@@ -372,7 +364,7 @@
     scripted_server& p = f.add_server("p", "llm", prefill, good_prefill("k1"));
     scripted_server& d = f.add_server("d", "llm", decode, good_decode());
     traffic::add(f.context.state.loads, "p", {1, 50000.0, 0.0});
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
     cr_assert(p.requests.empty());
     cr_assert(d.requests.size() == 1);
 }
@@ -383,7 +375,7 @@
     f.add_server("d", "llm", decode, good_decode());
     // 14,000 tokens at 20 per millisecond take 700 ms; the target is 1,000 ms.
     traffic::add(f.context.state.loads, "p", {1, 14000.0, 0.0});
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
+    cr_assert(f.ask(prompt("/stream/x")).body == all_events());
     cr_assert(p.requests.size() == 1);
 }
 
@@ -403,7 +395,7 @@
     later.start(base::milliseconds(1300), [&] {
         traffic::remove(f.context.state.loads, "d2", {1, 0.0, 9000.0});
     });
-    cr_assert(f.ask(prompt("/resume/x", 5000)).body == all_events);
+    cr_assert(f.ask(prompt("/resume/x", 5000)).body == all_events());
 }
 
 Test(generation_exchange, refusal_comes_before_the_caller_disconnects) {
@@ -429,153 +421,3 @@
         duration < std::chrono::milliseconds(4000),
         "request held for too long");
 }
-
-Test(generation_exchange, every_call_after_the_first_is_charged) {
-    // A decode after a rejected prefill was not charged to the retry allowance,
-    // so that all instances together exceeded the retry bound.
-    relay_fixture f;
-    f.context.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
-    scripted_server& p = f.add_server("p", "llm", prefill, rejecting());
-    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
-    cr_assert(f.ask(prompt("/stream/x")).status == 503);
-    cr_assert(p.requests.size() == 1);
-    cr_assert(d.requests.empty());
-}
-
-Test(generation_exchange, a_request_waits_for_retries_borrowed_from_peers) {
-    relay_fixture f;
-    f.context.state.instances = 100;
-    f.context.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
-    f.add_server("p", "llm", prefill, rejecting());
-    f.add_server("d", "llm", decode, good_decode());
-    event::timer answer(f.owner);
-    f.context.state.on_retries_low = [&](const std::string&, int) {
-        const base::steady_time requested_at = f.owner.now();
-        answer.start(base::milliseconds(5), [&f, requested_at] {
-            policy::add_borrowed_retries(
-                f.context.state.retry_allowances["llm"], 4, requested_at,
-                f.owner.now());
-        });
-    };
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
-}
-
-Test(generation_exchange, a_request_is_refused_if_no_retries_can_be_borrowed) {
-    relay_fixture f;
-    f.context.state.instances = 100;
-    f.context.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
-    f.add_server("p", "llm", prefill, rejecting());
-    scripted_server& d = f.add_server("d", "llm", decode, good_decode());
-    cr_assert(f.ask(prompt("/stream/x")).status == 503);
-    cr_assert(d.requests.empty());
-}
-
-Test(generation_exchange, a_prefill_that_is_executed_is_not_charged) {
-    relay_fixture f;
-    f.context.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
-    f.add_server("p", "llm", prefill, good_prefill("k1"));
-    f.add_server("d", "llm", decode, good_decode());
-    cr_assert(f.ask(prompt("/stream/x")).body == all_events);
-}
-
-Test(generation_exchange, no_prefill_is_sent_without_allowance_for_the_decode) {
-    // After a lost prefill a second engine processed the prompt, but then no
-    // retry allowance was left for the decode.
-    relay_fixture f;
-    f.context.state.retry_bounds = {0.0, 0.0, base::milliseconds(10000)};
-    const script broken = [](const received_request&,
-                             const event::connection_ptr& link) {
-        link->close();
-    };
-    scripted_server& first = f.add_server("p1", "llm", prefill, broken);
-    scripted_server& second = f.add_server("p2", "llm", prefill, broken);
-    f.add_server("d", "llm", decode, good_decode());
-    const caller_view seen = f.ask(prompt("/stream/x"));
-    cr_assert(seen.body == all_events);
-    cr_assert(first.requests.size() + second.requests.size() == 1);
-}
-
-Test(generation_exchange, silence_without_allowance_does_not_end_an_answer) {
-    relay_fixture f;
-    f.context.state.retry_bounds.extra = 0.0;
-    f.context.state.retry_bounds.ratio = 0.0;
-    event::timer later(f.owner);
-    const script pausing = [&later](
-                               const received_request& to,
-                               const event::connection_ptr& link) {
-        link->write(stream_head(to) + http1::chunk(event_text(1)));
-        later.start(base::milliseconds(1500), [link] {
-            link->write(
-                http1::chunk(event_text(2) + event_text(3)) +
-                std::string(http1::last_chunk));
-        });
-    };
-    f.add_server("d1", "llm", decode, pausing);
-    f.add_server("d2", "llm", decode, pausing);
-    const caller_view seen = f.ask(prompt("/resume/x"));
-    cr_assert(seen.complete);
-    cr_assert(seen.body == all_events);
-}
-
-namespace {
-
-/// A fixture whose streams have the priorities 0 and 2.
-struct two_priorities : relay_fixture {
-    two_priorities() {
-        for (traffic::route& route : config.routes)
-            if (route.name == "resume")
-                route.priority = 2;
-        configure();
-        p = &add_server("p", "llm", prefill, good_prefill("k1"));
-        d = &add_server("d", "llm", decode, good_decode());
-    }
-    scripted_server* p = nullptr;
-    scripted_server* d = nullptr;
-};
-
-} // namespace
-
-// Guards against engines that preempt urgent streams for others.
-Test(generation_exchange, engines_are_told_how_urgent_a_request_is) {
-    two_priorities f;
-    f.context.state.capacity_sharing = true;
-    cr_assert(f.ask(prompt("/stream/x")).complete);
-    cr_assert(f.ask(prompt("/resume/x")).complete);
-    for (const scripted_server* engine : {f.p, f.d}) {
-        cr_assert(engine->requests.at(0).field("Urgency") == "3");
-        cr_assert(engine->requests.at(1).field("Urgency") == "5");
-    }
-}
-
-// Guards against a changed request where the switch is off or there is nothing
-// to tell apart.
-Test(generation_exchange, no_urgency_without_sharing_or_with_one_priority) {
-    two_priorities off;
-    cr_assert(off.ask(prompt("/stream/x")).complete);
-    cr_assert(off.d->requests.at(0).field("Urgency").empty());
-    relay_fixture same;
-    same.context.state.capacity_sharing = true;
-    scripted_server& d = same.add_server("d", "llm", decode, good_decode());
-    cr_assert(same.ask(prompt("/stream/x")).complete);
-    cr_assert(d.requests.at(0).field("Urgency").empty());
-}
-
-// Guards against a time to return at which the caller has long given up.
-Test(generation_exchange, a_refused_caller_is_told_a_time_that_it_obeys) {
-    relay_fixture f;
-    scripted_placer full([](const policy::placement_query&) {
-        policy::placement none;
-        none.capacity.engines = 1;
-        none.capacity.forecast = {std::chrono::seconds(90), 0.01};
-        return none;
-    });
-    f.context.placement = &full;
-    const auto told = [&f] {
-        const caller_view seen = f.ask(prompt("/stream/x"));
-        cr_assert(seen.status == 503);
-        return std::stod(seen.field("Retry-After")); // Milliseconds.
-    };
-    cr_assert(told() > 80000.0, "as before while capacity is not shared");
-    f.context.state.capacity_sharing = true;
-    cr_assert(told() <= 60000.0 / 3.0);
-}
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -20,22 +20,12 @@
     };
 }
 
-script rejecting() {
-    return [](const received_request& to, const event::connection_ptr& link) {
-        link->write(rejection_of(to));
-    };
-}
-
 script resetting() {
     return [](const received_request&, const event::connection_ptr& link) {
         link->reset();
     };
 }
 
-script silent() {
-    return [](const received_request&, const event::connection_ptr&) {};
-}
-
 /// @return the number of requests that the servers have received.
 std::size_t total_requests(const std::vector<scripted_server*>& servers) {
     std::size_t count = 0;
--- a/libs/mintknotd-platform/relay/tests/test_silent_calls.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_silent_calls.cpp
@@ -17,10 +17,6 @@
 /// second, and its call ends 200 ms after the request was sent to the other.
 constexpr base::milliseconds in_overlap{1100};
 
-script silent() {
-    return [](const received_request&, const event::connection_ptr&) {};
-}
-
 /// Streams like good_decode() after a delay.
 script decoding_late(event::timer& later, base::milliseconds delay) {
     return [&later, delay](
@@ -106,7 +102,7 @@
         });
     const caller_view seen = f.ask(prompt());
     cr_assert(seen.complete);
-    cr_assert(seen.body == all_events);
+    cr_assert(seen.body == all_events());
     cr_assert(requests == 2);
     f.run_until([&] { return only.closed_connections == 1; });
 }
@@ -127,6 +123,20 @@
     traffic::add(f.context.state.loads, "d2", {1, 0.0, 2000.0});
     const caller_view seen = f.ask(prompt());
     cr_assert(seen.complete);
-    cr_assert(seen.body == all_events);
+    cr_assert(seen.body == all_events());
     cr_assert(other.requests.size() == 1);
 }
+
+// Guards against a stream that stands at a dark engine until its deadline
+// because the first search has failed.
+Test(silent_calls, a_search_that_failed_is_made_again) {
+    pausing_fixture f(true, forever);
+    scripted_guard guard;
+    f.context.crashes = &guard;
+    f.add_other(good_decode());
+    // The block is there only while the first search is made.
+    event::timer begin(f.owner);
+    begin.start(base::milliseconds(500), [&] { guard.blocks = true; });
+    f.change.start(base::milliseconds(1300), [&] { guard.blocks = false; });
+    f.assert_whole_answer(f.ask(prompt()));
+}
--- a/libs/mintknotd-platform/relay/tests/test_taken_up_streams.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_taken_up_streams.cpp
@@ -15,7 +15,6 @@
 
 constexpr auto decode = traffic::engine_phase::decode;
 
-const std::string all_events = event_text(1) + event_text(2) + event_text(3);
 const std::string new_stream = request("/resume/x", "Id: r1\r\nTokens: 9\r\n");
 const std::string take_up =
     request("/resume/x", "Id: r2\r\nTokens: 9\r\nResumes: r1\r\nAfter: 1\r\n");
@@ -95,7 +94,7 @@
         };
         scripted_server* const ones[] = {engine("a", "v1"), engine("c", "v1")};
         scripted_server* const twos[] = {engine("b", "v2"), engine("d", "v2")};
-        cr_assert(t.f.ask(new_stream).body == all_events);
+        cr_assert(t.f.ask(new_stream).body == all_events());
         cr_assert(t.origins.begun.size() == 1);
         const bool at_one = t.origins.begun[0].version == "v1";
         for (scripted_server* server : at_one ? ones : twos)
@@ -135,7 +134,7 @@
             (std::exchange(broken, true) ? good_decode()
                                          : ends_inside)(to, link);
         });
-    cr_assert(t.f.ask(new_stream).body == all_events);
+    cr_assert(t.f.ask(new_stream).body == all_events());
     two_versions other;
     other.f.add_server("a", "llm", decode, ends_inside);
     other.f.add_server("b", "app", traffic::engine_phase::none, ends_inside);
@@ -148,7 +147,7 @@
     two_versions t;
     t.f.add_server("a", "llm", decode, breaks_at_once(), "v1");
     t.f.add_server("b", "llm", decode, good_decode(), "v2");
-    cr_assert(t.f.ask(new_stream).body == all_events);
+    cr_assert(t.f.ask(new_stream).body == all_events());
     cr_assert(t.origins.begun[0].version == "v2");
 }
 
