A plain call that breaks ends the search for another server

By reading: where a silent server's call broke while a placement was awaited, and no retry was left, the exchange ended with the placement still to come.

--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -128,9 +128,9 @@
     /// Records and logs the output of a stream that has ended.
     void record_output();
     /// Adds to the fields of a log line what the memory forecast says.
+    void add_memory_fields(std::vector<logging::log_field>& fields) const;
     /// The same for a request without an engine.
     void add_needs_fields(std::vector<logging::log_field>& fields) const;
-    void add_memory_fields(std::vector<logging::log_field>& fields) const;
 
     /// @param ahead prompt tokens that are queued on the engine before these.
     void start_prefill(const traffic::server& engine, double ahead);
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -188,6 +188,7 @@
 
 void plain_exchange::on_failure(upstream::call_failure why) {
     silence_timer_.stop();
+    placement_.reset();
     if (upstream::nothing_was_sent(why)) {
         --attempts_.runs;
         ++attempts_.unreachable;
