--- a/libs/mintknotd-platform/relay/tests/pausing_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/pausing_fixture.hpp
@@ -14,9 +14,8 @@
 /// For how long a sound engine writes nothing.
 inline constexpr base::milliseconds pause_of_engine{1500};
 
-inline std::string prompt(int tokens = 100) {
-    return request(
-        "/resume/x", "Id: r1\r\nTokens: " + std::to_string(tokens) + "\r\n");
+inline std::string resumable_prompt(int tokens = 100) {
+    return prompt("/resume/x", tokens);
 }
 
 /// A router with the engine `d1`, which writes one event, pauses and writes the
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -321,4 +321,8 @@
         fields);
 }
 
+std::string prompt(const std::string& path, int tokens) {
+    return request(path, fmt::format("Id: r1\r\nTokens: {}\r\n", tokens));
+}
+
 } // namespace mintknot::relay::tests
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -112,6 +112,8 @@
 /// @return a POST request of a caller.
 std::string
 request(const std::string& path, const std::string& fields = "Id: r1\r\n");
+/// @return a request with so many prompt tokens.
+std::string prompt(const std::string& path, int tokens = 100);
 
 } // namespace mintknot::relay::tests
 
--- a/libs/mintknotd-platform/relay/tests/test_generation_charges.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_charges.cpp
@@ -16,11 +16,6 @@
 constexpr auto prefill = traffic::engine_phase::prefill;
 constexpr auto decode = traffic::engine_phase::decode;
 
-std::string prompt(const std::string& path, int tokens = 100) {
-    return request(
-        path, "Id: r1\r\nTokens: " + std::to_string(tokens) + "\r\n");
-}
-
 } // namespace
 
 // What generation requests are charged, and what engines and callers are told.
--- a/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_generation_exchange.cpp
@@ -30,11 +30,6 @@
         };
 }
 
-std::string prompt(const std::string& path, int tokens = 100) {
-    return request(
-        path, "Id: r1\r\nTokens: " + std::to_string(tokens) + "\r\n");
-}
-
 } // namespace
 
 Test(generation_exchange, a_prefill_result_is_handed_over_to_decode) {
--- a/libs/mintknotd-platform/relay/tests/test_silent_calls.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_silent_calls.cpp
@@ -39,7 +39,7 @@
             late(to, link);
         });
     const caller_view early =
-        f.ask(prompt(), [&] { return f.d1.closed_connections == 1; });
+        f.ask(resumable_prompt(), [&] { return f.d1.closed_connections == 1; });
     cr_assert(!early.complete);
     cr_assert(sent.has_value());
     cr_assert(f.owner.now() - *sent < max_overlap);
@@ -48,7 +48,7 @@
 Test(silent_calls, a_dark_engine_is_left_for_another_one) {
     pausing_fixture f(true, forever);
     scripted_server& other = f.add_other(good_decode());
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
     cr_assert(other.requests.size() == 1);
     cr_assert(other.requests[0].field("After") == "1");
     f.run_until([&] { return f.d1.closed_connections == 1; });
@@ -68,7 +68,7 @@
                 good_prefill("k1")(to, link);
             });
         });
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
     cr_assert(prefills == 2);
     cr_assert(other.requests.empty());
     traffic::remove(f.context.state.loads, "d2", {1, 0.0, 2000.0});
@@ -80,7 +80,7 @@
     scripted_server& other = f.add_other(silent());
     bool leaves = false;
     f.change.start(in_overlap, [&] { leaves = true; });
-    f.ask(prompt(), [&] { return leaves; });
+    f.ask(resumable_prompt(), [&] { return leaves; });
     f.run_until([&] {
         return f.d1.closed_connections == 1 && other.closed_connections == 1;
     });
@@ -100,7 +100,7 @@
             else
                 good_decode()(to, link);
         });
-    const caller_view seen = f.ask(prompt());
+    const caller_view seen = f.ask(resumable_prompt());
     cr_assert(seen.complete);
     cr_assert(seen.body == all_events());
     cr_assert(requests == 2);
@@ -121,7 +121,7 @@
     scripted_server& other = f.add_server(
         "d2", "llm", decode, decoding_late(second, base::milliseconds(150)));
     traffic::add(f.context.state.loads, "d2", {1, 0.0, 2000.0});
-    const caller_view seen = f.ask(prompt());
+    const caller_view seen = f.ask(resumable_prompt());
     cr_assert(seen.complete);
     cr_assert(seen.body == all_events());
     cr_assert(other.requests.size() == 1);
@@ -138,5 +138,5 @@
     event::timer begin(f.owner);
     begin.start(base::milliseconds(500), [&] { guard.blocks = true; });
     f.change.start(base::milliseconds(1300), [&] { guard.blocks = false; });
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
--- a/libs/mintknotd-platform/relay/tests/test_silent_engines.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_silent_engines.cpp
@@ -11,21 +11,21 @@
     pausing_fixture f;
     f.add_other(good_decode(), 2000.0, "v2");
     f.let_pausing_engine_leave();
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
 
 Test(silent_engines, no_answer_is_lost_if_the_other_engine_rejects) {
     pausing_fixture f;
     f.add_other(rejecting());
     f.let_pausing_engine_leave();
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
 
 Test(silent_engines, no_answer_is_lost_if_the_other_engine_is_full) {
     pausing_fixture f;
     f.add_other(good_decode(), 9000.0);
     f.let_pausing_engine_leave();
-    f.assert_whole_answer(f.ask(prompt(5000)));
+    f.assert_whole_answer(f.ask(resumable_prompt(5000)));
 }
 
 Test(silent_engines, no_answer_is_lost_if_the_allowance_ends_meanwhile) {
@@ -33,7 +33,7 @@
     f.context.state.retry_bounds.ratio = 0.0;
     f.context.state.retry_bounds.extra = 1.0;
     f.add_other(rejecting());
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
 
 Test(silent_engines, no_answer_is_lost_if_the_other_engine_breaks_off) {
@@ -41,7 +41,7 @@
     f.add_other([](const received_request&, const event::connection_ptr& link) {
         link->reset();
     });
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
 
 Test(silent_engines, no_answer_is_lost_if_the_other_engine_fails) {
@@ -50,7 +50,7 @@
         [](const received_request& to, const event::connection_ptr& link) {
             link->write(answer_to(to, "oops", 500));
         });
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
 
 Test(silent_engines, no_answer_is_lost_if_no_other_engine_is_reachable) {
@@ -58,7 +58,7 @@
     f.add_dead_server("d2", "llm");
     traffic::add(f.context.state.loads, "d2", {1, 0.0, 2000.0});
     f.let_pausing_engine_leave();
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
 }
 
 Test(silent_engines, no_answer_is_lost_if_the_request_is_blocked_meanwhile) {
@@ -67,7 +67,7 @@
     f.context.crashes = &guard;
     scripted_server& other = f.add_other(good_decode());
     f.change.start(pause_of_engine / 3, [&] { guard.blocks = true; });
-    f.assert_whole_answer(f.ask(prompt()));
+    f.assert_whole_answer(f.ask(resumable_prompt()));
     cr_assert(other.requests.empty(), "a blocked request was sent");
 }
 
@@ -75,5 +75,5 @@
     pausing_fixture f(false);
     f.add_other(good_decode(), 9000.0);
     f.let_pausing_engine_leave();
-    f.assert_whole_answer(f.ask(prompt(5000)));
+    f.assert_whole_answer(f.ask(resumable_prompt(5000)));
 }
