Soak: an engine that leaves goes on for as long as its streams may pause

Traced in its logs: it began 1.8 s after its engine had said that it leaves, which the drain bound of 2 s allows, paused for 1,011 ms, and the stand-in ended 3 s after its word, with the stream open (call_broke, ended). The engine broke off, which the users' rule does not count: a leaving engine serves on for the drain bound and longer. Without pauses a stream takes 0.24 s and fits. The stand-in serves on for the pause as well now; the check stays as it is.

--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -34,7 +34,7 @@
 constexpr base::milliseconds heartbeat{300};
 constexpr base::milliseconds work_time{15};
 constexpr base::milliseconds handle_life{500};
-/// How long it serves on after it has said that it leaves.
+/// How long it serves on after it has said that it leaves, beside a pause.
 constexpr base::milliseconds serve_on{3000};
 /// Requests may still come for so long after the store knows.
 constexpr base::milliseconds drain_bound{2000};
@@ -128,7 +128,7 @@
     void leave() {
         draining_ = true;
         beat();
-        after(serve_on, [this] { owner_.stop(); });
+        after(serve_on + options_.pause, [this] { owner_.stop(); });
     }
 
     void beat() {
