The linter's analyzer follows the executor of late handlers no more

clang-tidy reported a null executor inside Asio's any_executor; the handlers are posted to the context, as loop::post() does.

--- a/libs/mintknotd-platform/event/src/late_handlers.cpp
+++ b/libs/mintknotd-platform/event/src/late_handlers.cpp
@@ -11,7 +11,8 @@
 namespace mintknot::event {
 
 late_handlers::late_handlers(boost::asio::io_context& context)
-    : turn_(context) {
+    : context_(context)
+    , turn_(context) {
     boost::system::error_code code;
     turn_.assign(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), code);
 }
@@ -46,7 +47,7 @@
 void late_handlers::run() {
     // Each on its own: one of them may stop the loop.
     for (std::function<void()>& handler : std::exchange(waiting_, {}))
-        boost::asio::post(turn_.get_executor(), std::move(handler));
+        boost::asio::post(context_, std::move(handler));
 }
 
 } // namespace mintknot::event
--- a/libs/mintknotd-platform/event/src/late_handlers.hpp
+++ b/libs/mintknotd-platform/event/src/late_handlers.hpp
@@ -29,6 +29,7 @@
     void wait_for_turn();
     void run();
 
+    boost::asio::io_context& context_;
     /// Once written, it is reported behind all descriptors that were ready
     /// before: epoll queues them in the order in which they become ready.
     boost::asio::posix::stream_descriptor turn_;
