--- a/libs/mintknotd-platform/policy/include/mintknot/policy/attempts.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/attempts.hpp
@@ -114,6 +114,15 @@
 /// there is no other one: no engine has rejected the request.
 bool may_reuse_tried_engine(const attempts& so_far);
 
+/// The same while an engine has not answered the request for the given time and
+/// may still go on: that engine must not be asked twice before it is certain
+/// that no sound engine is silent for so long.
+bool may_reuse_silent_engine(
+    const attempts& so_far, base::milliseconds silent_for);
+
+/// @return true if the request ends with this step.
+bool ends_request(action what);
+
 } // namespace mintknot::policy
 
 #endif
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/timeouts.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/timeouts.hpp
@@ -34,10 +34,6 @@
 /// two engines must not work on a stream 400 ms after it has continued.
 inline constexpr base::milliseconds silent_call_overlap{200};
 
-/// A sound engine writes again after a shorter silence. Beyond it a request may
-/// be sent once more to the engine that is silent, for want of another one.
-inline constexpr base::milliseconds max_sound_silence{2000};
-
 /// @return the time without data after which a plain server is considered
 /// failed, and a repeatable request is sent to another one: a few target
 /// latencies, but early enough that the other one can still answer.
--- a/libs/mintknotd-platform/policy/src/attempts.cpp
+++ b/libs/mintknotd-platform/policy/src/attempts.cpp
@@ -19,6 +19,8 @@
 constexpr int max_loan_waits = 2;
 /// Number of rejections from which the kept prefill result is suspect.
 constexpr int rejections_to_suspect_result = 2;
+/// A sound engine writes again after a shorter silence.
+constexpr base::milliseconds max_sound_silence{2000};
 
 /// Ends a request. An answer that has begun can only be broken off.
 next_step end_request(std::string_view reason, const attempts& so_far) {
@@ -181,4 +183,14 @@
     return so_far.rejections == 0;
 }
 
+bool may_reuse_silent_engine(
+    const attempts& so_far, base::milliseconds silent_for) {
+    return silent_for >= max_sound_silence && may_reuse_tried_engine(so_far);
+}
+
+bool ends_request(action what) {
+    return what == action::deliver || what == action::give_up ||
+           what == action::break_off;
+}
+
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/tests/test_attempts.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_attempts.cpp
@@ -206,6 +206,24 @@
     cr_assert(!may_reuse_tried_engine({.rejections = 1}));
 }
 
+// Guards against a request that is at one engine twice while it pauses.
+Test(attempts, a_silent_engine_is_reused_only_after_a_long_silence) {
+    cr_assert(!may_reuse_silent_engine({}, base::milliseconds(1999)));
+    cr_assert(may_reuse_silent_engine({}, base::milliseconds(2000)));
+    cr_assert(
+        !may_reuse_silent_engine({.rejections = 1}, base::milliseconds(2000)));
+}
+
+Test(attempts, only_answers_and_refusals_end_a_request) {
+    for (const action what :
+         {action::deliver, action::give_up, action::break_off})
+        cr_assert(ends_request(what));
+    for (const action what :
+         {action::send_again, action::resume, action::pause, action::await_loan,
+          action::keep_waiting})
+        cr_assert(!ends_request(what));
+}
+
 Test(attempts, waits_for_borrowed_retries_are_bounded) {
     attempts so_far;
     int waits = 0;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mintknot::relay {
 
@@ -131,8 +132,8 @@
     /// caller's key may have been revoked or the request blocked while it
     /// waited. @return false if it may not; the exchange has then ended.
     bool ensure_allowed();
-    /// @return true if the request is blocked: it must not be sent.
-    bool is_blocked() const;
+    /// @return the block that forbids to send the request; empty: none.
+    std::optional<crash_block> find_block() const;
     /// @return the priority of the organisation or, if it has none, of the
     /// route.
     int priority() const;
@@ -165,9 +166,11 @@
     /// rejection may lack the request ID.
     bool is_answer_to_request(const http1::response_head& head) const;
 
-    /// @return the version of the configuration in force, for log lines; the
-    /// request may have been routed by an older one.
-    std::int64_t current_configuration_version() const;
+    /// Logs a line that tells, beside its fields, by which configuration the
+    /// request was routed, which one is in force, how late timers of this
+    /// instance have been, and the age of the request.
+    void log_with_state(
+        std::string_view event, std::vector<logging::log_field> fields) const;
 
     std::string organisation_name() const; ///< Empty if none.
     call_parameters call_options_for(const traffic::server& server) const;
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -76,15 +76,14 @@
     return ensure_key_valid() && ensure_not_blocked();
 }
 
-bool exchange::is_blocked() const {
-    return context_.crashes != nullptr &&
-           context_.crashes->find_block(identity_).has_value();
+std::optional<crash_block> exchange::find_block() const {
+    if (context_.crashes == nullptr)
+        return std::nullopt;
+    return context_.crashes->find_block(identity_);
 }
 
 bool exchange::ensure_not_blocked() {
-    if (context_.crashes == nullptr)
-        return true;
-    const auto block = context_.crashes->find_block(identity_);
+    const auto block = find_block();
     if (!block)
         return true;
     if (!block->parts.empty())
@@ -228,9 +227,15 @@
            (terms.request_id.empty() && terms.not_executed);
 }
 
-std::int64_t exchange::current_configuration_version() const {
+void exchange::log_with_state(
+    std::string_view event, std::vector<logging::log_field> fields) const {
     const auto& current = context_.state.config;
-    return current == nullptr ? 0 : static_cast<std::int64_t>(current->version);
+    const std::uint64_t version = current == nullptr ? 0 : current->version;
+    fields.push_back({"config", static_cast<std::int64_t>(config_->version)});
+    fields.push_back({"config_now", static_cast<std::int64_t>(version)});
+    fields.push_back({"loop_delay_ms", context_.loop.recent_delay().count()});
+    fields.push_back({"after_ms", since_arrival().count()});
+    context_.log.write_fields(event, fields);
 }
 
 std::string exchange::organisation_name() const {
--- a/libs/mintknotd-platform/relay/src/exchange_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_answer.cpp
@@ -69,7 +69,7 @@
     head.status = status;
     head.fields = context_.protocol.own_answer(request_.terms.id, retry_after);
     record_first_byte();
-    context_.log.write(
+    log_with_state(
         "given_up",
         {{"request", request_.terms.id},
          {"route", route_.name},
@@ -78,11 +78,7 @@
          {"come_back_ms", retry_after.value_or(base::milliseconds{0}).count()},
          {"organisation", organisation_name()},
          {"verdict", base::to_string(verdict_)},
-         {"sends", std::int64_t{sends_}},
-         {"config", static_cast<std::int64_t>(config_->version)},
-         {"config_now", current_configuration_version()},
-         {"loop_delay_ms", context_.loop.recent_delay().count()},
-         {"after_ms", since_arrival().count()}});
+         {"sends", std::int64_t{sends_}}});
     finish(reason);
     sink_.send_complete(std::move(head), std::string(reason) + "\n");
 }
@@ -106,15 +102,11 @@
 void exchange::abort_answer(std::string_view reason) {
     if (finished_)
         return;
-    context_.log.write(
+    log_with_state(
         "broken_off", {{"request", request_.terms.id},
                        {"route", route_.name},
                        {"reason", reason},
-                       {"sends", std::int64_t{sends_}},
-                       {"config", static_cast<std::int64_t>(config_->version)},
-                       {"config_now", current_configuration_version()},
-                       {"loop_delay_ms", context_.loop.recent_delay().count()},
-                       {"after_ms", since_arrival().count()}});
+                       {"sends", std::int64_t{sends_}}});
     finish(reason);
     sink_.abort();
 }
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -79,11 +79,12 @@
 }
 
 void generation_exchange::apply_step(const policy::next_step& step) {
+    if (policy::ends_request(step.what) && return_to_silent_call(step.reason))
+        return;
     switch (step.what) {
     case policy::action::deliver:
-        if (!return_to_silent_call(step.reason))
-            deliver_answer(
-                std::move(decode_.answer), std::move(decode_.failure_body));
+        deliver_answer(
+            std::move(decode_.answer), std::move(decode_.failure_body));
         return;
     case policy::action::send_again:
         place();
@@ -102,8 +103,7 @@
         return;
     case policy::action::give_up:
     case policy::action::break_off:
-        if (!return_to_silent_call(step.reason))
-            end_with_action(step.what, step.reason);
+        end_with_action(step.what, step.reason);
         return;
     }
 }
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -78,7 +78,10 @@
     needs.max_prefill_time = policy::prefill_time_limit(
         route_.target_latency, since_arrival(),
         policy::mean_hand_over_time(context_.state.demands[service_.name]));
-    needs.may_reuse_excluded = may_reuse_tried_engine();
+    needs.may_reuse_excluded =
+        silent_
+            ? policy::may_reuse_silent_engine(attempts_, silent_for(*silent_))
+            : policy::may_reuse_tried_engine(attempts_);
     needs.version = stream_version_;
     needs.excluded = decode_tried_;
     needs.excluded_prefill = prefill_.tried;
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -192,8 +192,8 @@
     /// As ensure_allowed(), but a block only ends the search for another engine
     /// while there is a silent call.
     bool ensure_sendable();
-    /// @return true if an engine that was tried before may be chosen again.
-    bool may_reuse_tried_engine() const;
+    /// @return the time since the last event, or since the call was sent.
+    base::milliseconds silent_for(const decode_state& decode) const;
 
     /// Records the memory share and time that a finished decode took.
     void record_demand();
--- a/libs/mintknotd-platform/relay/src/generation_silence.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_silence.cpp
@@ -67,21 +67,21 @@
         traffic::find(context_.state.servers, decode_.server);
     const bool takes_new = engine != nullptr &&
                            traffic::takes_new(context_.state.servers, *engine);
-    const auto silent_for = std::chrono::duration_cast<base::milliseconds>(
-        context_.loop.now() - last_event_at_.value_or(decode_.started_at));
-    context_.log.write(
+    log_with_state(
         "decode_silent",
         {{"request", request_.terms.id},
          {"server", decode_.server},
          {"version", decode_.version},
          {"takes_new", takes_new},
-         {"silent_ms", silent_for.count()},
-         {"loop_delay_ms", context_.loop.recent_delay().count()},
+         {"silent_ms", silent_for(decode_).count()},
          {"last_event", static_cast<std::int64_t>(last_event_.value_or(0))},
-         {"leaves", leaves},
-         {"config", static_cast<std::int64_t>(config_->version)},
-         {"config_now", current_configuration_version()},
-         {"after_ms", since_arrival().count()}});
+         {"leaves", leaves}});
+}
+
+base::milliseconds
+generation_exchange::silent_for(const decode_state& decode) const {
+    return std::chrono::duration_cast<base::milliseconds>(
+        context_.loop.now() - last_event_at_.value_or(decode.started_at));
 }
 
 bool generation_exchange::is_silent_call(int number) const {
@@ -137,7 +137,7 @@
     if (!silent_->streaming)
         return;
     take_back_silent_call("engine_wrote");
-    on_decode_head(head);
+    raise_verdict(base::verdict::ran);
     watch_silence();
 }
 
@@ -168,21 +168,11 @@
 }
 
 bool generation_exchange::ensure_sendable() {
-    if (silent_ && is_blocked()) {
+    if (silent_ && find_block()) {
         return_to_silent_call("crashes_servers");
         return false;
     }
     return ensure_allowed();
 }
 
-bool generation_exchange::may_reuse_tried_engine() const {
-    if (!policy::may_reuse_tried_engine(attempts_))
-        return false;
-    if (!silent_)
-        return true;
-    const auto silent_for =
-        context_.loop.now() - last_event_at_.value_or(silent_->started_at);
-    return silent_for >= policy::max_sound_silence;
-}
-
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/plain_exchange_placement.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange_placement.cpp
@@ -47,12 +47,12 @@
 }
 
 bool plain_exchange::leave_silent_server() {
-    if (is_blocked() || !spend_retry(context_, service_.name))
+    if (find_block() || !spend_retry(context_, service_.name))
         return false;
     raise_verdict(base::verdict::may_have_run);
     call_.reset();
     release_load();
-    context_.metrics.count_retry("server_silent");
+    context_.metrics.count_retry(next_step(policy::call_end::silent).reason);
     return true;
 }
 
--- a/libs/mintknotd-platform/relay/tests/pausing_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/pausing_fixture.hpp
@@ -41,7 +41,8 @@
         scripted_server& other = add_server(
             "d2", "llm", traffic::engine_phase::decode, std::move(behaviour),
             version);
-        traffic::add(context.state.loads, "d2", {1, 0.0, load});
+        other_load = {1, 0.0, load};
+        traffic::add(context.state.loads, "d2", other_load);
         return other;
     }
 
@@ -61,7 +62,13 @@
         run_until([this] { return context.state.open_requests == 0; });
     }
 
+    void assert_no_memory_reserved() {
+        traffic::remove(context.state.loads, "d2", other_load);
+        cr_assert(context.state.loads.own.empty(), "memory stays reserved");
+    }
+
     base::milliseconds pause_time;
+    traffic::server_load other_load; ///< Of the other engine, by the test.
     event::timer later;
     event::timer change;
     scripted_server& d1;
@@ -81,22 +88,6 @@
     }
 };
 
-/// Blocks every request once it has been told to.
-class scripted_guard final : public crash_guard {
-public:
-    void
-    report_broken_call(const request_identity&, const broken_call&) override {}
-    void report_sound(const request_identity&) override {}
-    void report_answer(const request_identity&) override {}
-    std::optional<crash_block>
-    find_block(const request_identity&) const override {
-        if (!blocks)
-            return std::nullopt;
-        return crash_block{base::milliseconds(1000), {}};
-    }
-    bool blocks = false;
-};
-
 } // namespace mintknot::relay::tests
 
 #endif
--- a/libs/mintknotd-platform/relay/tests/test_crash_reports.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_crash_reports.cpp
@@ -1,4 +1,5 @@
 #include "relay_fixture.hpp"
+#include "scripted_guard.hpp"
 
 #include <mintknot/http1/serialize.hpp>
 
@@ -19,30 +20,6 @@
 const std::string with_parts =
     request("/stream/x", "Id: r1\r\nTokens: 9\r\nParts: first,bad,own\r\n");
 
-/// Keeps what it is told, and blocks what the test says.
-class scripted_guard final : public crash_guard {
-public:
-    std::optional<crash_block>
-    find_block(const request_identity& request) const override {
-        if (!blocked.empty() && request.parts().contains(blocked))
-            return crash_block{base::milliseconds(5000), blocked};
-        return std::nullopt;
-    }
-    void report_broken_call(
-        const request_identity&, const broken_call& call) override {
-        broken.push_back(call);
-    }
-    void report_sound(const request_identity& request) override {
-        sound.push_back(request.parts());
-    }
-    void report_answer(const request_identity&) override { ++answers; }
-
-    std::string blocked;
-    std::vector<broken_call> broken;
-    std::vector<policy::prompt_parts> sound;
-    int answers = 0;
-};
-
 struct guarded_router : relay_fixture {
     guarded_router() { context.crashes = &guard; }
 
--- a/libs/mintknotd-platform/relay/tests/test_silent_calls.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_silent_calls.cpp
@@ -1,4 +1,5 @@
 #include "pausing_fixture.hpp"
+#include "scripted_guard.hpp"
 
 using namespace mintknot;
 using namespace mintknot::relay;
@@ -71,8 +72,7 @@
     f.assert_whole_answer(f.ask(resumable_prompt()));
     cr_assert(prefills == 2);
     cr_assert(other.requests.empty());
-    traffic::remove(f.context.state.loads, "d2", {1, 0.0, 2000.0});
-    cr_assert(f.context.state.loads.own.empty(), "memory stays reserved");
+    f.assert_no_memory_reserved();
 }
 
 Test(silent_calls, end_with_the_caller) {
@@ -84,8 +84,7 @@
     f.run_until([&] {
         return f.d1.closed_connections == 1 && other.closed_connections == 1;
     });
-    traffic::remove(f.context.state.loads, "d2", {1, 0.0, 2000.0});
-    cr_assert(f.context.state.loads.own.empty(), "memory stays reserved");
+    f.assert_no_memory_reserved();
 }
 
 // Guards against a stream that stands until its deadline at the only engine.
@@ -136,7 +135,7 @@
     f.add_other(good_decode());
     // The block is there only while the first search is made.
     event::timer begin(f.owner);
-    begin.start(base::milliseconds(500), [&] { guard.blocks = true; });
-    f.change.start(base::milliseconds(1300), [&] { guard.blocks = false; });
+    begin.start(base::milliseconds(500), [&] { guard.blocks_all = true; });
+    f.change.start(base::milliseconds(1300), [&] { guard.blocks_all = false; });
     f.assert_whole_answer(f.ask(resumable_prompt()));
 }
--- a/libs/mintknotd-platform/relay/tests/test_silent_engines.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_silent_engines.cpp
@@ -1,4 +1,5 @@
 #include "pausing_fixture.hpp"
+#include "scripted_guard.hpp"
 
 using namespace mintknot;
 using namespace mintknot::relay;
@@ -66,7 +67,7 @@
     scripted_guard guard;
     f.context.crashes = &guard;
     scripted_server& other = f.add_other(good_decode());
-    f.change.start(pause_of_engine / 3, [&] { guard.blocks = true; });
+    f.change.start(pause_of_engine / 3, [&] { guard.blocks_all = true; });
     f.assert_whole_answer(f.ask(resumable_prompt()));
     cr_assert(other.requests.empty(), "a blocked request was sent");
 }
--- a/libs/mintknotd-platform/relay/tests/test_silent_servers.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_silent_servers.cpp
@@ -1,4 +1,5 @@
 #include "pausing_fixture.hpp"
+#include "scripted_guard.hpp"
 
 using namespace mintknot;
 using namespace mintknot::relay;
@@ -47,7 +48,7 @@
     event::timer change(f.owner);
     for (const char* id : {"s1", "s2"})
         f.add_server(id, "app", plain, answering_late(f.later));
-    change.start(base::milliseconds(100), [&] { guard.blocks = true; });
+    change.start(base::milliseconds(100), [&] { guard.blocks_all = true; });
     const caller_view seen = f.ask(request("/safe/x"));
     cr_assert(seen.status == 200, "%s", seen.text.c_str());
     cr_assert(seen.body == "late");
