An answer or an event without end fills no memory

Cause: answers of the store, of peers and of engines that are kept whole had no bound on their bodies, and an event of a stream none on its length, so that one endless answer could take all memory of an instance. The bound of a request's head was cast to 32 bits: 2^32 in the configuration refused all.

--- a/libs/mintknotd-platform/http1/src/message_parser.cpp
+++ b/libs/mintknotd-platform/http1/src/message_parser.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace mintknot::http1 {
 
 namespace {
@@ -19,7 +22,8 @@
 public:
     explicit parser_core(const message_limits& limits) {
         this->eager(true);
-        this->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        this->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
+            limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
         this->body_limit(limits.body_bytes);
     }
 
--- a/libs/mintknotd-platform/http1/tests/test_message_parser.cpp
+++ b/libs/mintknotd-platform/http1/tests/test_message_parser.cpp
@@ -57,6 +57,14 @@
     }
 }
 
+// A bound of 2^32 wrapped round to nothing, and all requests were refused.
+Test(request_parser, a_large_bound_of_the_head_does_not_wrap_round) {
+    request_parser parser({std::size_t{1} << 32, 0});
+    parser.put("GET / HTTP/1.1\r\nHost: h\r\n\r\n", {});
+    cr_assert(parser.error() == parse_error::none);
+    cr_assert(parser.done());
+}
+
 Test(request_parser, leaves_the_bytes_of_the_next_request) {
     const parsed seen = parse_request(
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/libs/mintknotd-platform/orders/src/order_batch.cpp
+++ b/libs/mintknotd-platform/orders/src/order_batch.cpp
@@ -10,6 +10,7 @@
 
 /// For a report or an order. Within the second for which a lease may be used.
 constexpr base::milliseconds call_time{700};
+const upstream::call_options answer_bounds{.answer_body_bytes = 64 * 1024};
 constexpr int status_ok = 200;
 constexpr int status_accepted = 202;
 constexpr int status_fenced_off = 412;
@@ -117,7 +118,7 @@
         router_.pool, {engine->id, engine->where},
         {std::move(request.head),
          std::make_shared<const std::string>(std::move(request.body))},
-        {},
+        answer_bounds,
         {nullptr,
          [&order](http1::response_head& head) { order.status = head.status; },
          [&order](std::string_view piece) { order.body.append(piece); }, finish,
--- /dev/null
+++ b/libs/mintknotd-platform/relay/tests/test_long_events.cpp
@@ -0,0 +1,45 @@
+#include "relay_fixture.hpp"
+
+#include <mintknot/http1/serialize.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mintknot;
+using namespace mintknot::relay;
+using namespace mintknot::relay::tests;
+
+namespace {
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+/// Streams one event, and then an event of that size.
+script long_event(std::size_t bytes) {
+    return
+        [bytes](const received_request& to, const event::connection_ptr& link) {
+            link->write(stream_head(to) + http1::chunk(event_text(1)));
+            link->write(http1::chunk(std::string(bytes, 'x') + "\n\n"));
+            link->write(std::string(http1::last_chunk));
+        };
+}
+
+caller_view ask_for(std::size_t bytes) {
+    relay_fixture f;
+    f.add_server("p", "llm", traffic::engine_phase::prefill, good_prefill("k"));
+    f.add_server("d", "llm", traffic::engine_phase::decode, long_event(bytes));
+    return f.ask(prompt("/stream/x"));
+}
+
+} // namespace
+
+Test(long_events, a_long_event_is_passed_on_whole) {
+    const caller_view seen = ask_for(megabyte);
+    cr_assert(seen.complete);
+    cr_assert(seen.body.size() == event_text(1).size() + megabyte + 2);
+}
+
+// An engine that never ended an event filled the memory of its instance.
+Test(long_events, an_event_without_end_breaks_the_stream) {
+    const caller_view seen = ask_for(16 * megabyte);
+    cr_assert(!seen.complete);
+    cr_assert(seen.body.size() < megabyte);
+}
--- a/libs/mintknotd-platform/runtime/src/shared_store.cpp
+++ b/libs/mintknotd-platform/runtime/src/shared_store.cpp
@@ -27,6 +27,8 @@
 constexpr base::milliseconds reader_read_time{6000};
 /// Time allowed for the answer to a full read: 4 MB over 20 Mbit/s.
 constexpr base::milliseconds full_answer_time{3000};
+const upstream::call_options answer_bounds{
+    .answer_body_bytes = state::max_answer_bytes};
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
@@ -207,7 +209,7 @@
     request.head.fields = {{"Host", host}};
     entry.call = upstream::call::start(
         pool_, {"peer " + host, {host, options_.peer_port}}, std::move(request),
-        {},
+        answer_bounds,
         {nullptr,
          [&entry](http1::response_head& head) { entry.status = head.status; },
          [&entry](std::string_view piece) { entry.body.append(piece); },
--- a/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
+++ b/libs/mintknotd-platform/runtime/src/snapshot_fetcher.cpp
@@ -10,6 +10,8 @@
 constexpr base::milliseconds min_fetch_interval{250};
 /// Snapshots of thousands of servers take seconds on slow links.
 constexpr base::milliseconds call_timeout{4000};
+const upstream::call_options answer_bounds{
+    .answer_body_bytes = state::max_answer_bytes};
 /// Factor on the wait before a peer of another data centre is asked.
 constexpr int remote_peer_factor = 2;
 
@@ -83,7 +85,8 @@
     request.head.target = std::string(path);
     request.head.fields = {{"Host", host}};
     call_ = upstream::call::start(
-        pool_, {"peer " + host, {host, port_}}, std::move(request), {},
+        pool_, {"peer " + host, {host, port_}}, std::move(request),
+        answer_bounds,
         {nullptr, [this](http1::response_head& head) { status_ = head.status; },
          [this](std::string_view piece) { body_.append(piece); },
          [this, host] { finish(host, status_ == 200); },
--- a/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/store.hpp
@@ -5,6 +5,7 @@
 
 #include <mintknot/base/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -13,6 +14,9 @@
 
 namespace mintknot::state {
 
+/// A longer answer of the store, or of a peer in its place, is not read.
+inline constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+
 /// What is read from the store.
 enum class collection {
     /// The operator's: one document with the configuration, and one for each
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/call.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/call.hpp
@@ -6,7 +6,9 @@
 #include <mintknot/http1/message.hpp>
 #include <mintknot/upstream/connection_pool.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -49,6 +51,8 @@
 struct call_options {
     base::milliseconds connect_timeout{200};
     std::size_t answer_header_bytes = 32 * 1024;
+    /// A longer body fails the call. Whoever keeps the whole body sets a bound.
+    std::uint64_t answer_body_bytes = std::numeric_limits<std::uint64_t>::max();
     /// Whether an idle connection is not good enough: the call is to show
     /// whether the server takes a new one.
     bool on_new_connection = false;
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -5,8 +5,6 @@
 #include <mintknot/http1/message_parser.hpp>
 #include <mintknot/http1/serialize.hpp>
 
-#include <limits>
-
 namespace mintknot::upstream {
 
 bool nothing_was_sent(call_failure why) noexcept {
@@ -107,7 +105,7 @@
     void new_parser() {
         http1::message_limits limits;
         limits.header_bytes = options.answer_header_bytes;
-        limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
+        limits.body_bytes = options.answer_body_bytes;
         parser = std::make_unique<http1::response_parser>(
             limits, request.head.method == "HEAD");
         head_told = false;
--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -66,14 +66,16 @@
         , pool(owner)
         , limit(owner) {}
 
-    outcome run(std::function<bool(const http1::response_head&)> belongs = {}) {
+    outcome
+    run(std::function<bool(const http1::response_head&)> belongs = {},
+        const call_options& options = {}) {
         outcome seen;
         call_request request;
         request.head.method = "GET";
         request.head.target = "/";
         const auto running = call::start(
             pool, {"s", {"127.0.0.1", server.accepting.port()}},
-            std::move(request), {},
+            std::move(request), options,
             {std::move(belongs),
              [&](http1::response_head& head) { seen.status = head.status; },
              [&](std::string_view piece) { seen.body += piece; },
@@ -210,6 +212,25 @@
     }
 }
 
+// Whoever kept the whole answer could be made to keep bytes without end.
+Test(call, an_answer_beyond_the_bound_of_its_body_is_a_failure) {
+    const std::string body(100, 'x');
+    for (const std::string& head :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")}) {
+        client c;
+        c.server.answers = {head + body};
+        const outcome seen = c.run({}, {.answer_body_bytes = 99});
+        cr_assert(seen.failed);
+        cr_assert(seen.why == call_failure::bad_answer);
+        cr_assert(seen.body.size() < 100);
+    }
+    client c;
+    c.server.answers = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + body};
+    cr_assert(c.run({}, {.answer_body_bytes = 100}).done);
+}
+
 Test(call, noise_is_no_answer) {
     client caller;
     caller.server.answers = {"garbage without end\r\n\r\n"};
