--- a/libs/mintknotd-platform/http1/include/mintknot/http1/message.hpp
+++ b/libs/mintknotd-platform/http1/include/mintknot/http1/message.hpp
@@ -62,6 +62,10 @@
 std::optional<std::uint64_t>
 find_number(const field_list& fields, std::string_view name);
 
+/// @return true if the text may be the value of a field: without control
+/// characters, with which a line could be added to a message.
+bool is_field_text(std::string_view text) noexcept;
+
 /// Removes all fields of that name.
 void erase_fields(field_list& fields, std::string_view name);
 
--- a/libs/mintknotd-platform/http1/src/fields.cpp
+++ b/libs/mintknotd-platform/http1/src/fields.cpp
@@ -43,6 +43,12 @@
     return number;
 }
 
+bool is_field_text(std::string_view text) noexcept {
+    return std::none_of(text.begin(), text.end(), [](char letter) {
+        return absl::ascii_iscntrl(static_cast<unsigned char>(letter));
+    });
+}
+
 void erase_fields(field_list& fields, std::string_view name) {
     std::erase_if(fields, [name](const field& entry) {
         return same_name(entry.name, name);
