--- a/libs/mintknotd-platform/logging/src/line_log.cpp
+++ b/libs/mintknotd-platform/logging/src/line_log.cpp
@@ -14,6 +14,17 @@
 /// A pipe with room takes this much at once, so that the write cannot block.
 constexpr std::size_t longest_line = 4000;
 
+/// Longer texts of one field are cut, so that a line stays whole.
+constexpr std::size_t longest_text = 512;
+
+std::string_view bounded(std::string_view text) {
+    return text.substr(0, longest_text);
+}
+
+template<class Number> Number bounded(Number value) {
+    return value;
+}
+
 bool has_room(int descriptor) {
     pollfd state{descriptor, POLLOUT, 0};
     return ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
@@ -81,7 +92,9 @@
     line["event"] = event;
     for (const log_field& entry : fields)
         std::visit(
-            [&](const auto& value) { line[std::string(entry.name)] = value; },
+            [&](const auto& value) {
+                line[std::string(entry.name)] = bounded(value);
+            },
             entry.value);
     if (impl_->left_out > impl_->told)
         line["left_out"] = impl_->left_out;
--- a/libs/mintknotd-platform/logging/tests/test_line_log.cpp
+++ b/libs/mintknotd-platform/logging/tests/test_line_log.cpp
@@ -59,6 +59,17 @@
     cr_assert(nlohmann::json::accept(out.read_all()));
 }
 
+// A line that was cut in the middle could not be read.
+Test(line_log, a_long_field_leaves_the_line_readable) {
+    pipe_ends out;
+    line_log log(out.ends[1], "e1", {});
+    log.write(
+        "document_rejected", {{"key", std::string(100'000, 'a')},
+                              {"because", std::string(100'000, '\xff')}});
+    const auto line = nlohmann::json::parse(out.read_all());
+    cr_assert(line["key"].get<std::string>().size() == 512);
+}
+
 Test(line_log, bounds_its_volume_and_says_what_is_missing) {
     pipe_ends out;
     line_log log(out.ends[1], "e1", {0.0, 3.0});
--- a/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
+++ b/libs/mintknotd-platform/state/include/mintknot/state/replica.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_STATE_REPLICA_HPP
 
 #include <mintknot/logging/line_log.hpp>
+#include <mintknot/state/rejection_log.hpp>
 #include <mintknot/state/store.hpp>
 #include <mintknot/traffic/configuration.hpp>
 #include <mintknot/traffic/server_table.hpp>
@@ -177,6 +178,7 @@
     const document_codec& codec_;
     logging::line_log& log_;
     replica_handlers handlers_;
+    rejection_log rejections_;
     documents configuration_;
     documents servers_;
     /// By data centre. Their versions do not count in version(): peers that do
--- a/libs/mintknotd-platform/state/src/replica_decode.cpp
+++ b/libs/mintknotd-platform/state/src/replica_decode.cpp
@@ -114,7 +114,8 @@
 void replica::log_rejected(
     collection what, const document& change, std::string_view source,
     const absl::Status& why) {
-    if (!one_by_one_ && what == collection::servers)
+    const auto times = rejections_.note(change.key, base::steady_clock::now());
+    if (!times)
         return;
     log_.write(
         "document_rejected",
@@ -122,6 +123,7 @@
          {"key", change.key},
          {"version", static_cast<std::int64_t>(change.version)},
          {"source", source},
+         {"times", *times},
          {"because",
           std::string_view(why.message().data(), why.message().size())}});
 }
