What another program writes ends no instance

Cause: base::parse_json caught one of the JSON library's errors, and the value throws another one. The class is wider: what others write decided whether a process lives. A version nested 200,000 deep overflowed the stack where it was printed; MessagePack is parsed by recursion; integers wrapped round or were cast out of range; times overflowed where a clock is added; a version of the store beyond 40 bits began a later era.

Change: base::parse_json and parse_message_pack build values by the library's event interface, with a bound on depth, and do not throw; all readers use them, mintknotd's and the command line's too. base::number_from, time_from and their kin check each number's range. No catch around the loop's handlers: it would hide the next fault of this kind.

Peers' readers of datagrams share base/datagram.hpp now.

--- a/libs/common/base/include/mintknot/base/datagram.hpp
+++ b/libs/common/base/include/mintknot/base/datagram.hpp
@@ -4,12 +4,11 @@
 #ifndef MINTKNOT_BASE_DATAGRAM_HPP
 #define MINTKNOT_BASE_DATAGRAM_HPP
 
-#include <mintknot/base/time.hpp>
+#include <mintknot/base/json_values.hpp>
 
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -46,16 +45,6 @@
     }
 }
 
-/// Throws nlohmann::json::exception.
-[[noreturn]] void
-throw_malformed(const char* what, const nlohmann::json& value);
-
-/// @return the rows; throws if they are no array or more than `max`.
-const nlohmann::json& bounded_rows(const nlohmann::json& rows, std::size_t max);
-
-/// @return the time in milliseconds; throws if it is negative.
-milliseconds non_negative_time(const nlohmann::json& value);
-
 } // namespace mintknot::base
 
 #endif
--- a/libs/common/base/include/mintknot/base/json_reader.hpp
+++ b/libs/common/base/include/mintknot/base/json_reader.hpp
@@ -4,6 +4,8 @@
 #define MINTKNOT_BASE_JSON_READER_HPP
 
 #include <mintknot/base/address.hpp>
+#include <mintknot/base/json_parser.hpp>
+#include <mintknot/base/json_values.hpp>
 #include <mintknot/base/time.hpp>
 
 #include <absl/status/status.h>
@@ -15,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 namespace mintknot::base {
@@ -98,7 +101,8 @@
 };
 
 /// Reads a field of another program's answer, which may be malformed.
-/// @return the fallback if the field is missing or of another type.
+/// @return the fallback if the field is missing, of another type or beyond the
+/// range of Value.
 template<class Value>
 Value field_or(
     const nlohmann::json& document, const char* field, Value fallback) {
@@ -108,7 +112,11 @@
     if (position == document.end())
         return fallback;
     try {
-        return position->template get<Value>();
+        if constexpr (
+            std::is_arithmetic_v<Value> && !std::is_same_v<Value, bool>)
+            return number_from<Value>(*position);
+        else
+            return position->template get<Value>();
     } catch (const nlohmann::json::exception&) {
         return fallback;
     }
@@ -117,9 +125,6 @@
 /// @return a short rendering of a JSON value for an error message.
 std::string describe(const nlohmann::json& value);
 
-/// Parses text; the error says at which byte it stops being JSON.
-absl::StatusOr<nlohmann::json> parse_json(std::string_view text);
-
 } // namespace mintknot::base
 
 #endif
--- a/libs/common/base/src/json_reader.cpp
+++ b/libs/common/base/src/json_reader.cpp
@@ -35,22 +35,12 @@
 }
 
 std::string describe(const nlohmann::json& value) {
-    std::string text =
-        value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = to_text(value);
     if (text.size() > longest_found)
         text = text.substr(0, longest_found) + "...";
     return text;
 }
 
-absl::StatusOr<nlohmann::json> parse_json(std::string_view text) {
-    try {
-        return nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error& error) {
-        return absl::InvalidArgumentError(
-            fmt::format("not JSON: parsing stopped at byte {}", error.byte));
-    }
-}
-
 json_reader::json_reader(
     const nlohmann::json& document, std::string path, json_errors& errors)
     : document_(document)
--- a/libs/mintknot/cli/src/commands.cpp
+++ b/libs/mintknot/cli/src/commands.cpp
@@ -118,7 +118,7 @@
         if (json_) {
             fmt::print("{}\n", text);
         } else {
-            const json item = json::parse(text, nullptr, false);
+            const json item = base::parse_json_or_discard(text);
             fmt::print(
                 "{:<8} {:<15} {:<24} {:<8} {}\n",
                 field_or(item, "revision", std::uint64_t{0}),
--- a/libs/mintknot/cli/src/operator_client.cpp
+++ b/libs/mintknot/cli/src/operator_client.cpp
@@ -22,7 +22,7 @@
             base::to_string(response.run));
         return answer;
     }
-    answer.body = nlohmann::json::parse(response.body, nullptr, false);
+    answer.body = base::parse_json_or_discard(response.body);
     if (response.ok())
         return answer;
     const auto error =
--- a/libs/mintknot/losses/src/loss_ledger.cpp
+++ b/libs/mintknot/losses/src/loss_ledger.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/losses/loss_ledger.hpp>
 
+#include <mintknot/base/json_parser.hpp>
+
 #include "finished_line.hpp"
 #include "log_line.hpp"
 
@@ -233,7 +235,7 @@
     const std::size_t brace = line.find('{');
     const json parsed = brace == std::string_view::npos
                             ? json()
-                            : json::parse(line.substr(brace), nullptr, false);
+                            : base::parse_json_or_discard(line.substr(brace));
     if (!parsed.is_object() || text(parsed, "event").empty() ||
         text(parsed, "instance").empty()) {
         ++ledger.lines.foreign;
--- a/libs/mintknotd-platform/crashes/src/crash_messages.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_messages.cpp
@@ -22,7 +22,9 @@
 constexpr std::size_t parts_position = 5;
 
 policy::request_key key_from(const json& row) {
-    return {row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>()};
+    return {
+        row.at(0).get<std::string>(),
+        base::number_from<std::uint64_t>(row.at(1))};
 }
 
 /// The liveness is appended only if it is not the usual one, which instances of
@@ -43,7 +45,7 @@
 server_liveness liveness_from(const json& run) {
     if (run.size() <= liveness_position)
         return server_liveness::assumed;
-    switch (run.at(liveness_position).get<int>()) {
+    switch (base::number_from<int>(run.at(liveness_position))) {
     case static_cast<int>(server_liveness::doubtful):
         return server_liveness::doubtful;
     case static_cast<int>(server_liveness::heard):
@@ -98,12 +100,12 @@
     for (const json& block : base::bounded_rows(row.at(1), max_entries))
         value.blocks.push_back(
             {key_from(block), base::non_negative_time(block.at(2)),
-             std::max(1, block.at(3).get<int>())});
+             std::max(1, base::number_from<int>(block.at(3)))});
     return value;
 }
 
 crash_message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case report_format:
         return report_from(row);
     case block_format:
--- a/libs/mintknotd-platform/crashes/src/part_messages.cpp
+++ b/libs/mintknotd-platform/crashes/src/part_messages.cpp
@@ -60,8 +60,8 @@
     for (const json& block : base::bounded_rows(row.at(1), max_part_blocks))
         value.blocks.push_back(
             {parts_from(block.at(0)), base::non_negative_time(block.at(1)),
-             std::max(1, block.at(2).get<int>()),
-             block.at(3).get<std::size_t>()});
+             std::max(1, base::number_from<int>(block.at(2))),
+             base::number_from<std::size_t>(block.at(3))});
     return value;
 }
 
@@ -75,7 +75,7 @@
 }
 
 part_message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case block_format:
         return blocks_from(row);
     case query_format:
--- a/libs/mintknotd-platform/limits/src/usage_messages.cpp
+++ b/libs/mintknotd-platform/limits/src/usage_messages.cpp
@@ -42,7 +42,7 @@
 
 /// @return a whole number in [0, last] as an enumerator.
 template<typename Enum> Enum enumerator(const json& value, Enum last) {
-    const int number = value.get<int>();
+    const int number = base::number_from<int>(value);
     if (number < 0 || number > static_cast<int>(last))
         base::throw_malformed("unknown enumerator", value);
     return static_cast<Enum>(number);
@@ -50,7 +50,7 @@
 
 /// Rejects negative costs, with which a request would fill an account.
 double cost_from(const json& value) {
-    const auto cost = value.get<std::int64_t>();
+    const auto cost = base::number_from<std::int64_t>(value);
     if (cost < 0)
         base::throw_malformed("negative cost", value);
     return static_cast<double>(cost);
@@ -58,7 +58,7 @@
 
 template<typename Message> Message account_message_from(const json& row) {
     Message value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = base::number_from<std::uint64_t>(row.at(1));
     value.organisation = row.at(2).get<std::string>();
     value.cost = cost_from(row.at(3));
     value.account = enumerator(row.at(4), account_kind::deputy);
@@ -67,9 +67,9 @@
 
 usage_answer answer_from(const json& row) {
     usage_answer value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = base::number_from<std::uint64_t>(row.at(1));
     value.verdict = enumerator(row.at(2), usage_verdict::refused);
-    value.retry_after = base::milliseconds(row.at(3).get<std::int64_t>());
+    value.retry_after = base::time_from(row.at(3));
     return value;
 }
 
@@ -78,7 +78,7 @@
 }
 
 usage_message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case request_format:
         return account_message_from<usage_request>(row);
     case answer_format:
--- a/libs/mintknotd-platform/orders/src/demand_report.cpp
+++ b/libs/mintknotd-platform/orders/src/demand_report.cpp
@@ -1,6 +1,6 @@
 #include "demand_report.hpp"
 
-#include <nlohmann/json.hpp>
+#include <mintknot/base/datagram.hpp>
 
 #include <cmath>
 
@@ -30,9 +30,9 @@
 
 /// Throws json::exception at a value that is no sum.
 double sum_from(const json& value) {
-    const auto sum = value.get<double>();
+    const auto sum = base::number_from<double>(value);
     if (!std::isfinite(sum) || sum < 0.0)
-        throw json::other_error::create(501, "no sum", &value);
+        base::throw_malformed("no sum", value);
     return sum;
 }
 
@@ -48,9 +48,11 @@
     return demand;
 }
 
-/// The first element is a small number right behind the array's own byte.
-bool may_be_demand(std::string_view datagram) {
-    return datagram.size() >= 2 && datagram[1] == format;
+demand_map demands_from(const json& row) {
+    demand_map demands;
+    for (const json& entry : base::bounded_rows(row.at(1), max_services))
+        demands[entry.at(0).get<std::string>()] = demand_from(entry);
+    return demands;
 }
 
 } // namespace
@@ -59,27 +61,11 @@
     json rows = json::array();
     for (const auto& [service, demand] : demands)
         rows.push_back(to_json(service, demand));
-    const std::vector<std::uint8_t> bytes =
-        json::to_msgpack(json{format, std::move(rows)});
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram({format, std::move(rows)});
 }
 
 absl::StatusOr<demand_map> decode_demand(std::string_view datagram) {
-    if (!may_be_demand(datagram))
-        return absl::InvalidArgumentError("no report of demand");
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    if (!row.is_array() || row.size() != 2 || row[0] != format ||
-        !row[1].is_array() || row[1].size() > max_services)
-        return absl::InvalidArgumentError("no report of demand");
-    try {
-        demand_map demands;
-        for (const json& entry : row[1])
-            demands[entry.at(0).get<std::string>()] = demand_from(entry);
-        return demands;
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field is malformed");
-    }
+    return base::decode_datagram(datagram, {format, format}, demands_from);
 }
 
 } // namespace mintknot::orders
--- a/libs/mintknotd-platform/origins/src/origin_messages.cpp
+++ b/libs/mintknotd-platform/origins/src/origin_messages.cpp
@@ -52,18 +52,19 @@
 
 origin_query query_from(const json& row) {
     return {
-        row.at(1).get<std::uint64_t>(), text_from(row.at(2)),
+        base::number_from<std::uint64_t>(row.at(1)), text_from(row.at(2)),
         row.at(3).get<std::string>()};
 }
 
 origin_reply reply_from(const json& row) {
     return {
-        row.at(1).get<std::uint64_t>(), optional_text_from(row.at(2)),
-        base::non_negative_time(row.at(3)), optional_text_from(row.at(4))};
+        base::number_from<std::uint64_t>(row.at(1)),
+        optional_text_from(row.at(2)), base::non_negative_time(row.at(3)),
+        optional_text_from(row.at(4))};
 }
 
 origin_message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case notice_format:
         return notice_from(row);
     case query_format:
--- a/libs/mintknotd-platform/peers/src/heartbeat.cpp
+++ b/libs/mintknotd-platform/peers/src/heartbeat.cpp
@@ -1,5 +1,6 @@
 #include <mintknot/peers/heartbeat.hpp>
 
+#include <mintknot/base/datagram.hpp>
 #include <mintknot/peers/message_parts.hpp>
 
 #include <cmath>
@@ -35,7 +36,8 @@
     policy::usage_map usage;
     for (const json& row : bounded(rows))
         usage[row.at(0).get<std::string>()] = {
-            row.at(1).get<std::int64_t>(), row.at(2).get<std::int64_t>()};
+            base::number_from<std::int64_t>(row.at(1)),
+            base::number_from<std::int64_t>(row.at(2))};
     return usage;
 }
 
@@ -50,10 +52,29 @@
     std::map<std::string, double> waiting;
     for (const json& row : bounded(rows))
         waiting[row.at(0).get<std::string>()] =
-            static_cast<double>(row.at(1).get<std::int64_t>());
+            static_cast<double>(base::number_from<std::int64_t>(row.at(1)));
     return waiting;
 }
 
+heartbeat heartbeat_from(const json& row) {
+    if (row.size() != fields)
+        base::throw_malformed("not a heartbeat of this format", row);
+    heartbeat value;
+    value.incarnation = base::number_from<std::uint64_t>(row[1]);
+    value.sequence = base::number_from<std::uint64_t>(row[2]);
+    value.configuration = base::number_from<std::uint64_t>(row[3]);
+    value.servers = base::number_from<std::uint64_t>(row[4]);
+    value.leaving = row[5].get<bool>();
+    value.data_centre = row[6].get<std::string>();
+    value.usage = usage_from(row[7]);
+    value.loads = optional_loads_from(row[8]);
+    value.warnings = warnings_from(row[9]);
+    value.changes = warnings_from(row[10]);
+    value.waiting = waiting_from(row[11]);
+    value.hosts = row[12].get<std::vector<std::string>>();
+    return value;
+}
+
 } // namespace
 
 std::string encode(const heartbeat& value) {
@@ -71,8 +92,7 @@
         warnings_to_json(value.changes),
         waiting_to_json(value.waiting),
         value.hosts};
-    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram(row);
 }
 
 bool is_heartbeat(std::string_view datagram) {
@@ -84,28 +104,7 @@
 }
 
 absl::StatusOr<heartbeat> decode(std::string_view datagram) {
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    if (!row.is_array() || row.size() != fields || row[0] != format)
-        return absl::InvalidArgumentError("no heartbeat of this format");
-    try {
-        heartbeat value;
-        value.incarnation = row[1].get<std::uint64_t>();
-        value.sequence = row[2].get<std::uint64_t>();
-        value.configuration = row[3].get<std::uint64_t>();
-        value.servers = row[4].get<std::uint64_t>();
-        value.leaving = row[5].get<bool>();
-        value.data_centre = row[6].get<std::string>();
-        value.usage = usage_from(row[7]);
-        value.loads = optional_loads_from(row[8]);
-        value.warnings = warnings_from(row[9]);
-        value.changes = warnings_from(row[10]);
-        value.waiting = waiting_from(row[11]);
-        value.hosts = row[12].get<std::vector<std::string>>();
-        return value;
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field has a wrong type");
-    }
+    return base::decode_datagram(datagram, {format, format}, heartbeat_from);
 }
 
 } // namespace mintknot::peers
--- a/libs/mintknotd-platform/peers/src/message_parts.cpp
+++ b/libs/mintknotd-platform/peers/src/message_parts.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/peers/message_parts.hpp>
 
+#include <mintknot/base/json_values.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -11,8 +13,6 @@
 using nlohmann::json;
 
 constexpr std::size_t max_entries = 4096;
-/// As the JSON library numbers its own errors of this kind.
-constexpr int error_number = 501;
 
 /// Index of the profile in a load that has one.
 constexpr std::size_t profile_element = 4;
@@ -20,7 +20,7 @@
 constexpr double profile_unit = 64.0;
 
 double number(const json& value) {
-    return static_cast<double>(value.get<std::int64_t>());
+    return static_cast<double>(base::number_from<std::int64_t>(value));
 }
 
 std::int64_t in_units(double tokens) {
@@ -38,7 +38,8 @@
 
 traffic::server_load load_from(const json& row) {
     traffic::server_load load{
-        row.at(1).get<int>(), number(row.at(2)), number(row.at(3))};
+        base::number_from<int>(row.at(1)), number(row.at(2)),
+        number(row.at(3))};
     if (row.size() <= profile_element)
         return load;
     load.profile = profile_from(row[profile_element]);
@@ -82,10 +83,7 @@
 }
 
 const json& bounded(const json& rows) {
-    if (!rows.is_array() || rows.size() > max_entries)
-        throw json::other_error::create(
-            error_number, "too many entries", &rows);
-    return rows;
+    return base::bounded_rows(rows, max_entries);
 }
 
 json loads_to_json(const traffic::load_map& loads) {
@@ -113,8 +111,7 @@
     std::vector<policy::server_warning> warnings;
     for (const json& row : bounded(rows))
         warnings.push_back(
-            {row.at(0).get<std::string>(),
-             base::milliseconds(row.at(1).get<std::int64_t>())});
+            {row.at(0).get<std::string>(), base::time_from(row.at(1))});
     return warnings;
 }
 
--- a/libs/mintknotd-platform/peers/src/roster.cpp
+++ b/libs/mintknotd-platform/peers/src/roster.cpp
@@ -1,5 +1,6 @@
 #include <mintknot/peers/roster.hpp>
 
+#include <mintknot/base/datagram.hpp>
 #include <mintknot/peers/message_parts.hpp>
 
 #include <algorithm>
@@ -35,7 +36,7 @@
         for (const json& entry : bounded(row.at(1)))
             members.push_back(
                 {entry.at(0).get<std::string>(), row.at(0).get<std::string>(),
-                 entry.at(1).get<int>()});
+                 base::number_from<int>(entry.at(1))});
     return members;
 }
 
@@ -67,74 +68,46 @@
 
 /// A negative age would make an old roster a new one.
 base::milliseconds age_from(const json& value) {
-    return base::milliseconds(
-        std::max<std::int64_t>(0, value.get<std::int64_t>()));
+    return std::max(base::milliseconds{0}, base::time_from(value));
 }
 
 roster_message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case join_format:
         return join_request{
-            row.at(1).get<std::string>(), row.at(2).get<int>(),
-            row.at(3).get<bool>(), row.at(4).get<std::uint64_t>()};
+            row.at(1).get<std::string>(), base::number_from<int>(row.at(2)),
+            row.at(3).get<bool>(), base::number_from<std::uint64_t>(row.at(4))};
     case roster_format:
         return roster{
-            row.at(1).get<std::uint64_t>(), row.at(2).get<std::size_t>(),
-            members_from(row.at(3)), members_from(row.at(4)),
-            age_from(row.at(5))};
+            base::number_from<std::uint64_t>(row.at(1)),
+            base::number_from<std::size_t>(row.at(2)), members_from(row.at(3)),
+            members_from(row.at(4)), age_from(row.at(5))};
     case confirmation_format:
         return roster_confirmation{
-            row.at(1).get<std::uint64_t>(), row.at(2).get<std::size_t>(),
-            age_from(row.at(3))};
+            base::number_from<std::uint64_t>(row.at(1)),
+            base::number_from<std::size_t>(row.at(2)), age_from(row.at(3))};
     default:
         return super_peer_claim{
-            row.at(1).get<std::string>(), row.at(2).get<int>(),
-            row.at(3).get<std::size_t>()};
+            row.at(1).get<std::string>(), base::number_from<int>(row.at(2)),
+            base::number_from<std::size_t>(row.at(3))};
     }
 }
 
-bool is_format_of_roster(int format) {
-    return format >= join_format && format <= claim_format;
-}
-
-/// The first element is a small number right behind the array's own byte: most
-/// datagrams are others, and not to be parsed twice.
-bool may_be_roster_message(std::string_view datagram) {
-    return datagram.size() >= 2 && is_format_of_roster(datagram[1]);
-}
-
-std::string packed(const json& row) {
-    const std::vector<std::uint8_t> bytes = json::to_msgpack(row);
-    return {bytes.begin(), bytes.end()};
-}
-
 } // namespace
 
 std::string encode(const roster_message& value) {
-    return packed(
+    return base::encode_datagram(
         std::visit([](const auto& known) { return to_json(known); }, value));
 }
 
 absl::StatusOr<roster_message>
 decode_roster_message(std::string_view datagram) {
-    const auto wrong =
-        absl::InvalidArgumentError("no message about the group's members");
-    if (!may_be_roster_message(datagram))
-        return wrong;
-    const json row =
-        json::from_msgpack(datagram.begin(), datagram.end(), true, false);
-    if (!row.is_array() || row.empty() || !row[0].is_number_integer() ||
-        !is_format_of_roster(row[0].get<int>()))
-        return wrong;
-    try {
-        return message_from(row);
-    } catch (const json::exception&) {
-        return absl::InvalidArgumentError("a field has a wrong type");
-    }
+    return base::decode_datagram(
+        datagram, {join_format, claim_format}, message_from);
 }
 
 std::uint64_t revision_of(const roster& value) {
-    const std::string text = packed(
+    const std::string text = base::encode_datagram(
         {members_to_json(value.super_peers),
          members_to_json(value.successors)});
     return std::max<std::uint64_t>(1, std::hash<std::string>{}(text));
--- a/libs/mintknotd-platform/runtime/src/limit_messages.cpp
+++ b/libs/mintknotd-platform/runtime/src/limit_messages.cpp
@@ -34,17 +34,17 @@
     limit_report value;
     value.server = row.at(1).get<std::string>();
     if (!row.at(2).is_null())
-        value.rate = row.at(2).get<double>();
+        value.rate = base::number_from<double>(row.at(2));
     if (value.rate && !(std::isfinite(*value.rate) && *value.rate >= 0.0))
         base::throw_malformed("invalid rate", row);
-    const auto age = row.at(3).get<std::int64_t>();
+    const auto age = base::number_from<std::int64_t>(row.at(3));
     value.age = base::milliseconds(std::clamp<std::int64_t>(
         age, 0, base::milliseconds(policy::limit_lifetime).count()));
     return value;
 }
 
 limit_message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case report_format:
         return report_from(row);
     case request_format:
--- a/libs/mintknotd-platform/runtime/src/loan_messages.cpp
+++ b/libs/mintknotd-platform/runtime/src/loan_messages.cpp
@@ -21,11 +21,12 @@
 }
 
 loan_message message_from(const json& row) {
-    const auto number = row.at(1).get<std::uint64_t>();
-    if (row.at(0).get<int>() == request_format)
+    const auto number = base::number_from<std::uint64_t>(row.at(1));
+    if (base::number_from<int>(row.at(0)) == request_format)
         return loan_request{
-            number, row.at(2).get<std::string>(), row.at(3).get<int>()};
-    return loan_offer{number, row.at(2).get<int>()};
+            number, row.at(2).get<std::string>(),
+            base::number_from<int>(row.at(3))};
+    return loan_offer{number, base::number_from<int>(row.at(2))};
 }
 
 } // namespace
--- a/libs/mintknotd-platform/scheduling/src/load_report_message.cpp
+++ b/libs/mintknotd-platform/scheduling/src/load_report_message.cpp
@@ -29,10 +29,11 @@
     policy::observed_call_map calls;
     for (const json& row : peers::bounded(rows)) {
         const policy::observed_calls observed{
-            row.at(1).get<int>(), number(row.at(2)), number(row.at(3))};
+            base::number_from<int>(row.at(1)), number(row.at(2)),
+            number(row.at(3))};
         if (observed.calls <= 0 || observed.slot_ms < 0.0 ||
             observed.delay_ms < 0.0)
-            throw json::other_error::create(501, "no time of calls", &row);
+            base::throw_malformed("no time of calls", row);
         calls[row.at(0).get<std::string>()] = observed;
     }
     return calls;
@@ -40,9 +41,11 @@
 
 policy::result_counts counts_from(const json& entry) {
     const policy::result_counts counts{
-        entry.at(1).get<int>(), entry.at(2).get<int>(), entry.at(3).get<int>()};
+        base::number_from<int>(entry.at(1)),
+        base::number_from<int>(entry.at(2)),
+        base::number_from<int>(entry.at(3))};
     if (counts.good < 0 || counts.bad < 0 || counts.rejected < 0)
-        throw json::other_error::create(501, "negative count", &entry);
+        base::throw_malformed("negative count", entry);
     return counts;
 }
 
--- a/libs/mintknotd-platform/scheduling/src/message_numbers.hpp
+++ b/libs/mintknotd-platform/scheduling/src/message_numbers.hpp
@@ -3,6 +3,8 @@
 #ifndef MINTKNOT_SCHEDULING_MESSAGE_NUMBERS_HPP
 #define MINTKNOT_SCHEDULING_MESSAGE_NUMBERS_HPP
 
+#include <mintknot/base/json_values.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -18,7 +20,7 @@
 }
 
 inline double number(const nlohmann::json& value) {
-    return static_cast<double>(value.get<std::int64_t>());
+    return static_cast<double>(base::number_from<std::int64_t>(value));
 }
 
 } // namespace mintknot::scheduling
--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -91,12 +91,12 @@
 
 policy::capacity_claim claim_from(const json& row) {
     policy::capacity_claim claim;
-    claim.priority = row.at(0).get<int>();
+    claim.priority = base::number_from<int>(row.at(0));
     claim.organisation = row.at(1).get<std::string>();
-    claim.target_left = base::milliseconds(row.at(2).get<std::int64_t>());
-    claim.deadline_left = base::milliseconds(row.at(3).get<std::int64_t>());
-    claim.digest = row.at(4).get<std::uint64_t>();
-    const auto flags = row.at(5).get<unsigned>();
+    claim.target_left = base::time_from(row.at(2));
+    claim.deadline_left = base::time_from(row.at(3));
+    claim.digest = base::number_from<std::uint64_t>(row.at(4));
+    const auto flags = base::number_from<unsigned>(row.at(5));
     claim.caller_retry = (flags & caller_retry_flag) != 0;
     claim.waiting = (flags & waiting_flag) != 0;
     claim.begun = (flags & begun_flag) != 0;
@@ -131,18 +131,17 @@
 
 placement_request request_from(const json& row) {
     placement_request value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = base::number_from<std::uint64_t>(row.at(1));
     value.data_centre = row.at(2).get<std::string>();
     value.query.service = row.at(3).get<std::string>();
-    const int kind = row.at(4).get<int>();
+    const int kind = base::number_from<int>(row.at(4));
     if (kind < static_cast<int>(policy::placement_kind::plain) ||
         kind > static_cast<int>(policy::placement_kind::prefill_and_decode))
-        throw json::other_error::create(501, "unknown kind", &row);
+        base::throw_malformed("unknown kind", row);
     value.query.kind = static_cast<policy::placement_kind>(kind);
     value.query.prompt_tokens = number(row.at(5));
     value.query.memory_tokens = number(row.at(6));
-    value.query.max_prefill_time =
-        base::milliseconds(row.at(7).get<std::int64_t>());
+    value.query.max_prefill_time = base::time_from(row.at(7));
     value.query.may_reuse_excluded = row.at(8).get<bool>();
     value.query.excluded = servers_from(row.at(9));
     read_version(value.query);
@@ -171,7 +170,7 @@
 policy::capacity_forecast forecast_from(const json& row) {
     policy::capacity_forecast value;
     if (!row.at(0).is_null())
-        value.wait = base::milliseconds(row.at(0).get<std::int64_t>());
+        value.wait = base::time_from(row.at(0));
     value.release_rate = number(row.at(1)) / rate_unit;
     return value;
 }
@@ -189,17 +188,18 @@
     traffic::versioned_server versioned;
     traffic::server& server = versioned.value;
     server.id = row.at(0).get<std::string>();
-    versioned.version = row.at(1).get<std::uint64_t>();
+    versioned.version = base::number_from<std::uint64_t>(row.at(1));
     server.service = row.at(2).get<std::string>();
     server.where = {
-        row.at(3).get<std::string>(), row.at(4).get<std::uint16_t>()};
+        row.at(3).get<std::string>(),
+        base::number_from<std::uint16_t>(row.at(4))};
     server.data_centre = row.at(5).get<std::string>();
-    server.slots = row.at(6).get<int>();
-    const int phase = row.at(7).get<int>();
+    server.slots = base::number_from<int>(row.at(6));
+    const int phase = base::number_from<int>(row.at(7));
     if (phase < 0 || phase > static_cast<int>(traffic::engine_phase::decode))
-        throw json::other_error::create(501, "unknown phase", &row);
+        base::throw_malformed("unknown phase", row);
     server.phase = static_cast<traffic::engine_phase>(phase);
-    server.born = row.at(8).get<std::uint64_t>();
+    server.born = base::number_from<std::uint64_t>(row.at(8));
     if (row.size() > version_element)
         server.version = row[version_element].get<std::string>();
     return versioned;
@@ -212,7 +212,7 @@
 std::optional<base::milliseconds> time_from(const json& value) {
     if (value.is_null())
         return std::nullopt;
-    return base::milliseconds(value.get<std::int64_t>());
+    return base::time_from(value);
 }
 
 /// The denial and the wait; of a plain call also what was expected.
@@ -228,15 +228,15 @@
 
 policy::plain_forecast plain_forecast_from(const json& row) {
     policy::plain_forecast value;
-    value.calls_ahead = std::max(0, row.at(calls_ahead_element).get<int>());
-    value.service =
-        base::milliseconds(row.at(calls_ahead_element + 1).get<std::int64_t>());
+    value.calls_ahead =
+        std::max(0, base::number_from<int>(row.at(calls_ahead_element)));
+    value.service = base::time_from(row.at(calls_ahead_element + 1));
     value.service_age = time_from(row.at(calls_ahead_element + 2));
     return value;
 }
 
 void read_denial(const json& row, policy::placement& placed) {
-    const int denial = row.at(0).get<int>();
+    const int denial = base::number_from<int>(row.at(0));
     // A newer scheduler may have further reasons.
     placed.denial =
         denial >= 0 &&
@@ -279,13 +279,13 @@
 
 placement_answer answer_from(const json& row) {
     placement_answer value;
-    value.number = row.at(1).get<std::uint64_t>();
+    value.number = base::number_from<std::uint64_t>(row.at(1));
     value.knows_service = row.at(2).get<bool>();
     value.placed.server = row.at(3).get<std::string>();
     value.placed.prefill = row.at(4).get<std::string>();
     value.placed.tokens_ahead = number(row.at(5));
-    value.placed.capacity.engines = row.at(6).get<int>();
-    value.placed.capacity.avoided = row.at(7).get<int>();
+    value.placed.capacity.engines = base::number_from<int>(row.at(6));
+    value.placed.capacity.avoided = base::number_from<int>(row.at(7));
     value.placed.capacity.max_free_tokens = number(row.at(8));
     value.placed.capacity.forecast = forecast_from(row.at(9));
     if (row.size() > servers_element)
@@ -303,7 +303,7 @@
 }
 
 message message_from(const json& row) {
-    switch (row.at(0).get<int>()) {
+    switch (base::number_from<int>(row.at(0))) {
     case request_format:
         return request_from(row);
     case answer_format:
--- a/libs/mintknotd-platform/scheduling/src/outlook_message.cpp
+++ b/libs/mintknotd-platform/scheduling/src/outlook_message.cpp
@@ -1,5 +1,7 @@
 #include "outlook_message.hpp"
 
+#include <mintknot/base/json_values.hpp>
+
 #include <cmath>
 #include <cstdint>
 
@@ -15,10 +17,11 @@
 
 policy::engine_outlook outlook_from(const json& row) {
     policy::engine_outlook value;
-    value.peak_tokens = static_cast<double>(row.at(0).get<std::int64_t>());
-    value.peak_in = base::milliseconds(row.at(1).get<std::int64_t>());
+    value.peak_tokens =
+        static_cast<double>(base::number_from<std::int64_t>(row.at(0)));
+    value.peak_in = base::time_from(row.at(1));
     if (!row.at(2).is_null())
-        value.report_age = base::milliseconds(row.at(2).get<std::int64_t>());
+        value.report_age = base::time_from(row.at(2));
     return value;
 }
 
--- a/libs/mintknotd-platform/state/src/change_message.cpp
+++ b/libs/mintknotd-platform/state/src/change_message.cpp
@@ -2,6 +2,7 @@
 
 #include "document_json.hpp"
 
+#include <mintknot/base/datagram.hpp>
 #include <mintknot/base/json_reader.hpp>
 
 #include <absl/strings/numbers.h>
@@ -89,14 +90,13 @@
         body[confirmed_field] =
             std::chrono::floor<base::milliseconds>(*value.confirmed - asked)
                 .count();
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
-    return {bytes.begin(), bytes.end()};
+    return base::encode_datagram(body);
 }
 
 absl::StatusOr<store_answer>
 store_answer_from(std::string_view body, base::steady_time asked) {
     const nlohmann::json parsed =
-        nlohmann::json::from_msgpack(body.begin(), body.end(), true, false);
+        base::parse_message_pack(body).value_or(nlohmann::json());
     if (!parsed.is_object() || !parsed.contains("documents"))
         return absl::InvalidArgumentError("the documents are missing");
     auto documents = documents_from(parsed["documents"]);
@@ -115,9 +115,7 @@
     }
     if (parsed.contains(confirmed_field) &&
         parsed[confirmed_field].is_number_integer())
-        value.confirmed =
-            asked +
-            base::milliseconds(parsed[confirmed_field].get<std::int64_t>());
+        value.confirmed = asked + base::time_from(parsed[confirmed_field]);
     return value;
 }
 
--- a/libs/mintknotd-platform/state/src/replica_snapshot.cpp
+++ b/libs/mintknotd-platform/state/src/replica_snapshot.cpp
@@ -69,8 +69,7 @@
         closures.push_back(to_json(entry));
     if (!closures.empty())
         result[closures_field] = {{"documents", std::move(closures)}};
-    return result.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return base::to_text(result);
 }
 
 absl::Status
--- a/libs/mintknotd/audit/src/decision.cpp
+++ b/libs/mintknotd/audit/src/decision.cpp
@@ -58,7 +58,7 @@
 decision decision_from_json(const std::string& text) {
     using base::field_or;
     using nlohmann::json;
-    const json document = json::parse(text, nullptr, false);
+    const json document = base::parse_json_or_discard(text);
     decision value;
     value.when = base::wall_time(
         base::milliseconds{field_or(document, "time_ms", std::int64_t{0})});
--- a/libs/mintknotd/control/src/control_loop.cpp
+++ b/libs/mintknotd/control/src/control_loop.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/control/control_loop.hpp>
 
+#include <mintknot/base/json_parser.hpp>
+
 #include <mintknot/base/log.hpp>
 #include <mintknot/control/mailbox.hpp>
 #include <mintknot/rpc/heartbeat_codec.hpp>
@@ -57,8 +59,7 @@
     rpc::placed_request placed;
     audit::decision record = answer.record;
     record.config_revision = revision;
-    placed.record = audit::to_json(record).dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    placed.record = base::to_text(audit::to_json(record));
     if (answer.end == routing::place_answer::state::refused) {
         placed.refused = answer.refused;
         return placed;
--- a/libs/mintknotd/daemon/src/peer_answers.cpp
+++ b/libs/mintknotd/daemon/src/peer_answers.cpp
@@ -1,5 +1,7 @@
 #include "peer_answers.hpp"
 
+#include <mintknot/base/json_parser.hpp>
+
 #include <algorithm>
 
 namespace mintknot::daemon {
@@ -34,8 +36,7 @@
     nlohmann::json records = nlohmann::json::array();
     for (const audit::decision& record : decisions_.find(request))
         records.push_back(audit::to_json(record));
-    return records.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return base::to_text(records);
 }
 
 rpc::config_page peer_answers::changes_since(std::uint64_t revision) {
--- a/libs/mintknotd/engine/src/event_lines.cpp
+++ b/libs/mintknotd/engine/src/event_lines.cpp
@@ -52,12 +52,11 @@
     if (event.what == kind::end)
         line["finish"] =
             event.finish == finish_reason::length ? "length" : "stop";
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-           "\n";
+    return base::to_text(line) + "\n";
 }
 
 std::optional<decode_event> parse_line(std::string_view line) {
-    const auto document = nlohmann::json::parse(line, nullptr, false);
+    const auto document = base::parse_json_or_discard(line);
     if (!document.is_object())
         return std::nullopt;
     const auto what =
--- a/libs/mintknotd/engine/src/http_engine.cpp
+++ b/libs/mintknotd/engine/src/http_engine.cpp
@@ -26,7 +26,7 @@
 }
 
 std::string sentence_of(const net::http_response& answer) {
-    const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+    const auto document = base::parse_json_or_discard(answer.body);
     if (document.is_object())
         return base::field_or(document, "error", std::string());
     return {};
@@ -62,8 +62,7 @@
 }
 
 std::string dump(const nlohmann::json& document) {
-    return document.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return base::to_text(document);
 }
 
 held_stream stream_from(const nlohmann::json& item) {
@@ -92,7 +91,7 @@
         &canceller);
     if (!answer.ok())
         return refusal_of(where, answer);
-    const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+    const auto document = base::parse_json_or_discard(answer.body);
     if (!document.is_object() || !document.contains("handle"))
         return refusal{
             reason::engine_failed, "the engine's answer is not a result",
@@ -199,7 +198,7 @@
         where, {.path = std::move(path),
                 .connect_timeout = connect_timeout,
                 .read_timeout = short_call});
-    auto document = nlohmann::json::parse(answer.body, nullptr, false);
+    auto document = base::parse_json_or_discard(answer.body);
     if (!answer.ok() || !document.is_object())
         return absl::UnavailableError(
             fmt::format("engine {}: {}", base::to_string(where), answer.error));
--- a/libs/mintknotd/entry/src/answer_format.cpp
+++ b/libs/mintknotd/entry/src/answer_format.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/entry/answer_format.hpp>
 
+#include <mintknot/base/json_parser.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -10,7 +12,7 @@
 using nlohmann::json;
 
 std::string dump(const json& document) {
-    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+    return base::to_text(document);
 }
 
 std::string_view name_of(engine::finish_reason finish) {
--- a/libs/mintknotd/operators/src/operator_api.cpp
+++ b/libs/mintknotd/operators/src/operator_api.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/operators/operator_api.hpp>
 
+#include <mintknot/base/json_parser.hpp>
+
 #include "resource_handlers.hpp"
 #include "status_report.hpp"
 
@@ -84,7 +86,7 @@
     const auto answer = parts.peers.explain(peer.rpc, request);
     if (!answer.ok())
         return std::nullopt;
-    const json records = json::parse(*answer, nullptr, false);
+    const json records = base::parse_json_or_discard(*answer);
     return records.is_array() ? records : json::array();
 }
 
--- a/libs/mintknotd/operators/src/resource_handlers.cpp
+++ b/libs/mintknotd/operators/src/resource_handlers.cpp
@@ -26,7 +26,7 @@
 const std::string json_type = "application/json";
 
 std::string dump(const json& document) {
-    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+    return base::to_text(document);
 }
 
 std::optional<std::uint64_t> parse_revision(std::string_view text) {
--- a/libs/mintknotd/rpc/src/peer_client.cpp
+++ b/libs/mintknotd/rpc/src/peer_client.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/rpc/peer_client.hpp>
 
+#include <mintknot/base/json_parser.hpp>
+
 #include "codec.hpp"
 #include "peer.grpc.pb.h"
 
@@ -31,12 +33,12 @@
     page.revision = reply.revision();
     page.whole = reply.whole();
     for (const std::string& text : reply.changes()) {
-        const auto document = nlohmann::json::parse(text, nullptr, false);
+        const auto document = base::parse_json_or_discard(text);
         if (auto change = config::change_from_json(document))
             page.changes.push_back(*std::move(change));
     }
     for (const std::string& text : reply.resources()) {
-        const auto document = nlohmann::json::parse(text, nullptr, false);
+        const auto document = base::parse_json_or_discard(text);
         if (auto resource = config::resource_from_json(document))
             page.resources.push_back(*std::move(resource));
     }
--- a/libs/mintknotd/rpc/src/peer_server.cpp
+++ b/libs/mintknotd/rpc/src/peer_server.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/rpc/peer_server.hpp>
 
+#include <mintknot/base/json_parser.hpp>
+
 #include "codec.hpp"
 #include "peer.grpc.pb.h"
 
@@ -11,8 +13,7 @@
 namespace {
 
 std::string dump(const nlohmann::json& document) {
-    return document.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return base::to_text(document);
 }
 
 /// `place` may wait for room, so it must not hold a thread; the rest may.
--- a/libs/mintknotd/table_service/src/http_table_client.cpp
+++ b/libs/mintknotd/table_service/src/http_table_client.cpp
@@ -86,8 +86,7 @@
         return result;
     }
     if (answer.status == 409) {
-        const auto document =
-            nlohmann::json::parse(answer.body, nullptr, false);
+        const auto document = base::parse_json_or_discard(answer.body);
         if (document.is_object() && document.contains("conflicts")) {
             result.end = commit_result::state::conflict;
             result.conflicting = rows_from_json(document["conflicts"]);
@@ -110,7 +109,7 @@
         return absl::NotFoundError("platform: no such thing");
     if (!answer.ok())
         return failure(answer);
-    auto document = nlohmann::json::parse(answer.body, nullptr, false);
+    auto document = base::parse_json_or_discard(answer.body);
     if (document.is_discarded())
         return absl::InternalError("platform: the answer is not JSON");
     return document;
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -81,6 +81,9 @@
         "engines pause in streams and go on, versions are rolled out, "
         "configurations are large",
         line);
+    TCLAP::SwitchArg foreign_rows(
+        "", "foreign-rows",
+        "another writer puts malformed rows into the table of servers", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -127,6 +130,7 @@
                 return 2;
             options.advertised_limits[server] = parts.second;
         }
+        options.foreign_rows = foreign_rows.getValue();
         if (versions.getValue())
             soak::plan_versions(options);
         if (pauses.getValue())
@@ -137,6 +141,8 @@
             "faults, {} promises broken\n",
             options.seed, result.requests, result.answered, result.refused,
             result.left, result.faults.size(), result.broken.size());
+        if (options.foreign_rows)
+            fmt::print("  foreign rows: {}\n", result.foreign_rows);
         for (const std::string& rate : result.measured_rates)
             fmt::print("  {}\n", rate);
         for (const std::string& served : result.served_during_cuts)
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -60,7 +60,7 @@
 
 void fault_injector::start() {
     began_ = owner_.now();
-    watch_servers();
+    watch_processes();
     if (kinds_ != fault_kinds::none)
         plan_next();
 }
@@ -92,6 +92,13 @@
         kill_server(order[i]);
 }
 
+void fault_injector::watch_processes() {
+    watch_servers();
+    watch_instances();
+    watch_timer_.start(
+        base::milliseconds(end_poll), [this] { watch_processes(); });
+}
+
 void fault_injector::watch_servers() {
     for (std::size_t i = 0; i < system_.servers().size(); ++i) {
         if (draining_.contains(i) || system_.servers()[i].running->running())
@@ -106,8 +113,20 @@
             draining_.erase(i);
         });
     }
-    watch_timer_.start(
-        base::milliseconds(end_poll), [this] { watch_servers(); });
+}
+
+void fault_injector::watch_instances() {
+    for (std::size_t i = 0; i < system_.instances().size(); ++i) {
+        if (stopping_.contains(i) || system_.instances()[i].running->running())
+            continue;
+        note(fmt::format("instance {} has ended", i));
+        own_ends_.push_back(fmt::format(
+            "instance {} has ended by itself, with code {}", i,
+            system_.instances()[i].running->wait()));
+        begin(instance_part(i));
+        stopping_.insert(i);
+        later(crash_downtime, [this, i] { start_instance(i); });
+    }
 }
 
 void fault_injector::heal() {
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -56,7 +56,9 @@
     void heal();
     /// @return what was done, a line each, with its time.
     const std::vector<std::string>& notes() const { return notes_; }
-    /// @return the same for the checks; what is not over lasts for ever.
+    /// @return the instances that have ended by themselves, a line each.
+    const std::vector<std::string>& own_ends() const { return own_ends_; }
+    /// @return what was done, for the checks; what is not over lasts for ever.
     const std::vector<disturbance>& disturbances() const {
         return disturbances_;
     }
@@ -69,8 +71,10 @@
     void end(const std::string& part);
     void later(int milliseconds, std::function<void()> action);
 
-    /// Starts servers again that have ended by themselves.
+    /// Starts processes again that have ended by themselves.
+    void watch_processes();
     void watch_servers();
+    void watch_instances();
     void plan_next();
     void planned_work();
     void fault();
@@ -103,6 +107,7 @@
     std::set<std::string> broken_links_;
     base::steady_time began_{};
     std::vector<std::string> notes_;
+    std::vector<std::string> own_ends_;
     std::vector<disturbance> disturbances_;
 };
 
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.hpp"
 
+#include "foreign_writer.hpp"
 #include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
@@ -74,6 +75,7 @@
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
+        , foreign_writer_(owner_, system_.store_address(), options.seed)
         , poll_timer_(owner_)
         , crash_timer_(owner_)
         , word_timer_(owner_)
@@ -99,6 +101,8 @@
         clients_.start(options_.callers, caller_pause);
         faults_.start();
         cuts_.start();
+        if (options_.foreign_rows)
+            foreign_writer_.start();
         if (!options_.crashing.empty())
             send_crashing();
         if (!options_.crashing_parts.empty())
@@ -116,6 +120,7 @@
         crash_timer_.stop();
         word_timer_.stop();
         limit_timer_.stop();
+        foreign_writer_.stop();
         faults_.heal();
         cuts_.heal();
         if (!all_serve(recovery_time))
@@ -288,6 +293,10 @@
             result_, options_,
             {clients_.records(), system_.notes(), faults_.disturbances(),
              cuts_.past(), system_.engine_lives()});
+        result_.broken.insert(
+            result_.broken.end(), faults_.own_ends().begin(),
+            faults_.own_ends().end());
+        result_.foreign_rows = foreign_writer_.taken();
         result_.faults = faults_.notes();
         result_.cuts = cuts_.notes();
     }
@@ -299,6 +308,7 @@
     soak_clients clients_;
     fault_injector faults_;
     cut_schedule cuts_;
+    foreign_writer foreign_writer_;
     event::timer poll_timer_;
     event::timer crash_timer_;
     event::timer word_timer_;
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -73,6 +73,8 @@
     /// When half of the instances, and two engines, are killed.
     std::vector<base::milliseconds> instance_kills;
     std::vector<base::milliseconds> engine_kills;
+    /// Another writer puts malformed rows into the table of servers.
+    bool foreign_rows = false;
     /// Instances place requests through schedulers, as large groups do.
     bool schedulers = false;
     /// Larger groups have super-peers; 0: as the program is built.
@@ -98,6 +100,7 @@
     /// Directory with settings, logs and ledger, kept where a promise was
     /// broken; else empty.
     std::string logs;
+    std::size_t foreign_rows = 0; ///< That the store has taken.
     std::size_t requests = 0;
     std::size_t answered = 0; ///< With success and whole.
     std::size_t refused = 0;  ///< 503.
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -100,6 +100,8 @@
         std::size_t instance, std::size_t server,
         const standins::link_fault& fault);
 
+    /// @return where the store itself listens.
+    base::address store_address() const { return {"127.0.0.1", store_port_}; }
     /// @return where callers reach an instance: its link.
     base::address entry(std::size_t instance) const;
 
