An answer that is cut does not appear complete

Cause: the end of a connection was read as the end of what was sent, and the kernel closes the connections of a process that has ended in an orderly way. Answers without a length were passed on as they came.

Change: callers of HTTP/1.1 get chunks where no length is known; answers that are held whole have a length, and a known one is passed on to callers of HTTP/1.0. Streams to these, and tunnels, are reset by every end but close(): connection::reset_unless_closed() sets a linger time of zero while they are under way. Servers are asked in HTTP/1.1 whatever the caller speaks, as serialize() heeds the version now, which the soak's callers need.

plain_exchange::an_answer_without_length_ends_with_its_connection wanted no length in what callers get, though the answer had been held whole; it wants the right one now.

The proxy of the tests passes resets on as resets now.

--- a/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
@@ -63,6 +63,12 @@
     /// for a whole message.
     void reset();
 
+    /// Says that the other side takes an orderly end for the end of a message
+    /// that is still being sent. From now on only close() ends the connection
+    /// in an orderly way, once all that is queued has been handed to the
+    /// system. Every other end resets it, that of the process included.
+    void reset_unless_closed();
+
     /// @return the address of the other side.
     const base::address& peer() const noexcept;
 
--- a/libs/mintknotd-platform/event/src/connection.cpp
+++ b/libs/mintknotd-platform/event/src/connection.cpp
@@ -23,6 +23,14 @@
     ::setsockopt(socket, level, option, &value, sizeof value);
 }
 
+/// Not by Asio's option, which Asio takes back where it destroys a socket.
+void set_reset_at_end(tcp::socket& socket, bool on) {
+    const linger at_once{on ? 1 : 0, 0};
+    ::setsockopt(
+        socket.native_handle(), SOL_SOCKET, SO_LINGER, &at_once,
+        sizeof at_once);
+}
+
 } // namespace
 
 void set_options(tcp::socket& socket) {
@@ -206,6 +214,7 @@
 }
 
 void connection::linger() {
+    set_reset_at_end(impl_->socket, false);
     boost::system::error_code code;
     impl_->socket.shutdown(tcp::socket::shutdown_send, code);
     if (code) {
@@ -229,11 +238,15 @@
 }
 
 void connection::reset() {
-    boost::system::error_code code;
-    impl_->socket.set_option(asio::socket_base::linger(true, 0), code);
+    reset_unless_closed();
     abort();
 }
 
+void connection::reset_unless_closed() {
+    if (impl_->socket.is_open())
+        set_reset_at_end(impl_->socket, true);
+}
+
 namespace {
 
 /// One attempt to connect; kept alive by its pending handlers.
--- a/libs/mintknotd-platform/event/tests/test_connection.cpp
+++ b/libs/mintknotd-platform/event/tests/test_connection.cpp
@@ -114,6 +114,55 @@
     cr_assert(both.connected->queued_bytes() == 0);
 }
 
+// The system closes the sockets of a killed process; destroying one does too.
+Test(connection, an_unfinished_message_ends_with_a_reset) {
+    for (const bool unfinished : {true, false}) {
+        pair_of_connections both;
+        std::size_t seen = 0;
+        connection_end how = connection_end::orderly;
+        both.connected->set_handlers(
+            {[&](std::string_view bytes) {
+                 seen += bytes.size();
+                 both.owner.stop();
+             },
+             [&](connection_end end) {
+                 how = end;
+                 both.owner.stop();
+             },
+             nullptr});
+        if (unfinished)
+            both.accepted->reset_unless_closed();
+        both.accepted->write("half");
+        both.run();
+        both.accepted.reset();
+        both.run();
+        cr_assert(seen == 4);
+        cr_assert(
+            how ==
+            (unfinished ? connection_end::broken : connection_end::orderly));
+    }
+}
+
+Test(connection, a_finished_message_ends_in_an_orderly_way) {
+    pair_of_connections both;
+    constexpr std::size_t much = 8'000'000;
+    std::size_t seen = 0;
+    connection_end how = connection_end::broken;
+    both.connected->set_handlers(
+        {[&](std::string_view bytes) { seen += bytes.size(); },
+         [&](connection_end end) {
+             how = end;
+             both.owner.stop();
+         },
+         nullptr});
+    both.accepted->reset_unless_closed();
+    both.accepted->write(std::string(much, 'x'));
+    both.accepted->close();
+    both.run();
+    cr_assert(seen == much);
+    cr_assert(how == connection_end::orderly);
+}
+
 Test(connection, no_handler_runs_after_an_abort) {
     pair_of_connections both;
     bool called = false;
--- a/libs/mintknotd-platform/http1/src/serialize.cpp
+++ b/libs/mintknotd-platform/http1/src/serialize.cpp
@@ -21,8 +21,8 @@
 } // namespace
 
 std::string serialize(const request_head& head, std::string_view body) {
-    std::string out =
-        fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+    std::string out = fmt::format(
+        "{} {} HTTP/1.{}\r\n", head.method, head.target, head.minor_version);
     append_fields(out, head.fields);
     if (!body.empty() || method_has_body(head.method))
         fmt::format_to(
--- a/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
@@ -16,26 +16,25 @@
 
 void caller_session::send_complete(
     http1::response_head head, std::string body) {
-    const bool until_close = head.body == http1::framing::close;
     head.length = body.size();
-    head.keep_alive = keep_alive() && !until_close;
+    head.keep_alive = keep_alive();
     request_keep_alive_ = head.keep_alive;
-    head.body = until_close ? http1::framing::close : http1::framing::length;
+    head.body = http1::framing::length;
     link_->write(http1::serialize(head));
     link_->write(std::move(body));
     answer_done();
 }
 
 void caller_session::begin(http1::response_head head) {
-    const bool until_close =
-        head.body == http1::framing::close || minor_version_ == 0;
-    if (until_close)
-        head.body = http1::framing::close;
-    else if (head.body != http1::framing::length)
-        head.body = http1::framing::chunked;
+    if (head.body != http1::framing::length)
+        head.body = minor_version_ == 0 ? http1::framing::close
+                                        : http1::framing::chunked;
     framing_ = head.body;
+    const bool until_close = framing_ == http1::framing::close;
     head.keep_alive = keep_alive() && !until_close;
     request_keep_alive_ = head.keep_alive;
+    if (until_close)
+        link_->reset_unless_closed();
     link_->write(http1::serialize(head));
 }
 
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -261,9 +261,11 @@
 
 upstream::call_request
 exchange::call_for(const call_parameters& options) const {
-    return {
-        context_.protocol.forwarded_request(request_.head, options),
-        request_.body};
+    http1::request_head head =
+        context_.protocol.forwarded_request(request_.head, options);
+    // Servers get HTTP/1.1, whatever the caller speaks.
+    head.minor_version = 1;
+    return {std::move(head), request_.body};
 }
 
 std::unique_ptr<exchange> make_exchange(
--- a/libs/mintknotd-platform/relay/src/tunnel_server.cpp
+++ b/libs/mintknotd-platform/relay/src/tunnel_server.cpp
@@ -31,6 +31,9 @@
         , on_end_(std::move(on_end)) {}
 
     void start() {
+        // Answers may end with the server's connection; an end of this process
+        // must not look like that.
+        peer_->reset_unless_closed();
         pass(peer_, server_);
         pass(server_, peer_);
     }
--- a/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_plain_exchange.cpp
@@ -157,7 +157,7 @@
     cr_assert(f.ask(request("/unsafe/x")).body == "yours");
 }
 
-Test(plain_exchange, an_answer_without_length_ends_with_its_connection) {
+Test(plain_exchange, an_answer_without_length_is_whole_with_its_connection) {
     for (const bool orderly : {true, false}) {
         relay_fixture f;
         f.add_server(
@@ -175,7 +175,7 @@
             seen = f.ask(request("/unsafe/x"));
             cr_assert(seen.complete);
             cr_assert(seen.body == "abc");
-            cr_assert(seen.field("Content-Length").empty());
+            cr_assert(seen.field("Content-Length") == "3");
         } else {
             seen = f.ask(request("/unsafe/x", "Id: r1\r\nDeadline: 200\r\n"));
             cr_assert(seen.status == 504);
--- a/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
@@ -121,11 +121,15 @@
         , server(context, connector) {
         on_tunnel = [this](
                         const http1::request_head& head,
-                        const event::connection_ptr& link) {
-            server.serve(head, link);
+                        const event::connection_ptr& accepted) {
+            peers_link = accepted;
+            server.serve(head, accepted);
         };
     }
 
+    /// Closes the socket, as the system does for a process that has ended.
+    void end_peer() { peers_link->abort(); }
+
     void open(const std::string& id) {
         event::connect(
             owner, {"127.0.0.1", peer_server.port()}, timeout,
@@ -147,6 +151,7 @@
     server_connector connector;
     tunnel_server server;
     event::connection_ptr link;
+    event::connection_ptr peers_link; ///< The same at the peer's side.
     received seen;
 };
 
@@ -183,6 +188,22 @@
     cr_assert(*f.seen.end == event::connection_end::broken);
 }
 
+// What the system does for a killed peer looked like the end of an answer.
+Test(tunnels, the_end_of_a_peer_does_not_look_like_the_end_of_an_answer) {
+    served_tunnel f;
+    f.add_server(
+        "s1", "app", traffic::engine_phase::none,
+        [](const received_request&, const event::connection_ptr& link) {
+            link->write("half");
+        });
+    f.open("s1");
+    f.link->write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    f.run_until([&] { return f.seen.bytes.ends_with("half"); });
+    f.end_peer();
+    f.run_until([&] { return f.seen.end.has_value(); });
+    cr_assert(*f.seen.end == event::connection_end::broken);
+}
+
 Test(tunnels, a_peer_that_leaves_frees_the_server) {
     served_tunnel f;
     scripted_server& server = f.add_server(
--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -73,6 +73,9 @@
     /// Pause of some streams in their middle; zero: none.
     base::milliseconds pause{0};
     base::address advertised; ///< Where instances reach it.
+    /// Every second answer has neither a length nor chunks, and ends with its
+    /// connection.
+    bool without_length = false;
 };
 
 /// @param version named as the event's type, if it is not empty.
@@ -290,7 +293,13 @@
     void run_plain(const std::string& id, const event::connection_ptr& link) {
         note("run", id);
         after(work_time, [this, id, link] {
-            reply(link, 200, sealed(id), "answer to " + id);
+            if (!ends_with_connection(id)) {
+                reply(link, 200, sealed(id), "answer to " + id);
+                return;
+            }
+            write_head(id, http1::framing::close, {}, link);
+            link->write("answer to " + id);
+            link->close();
         });
     }
 
@@ -319,13 +328,11 @@
         int from = 0;
         if (!absl::SimpleAtoi(request.field("Last-Event-Id"), &from))
             from = 0;
-        http1::response_head head;
-        head.status = 200;
-        head.fields = sealed(id);
-        add_status_fields(head.fields);
-        head.fields.push_back({"Content-Type", "text/event-stream"});
-        head.body = http1::framing::chunked;
-        link->write(http1::serialize(head));
+        write_head(
+            id,
+            ends_with_connection(id) ? http1::framing::close
+                                     : http1::framing::chunked,
+            {{"Content-Type", "text/event-stream"}}, link);
         write_event(id, from + 1, link);
         if (has_crashing_part(request))
             after(
@@ -335,13 +342,37 @@
                 [this, id] { crash(id); });
     }
 
+    /// @return true if the answer to the request has neither a length nor
+    /// chunks, at all engines.
+    bool ends_with_connection(const std::string& id) const {
+        return options_.without_length && std::hash<std::string>{}(id) % 2 == 0;
+    }
+
+    void write_head(
+        const std::string& id, http1::framing body,
+        const http1::field_list& more, const event::connection_ptr& link) {
+        http1::response_head head;
+        head.status = status_ok;
+        head.fields = sealed(id);
+        add_status_fields(head.fields);
+        head.fields.insert(head.fields.end(), more.begin(), more.end());
+        head.body = body;
+        head.keep_alive = body != http1::framing::close;
+        link->write(http1::serialize(head));
+    }
+
     void write_event(
         const std::string& id, int number, const event::connection_ptr& link) {
+        const bool in_chunks = !ends_with_connection(id);
         if (number > events_of_a_stream) {
-            link->write(std::string(http1::last_chunk));
+            if (in_chunks)
+                link->write(std::string(http1::last_chunk));
+            else
+                link->close();
             return;
         }
-        link->write(http1::chunk(event_of(id, number, options_.version)));
+        const std::string event = event_of(id, number, options_.version);
+        link->write(in_chunks ? http1::chunk(event) : event);
         const base::milliseconds pause =
             pauses_after(id, number) ? options_.pause : base::milliseconds{0};
         after(options_.event_time + pause, [this, id, number, link] {
@@ -410,6 +441,9 @@
         "", "pause-ms", "pause in some streams, in milliseconds", false, 0,
         "MS", line);
     const auto address = text("address", "where instances reach it", true);
+    TCLAP::SwitchArg without_length(
+        "", "without-length",
+        "every second answer has neither a length nor chunks", line);
     line.parse(argc, argv);
     const auto where = base::parse_address(store->getValue());
     const auto advertised = base::parse_address(address->getValue());
@@ -420,7 +454,8 @@
         owner, {*where, id->getValue(), service->getValue(), phase->getValue(),
                 ledger->getValue(), limit->getValue(), version->getValue(),
                 base::milliseconds(event_time.getValue()),
-                base::milliseconds(pause.getValue()), *advertised});
+                base::milliseconds(pause.getValue()), *advertised,
+                without_length.getValue()});
     if (!engine.open())
         return 1;
     owner.run();
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -11,6 +11,21 @@
 #include <cstdio>
 #include <string>
 #include <utility>
+#include <vector>
+
+namespace {
+
+std::vector<mintknot::base::milliseconds>
+to_times(const std::vector<double>& seconds) {
+    std::vector<mintknot::base::milliseconds> times;
+    for (const double count : seconds)
+        times.push_back(
+            std::chrono::duration_cast<mintknot::base::milliseconds>(
+                std::chrono::duration<double>(count)));
+    return times;
+}
+
+} // namespace
 
 int main(int argc, char** argv) {
     using namespace mintknot;
@@ -81,6 +96,22 @@
         "engines pause in streams and go on, versions are rolled out, "
         "configurations are large",
         line);
+    TCLAP::SwitchArg without_length(
+        "", "without-length",
+        "answers with neither a length nor chunks, callers of HTTP/1.0", line);
+    TCLAP::ValueArg<int> grace(
+        "", "grace", "seconds that an instance has to stop", false, 4, "S",
+        line);
+    TCLAP::MultiArg<double> kills(
+        "", "kill-half", "seconds after which half of the instances are killed",
+        false, "S", line);
+    TCLAP::MultiArg<double> stops(
+        "", "stop-half",
+        "seconds after which half of the instances get SIGTERM", false, "S",
+        line);
+    TCLAP::ValueArg<int> event_time(
+        "", "event-ms", "milliseconds between two events of a stream", false, 0,
+        "MS", line);
     TCLAP::SwitchArg foreign_rows(
         "", "foreign-rows",
         "another writer puts malformed rows into the table of servers", line);
@@ -131,6 +162,11 @@
             options.advertised_limits[server] = parts.second;
         }
         options.foreign_rows = foreign_rows.getValue();
+        options.answers_without_length = without_length.getValue();
+        options.grace = std::chrono::seconds(grace.getValue());
+        options.event_time = base::milliseconds(event_time.getValue());
+        options.instance_kills = to_times(kills.getValue());
+        options.instance_stops = to_times(stops.getValue());
         if (versions.getValue())
             soak::plan_versions(options);
         if (pauses.getValue())
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -143,6 +143,8 @@
         upstream::call_request request;
         request.head.method = "POST";
         request.head.target = path;
+        if (both_versions && number % 2 == 0)
+            request.head.minor_version = 0;
         request.head.fields =
             fields_of(at->record, draw(shared_documents), number);
         request.body = std::make_shared<const std::string>(
@@ -198,6 +200,7 @@
     std::map<std::string, int> take_ups; ///< By stream.
     std::uint64_t last = 0;
     bool takes_up = false;
+    bool both_versions = false;
     bool stopped = false;
 };
 
@@ -218,6 +221,10 @@
     impl_->takes_up = true;
 }
 
+void soak_clients::use_both_versions() {
+    impl_->both_versions = true;
+}
+
 void soak_clients::stop() {
     impl_->stopped = true;
 }
--- a/testing/soak/src/soak_clients.hpp
+++ b/testing/soak/src/soak_clients.hpp
@@ -32,6 +32,8 @@
     /// From now on callers take up resumable streams that break, at any
     /// instance.
     void take_up_streams();
+    /// Every second request is of HTTP/1.0 from now on.
+    void use_both_versions();
     /// No request begins any more; those under way go on.
     void stop();
     std::size_t open() const;
--- a/testing/soak/src/soak_faults.cpp
+++ b/testing/soak/src/soak_faults.cpp
@@ -74,14 +74,26 @@
         drain_server(index);
 }
 
-void fault_injector::kill_instances(std::size_t count) {
+std::vector<std::size_t> fault_injector::shuffled_instances() {
     std::vector<std::size_t> order(system_.instances().size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::shuffle(order.begin(), order.end(), random_);
+    return order;
+}
+
+void fault_injector::kill_instances(std::size_t count) {
+    const std::vector<std::size_t> order = shuffled_instances();
     for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
         kill_instance(order[i]);
 }
 
+void fault_injector::stop_instances(std::size_t count) {
+    const std::vector<std::size_t> order = shuffled_instances();
+    for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
+        if (!stopping_.contains(order[i]))
+            stop_instance(order[i]);
+}
+
 void fault_injector::kill_engines(std::size_t count) {
     std::vector<std::size_t> order;
     for (const std::size_t engine : system_.engines())
--- a/testing/soak/src/soak_faults.hpp
+++ b/testing/soak/src/soak_faults.hpp
@@ -50,6 +50,8 @@
     void drain_one_server(std::size_t index);
     /// Kills some random instances at the same moment; they come back.
     void kill_instances(std::size_t count);
+    /// Sends SIGTERM to some random instances; they come back.
+    void stop_instances(std::size_t count);
     /// Kills some random engines that decode; they come back.
     void kill_engines(std::size_t count);
     /// No fault begins any more, links pass again, paused processes go on.
@@ -66,6 +68,8 @@
 private:
     int draw(int low, int high);
     std::size_t pick(std::size_t bound);
+    /// @return the numbers of all instances in random order.
+    std::vector<std::size_t> shuffled_instances();
     void note(const std::string& what);
     void begin(const std::string& part);
     void end(const std::string& part);
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -71,7 +71,8 @@
                options.scarce_capacity,
                options.random_cuts || !options.cuts.empty(),
                options.data_centres, options.event_time, options.pause,
-               options.unused_routes})
+               options.unused_routes, options.answers_without_length,
+               options.grace})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
@@ -98,6 +99,8 @@
         }
         if (options_.take_ups)
             clients_.take_up_streams();
+        if (options_.answers_without_length)
+            clients_.use_both_versions();
         clients_.start(options_.callers, caller_pause);
         faults_.start();
         cuts_.start();
@@ -150,6 +153,10 @@
             later(when, [this] {
                 faults_.kill_instances(options_.instances / 2);
             });
+        for (const base::milliseconds when : options_.instance_stops)
+            later(when, [this] {
+                faults_.stop_instances(options_.instances / 2);
+            });
         for (const base::milliseconds when : options_.engine_kills)
             later(when, [this] { faults_.kill_engines(engines_killed); });
     }
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -72,7 +72,13 @@
     std::size_t unused_routes = 0; ///< In each configuration.
     /// When half of the instances, and two engines, are killed.
     std::vector<base::milliseconds> instance_kills;
+    /// When half of the instances get SIGTERM.
+    std::vector<base::milliseconds> instance_stops;
     std::vector<base::milliseconds> engine_kills;
+    /// Every second answer of a server has neither a length nor chunks, and
+    /// every second caller speaks HTTP/1.0.
+    bool answers_without_length = false;
+    std::chrono::seconds grace{4}; ///< That an instance has to stop.
     /// Another writer puts malformed rows into the table of servers.
     bool foreign_rows = false;
     /// Instances place requests through schedulers, as large groups do.
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -174,6 +174,8 @@
         arguments.insert(
             arguments.end(),
             {"--pause-ms", std::to_string(form_.pause.count())});
+    if (form_.answers_without_length)
+        arguments.emplace_back("--without-length");
     server.running.reset();
     server.running = std::make_unique<harness::child_process>(
         server.program, arguments, path("server.log"));
@@ -212,12 +214,13 @@
     out << fmt::format(
         "node=e{}\nzone={}\nip={}\nlisten.front={}\nlisten.readiness={}\n"
         "port_range={},{}\nseeds={}:1,{}:1\nlimits.memory_mb=110\n"
-        "limits.max_fds=900\nbounds.grace_s=4\nbounds.budget_extra=58\n"
+        "limits.max_fds=900\nbounds.grace_s={}\nbounds.budget_extra=58\n"
         "platform.address={}\n",
         instance, data_centre(instance), host(instance),
         base::to_string(own_entry(instance)),
         base::to_string({host(instance), readiness_port}), port_, port_ + 3,
-        host(0), host(1), base::to_string(store_links_[instance]));
+        host(0), host(1), form_.grace.count(),
+        base::to_string(store_links_[instance]));
     if (form_.scarce_capacity)
         out << "contracts=base,pressure\n";
     return file;
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -50,6 +50,10 @@
     base::milliseconds pause{0};
     /// In each configuration, to make it large.
     std::size_t unused_routes = 0;
+    /// Every second answer of a server has neither a length nor chunks.
+    bool answers_without_length = false;
+    /// From SIGTERM to an instance to the latest end of its process.
+    std::chrono::seconds grace{4};
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
--- a/testing/standins/src/fault_proxy.cpp
+++ b/testing/standins/src/fault_proxy.cpp
@@ -120,12 +120,20 @@
         close();
     }
 
+    /// Ends both sides as one of them has ended.
+    void end(asio::error_code how) {
+        if (how == asio::error::eof)
+            close();
+        else
+            reset();
+    }
+
     void forward(way& at) {
         at.from.async_read_some(
             asio::buffer(at.data), [self = shared_from_this(), &at](
                                        asio::error_code error, std::size_t n) {
                 if (error)
-                    return self->close();
+                    return self->end(error);
                 self->take_piece(at, n);
             });
     }
@@ -182,7 +190,7 @@
             [self = shared_from_this(),
              &at](asio::error_code error, std::size_t) {
                 if (error)
-                    return self->close();
+                    return self->end(error);
                 self->forward(at);
             });
     }
