An answer without an ID belongs to no request that could be read

Cause: a rejection without an ID was taken for that of any request; the second copy of the answer to a health check arrived where the answer to the next request on the connection was due.

--- a/libs/mintknotd-platform/orders/src/order_batch.cpp
+++ b/libs/mintknotd-platform/orders/src/order_batch.cpp
@@ -119,7 +119,9 @@
         {std::move(request.head),
          std::make_shared<const std::string>(std::move(request.body))},
         answer_bounds,
-        {nullptr,
+        {[this](const http1::response_head& head) {
+             return relay::answers_own_call(router_.protocol, head);
+         },
          [&order](http1::response_head& head) { order.status = head.status; },
          [&order](std::string_view piece) { order.body.append(piece); }, finish,
          [&order, finish](upstream::call_failure) {
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/dialect.hpp
@@ -63,8 +63,11 @@
 /// What the head of a server's answer says about the answer.
 struct answer_metadata {
     std::string request_id;
-    bool not_executed = false;  ///< The server states that nothing has run.
-    bool has_signature = false; ///< An answer without one is invalid.
+    bool not_executed = false; ///< The server states that nothing has run.
+    /// The server states that it could not read the request, whose ID it does
+    /// not know.
+    bool request_unreadable = false;
+    bool has_signature = false;      ///< An answer without one is invalid.
     bool has_content_coding = false; ///< The router never requests one.
     bool event_stream = false;
     std::string server_id; ///< Set only in answers to health checks.
@@ -161,6 +164,13 @@
         std::optional<base::milliseconds> retry_after) const = 0;
 };
 
+/// @return true if an answer may be that to a call of the router's own, such as
+/// a health check. Surplus answers to requests bear the ID of a request.
+inline bool
+answers_own_call(const dialect& protocol, const http1::response_head& head) {
+    return protocol.read_answer(head).request_id.empty();
+}
+
 } // namespace mintknot::relay
 
 #endif
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -162,8 +162,9 @@
     void record_complete_answer() const;
 
     /// @return true if the answer belongs to this request. On a reused
-    /// connection a surplus answer to an earlier request may arrive first. A
-    /// rejection may lack the request ID.
+    /// connection a surplus answer may arrive first: to an earlier request, or,
+    /// without an ID, to a call of the router's own. Only the rejection of a
+    /// request that could not be read lacks the ID, too.
     bool is_answer_to_request(const http1::response_head& head) const;
 
     /// Logs a line that tells, beside its fields, by which configuration the
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -224,7 +224,7 @@
 bool exchange::is_answer_to_request(const http1::response_head& head) const {
     const answer_metadata terms = context_.protocol.read_answer(head);
     return terms.request_id == request_.terms.id ||
-           (terms.request_id.empty() && terms.not_executed);
+           (terms.request_id.empty() && terms.request_unreadable);
 }
 
 void exchange::log_with_state(
--- a/libs/mintknotd-platform/relay/src/health_prober.cpp
+++ b/libs/mintknotd-platform/relay/src/health_prober.cpp
@@ -69,7 +69,9 @@
     current.call = upstream::call::start(
         pool_, next_check->server,
         {protocol_.health_request(next_check->path, id), nullptr}, {},
-        {nullptr,
+        {[this](const http1::response_head& head) {
+             return answers_own_call(protocol_, head);
+         },
          [this, &current, id](http1::response_head& head) {
              current.healthy = head.status == status_ok &&
                                protocol_.read_answer(head).server_id == id;
--- a/libs/mintknotd-platform/relay/src/release_queue.cpp
+++ b/libs/mintknotd-platform/relay/src/release_queue.cpp
@@ -21,7 +21,10 @@
     in_flight_[number] = upstream::call::start(
         pool_, {engine.id, engine.where},
         {protocol_.release_request(handle, engine.id), nullptr}, {},
-        {nullptr, [](http1::response_head&) {}, [](std::string_view) {},
+        {[this](const http1::response_head& head) {
+             return answers_own_call(protocol_, head);
+         },
+         [](http1::response_head&) {}, [](std::string_view) {},
          [this, number] { finish(number); },
          [this, number](upstream::call_failure) { finish(number); }});
 }
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -65,6 +65,8 @@
     answer_metadata terms;
     terms.request_id = text_of(head.fields, "Id");
     terms.not_executed = !text_of(head.fields, "Not-Run").empty();
+    terms.request_unreadable = terms.not_executed && head.status == 400;
+    terms.server_id = text_of(head.fields, "Server-Id");
     terms.has_signature = !text_of(head.fields, "Seal").empty();
     terms.has_content_coding =
         !text_of(head.fields, "Content-Encoding").empty();
