Orders to engines go through no peer

Cause: the calls of orders::order_batch used connections that may be opened through a peer, like those of requests.

Change: upstream::target::directly; reports and orders take an own connection or none.

Evidence: phase_balancer::orders_and_their_reports_go_through_no_peer failed before; tunnels::a_call_that_must_come_from_here_takes_no_tunnel tests the new field.

--- a/libs/mintknotd-platform/orders/src/order_batch.cpp
+++ b/libs/mintknotd-platform/orders/src/order_batch.cpp
@@ -115,7 +115,7 @@
     };
     order.limit.start(call_time, finish);
     order.call = upstream::call::start(
-        router_.pool, {engine->id, engine->where},
+        router_.pool, {engine->id, engine->where, {}, true},
         {std::move(request.head),
          std::make_shared<const std::string>(std::move(request.body))},
         answer_bounds,
--- a/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
+++ b/libs/mintknotd-platform/orders/tests/test_phase_balancer.cpp
@@ -115,6 +115,16 @@
     cr_assert(f.orders.size() == 1);
 }
 
+// An engine that got orders through a peer saw two holders within one lease.
+Test(phase_balancer, orders_and_their_reports_go_through_no_peer) {
+    fixture f;
+    const auto balancer = f.start();
+    f.relay.run_until([&] { return !f.orders.empty(); });
+    cr_assert(!f.relay.connects.empty());
+    for (const upstream::target& where : f.relay.connects)
+        cr_assert(where.directly, "%s", where.id.c_str());
+}
+
 Test(phase_balancer, waits_out_another_holder) {
     fixture f;
     f.store.version = 4;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/server_connector.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/server_connector.hpp
@@ -40,9 +40,9 @@
     server_connector(const server_connector&) = delete;
     server_connector& operator=(const server_connector&) = delete;
 
-    /// Opens a connection. Targets that are not in the server table are reached
-    /// directly only. The outcome says "refused" only if the peers that were
-    /// asked were refused as well.
+    /// Opens a connection. Targets that are not in the server table, or say so
+    /// themselves, are reached directly only. The outcome says "refused" only
+    /// if the peers that were asked were refused as well.
     void connect(
         const upstream::target& where, base::milliseconds timeout,
         upstream::connect_handler on_done);
--- a/libs/mintknotd-platform/relay/src/server_connector.cpp
+++ b/libs/mintknotd-platform/relay/src/server_connector.cpp
@@ -183,7 +183,10 @@
 void server_connector::connect(
     const upstream::target& where, base::milliseconds timeout,
     upstream::connect_handler on_done) {
-    impl_->connect(where, timeout, std::move(on_done));
+    if (where.directly)
+        impl_->connect_directly(where, timeout, std::move(on_done));
+    else
+        impl_->connect(where, timeout, std::move(on_done));
 }
 
 void server_connector::connect_directly(
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -184,7 +184,20 @@
 
 relay_fixture::relay_fixture(int log_descriptor)
     : log(log_descriptor, "test", {})
-    , pool(owner)
+    , pool(
+          owner,
+          [this](
+              const upstream::target& where, base::milliseconds timeout,
+              upstream::connect_handler on_done) {
+              connects.push_back(where);
+              event::connect(
+                  owner, where.where, timeout,
+                  [on_done = std::move(on_done)](
+                      event::connection_ptr link,
+                      event::connect_result result) {
+                      on_done({std::move(link), result, false});
+                  });
+          })
     , releases(pool, protocol)
     , prober(
           owner, pool, protocol, log,
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.hpp
@@ -90,6 +90,7 @@
     test_dialect protocol;
     logging::line_log log;
     relay_metrics metrics;
+    std::vector<upstream::target> connects; ///< That calls have asked for.
     upstream::connection_pool pool;
     release_queue releases;
     health_prober prober;
--- a/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
@@ -32,13 +32,15 @@
         cr_assert(peer_server.open({"127.0.0.1", 0}).ok());
     }
 
-    upstream::connect_outcome connect(const std::string& id) {
+    upstream::connect_outcome
+    connect(const std::string& id, bool directly = false) {
         server_connector connector(
             context, {[this] { return peers; }, peer_server.port()});
         std::optional<upstream::connect_outcome> outcome;
         connector.connect(
-            {id, traffic::find(context.state.servers, id)->where, "r"}, timeout,
-            [&](upstream::connect_outcome result) {
+            {id, traffic::find(context.state.servers, id)->where, "r",
+             directly},
+            timeout, [&](upstream::connect_outcome result) {
                 outcome = std::move(result);
             });
         run_until([&] { return outcome.has_value(); });
@@ -77,6 +79,13 @@
     cr_assert_eq(f.tunnels_asked, 1);
 }
 
+Test(tunnels, a_call_that_must_come_from_here_takes_no_tunnel) {
+    tunnel_fixture f;
+    f.add_dead_server("s1", "app");
+    cr_assert(f.connect("s1", true).link == nullptr);
+    cr_assert_eq(f.tunnels_asked, 0);
+}
+
 Test(tunnels, a_server_in_reach_needs_no_peer) {
     tunnel_fixture f;
     f.add_server("s1", "app", traffic::engine_phase::none, {});
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -24,6 +24,9 @@
     std::string id;
     base::address where;
     std::string request; ///< ID of the request, for log lines; may be empty.
+    /// Whether a new connection must be this process's own, not one through a
+    /// peer: the server is to know from whom a call comes.
+    bool directly = false;
 };
 
 /// The result of an attempt to connect to a server.
