--- a/testing/soak/src/foreign_writer.cpp
+++ b/testing/soak/src/foreign_writer.cpp
@@ -1,6 +1,7 @@
 #include "foreign_writer.hpp"
 
-#include <absl/strings/escaping.h>
+#include "store_requests.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -63,19 +64,8 @@
 }
 
 void foreign_writer::send(const std::string& key, const std::string& text) {
-    const json put = {
-        {"put",
-         {{{"table", "servers"},
-           {"part", ""},
-           {"key", key},
-           {"value", absl::Base64Escape(text)}}}}};
-    upstream::call_request request;
-    request.head.method = "POST";
-    request.head.target = "/mintknot/rows-tx";
-    request.head.fields = {{"Host", "store"}};
-    request.body = std::make_shared<const std::string>(put.dump());
     call_ = upstream::call::start(
-        pool_, {"store", store_}, std::move(request), {},
+        pool_, {"store", store_}, put_request({"servers", key, text}), {},
         {nullptr,
          [this](http1::response_head& head) {
              taken_ += head.status == status_ok ? 1 : 0;
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -2,6 +2,7 @@
 
 #include "soak_configuration.hpp"
 #include "soak_parts.hpp"
+#include "store_requests.hpp"
 
 #include <mintknot/event/datagrams.hpp>
 #include <mintknot/event/loop.hpp>
@@ -256,26 +257,16 @@
 }
 
 bool soak_system::rewrite_configuration() {
-    const json put = {
-        {"put",
-         {{{"table", "op"},
-           {"part", ""},
-           {"key", "config"},
-           {"value", absl::Base64Escape(configuration_text(
-                         {configuration_, form_.scarce_capacity,
-                          form_.unused_routes}))}}}}};
     event::loop owner;
     upstream::connection_pool pool(owner);
     event::timer limit(owner);
-    upstream::call_request request;
-    request.head.method = "POST";
-    request.head.target = "/mintknot/rows-tx";
-    request.head.fields = {{"Host", "store"}};
-    request.body = std::make_shared<const std::string>(put.dump());
+    const std::string text = configuration_text(
+        {configuration_, form_.scarce_capacity, form_.unused_routes});
     bool done = false;
     int status = 0;
     const auto call = upstream::call::start(
-        pool, {"store", {"127.0.0.1", store_port_}}, std::move(request), {},
+        pool, {"store", {"127.0.0.1", store_port_}},
+        put_request({"op", "config", text}), {},
         {nullptr, [&](http1::response_head& head) { status = head.status; },
          [](std::string_view) {},
          [&] {
