--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,10 +1,10 @@
 #include "soak_run.hpp"
 
-#include "foreign_writer.hpp"
 #include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
 #include "soak_judgement.hpp"
+#include "soak_schedule.hpp"
 #include "soak_system.hpp"
 
 #include <mintknot/event/loop.hpp>
@@ -26,20 +26,7 @@
 constexpr base::milliseconds caller_pause{120};
 /// Within which a configuration is in force after the faults have ended.
 constexpr base::milliseconds configuration_time{2500};
-/// Between two tries of a request that crashes servers.
-constexpr base::milliseconds crashing_pause{400};
-constexpr base::milliseconds time_to_words{1000};
-/// Between two requests with the same part that crashes engines.
-constexpr base::milliseconds part_pause{250};
 constexpr int status_not_found = 404;
-/// Between two engines of a rollout: a drain takes some seconds, so that
-/// several are away at once.
-constexpr base::milliseconds rollout_pause{700};
-constexpr std::size_t engines_killed = 2;
-/// Time between the last write that a restore loses and the restore.
-constexpr base::milliseconds lost_write_lead{400};
-/// Time between a restore and the first attempt to repeat that write.
-constexpr base::milliseconds rewrite_delay{600};
 
 fault_kinds kinds_of(const soak_options& options) {
     if (options.undisturbed)
@@ -76,11 +63,8 @@
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
-        , foreign_writer_(owner_, system_.store_address(), options.seed)
-        , poll_timer_(owner_)
-        , crash_timer_(owner_)
-        , word_timer_(owner_)
-        , limit_timer_(owner_) {}
+        , schedule_(owner_, options, {system_, clients_, faults_})
+        , poll_timer_(owner_) {}
 
     soak_result run() {
         play();
@@ -104,26 +88,9 @@
         clients_.start(options_.callers, caller_pause);
         faults_.start();
         cuts_.start();
-        if (options_.foreign_rows)
-            foreign_writer_.start();
-        if (!options_.crashing.empty())
-            send_crashing();
-        if (!options_.crashing_parts.empty())
-            later(options_.parts_begin, [this] { send_crashing_parts(); });
-        word_timer_.start(time_to_words, [this] { speak(); });
-        if (options_.limits_end > base::milliseconds{0})
-            limit_timer_.start(
-                options_.limits_end, [this] { toggle_limits(); });
-        for (const base::milliseconds when : options_.restores)
-            plan_restore(when);
-        faults_end_ = owner_.now() + options_.length;
-        plan_rollouts();
-        plan_kills();
+        schedule_.start();
         run_until([] { return false; }, options_.length);
-        crash_timer_.stop();
-        word_timer_.stop();
-        limit_timer_.stop();
-        foreign_writer_.stop();
+        schedule_.stop();
         faults_.heal();
         cuts_.heal();
         if (!all_serve(recovery_time))
@@ -135,85 +102,6 @@
         judge();
     }
 
-    void plan_rollouts() {
-        for (const rollout& planned : options_.rollouts) {
-            base::milliseconds at = planned.at;
-            for (const std::size_t engine : system_.engines()) {
-                later(at, [this, engine, version = planned.version] {
-                    system_.set_version(engine, version);
-                    faults_.drain_one_server(engine);
-                });
-                at += rollout_pause;
-            }
-        }
-    }
-
-    void plan_kills() {
-        for (const base::milliseconds when : options_.instance_kills)
-            later(when, [this] {
-                faults_.kill_instances(options_.instances / 2);
-            });
-        for (const base::milliseconds when : options_.instance_stops)
-            later(when, [this] {
-                faults_.stop_instances(options_.instances / 2);
-            });
-        for (const base::milliseconds when : options_.engine_kills)
-            later(when, [this] { faults_.kill_engines(engines_killed); });
-    }
-
-    void plan_restore(base::milliseconds when) {
-        later(when - lost_write_lead, [this] {
-            system_.change_configuration();
-            faults_.drain_random_server();
-        });
-        later(when, [this] { system_.restore_store(); });
-        later(when + rewrite_delay, [this] { rewrite_configuration(); });
-    }
-
-    /// Repeats the lost write until the store accepts it.
-    void rewrite_configuration() {
-        if (!system_.rewrite_configuration())
-            later(poll, [this] { rewrite_configuration(); });
-    }
-
-    void later(base::milliseconds delay, std::function<void()> action) {
-        timers_.push_back(std::make_unique<event::timer>(owner_));
-        timers_.back()->start(delay, std::move(action));
-    }
-
-    void send_crashing() {
-        for (std::size_t i = 0; i < options_.crashing.size(); ++i)
-            clients_.send_crashing(
-                options_.crashing[i], crashing_tries_ % options_.instances,
-                fmt::format("crash {}", i));
-        ++crashing_tries_;
-        crash_timer_.start(crashing_pause, [this] { send_crashing(); });
-    }
-
-    void send_crashing_parts() {
-        for (std::size_t i = 0; i < options_.crashing_parts.size(); ++i)
-            clients_.send_crashing_part(
-                options_.crashing_parts[i], part_tries_ % options_.instances,
-                fmt::format("bad{:05x}", i));
-        ++part_tries_;
-        if (owner_.now() < faults_end_)
-            later(part_pause, [this] { send_crashing_parts(); });
-    }
-
-    void speak() {
-        for (const std::size_t server : options_.say_leaving)
-            system_.servers().at(server).running->signal(SIGUSR1);
-        for (const std::size_t server : options_.ask_rest)
-            system_.servers().at(server).running->signal(SIGUSR2);
-        toggle_limits();
-    }
-
-    /// Switches the advertisement of limits on or off.
-    void toggle_limits() {
-        for (const auto& [server, limit] : options_.advertised_limits)
-            system_.servers().at(server).running->signal(SIGHUP);
-    }
-
     std::vector<base::address> entries() const {
         std::vector<base::address> result;
         for (std::size_t i = 0; i < options_.instances; ++i)
@@ -303,7 +191,7 @@
         result_.broken.insert(
             result_.broken.end(), faults_.own_ends().begin(),
             faults_.own_ends().end());
-        result_.foreign_rows = foreign_writer_.taken();
+        result_.foreign_rows = schedule_.foreign_rows();
         result_.faults = faults_.notes();
         result_.cuts = cuts_.notes();
     }
@@ -315,15 +203,8 @@
     soak_clients clients_;
     fault_injector faults_;
     cut_schedule cuts_;
-    foreign_writer foreign_writer_;
+    soak_schedule schedule_;
     event::timer poll_timer_;
-    event::timer crash_timer_;
-    event::timer word_timer_;
-    event::timer limit_timer_;
-    std::vector<std::unique_ptr<event::timer>> timers_;
-    std::size_t crashing_tries_ = 0;
-    std::size_t part_tries_ = 0;
-    base::steady_time faults_end_{};
     soak_result result_;
 };
 
