The stand-in for the store bears rows of another writer

Cause: row_views read the address of a row without checking its type.

Change: rows that cannot be read are shown as they are.

Evidence: row_views::a_row_that_cannot_be_read_is_shown_as_it_is failed before.

--- a/testing/soak/src/row_views.cpp
+++ b/testing/soak/src/row_views.cpp
@@ -1,5 +1,8 @@
 #include "row_views.hpp"
 
+#include <mintknot/base/json_parser.hpp>
+#include <mintknot/base/json_reader.hpp>
+
 #include <absl/strings/escaping.h>
 
 #include <fstream>
@@ -19,14 +22,13 @@
     if (row.value("table", "") != servers_table || !row.contains("value") ||
         !absl::Base64Unescape(row["value"].get<std::string>(), &text))
         return row;
-    json server = json::parse(text, nullptr, false);
-    if (!server.is_object() || !server.contains("address"))
-        return row;
-    const auto found = view.find(server["address"].get<std::string>());
+    json server = base::parse_json_or_discard(text);
+    const auto found =
+        view.find(base::field_or<std::string>(server, "address", {}));
     if (found == view.end())
         return row;
     server["address"] = *found;
-    row["value"] = absl::Base64Escape(server.dump());
+    row["value"] = absl::Base64Escape(base::to_text(server));
     return row;
 }
 
--- a/testing/soak/tests/test_row_views.cpp
+++ b/testing/soak/tests/test_row_views.cpp
@@ -44,3 +44,21 @@
     cr_assert_eq(
         address_in(views.apply("reader", answer_with("op", "h:1"))), "h:1");
 }
+
+// A row of another writer ended the stand-in for the store.
+Test(row_views, a_row_that_cannot_be_read_is_shown_as_it_is) {
+    const scratch_directory directory;
+    const std::string file = directory.path + "/views";
+    std::ofstream(file) << R"({"reader":{"h:1":"h:2"}})";
+    row_views views(file);
+    for (const char* text :
+         {R"({"address":1})", R"({"address":1e999})", "[", "[[[1]]]", "\xff",
+          R"({"address":null})"}) {
+        const json answer = {
+            {"rows",
+             {{{"table", "servers"},
+               {"key", "s1"},
+               {"value", absl::Base64Escape(text)}}}}};
+        cr_assert(views.apply("reader", answer) == answer, "%s", text);
+    }
+}
