--- a/libs/mintknotd/engine/src/http_engine.cpp
+++ b/libs/mintknotd/engine/src/http_engine.cpp
@@ -61,10 +61,6 @@
         {"organisation", header.organisation}};
 }
 
-std::string dump(const nlohmann::json& document) {
-    return base::to_text(document);
-}
-
 held_stream stream_from(const nlohmann::json& item) {
     return {
         base::field_or(item, "attempt", std::string()),
@@ -85,7 +81,7 @@
         where,
         {.method = "POST",
          .path = "/v1/prefill",
-         .body = dump(body),
+         .body = base::to_text(body),
          .connect_timeout = connect_timeout,
          .read_timeout = timeout},
         &canceller);
@@ -118,7 +114,7 @@
         where,
         {.method = "POST",
          .path = "/v1/decode",
-         .body = dump(body),
+         .body = base::to_text(body),
          .connect_timeout = connect_timeout,
          .read_timeout = idle_timeout},
         on_event, canceller);
@@ -183,7 +179,7 @@
     const auto answer = client_.call(
         where, {.method = "POST",
                 .path = "/v1/cancel",
-                .body = dump({{"attempt", attempt}}),
+                .body = base::to_text({{"attempt", attempt}}),
                 .connect_timeout = connect_timeout,
                 .read_timeout = short_call});
     if (answer.ok())
--- a/libs/mintknotd/entry/src/answer_format.cpp
+++ b/libs/mintknotd/entry/src/answer_format.cpp
@@ -11,10 +11,6 @@
 
 using nlohmann::json;
 
-std::string dump(const json& document) {
-    return base::to_text(document);
-}
-
 std::string_view name_of(engine::finish_reason finish) {
     return finish == engine::finish_reason::length ? "length" : "stop";
 }
@@ -47,18 +43,19 @@
     const answer_head& head, std::uint64_t offset, const std::string& text) {
     return fmt::format(
         "id: {}\ndata: {}\n\n", offset + 1,
-        dump(completion(head, text, nullptr)));
+        base::to_text(completion(head, text, nullptr)));
 }
 
 std::string end_events(const answer_head& head, engine::finish_reason finish) {
     return fmt::format(
         "data: {}\n\ndata: [DONE]\n\n",
-        dump(completion(head, "", name_of(finish))));
+        base::to_text(completion(head, "", name_of(finish))));
 }
 
 std::string error_event(const answer_head& head, const base::refusal& why) {
     return fmt::format(
-        "event: error\ndata: {}\n\n", dump(error_object(head.id, why)));
+        "event: error\ndata: {}\n\n",
+        base::to_text(error_object(head.id, why)));
 }
 
 std::string whole_answer(
@@ -72,11 +69,11 @@
         {"prompt_tokens", prompt_tokens},
         {"completion_tokens", tokens.size()},
         {"total_tokens", prompt_tokens + tokens.size()}};
-    return dump(document);
+    return base::to_text(document);
 }
 
 std::string refusal_body(const std::string& id, const base::refusal& why) {
-    return dump(error_object(id, why));
+    return base::to_text(error_object(id, why));
 }
 
 } // namespace mintknot::entry
--- a/libs/mintknotd/operators/src/resource_handlers.cpp
+++ b/libs/mintknotd/operators/src/resource_handlers.cpp
@@ -25,10 +25,6 @@
 constexpr base::milliseconds look_again{300};
 const std::string json_type = "application/json";
 
-std::string dump(const json& document) {
-    return base::to_text(document);
-}
-
 std::optional<std::uint64_t> parse_revision(std::string_view text) {
     std::uint64_t number = 0;
     const char* last = text.data() + text.size();
@@ -131,7 +127,7 @@
 std::string change_event(const config::change& item) {
     return fmt::format(
         "id: {}\nevent: change\ndata: {}\n\n", item.revision,
-        dump(config::to_json(item)));
+        base::to_text(config::to_json(item)));
 }
 
 /// Sends changes of the wanted kind from a revision on, until the watcher
@@ -187,7 +183,7 @@
 
 void send_json(httplib::Response& out, int status, const json& body) {
     out.status = status;
-    out.set_content(dump(body), json_type);
+    out.set_content(base::to_text(body), json_type);
 }
 
 void send_refusal(
--- a/libs/mintknotd/rpc/src/peer_server.cpp
+++ b/libs/mintknotd/rpc/src/peer_server.cpp
@@ -1,10 +1,10 @@
 #include <mintknot/rpc/peer_server.hpp>
 
-#include <mintknot/base/json_parser.hpp>
-
 #include "codec.hpp"
 #include "peer.grpc.pb.h"
 
+#include <mintknot/base/json_parser.hpp>
+
 #include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
 
@@ -12,10 +12,6 @@
 
 namespace {
 
-std::string dump(const nlohmann::json& document) {
-    return base::to_text(document);
-}
-
 /// `place` may wait for room, so it must not hold a thread; the rest may.
 class peer_service final
     : public wire::peer::WithCallbackMethod_place<wire::peer::Service> {
@@ -87,9 +83,9 @@
         reply->set_revision(page.revision);
         reply->set_whole(page.whole);
         for (const config::change& item : page.changes)
-            reply->add_changes(dump(config::to_json(item)));
+            reply->add_changes(base::to_text(config::to_json(item)));
         for (const config::resource& item : page.resources)
-            reply->add_resources(dump(config::to_json(item)));
+            reply->add_resources(base::to_text(config::to_json(item)));
         return grpc::Status::OK;
     }
 
