--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -51,6 +51,8 @@
     void observe_server_table_age(base::milliseconds age);
     /// Records the output of a stream over the estimate of its caller.
     void observe_output_ratio(double ratio);
+    /// Records how late a timer fired while callers were active.
+    void observe_loop_delay(base::microseconds delay);
     void set_gauge(std::string_view name, double value);
 
     /// @return all metrics in the Prometheus text format.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -19,6 +19,7 @@
 #include <mintknot/relay/crash_guard.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/health_prober.hpp>
+#include <mintknot/relay/loop_monitor.hpp>
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
@@ -160,6 +161,7 @@
     crash_guard* crashes = nullptr;    ///< Null: no request is blocked.
     stream_origins* origins = nullptr; ///< Null: streams are not followed.
     wait_queue queue{loop};
+    loop_monitor monitor{loop, log, metrics};
     std::minstd_rand random{std::random_device{}()};
 
     /// @return a random number in [0, 1).
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -170,6 +170,7 @@
 }
 
 void caller_session::on_request() {
+    context_.monitor.note_activity();
     timer_.stop();
     answering_ = true;
     caller_request request;
--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -14,6 +14,7 @@
         , listener(shared.loop) {}
 
     void accept(event::connection_ptr link) {
+        context.monitor.note_activity();
         if (sessions.size() >= context.options.max_callers &&
             !close_longest_idle()) {
             // Closed without reading, so the caller can tell that no request
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -27,7 +27,13 @@
     return bounds;
 }
 
-double seconds(base::milliseconds time) {
+const prometheus::Histogram::BucketBoundaries& delay_buckets() {
+    static const prometheus::Histogram::BucketBoundaries bounds = {
+        0.001, 0.0025, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1};
+    return bounds;
+}
+
+double seconds(base::microseconds time) {
     return std::chrono::duration<double>(time).count();
 }
 
@@ -104,6 +110,11 @@
             .Name("mintknot_output_over_estimate")
             .Help("Output of streams over the estimate of their callers.")
             .Register(registry);
+    prometheus::Family<prometheus::Histogram>& loop_delays =
+        prometheus::BuildHistogram()
+            .Name("mintknot_loop_delay_seconds")
+            .Help("Delay of a timer while callers connect or send requests.")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges =
         prometheus::BuildGauge()
             .Name("mintknot_state")
@@ -166,6 +177,10 @@
     impl_->output_ratios.Add({}, ratio_buckets()).Observe(ratio);
 }
 
+void relay_metrics::observe_loop_delay(base::microseconds delay) {
+    impl_->loop_delays.Add({}, delay_buckets()).Observe(seconds(delay));
+}
+
 void relay_metrics::set_gauge(std::string_view name, double value) {
     impl_->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -115,6 +115,9 @@
          seconds_or_never(relay::configuration_freshness_of(context).age)},
         {"servers_age_seconds",
          seconds_or_never(relay::server_table_age(context))},
+        {"standing_loop_delay_seconds",
+         std::chrono::duration<double>(context.monitor.standing_delay())
+             .count()},
         {"longest_loop_delay_seconds", seconds_or_never(longest_delay)},
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
--- a/testing/soak/src/caller_requests.cpp
+++ b/testing/soak/src/caller_requests.cpp
@@ -1,5 +1,6 @@
 #include "caller_requests.hpp"
 
+#include "soak_parts.hpp"
 #include "stream_events.hpp"
 
 #include <absl/strings/numbers.h>
@@ -69,7 +70,7 @@
     http1::field_list fields = {
         {"Host", "soak.example"},
         {"X-Mintknot-Request-Id", record.id},
-        {"X-Mintknot-Deadline-Ms", "4000"},
+        {"X-Mintknot-Deadline-Ms", std::to_string(caller_deadline.count())},
         {"X-Mintknot-Token-Count", "500,50"}};
     if (is_generation(record.kind))
         fields.push_back(
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -9,6 +9,7 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +26,24 @@
     return times;
 }
 
+/// Reads "INSTANCE=FROM-UNTIL", with times in seconds.
+std::optional<mintknot::soak::connection_skew>
+parse_skew(const std::string& text) {
+    const std::vector<std::string> parts =
+        absl::StrSplit(text, absl::ByAnyChar("=-"));
+    std::size_t instance = 0;
+    std::vector<double> times(2);
+    if (parts.size() != 3 || !absl::SimpleAtoi(parts[0], &instance) ||
+        !absl::SimpleAtod(parts[1], &times[0]) ||
+        !absl::SimpleAtod(parts[2], &times[1]))
+        return std::nullopt;
+    mintknot::soak::connection_skew skew;
+    skew.instances = {instance};
+    skew.from = to_times(times).front();
+    skew.until = to_times(times).back();
+    return skew;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -115,6 +134,16 @@
     TCLAP::SwitchArg foreign_rows(
         "", "foreign-rows",
         "another writer puts malformed rows into the table of servers", line);
+    TCLAP::MultiArg<std::string> skews(
+        "", "skew",
+        "most new connections go to one instance from one second to another",
+        false, "INSTANCE=FROM-UNTIL", line);
+    TCLAP::ValueArg<double> processor_share(
+        "", "processor-share", "of a core, for each instance; 0: no bound",
+        false, 0.0, "SHARE", line);
+    TCLAP::ValueArg<int> caller_pause(
+        "", "caller-pause-ms", "mean time between two requests of a caller",
+        false, 120, "MS", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -161,6 +190,14 @@
                 return 2;
             options.advertised_limits[server] = parts.second;
         }
+        for (const std::string& text : skews.getValue()) {
+            const auto skew = parse_skew(text);
+            if (!skew)
+                return 2;
+            options.skews.push_back(*skew);
+        }
+        options.processor_share = processor_share.getValue();
+        options.caller_pause = base::milliseconds(caller_pause.getValue());
         options.foreign_rows = foreign_rows.getValue();
         options.answers_without_length = without_length.getValue();
         options.grace = std::chrono::seconds(grace.getValue());
@@ -183,6 +220,8 @@
             fmt::print("  {}\n", rate);
         for (const std::string& served : result.served_during_cuts)
             fmt::print("  {}\n", served);
+        for (const std::string& served : result.served_during_skews)
+            fmt::print("  {}\n", served);
         for (const std::string& part : result.parts)
             fmt::print("  {}\n", part);
         if (!result.versions.empty())
--- a/testing/soak/src/soak_checks.hpp
+++ b/testing/soak/src/soak_checks.hpp
@@ -43,6 +43,9 @@
     /// takes up; empty: it begins anew.
     std::string resumes;
     int last_event = 0; ///< That the caller has of such a stream.
+    /// The connection did not come up, or ended without a byte of an answer,
+    /// and the caller has tried again elsewhere.
+    bool tried_again = false;
 };
 
 /// Runs of each request, as the servers have noted them.
--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <random>
 
 namespace mintknot::soak {
@@ -24,6 +25,7 @@
 constexpr base::milliseconds take_up_pause{50};
 constexpr base::milliseconds max_take_up_pause{1000};
 constexpr int status_unavailable = 503;
+constexpr int retries_of_a_request = 1;
 
 } // namespace
 
@@ -37,6 +39,8 @@
         event::timer limit;
         std::function<void(const caller_record&)> on_record;
         bool of_load = true; ///< Counts among the records.
+        /// Instances that the caller may still try, if this one reads nothing.
+        int tries_left = 0;
     };
 
     impl(
@@ -59,9 +63,9 @@
             [this, caller, pause] {
                 if (stopped)
                     return;
-                const std::uint64_t sent = send(
-                    static_cast<request_kind>(draw(4)), draw(entries.size()),
-                    {});
+                const auto kind = static_cast<request_kind>(draw(4));
+                const std::uint64_t sent = send(kind, draw_entry(), {});
+                exchanges.at(sent)->tries_left = retries;
                 if (draw(one_leaves_in) == 0)
                     leave_early(
                         sent, base::milliseconds(draw(longest_stay_ms)));
@@ -69,6 +73,13 @@
             });
     }
 
+    std::size_t draw_entry() {
+        if (!skew || std::uniform_real_distribution<double>(0.0, 1.0)(random) >=
+                         skew->share)
+            return draw(entries.size());
+        return skew->instances[draw(skew->instances.size())];
+    }
+
     void leave_early(std::uint64_t number, base::milliseconds stay) {
         exchange& at = *exchanges.at(number);
         at.limit.start(stay, [this, number] {
@@ -152,9 +163,13 @@
                                     : at->record.mark);
         const base::address& entry = entries[at->record.instance];
         exchange* raw = at.get();
+        upstream::call_options options;
+        options.on_new_connection = skew.has_value();
+        if (retries > 0)
+            options.connect_timeout = request_limit;
         at->limit.start(request_limit, [this, number] { finish(number); });
         at->call = upstream::call::start(
-            pool, {base::to_string(entry), entry}, std::move(request), {},
+            pool, {base::to_string(entry), entry}, std::move(request), options,
             {nullptr,
              [raw](http1::response_head& head) {
                  raw->record.status = head.status;
@@ -170,11 +185,24 @@
              [this, raw, number](upstream::call_failure why) {
                  raw->record.unanswered = raw->record.status == 0 &&
                                           why == upstream::call_failure::ended;
+                 if (raw->record.unanswered || upstream::nothing_was_sent(why))
+                     try_elsewhere(*raw);
                  finish(number);
              }});
         return number;
     }
 
+    void try_elsewhere(exchange& unread) {
+        if (unread.tries_left == 0 || stopped || entries.size() < 2)
+            return;
+        unread.record.tried_again = true;
+        const std::size_t step = 1 + draw(entries.size() - 1);
+        const std::uint64_t sent = send(
+            unread.record.kind,
+            (unread.record.instance + step) % entries.size(), {});
+        exchanges.at(sent)->tries_left = unread.tries_left - 1;
+    }
+
     void finish(std::uint64_t number) {
         const auto found = exchanges.find(number);
         if (found == exchanges.end())
@@ -199,6 +227,8 @@
     std::vector<caller_record> records;
     std::map<std::string, int> take_ups; ///< By stream.
     std::uint64_t last = 0;
+    std::optional<connection_skew> skew;
+    int retries = 0; ///< Of a request that no instance has read.
     bool takes_up = false;
     bool both_versions = false;
     bool stopped = false;
@@ -225,6 +255,18 @@
     impl_->both_versions = true;
 }
 
+void soak_clients::try_again_elsewhere() {
+    impl_->retries = retries_of_a_request;
+}
+
+void soak_clients::begin_skew(const connection_skew& skew) {
+    impl_->skew = skew;
+}
+
+void soak_clients::end_skew() {
+    impl_->skew.reset();
+}
+
 void soak_clients::stop() {
     impl_->stopped = true;
 }
--- a/testing/soak/src/soak_clients.hpp
+++ b/testing/soak/src/soak_clients.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_SOAK_SOAK_CLIENTS_HPP
 #define MINTKNOT_SOAK_SOAK_CLIENTS_HPP
 
+#include "connection_skews.hpp"
 #include "soak_checks.hpp"
 
 #include <mintknot/base/address.hpp>
@@ -34,6 +35,13 @@
     void take_up_streams();
     /// Every second request is of HTTP/1.0 from now on.
     void use_both_versions();
+    /// Requests whose first attempt is not read are sent once more, to another
+    /// instance.
+    void try_again_elsewhere();
+    /// From now on each request of the load has a connection of its own, and
+    /// most go to the instances of the skew.
+    void begin_skew(const connection_skew& skew);
+    void end_skew();
     /// No request begins any more; those under way go on.
     void stop();
     std::size_t open() const;
--- a/testing/soak/src/soak_judgement.cpp
+++ b/testing/soak/src/soak_judgement.cpp
@@ -59,6 +59,16 @@
     add(result, broken_by_parts(tallies));
 }
 
+void judge_skews(
+    soak_result& result, const soak_options& options,
+    const soak_observations& seen) {
+    const std::vector<skew_tally> tallies =
+        tally_skews(seen.records, seen.notes, options.skews, seen.load_began);
+    for (const skew_tally& skew : tallies)
+        result.served_during_skews.push_back(to_string(skew));
+    add(result, broken_by_skews(tallies));
+}
+
 void judge_versions(soak_result& result, const soak_observations& seen) {
     const version_tally tally =
         tally_versions(seen.records, seen.engine_lives, seen.disturbances);
@@ -79,6 +89,7 @@
     add(result, broken_by_words(seen.records, seen.notes, seen.disturbances));
     judge_limits(result, options, seen);
     judge_parts(result, seen);
+    judge_skews(result, options, seen);
     if (options.take_ups)
         judge_versions(result, seen);
     if (options.scarce_capacity)
--- a/testing/soak/src/soak_judgement.hpp
+++ b/testing/soak/src/soak_judgement.hpp
@@ -17,6 +17,7 @@
     const std::vector<disturbance>& disturbances;
     const std::vector<past_cut>& cuts;
     const std::vector<engine_life>& engine_lives;
+    base::steady_time load_began;
 };
 
 /// Adds all broken promises, and what was compared, to the result.
--- a/testing/soak/src/soak_parts.hpp
+++ b/testing/soak/src/soak_parts.hpp
@@ -17,6 +17,9 @@
 /// within which instances adapt to a cut.
 inline constexpr base::milliseconds contact_time{3000};
 
+/// That callers name in their requests.
+inline constexpr base::milliseconds caller_deadline{4000};
+
 /// Requests may still come for so long after a server has said that it leaves.
 inline constexpr base::milliseconds drain_bound{2000};
 
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.hpp"
 
+#include "processor_quota.hpp"
 #include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
@@ -23,7 +24,6 @@
 constexpr base::milliseconds poll{20};
 constexpr base::milliseconds start_time{15000};
 constexpr base::milliseconds recovery_time{12000};
-constexpr base::milliseconds caller_pause{120};
 /// Within which a configuration is in force after the faults have ended.
 constexpr base::milliseconds configuration_time{2500};
 constexpr int status_not_found = 404;
@@ -59,11 +59,12 @@
                options.random_cuts || !options.cuts.empty(),
                options.data_centres, options.event_time, options.pause,
                options.unused_routes, options.answers_without_length,
-               options.grace})
+               options.grace, !options.skews.empty()})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
         , schedule_(owner_, options, {system_, clients_, faults_})
+        , quota_(owner_, system_, options.processor_share)
         , poll_timer_(owner_) {}
 
     soak_result run() {
@@ -85,12 +86,17 @@
             clients_.take_up_streams();
         if (options_.answers_without_length)
             clients_.use_both_versions();
-        clients_.start(options_.callers, caller_pause);
+        if (!options_.skews.empty())
+            clients_.try_again_elsewhere();
+        load_began_ = owner_.now();
+        quota_.start();
+        clients_.start(options_.callers, options_.caller_pause);
         faults_.start();
         cuts_.start();
         schedule_.start();
         run_until([] { return false; }, options_.length);
         schedule_.stop();
+        quota_.stop();
         faults_.heal();
         cuts_.heal();
         if (!all_serve(recovery_time))
@@ -187,7 +193,7 @@
         add_judgement(
             result_, options_,
             {clients_.records(), system_.notes(), faults_.disturbances(),
-             cuts_.past(), system_.engine_lives()});
+             cuts_.past(), system_.engine_lives(), load_began_});
         result_.broken.insert(
             result_.broken.end(), faults_.own_ends().begin(),
             faults_.own_ends().end());
@@ -204,6 +210,8 @@
     fault_injector faults_;
     cut_schedule cuts_;
     soak_schedule schedule_;
+    processor_quota quota_;
+    base::steady_time load_began_{};
     event::timer poll_timer_;
     soak_result result_;
 };
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_SOAK_SOAK_RUN_HPP
 #define MINTKNOT_SOAK_SOAK_RUN_HPP
 
+#include "connection_skews.hpp"
 #include "server_cuts.hpp"
 #include "soak_checks.hpp"
 
@@ -26,6 +27,12 @@
     base::milliseconds length{8000};
     std::size_t instances = 3;
     std::size_t callers = 20;
+    base::milliseconds caller_pause{120}; ///< Mean, between two requests.
+    /// One after the other. Callers connect to instances directly then, and try
+    /// once more where their first attempt was not read.
+    std::vector<connection_skew> skews;
+    /// Of a core, that each instance gets under load; zero: no bound.
+    double processor_share = 0.0;
     /// Only planned work: SIGTERM to instances and servers, SIGHUP, new
     /// configurations.
     bool planned_only = false;
@@ -96,6 +103,8 @@
     std::vector<std::string> cuts;   ///< Likewise.
     /// What callers got during cuts from all servers, a line each.
     std::vector<std::string> served_during_cuts;
+    /// What callers got before and during skews, a line each.
+    std::vector<std::string> served_during_skews;
     /// What became of requests with parts that crash engines, a line each.
     std::vector<std::string> parts;
     /// What became of streams while several versions served; empty: there was
--- a/testing/soak/src/soak_schedule.cpp
+++ b/testing/soak/src/soak_schedule.cpp
@@ -51,6 +51,7 @@
     faults_end_ = owner_.now() + options_.length;
     plan_rollouts();
     plan_kills();
+    plan_skews();
 }
 
 void soak_schedule::stop() {
@@ -86,6 +87,13 @@
         later(when, [this] { parts_.faults.kill_engines(engines_killed); });
 }
 
+void soak_schedule::plan_skews() {
+    for (const connection_skew& skew : options_.skews) {
+        later(skew.from, [this, skew] { parts_.clients.begin_skew(skew); });
+        later(skew.until, [this] { parts_.clients.end_skew(); });
+    }
+}
+
 void soak_schedule::plan_restore(base::milliseconds when) {
     later(when - lost_write_lead, [this] {
         parts_.system.change_configuration();
--- a/testing/soak/src/soak_schedule.hpp
+++ b/testing/soak/src/soak_schedule.hpp
@@ -43,6 +43,7 @@
 private:
     void plan_rollouts();
     void plan_kills();
+    void plan_skews();
     void plan_restore(base::milliseconds when);
     /// Repeats the lost write until the store accepts it.
     void rewrite_configuration();
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -140,7 +140,7 @@
 }
 
 base::address soak_system::entry(std::size_t instance) const {
-    return entry_links_[instance];
+    return form_.direct_callers ? own_entry(instance) : entry_links_[instance];
 }
 
 base::address soak_system::own_entry(std::size_t instance) const {
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -54,6 +54,8 @@
     bool answers_without_length = false;
     /// From SIGTERM to an instance to the latest end of its process.
     std::chrono::seconds grace{4};
+    /// Callers connect to instances themselves, not through a proxy.
+    bool direct_callers = false;
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
@@ -106,7 +108,7 @@
 
     /// @return where the store itself listens.
     base::address store_address() const { return {"127.0.0.1", store_port_}; }
-    /// @return where callers reach an instance: its link.
+    /// @return where callers reach an instance.
     base::address entry(std::size_t instance) const;
 
     /// @return what the servers have noted so far.
--- a/testing/soak/tests/check_soak.cpp
+++ b/testing/soak/tests/check_soak.cpp
@@ -9,6 +9,8 @@
     const soak_result result = run_soak(options);
     for (const std::string& served : result.served_during_cuts)
         fmt::print("seed {}: {}\n", options.seed, served);
+    for (const std::string& served : result.served_during_skews)
+        fmt::print("seed {}: {}\n", options.seed, served);
     for (const std::string& part : result.parts)
         fmt::print("seed {}: {}\n", options.seed, part);
     if (!result.versions.empty())
