An instance that gets too many connections refuses the rest

Callers saw many requests fail while most new connections were handed to one instance: it read all of them and served next to none in time.

Cause: an instance takes every connection, whatever its processor and its link can carry.

Now the share of time in which the listening socket is closed follows the standing delays of the loop and of connects, as PIE does for a queue, and falls where peers of the data centre are overloaded too. A refused caller tries elsewhere at once and has sent nothing; closing what was accepted did not help, as the requests filled the link. Kept connections end behind an answer with the same probability.

--- a/libs/mintknotd-platform/event/include/mintknot/event/listener.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/listener.hpp
@@ -13,7 +13,7 @@
 
 namespace mintknot::event {
 
-/// Accepts until it is closed or destroyed.
+/// Accepts until it is closed or destroyed; it may be opened again.
 class listener {
 public:
     explicit listener(loop& owner);
@@ -27,6 +27,7 @@
         std::function<void(connection_ptr)> on_connection);
     /// @return the bound port; useful after binding port 0.
     std::uint16_t port() const;
+    /// Connections that have not been accepted yet are reset.
     void close();
 
 private:
--- a/libs/mintknotd-platform/event/src/listener.cpp
+++ b/libs/mintknotd-platform/event/src/listener.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int backlog = 1024;
+/// Several connections that wait are accepted in one turn of the loop, so that
+/// they need not wait for a turn each; more would make the turn long.
+constexpr int max_accepted_at_once = 16;
 /// Pause after a failed accept, which mostly means too few descriptors.
 constexpr base::milliseconds accept_pause{20};
 
@@ -23,22 +26,37 @@
         , pause(owner_loop) {}
 
     void accept_next() {
-        acceptor.async_accept([self = shared_from_this()](
-                                  const boost::system::error_code& code,
-                                  tcp::socket socket) {
-            if (!self->acceptor.is_open())
-                return;
-            if (code) {
-                self->pause.start(
-                    accept_pause, [self] { self->accept_next(); });
-                return;
-            }
-            set_options(socket);
-            self->on_connection(
-                std::make_shared<connection>(std::make_unique<connection::impl>(
-                    self->owner, std::move(socket))));
-            self->accept_next();
-        });
+        acceptor.async_wait(
+            tcp::acceptor::wait_read,
+            [self = shared_from_this()](const boost::system::error_code& code) {
+                // It may have been opened again meanwhile.
+                if (code == boost::asio::error::operation_aborted)
+                    return;
+                self->accept_waiting(code);
+            });
+    }
+
+    void accept_waiting(boost::system::error_code code) {
+        for (int count = 0; !code && count < max_accepted_at_once; ++count)
+            code = accept_one();
+        if (!acceptor.is_open())
+            return;
+        if (!code || code == boost::asio::error::would_block)
+            accept_next();
+        else
+            pause.start(accept_pause, [this] { accept_next(); });
+    }
+
+    boost::system::error_code accept_one() {
+        boost::system::error_code code;
+        tcp::socket socket(owner.native().context);
+        acceptor.accept(socket, code);
+        if (code)
+            return code;
+        set_options(socket);
+        on_connection(std::make_shared<connection>(
+            std::make_unique<connection::impl>(owner, std::move(socket))));
+        return code;
     }
 
     loop& owner;
@@ -66,9 +84,13 @@
         impl_->acceptor.bind(endpoint, code);
     if (!code)
         impl_->acceptor.listen(backlog, code);
-    if (code)
+    if (!code)
+        impl_->acceptor.non_blocking(true, code);
+    if (code) {
+        close();
         return absl::UnavailableError(fmt::format(
             "cannot listen on {}: {}", base::to_string(where), code.message()));
+    }
     impl_->on_connection = std::move(on_connection);
     impl_->accept_next();
     return absl::OkStatus();
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/entry_server.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/entry_server.hpp
@@ -16,8 +16,8 @@
 /// Accepts connections of callers, reads their requests and runs an exchange
 /// for each request.
 ///
-/// The router_context must outlive the server. Call close() before destroying
-/// the server.
+/// The router_context must outlive the server. Call stop_accepting() before
+/// destroying the server.
 class entry_server {
 public:
     explicit entry_server(router_context& context);
@@ -36,8 +36,11 @@
     /// @return the number of requests that are being read or answered.
     std::size_t active_requests() const;
     std::size_t connections() const;
-    /// Stops accepting connections.
-    void close();
+    /// Refuses new connections from now on; those that are open stay.
+    void stop_accepting();
+    /// Accepts new connections again, at the same address.
+    /// @return Unavailable if the address cannot be bound.
+    absl::Status resume_accepting();
 
 private:
     struct impl;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -17,9 +17,9 @@
 #include <mintknot/policy/server_paths.hpp>
 #include <mintknot/policy/version_history.hpp>
 #include <mintknot/relay/crash_guard.hpp>
+#include <mintknot/relay/delay_monitor.hpp>
 #include <mintknot/relay/dialect.hpp>
 #include <mintknot/relay/health_prober.hpp>
-#include <mintknot/relay/loop_monitor.hpp>
 #include <mintknot/relay/placer.hpp>
 #include <mintknot/relay/relay_metrics.hpp>
 #include <mintknot/relay/release_queue.hpp>
@@ -144,6 +144,8 @@
     std::function<void()> on_phase_order;
 };
 
+class load_shedder;
+
 /// The services and state that every request of an instance uses. The
 /// referenced objects must outlive all requests.
 struct router_context {
@@ -160,8 +162,9 @@
     usage_limiter* limits = nullptr;   ///< Null: no usage limits apply.
     crash_guard* crashes = nullptr;    ///< Null: no request is blocked.
     stream_origins* origins = nullptr; ///< Null: streams are not followed.
+    load_shedder* shedder = nullptr;   ///< Null: all callers are admitted.
     wait_queue queue{loop};
-    loop_monitor monitor{loop, log, metrics};
+    delay_monitor monitor{loop, log, metrics};
     std::minstd_rand random{std::random_device{}()};
 
     /// @return a random number in [0, 1).
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "caller_session.hpp"
 
 #include <mintknot/http1/serialize.hpp>
+#include <mintknot/relay/load_shedder.hpp>
 
 namespace mintknot::relay {
 
@@ -220,14 +221,17 @@
                     {"status", std::int64_t{decision.status}},
                     {"target", request.head.target}});
     context_.metrics.count_request({"", std::string(decision.reason), {}, {}});
+    request_keep_alive_ = keep_alive();
     link_->write(serialize_refusal(
         context_, decision.status, request.terms.id, decision.reason,
-        decision.retry_after, keep_alive()));
+        decision.retry_after, request_keep_alive_));
     answer_done();
 }
 
-bool caller_session::keep_alive() const {
-    return request_keep_alive_ && !context_.state.stopping;
+bool caller_session::keep_alive() {
+    return request_keep_alive_ && !context_.state.stopping &&
+           (context_.shedder == nullptr ||
+            !context_.shedder->ends_connection());
 }
 
 void caller_session::answer_done() {
--- a/libs/mintknotd-platform/relay/src/caller_session.hpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.hpp
@@ -59,7 +59,9 @@
     void next_request();
     void arm_idle_timer();
     void arm_request_timer();
-    bool keep_alive() const;
+    /// @return true if the connection stays open behind the answer; drawn anew
+    /// at each call.
+    bool keep_alive();
     policy::entry_conditions
     entry_conditions(const traffic::configuration* config) const;
     /// Answers a completely read request without an exchange; the connection
--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -46,8 +46,15 @@
         return true;
     }
 
+    absl::Status listen(const base::address& address) {
+        return listener.open(address, [this](event::connection_ptr link) {
+            accept(std::move(link));
+        });
+    }
+
     router_context& context;
     event::listener listener;
+    base::address where;
     std::unordered_map<caller_session*, std::shared_ptr<caller_session>>
         sessions;
 };
@@ -58,9 +65,13 @@
 entry_server::~entry_server() = default;
 
 absl::Status entry_server::open(const base::address& where) {
-    return impl_->listener.open(where, [this](event::connection_ptr link) {
-        impl_->accept(std::move(link));
-    });
+    const absl::Status opened = impl_->listen(where);
+    impl_->where = {where.host, impl_->listener.port()};
+    return opened;
+}
+
+absl::Status entry_server::resume_accepting() {
+    return impl_->listen(impl_->where);
 }
 
 std::uint16_t entry_server::port() const {
@@ -93,7 +104,7 @@
     return impl_->sessions.size();
 }
 
-void entry_server::close() {
+void entry_server::stop_accepting() {
     impl_->listener.close();
 }
 
--- a/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
+
 using namespace mintknot;
 using namespace mintknot::relay;
 using namespace mintknot::relay::tests;
@@ -194,3 +196,29 @@
         policy::next_drain_step(seconds(0), seconds(0), 9) ==
         policy::drain_step::terminate);
 }
+
+Test(entry_server, refuses_new_connections_and_serves_the_open_ones) {
+    relay_fixture f;
+    f.add_server("i", "app", plain, echo_id());
+    const event::connection_ptr open = f.connect_idle();
+    std::string seen;
+    open->set_handlers(
+        {[&](std::string_view bytes) { seen += bytes; },
+         [](event::connection_end) {}, nullptr});
+    const base::address where{"127.0.0.1", f.entry->port()};
+    f.run_until([&] { return f.entry->connections() == 1; });
+    f.entry->stop_accepting();
+    std::optional<event::connect_result> second;
+    event::connect(
+        f.owner, where, seconds(5),
+        [&](const event::connection_ptr&, event::connect_result result) {
+            second = result;
+        });
+    f.run_until([&] { return second.has_value(); });
+    cr_assert(second == event::connect_result::refused);
+    open->write(request("/unsafe/1", "Id: a\r\n"));
+    f.run_until([&] { return seen.find("\r\n\r\na") != std::string::npos; });
+    cr_assert(f.entry->resume_accepting().ok());
+    cr_assert(f.entry->port() == where.port);
+    cr_assert(f.ask(request("/unsafe/2", "Id: b\r\n")).status == 200);
+}
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -41,7 +41,7 @@
     return settings.first_start ? first_start_read_delay : restart_read_delay;
 }
 
-double seconds_or_never(std::optional<base::milliseconds> age) {
+double seconds_or_never(std::optional<base::microseconds> age) {
     return age ? std::chrono::duration<double>(*age).count() : never_confirmed;
 }
 
@@ -70,6 +70,7 @@
     const std::uint64_t version =
         context.state.config == nullptr ? 0 : context.state.config->version;
     const std::chrono::duration<double> silence = documents.silence();
+    const policy::instance_delays delays = context.monitor.delays();
     const std::pair<const char*, double> gauges[] = {
         {"ready", ready() ? 1.0 : 0.0},
         {"open_requests", gauge(context.state.open_requests)},
@@ -115,9 +116,11 @@
          seconds_or_never(relay::configuration_freshness_of(context).age)},
         {"servers_age_seconds",
          seconds_or_never(relay::server_table_age(context))},
-        {"standing_loop_delay_seconds",
-         std::chrono::duration<double>(context.monitor.standing_delay())
-             .count()},
+        {"overloaded", shedder.overloaded() ? 1.0 : 0.0},
+        {"shed_share", shedder.share()},
+        {"refusing_connections", shedder.refusing() ? 1.0 : 0.0},
+        {"standing_loop_delay_seconds", seconds_or_never(delays.loop)},
+        {"standing_connect_delay_seconds", seconds_or_never(delays.connect)},
         {"longest_loop_delay_seconds", seconds_or_never(longest_delay)},
         {"log_lines_left_out", gauge(log.left_out())}};
     for (const auto& [name, value] : gauges)
@@ -198,7 +201,8 @@
 }
 
 void instance::impl::leave(base::milliseconds since) {
-    entry.close();
+    shedder.stop();
+    entry.stop_accepting();
     entry.close_idle();
     tunnels.close();
     documents.stop();
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -5,6 +5,7 @@
 
 #include "document_sync.hpp"
 #include "limit_sharing.hpp"
+#include "overload_sharing.hpp"
 #include "repeat_lending.hpp"
 #include "settings_watch.hpp"
 
@@ -17,6 +18,7 @@
 #include <mintknot/peers/peer_group.hpp>
 #include <mintknot/policy/domain.hpp>
 #include <mintknot/relay/entry_server.hpp>
+#include <mintknot/relay/load_shedder.hpp>
 #include <mintknot/relay/local_server.hpp>
 #include <mintknot/relay/server_connector.hpp>
 #include <mintknot/relay/tunnel_server.hpp>
@@ -56,6 +58,8 @@
     std::vector<std::string> followers() const;
     std::vector<limits::group_peer> members() const;
     lending_ports lending_functions();
+    overload_ports overload_functions();
+    relay::shedder_callbacks shedder_functions();
     limit_ports limit_functions();
     std::vector<std::string>
     token_holders(const traffic::server& server, double rate) const;
@@ -118,6 +122,8 @@
     scheduling::remote_placer placer;
     repeat_lending lending;
     limit_sharing server_limits;
+    overload_sharing overloads;
+    relay::load_shedder shedder;
     limits::usage_accounts accounts;
     crashes::crash_watch crashes;
     origins::origin_directory origins;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -65,6 +65,8 @@
     , placer(context, placer_functions())
     , lending(context, lending_functions())
     , server_limits(context, limit_functions())
+    , overloads(ports.loop, overload_functions())
+    , shedder(context, entry, shedder_functions())
     , accounts(context, account_functions(), settings.usage_bounds)
     , crashes(context, crash_functions())
     , origins(context, origin_functions())
@@ -93,6 +95,7 @@
     context.limits = &accounts;
     context.crashes = &crashes;
     context.origins = &origins;
+    context.shedder = &shedder;
     context.state.on_retries_low =
         [this](const std::string& service, int repeats) {
             lending.ask(service, repeats);
@@ -117,7 +120,19 @@
     return [this](
                const upstream::target& where, base::milliseconds timeout,
                upstream::connect_handler on_done) {
-        connector.connect(where, timeout, std::move(on_done));
+        const base::steady_time began = ports.loop.now();
+        connector.connect(
+            where, timeout,
+            [this, began,
+             on_done = std::move(on_done)](upstream::connect_outcome outcome) {
+                const bool refused =
+                    outcome.result == event::connect_result::refused;
+                if (!outcome.tunnelled && !refused)
+                    context.monitor.note_connect(
+                        std::chrono::duration_cast<base::microseconds>(
+                            ports.loop.now() - began));
+                on_done(std::move(outcome));
+            });
     };
 }
 
@@ -248,6 +263,18 @@
             }};
 }
 
+overload_ports instance::impl::overload_functions() {
+    return {datagram_sender(), [this] {
+                return peers::staying(group.table(), settings.data_centre);
+            }};
+}
+
+relay::shedder_callbacks instance::impl::shedder_functions() {
+    return {
+        [this] { return overloads.neighbours(); },
+        [this](bool overloaded) { overloads.set_overloaded(overloaded); }};
+}
+
 limit_ports instance::impl::limit_functions() {
     return {
         settings.peer.host, datagram_sender(),
@@ -271,6 +298,7 @@
     if (!members_of_fleet.receive(host, datagram) &&
         !lending.receive(host, datagram) &&
         !server_limits.receive(host, datagram) &&
+        !overloads.receive(host, datagram) &&
         !demands.receive(host, datagram) && !accounts.receive(host, datagram) &&
         !crashes.receive(host, datagram) && !origins.receive(host, datagram))
         placer.receive(host, datagram);
--- a/testing/soak/src/connection_skews.cpp
+++ b/testing/soak/src/connection_skews.cpp
@@ -11,6 +11,7 @@
 /// Of the share that was served before, that is to be served during a skew.
 constexpr double min_part_served = 0.75;
 constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
 
 double share_served(const attempt_tally& tally) {
     return static_cast<double>(tally.served) / static_cast<double>(tally.read);
@@ -33,7 +34,14 @@
             continue;
         }
         ++tally.read;
-        tally.served += is_served(record) ? 1 : 0;
+        if (is_served(record))
+            ++tally.served;
+        else if (record.unanswered && !notes.runs.contains(record.id))
+            ++tally.never_read;
+        else if (record.status == status_unavailable)
+            ++tally.refused;
+        else
+            ++tally.late;
     }
     return tally;
 }
@@ -61,9 +69,11 @@
 std::string to_string(const skew_tally& skew) {
     return fmt::format(
         "served at the first attempt that was read: {} of {} before the skew, "
-        "{} of {} during it, where {} attempts ended unread",
+        "{} of {} during it (never read {}, refused {}, late {}), where {} "
+        "attempts ended unread",
         skew.before.served, skew.before.read, skew.during.served,
-        skew.during.read, skew.during.unread);
+        skew.during.read, skew.during.never_read, skew.during.refused,
+        skew.during.late, skew.during.unread);
 }
 
 std::vector<std::string> broken_by_skews(const std::vector<skew_tally>& skews) {
--- a/testing/soak/src/connection_skews.hpp
+++ b/testing/soak/src/connection_skews.hpp
@@ -27,6 +27,10 @@
     std::size_t read = 0;
     std::size_t served = 0;
     std::size_t unread = 0; ///< Attempts that ended unread before a later one.
+    /// Of those that were not served:
+    std::size_t never_read = 0;
+    std::size_t refused = 0;
+    std::size_t late = 0; ///< Or without an answer.
 };
 
 /// What callers got before a skew, or before the first of several that follow
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -144,6 +144,8 @@
     TCLAP::ValueArg<int> caller_pause(
         "", "caller-pause-ms", "mean time between two requests of a caller",
         false, 120, "MS", line);
+    TCLAP::SwitchArg keep_logs(
+        "k", "keep-logs", "keep the logs where no promise was broken", line);
     TCLAP::SwitchArg verbose("v", "verbose", "print the faults", line);
     line.parse(argc, argv);
     int failed = 0;
@@ -196,6 +198,7 @@
                 return 2;
             options.skews.push_back(*skew);
         }
+        options.keep_logs = keep_logs.getValue();
         options.processor_share = processor_share.getValue();
         options.caller_pause = base::milliseconds(caller_pause.getValue());
         options.foreign_rows = foreign_rows.getValue();
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -69,7 +69,7 @@
 
     soak_result run() {
         play();
-        if (!result_.broken.empty()) {
+        if (options_.keep_logs || !result_.broken.empty()) {
             directory_.kept = true;
             result_.logs = directory_.path;
         }
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -86,6 +86,7 @@
     /// every second caller speaks HTTP/1.0.
     bool answers_without_length = false;
     std::chrono::seconds grace{4}; ///< That an instance has to stop.
+    bool keep_logs = false;        ///< Also where no promise was broken.
     /// Another writer puts malformed rows into the table of servers.
     bool foreign_rows = false;
     /// Instances place requests through schedulers, as large groups do.
