--- a/testing/soak/tests/test_crashing_requests.cpp
+++ b/testing/soak/tests/test_crashing_requests.cpp
@@ -34,6 +34,19 @@
     check_soak(two_instances(request_kind::unsafe));
 }
 
+Test(crashing_requests, an_end_behind_the_head_is_no_answer) {
+    for (const std::uint64_t seed : {31001U, 31002U}) {
+        soak_options options;
+        options.seed = seed;
+        options.instances = 4;
+        options.length = std::chrono::seconds(12);
+        options.undisturbed = true;
+        options.crashing = {request_kind::stream, request_kind::unsafe};
+        options.answers_without_length = true;
+        check_soak(options);
+    }
+}
+
 Test(crashing_requests, beside_other_faults_nobody_else_is_turned_away) {
     for (const std::uint64_t seed : seeds_that_failed) {
         soak_options options;
