A server that ends under an answer without length has not answered

Cause: an answer with neither a length nor chunks ends with its connection, as it does where its server ends. The end was taken for the answer's: no call had broken, and the complete answer cleared the request for the whole group.

Now the server is asked whether it lives before such an answer counts as whole; if it has ended, the call has broken. One that leaves ends by design and is not asked, nor is one that rests.

--- a/libs/mintknotd-platform/crashes/src/crash_detector.cpp
+++ b/libs/mintknotd-platform/crashes/src/crash_detector.cpp
@@ -101,11 +101,12 @@
         return;
     }
     tracked.check_planned = false;
-    tracked.check = std::make_unique<liveness_check>(
+    tracked.check = std::make_unique<relay::liveness_check>(
         router_.loop, router_.pool, wanted->server);
     tracked.check->start(
         router_.protocol.health_request(wanted->path, id),
-        [this, id](liveness_verdict found) {
+        relay::first_connection::fresh,
+        [this, id](relay::liveness_verdict found) {
             // Posted, because on_verdict() destroys the check, which is running
             // now.
             router_.loop.post(
@@ -116,13 +117,14 @@
         });
 }
 
-void crash_detector::on_verdict(const std::string& id, liveness_verdict found) {
+void crash_detector::on_verdict(
+    const std::string& id, relay::liveness_verdict found) {
     const auto entry = servers_.find(id);
     if (entry == servers_.end() || entry->second.ended_at)
         return;
     tracked_server& tracked = entry->second;
     tracked.check.reset();
-    if (found == liveness_verdict::ended) {
+    if (found == relay::liveness_verdict::ended) {
         on_server_ended(id, tracked);
         return;
     }
--- a/libs/mintknotd-platform/crashes/src/crash_detector.hpp
+++ b/libs/mintknotd-platform/crashes/src/crash_detector.hpp
@@ -4,9 +4,9 @@
 #define MINTKNOT_CRASHES_CRASH_DETECTOR_HPP
 
 #include "crash_messages.hpp"
-#include "liveness_check.hpp"
 
 #include <mintknot/relay/health_prober.hpp>
+#include <mintknot/relay/liveness_check.hpp>
 #include <mintknot/relay/router_state.hpp>
 
 #include <functional>
@@ -67,7 +67,7 @@
         std::vector<timestamped_run> runs; ///< Not reported yet.
         /// Runs that broke although the server answered a moment later.
         std::vector<timestamped_run> unconfirmed_runs;
-        std::unique_ptr<liveness_check> check;
+        std::unique_ptr<relay::liveness_check> check;
         bool check_planned = false;
         /// For the next check, or for the removal of the entry.
         std::unique_ptr<event::timer> timer;
@@ -78,7 +78,7 @@
     bool any_unreported(
         const std::function<bool(const policy::request_key&)>& matches) const;
     void check(const std::string& id);
-    void on_verdict(const std::string& id, liveness_verdict found);
+    void on_verdict(const std::string& id, relay::liveness_verdict found);
     void on_server_ended(const std::string& id, tracked_server& tracked);
     /// @return the runs that have not been reported yet, which are now.
     std::vector<broken_run> take_reports(tracked_server& tracked);
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -6,6 +6,7 @@
 #include <mintknot/base/verdict.hpp>
 #include <mintknot/event/loop.hpp>
 #include <mintknot/policy/attempts.hpp>
+#include <mintknot/relay/liveness_check.hpp>
 #include <mintknot/relay/router_state.hpp>
 #include <mintknot/upstream/call.hpp>
 
@@ -156,6 +157,17 @@
     void record_broken_call(
         const std::string& server_id, upstream::call_failure why,
         base::steady_time sent, bool answer_just_begun) const;
+    /// @return true if the answer has ended with its connection, and so
+    /// perhaps with its server: check_end() finds out. A server that leaves
+    /// ends by design.
+    bool may_be_cut(
+        const http1::response_head& answer, const std::string& server_id) const;
+    /// Asks a server for which may_be_cut() holds whether it lives.
+    /// @param then told that the answer is whole, unless the server has ended.
+    /// Not called from within this function, nor once end_check_ is reset.
+    void check_end(
+        const std::string& server_id, std::function<void(bool whole)> then);
+
     /// Reports that a server goes on writing the answer.
     void record_sound() const;
     /// Reports that a server has run the request and sent a complete answer.
@@ -189,6 +201,7 @@
     base::verdict verdict_ = base::verdict::not_run;
     policy::attempts attempts_;
     bool finished_ = false;
+    std::unique_ptr<liveness_check> end_check_; ///< Null: none is under way.
     int sends_ = 0; ///< Number of calls that may have reached a server.
     /// Software version at which the stream goes on; empty text: unknown, and
     /// then nowhere. Nothing: the stream has not begun.
--- a/libs/mintknotd-platform/crashes/src/liveness_check.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/liveness_check.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Checks whether a server has ended or only a connection to it was lost.
-#ifndef MINTKNOT_CRASHES_END_CHECK_HPP
-#define MINTKNOT_CRASHES_END_CHECK_HPP
+#ifndef MINTKNOT_RELAY_LIVENESS_CHECK_HPP
+#define MINTKNOT_RELAY_LIVENESS_CHECK_HPP
 
 #include <mintknot/event/loop.hpp>
 #include <mintknot/upstream/call.hpp>
@@ -9,7 +9,7 @@
 #include <functional>
 #include <memory>
 
-namespace mintknot::crashes {
+namespace mintknot::relay {
 
 /// Result of a liveness check.
 enum class liveness_verdict {
@@ -18,7 +18,13 @@
     unknown ///< No answer in time, or unreachable: the network may be down.
 };
 
-/// Makes a call on a new connection and, if it fails, a second one a moment
+/// The connection of the first call of a liveness check.
+enum class first_connection {
+    fresh, ///< The call shows whether the server takes a new one.
+    any    ///< One that is kept is good enough, and costs the server less.
+};
+
+/// Makes a call and, if it fails, a second one on a new connection a moment
 /// later, as a server with too many connections refuses some. Used only on the
 /// event loop's thread; destroying it cancels the check.
 class liveness_check {
@@ -28,14 +34,15 @@
         upstream::target server);
 
     /// @param request any request that a live server answers at once.
+    /// @param first see first_connection.
     /// @param then called once, never from within start(); it may destroy the
     /// check.
     void start(
-        http1::request_head request,
+        http1::request_head request, first_connection first,
         std::function<void(liveness_verdict)> then);
 
 private:
-    void start_call();
+    void start_call(bool on_new_connection);
     void on_failure(upstream::call_failure why);
     void finish(liveness_verdict found);
 
@@ -49,6 +56,6 @@
     int failures_ = 0;
 };
 
-} // namespace mintknot::crashes
+} // namespace mintknot::relay
 
 #endif
--- /dev/null
+++ b/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
@@ -0,0 +1,42 @@
+/// @file
+/// Whether the end of a connection is the end of the answer on it.
+
+#include <mintknot/policy/server_rest.hpp>
+#include <mintknot/relay/exchange.hpp>
+
+namespace mintknot::relay {
+
+bool exchange::may_be_cut(
+    const http1::response_head& answer, const std::string& server_id) const {
+    const traffic::server* server =
+        traffic::find(context_.state.servers, server_id);
+    return answer.body == http1::framing::close && server != nullptr &&
+           !traffic::leaves(context_.state.servers, *server) &&
+           !policy::rests(
+               context_.state.health.resting, server_id, context_.loop.now());
+}
+
+void exchange::check_end(
+    const std::string& server_id, std::function<void(bool whole)> then) {
+    const traffic::server* server =
+        traffic::find(context_.state.servers, server_id);
+    end_check_ = std::make_unique<liveness_check>(
+        context_.loop, context_.pool,
+        upstream::target{server->id, server->where, request_.terms.id});
+    end_check_->start(
+        context_.protocol.health_request(service_.health_path, server_id),
+        first_connection::any,
+        [this, server_id, then = std::move(then)](liveness_verdict found) {
+            const bool ended = found == liveness_verdict::ended;
+            if (ended)
+                context_.log.write(
+                    "answer_cut",
+                    {{"request", request_.terms.id}, {"server", server_id}});
+            // The check, which is running now, must outlive this handler.
+            context_.loop.post(
+                [check = std::shared_ptr(std::move(end_check_))] {});
+            then(!ended);
+        });
+}
+
+} // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -223,11 +223,20 @@
         on_decode_failure(upstream::call_failure::ended);
         return;
     }
+    decode_.call.reset();
+    if (decode_.streaming && may_be_cut(decode_.answer, decode_.server)) {
+        check_end(decode_.server, [this](bool whole) {
+            if (whole)
+                finish_stream();
+            else
+                on_decode_failure(upstream::call_failure::ended);
+        });
+        return;
+    }
     if (decode_.streaming) {
         finish_stream();
         return;
     }
-    decode_.call.reset();
     if (decode_.metadata.not_executed ||
         decode_.answer.status == status_misdirected) {
         after_rejected_decode();
--- a/libs/mintknotd-platform/relay/src/generation_silence.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_silence.cpp
@@ -116,6 +116,7 @@
     queue_ticket_.reset();
     wait_timer_.stop();
     overlap_timer_.stop();
+    end_check_.reset();
     end_prefill();
     decode_.call.reset();
     release_decode();
--- a/libs/mintknotd-platform/crashes/src/liveness_check.cpp
+++ b/libs/mintknotd-platform/relay/src/liveness_check.cpp
@@ -1,8 +1,8 @@
-#include "liveness_check.hpp"
+#include <mintknot/relay/liveness_check.hpp>
 
 #include <utility>
 
-namespace mintknot::crashes {
+namespace mintknot::relay {
 
 namespace {
 
@@ -22,16 +22,17 @@
     , timer_(owner) {}
 
 void liveness_check::start(
-    http1::request_head request, std::function<void(liveness_verdict)> then) {
+    http1::request_head request, first_connection first,
+    std::function<void(liveness_verdict)> then) {
     request_ = std::move(request);
     then_ = std::move(then);
     failures_ = 0;
-    start_call();
+    start_call(first == first_connection::fresh);
 }
 
-void liveness_check::start_call() {
+void liveness_check::start_call(bool on_new_connection) {
     upstream::call_options options;
-    options.on_new_connection = true;
+    options.on_new_connection = on_new_connection;
     timer_.start(answer_timeout, [this] { finish(liveness_verdict::unknown); });
     call_ = upstream::call::start(
         pool_, server_, {request_, nullptr}, options,
@@ -54,7 +55,7 @@
         finish(liveness_verdict::ended);
         return;
     }
-    timer_.start(retry_delay, [this] { start_call(); });
+    timer_.start(retry_delay, [this] { start_call(true); });
 }
 
 void liveness_check::finish(liveness_verdict found) {
@@ -66,4 +67,4 @@
         then(found);
 }
 
-} // namespace mintknot::crashes
+} // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -40,6 +40,7 @@
     placement_.reset();
     call_.reset();
     silence_timer_.stop();
+    end_check_.reset();
     release_load();
 }
 
@@ -154,6 +155,20 @@
         on_failure(upstream::call_failure::ended);
         return;
     }
+    if (answer_metadata_.not_executed || !may_be_cut(answer_, server_)) {
+        on_answer();
+        return;
+    }
+    call_.reset();
+    check_end(server_, [this](bool whole) {
+        if (whole)
+            on_answer();
+        else
+            on_failure(upstream::call_failure::ended);
+    });
+}
+
+void plain_exchange::on_answer() {
     if (attempts_.answer_begun) {
         record_service_time();
         const std::string server = server_;
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -45,6 +45,8 @@
     void on_head(http1::response_head& head);
     void on_body(std::string_view piece);
     void on_done();
+    /// The answer is whole.
+    void on_answer();
     void on_failure(upstream::call_failure why);
     void on_silence();
     void start_streaming();
--- a/libs/mintknotd-platform/crashes/tests/test_liveness_check.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_liveness_check.cpp
@@ -1,13 +1,13 @@
-#include "liveness_check.hpp"
-
 #include "relay_fixture.hpp"
 
+#include <mintknot/relay/liveness_check.hpp>
+
 #include <criterion/criterion.h>
 
 #include <optional>
 
 using namespace mintknot;
-using namespace mintknot::crashes;
+using namespace mintknot::relay;
 using namespace mintknot::relay::tests;
 
 namespace {
@@ -18,7 +18,7 @@
     liveness_check checking(f.owner, f.pool, {id, server->where});
     std::optional<liveness_verdict> found;
     checking.start(
-        f.protocol.health_request("/health", id),
+        f.protocol.health_request("/health", id), first_connection::fresh,
         [&](liveness_verdict verdict) { found = verdict; });
     f.run_until([&] { return found.has_value(); });
     return *found;
