Bytes that are no answer, without end, end the call

A server in trouble may write without end, in a head or a body, until its caller closes.

A call now ends as with a bad answer once 256 KiB have brought neither a head nor a body of its answer.

--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -7,6 +7,14 @@
 
 namespace mintknot::upstream {
 
+namespace {
+
+/// Bytes that bring neither a head nor a body of the call's answer: interim
+/// answers, answers to others, extensions of chunks. More are no answer.
+constexpr std::size_t max_bytes_without_progress = 256 * 1024;
+
+} // namespace
+
 bool nothing_was_sent(call_failure why) noexcept {
     return why == call_failure::unreachable || why == call_failure::refused;
 }
@@ -117,6 +125,7 @@
         const std::shared_ptr<impl> self = shared_from_this();
         pool.note_heard(where.id);
         pending.append(bytes);
+        without_progress += bytes.size();
         while (!finished && !pending.empty()) {
             const std::size_t used = parser->put(
                 pending, [this](std::string_view piece) { on_body(piece); });
@@ -136,9 +145,11 @@
                 if (!on_message_end())
                     return;
             } else if (used == 0) {
-                return;
+                break;
             }
         }
+        if (!finished && without_progress > max_bytes_without_progress)
+            fail(call_failure::bad_answer);
     }
 
     /// @return false if the call has finished.
@@ -155,6 +166,7 @@
             reusable = reusable && informational;
             return true;
         }
+        without_progress = 0;
         handlers.on_head(head);
         return !finished;
     }
@@ -166,8 +178,10 @@
             return;
         const std::string piece = std::move(body);
         body.clear();
-        if (!skipping)
-            handlers.on_body(piece);
+        if (skipping)
+            return;
+        without_progress = 0;
+        handlers.on_body(piece);
     }
 
     /// @return true if another answer is waited for.
@@ -246,6 +260,8 @@
     std::unique_ptr<http1::response_parser> parser;
     std::string pending; ///< Received, not yet parsed.
     std::string body;    ///< Parsed, not yet handed on.
+    /// Received since the last part of the answer was handed on.
+    std::size_t without_progress = 0;
     bool head_told = false;
     bool skipping = false; ///< The answer at hand is not for this call.
     bool reusable = true;
