--- a/testing/soak/src/soak_clients.cpp
+++ b/testing/soak/src/soak_clients.cpp
@@ -63,8 +63,9 @@
             [this, caller, pause] {
                 if (stopped)
                     return;
+                const std::size_t entry = draw_entry();
                 const auto kind = static_cast<request_kind>(draw(4));
-                const std::uint64_t sent = send(kind, draw_entry(), {});
+                const std::uint64_t sent = send(kind, entry, {});
                 exchanges.at(sent)->tries_left = retries;
                 if (draw(one_leaves_in) == 0)
                     leave_early(
