--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -65,7 +65,7 @@
 entry_server::~entry_server() = default;
 
 absl::Status entry_server::open(const base::address& where) {
-    const absl::Status opened = impl_->listen(where);
+    absl::Status opened = impl_->listen(where);
     impl_->where = {where.host, impl_->listener.port()};
     return opened;
 }
