--- a/libs/mintknotd-platform/relay/tests/test_endless_bytes.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_endless_bytes.cpp
@@ -86,7 +86,7 @@
     endless.server =
         &f.add_server("s", "app", plain, endless.behaviour(begin, repeated));
     const auto began = f.owner.now();
-    const caller_view seen = f.ask(request("/unsafe/x"));
+    caller_view seen = f.ask(request("/unsafe/x"));
     cr_assert(f.owner.now() - began < std::chrono::seconds(2), "%s", name);
     f.run_until([&] { return endless.server->closed_connections > 0; });
     cr_assert(endless.written < max_written, "%s", name);
