An answer counts as whole only once its server has answered a check

The check is repeated for up to six times now, as a sound server may be silent for a second or so; without an answer the call has broken.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -162,8 +162,9 @@
     /// ends by design.
     bool may_be_cut(
         const http1::response_head& answer, const std::string& server_id) const;
-    /// Asks a server for which may_be_cut() holds whether it lives.
-    /// @param then told that the answer is whole, unless the server has ended.
+    /// Asks a server for which may_be_cut() holds whether it lives; again, for
+    /// some seconds, while it does not answer.
+    /// @param then told that the answer is whole if the server has answered.
     /// Not called from within this function, nor once end_check_ is reset.
     void check_end(
         const std::string& server_id, std::function<void(bool whole)> then);
@@ -210,6 +211,11 @@
     base::milliseconds longest_gap_{0};
 
 private:
+    void start_end_check(
+        const std::string& server_id, std::function<void(bool whole)> then);
+    void finish_end_check(
+        const std::string& server_id, liveness_verdict found,
+        const std::function<void(bool whole)>& then);
     /// Checks that the key still belongs to the same organisation, unless the
     /// request may have run already.
     /// @return false if it does not; the exchange has then ended.
@@ -236,6 +242,7 @@
     request_identity identity_;
     event::timer deadline_timer_;
     base::steady_time deadline_;
+    int end_checks_left_ = 0; ///< Of the answer at hand.
     std::unique_ptr<usage_ticket> usage_ticket_;
     std::unique_ptr<ticket> origin_ticket_;
     usage_grant usage_;
--- a/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
@@ -6,6 +6,13 @@
 
 namespace mintknot::relay {
 
+namespace {
+
+/// A sound server may be silent for a second or so.
+constexpr int max_end_checks = 6;
+
+} // namespace
+
 bool exchange::may_be_cut(
     const http1::response_head& answer, const std::string& server_id) const {
     const traffic::server* server =
@@ -17,9 +24,20 @@
 }
 
 void exchange::check_end(
+    const std::string& server_id, std::function<void(bool whole)> then) {
+    end_checks_left_ = max_end_checks;
+    start_end_check(server_id, std::move(then));
+}
+
+void exchange::start_end_check(
     const std::string& server_id, std::function<void(bool whole)> then) {
     const traffic::server* server =
         traffic::find(context_.state.servers, server_id);
+    if (server == nullptr) {
+        then(true);
+        return;
+    }
+    --end_checks_left_;
     end_check_ = std::make_unique<liveness_check>(
         context_.loop, context_.pool,
         upstream::target{server->id, server->where, request_.terms.id});
@@ -27,16 +45,26 @@
         context_.protocol.health_request(service_.health_path, server_id),
         first_connection::any,
         [this, server_id, then = std::move(then)](liveness_verdict found) {
-            const bool ended = found == liveness_verdict::ended;
-            if (ended)
-                context_.log.write(
-                    "answer_cut",
-                    {{"request", request_.terms.id}, {"server", server_id}});
             // The check, which is running now, must outlive this handler.
             context_.loop.post(
                 [check = std::shared_ptr(std::move(end_check_))] {});
-            then(!ended);
+            if (found == liveness_verdict::unknown && end_checks_left_ > 0)
+                start_end_check(server_id, then);
+            else
+                finish_end_check(server_id, found, then);
         });
 }
 
+void exchange::finish_end_check(
+    const std::string& server_id, liveness_verdict found,
+    const std::function<void(bool whole)>& then) {
+    const bool whole = found == liveness_verdict::alive;
+    if (!whole)
+        context_.log.write(
+            "answer_cut", {{"request", request_.terms.id},
+                           {"server", server_id},
+                           {"ended", found == liveness_verdict::ended}});
+    then(whole);
+}
+
 } // namespace mintknot::relay
