The check of an answer's end keeps its server; fuzzing reads overload notices

Found on reading the change once more. Where a server's row went while the check was repeated, the answer counted as whole: the check looked the server up again and took its absence for a good sign. It keeps the address it began with, and that case is gone.

The notice of an overloaded instance read its time by hand; time_from does it. Its message was the only one of its kind that the fuzz test did not draw.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -212,7 +212,7 @@
 
 private:
     void start_end_check(
-        const std::string& server_id, std::function<void(bool whole)> then);
+        const upstream::target& server, std::function<void(bool whole)> then);
     void finish_end_check(
         const std::string& server_id, liveness_verdict found,
         const std::function<void(bool whole)>& then);
--- a/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
@@ -25,33 +25,29 @@
 
 void exchange::check_end(
     const std::string& server_id, std::function<void(bool whole)> then) {
+    const traffic::server* server =
+        traffic::find(context_.state.servers, server_id);
     end_checks_left_ = max_end_checks;
-    start_end_check(server_id, std::move(then));
+    start_end_check(
+        {server->id, server->where, request_.terms.id}, std::move(then));
 }
 
 void exchange::start_end_check(
-    const std::string& server_id, std::function<void(bool whole)> then) {
-    const traffic::server* server =
-        traffic::find(context_.state.servers, server_id);
-    if (server == nullptr) {
-        then(true);
-        return;
-    }
+    const upstream::target& server, std::function<void(bool whole)> then) {
     --end_checks_left_;
-    end_check_ = std::make_unique<liveness_check>(
-        context_.loop, context_.pool,
-        upstream::target{server->id, server->where, request_.terms.id});
+    end_check_ =
+        std::make_unique<liveness_check>(context_.loop, context_.pool, server);
     end_check_->start(
-        context_.protocol.health_request(service_.health_path, server_id),
+        context_.protocol.health_request(service_.health_path, server.id),
         first_connection::any,
-        [this, server_id, then = std::move(then)](liveness_verdict found) {
+        [this, server, then = std::move(then)](liveness_verdict found) {
             // The check, which is running now, must outlive this handler.
             context_.loop.post(
                 [check = std::shared_ptr(std::move(end_check_))] {});
             if (found == liveness_verdict::unknown && end_checks_left_ > 0)
-                start_end_check(server_id, then);
+                start_end_check(server, then);
             else
-                finish_end_check(server_id, found, then);
+                finish_end_check(server.id, found, then);
         });
 }
 
--- a/libs/mintknotd-platform/runtime/src/overload_sharing.cpp
+++ b/libs/mintknotd-platform/runtime/src/overload_sharing.cpp
@@ -17,9 +17,8 @@
 constexpr base::milliseconds notice_lifetime{2500};
 
 overload_notice notice_from(const json& row) {
-    const auto lifetime = base::number_from<std::int64_t>(row.at(1));
     return {std::clamp(
-        base::milliseconds(lifetime), base::milliseconds{0}, notice_lifetime)};
+        base::time_from(row.at(1)), base::milliseconds{0}, notice_lifetime)};
 }
 
 } // namespace
--- a/testing/fuzz/tests/test_peer_messages.cpp
+++ b/testing/fuzz/tests/test_peer_messages.cpp
@@ -4,6 +4,7 @@
 #include "limit_messages.hpp"
 #include "loan_messages.hpp"
 #include "origin_messages.hpp"
+#include "overload_sharing.hpp"
 #include "part_messages.hpp"
 #include "usage_messages.hpp"
 
@@ -95,6 +96,7 @@
         {R"([26,"h",["p"]])", read<crashes::decode_part_message>},
         {R"([27,[["p",20]]])", read<crashes::decode_part_message>},
         {R"([28,["p"]])", read<crashes::decode_part_message>},
+        {R"([29,2500])", read<runtime::decode_overload_notice>},
         {R"({"version":7,"documents":[{"key":"k","version":6,"text":"{}"}],
              "closures":[{"key":"a","version":5,"text":""}],
              "confirmed_ms":-20})",
