--- /dev/null
+++ b/libs/common/build/src/info.cpp
@@ -0,0 +1,11 @@
+#include <mintknot/build/info.hpp>
+
+#include "commit.hpp"
+
+namespace mintknot::build {
+
+info current() noexcept {
+    return {MINTKNOT_VERSION, commit};
+}
+
+} // namespace mintknot::build
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RELAY_RELAY_METRICS_HPP
 
 #include <mintknot/base/time.hpp>
+#include <mintknot/build/info.hpp>
 #include <mintknot/policy/capacity_claim.hpp>
 #include <mintknot/policy/server_health.hpp>
 #include <mintknot/policy/stream_origin.hpp>
@@ -54,6 +55,8 @@
     /// Records how late a timer fired while callers were active.
     void observe_loop_delay(base::microseconds delay);
     void set_gauge(std::string_view name, double value);
+    /// Tells which build runs, in the labels of a metric that is always 1.
+    void set_build(const build::info& info);
 
     /// @return all metrics in the Prometheus text format.
     std::string text() const;
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -120,6 +120,11 @@
             .Name("mintknot_state")
             .Help("What the instance believes at present.")
             .Register(registry);
+    prometheus::Family<prometheus::Gauge>& builds =
+        prometheus::BuildGauge()
+            .Name("mintknot_build_info")
+            .Help("Version and commit of the program that runs; always 1.")
+            .Register(registry);
     std::set<std::string> routes;
 };
 
@@ -185,6 +190,14 @@
     impl_->gauges.Add({{"name", std::string(name)}}).Set(value);
 }
 
+void relay_metrics::set_build(const build::info& info) {
+    impl_->builds
+        .Add(
+            {{"version", std::string(info.version)},
+             {"commit", std::string(info.commit)}})
+        .Set(1.0);
+}
+
 std::string relay_metrics::text() const {
     return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
--- a/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
+++ b/libs/mintknotd-platform/runtime/include/mintknot/runtime/instance.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_RUNTIME_INSTANCE_HPP
 
 #include <mintknot/base/address.hpp>
+#include <mintknot/build/info.hpp>
 #include <mintknot/event/loop.hpp>
 #include <mintknot/policy/super_peers.hpp>
 #include <mintknot/policy/usage_account.hpp>
@@ -25,6 +26,7 @@
 
 /// Settings of an instance.
 struct instance_settings {
+    build::info build; ///< Of the program that runs.
     std::string name;
     std::string data_centre;
     base::address entry;
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -234,7 +234,10 @@
         {base::steady_time::min(), impl_->ports.loop.now()});
     impl_->log.write(
         "started", {{"data_centre", impl_->settings.data_centre},
-                    {"entry", base::to_string(impl_->settings.entry)}});
+                    {"entry", base::to_string(impl_->settings.entry)},
+                    {"version", impl_->settings.build.version},
+                    {"commit", impl_->settings.build.commit}});
+    impl_->metrics.set_build(impl_->settings.build);
     impl_->members_of_fleet.start();
     impl_->documents.start(initial_read_delay(impl_->settings));
     impl_->balancer.start();
--- a/testing/compatibility/test_router.cpp
+++ b/testing/compatibility/test_router.cpp
@@ -227,6 +227,7 @@
         metrics.count_call(result);
     metrics.count_retry("server_failure");
     metrics.set_gauge("ready", 1.0);
+    metrics.set_build({"1.2.3", "0123456789ab"});
     return metrics.text();
 }
 
