--- a/libs/mintknotd-platform/logging/src/line_log.cpp
+++ b/libs/mintknotd-platform/logging/src/line_log.cpp
@@ -1,8 +1,9 @@
 #include <mintknot/logging/line_log.hpp>
 
+#include "pipe_room.hpp"
+
 #include <nlohmann/json.hpp>
 
-#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -25,11 +26,6 @@
     return value;
 }
 
-bool has_room(int descriptor) {
-    pollfd state{descriptor, POLLOUT, 0};
-    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
-}
-
 } // namespace
 
 struct line_log::impl {
--- a/testing/soak/src/scratch_directory.hpp
+++ b/testing/harness/include/mintknot/harness/scratch_directory.hpp
@@ -1,19 +1,19 @@
 /// @file
-/// A directory for the files of a soak.
-#ifndef MINTKNOT_SOAK_SCRATCH_DIRECTORY_HPP
-#define MINTKNOT_SOAK_SCRATCH_DIRECTORY_HPP
+/// A directory for the files of a test.
+#ifndef MINTKNOT_HARNESS_SCRATCH_DIRECTORY_HPP
+#define MINTKNOT_HARNESS_SCRATCH_DIRECTORY_HPP
 
 #include <cstdlib>
 #include <filesystem>
 #include <string>
 #include <system_error>
 
-namespace mintknot::soak {
+namespace mintknot::harness {
 
 /// A directory that goes with the object, unless it is to be kept.
 struct scratch_directory {
     scratch_directory()
-        : path((std::filesystem::temp_directory_path() / "soak-XXXXXX")
+        : path((std::filesystem::temp_directory_path() / "mintknot-XXXXXX")
                    .string()) {
         if (::mkdtemp(path.data()) == nullptr)
             path.clear();
@@ -30,6 +30,6 @@
     bool kept = false;
 };
 
-} // namespace mintknot::soak
+} // namespace mintknot::harness
 
 #endif
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,7 +1,6 @@
 #include "soak_run.hpp"
 
 #include "processor_quota.hpp"
-#include "scratch_directory.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
 #include "soak_judgement.hpp"
@@ -9,6 +8,7 @@
 #include "soak_system.hpp"
 
 #include <mintknot/event/loop.hpp>
+#include <mintknot/harness/scratch_directory.hpp>
 
 #include <fmt/format.h>
 
@@ -203,7 +203,7 @@
     }
 
     soak_options options_;
-    scratch_directory directory_;
+    harness::scratch_directory directory_;
     soak_system system_;
     event::loop owner_;
     soak_clients clients_;
--- a/testing/soak/tests/test_row_views.cpp
+++ b/testing/soak/tests/test_row_views.cpp
@@ -1,5 +1,6 @@
 #include "row_views.hpp"
-#include "scratch_directory.hpp"
+
+#include <mintknot/harness/scratch_directory.hpp>
 
 #include <absl/strings/escaping.h>
 #include <criterion/criterion.h>
@@ -29,7 +30,7 @@
 } // namespace
 
 Test(row_views, each_reader_sees_servers_at_its_own_links) {
-    const scratch_directory directory;
+    const harness::scratch_directory directory;
     const std::string file = directory.path + "/views";
     std::ofstream(file) << R"({"reader":{"h:1":"h:2"}})";
     row_views views(file);
@@ -47,7 +48,7 @@
 
 // A row of another writer ended the stand-in for the store.
 Test(row_views, a_row_that_cannot_be_read_is_shown_as_it_is) {
-    const scratch_directory directory;
+    const harness::scratch_directory directory;
     const std::string file = directory.path + "/views";
     std::ofstream(file) << R"({"reader":{"h:1":"h:2"}})";
     row_views views(file);
