A caller's connection that closes under its request leaves one line

Cause: a request that was lost by the close of its connection could not be told apart: whether the caller left, the connection broke, an answer was broken off, the request came behind an answer that ends the connection, or the grace period was over; nor whether it had been read whole, or on a kept connection.

The fixture with a readable log is shared with the tests of `finished`.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/entry_server.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/entry_server.hpp
@@ -33,6 +33,9 @@
     void begin_drain(base::milliseconds grace);
     /// Closes the connections on which no request is being read or answered.
     void close_idle();
+    /// Logs and counts each connection on which a request is being read or
+    /// answered, as one that the end of the process closes.
+    void record_unfinished() const;
     /// @return the number of requests that are being read or answered.
     std::size_t active_requests() const;
     std::size_t connections() const;
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/relay_metrics.hpp
@@ -45,6 +45,8 @@
     void count_taken_up(policy::origin_verdict verdict);
     /// Counts a decision on a plain call while capacity is shared.
     void count_plain_decision(policy::capacity_denial denial);
+    /// Counts a caller's connection that closes with a request under way.
+    void count_caller_close(std::string_view reason);
     /// Records the service time that a plain call was decided by.
     void observe_plain_service(base::milliseconds time);
     /// Records how old the server table was when a request was sent to a
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -18,6 +18,22 @@
 
 } // namespace
 
+std::string_view to_string(close_reason reason) noexcept {
+    switch (reason) {
+    case close_reason::caller_left:
+        return "caller_left";
+    case close_reason::connection_broken:
+        return "connection_broken";
+    case close_reason::broken_off:
+        return "broken_off";
+    case close_reason::behind_answer:
+        return "behind_answer";
+    case close_reason::stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
 caller_session::caller_session(
     router_context& context, event::connection_ptr link,
     std::function<void(caller_session*)> on_end)
@@ -36,7 +52,9 @@
         {[self = shared_from_this()](std::string_view bytes) {
              self->on_data(bytes);
          },
-         [self = shared_from_this()](event::connection_end) { self->on_end(); },
+         [self = shared_from_this()](event::connection_end how) {
+             self->on_end(how);
+         },
          [self = shared_from_this()] {
              if (self->exchange_ != nullptr)
                  self->exchange_->on_sink_writable();
@@ -146,9 +164,7 @@
     std::optional<base::milliseconds> retry_after) {
     if (closed_)
         return;
-    std::string id;
-    if (parser_->has_head())
-        id = context_.protocol.read_request(parser_->head()).id;
+    const std::string id = current_request_id();
     context_.log.write(
         "refused", {{"request", id},
                     {"reason", reason},
@@ -160,6 +176,29 @@
     close();
 }
 
+std::string caller_session::current_request_id() const {
+    if (answering_)
+        return request_id_;
+    return parser_->has_head()
+               ? context_.protocol.read_request(parser_->head()).id
+               : std::string{};
+}
+
+void caller_session::record_close(close_reason reason) const {
+    if (closed_ || idle())
+        return;
+    context_.metrics.count_caller_close(to_string(reason));
+    const bool behind = reason == close_reason::behind_answer;
+    context_.log.write(
+        "caller_closed",
+        {{"request", behind ? std::string{} : current_request_id()},
+         {"reason", to_string(reason)},
+         {"answering", answering_ && !behind},
+         {"answered", static_cast<std::int64_t>(answered_)},
+         {"unread_bytes", static_cast<std::int64_t>(pending_.size())},
+         {"caller", base::to_string(link_->peer())}});
+}
+
 void caller_session::reserve_body(std::size_t bytes) {
     reserved_body_ += bytes;
     context_.state.open_body_bytes += bytes;
@@ -178,6 +217,7 @@
     request.head = std::move(parser_->head());
     request.terms = context_.protocol.read_request(request.head);
     request.arrived = request_began_;
+    request_id_ = request.terms.id;
     const auto config = context_.state.config;
     const std::string* host = http1::find_field(request.head.fields, "Host");
     const policy::entry_decision decision = policy::check_entry(
@@ -236,7 +276,10 @@
 
 void caller_session::answer_done() {
     release_body();
+    ++answered_;
     if (!request_keep_alive_ || context_.state.stopping) {
+        if (!pending_.empty())
+            record_close(close_reason::behind_answer);
         close();
         return;
     }
@@ -256,9 +299,13 @@
     });
 }
 
-void caller_session::on_end() {
+void caller_session::on_end(event::connection_end how) {
     if (closed_)
         return;
+    record_close(
+        how == event::connection_end::orderly
+            ? close_reason::caller_left
+            : close_reason::connection_broken);
     closed_ = true;
     timer_.stop();
     link_->abort();
--- a/libs/mintknotd-platform/relay/src/caller_session.hpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.hpp
@@ -14,6 +14,17 @@
 
 namespace mintknot::relay {
 
+/// Why a caller's connection closed while a request was under way on it.
+enum class close_reason {
+    caller_left,       ///< The caller closed it.
+    connection_broken, ///< Reset, unreachable or silent for too long.
+    broken_off,        ///< The answer had begun, and could not be completed.
+    behind_answer,     ///< An answer ended it; the next request was not read.
+    stopped            ///< The instance reached the end of its grace period.
+};
+
+std::string_view to_string(close_reason reason) noexcept;
+
 /// Reads requests from a connection and answers them strictly in order. Reading
 /// continues while a request is answered, up to a bounded number of buffered
 /// bytes, so that a disconnect of the caller is noticed immediately.
@@ -34,6 +45,8 @@
     /// when the connection was accepted.
     base::steady_time idle_since() const noexcept { return idle_since_; }
     void close();
+    /// Logs and counts that the connection closes if a request is under way.
+    void record_close(close_reason reason) const;
 
     void send_complete(http1::response_head head, std::string body) override;
     void begin(http1::response_head head) override;
@@ -44,7 +57,7 @@
 
 private:
     void on_data(std::string_view bytes);
-    void on_end();
+    void on_end(event::connection_end how);
     void parse_pending();
     void on_head();
     void on_request();
@@ -57,6 +70,8 @@
     void release_body();
     void answer_done();
     void next_request();
+    /// @return the ID of the request under way; empty if its head has not come.
+    std::string current_request_id() const;
     void arm_idle_timer();
     void arm_request_timer();
     /// @return true if the connection stays open behind the answer; drawn anew
@@ -81,6 +96,8 @@
     bool request_keep_alive_ = true;
     int minor_version_ = 1;
     std::size_t reserved_body_ = 0;
+    std::size_t answered_ = 0; ///< Requests on this connection.
+    std::string request_id_;   ///< Valid while `answering_`.
     base::steady_time request_began_;
     base::steady_time idle_since_;
     std::unique_ptr<exchange> exchange_;
--- a/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
@@ -55,6 +55,7 @@
 void caller_session::abort() {
     if (closed_)
         return;
+    record_close(close_reason::broken_off);
     closed_ = true;
     timer_.stop();
     // If the body is delimited by the end of the connection, an orderly close
--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -93,6 +93,11 @@
         session->close();
 }
 
+void entry_server::record_unfinished() const {
+    for (const auto& [key, session] : impl_->sessions)
+        session->record_close(close_reason::stopped);
+}
+
 std::size_t entry_server::active_requests() const {
     std::size_t count = 0;
     for (const auto& [key, session] : impl_->sessions)
--- a/libs/mintknotd-platform/relay/src/relay_metrics.cpp
+++ b/libs/mintknotd-platform/relay/src/relay_metrics.cpp
@@ -75,6 +75,11 @@
             .Name("mintknot_streams_taken_up_total")
             .Help("Streams that callers take up, by what is known of them.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& caller_closes =
+        prometheus::BuildCounter()
+            .Name("mintknot_caller_closes_total")
+            .Help("Callers' connections closed with a request under way.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter>& plain_decisions =
         prometheus::BuildCounter()
             .Name("mintknot_plain_decisions_total")
@@ -170,6 +175,10 @@
         .Increment();
 }
 
+void relay_metrics::count_caller_close(std::string_view reason) {
+    impl_->caller_closes.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void relay_metrics::observe_plain_service(base::milliseconds time) {
     impl_->plain_services.Add({}, latency_buckets()).Observe(seconds(time));
 }
--- a/libs/mintknotd-platform/relay/tests/test_finished_line.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_finished_line.cpp
@@ -1,16 +1,14 @@
 /// @file
 /// The fields of the `finished` log line that the loss report needs.
 
-#include "relay_fixture.hpp"
+#include "logged_fixture.hpp"
 
 #include <mintknot/http1/serialize.hpp>
 
 #include <criterion/criterion.h>
-#include <nlohmann/json.hpp>
 
-#include <cstdio>
-#include <memory>
 #include <string>
+#include <vector>
 
 using namespace mintknot;
 using namespace mintknot::relay;
@@ -22,35 +20,22 @@
 
 constexpr auto decode = traffic::engine_phase::decode;
 
-/// A router whose log lines can be read.
-struct logged_fixture {
-    std::unique_ptr<std::FILE, int (*)(std::FILE*)> file{
-        std::tmpfile(), std::fclose};
-    relay_fixture router{::fileno(file.get())};
-
-    /// @return the line of the last request that has ended.
-    json last_finished() {
-        router.run_until(
-            [this] { return router.context.state.open_requests == 0; });
-        std::string text;
-        std::rewind(file.get());
-        for (int c = std::fgetc(file.get()); c != EOF;
-             c = std::fgetc(file.get()))
-            text += static_cast<char>(c);
-        const std::size_t event = text.rfind(R"("event":"finished")");
-        cr_assert(event != std::string::npos);
-        const std::size_t begin = text.rfind('\n', event) + 1;
-        return json::parse(text.substr(begin, text.find('\n', event) - begin));
-    }
+/// @return the line of the last request that has ended.
+json last_finished(logged_fixture& f) {
+    f.router.run_until(
+        [&] { return f.router.context.state.open_requests == 0; });
+    const std::vector<json> lines = f.lines_of("finished");
+    cr_assert(!lines.empty());
+    return lines.back();
+}
 
-    /// Sends a request with the given deadline on the route `stream`.
-    json ask(const std::string& deadline) {
-        router.ask(request(
-            "/stream/x",
-            "Id: r1\r\nTokens: 100\r\nDeadline: " + deadline + "\r\n"));
-        return last_finished();
-    }
-};
+/// Sends a request with the given deadline on the route `stream`.
+json ask(logged_fixture& f, const std::string& deadline) {
+    f.router.ask(request(
+        "/stream/x",
+        "Id: r1\r\nTokens: 100\r\nDeadline: " + deadline + "\r\n"));
+    return last_finished(f);
+}
 
 /// Sends one event, and two others after the given pause.
 script pausing(event::timer& pause, base::milliseconds length) {
@@ -70,20 +55,20 @@
 // try has to be linked to another one.
 Test(finished_line, only_refusals_and_returns_have_a_digest) {
     logged_fixture f;
-    const json refused = f.ask("4000");
+    const json refused = ask(f, "4000");
     cr_assert(refused["outcome"] == "no_capacity");
     cr_assert(refused["verdict"] == "not_run");
     cr_assert(refused["deadline_ms"] == 4000);
     cr_assert(refused["digest"].get<std::string>().size() == 32);
 
     f.router.add_server("d", "llm", decode, good_decode());
-    const json first = f.ask("4000");
+    const json first = ask(f, "4000");
     cr_assert(first["outcome"] == "answered");
     cr_assert(first["verdict"] == "ran");
     cr_assert(first["returned"] == false);
     cr_assert(first["digest"].get<std::string>().empty());
 
-    const json returned = f.ask("2000");
+    const json returned = ask(f, "2000");
     cr_assert(returned["returned"] == true);
     cr_assert(returned["digest"] == refused["digest"]);
     cr_assert(returned["deadline_ms"] == 2000);
@@ -96,7 +81,7 @@
         route.target_gap = base::milliseconds(300);
     }
     f.router.configure();
-    const json line = f.ask("4000");
+    const json line = ask(f, "4000");
     cr_assert(line["priority"] == 3);
     cr_assert(line["organisation"].get<std::string>().empty());
     cr_assert(line["target_gap_ms"] == 300);
@@ -109,7 +94,7 @@
     logged_fixture f;
     event::timer pause(f.router.owner);
     f.router.add_server("d", "llm", decode, pausing(pause, pause_length));
-    const json line = f.ask("4000");
+    const json line = ask(f, "4000");
     cr_assert(line["outcome"] == "answered");
     cr_assert(line["longest_gap_ms"] >= pause_length.count() - 1);
     cr_assert(line["longest_gap_ms"] <= line["total_ms"]);
@@ -131,7 +116,7 @@
             std::vector<traffic::organisation_row>{row});
     f.router.configure();
     f.router.ask(request("/safe/x", "Id: r1\r\nKey: k\r\n"));
-    const json line = f.last_finished();
+    const json line = last_finished(f);
     cr_assert(line["organisation"] == "o");
     cr_assert(line["priority"] == 1);
 }
@@ -139,5 +124,5 @@
 Test(finished_line, a_caller_without_a_deadline_has_none_in_the_line) {
     logged_fixture f;
     f.router.ask(request("/safe/x"));
-    cr_assert(f.last_finished()["deadline_ms"] == 0);
+    cr_assert(last_finished(f)["deadline_ms"] == 0);
 }
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -211,7 +211,10 @@
         "stopped",
         {{"after_ms", since.count()},
          {"unfinished", static_cast<std::int64_t>(entry.active_requests())}});
-    drain_timer.start(exit_delay, [this] { ports.loop.stop(); });
+    drain_timer.start(exit_delay, [this] {
+        entry.record_unfinished();
+        ports.loop.stop();
+    });
 }
 
 instance::instance(instance_settings settings, instance_ports ports)
--- a/testing/compatibility/test_router.cpp
+++ b/testing/compatibility/test_router.cpp
@@ -226,6 +226,7 @@
           policy::call_result::misdirected})
         metrics.count_call(result);
     metrics.count_retry("server_failure");
+    metrics.count_caller_close("caller_left");
     metrics.set_gauge("ready", 1.0);
     metrics.set_build({"1.2.3", "0123456789ab"});
     return metrics.text();
