A server's ID from a peer adds no fields to requests

Cause: a scheduler names servers to a leaf, and their IDs stand in a field of requests. Rows of the store with control characters in their key cannot be read; the rows in a peer's answer were not checked, so that a line end in an ID added fields to requests.

Change: such an answer cannot be read, as one with a number beyond its range.

--- a/libs/mintknotd-platform/scheduling/src/messages.cpp
+++ b/libs/mintknotd-platform/scheduling/src/messages.cpp
@@ -5,6 +5,7 @@
 #include "outlook_message.hpp"
 
 #include <mintknot/base/datagram.hpp>
+#include <mintknot/http1/message.hpp>
 #include <mintknot/peers/message_parts.hpp>
 
 #include <algorithm>
@@ -188,6 +189,8 @@
     traffic::versioned_server versioned;
     traffic::server& server = versioned.value;
     server.id = row.at(0).get<std::string>();
+    if (!http1::is_field_text(server.id))
+        base::throw_malformed("an ID with control characters", row);
     versioned.version = base::number_from<std::uint64_t>(row.at(1));
     server.service = row.at(2).get<std::string>();
     server.where = {
--- a/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
+++ b/libs/mintknotd-platform/scheduling/tests/test_messages.cpp
@@ -201,6 +201,18 @@
     cr_assert(got.value.phase == engine.phase);
 }
 
+// The ID stands in a field of requests: a line end in it added fields to them.
+Test(scheduling_messages, an_id_with_control_characters_is_rejected) {
+    for (const char* id : {"d\r\nX: y", "d\n", "\t"}) {
+        placement_answer sent{9, true, {"d", "", 0.0}};
+        traffic::server engine;
+        engine.id = id;
+        engine.where = {"10.0.0.1", 8080};
+        sent.servers = {{engine, 41}};
+        cr_assert(!decode(encode(sent)).ok());
+    }
+}
+
 // Guards against times that are lost on the way, and against a new element for
 // receivers of groups that do not share capacity.
 Test(scheduling_messages, times_of_plain_calls_round_trip) {
