--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Start, readiness, metrics and shutdown of an instance.
+/// Start, readiness and shutdown of an instance.
 
 #include "instance_impl.hpp"
 
@@ -23,9 +23,6 @@
 /// Interruptions longer than this are logged.
 constexpr base::milliseconds logged_interruption{500};
 
-/// Value of a gauge for an age that is not known yet.
-constexpr double never_confirmed = -1.0;
-
 /// Delay before the store is first read if all instances start together and no
 /// request arrives for some seconds. After it, most instances of a very large
 /// group know that others read the store for them.
@@ -41,14 +38,6 @@
     return settings.first_start ? first_start_read_delay : restart_read_delay;
 }
 
-double seconds_or_never(std::optional<base::microseconds> age) {
-    return age ? std::chrono::duration<double>(*age).count() : never_confirmed;
-}
-
-double gauge(std::uint64_t count) {
-    return static_cast<double>(count);
-}
-
 } // namespace
 
 bool instance::impl::ready() const {
@@ -66,68 +55,6 @@
     return {503, "text/plain", "not ready\n"};
 }
 
-relay::local_answer instance::impl::metrics_answer() {
-    const std::uint64_t version =
-        context.state.config == nullptr ? 0 : context.state.config->version;
-    const std::chrono::duration<double> silence = documents.silence();
-    const policy::instance_delays delays = context.monitor.delays();
-    const std::pair<const char*, double> gauges[] = {
-        {"ready", ready() ? 1.0 : 0.0},
-        {"open_requests", gauge(context.state.open_requests)},
-        {"caller_connections", gauge(entry.connections())},
-        {"idle_upstream_connections", gauge(pool.idle_total())},
-        {"upstream_connections_opened", gauge(pool.counters().opened)},
-        {"upstream_connections_failed", gauge(pool.counters().failed)},
-        {"upstream_connections_refused", gauge(pool.counters().refused)},
-        {"tunnels_opened", gauge(connector.counters().tunnels_opened)},
-        {"tunnels_failed", gauge(connector.counters().tunnels_failed)},
-        {"tunnels_served", gauge(tunnels.counters().served)},
-        {"tunnels_rejected", gauge(tunnels.counters().rejected)},
-        {"tunnels_open", gauge(tunnels.open())},
-        {"isolated", policy::is_isolated(context.state.paths, ports.loop.now())
-                         ? 1.0
-                         : 0.0},
-        {"peers", gauge(group.table().heard.size())},
-        {"closed_data_centres",
-         gauge(context.state.servers.closed_data_centres.size())},
-        {"group_instances", gauge(context.state.instances)},
-        {"group_role",
-         gauge(static_cast<std::uint64_t>(members_of_fleet.role()))},
-        {"store_silence_seconds", silence.count()},
-        {"configuration_version", gauge(version)},
-        {"repeats_lent", static_cast<double>(lending.lent())},
-        {"repeats_borrowed", static_cast<double>(lending.borrowed())},
-        {"usage_granted", gauge(accounts.counters().granted)},
-        {"usage_refused", gauge(accounts.counters().refused)},
-        {"usage_granted_by_deputies",
-         gauge(accounts.counters().granted_by_deputies)},
-        {"usage_granted_alone", gauge(accounts.counters().granted_alone)},
-        {"limited_servers",
-         gauge(policy::count_limited_servers(context.state.health.limits))},
-        {"blocked_requests", gauge(crashes.blocked())},
-        {"blocked_parts", gauge(crashes.blocked_parts())},
-        {"servers_ended", gauge(crashes.servers_ended())},
-        {"stream_origins", gauge(origins.table().by_stream.size())},
-        {"stream_origins_evicted", gauge(origins.table().evicted)},
-        {"stream_origins_told", gauge(origins.counters().told)},
-        {"stream_origins_asked", gauge(origins.counters().asked)},
-        {"stream_origins_answered", gauge(origins.counters().answered)},
-        {"configuration_age_seconds",
-         seconds_or_never(relay::configuration_freshness_of(context).age)},
-        {"servers_age_seconds",
-         seconds_or_never(relay::server_table_age(context))},
-        {"overloaded", shedder.overloaded() ? 1.0 : 0.0},
-        {"shed_share", shedder.share()},
-        {"refusing_connections", shedder.refusing() ? 1.0 : 0.0},
-        {"standing_loop_delay_seconds", seconds_or_never(delays.loop)},
-        {"standing_connect_delay_seconds", seconds_or_never(delays.connect)},
-        {"longest_loop_delay_seconds", seconds_or_never(longest_delay)},
-        {"log_lines_left_out", gauge(log.left_out())}};
-    for (const auto& [name, value] : gauges)
-        metrics.set_gauge(name, value);
-    return {200, "text/plain; version=0.0.4", metrics.text()};
-}
-
 absl::Status instance::impl::open_addresses() {
     absl::Status status = readiness.open(settings.readiness);
     if (status.ok())
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -29,7 +29,8 @@
 
 /// Members are declared in the order of their dependencies. Construction and
 /// callbacks are in instance_wiring.cpp, the role in the group in
-/// instance_group.cpp, start and shutdown in instance.cpp.
+/// instance_group.cpp, start and shutdown in instance.cpp, the metrics in
+/// instance_metrics.cpp.
 struct instance::impl {
     impl(instance_settings given, instance_ports outside);
     upstream::connect_function connect_to_servers();
@@ -94,6 +95,12 @@
     bool ready() const;
     relay::local_answer readiness_answer() const;
     relay::local_answer metrics_answer();
+    void set_connection_gauges();
+    void set_group_gauges();
+    void set_document_gauges();
+    void set_limit_gauges();
+    void set_crash_gauges();
+    void set_overload_gauges();
     absl::Status open_addresses();
     void on_signal(int number);
     void take(const instance_settings& fresh, std::string_view cause);
