--- a/testing/soak/tests/test_row_views.cpp
+++ b/testing/soak/tests/test_row_views.cpp
@@ -7,6 +7,7 @@
 
 #include <fstream>
 
+using namespace mintknot;
 using namespace mintknot::soak;
 using nlohmann::json;
 
