--- a/testing/fuzz/tests/test_peer_messages.cpp
+++ b/testing/fuzz/tests/test_peer_messages.cpp
@@ -1,6 +1,7 @@
 #include "crash_messages.hpp"
 #include "demand_report.hpp"
 #include "document_mutator.hpp"
+#include "draw_settings.hpp"
 #include "limit_messages.hpp"
 #include "loan_messages.hpp"
 #include "origin_messages.hpp"
@@ -24,8 +25,7 @@
 
 namespace {
 
-constexpr std::uint64_t seed = 1;
-constexpr int draws_of_a_message = 500;
+constexpr int usual_draws_of_a_message = 500;
 
 /// Reads a message and, where it is one, writes it again.
 /// @return true if it is one.
@@ -116,10 +116,11 @@
 // Any sender could end a process, by a number, a size or the depth of a
 // message.
 Test(peer_messages, no_message_ends_the_process_that_reads_it) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws_of_a_message);
     int taken = 0;
     for (const sample& each : samples())
-        for (int i = 0; i < draws_of_a_message; ++i)
+        for (int i = 0; i < draws; ++i)
             taken +=
                 each.read(mutator.draw_message(json::parse(each.text))) ? 1 : 0;
     cr_assert(taken > 0);
--- a/testing/fuzz/tests/test_platform_texts.cpp
+++ b/testing/fuzz/tests/test_platform_texts.cpp
@@ -1,5 +1,6 @@
 #include "document_mutator.hpp"
 #include "documents.hpp"
+#include "draw_settings.hpp"
 #include "names.hpp"
 #include "protocol.hpp"
 #include "settings_file.hpp"
@@ -19,8 +20,7 @@
 
 namespace {
 
-constexpr std::uint64_t seed = 1;
-constexpr int draws = 2000;
+constexpr int usual_draws = 2000;
 
 json parse(const char* text) {
     return json::parse(text);
@@ -80,7 +80,8 @@
 
 // A row with 1e999, or nested deeply, ended every process that read it.
 Test(platform_texts, no_row_of_another_writer_ends_the_process) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws);
     const documents codec;
     int taken = 0;
     for (int i = 0; i < draws; ++i) {
@@ -95,7 +96,8 @@
 }
 
 Test(platform_texts, no_configuration_ends_the_process) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws);
     const documents codec;
     int taken = 0;
     for (int i = 0; i < draws; ++i) {
@@ -118,7 +120,8 @@
 }
 
 Test(platform_texts, no_answer_of_the_store_ends_the_process) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws);
     for (int i = 0; i < draws; ++i) {
         const std::string body = mutator.draw_text(rows_answer);
         const row_page page =
@@ -131,7 +134,8 @@
 }
 
 Test(platform_texts, no_answer_of_an_engine_ends_the_process) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws);
     const protocol codec;
     for (int i = 0; i < draws; ++i) {
         codec.read_report(mutator.draw_text(report));
@@ -142,7 +146,8 @@
 }
 
 Test(platform_texts, no_header_value_ends_the_process) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws);
     const protocol codec;
     for (int i = 0; i < draws; ++i) {
         http1::request_head asked;
@@ -165,7 +170,8 @@
 }
 
 Test(platform_texts, no_settings_end_the_process) {
-    fuzz::document_mutator mutator(seed);
+    fuzz::document_mutator mutator(fuzz::seed());
+    const int draws = fuzz::draws(usual_draws);
     for (int i = 0; i < draws; ++i) {
         std::string text = "node=a\nzone=z\nip=127.0.0.1\n"
                            "listen.front=127.0.0.1:1\n"
