A leaf forgets the rows of servers that it does not follow

Seen once before, at a leaf, and not traced.

Cause: an orphan, taken for flat, is told its former rows again until it has read the store. If it joins as a leaf before that, the rows stayed: they were forgotten only where the table was complete. The leaf then chose servers alone, by rows that nothing refreshed.

Change: document_sync has its owner forget the servers whenever it stops to follow them, caught up or not.

--- a/libs/mintknotd-platform/runtime/src/document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.cpp
@@ -200,12 +200,19 @@
 
 void document_sync::set_scope(document_scope scope) {
     const bool changed = scope != std::exchange(scope_, scope);
+    if (changed && scope == document_scope::configuration)
+        stop_following_servers();
     if (!reading_)
         start_reading();
     else if (changed && scope == document_scope::everything)
         resume_following_servers();
-    else if (changed)
-        server_reader_.stop();
+}
+
+/// What was told again for a reader that has not caught up goes too.
+void document_sync::stop_following_servers() {
+    server_reader_.stop();
+    if (handlers_.on_servers_forgotten)
+        handlers_.on_servers_forgotten();
 }
 
 /// The table from before the pause may be outdated. It is used again once the
--- a/libs/mintknotd-platform/runtime/src/document_sync.hpp
+++ b/libs/mintknotd-platform/runtime/src/document_sync.hpp
@@ -60,6 +60,8 @@
         on_closure{};
     /// See state::replica_handlers.
     std::function<void(const std::string& id)> on_draining{};
+    /// The servers told of so far are not followed any longer.
+    std::function<void()> on_servers_forgotten{};
 };
 
 /// Which collections an instance reads.
@@ -123,6 +125,7 @@
     void on_server_position();
     void start_reading();
     void resume_following_servers();
+    void stop_following_servers();
     relay::local_answer snapshot(const std::vector<state::collection>& parts);
 
     event::loop& owner_;
--- a/libs/mintknotd-platform/runtime/src/instance_group.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_group.cpp
@@ -180,10 +180,6 @@
     case policy::group_role::leaf:
         group.follow(value.super_peers, value.instances);
         documents.set_scope(document_scope::configuration);
-        if (!context.state.servers.partial) {
-            traffic::become_partial(context.state.servers);
-            context.state.versions = {};
-        }
         break;
     }
     update_group_size();
@@ -193,6 +189,11 @@
     context.state.servers.partial = false;
 }
 
+void instance::impl::on_servers_forgotten() {
+    traffic::become_partial(context.state.servers);
+    context.state.versions = {};
+}
+
 void instance::impl::update_group_size() {
     context.state.instances =
         policy::assumed_instances(peers::instances(group.table()));
--- a/libs/mintknotd-platform/runtime/src/instance_impl.hpp
+++ b/libs/mintknotd-platform/runtime/src/instance_impl.hpp
@@ -80,6 +80,7 @@
     peers::membership_handlers membership_functions();
     void on_roster(policy::group_role role, const peers::roster& value);
     void on_servers_known();
+    void on_servers_forgotten();
     /// Adapts to the size of the group. Called when it may have changed.
     void update_group_size();
     peers::heartbeat describe_here();
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -172,7 +172,8 @@
             if (traffic::note_leaving(context.state.servers, id))
                 log.write(
                     "server_leaving", {{"server", id}, {"source", "snapshot"}});
-        }};
+        },
+        [this] { on_servers_forgotten(); }};
 }
 
 void instance::impl::on_server(
--- a/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
+++ b/libs/mintknotd-platform/runtime/tests/test_document_sync.cpp
@@ -53,7 +53,8 @@
                base::milliseconds{2000},
                [] { return policy::store_access{}; }},
               {[](auto) {}, [this](auto&, auto, auto) { ++servers; },
-               [this] { return servers; }}) {
+               [this] { return servers; }, nullptr, nullptr, nullptr, nullptr,
+               nullptr, [this] { servers = 0; }}) {
         documents.start(base::milliseconds{0});
         owner.run();
     }
@@ -94,3 +95,26 @@
     cr_assert(f.status_of(snapshot_path) == 503);
     cr_assert(f.status_of("/") == 404);
 }
+
+// An instance that became one without rows again, before it had caught up, kept
+// the old rows, and sent requests to servers that had left since.
+Test(document_sync, rows_that_are_not_followed_are_forgotten) {
+    fixture f;
+    f.documents.set_scope(document_scope::configuration);
+    cr_assert(f.servers == 0);
+    f.documents.set_scope(document_scope::everything);
+    cr_assert(f.servers == 2000);
+    cr_assert(!f.documents.knows_servers());
+    f.documents.set_scope(document_scope::configuration);
+    cr_assert(f.servers == 0);
+}
+
+Test(document_sync, a_scope_that_is_told_again_forgets_nothing) {
+    fixture f;
+    f.documents.set_scope(document_scope::everything);
+    cr_assert(f.servers == 2000);
+    f.documents.set_scope(document_scope::configuration);
+    f.servers = 1; // Named by a scheduler since.
+    f.documents.set_scope(document_scope::configuration);
+    cr_assert(f.servers == 1);
+}
