Tests of answers without length share their head

Cause: test_answer_ends and test_answer_framing each wrote the head of an answer with neither a length nor chunks, found when the whole change was read again; test_caller_closes included a header that it does not use.

Change: head_without_length stands in server_scripts, and both call it. The bytes and all assertions are as they were.

--- a/libs/mintknotd-platform/relay/tests/server_scripts.cpp
+++ b/libs/mintknotd-platform/relay/tests/server_scripts.cpp
@@ -27,6 +27,12 @@
         to.field("Id"));
 }
 
+std::string
+head_without_length(const received_request& to, const std::string& type) {
+    return "HTTP/1.1 200 X\r\nId: " + to.field("Id") +
+           "\r\nSeal: s\r\nContent-Type: " + type + "\r\n\r\n";
+}
+
 std::string event_text(int id) {
     return fmt::format("id: {}\ndata: token {}\n\n", id, id);
 }
--- a/libs/mintknotd-platform/relay/tests/server_scripts.hpp
+++ b/libs/mintknotd-platform/relay/tests/server_scripts.hpp
@@ -20,6 +20,9 @@
 /// @return a decode engine that streams the events 1 to 3, or those after the
 /// event to resume from.
 script good_decode();
+/// @return the head of an answer that has neither a length nor chunks.
+std::string
+head_without_length(const received_request& to, const std::string& type);
 /// @return the text of the event with the given ID.
 std::string event_text(int id);
 /// @return the head of an event stream that answers the request.
--- a/libs/mintknotd-platform/relay/tests/test_answer_ends.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_answer_ends.cpp
@@ -30,12 +30,6 @@
     int answers = 0;
 };
 
-std::string
-head_without_length(const received_request& to, const std::string& type) {
-    return "HTTP/1.1 200 X\r\nId: " + to.field("Id") +
-           "\r\nSeal: s\r\nContent-Type: " + type + "\r\n\r\n";
-}
-
 /// A server that writes and ends: it answers nothing more.
 class ending_server {
 public:
--- a/libs/mintknotd-platform/relay/tests/test_answer_framing.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_answer_framing.cpp
@@ -15,9 +15,7 @@
 script until_close(const std::string& type, const std::string& body) {
     return [type, body](
                const received_request& to, const event::connection_ptr& link) {
-        link->write(
-            "HTTP/1.1 200 X\r\nId: " + to.field("Id") +
-            "\r\nSeal: s\r\nContent-Type: " + type + "\r\n\r\n" + body);
+        link->write(head_without_length(to, type) + body);
         link->close();
     };
 }
--- a/libs/mintknotd-platform/relay/tests/test_caller_closes.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_caller_closes.cpp
@@ -5,7 +5,6 @@
 #include "logged_fixture.hpp"
 
 #include <mintknot/http1/serialize.hpp>
-#include <mintknot/relay/load_shedder.hpp>
 
 #include <criterion/criterion.h>
 
