--- a/review/standins-2/review_tool.cc
+++ b/review/standins-2/review_tool.cc
@@ -271,6 +271,7 @@
 struct server_options {
     string host, id, phase, ledger;
     string version = "v1"; // Of its software; told in its events.
+    string crash_part; // Of a prompt; the engine ends when it answers to it.
     int port = 0;
     string born = "0"; // Milliseconds of the time of day.
     int slots = 6;
@@ -472,7 +473,8 @@
         return sent && !closes;
     }
 
-    // Without length or chunks: the stream ends with its connection.
+    // Every stream ends with its connection, without length or chunks, or is
+    // sent in chunks.
     bool stream(
         int fd, const message& request, const string& id,
         const string& sealed) {
@@ -483,8 +485,16 @@
                     "Content-Type: text/event-stream\r\n" +
                         sealed + "\r\n"))
             return false;
+        const bool crashes =
+            !options_.crash_part.empty() &&
+            request.field("X-Mintknot-Prompt-Prefix")
+                    .find("," + options_.crash_part + ":") != string::npos;
         for (; next <= options_.events; ++next) {
             pause_for(options_.event_ms);
+            if (crashes && next > 1) {
+                note_in(options_.ledger, "crash " + id + " " + options_.id);
+                kill(getpid(), SIGKILL);
+            }
             if (!send_all(
                     fd, event_of(id, next, options_.events, options_.version)))
                 return false;
@@ -732,8 +742,16 @@
         _exit(127);
     }
 
+    // @return whether a process has ended, which is then no child any more.
+    bool has_ended(pid_t child) {
+        if (waitpid(child, nullptr, WNOHANG) != child)
+            return false;
+        children_.erase(std::find(children_.begin(), children_.end(), child));
+        return true;
+    }
+
     // With the command of deploy/system.toml.
-    pid_t start_instance(int number, int count) {
+    pid_t start_instance(int number, int count, bool first = true) {
         const string path = temporary_ + "/boot-" + std::to_string(number);
         std::ofstream file(path);
         const string ip = host(10 + number);
@@ -747,7 +765,8 @@
              << ":8144\nport_range=7380,7395\nseeds=";
         for (int zone = 1; zone <= count; ++zone)
             file << (zone == 1 ? "" : ",") << host(10 + zone) << ":8144";
-        file << "\nbootstrap=true\nin_fault_domain=false\n"
+        file << "\nbootstrap=" << (first ? "true" : "false")
+             << "\nin_fault_domain=false\n"
                 "limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\n"
                 "limits.max_fds=4100\nlimits.link_mbps=1000.0\n"
                 "limits.disk_mb=0\ndiscovery=platform\nentry=vip\n"
@@ -955,6 +974,7 @@
         options.ledger = given["--ledger"];
         if (given.count("--version") > 0)
             options.version = given["--version"];
+        options.crash_part = given["--crash-part"];
         options.slots = number("--slots", options.slots);
         options.work_ms = number("--work", options.work_ms);
         options.events = number("--events", 0);
