A request that has run is not refused while the end of its answer is checked

Cause: an answer without length counts once its server has answered a health check. The call is dropped before the check and the verdict was raised behind it; a deadline in between found no call that may be running, and `not_run` becomes 503.

The verdict is raised at the head now: every head that is no rejection says that the request may have run. Retries that are decided later see it too.

--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -89,6 +89,9 @@
     placement_.reset();
     answer_ = head;
     answer_metadata_ = context_.protocol.read_answer(head);
+    // Only a rejection promises that the request has not run.
+    if (end_of_answer() != policy::call_end::rejected)
+        raise_verdict(base::verdict::may_have_run);
 }
 
 void plain_exchange::on_body(std::string_view piece) {
--- a/libs/mintknotd-platform/relay/tests/test_answer_ends.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_answer_ends.cpp
@@ -48,6 +48,16 @@
     bool ended_ = false;
 };
 
+/// A server that answers requests, but no health check.
+script answering_no_check() {
+    return [](const received_request& to, const event::connection_ptr& link) {
+        if (to.head.method == "GET")
+            return;
+        link->write(head_without_length(to, "text") + "abc");
+        link->close();
+    };
+}
+
 struct fixture {
     fixture() { f.context.crashes = &guard; }
     caller_view ask_for_stream(const std::string& written) {
@@ -114,3 +124,12 @@
     f.f.run_until([&] { return f.f.context.state.open_requests == 0; });
     cr_assert(f.f.context.state.loads.own.empty());
 }
+
+// A request that had run was answered 503 if its deadline passed meanwhile.
+Test(answer_ends, a_deadline_during_the_check_promises_nothing) {
+    fixture f;
+    f.f.add_server("s", "app", plain, answering_no_check());
+    const caller_view seen =
+        f.f.ask(request("/unsafe/x", "Id: r1\r\nDeadline: 400\r\n"));
+    cr_assert(seen.status == 504);
+}
