What a request has used is not refunded because its caller left

An organisation whose callers closed their connections while a server worked on their requests got back what these had used, and the `finished` line of such a request said that it had not run.

Both ends, the deadline and the caller's leaving, note the running calls first now.

`organisations::request_that_may_run_on_is_not_refunded` failed on the code before.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -223,6 +223,9 @@
     /// @return false if the request is blocked; the exchange has then ended.
     bool ensure_not_blocked();
     void on_deadline();
+    /// Raises the verdict if a call that is about to be cancelled may be
+    /// running the request.
+    void note_running_calls();
     void on_origin(const origin_answer& answer);
     void log_taken_up(const origin_answer& answer) const;
     void request_usage();
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -130,13 +130,13 @@
 void exchange::on_caller_disconnected() {
     if (finished_)
         return;
+    note_running_calls();
     cancel_calls();
     finish("caller_left");
 }
 
 void exchange::on_deadline() {
-    if (may_be_running())
-        raise_verdict(base::verdict::may_have_run);
+    note_running_calls();
     cancel_calls();
     if (attempts_.answer_begun)
         abort_answer("deadline_passed");
@@ -144,6 +144,11 @@
         give_up("deadline_passed");
 }
 
+void exchange::note_running_calls() {
+    if (may_be_running())
+        raise_verdict(base::verdict::may_have_run);
+}
+
 base::milliseconds exchange::caller_deadline() const {
     return request_.terms.deadline.value_or(default_deadline);
 }
--- a/libs/mintknotd-platform/relay/tests/test_organisations.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_organisations.cpp
@@ -216,6 +216,17 @@
     cr_assert(f.limiter.returned == 5.0);
 }
 
+// What a request used whose caller left while it ran was refunded.
+Test(organisations, request_that_may_run_on_is_not_refunded) {
+    fixture f;
+    scripted_server& server = f.add_server("i", "app", plain, silent());
+    f.ask(request("/unsafe/1", known_key_fields), [&] {
+        return !server.requests.empty();
+    });
+    f.run_until([&] { return f.context.state.open_requests == 0; });
+    cr_assert(f.limiter.returned == 0.0);
+}
+
 Test(organisations, organisation_without_a_limit_needs_no_grant) {
     fixture f;
     f.add_server("i", "app", plain, answering_x());
