A busy server's whole answer is not dropped for want of a health check

Callers got 502 or 504 for answers that were there: an answer without length counts only once its server has answered a health check, and a check waits for a slot like a request. Each check was dropped after 0.3 s, and its place in the queue with it, so that a queue of more than that never let one through; after six of them the answer counted as cut.

Now a check stays open until the time is over (1.8 s in all, as before), beside at most two later ones on new connections, as a kept one may be dead. And an answer to any call that was sent to the server after the end tells as much, at no call: the pool tells when one comes. Bytes that were on their way do not count, only answers to calls sent since.

`end_checks::an_answer_to_a_later_request_shows_that_the_server_lives` (504 before) and `end_checks::a_check_waits_in_the_queue_of_a_busy_server` (502 before) failed on the code before.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -6,7 +6,6 @@
 #include <mintknot/base/verdict.hpp>
 #include <mintknot/event/loop.hpp>
 #include <mintknot/policy/attempts.hpp>
-#include <mintknot/relay/liveness_check.hpp>
 #include <mintknot/relay/router_state.hpp>
 #include <mintknot/upstream/call.hpp>
 
@@ -18,6 +17,8 @@
 
 namespace mintknot::relay {
 
+class end_check;
+
 /// A caller's request whose body has been received completely.
 struct caller_request {
     http1::request_head head;
@@ -162,12 +163,11 @@
     /// ends by design.
     bool may_be_cut(
         const http1::response_head& answer, const std::string& server_id) const;
-    /// Asks a server for which may_be_cut() holds whether it lives; again, for
-    /// some seconds, while it does not answer.
-    /// @param then told that the answer is whole if the server has answered.
-    /// Not called from within this function, nor once end_check_ is reset.
+    /// Finds out whether a server for which may_be_cut() holds lives.
+    /// @param then told that the answer is whole if the server lives. Not
+    /// called from within this function, nor once end_check_ is reset.
     void check_end(
-        const std::string& server_id, std::function<void(bool whole)> then);
+        const upstream::target& server, std::function<void(bool whole)> then);
 
     /// Reports that a server goes on writing the answer.
     void record_sound() const;
@@ -202,7 +202,7 @@
     base::verdict verdict_ = base::verdict::not_run;
     policy::attempts attempts_;
     bool finished_ = false;
-    std::unique_ptr<liveness_check> end_check_; ///< Null: none is under way.
+    std::unique_ptr<end_check> end_check_; ///< Null: none is under way.
     int sends_ = 0; ///< Number of calls that may have reached a server.
     /// Software version at which the stream goes on; empty text: unknown, and
     /// then nowhere. Nothing: the stream has not begun.
@@ -211,11 +211,6 @@
     base::milliseconds longest_gap_{0};
 
 private:
-    void start_end_check(
-        const upstream::target& server, std::function<void(bool whole)> then);
-    void finish_end_check(
-        const std::string& server_id, liveness_verdict found,
-        const std::function<void(bool whole)>& then);
     /// Checks that the key still belongs to the same organisation, unless the
     /// request may have run already.
     /// @return false if it does not; the exchange has then ended.
@@ -245,7 +240,6 @@
     request_identity identity_;
     event::timer deadline_timer_;
     base::steady_time deadline_;
-    int end_checks_left_ = 0; ///< Of the answer at hand.
     std::unique_ptr<usage_ticket> usage_ticket_;
     std::unique_ptr<ticket> origin_ticket_;
     usage_grant usage_;
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -1,5 +1,6 @@
 #include <mintknot/relay/exchange.hpp>
 
+#include "end_check.hpp"
 #include "generation_exchange.hpp"
 #include "plain_exchange.hpp"
 
@@ -137,6 +138,8 @@
 
 void exchange::on_deadline() {
     note_running_calls();
+    if (end_check_ != nullptr)
+        context_.log.write("end_unchecked", {{"request", request_.terms.id}});
     cancel_calls();
     if (attempts_.answer_begun)
         abort_answer("deadline_passed");
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -103,9 +103,10 @@
         overlap_timer_.start(
             policy::silent_call_overlap, [this] { drop_silent_call("left"); });
     decode_.number = ++decode_calls_;
+    decode_.target = {engine.id, engine.where, request_.terms.id};
     decode_.call = upstream::call::start(
-        context_.pool, {engine.id, engine.where, request_.terms.id},
-        call_for(options), {}, handlers_of_call(decode_.number));
+        context_.pool, decode_.target, call_for(options), {},
+        handlers_of_call(decode_.number));
 }
 
 void generation_exchange::watch_silence() {
@@ -225,7 +226,7 @@
     }
     decode_.call.reset();
     if (decode_.streaming && may_be_cut(decode_.answer, decode_.server)) {
-        check_end(decode_.server, [this](bool whole) {
+        check_end(decode_.target, [this](bool whole) {
             if (whole)
                 finish_stream();
             else
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -51,9 +51,10 @@
     /// State of a decode call.
     struct decode_state {
         std::unique_ptr<upstream::call> call;
-        int number = 0;      ///< Of the call, counted from 1 in this exchange.
-        std::string server;  ///< Where memory is reserved; empty if nowhere.
-        std::string version; ///< Of the engine that was called last.
+        int number = 0;     ///< Of the call, counted from 1 in this exchange.
+        std::string server; ///< Where memory is reserved; empty if nowhere.
+        upstream::target target; ///< Where the last call was sent.
+        std::string version;     ///< Of the engine that was called last.
         double reserved_tokens = 0.0;
         base::steady_time placed_at;
         base::steady_time started_at;
--- a/libs/mintknotd-platform/relay/src/generation_silence.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_silence.cpp
@@ -2,6 +2,7 @@
 /// A decode call whose engine has fallen silent: it stays open while the
 /// request looks for another engine.
 
+#include "end_check.hpp"
 #include "generation_exchange.hpp"
 
 #include <mintknot/policy/timeouts.hpp>
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -1,6 +1,7 @@
 #include "plain_exchange.hpp"
 
 #include "answer_status.hpp"
+#include "end_check.hpp"
 
 #include <mintknot/policy/timeouts.hpp>
 #include <mintknot/relay/server_notices.hpp>
@@ -70,9 +71,9 @@
     answer_metadata_ = {};
     body_.clear();
     log_sent(placed);
+    target_ = {server.id, server.where, request_.terms.id};
     call_ = upstream::call::start(
-        context_.pool, {server.id, server.where, request_.terms.id},
-        call_for(call_options_for(server)), {},
+        context_.pool, target_, call_for(call_options_for(server)), {},
         {[this](const http1::response_head& head) {
              return is_answer_to_request(head);
          },
@@ -163,7 +164,7 @@
         return;
     }
     call_.reset();
-    check_end(server_, [this](bool whole) {
+    check_end(target_, [this](bool whole) {
         if (whole)
             on_answer();
         else
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -68,6 +68,7 @@
     std::unique_ptr<placement_ticket> placement_;
     std::unique_ptr<upstream::call> call_;
     std::string server_; ///< ID of the server of the current call, or empty.
+    upstream::target target_;    ///< Where the last call was sent.
     std::string server_version_; ///< Of the software of that server.
     base::steady_time sent_at_;  ///< When the current call was sent.
     /// What was expected of the current call, if that is known.
--- a/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
+++ b/libs/mintknotd-platform/upstream/include/mintknot/upstream/connection_pool.hpp
@@ -55,6 +55,12 @@
     std::uint64_t refused = 0; ///< Of these, those that were refused.
 };
 
+/// Waits for an answer of a server; see connection_pool::watch_answers().
+struct answer_watch {
+    base::steady_time since; ///< The call must have been sent later.
+    std::function<void()> then;
+};
+
 /// Keeps idle connections. One that ends or says anything while it is idle is
 /// dropped: bytes that nobody asked for belong to no request.
 class connection_pool {
@@ -97,6 +103,15 @@
     /// empty if it has not within the last seconds, or was dropped since.
     std::optional<base::steady_time> last_heard(const std::string& id) const;
 
+    /// Notes that a server has answered a call that was sent to it then.
+    void note_answered(const std::string& id, base::steady_time sent);
+    /// Has the next answer of a server told that belongs to a call sent from
+    /// now on: the server has lived until it read that call.
+    /// @param then called at most once, from the loop, and not after the result
+    /// was destroyed.
+    std::shared_ptr<const answer_watch>
+    watch_answers(const std::string& id, std::function<void()> then);
+
     /// @return servers with idle connections, in no order.
     std::vector<std::string> idle_servers() const;
     std::size_t idle(const std::string& id) const;
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -105,6 +105,7 @@
              nullptr});
         new_parser();
         was_sent = true;
+        sent_at = pool.owner().now();
         const std::string_view body =
             request.body == nullptr ? std::string_view{} : *request.body;
         link->write(http1::serialize(request.head, body));
@@ -167,6 +168,7 @@
             return true;
         }
         without_progress = 0;
+        pool.note_answered(where.id, sent_at);
         handlers.on_head(head);
         return !finished;
     }
@@ -266,6 +268,7 @@
     bool skipping = false; ///< The answer at hand is not for this call.
     bool reusable = true;
     bool was_sent = false;
+    base::steady_time sent_at{};
     bool finished = false;
 };
 
--- a/libs/mintknotd-platform/upstream/src/connection_pool.cpp
+++ b/libs/mintknotd-platform/upstream/src/connection_pool.cpp
@@ -60,7 +60,9 @@
         std::erase_if(heard, [now](const auto& entry) {
             return entry.second + heard_lifetime <= now;
         });
-        if (total > 0 || !heard.empty())
+        std::erase_if(
+            watches, [](const auto& entry) { return entry.second.expired(); });
+        if (total > 0 || !heard.empty() || !watches.empty())
             sweep_timer.start(sweep_period, [this] { sweep(); });
     }
 
@@ -69,6 +71,8 @@
     event::timer sweep_timer;
     std::unordered_map<std::string, std::list<idle_connection>> idle;
     std::unordered_map<std::string, base::steady_time> heard;
+    std::unordered_multimap<std::string, std::weak_ptr<const answer_watch>>
+        watches;
     std::size_t total = 0;
     std::function<void(const std::string&, const http1::response_head&)>
         observer;
@@ -170,6 +174,32 @@
     return found->second;
 }
 
+void connection_pool::note_answered(
+    const std::string& id, base::steady_time sent) {
+    const auto [begin, end] = impl_->watches.equal_range(id);
+    for (auto it = begin; it != end;) {
+        const std::shared_ptr<const answer_watch> watch = it->second.lock();
+        if (watch != nullptr && sent <= watch->since) {
+            ++it;
+            continue;
+        }
+        impl_->owner.post([told = it->second] {
+            if (const auto waiting = told.lock())
+                waiting->then();
+        });
+        it = impl_->watches.erase(it);
+    }
+}
+
+std::shared_ptr<const answer_watch> connection_pool::watch_answers(
+    const std::string& id, std::function<void()> then) {
+    auto watch = std::make_shared<const answer_watch>(
+        answer_watch{impl_->owner.now(), std::move(then)});
+    impl_->watches.emplace(id, watch);
+    impl_->start_sweeps();
+    return watch;
+}
+
 std::vector<std::string> connection_pool::idle_servers() const {
     std::vector<std::string> ids;
     for (const auto& [id, connections] : impl_->idle)
