A server that answers at another one's address does not vouch for it

An address may pass on to another server, which answers 421 to what is not for it. Liveness checks took any answer for a sign of life, so that a server that had ended counted as alive, for the end of its answers and for the requests that had crashed it.

`liveness_check::an_answer_of_another_server_means_ended` failed on the code before. Found by reading, for the checks of answers that end with their connection.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/liveness_check.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/liveness_check.hpp
@@ -14,8 +14,9 @@
 
 /// Result of a liveness check.
 enum class liveness_verdict {
-    alive,  ///< The server has answered, whatever the status.
-    ended,  ///< Twice the connection was refused or closed without an answer.
+    alive,  ///< The server has answered, whatever the status but 421.
+    ended,  ///< Twice the connection was refused or closed without an answer,
+            ///< or another server answers at its address.
     unknown ///< No answer in time, or unreachable: the network may be down.
 };
 
--- a/libs/mintknotd-platform/relay/src/liveness_check.cpp
+++ b/libs/mintknotd-platform/relay/src/liveness_check.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/relay/liveness_check.hpp>
 
+#include "answer_status.hpp"
+
 #include <utility>
 
 namespace mintknot::relay {
@@ -45,7 +47,11 @@
     call_ = upstream::call::start(
         pool_, server_, {*request_, nullptr}, options,
         {nullptr,
-         [this](http1::response_head&) { finish(liveness_verdict::alive); },
+         [this](http1::response_head& head) {
+             finish(
+                 head.status == status_misdirected ? liveness_verdict::ended
+                                                   : liveness_verdict::alive);
+         },
          [](std::string_view) {}, [] {},
          [this](upstream::call_failure why) { on_failure(why); }});
 }
--- a/libs/mintknotd-platform/relay/tests/test_liveness_check.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_liveness_check.cpp
@@ -66,3 +66,14 @@
         [](const received_request&, const event::connection_ptr&) {});
     cr_assert(check(f, "s") == liveness_verdict::unknown);
 }
+
+// Another server at its address passed for a server that had ended.
+Test(liveness_check, an_answer_of_another_server_means_ended) {
+    relay_fixture f;
+    f.add_server(
+        "s", "app", plain,
+        [](const received_request& to, const event::connection_ptr& link) {
+            link->write(answer_to(to, "", 421));
+        });
+    cr_assert(check(f, "s") == liveness_verdict::ended);
+}
