Streams that end with their engine are not closed as complete

Cause: whether the end of a connection is the end of the answer was not checked for servers that rest, leave, or have no row any more. These are the ones that end. It was left out to send no call to a server that wants none, and because a leaving server "ends by design"; but its streams are not whole by design.

Every answer that ends with its connection is checked now, with the address that the call went to. A resting server gets no call: whether it accepts a connection is asked, and its answers to others tell as much.

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -158,12 +158,8 @@
     void record_broken_call(
         const std::string& server_id, upstream::call_failure why,
         base::steady_time sent, bool answer_just_begun) const;
-    /// @return true if the answer has ended with its connection, and so
-    /// perhaps with its server: check_end() finds out. A server that leaves
-    /// ends by design.
-    bool may_be_cut(
-        const http1::response_head& answer, const std::string& server_id) const;
-    /// Finds out whether a server for which may_be_cut() holds lives.
+    /// Finds out whether a server lives whose answer has ended with its
+    /// connection, and so perhaps with the server.
     /// @param then told that the answer is whole if the server lives. Not
     /// called from within this function, nor once end_check_ is reset.
     void check_end(
--- a/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_end_check.cpp
@@ -8,20 +8,14 @@
 
 namespace mintknot::relay {
 
-bool exchange::may_be_cut(
-    const http1::response_head& answer, const std::string& server_id) const {
-    const traffic::server* server =
-        traffic::find(context_.state.servers, server_id);
-    return answer.body == http1::framing::close && server != nullptr &&
-           !traffic::leaves(context_.state.servers, *server) &&
-           !policy::rests(
-               context_.state.health.resting, server_id, context_.loop.now());
-}
-
 void exchange::check_end(
     const upstream::target& server, std::function<void(bool whole)> then) {
-    http1::request_head request =
-        context_.protocol.health_request(service_.health_path, server.id);
+    // A server that asks for rest is to get no calls.
+    std::optional<http1::request_head> request;
+    if (!policy::rests(
+            context_.state.health.resting, server.id, context_.loop.now()))
+        request =
+            context_.protocol.health_request(service_.health_path, server.id);
     end_check_ = std::make_unique<end_check>(
         context_.loop, context_.pool, server, std::move(request));
     const base::steady_time began = context_.loop.now();
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -225,7 +225,7 @@
         return;
     }
     decode_.call.reset();
-    if (decode_.streaming && may_be_cut(decode_.answer, decode_.server)) {
+    if (decode_.streaming && decode_.answer.body == http1::framing::close) {
         check_end(decode_.target, [this](bool whole) {
             if (whole)
                 finish_stream();
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -159,7 +159,8 @@
         on_failure(upstream::call_failure::ended);
         return;
     }
-    if (answer_metadata_.not_executed || !may_be_cut(answer_, server_)) {
+    if (answer_.body != http1::framing::close ||
+        end_of_answer() == policy::call_end::rejected) {
         on_answer();
         return;
     }
