What the head of an answer decides is decided at the head

Cause: an answer of over 256 KiB began to stream without the question that `end_of_answer` asks at its end; event streams had a copy of a part of it.

--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -52,6 +52,7 @@
     decode_.used_result = result_usable();
     decode_tried_.insert(decode_.server);
     decode_.started_at = context_.loop.now();
+    decode_.answer_end.reset();
     decode_.streaming = false;
     decode_.written_for = base::milliseconds{0};
     decode_.event_at.reset();
@@ -117,6 +118,10 @@
 
 void generation_exchange::on_decode_head(http1::response_head& head) {
     read_head(decode_, head);
+    if (decode_.answer_end == policy::call_end::bad_answer) {
+        on_bad_decode_head();
+        return;
+    }
     if (!decode_.streaming)
         return;
     // The decode engine has taken over the prefill result.
@@ -128,15 +133,24 @@
     decode_state& decode, const http1::response_head& head) const {
     decode.answer = head;
     decode.metadata = context_.protocol.read_answer(head);
+    decode.answer_end = end_of_answer(head.status, decode.metadata);
     decode.streaming = is_success(head.status) &&
-                       decode.metadata.has_signature &&
-                       !decode.metadata.has_content_coding;
+                       decode.answer_end == policy::call_end::answered;
+}
+
+void generation_exchange::on_bad_decode_head() {
+    silence_timer_.stop();
+    overlap_timer_.stop();
+    decode_.call.reset();
+    raise_verdict(base::verdict::may_have_run);
+    after_decode(policy::call_end::bad_answer, policy::call_result::failed);
 }
 
 void generation_exchange::on_decode_body(std::string_view piece) {
     if (!decode_.streaming) {
-        if (decode_.failure_body.size() < max_failure_bytes)
-            decode_.failure_body.append(piece);
+        decode_.failure_body.append(piece);
+        if (decode_.failure_body.size() > max_failure_bytes)
+            on_long_failure();
         return;
     }
     drop_silent_call("left");
@@ -238,18 +252,21 @@
         finish_stream();
         return;
     }
-    if (decode_.metadata.not_executed ||
-        decode_.answer.status == status_misdirected) {
+    if (decode_.answer_end == policy::call_end::rejected) {
         after_rejected_decode();
         return;
     }
     raise_verdict(base::verdict::ran);
-    const bool unusable = is_success(decode_.answer.status) ||
-                          decode_.metadata.has_content_coding;
-    after_decode(
-        unusable ? policy::call_end::bad_answer
-                 : policy::call_end::server_failure,
-        policy::call_result::failed);
+    after_decode(policy::call_end::server_failure, policy::call_result::failed);
+}
+
+void generation_exchange::on_long_failure() {
+    if (decode_.answer_end == policy::call_end::rejected) {
+        decode_.failure_body.clear();
+        on_decode_done();
+    } else {
+        on_decode_failure(upstream::call_failure::bad_answer);
+    }
 }
 
 bool generation_exchange::was_cut_inside_event() const {
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -60,6 +60,8 @@
         base::steady_time started_at;
         http1::response_head answer;
         answer_metadata metadata;
+        /// How the answer counts; nothing: it has no head yet.
+        std::optional<policy::call_end> answer_end;
         std::string failure_body;
         bool streaming = false; ///< The current answer is an event stream.
         /// For how long the current call has been seen to write events.
@@ -136,7 +138,9 @@
     /// @param ahead prompt tokens that are queued on the engine before these.
     void start_prefill(const traffic::server& engine, double ahead);
     void log_prefill() const;
+    void on_prefill_body(std::string_view piece);
     void on_prefill_done();
+    void on_unusable_prefill();
     void keep_result(const prefill_result& result);
     void record_prefill_time(base::milliseconds duration);
     void on_prefill_failure(upstream::call_failure why);
@@ -156,7 +160,11 @@
     void on_decode_head(http1::response_head& head);
     void
     read_head(decode_state& decode, const http1::response_head& head) const;
+    /// Nothing of the answer can be used, whatever follows.
+    void on_bad_decode_head();
     void on_decode_body(std::string_view piece);
+    /// An answer that is no stream is longer than what is kept of it.
+    void on_long_failure();
     void on_decode_done();
     /// @return true if the answer, which ends with its connection, has ended
     /// inside an event.
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -45,10 +45,7 @@
              prefill_.status = head.status;
              prefill_.metadata = context_.protocol.read_answer(head);
          },
-         [this](std::string_view piece) {
-             if (prefill_.body.size() < max_result_bytes)
-                 prefill_.body.append(piece);
-         },
+         [this](std::string_view piece) { on_prefill_body(piece); },
          [this] { on_prefill_done(); },
          [this](upstream::call_failure why) { on_prefill_failure(why); }});
     silence_timer_.start(policy::prefill_timeout(prefill_.expected), [this] {
@@ -80,19 +77,19 @@
     prefill_.server.clear();
 }
 
+void generation_exchange::on_prefill_body(std::string_view piece) {
+    prefill_.body.append(piece);
+    if (prefill_.body.size() > max_result_bytes)
+        on_unusable_prefill();
+}
+
 void generation_exchange::on_prefill_done() {
     const std::optional<prefill_result> result =
         is_success(prefill_.status)
             ? context_.protocol.read_prefill(prefill_.body)
             : std::nullopt;
     if (!result) {
-        const bool misdirected = prefill_.status == status_misdirected;
-        const bool rejected = prefill_.metadata.not_executed;
-        after_failed_prefill(
-            misdirected ? policy::call_result::misdirected
-            : rejected  ? policy::call_result::rejected
-                        : policy::call_result::failed,
-            rejected ? "prefill_rejected" : "prefill_failed");
+        on_unusable_prefill();
         return;
     }
     record_prefill_time(std::chrono::duration_cast<base::milliseconds>(
@@ -106,6 +103,16 @@
     start_decode();
 }
 
+void generation_exchange::on_unusable_prefill() {
+    const bool misdirected = prefill_.status == status_misdirected;
+    const bool rejected = prefill_.metadata.not_executed;
+    after_failed_prefill(
+        misdirected ? policy::call_result::misdirected
+        : rejected  ? policy::call_result::rejected
+                    : policy::call_result::failed,
+        rejected ? "prefill_rejected" : "prefill_failed");
+}
+
 void generation_exchange::record_prefill_time(base::milliseconds duration) {
     const double tokens = request_.terms.prompt_tokens;
     policy::note_prefill(
--- a/libs/mintknotd-platform/relay/src/generation_silence.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_silence.cpp
@@ -136,7 +136,9 @@
 
 void generation_exchange::on_silent_head(http1::response_head& head) {
     read_head(*silent_, head);
-    if (!silent_->streaming)
+    if (silent_->answer_end == policy::call_end::bad_answer)
+        drop_silent_call("engine_broke");
+    if (!silent_ || !silent_->streaming)
         return;
     take_back_silent_call("engine_wrote");
     raise_verdict(base::verdict::ran);
@@ -149,7 +151,7 @@
         on_decode_done();
         return;
     }
-    if (silent_->metadata.not_executed)
+    if (silent_->answer_end == policy::call_end::rejected)
         --attempts_.runs;
     drop_silent_call("engine_broke");
 }
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -69,6 +69,7 @@
     record_send();
     answer_ = {};
     answer_metadata_ = {};
+    answer_end_.reset();
     body_.clear();
     log_sent(placed);
     target_ = {server.id, server.where, request_.terms.id};
@@ -90,9 +91,12 @@
     placement_.reset();
     answer_ = head;
     answer_metadata_ = context_.protocol.read_answer(head);
+    answer_end_ = end_of_answer(head.status, answer_metadata_);
     // Only a rejection promises that the request has not run.
-    if (end_of_answer() != policy::call_end::rejected)
+    if (answer_end_ != policy::call_end::rejected)
         raise_verdict(base::verdict::may_have_run);
+    if (answer_end_ == policy::call_end::bad_answer)
+        after_call(policy::call_end::bad_answer, policy::call_result::failed);
 }
 
 void plain_exchange::on_body(std::string_view piece) {
@@ -105,9 +109,12 @@
     }
     body_.append(piece);
     const bool stream =
-        answer_metadata_.event_stream && answer_metadata_.has_signature &&
-        !answer_metadata_.has_content_coding && is_success(answer_.status);
-    if (stream || body_.size() > max_buffered_bytes)
+        answer_metadata_.event_stream && is_success(answer_.status);
+    if (!stream && body_.size() <= max_buffered_bytes)
+        return;
+    if (answer_end_ == policy::call_end::rejected)
+        on_rejection();
+    else
         start_streaming();
 }
 
@@ -143,24 +150,13 @@
         call_->resume();
 }
 
-policy::call_end plain_exchange::end_of_answer() const {
-    if (answer_metadata_.not_executed || answer_.status == status_misdirected)
-        return policy::call_end::rejected;
-    const bool lacks_signature =
-        is_success(answer_.status) && !answer_metadata_.has_signature;
-    if (answer_metadata_.has_content_coding || lacks_signature)
-        return policy::call_end::bad_answer;
-    return is_server_failure(answer_.status) ? policy::call_end::server_failure
-                                             : policy::call_end::answered;
-}
-
 void plain_exchange::on_done() {
     if (was_cut_inside_event()) {
         on_failure(upstream::call_failure::ended);
         return;
     }
     if (answer_.body != http1::framing::close ||
-        end_of_answer() == policy::call_end::rejected) {
+        answer_end_ == policy::call_end::rejected) {
         on_answer();
         return;
     }
@@ -174,36 +170,35 @@
 }
 
 void plain_exchange::on_answer() {
-    if (attempts_.answer_begun) {
-        record_service_time();
-        const std::string server = server_;
-        release_load();
-        call_.reset();
-        note_call_result(
-            context_, server, policy::call_result::good, request_.terms.id);
-        record_complete_answer();
-        end_answer("answered");
-        return;
-    }
-    const policy::call_end end = end_of_answer();
+    const policy::call_end end = *answer_end_;
     if (end == policy::call_end::rejected) {
-        --attempts_.runs;
-        ++attempts_.rejections;
-        if (context_.state.capacity_sharing)
-            policy::note_rejections(context_.state.plain_times, server_, 1);
-        after_call(
-            end, answer_.status == status_misdirected
-                     ? policy::call_result::misdirected
-                     : policy::call_result::rejected);
+        on_rejection();
         return;
     }
     raise_verdict(base::verdict::ran);
     record_complete_answer();
-    if (end == policy::call_end::answered)
+    const bool good = end == policy::call_end::answered;
+    if (good)
         record_service_time();
+    const auto result =
+        good ? policy::call_result::good : policy::call_result::failed;
+    if (attempts_.answer_begun) {
+        end_call(result);
+        end_answer("answered");
+        return;
+    }
+    after_call(end, result);
+}
+
+void plain_exchange::on_rejection() {
+    --attempts_.runs;
+    ++attempts_.rejections;
+    if (context_.state.capacity_sharing)
+        policy::note_rejections(context_.state.plain_times, server_, 1);
     after_call(
-        end, end == policy::call_end::answered ? policy::call_result::good
-                                               : policy::call_result::failed);
+        policy::call_end::rejected, answer_.status == status_misdirected
+                                        ? policy::call_result::misdirected
+                                        : policy::call_result::rejected);
 }
 
 void plain_exchange::on_failure(upstream::call_failure why) {
@@ -216,17 +211,25 @@
             policy::call_end::unreachable, policy::call_result::unreachable);
         return;
     }
+    if (answer_end_ == policy::call_end::rejected) {
+        on_rejection();
+        return;
+    }
     raise_verdict(base::verdict::may_have_run);
     record_broken_call(server_, why, sent_at_, true);
     after_call(policy::call_end::broken_off, policy::call_result::broken);
 }
 
-void plain_exchange::after_call(
-    policy::call_end end, policy::call_result result) {
+void plain_exchange::end_call(policy::call_result result) {
     const std::string server = server_;
     release_load();
     call_.reset();
     note_call_result(context_, server, result, request_.terms.id);
+}
+
+void plain_exchange::after_call(
+    policy::call_end end, policy::call_result result) {
+    end_call(result);
     apply_step(next_step(end));
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.hpp
@@ -47,6 +47,7 @@
     void on_done();
     /// The answer is whole.
     void on_answer();
+    void on_rejection();
     void on_failure(upstream::call_failure why);
     void on_silence();
     void start_streaming();
@@ -55,9 +56,9 @@
     /// inside an event.
     bool was_cut_inside_event() const;
 
-    /// @return how a complete answer counts for the choice of the next step.
-    policy::call_end end_of_answer() const;
-    /// Records how the call ended, then performs the next step.
+    /// Ends the call and records how it ended.
+    void end_call(policy::call_result result);
+    /// The same, then performs the next step.
     void after_call(policy::call_end end, policy::call_result result);
     policy::next_step next_step(policy::call_end end) const;
     void apply_step(const policy::next_step& step);
@@ -76,6 +77,8 @@
     policy::excluded_servers tried_;
     http1::response_head answer_;
     answer_metadata answer_metadata_;
+    /// How the answer counts; nothing: it has no head yet.
+    std::optional<policy::call_end> answer_end_;
     std::string body_;
     std::string last_bytes_; ///< Of a streamed answer.
     event::timer silence_timer_;
