A reset under an upload is not the end of an answer

Cause: where a write is pending, its handler runs first and takes the socket's error. Linux tells of a reset once: the read that was to tell how the connection had ended then finds an orderly end. Which handler comes first decides; in `connection::a_reset_that_a_write_has_found_is_no_orderly_end` it is always the write.

A connection remembers that a write has found a reset, and tells a broken end. A broken pipe is none: the system gives it for a connection that the other side had ended in an orderly way before. Tunnels, which pass on how a server has ended, callers, peers, the store and engines all read through this class.

What is an answer worth that ends with its connection before its request was written? Servers that answer early go on reading the rest, so one that has not is broken: it counts as cut, also through a tunnel, whose side at the peer knows what the server has not read.

Failed before: the test above, `call::a_reset_under_an_upload_is_no_end_of_an_answer`, `call::an_answer_does_not_end_before_its_request_was_written` and `tunnels::a_reset_under_an_upload_is_no_end_of_an_answer`.

--- a/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
@@ -48,6 +48,8 @@
 
     void write(std::string bytes);
     std::size_t queued_bytes() const noexcept;
+    /// @return true if everything written has been handed to the system.
+    bool wrote_everything() const noexcept;
 
     void pause_reading();
     void resume_reading();
--- a/libs/mintknotd-platform/event/src/connection.cpp
+++ b/libs/mintknotd-platform/event/src/connection.cpp
@@ -75,6 +75,10 @@
     return impl_->queued;
 }
 
+bool connection::wrote_everything() const noexcept {
+    return impl_->queued == 0 && !impl_->dropped;
+}
+
 void connection::read_next() {
     if (impl_->reading || impl_->paused || !impl_->socket.is_open())
         return;
@@ -99,9 +103,8 @@
         return;
     }
     if (code) {
-        finish(
-            code == asio::error::eof ? connection_end::orderly
-                                     : connection_end::broken);
+        const bool orderly = code == asio::error::eof && !impl_->reset_found;
+        finish(orderly ? connection_end::orderly : connection_end::broken);
         return;
     }
     if (!impl_->ended && impl_->handlers.on_data)
@@ -155,7 +158,11 @@
 void connection::write_next() {
     const boost::system::error_code code = impl_->write_ready_bytes();
     if (code && code != asio::error::would_block) {
-        // The pending read reports the end of the connection.
+        // The pending read reports the end of the connection. A broken pipe
+        // says only that the other side had ended it in an orderly way before.
+        impl_->reset_found =
+            impl_->reset_found || code != asio::error::broken_pipe;
+        impl_->dropped = true;
         impl_->queue.clear();
         impl_->queued = 0;
         return;
--- a/libs/mintknotd-platform/event/src/connection_impl.hpp
+++ b/libs/mintknotd-platform/event/src/connection_impl.hpp
@@ -32,6 +32,10 @@
     bool writing = false; ///< A wait is pending.
     bool closing = false; ///< close() was called.
     bool ended = false;   ///< No handler runs any more.
+    /// A write has found a reset. The system tells of it once only: a read
+    /// finds an orderly end after that.
+    bool reset_found = false;
+    bool dropped = false; ///< What was queued when a write failed.
     timer linger_timer;
 };
 
--- a/libs/mintknotd-platform/event/tests/test_connection.cpp
+++ b/libs/mintknotd-platform/event/tests/test_connection.cpp
@@ -163,6 +163,28 @@
     cr_assert(how == connection_end::orderly);
 }
 
+// A reset under an upload was told as an orderly end if the write found it.
+Test(connection, a_reset_that_a_write_has_found_is_no_orderly_end) {
+    pair_of_connections both;
+    connection_end how = connection_end::orderly;
+    std::string seen;
+    both.connected->set_handlers(
+        {[&](std::string_view bytes) { seen += bytes; },
+         [&](connection_end end) {
+             how = end;
+             both.owner.stop();
+         },
+         nullptr});
+    both.connected->write(std::string(16 * 1024 * 1024, 'x'));
+    cr_assert(both.connected->queued_bytes() > 0);
+    both.accepted->write("half");
+    event::timer later(both.owner);
+    later.start(base::milliseconds(20), [&] { both.accepted->reset(); });
+    both.run();
+    cr_assert(seen == "half");
+    cr_assert(how == connection_end::broken);
+}
+
 Test(connection, no_handler_runs_after_an_abort) {
     pair_of_connections both;
     bool called = false;
--- a/libs/mintknotd-platform/relay/src/tunnel_server.cpp
+++ b/libs/mintknotd-platform/relay/src/tunnel_server.cpp
@@ -55,13 +55,16 @@
                  if (to->queued_bytes() > congested_bytes)
                      from->pause_reading();
              },
-             [self = shared_from_this(), &to](event::connection_end how) {
-                 self->end(*to, how);
+             [self = shared_from_this(), &from,
+              &to](event::connection_end how) {
+                 const bool read_all = from->wrote_everything();
+                 self->end(*to, read_all ? how : event::connection_end::broken);
              },
              [self = shared_from_this(), &to] { to->resume_reading(); }});
     }
 
-    /// Ends the other side as this one has ended.
+    /// Ends the other side as this one has ended. A side that has not read all
+    /// that was sent to it has not ended in an orderly way.
     void end(event::connection& other, event::connection_end how) {
         const auto on_end = std::exchange(on_end_, nullptr);
         if (!on_end)
--- a/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
@@ -197,6 +197,32 @@
     cr_assert(*f.seen.end == event::connection_end::broken);
 }
 
+// A reset under an upload looked like the end of an answer.
+Test(tunnels, a_reset_under_an_upload_is_no_end_of_an_answer) {
+    served_tunnel f;
+    event::timer later(f.owner);
+    event::connection_ptr accepted;
+    event::listener raw(f.owner);
+    cr_assert(raw.open(
+                     {"127.0.0.1", 0},
+                     [&](const event::connection_ptr& opened) {
+                         accepted = opened;
+                         accepted->write("half");
+                         later.start(base::milliseconds(50), [&] {
+                             accepted->reset();
+                         });
+                     })
+                  .ok());
+    f.add_server("s1", "app", traffic::engine_phase::none, {});
+    traffic::server row = *traffic::find(f.context.state.servers, "s1");
+    row.where.port = raw.port();
+    traffic::apply(f.context.state.servers, "s1", 1000, row);
+    f.open("s1");
+    f.link->write(std::string(16'000'000, 'x'));
+    f.run_until([&] { return f.seen.end.has_value(); });
+    cr_assert(*f.seen.end == event::connection_end::broken);
+}
+
 // What the system does for a killed peer looked like the end of an answer.
 Test(tunnels, the_end_of_a_peer_does_not_look_like_the_end_of_an_answer) {
     served_tunnel f;
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -218,7 +218,10 @@
         if (finished)
             return;
         const std::shared_ptr<impl> self = shared_from_this();
-        if (how == event::connection_end::orderly && head_told && !skipping) {
+        // A sound server that answers early goes on reading the request.
+        const bool whole =
+            how == event::connection_end::orderly && link->wrote_everything();
+        if (whole && head_told && !skipping) {
             parser->put_end();
             if (parser->done()) {
                 succeed();
--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -279,6 +279,72 @@
     cr_assert(caller.server.connections == 2);
 }
 
+namespace {
+
+/// Answers an upload at once, without a length, with the first part of a body.
+/// @param finish ends the connection while the upload is being written.
+outcome
+answer_upload(const std::function<void(const event::connection_ptr&)>& finish) {
+    event::loop owner;
+    connection_pool pool(owner);
+    event::timer later(owner);
+    event::timer limit(owner);
+    event::connection_ptr accepted;
+    event::listener accepting(owner);
+    cr_assert(accepting
+                  .open(
+                      {"127.0.0.1", 0},
+                      [&](const event::connection_ptr& link) {
+                          accepted = link;
+                          link->write("HTTP/1.1 200 OK\r\n\r\nfirst part");
+                          later.start(base::milliseconds(30), [&] {
+                              finish(accepted);
+                          });
+                      })
+                  .ok());
+    call_request request;
+    request.head.method = "POST";
+    request.head.target = "/";
+    request.body = std::make_shared<const std::string>(16'000'000, 'x');
+    outcome seen;
+    const auto running = call::start(
+        pool, {"s", {"127.0.0.1", accepting.port()}}, std::move(request), {},
+        {nullptr,
+         [&](http1::response_head& head) { seen.status = head.status; },
+         [](std::string_view) {},
+         [&] {
+             seen.done = true;
+             owner.stop();
+         },
+         [&](call_failure why) {
+             seen.failed = true;
+             seen.why = why;
+             owner.stop();
+         }});
+    limit.start(test_limit, [&] { owner.stop(); });
+    owner.run();
+    return seen;
+}
+
+} // namespace
+
+// The part of an answer that a reset under an upload left passed for the whole.
+Test(call, a_reset_under_an_upload_is_no_end_of_an_answer) {
+    const outcome seen =
+        answer_upload([](const event::connection_ptr& link) { link->reset(); });
+    cr_assert(seen.status == 200);
+    cr_assert(seen.failed);
+    cr_assert(seen.why == call_failure::ended);
+}
+
+Test(call, an_answer_does_not_end_before_its_request_was_written) {
+    const outcome seen =
+        answer_upload([](const event::connection_ptr& link) { link->close(); });
+    cr_assert(seen.status == 200);
+    cr_assert(seen.failed);
+    cr_assert(seen.why == call_failure::ended);
+}
+
 Test(call, a_request_that_was_given_up_does_not_arrive_later) {
     // A request was given up while the way to its server was blocked, and
     // served elsewhere; seconds later, once the way was free, the server got it
