An answer whose status HTTP does not know is no answer

Callers got answers with status 600 and 999 as they were.

Cause: any status under 200 was interim, and none was out of bounds. The parser takes 100 to 599 only; 101 ends a call, as no request asks for another protocol. All readers of answers use this parser: calls of all kinds, tunnels' openings, the store's and peers' answers.

`response_parser::a_status_that_http_does_not_know_is_no_answer` and `call::an_answer_behind_a_bad_status_is_not_taken` failed on the code before.

Field names with a blank or a control byte did not reach callers here: the parser refuses them, and lines before the status, missing colons and folded lengths. `response_parser::a_name_that_is_none_is_no_answer` and three others passed on the code before, and keep it so.

--- a/libs/mintknotd-platform/http1/src/message_parser.cpp
+++ b/libs/mintknotd-platform/http1/src/message_parser.cpp
@@ -12,6 +12,10 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// All others mean nothing in HTTP (RFC 9110, section 15).
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 std::string_view text_of(beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -148,7 +152,9 @@
         beast::error_code&) override {}
     void on_response_impl(
         int status, beast::string_view reason, int version,
-        beast::error_code&) override {
+        beast::error_code& code) override {
+        if (status < min_status || status > max_status)
+            code = http::error::bad_status;
         head_.minor_version = version == 10 ? 0 : 1;
         head_.status = status;
         head_.reason = text_of(reason);
--- a/libs/mintknotd-platform/http1/tests/test_message_parser.cpp
+++ b/libs/mintknotd-platform/http1/tests/test_message_parser.cpp
@@ -208,3 +208,64 @@
     parser.put("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n", nullptr);
     cr_assert(parser.done());
 }
+
+namespace {
+
+/// @return the error of an answer with these first bytes of its head, whose
+/// body would be "x".
+parse_error error_of_answer(const std::string& head) {
+    response_parser parser({1024, 1024}, false);
+    parser.put(head + "Content-Length: 1\r\n\r\nx", {});
+    return parser.error();
+}
+
+} // namespace
+
+// A status of 000 counted as interim: the next answer was taken for this one.
+Test(response_parser, a_status_that_http_does_not_know_is_no_answer) {
+    for (const char* status :
+         {"000", "001", "099", "600", "999", "20", "2000", "2x0", "-20", ""})
+        cr_assert(
+            error_of_answer("HTTP/1.1 " + std::string(status) + " X\r\n") ==
+                parse_error::malformed,
+            "%s", status);
+    for (const char* status : {"200", "299", "404", "599"})
+        cr_assert(
+            error_of_answer("HTTP/1.1 " + std::string(status) + " X\r\n") ==
+                parse_error::none,
+            "%s", status);
+}
+
+// Keeps it so that a field whose name is none makes the whole answer none.
+Test(response_parser, a_name_that_is_none_is_no_answer) {
+    using namespace std::string_literals;
+    for (const std::string& line :
+         {"A b: c"s, "A\x01: c"s, "A\x7f: c"s, "A\xc3\xa9: c"s, ": c"s,
+          "A : c"s, "A\t: c"s, "A\0b: c"s, "A"s, "A: \0"s, "A: b\x02"s,
+          "A: b\x7f"s})
+        cr_assert(
+            error_of_answer("HTTP/1.1 200 X\r\n" + line + "\r\n") ==
+                parse_error::malformed,
+            "%s", line.c_str());
+}
+
+Test(response_parser, a_line_before_the_status_is_no_answer) {
+    for (const char* before : {" ", "\t", "A: b\r\n", "HTTP/1.1 200\n"})
+        cr_assert(
+            error_of_answer(std::string(before) + "HTTP/1.1 200 X\r\n") ==
+                parse_error::malformed,
+            "%s", before);
+}
+
+Test(response_parser, a_folded_length_is_no_answer) {
+    response_parser parser({1024, 1024}, false);
+    parser.put("HTTP/1.1 200 X\r\nContent-Length: 1\r\n 2\r\n\r\nx", {});
+    cr_assert(parser.error() == parse_error::malformed);
+}
+
+Test(response_parser, a_folded_value_is_one_line) {
+    response_parser parser({1024, 1024}, false);
+    parser.put("HTTP/1.1 200 X\r\nA: b\r\n c\r\n\r\n", {});
+    cr_assert(parser.has_head());
+    cr_assert(parser.head().fields.at(0).value == "b c");
+}
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -12,6 +12,7 @@
 /// Bytes that bring neither a head nor a body of the call's answer: interim
 /// answers, answers to others, extensions of chunks. More are no answer.
 constexpr std::size_t max_bytes_without_progress = 256 * 1024;
+constexpr int status_switching_protocols = 101;
 
 } // namespace
 
@@ -160,6 +161,11 @@
         head_told = true;
         http1::response_head& head = parser->head();
         pool.tell_answer(where.id, head);
+        // No request asks for another protocol: what follows is no answer.
+        if (head.status == status_switching_protocols) {
+            fail(call_failure::bad_answer);
+            return false;
+        }
         const bool informational = head.status < 200;
         if (informational || (handlers.belongs && !handlers.belongs(head))) {
             skipping = true;
--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -266,6 +266,19 @@
     cr_assert(seen.body == "x");
 }
 
+// What followed a status that HTTP does not know was taken for the answer.
+Test(call, an_answer_behind_a_bad_status_is_not_taken) {
+    for (const char* status : {"000", "099", "101", "600"}) {
+        client caller;
+        caller.server.answers = {
+            "HTTP/1.1 " + std::string(status) +
+            " X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"};
+        const outcome seen = caller.run();
+        cr_assert(seen.failed, "%s", status);
+        cr_assert(seen.why == call_failure::bad_answer, "%s", status);
+    }
+}
+
 Test(call, a_named_idle_time_of_nothing_is_heeded) {
     client caller;
     caller.server.answers = {
