Events without end do not fill an instance's memory, nor its processor

Cause: an event is held until it is whole, up to 4 MiB for each stream with no bound on the sum, and was searched from its start for each piece that came.

- The search goes on where it stopped.
- One event is bounded by the tokens that its request may get (`policy/held_answers`), 1 KiB a token and at least 64 KiB.
- All that is held of answers that are not whole (events, plain answers, prefill results, failures) has a bound together, a tenth of the memory limit; beyond it only those may grow that hold less than their part, so that one engine does not end the streams of others.
What does not fit is broken off like any bad answer and counts against its server; a plain answer is passed on from there.
- What waits for callers that read slowly, and in tunnels, follows the same bound: 128 KiB for each of 1,500 callers was more than an instance has.

`event_splitter::a_long_event_is_searched_once` had not ended after 60 s on the code before (4 MB in pieces of 100 bytes).

--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -141,6 +141,9 @@
     int priority() const;
     /// Ends the exchange with a server's complete answer.
     void deliver_answer(http1::response_head head, std::string body);
+    /// Records how much is held of an answer that is not whole yet.
+    /// @return false if that is too much beside what other requests hold.
+    bool hold(std::size_t bytes);
     void record_first_byte();
     /// Records that a call of this request is sent to a server.
     void record_send();
@@ -199,6 +202,7 @@
     policy::attempts attempts_;
     bool finished_ = false;
     std::unique_ptr<end_check> end_check_; ///< Null: none is under way.
+    std::size_t held_bytes_ = 0;           ///< See hold().
     int sends_ = 0; ///< Number of calls that may have reached a server.
     /// Software version at which the stream goes on; empty text: unknown, and
     /// then nowhere. Nothing: the stream has not begun.
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -8,6 +8,7 @@
 #include <mintknot/policy/access.hpp>
 #include <mintknot/policy/admission.hpp>
 #include <mintknot/policy/domain_admission.hpp>
+#include <mintknot/policy/held_answers.hpp>
 #include <mintknot/policy/output_lengths.hpp>
 #include <mintknot/policy/phase_demand.hpp>
 #include <mintknot/policy/retry_after.hpp>
@@ -49,6 +50,8 @@
     std::string data_centre;
     std::size_t max_callers = 1500; ///< Maximum number of open connections.
     std::size_t max_body_bytes = 24 * 1024 * 1024; ///< Over all requests.
+    /// Of answers that are not whole yet; see policy::may_hold().
+    std::size_t max_held_bytes = 12 * 1024 * 1024;
     /// See policy::configuration_freshness.
     std::optional<base::milliseconds> revocation_bound;
     /// See policy::named_server_lifetime().
@@ -119,6 +122,7 @@
     base::steady_time started{}; ///< When this instance started.
     std::size_t open_requests = 0;
     std::size_t open_body_bytes = 0;
+    policy::held_answers held_answers;
     bool stopping = false;
     base::steady_time stop_began{}; ///< Valid if `stopping`.
     base::milliseconds grace{8000}; ///< Grace period, from `stop_began`.
--- a/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
@@ -7,13 +7,6 @@
 
 namespace mintknot::relay {
 
-namespace {
-
-/// Number of unsent bytes above which reading from the server pauses.
-constexpr std::size_t congested_bytes = 128 * 1024;
-
-} // namespace
-
 void caller_session::send_complete(
     http1::response_head head, std::string body) {
     head.length = body.size();
@@ -71,7 +64,9 @@
 }
 
 bool caller_session::congested() const {
-    return link_->queued_bytes() > congested_bytes;
+    return link_->queued_bytes() >
+           policy::max_unsent_bytes(
+               context_.state.open_requests, context_.options.max_held_bytes);
 }
 
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -52,6 +52,7 @@
 
 exchange::~exchange() {
     return_usage();
+    hold(0);
     --context_.state.open_requests;
 }
 
@@ -73,6 +74,18 @@
         run_at_version();
 }
 
+bool exchange::hold(std::size_t bytes) {
+    policy::held_answers& all = context_.state.held_answers;
+    all.bytes -= held_bytes_;
+    all.answers -= held_bytes_ > 0 ? 1 : 0;
+    const bool allowed =
+        policy::may_hold(bytes, all, context_.options.max_held_bytes);
+    held_bytes_ = bytes;
+    all.bytes += bytes;
+    all.answers += bytes > 0 ? 1 : 0;
+    return allowed;
+}
+
 bool exchange::ensure_allowed() {
     return ensure_key_valid() && ensure_not_blocked();
 }
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -18,8 +18,6 @@
 
 /// Bytes kept of an answer that is not a stream, for the caller or the log.
 constexpr std::size_t max_failure_bytes = 64 * 1024;
-/// An event is held until it is whole; a longer one breaks the stream.
-constexpr std::size_t max_event_bytes = 4 * 1024 * 1024;
 /// Time between two events of a call that counts at most as time in which the
 /// engine was seen to live: events may have waited for this process.
 constexpr base::milliseconds max_progress_per_event{100};
@@ -149,7 +147,8 @@
 void generation_exchange::on_decode_body(std::string_view piece) {
     if (!decode_.streaming) {
         decode_.failure_body.append(piece);
-        if (decode_.failure_body.size() > max_failure_bytes)
+        const std::size_t held = decode_.failure_body.size();
+        if (!hold(held) || held > max_failure_bytes)
             on_long_failure();
         return;
     }
@@ -157,7 +156,9 @@
     decode_.silence_noted = false;
     watch_silence();
     forward_events(traffic::push(decode_.splitter, piece));
-    if (decode_.splitter.rest.size() > max_event_bytes)
+    const std::size_t held = decode_.splitter.rest.size();
+    if (!hold(held) ||
+        held > policy::max_event_bytes(request_.terms.max_output_tokens))
         on_decode_failure(upstream::call_failure::bad_answer);
 }
 
--- a/libs/mintknotd-platform/relay/src/generation_prefill.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_prefill.cpp
@@ -79,7 +79,8 @@
 
 void generation_exchange::on_prefill_body(std::string_view piece) {
     prefill_.body.append(piece);
-    if (prefill_.body.size() > max_result_bytes)
+    const std::size_t held = prefill_.body.size();
+    if (!hold(held) || held > max_result_bytes)
         on_unusable_prefill();
 }
 
--- a/libs/mintknotd-platform/relay/src/plain_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/plain_exchange.cpp
@@ -110,7 +110,7 @@
     body_.append(piece);
     const bool stream =
         answer_metadata_.event_stream && is_success(answer_.status);
-    if (!stream && body_.size() <= max_buffered_bytes)
+    if (hold(body_.size()) && !stream && body_.size() <= max_buffered_bytes)
         return;
     if (answer_end_ == policy::call_end::rejected)
         on_rejection();
@@ -130,6 +130,7 @@
     remember_last_bytes(body_);
     sink_.data(body_);
     body_.clear();
+    hold(0);
 }
 
 void plain_exchange::remember_last_bytes(std::string_view piece) {
--- a/libs/mintknotd-platform/relay/src/tunnel_server.cpp
+++ b/libs/mintknotd-platform/relay/src/tunnel_server.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t max_tunnels = 256;
 /// Less than what a peer waits, so that it hears the result.
 constexpr base::milliseconds connect_timeout{150};
-/// Number of unsent bytes of one side above which the other is not read.
-constexpr std::size_t congested_bytes = 64 * 1024;
 constexpr std::string_view opened_head = "HTTP/1.1 200 OK\r\n\r\n";
 
 /// Passes the bytes of two connections to each other.
@@ -25,9 +23,11 @@
 public:
     tunnel(
         event::connection_ptr peer, event::connection_ptr server,
+        std::function<std::size_t()> max_unsent,
         std::function<void(tunnel*)> on_end)
         : peer_(std::move(peer))
         , server_(std::move(server))
+        , max_unsent_(std::move(max_unsent))
         , on_end_(std::move(on_end)) {}
 
     void start() {
@@ -52,7 +52,7 @@
         from->set_handlers(
             {[self = shared_from_this(), &from, &to](std::string_view bytes) {
                  to->write(std::string(bytes));
-                 if (to->queued_bytes() > congested_bytes)
+                 if (to->queued_bytes() > self->max_unsent_())
                      from->pause_reading();
              },
              [self = shared_from_this(), &from,
@@ -78,6 +78,8 @@
 
     event::connection_ptr peer_;
     event::connection_ptr server_;
+    /// Bytes of one side above which the other is not read.
+    std::function<std::size_t()> max_unsent_;
     std::function<void(tunnel*)> on_end_; ///< Null once it has been called.
 };
 
@@ -134,6 +136,10 @@
         peer->write(std::string(opened_head));
         const auto opened = std::make_shared<tunnel>(
             peer, std::move(outcome.link),
+            [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                return self == nullptr ? 0 : self->max_unsent();
+            },
             [weak = weak_from_this()](tunnel* ended) {
                 if (const auto self = weak.lock())
                     self->tunnels.erase(ended);
@@ -151,6 +157,11 @@
                    : tunnel_result::unreachable;
     }
 
+    std::size_t max_unsent() const {
+        return policy::max_unsent_bytes(
+            2 * tunnels.size(), context.options.max_held_bytes);
+    }
+
     void reject(const event::connection_ptr& peer, tunnel_result result) {
         ++counters.rejected;
         peer->write(http1::text_response(status_of(result), {}, {}, false));
--- a/libs/mintknotd-platform/relay/tests/test_long_events.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_long_events.cpp
@@ -4,6 +4,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <vector>
+
 using namespace mintknot;
 using namespace mintknot::relay;
 using namespace mintknot::relay::tests;
@@ -43,3 +46,29 @@
     cr_assert(!seen.complete);
     cr_assert(seen.body.size() < megabyte);
 }
+
+// What many streams held of endless events was bounded for each alone.
+Test(long_events, endless_events_of_many_streams_are_bounded_together) {
+    constexpr int streams = 12;
+    relay_fixture f;
+    f.context.options.max_held_bytes = megabyte;
+    f.add_server("p", "llm", traffic::engine_phase::prefill, good_prefill("k"));
+    f.add_server(
+        "d", "llm", traffic::engine_phase::decode, long_event(2 * megabyte));
+    std::vector<event::connection_ptr> callers;
+    for (int i = 0; i < streams; ++i)
+        callers.push_back(f.connect_idle());
+    for (const event::connection_ptr& caller : callers)
+        caller->write(prompt("/stream/x", 10));
+    std::size_t most = 0;
+    std::size_t sent = 0;
+    f.run_until([&] {
+        most = std::max(most, f.context.state.held_answers.bytes);
+        sent = std::max(sent, f.context.state.open_requests);
+        return sent == streams && f.context.state.open_requests == 0;
+    });
+    cr_assert(most > 0);
+    cr_assert(most < 2 * megabyte);
+    cr_assert(f.context.state.held_answers.bytes == 0);
+    cr_assert(f.context.state.held_answers.answers == 0);
+}
--- a/libs/mintknotd-platform/traffic/include/mintknot/traffic/event_splitter.hpp
+++ b/libs/mintknotd-platform/traffic/include/mintknot/traffic/event_splitter.hpp
@@ -14,6 +14,8 @@
 /// Collects pieces of a text/event-stream. Events end with an empty line.
 struct event_splitter {
     std::string rest; ///< The event that is not whole yet.
+    /// How much of it was searched for its end.
+    std::size_t searched = 0;
 };
 
 /// Adds a piece. @return all events that are whole now, byte for byte.
--- a/libs/mintknotd-platform/traffic/src/event_splitter.cpp
+++ b/libs/mintknotd-platform/traffic/src/event_splitter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t max_end_bytes = 4;
+
 /// @return the position behind the last event that is whole, or 0.
 std::size_t end_of_events(std::string_view text) {
     const std::size_t plain = text.rfind("\n\n");
@@ -38,11 +40,17 @@
 
 std::string push(event_splitter& splitter, std::string_view piece) {
     splitter.rest.append(piece);
-    const std::size_t end = end_of_events(splitter.rest);
+    // The end may have begun in what was searched before.
+    const std::size_t from =
+        splitter.searched - std::min(splitter.searched, max_end_bytes - 1);
+    const std::size_t end =
+        end_of_events(std::string_view(splitter.rest).substr(from));
+    splitter.searched = splitter.rest.size();
     if (end == 0)
         return {};
-    std::string whole = splitter.rest.substr(0, end);
-    splitter.rest.erase(0, end);
+    std::string whole = splitter.rest.substr(0, from + end);
+    splitter.rest.erase(0, from + end);
+    splitter.searched = splitter.rest.size();
     return whole;
 }
 
--- a/libs/mintknotd-platform/traffic/tests/test_event_splitter.cpp
+++ b/libs/mintknotd-platform/traffic/tests/test_event_splitter.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <ctime>
+#include <string>
+
 using namespace mintknot::traffic;
 
 Test(event_splitter, hands_out_whole_events_byte_for_byte) {
@@ -24,6 +27,20 @@
     cr_assert(splitter.rest == "id");
 }
 
+// An endless event was searched from its start for each piece of it.
+Test(event_splitter, a_long_event_is_searched_once) {
+    constexpr std::size_t pieces = 40000;
+    const std::string piece(100, 'x');
+    event_splitter splitter;
+    const std::clock_t began = std::clock();
+    for (std::size_t i = 0; i < pieces; ++i)
+        cr_assert(push(splitter, piece).empty());
+    cr_assert(push(splitter, "\r\n\r").empty());
+    cr_assert(push(splitter, "\n").size() == pieces * piece.size() + 4);
+    // Searched anew each time it takes minutes.
+    cr_assert(std::clock() - began < 2 * CLOCKS_PER_SEC);
+}
+
 Test(event_splitter, finds_the_ids) {
     const std::string events = "id: 4\ndata: id: 9\n\nid:5\ndata: x\n\n";
     cr_assert(last_event_id(events) == 5u);
