Requests that come late in a planned stop are not cut with no answer

Cause: a plain request counted as over after 1.5 s, whatever its route allows, and what waits first (a body, the queue, retries, checks of an answer's end) was not counted; and at the end of the grace the process left without a word.

- A request may go to a server during a stop if its own deadline or its route's timeout, whichever is earlier, ends within the grace period; or within the first 2.6 s (a third of the grace at most), when the load balancer has not had the time yet to send its caller elsewhere.
The same for streams.
- That is asked again before each send, as long as nothing has run, and each 50 ms for what waits: what cannot start any more is refused at once, with 503.
- What is under way at the end of the grace gets an answer by its verdict (503, 502 or 504), one that is half read 503; streams that have begun are broken off as before.

`entry_check::a_plain_request_that_may_outlast_a_stop_is_refused` failed on the code before, at 5.5 s. Three tests of `entry_server` need calls that were not there.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/drain.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/drain.hpp
@@ -2,14 +2,13 @@
 /// Draining: the steps of a planned stop, and which requests may still start
 /// during it.
 ///
-/// Keeps a stop from cutting off requests: a stream that started 5 s after the
-/// stop signal did not end within the grace period. Log events: `stopping`,
-/// `stopped`; refusals have the reason `stopping`.
+/// Keeps a stop from cutting off requests: one that started late in the grace
+/// period was at work at its end. Log events: `stopping`, `stopped`; refusals
+/// have the reason `stopping`.
 #ifndef MINTKNOT_POLICY_DRAIN_HPP
 #define MINTKNOT_POLICY_DRAIN_HPP
 
 #include <mintknot/base/time.hpp>
-#include <mintknot/traffic/configuration.hpp>
 
 #include <cstddef>
 
@@ -28,11 +27,13 @@
 drain_step next_drain_step(
     base::milliseconds since, base::milliseconds grace, std::size_t busy);
 
-/// @return true if a request that arrives during a stop can still be answered
-/// completely. The length of a stream is unknown, so none starts once the load
-/// balancer has had time to send its caller to another instance.
+/// @return true if a request may still go to a server during a stop: it ends
+/// within the grace period, whatever it waits for, or the load balancer has not
+/// had the time yet to send its caller to another instance.
+/// @param time_left of the request, until its deadline or the timeout of its
+/// route, whichever is earlier.
 bool may_start_while_draining(
-    const traffic::route& route, base::milliseconds since,
+    base::milliseconds time_left, base::milliseconds since,
     base::milliseconds grace);
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/entry_check.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/entry_check.hpp
@@ -33,6 +33,8 @@
     std::string_view host;   ///< As in the request head.
     std::string_view target; ///< As in the request head.
     std::optional<std::string> key;
+    std::optional<base::milliseconds> deadline; ///< Counted from its arrival.
+    base::milliseconds age{0};                  ///< Since its arrival.
 };
 
 /// The route and service of an accepted request, or a refusal.
--- a/libs/mintknotd-platform/policy/src/drain.cpp
+++ b/libs/mintknotd-platform/policy/src/drain.cpp
@@ -16,8 +16,6 @@
 /// Reserved at the end of the grace period for sending the last bytes and
 /// exiting.
 constexpr base::milliseconds exit_margin{400};
-/// Longest time that is allowed for a plain request.
-constexpr base::milliseconds max_plain_time{1500};
 
 } // namespace
 
@@ -35,12 +33,10 @@
 }
 
 bool may_start_while_draining(
-    const traffic::route& route, base::milliseconds since,
+    base::milliseconds time_left, base::milliseconds since,
     base::milliseconds grace) {
-    if (route.kind == traffic::route_kind::streaming)
-        return since < std::min(arrival_window, grace / 3);
-    const base::milliseconds needed = std::min(route.timeout, max_plain_time);
-    return since + needed < grace - exit_margin;
+    return since + time_left < grace - exit_margin ||
+           since < std::min(arrival_window, grace / 3);
 }
 
 } // namespace mintknot::policy
--- a/libs/mintknotd-platform/policy/src/entry_check.cpp
+++ b/libs/mintknotd-platform/policy/src/entry_check.cpp
@@ -3,6 +3,8 @@
 #include <mintknot/policy/drain.hpp>
 #include <mintknot/policy/retry_after.hpp>
 
+#include <algorithm>
+
 namespace mintknot::policy {
 
 namespace {
@@ -47,7 +49,10 @@
         return refuse_without_retry(status_unauthorized, "unknown_key");
     if (conditions.stopping &&
         !may_start_while_draining(
-            *route, conditions.since_stop, conditions.grace))
+            std::min(
+                route->timeout, request.deadline.value_or(route->timeout)) -
+                request.age,
+            conditions.since_stop, conditions.grace))
         return refuse_with_retry("stopping");
     if (conditions.open_body_bytes > conditions.max_body_bytes)
         return refuse_with_retry("memory_full");
--- a/libs/mintknotd-platform/policy/tests/test_entry_check.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_entry_check.cpp
@@ -68,6 +68,41 @@
     cr_assert(check(conditions).reason == "stopping");
 }
 
+// A plain request counted as over after 1.5 s, whatever its route allows.
+Test(entry_check, a_plain_request_that_may_outlast_a_stop_is_refused) {
+    traffic::configuration config = one_route();
+    config.routes[0].kind = traffic::route_kind::unsafe;
+    config.routes[0].timeout = milliseconds{3000};
+    traffic::index(config);
+    entry_conditions conditions = conditions_of(config);
+    conditions.stopping = true;
+    for (const auto& [since, accepted] :
+         {std::pair{0, true},
+          {2500, true},
+          {4500, true},
+          {4700, false},
+          {5500, false},
+          {7000, false}}) {
+        conditions.since_stop = milliseconds{since};
+        cr_assert(
+            (check(conditions).service != nullptr) == accepted, "%d", since);
+    }
+}
+
+Test(entry_check, what_a_caller_waits_for_at_most_decides_during_a_stop) {
+    traffic::configuration config = one_route();
+    entry_conditions conditions = conditions_of(config);
+    conditions.stopping = true;
+    conditions.since_stop = milliseconds{6000};
+    entry_request request{"h", "/a/b", std::nullopt};
+    cr_assert(check_entry(conditions, request, 0.5).service == nullptr);
+    request.deadline = milliseconds{2000};
+    cr_assert(check_entry(conditions, request, 0.5).service == nullptr);
+    // Its body took a second to come.
+    request.age = milliseconds{1000};
+    cr_assert(check_entry(conditions, request, 0.5).service != nullptr);
+}
+
 Test(entry_check, the_total_size_of_bodies_is_bounded) {
     const traffic::configuration config = one_route();
     entry_conditions conditions = conditions_of(config);
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/entry_server.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/entry_server.hpp
@@ -31,6 +31,11 @@
     /// Starts a graceful shutdown: each answer closes its connection, and
     /// requests that cannot finish within the grace period are refused.
     void begin_drain(base::milliseconds grace);
+    /// Refuses the requests that can no longer be answered before the grace
+    /// period ends, and have not run.
+    void refuse_late();
+    /// Answers all requests that are under way, because the process ends.
+    void end_all();
     /// Closes the connections on which no request is being read or answered.
     void close_idle();
     /// Logs and counts each connection on which a request is being read or
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/exchange.hpp
@@ -73,6 +73,11 @@
     void start();
     /// Cancels the exchange because the caller's connection has ended.
     void on_caller_disconnected();
+    /// Refuses the request at once if the instance is stopping, the request
+    /// has not run, and it may not go to a server any more.
+    void refuse_if_too_late();
+    /// Ends the exchange with an answer because the instance ends.
+    void end_at_stop();
     /// Resumes reading from the server: the sink is no longer congested.
     virtual void on_sink_writable() = 0;
 
@@ -217,6 +222,9 @@
     bool ensure_key_valid();
     /// @return false if the request is blocked; the exchange has then ended.
     bool ensure_not_blocked();
+    /// @return false if the request is refused because the instance is
+    /// stopping; the exchange has then ended.
+    bool ensure_in_time();
     void on_deadline();
     /// Raises the verdict if a call that is about to be cancelled may be
     /// running the request.
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -223,7 +223,9 @@
     const policy::entry_decision decision = policy::check_entry(
         entry_conditions(config.get()),
         {host == nullptr ? std::string_view{} : *host, request.head.target,
-         request.terms.key},
+         request.terms.key, request.terms.deadline,
+         std::chrono::duration_cast<base::milliseconds>(
+             context_.loop.now() - request_began_)},
         context_.draw_uniform());
     if (decision.service == nullptr) {
         refuse_request(request, decision);
@@ -317,6 +319,20 @@
     });
 }
 
+void caller_session::refuse_if_too_late() {
+    if (!closed_ && answering_ && exchange_ != nullptr)
+        exchange_->refuse_if_too_late();
+}
+
+void caller_session::end_at_stop() {
+    if (closed_ || idle())
+        return;
+    if (answering_ && exchange_ != nullptr)
+        exchange_->end_at_stop();
+    else if (!answering_)
+        refuse(503, "stopping", policy::entry_refusal_retry_after);
+}
+
 void caller_session::close() {
     if (closed_)
         return;
--- a/libs/mintknotd-platform/relay/src/caller_session.hpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.hpp
@@ -45,6 +45,11 @@
     /// when the connection was accepted.
     base::steady_time idle_since() const noexcept { return idle_since_; }
     void close();
+    /// Refuses the request under way if it can no longer be answered before
+    /// the instance ends.
+    void refuse_if_too_late();
+    /// Answers the request under way because the instance ends.
+    void end_at_stop();
     /// Logs and counts that the connection closes if a request is under way.
     void record_close(close_reason reason) const;
 
--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -5,6 +5,7 @@
 #include <mintknot/event/listener.hpp>
 
 #include <unordered_map>
+#include <vector>
 
 namespace mintknot::relay {
 
@@ -46,6 +47,14 @@
         return true;
     }
 
+    /// What is done to a session may end it, and so change `sessions`.
+    std::vector<std::shared_ptr<caller_session>> all_sessions() const {
+        std::vector<std::shared_ptr<caller_session>> all;
+        for (const auto& [key, session] : sessions)
+            all.push_back(session);
+        return all;
+    }
+
     absl::Status listen(const base::address& address) {
         return listener.open(address, [this](event::connection_ptr link) {
             accept(std::move(link));
@@ -84,13 +93,20 @@
     impl_->context.state.grace = grace;
 }
 
+void entry_server::refuse_late() {
+    for (const auto& session : impl_->all_sessions())
+        session->refuse_if_too_late();
+}
+
+void entry_server::end_all() {
+    for (const auto& session : impl_->all_sessions())
+        session->end_at_stop();
+}
+
 void entry_server::close_idle() {
-    std::vector<std::shared_ptr<caller_session>> idle;
-    for (const auto& [key, session] : impl_->sessions)
+    for (const auto& session : impl_->all_sessions())
         if (session->idle())
-            idle.push_back(session);
-    for (const auto& session : idle)
-        session->close();
+            session->close();
 }
 
 void entry_server::record_unfinished() const {
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -5,6 +5,7 @@
 #include "plain_exchange.hpp"
 
 #include <mintknot/http1/serialize.hpp>
+#include <mintknot/policy/drain.hpp>
 #include <mintknot/relay/request_digest.hpp>
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 constexpr base::milliseconds default_deadline{60000};
 
 constexpr std::string_view crashes_servers = "crashes_servers";
+constexpr std::string_view reason_stopping = "stopping";
 
 constexpr int status_unauthorized = 401;
 constexpr int status_unavailable = 503;
@@ -87,7 +89,7 @@
 }
 
 bool exchange::ensure_allowed() {
-    return ensure_key_valid() && ensure_not_blocked();
+    return ensure_key_valid() && ensure_not_blocked() && ensure_in_time();
 }
 
 std::optional<crash_block> exchange::find_block() const {
@@ -135,6 +137,37 @@
     return false;
 }
 
+bool exchange::ensure_in_time() {
+    const router_state& state = context_.state;
+    const bool may_have_run =
+        verdict_ != base::verdict::not_run || attempts_.answer_begun;
+    if (!state.stopping || may_have_run)
+        return true;
+    const auto since = std::chrono::duration_cast<base::milliseconds>(
+        context_.loop.now() - state.stop_began);
+    if (policy::may_start_while_draining(time_left(), since, state.grace))
+        return true;
+    refuse(
+        status_unavailable, reason_stopping, policy::entry_refusal_retry_after);
+    return false;
+}
+
+void exchange::refuse_if_too_late() {
+    if (!finished_ && !may_be_running())
+        ensure_in_time();
+}
+
+void exchange::end_at_stop() {
+    if (finished_)
+        return;
+    note_running_calls();
+    cancel_calls();
+    if (attempts_.answer_begun)
+        abort_answer(reason_stopping);
+    else
+        give_up(reason_stopping, policy::entry_refusal_retry_after);
+}
+
 int exchange::priority() const {
     const traffic::organisation* who = request_.organisation;
     return who == nullptr ? route_.priority
--- a/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
@@ -176,6 +176,56 @@
     cr_assert(server.requests.size() == 1);
 }
 
+// A request whose decode would have begun late in a stop was cut at its end.
+Test(entry_server, a_stream_that_waits_too_long_during_a_stop_is_refused) {
+    relay_fixture f;
+    event::timer later(f.owner);
+    scripted_server& engine =
+        f.add_server("d", "llm", traffic::engine_phase::decode, good_decode());
+    f.add_server(
+        "p", "llm", traffic::engine_phase::prefill,
+        [&](const received_request& to, const event::connection_ptr& link) {
+            f.entry->begin_drain(seconds(8));
+            f.context.state.stop_began -= seconds(5);
+            good_prefill("k")(to, link);
+        });
+    const caller_view seen = f.ask(prompt("/stream/x"));
+    cr_assert(seen.status == 503);
+    cr_assert(!seen.field("Retry-After").empty());
+    cr_assert(engine.requests.empty());
+}
+
+// What was under way at the end of a stop was cut with no answer.
+Test(entry_server, every_request_has_an_answer_at_the_end_of_a_stop) {
+    relay_fixture f;
+    scripted_server& server = f.add_server("i", "app", plain, silent());
+    f.entry->begin_drain(seconds(8));
+    bool ended = false;
+    const auto end = [&] {
+        if (!server.requests.empty() && !std::exchange(ended, true))
+            f.entry->end_all();
+        return f.entry->connections() == 0 && ended;
+    };
+    const caller_view seen = f.ask(request("/unsafe/x"), end);
+    cr_assert(seen.status == 502);
+    cr_assert(seen.field("Retry-After").empty());
+    cr_assert(seen.complete);
+}
+
+Test(entry_server, a_request_half_read_at_the_end_of_a_stop_is_refused) {
+    relay_fixture f;
+    f.entry->begin_drain(seconds(8));
+    int polls = 0;
+    const caller_view seen =
+        f.ask("POST /unsafe/x HTTP/1.1\r\nHost: h\r\n", [&] {
+            if (++polls == 20)
+                f.entry->end_all();
+            return polls > 20 && f.entry->connections() == 0;
+        });
+    cr_assert(seen.status == 503);
+    cr_assert(!seen.field("Retry-After").empty());
+}
+
 Test(drain, exits_when_idle_or_before_the_grace_period_ends) {
     cr_assert(
         policy::next_drain_step(seconds(0), seconds(8), 0) ==
--- a/libs/mintknotd-platform/runtime/src/instance.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance.cpp
@@ -119,6 +119,7 @@
         break;
     case policy::drain_step::close_idle:
         entry.close_idle();
+        entry.refuse_late();
         break;
     case policy::drain_step::terminate:
         leave(since);
@@ -131,13 +132,14 @@
     shedder.stop();
     entry.stop_accepting();
     entry.close_idle();
+    const std::size_t unfinished = entry.active_requests();
+    entry.end_all();
     tunnels.close();
     documents.stop();
     balancer.stop();
     log.write(
-        "stopped",
-        {{"after_ms", since.count()},
-         {"unfinished", static_cast<std::int64_t>(entry.active_requests())}});
+        "stopped", {{"after_ms", since.count()},
+                    {"unfinished", static_cast<std::int64_t>(unfinished)}});
     drain_timer.start(exit_delay, [this] {
         entry.record_unfinished();
         ports.loop.stop();
