A stream does not go on at an engine that was upgraded behind its row

Engines ended and came back under their IDs with another version while the store was down, so that their rows told of the earlier life.

Cause: the version of an engine is read from its row, and nothing asked whether the row tells of the process that runs now.

Rows count as current while the view of the servers is confirmed each second, and again two seconds after an outage, when servers have written theirs anew (`policy/version_history`). Else an engine is asked for its report, which tells when its process began, right before a stream goes on there; one that does not confirm its life within 0.3 s is left for another. A stream that begins meanwhile is remembered at its engine's version only once that has confirmed its life with the stream still under way; until then it goes on nowhere else. While rows are current nothing is asked. An instance without rows trusts the scheduler that names the engine of a new stream, and asks before one goes on.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/version_history.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/version_history.hpp
@@ -31,6 +31,8 @@
     /// Since when no server can have come and gone unseen.
     std::optional<base::steady_time> complete_since;
     base::steady_time confirmed{}; ///< When the view was last complete.
+    /// Since when it has been confirmed about each second.
+    base::steady_time current_since{};
 };
 
 /// Takes a change of a server's row. @param before null: it was not known.
@@ -48,6 +50,11 @@
     const version_history& history, const std::string& service,
     base::milliseconds window, base::steady_time now);
 
+/// @return true if rows tell of the processes that run now. While the store
+/// cannot be read, and for a moment after that, an engine may have started
+/// again with another version that no row tells of.
+bool are_rows_current(const version_history& history, base::steady_time now);
+
 /// @return the longest time for which a stream may last in one answer.
 base::milliseconds longest_stream(const traffic::configuration& config);
 
--- a/libs/mintknotd-platform/policy/tests/test_version_history.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_version_history.cpp
@@ -83,3 +83,17 @@
     config.routes[1].timeout = base::milliseconds(60000);
     cr_assert(longest_stream(config) == base::milliseconds(14000));
 }
+
+// Streams went on at engines that were upgraded while the store was down.
+Test(
+    version_history, rows_are_not_current_during_an_outage_nor_right_after_it) {
+    version_history history;
+    cr_assert(!are_rows_current(history, start));
+    const base::steady_time down = confirm(history, start, 10);
+    cr_assert(are_rows_current(history, down + step));
+    cr_assert(!are_rows_current(history, down + 2 * step));
+    const base::steady_time back = confirm(history, down + 4 * step, 2);
+    cr_assert(!are_rows_current(history, back));
+    const base::steady_time later = confirm(history, back + step, 2);
+    cr_assert(are_rows_current(history, later));
+}
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -42,6 +42,12 @@
     }
     if (!ensure_sendable())
         return;
+    const bool confirmed =
+        std::exchange(confirmed_engine_, {}) == decode_.server;
+    if (stream_version_ && !confirmed && is_life_uncertain(*engine)) {
+        start_decode_after_check(*engine);
+        return;
+    }
     if (!prepay(policy::retries_to_prepay(charges_, 1))) {
         apply_step(policy::after_allowance_spent(
             attempts_, policy::is_large_group(context_.state.instances)));
@@ -171,7 +177,7 @@
     if (decode_.tracked)
         count_events(events);
     if (!attempts_.answer_begun) {
-        note_stream_begun(decode_.version);
+        note_origin();
         send_head();
     }
     sink_.data(events);
--- a/libs/mintknotd-platform/relay/src/generation_exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.cpp
@@ -1,5 +1,7 @@
 #include "generation_exchange.hpp"
 
+#include "life_check.hpp"
+
 #include <mintknot/policy/admission.hpp>
 #include <mintknot/policy/engine_needs.hpp>
 #include <mintknot/relay/server_notices.hpp>
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -10,6 +10,8 @@
 
 namespace mintknot::relay {
 
+class life_check;
+
 /// Chooses a decode engine with enough free memory, has a prefill engine
 /// process the prompt, hands the result over and forwards the events. A prefill
 /// may be retried freely; only a decode counts as running the request. A
@@ -154,6 +156,15 @@
     /// instance without the full server table is not told when an engine stops
     /// taking requests in the meantime.
     bool placement_expired() const;
+    /// @return true if the engine may be another process than its row tells
+    /// of, and may so have another version than the stream needs.
+    bool is_life_uncertain(const traffic::server& engine) const;
+    /// Goes on with the stream once the engine has confirmed its life, or
+    /// places it again.
+    void start_decode_after_check(const traffic::server& engine);
+    /// As note_stream_begun(), with the version of the engine that has written
+    /// the first event; where its life is uncertain, once that is confirmed.
+    void note_origin();
     void log_decode(const traffic::server& engine) const;
     void send_decode(const traffic::server& engine);
     upstream::call_handlers handlers_of_call(int number);
@@ -223,6 +234,9 @@
     void release_result();
 
     std::unique_ptr<placement_ticket> placement_;
+    std::unique_ptr<life_check> life_check_; ///< Null: none is under way.
+    /// Engine whose life has been confirmed for the next call.
+    std::string confirmed_engine_;
     /// Host that chose the servers; empty if this instance did.
     std::string placed_by_;
     policy::call_charges charges_;
--- a/libs/mintknotd-platform/relay/src/generation_silence.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_silence.cpp
@@ -4,6 +4,7 @@
 
 #include "end_check.hpp"
 #include "generation_exchange.hpp"
+#include "life_check.hpp"
 
 #include <mintknot/policy/timeouts.hpp>
 #include <mintknot/relay/server_results.hpp>
@@ -114,6 +115,7 @@
 
 void generation_exchange::cancel_search() {
     placement_.reset();
+    life_check_.reset();
     queue_ticket_.reset();
     wait_timer_.stop();
     overlap_timer_.stop();
--- a/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
+++ b/libs/mintknotd-platform/relay/tests/relay_fixture.cpp
@@ -149,6 +149,9 @@
     engine_report value;
     value.orders_taken = std::stoi(std::string(body.substr(6)));
     value.leaving = body.ends_with(" leaving");
+    const std::size_t born = body.find(" born ");
+    if (born != std::string_view::npos)
+        value.born = std::stoull(std::string(body.substr(born + 6)));
     return value;
 }
 
