--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -124,6 +124,9 @@
     TCLAP::MultiArg<double> kills(
         "", "kill-half", "seconds after which half of the instances are killed",
         false, "S", line);
+    TCLAP::MultiArg<double> group_kills(
+        "", "kill-all", "seconds after which all instances are killed at once",
+        false, "S", line);
     TCLAP::MultiArg<double> stops(
         "", "stop-half",
         "seconds after which half of the instances get SIGTERM", false, "S",
@@ -206,6 +209,7 @@
         options.grace = std::chrono::seconds(grace.getValue());
         options.event_time = base::milliseconds(event_time.getValue());
         options.instance_kills = to_times(kills.getValue());
+        options.group_kills = to_times(group_kills.getValue());
         options.instance_stops = to_times(stops.getValue());
         if (versions.getValue())
             soak::plan_versions(options);
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -79,6 +79,8 @@
     std::size_t unused_routes = 0; ///< In each configuration.
     /// When half of the instances, and two engines, are killed.
     std::vector<base::milliseconds> instance_kills;
+    /// When all instances are killed at once.
+    std::vector<base::milliseconds> group_kills;
     /// When half of the instances get SIGTERM.
     std::vector<base::milliseconds> instance_stops;
     std::vector<base::milliseconds> engine_kills;
--- a/testing/soak/src/soak_schedule.cpp
+++ b/testing/soak/src/soak_schedule.cpp
@@ -79,6 +79,9 @@
         later(when, [this] {
             parts_.faults.kill_instances(options_.instances / 2);
         });
+    for (const base::milliseconds when : options_.group_kills)
+        later(
+            when, [this] { parts_.faults.kill_instances(options_.instances); });
     for (const base::milliseconds when : options_.instance_stops)
         later(when, [this] {
             parts_.faults.stop_instances(options_.instances / 2);
--- a/testing/soak/tests/test_stream_versions.cpp
+++ b/testing/soak/tests/test_stream_versions.cpp
@@ -45,3 +45,13 @@
     options.undisturbed = false;
     check_soak(options);
 }
+
+// Keeps it so that streams are not joined where all that remembered them ended.
+Test(stream_versions, after_a_kill_of_all_streams_are_not_joined) {
+    soak_options options = several_versions(5);
+    options.instance_kills.clear();
+    options.group_kills = {
+        base::milliseconds(4000), base::milliseconds(7500),
+        base::milliseconds(11000)};
+    check_soak(options);
+}
