The soak's servers answer badly

With `--faulty` one answer of each server in four is one of ten faults: a status that HTTP does not know, no seal, a content coding, a bad field name, a reset, an answer, head or event without end.

--- a/testing/soak/src/engine_answers.cpp
+++ b/testing/soak/src/engine_answers.cpp
@@ -2,6 +2,7 @@
 /// What a stand-in answers to the requests that it runs.
 
 #include "engine_stand_in.hpp"
+#include "faulty_answers.hpp"
 
 #include <mintknot/http1/serialize.hpp>
 
@@ -23,6 +24,9 @@
 constexpr int events_of_a_stream = 20;
 /// One stream in so many pauses.
 constexpr std::size_t streams_for_a_pause = 3;
+/// Between two pieces of an answer without end, and of all of them together.
+constexpr base::milliseconds endless_pause{10};
+constexpr std::size_t max_endless_bytes = 256 * 1024 * 1024;
 constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
 
@@ -40,6 +44,8 @@
     const std::string& id, const event::connection_ptr& link) {
     note("run", id);
     after(work_time, [this, id, link] {
+        if (answer_badly(id, false, link))
+            return;
         if (!ends_with_connection(id)) {
             reply(link, 200, sealed(id), "answer to " + id);
             return;
@@ -76,6 +82,8 @@
     int from = 0;
     if (!absl::SimpleAtoi(request.field("Last-Event-Id"), &from))
         from = 0;
+    if (answer_badly(id, true, link))
+        return;
     write_head(
         id,
         ends_with_connection(id) ? http1::framing::close
@@ -90,6 +98,35 @@
             [this, id] { crash(id); });
 }
 
+bool engine_stand_in::answer_badly(
+    const std::string& id, bool stream, const event::connection_ptr& link) {
+    const std::optional<answer_fault> fault =
+        options_.faulty ? fault_of(id) : std::nullopt;
+    if (!fault)
+        return false;
+    const faulty_answer answer = faulty_answer_to(id, *fault, stream);
+    link->write(answer.text);
+    if (answer.ends == answer_end::reset)
+        after(work_time, [link] { link->reset(); });
+    if (answer.ends == answer_end::never)
+        write_without_end(answer.repeated, link);
+    return true;
+}
+
+void engine_stand_in::write_without_end(
+    const std::string& piece, const event::connection_ptr& link) {
+    if (endless_bytes_ > max_endless_bytes) {
+        link->reset();
+        return;
+    }
+    if (link->queued_bytes() < piece.size()) {
+        link->write(piece);
+        endless_bytes_ += piece.size();
+    }
+    after(
+        endless_pause, [this, piece, link] { write_without_end(piece, link); });
+}
+
 bool engine_stand_in::ends_with_connection(const std::string& id) const {
     return options_.without_length && std::hash<std::string>{}(id) % 2 == 0;
 }
--- a/testing/soak/src/engine_stand_in.hpp
+++ b/testing/soak/src/engine_stand_in.hpp
@@ -36,6 +36,9 @@
     /// Every second answer has neither a length nor chunks, and ends with its
     /// connection.
     bool without_length = false;
+    /// One answer in four is faulty, in one of the ways of faulty_answers.hpp,
+    /// chosen by the request: a request has the same answer at all servers.
+    bool faulty = false;
 };
 
 /// A model engine of one phase, or a plain server. It notes each run in a
@@ -80,6 +83,12 @@
     void run_decode(
         const received_request& request, const std::string& id,
         const event::connection_ptr& link);
+    /// @return true if the request has been given a faulty answer.
+    bool answer_badly(
+        const std::string& id, bool stream, const event::connection_ptr& link);
+    /// Writes a piece again and again for as long as the caller reads.
+    void write_without_end(
+        const std::string& piece, const event::connection_ptr& link);
     /// @return true if the answer to the request has neither a length nor
     /// chunks, at all engines.
     bool ends_with_connection(const std::string& id) const;
@@ -108,6 +117,7 @@
     /// When the store took its word that it leaves.
     std::optional<base::steady_time> leaving_known_;
     std::set<std::string> handles_;
+    std::size_t endless_bytes_ = 0; ///< Written without an end.
     std::uint64_t last_timer_ = 0;
     std::map<std::uint64_t, std::unique_ptr<event::timer>> timers_;
 };
--- a/testing/soak/src/platform_engine_main.cpp
+++ b/testing/soak/src/platform_engine_main.cpp
@@ -33,6 +33,7 @@
     TCLAP::SwitchArg without_length(
         "", "without-length",
         "every second answer has neither a length nor chunks", line);
+    TCLAP::SwitchArg faulty("", "faulty", "one answer in four is faulty", line);
     line.parse(argc, argv);
     const auto where = base::parse_address(store->getValue());
     const auto advertised = base::parse_address(address->getValue());
@@ -44,7 +45,7 @@
                 ledger->getValue(), limit->getValue(), version->getValue(),
                 base::milliseconds(event_time.getValue()),
                 base::milliseconds(pause.getValue()), *advertised,
-                without_length.getValue()});
+                without_length.getValue(), faulty.getValue()});
     if (!engine.open())
         return 1;
     owner.run();
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -121,6 +121,8 @@
     TCLAP::ValueArg<int> grace(
         "", "grace", "seconds that an instance has to stop", false, 4, "S",
         line);
+    TCLAP::SwitchArg faulty(
+        "", "faulty", "one answer of a server in four is faulty", line);
     TCLAP::MultiArg<double> kills(
         "", "kill-half", "seconds after which half of the instances are killed",
         false, "S", line);
@@ -206,6 +208,7 @@
         options.caller_pause = base::milliseconds(caller_pause.getValue());
         options.foreign_rows = foreign_rows.getValue();
         options.answers_without_length = without_length.getValue();
+        options.faulty_answers = faulty.getValue();
         options.grace = std::chrono::seconds(grace.getValue());
         options.event_time = base::milliseconds(event_time.getValue());
         options.instance_kills = to_times(kills.getValue());
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -59,7 +59,7 @@
                options.random_cuts || !options.cuts.empty(),
                options.data_centres, options.event_time, options.pause,
                options.unused_routes, options.answers_without_length,
-               options.grace, !options.skews.empty()})
+               options.faulty_answers, options.grace, !options.skews.empty()})
         , clients_(owner_, entries(), options.seed)
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -87,6 +87,9 @@
     /// Every second answer of a server has neither a length nor chunks, and
     /// every second caller speaks HTTP/1.0.
     bool answers_without_length = false;
+    /// One answer of a server in four is faulty: no answer of HTTP, without a
+    /// seal, cut by a reset, or without end.
+    bool faulty_answers = false;
     std::chrono::seconds grace{4}; ///< That an instance has to stop.
     bool keep_logs = false;        ///< Also where no promise was broken.
     /// Another writer puts malformed rows into the table of servers.
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -177,6 +177,8 @@
             {"--pause-ms", std::to_string(form_.pause.count())});
     if (form_.answers_without_length)
         arguments.emplace_back("--without-length");
+    if (form_.faulty_answers)
+        arguments.emplace_back("--faulty");
     server.running.reset();
     server.running = std::make_unique<harness::child_process>(
         server.program, arguments, path("server.log"));
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -52,6 +52,8 @@
     std::size_t unused_routes = 0;
     /// Every second answer of a server has neither a length nor chunks.
     bool answers_without_length = false;
+    /// One answer of a server in four is faulty; see engine_options.
+    bool faulty_answers = false;
     /// From SIGTERM to an instance to the latest end of its process.
     std::chrono::seconds grace{4};
     /// Callers connect to instances themselves, not through a proxy.
