Large sources are split by job

Pure moves: closes of callers' connections, ends of exchanges from outside, ends of decode calls, failures of calls, opening of connections.

--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -18,22 +18,6 @@
 
 } // namespace
 
-std::string_view to_string(close_reason reason) noexcept {
-    switch (reason) {
-    case close_reason::caller_left:
-        return "caller_left";
-    case close_reason::connection_broken:
-        return "connection_broken";
-    case close_reason::broken_off:
-        return "broken_off";
-    case close_reason::behind_answer:
-        return "behind_answer";
-    case close_reason::stopped:
-        return "stopped";
-    }
-    return "unknown";
-}
-
 caller_session::caller_session(
     router_context& context, event::connection_ptr link,
     std::function<void(caller_session*)> on_end)
@@ -184,21 +168,6 @@
                : std::string{};
 }
 
-void caller_session::record_close(close_reason reason) const {
-    if (closed_ || idle())
-        return;
-    context_.metrics.count_caller_close(to_string(reason));
-    const bool behind = reason == close_reason::behind_answer;
-    context_.log.write(
-        "caller_closed",
-        {{"request", behind ? std::string{} : current_request_id()},
-         {"reason", to_string(reason)},
-         {"answering", answering_ && !behind},
-         {"answered", static_cast<std::int64_t>(answered_)},
-         {"unread_bytes", static_cast<std::int64_t>(pending_.size())},
-         {"caller", base::to_string(link_->peer())}});
-}
-
 void caller_session::reserve_body(std::size_t bytes) {
     reserved_body_ += bytes;
     context_.state.open_body_bytes += bytes;
@@ -301,48 +270,4 @@
     });
 }
 
-void caller_session::on_end(event::connection_end how) {
-    if (closed_)
-        return;
-    record_close(
-        how == event::connection_end::orderly
-            ? close_reason::caller_left
-            : close_reason::connection_broken);
-    closed_ = true;
-    timer_.stop();
-    link_->abort();
-    context_.loop.post([self = shared_from_this()] {
-        if (self->exchange_ != nullptr)
-            self->exchange_->on_caller_disconnected();
-        self->exchange_.reset();
-        self->on_end_(self.get());
-    });
-}
-
-void caller_session::refuse_if_too_late() {
-    if (!closed_ && answering_ && exchange_ != nullptr)
-        exchange_->refuse_if_too_late();
-}
-
-void caller_session::end_at_stop() {
-    if (closed_ || idle())
-        return;
-    if (answering_ && exchange_ != nullptr)
-        exchange_->end_at_stop();
-    else if (!answering_)
-        refuse(503, "stopping", policy::entry_refusal_retry_after);
-}
-
-void caller_session::close() {
-    if (closed_)
-        return;
-    closed_ = true;
-    timer_.stop();
-    link_->close();
-    context_.loop.post([self = shared_from_this()] {
-        self->exchange_.reset();
-        self->on_end_(self.get());
-    });
-}
-
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/exchange.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange.cpp
@@ -5,7 +5,6 @@
 #include "plain_exchange.hpp"
 
 #include <mintknot/http1/serialize.hpp>
-#include <mintknot/policy/drain.hpp>
 #include <mintknot/relay/request_digest.hpp>
 
 #include <algorithm>
@@ -19,7 +18,6 @@
 constexpr base::milliseconds default_deadline{60000};
 
 constexpr std::string_view crashes_servers = "crashes_servers";
-constexpr std::string_view reason_stopping = "stopping";
 
 constexpr int status_unauthorized = 401;
 constexpr int status_unavailable = 503;
@@ -76,18 +74,6 @@
         run_at_version();
 }
 
-bool exchange::hold(std::size_t bytes) {
-    policy::held_answers& all = context_.state.held_answers;
-    all.bytes -= held_bytes_;
-    all.answers -= held_bytes_ > 0 ? 1 : 0;
-    const bool allowed =
-        policy::may_hold(bytes, all, context_.options.max_held_bytes);
-    held_bytes_ = bytes;
-    all.bytes += bytes;
-    all.answers += bytes > 0 ? 1 : 0;
-    return allowed;
-}
-
 bool exchange::ensure_allowed() {
     return ensure_key_valid() && ensure_not_blocked() && ensure_in_time();
 }
@@ -137,67 +123,12 @@
     return false;
 }
 
-bool exchange::ensure_in_time() {
-    const router_state& state = context_.state;
-    const bool may_have_run =
-        verdict_ != base::verdict::not_run || attempts_.answer_begun;
-    if (!state.stopping || may_have_run)
-        return true;
-    const auto since = std::chrono::duration_cast<base::milliseconds>(
-        context_.loop.now() - state.stop_began);
-    if (policy::may_start_while_draining(time_left(), since, state.grace))
-        return true;
-    refuse(
-        status_unavailable, reason_stopping, policy::entry_refusal_retry_after);
-    return false;
-}
-
-void exchange::refuse_if_too_late() {
-    if (!finished_ && !may_be_running())
-        ensure_in_time();
-}
-
-void exchange::end_at_stop() {
-    if (finished_)
-        return;
-    note_running_calls();
-    cancel_calls();
-    if (attempts_.answer_begun)
-        abort_answer(reason_stopping);
-    else
-        give_up(reason_stopping, policy::entry_refusal_retry_after);
-}
-
 int exchange::priority() const {
     const traffic::organisation* who = request_.organisation;
     return who == nullptr ? route_.priority
                           : who->priority.value_or(route_.priority);
 }
 
-void exchange::on_caller_disconnected() {
-    if (finished_)
-        return;
-    note_running_calls();
-    cancel_calls();
-    finish("caller_left");
-}
-
-void exchange::on_deadline() {
-    note_running_calls();
-    if (end_check_ != nullptr)
-        context_.log.write("end_unchecked", {{"request", request_.terms.id}});
-    cancel_calls();
-    if (attempts_.answer_begun)
-        abort_answer("deadline_passed");
-    else
-        give_up("deadline_passed");
-}
-
-void exchange::note_running_calls() {
-    if (may_be_running())
-        raise_verdict(base::verdict::may_have_run);
-}
-
 base::milliseconds exchange::caller_deadline() const {
     return request_.terms.deadline.value_or(default_deadline);
 }
--- a/libs/mintknotd-platform/relay/src/exchange_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/exchange_answer.cpp
@@ -83,6 +83,18 @@
     sink_.send_complete(std::move(head), std::string(reason) + "\n");
 }
 
+bool exchange::hold(std::size_t bytes) {
+    policy::held_answers& all = context_.state.held_answers;
+    all.bytes -= held_bytes_;
+    all.answers -= held_bytes_ > 0 ? 1 : 0;
+    const bool allowed =
+        policy::may_hold(bytes, all, context_.options.max_held_bytes);
+    held_bytes_ = bytes;
+    all.bytes += bytes;
+    all.answers += bytes > 0 ? 1 : 0;
+    return allowed;
+}
+
 void exchange::deliver_answer(http1::response_head head, std::string body) {
     if (finished_)
         return;
--- a/libs/mintknotd-platform/relay/src/generation_decode.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode.cpp
@@ -142,14 +142,6 @@
                        decode.answer_end == policy::call_end::answered;
 }
 
-void generation_exchange::on_bad_decode_head() {
-    silence_timer_.stop();
-    overlap_timer_.stop();
-    decode_.call.reset();
-    raise_verdict(base::verdict::may_have_run);
-    after_decode(policy::call_end::bad_answer, policy::call_result::failed);
-}
-
 void generation_exchange::on_decode_body(std::string_view piece) {
     if (!decode_.streaming) {
         decode_.failure_body.append(piece);
@@ -267,15 +259,6 @@
     after_decode(policy::call_end::server_failure, policy::call_result::failed);
 }
 
-void generation_exchange::on_long_failure() {
-    if (decode_.answer_end == policy::call_end::rejected) {
-        decode_.failure_body.clear();
-        on_decode_done();
-    } else {
-        on_decode_failure(upstream::call_failure::bad_answer);
-    }
-}
-
 bool generation_exchange::was_cut_inside_event() const {
     return decode_.answer.body == http1::framing::close &&
            decode_.metadata.event_stream &&
--- a/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_decode_end.cpp
@@ -10,6 +10,23 @@
 
 namespace mintknot::relay {
 
+void generation_exchange::on_bad_decode_head() {
+    silence_timer_.stop();
+    overlap_timer_.stop();
+    decode_.call.reset();
+    raise_verdict(base::verdict::may_have_run);
+    after_decode(policy::call_end::bad_answer, policy::call_result::failed);
+}
+
+void generation_exchange::on_long_failure() {
+    if (decode_.answer_end == policy::call_end::rejected) {
+        decode_.failure_body.clear();
+        on_decode_done();
+    } else {
+        on_decode_failure(upstream::call_failure::bad_answer);
+    }
+}
+
 void generation_exchange::after_rejected_decode() {
     --attempts_.runs;
     ++attempts_.rejections;
--- a/libs/mintknotd-platform/relay/tests/test_end_checks.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_end_checks.cpp
@@ -57,7 +57,7 @@
         });
     }
     caller_view ask() {
-        const caller_view seen = f.ask(prompt("/stream/x"));
+        caller_view seen = f.ask(prompt("/stream/x"));
         f.run_until([&] { return f.context.state.open_requests == 0; });
         return seen;
     }
--- a/libs/mintknotd-platform/relay/tests/test_engine_lives.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_engine_lives.cpp
@@ -36,11 +36,14 @@
 
 /// Engines of one version by their rows, which tell when they were born.
 struct fixture : relay_fixture {
-    fixture() { context.origins = &origins; }
+    fixture()
+        : later(owner) {
+        context.origins = &origins;
+    }
 
     /// @param born what the engine itself says.
-    scripted_server&
-    add_engine(const std::string& id, std::uint64_t born, script behaviour) {
+    scripted_server& add_engine(
+        const std::string& id, std::uint64_t born, const script& behaviour) {
         scripted_server& added = add_server(
             id, "llm", decode,
             [born, behaviour](
@@ -70,10 +73,13 @@
             [this](
                 const received_request& to, const event::connection_ptr& link) {
                 link->write(stream_head(to) + http1::chunk(event_text(1)));
-                make_rows_old();
-                link->close();
+                later.start(base::milliseconds(30), [this, link] {
+                    make_rows_old();
+                    link->close();
+                });
             };
     }
+    event::timer later;
     recording_origins origins;
     std::uint64_t row_version = 1000;
 };
@@ -95,7 +101,7 @@
     f.make_rows_current();
     f.add_engine("a", born_in_row, f.ending());
     scripted_server& other = f.add_engine("b", born_later, good_decode());
-    traffic::add(f.context.state.loads, "b", {1, 0.0, 100.0});
+    traffic::add(f.context.state.loads, "b", {1, 0.0, 2000.0});
     const caller_view seen = f.ask(stream);
     cr_assert(!seen.complete);
     cr_assert(sent_to(other) == 0);
@@ -107,8 +113,8 @@
     f.add_engine("a", born_in_row, f.ending());
     scripted_server& anew = f.add_engine("b", born_later, good_decode());
     scripted_server& same = f.add_engine("c", born_in_row, good_decode());
-    traffic::add(f.context.state.loads, "b", {1, 0.0, 100.0});
-    traffic::add(f.context.state.loads, "c", {1, 0.0, 200.0});
+    traffic::add(f.context.state.loads, "b", {1, 0.0, 2000.0});
+    traffic::add(f.context.state.loads, "c", {1, 0.0, 4000.0});
     const caller_view seen = f.ask(stream);
     cr_assert(seen.complete);
     cr_assert(seen.body == all_events());
@@ -129,12 +135,11 @@
 Test(engine_lives, the_origin_of_a_stream_is_the_version_that_wrote_it) {
     for (const std::uint64_t born : {born_in_row, born_later}) {
         fixture f;
-        event::timer later(f.owner);
         scripted_server& one = f.add_engine(
             "a", born,
             [&](const received_request& to, const event::connection_ptr& link) {
                 link->write(stream_head(to) + http1::chunk(event_text(1)));
-                later.start(base::milliseconds(200), [link] {
+                f.later.start(base::milliseconds(200), [link] {
                     link->write(std::string(http1::last_chunk));
                 });
             });
@@ -149,7 +154,7 @@
     fixture f;
     f.add_engine("a", born_later, f.ending());
     scripted_server& other = f.add_engine("b", born_in_row, good_decode());
-    traffic::add(f.context.state.loads, "b", {1, 0.0, 100.0});
+    traffic::add(f.context.state.loads, "b", {1, 0.0, 2000.0});
     cr_assert(!f.ask(stream).complete);
     cr_assert(sent_to(other) == 0);
 }
--- a/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_tunnels.cpp
@@ -218,7 +218,7 @@
     row.where.port = raw.port();
     traffic::apply(f.context.state.servers, "s1", 1000, row);
     f.open("s1");
-    f.link->write(std::string(16'000'000, 'x'));
+    f.link->write(std::string(16 * 1024 * 1024, 'x'));
     f.run_until([&] { return f.seen.end.has_value(); });
     cr_assert(*f.seen.end == event::connection_end::broken);
 }
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -16,24 +16,6 @@
 
 } // namespace
 
-bool nothing_was_sent(call_failure why) noexcept {
-    return why == call_failure::unreachable || why == call_failure::refused;
-}
-
-std::string_view to_string(call_failure why) noexcept {
-    switch (why) {
-    case call_failure::unreachable:
-        return "unreachable";
-    case call_failure::refused:
-        return "refused";
-    case call_failure::ended:
-        return "ended";
-    case call_failure::bad_answer:
-        return "bad_answer";
-    }
-    return "unknown";
-}
-
 struct call::impl : std::enable_shared_from_this<call::impl> {
     impl(
         connection_pool& connections, target server, call_request what,
--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -318,7 +318,7 @@
     call_request request;
     request.head.method = "POST";
     request.head.target = "/";
-    request.body = std::make_shared<const std::string>(16'000'000, 'x');
+    request.body = std::make_shared<const std::string>(16 * 1024 * 1024, 'x');
     outcome seen;
     const auto running = call::start(
         pool, {"s", {"127.0.0.1", accepting.port()}}, std::move(request), {},
