How old rows may be follows the deployment's drain bound

An instance confirms its view of the servers as often as its drain bound asks for, on some deployments only each three seconds. With a fixed bound of 1.5 s rows would never have counted as current there, and each stream would have cost a question to its engine. `life_checked` says when an engine was asked.

`version_history::the_age_of_current_rows_follows_the_drain_bound`.

--- a/libs/mintknotd-platform/policy/include/mintknot/policy/staleness_bounds.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/staleness_bounds.hpp
@@ -42,6 +42,9 @@
 /// not reflect it. Values too short to be met are raised to a minimum.
 staleness_bounds staleness_bounds_for(base::milliseconds bound);
 
+/// @return the age that a server table reaches at most while all is well.
+base::milliseconds max_table_age(base::milliseconds bound);
+
 /// @return how long an instance without a server table may send requests to a
 /// server chosen by a scheduler: the bound less the maximum age of the
 /// scheduler's data and the transfer time of a request.
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/version_history.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/version_history.hpp
@@ -31,7 +31,10 @@
     /// Since when no server can have come and gone unseen.
     std::optional<base::steady_time> complete_since;
     base::steady_time confirmed{}; ///< When the view was last complete.
-    /// Since when it has been confirmed about each second.
+    /// Longest time between two confirmations while all is well; see
+    /// max_table_age().
+    base::milliseconds max_row_age{1500};
+    /// Since when it has been confirmed as often as that.
     base::steady_time current_since{};
 };
 
--- a/libs/mintknotd-platform/policy/src/staleness_bounds.cpp
+++ b/libs/mintknotd-platform/policy/src/staleness_bounds.cpp
@@ -16,6 +16,8 @@
 constexpr int whole_percent = 100;
 /// Shortest bound that can be met, as calls to the store take milliseconds.
 constexpr base::milliseconds min_bound{600};
+/// A call to the store, with the wait for the loop.
+constexpr base::milliseconds read_time{100};
 /// With less time than a prefill takes, the scheduler would have to be queried
 /// again for every request.
 constexpr base::milliseconds min_named_server_lifetime{300};
@@ -30,6 +32,11 @@
         bound * max_age_percent / whole_percent, bound / pauses_in_bound};
 }
 
+base::milliseconds max_table_age(base::milliseconds bound) {
+    const staleness_bounds bounds = staleness_bounds_for(bound);
+    return bounds.max_age + bounds.retry_pause + read_time;
+}
+
 base::milliseconds named_server_lifetime(base::milliseconds bound) {
     return std::max(
         min_named_server_lifetime,
--- a/libs/mintknotd-platform/policy/tests/test_version_history.cpp
+++ b/libs/mintknotd-platform/policy/tests/test_version_history.cpp
@@ -97,3 +97,11 @@
     const base::steady_time later = confirm(history, back + step, 2);
     cr_assert(are_rows_current(history, later));
 }
+
+Test(version_history, the_age_of_current_rows_follows_the_drain_bound) {
+    version_history history;
+    history.max_row_age = base::milliseconds(3600);
+    const base::steady_time down = confirm(history, start, 10);
+    cr_assert(are_rows_current(history, down + 3 * step));
+    cr_assert(!are_rows_current(history, down + 4 * step));
+}
--- a/libs/mintknotd-platform/relay/src/generation_exchange.hpp
+++ b/libs/mintknotd-platform/relay/src/generation_exchange.hpp
@@ -162,6 +162,9 @@
     /// Goes on with the stream once the engine has confirmed its life, or
     /// places it again.
     void start_decode_after_check(const traffic::server& engine);
+    /// Asks the engine whether it is the process that its row tells of.
+    void check_life(
+        const traffic::server& engine, std::function<void(bool same)> then);
     /// As note_stream_begun(), with the version of the engine that has written
     /// the first event; where its life is uncertain, once that is confirmed.
     void note_origin();
--- a/libs/mintknotd-platform/relay/src/generation_origin.cpp
+++ b/libs/mintknotd-platform/relay/src/generation_origin.cpp
@@ -14,14 +14,25 @@
                context_.state.versions, context_.loop.now());
 }
 
-void generation_exchange::start_decode_after_check(
-    const traffic::server& engine) {
+void generation_exchange::check_life(
+    const traffic::server& engine, std::function<void(bool same)> then) {
     life_check_ = std::make_unique<life_check>(
         context_.loop, context_.pool, context_.protocol, engine);
-    life_check_->start([this, id = engine.id](bool same) {
+    life_check_->start([this, id = engine.id,
+                        then = std::move(then)](bool same) {
         // The check, which is running now, must outlive this handler.
         context_.loop.post(
             [check = std::shared_ptr(std::move(life_check_))] {});
+        context_.log.write(
+            "life_checked",
+            {{"request", request_.terms.id}, {"server", id}, {"same", same}});
+        then(same);
+    });
+}
+
+void generation_exchange::start_decode_after_check(
+    const traffic::server& engine) {
+    check_life(engine, [this, id = engine.id](bool same) {
         if (!same) {
             place_again_without(id);
             return;
@@ -42,11 +53,7 @@
     }
     // Until its engine has confirmed its life the stream goes on nowhere else.
     stream_version_.emplace();
-    life_check_ = std::make_unique<life_check>(
-        context_.loop, context_.pool, context_.protocol, *engine);
-    life_check_->start([this, number = decode_.number](bool same) {
-        context_.loop.post(
-            [check = std::shared_ptr(std::move(life_check_))] {});
+    check_life(*engine, [this, number = decode_.number](bool same) {
         // The answer is still under way, so it comes from the same process.
         const bool running =
             decode_.number == number && decode_.call != nullptr;
--- a/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
+++ b/libs/mintknotd-platform/runtime/src/instance_wiring.cpp
@@ -87,6 +87,8 @@
           }) {
     context.options.named_server_lifetime =
         policy::named_server_lifetime(settings.drain_bound);
+    context.state.versions.max_row_age =
+        policy::max_table_age(settings.drain_bound);
     context.state.retry_bounds = settings.retry_bounds;
     context.state.instances = policy::assumed_instances(1);
     context.state.started = ports.loop.now();
