The proxy of the stand-ins ends no connection in order behind a part of an answer

A cut of a link, and the loss of an answer, closed both sides in order, also in the middle of an answer without a length. That looks like the end of the answer, to an instance whose server lives on, and to a caller of HTTP/1.0. No network does it: "an answer that is reset in transit is not complete".

No check was changed; the proxy resets now where a byte of an answer has passed.

--- a/testing/standins/src/fault_proxy.cpp
+++ b/testing/standins/src/fault_proxy.cpp
@@ -90,12 +90,12 @@
     /// Looks at a changed fault: what was held back may go on.
     void fault_changed() {
         if (link_.fault.mode == link_mode::cut)
-            return close();
+            return break_off();
         if (link_.fault.mode == link_mode::reset ||
             link_.fault.mode == link_mode::reset_refuse)
             return reset();
         if (sender_has_reset(up_) || sender_has_reset(down_))
-            return close();
+            return break_off();
         release(up_);
         release(down_);
     }
@@ -120,6 +120,15 @@
         close();
     }
 
+    /// Ends both sides as a network does that fails: with no orderly end behind
+    /// a part of an answer, which would look like the end of the answer.
+    void break_off() {
+        if (down_.passed > 0)
+            reset();
+        else
+            close();
+    }
+
     /// Ends both sides as one of them has ended.
     void end(asio::error_code how) {
         if (how == asio::error::eof)
@@ -152,7 +161,7 @@
     void take_piece(way& at, std::size_t bytes) {
         const link_fault& fault = link_.fault;
         if (at.answer && fault.mode == link_mode::drop_answer)
-            return close();
+            return break_off();
         if (holds_back(at, bytes)) {
             at.held = bytes; // Nothing more is read until the fault changes.
             return;
