Two tests of calls record what a call tells in one way

The uploads of test_call had the same handlers as its client, written again. `recording` makes them for both.

--- a/libs/mintknotd-platform/upstream/tests/test_call.cpp
+++ b/libs/mintknotd-platform/upstream/tests/test_call.cpp
@@ -60,6 +60,26 @@
     call_failure why = call_failure::unreachable;
 };
 
+/// @return handlers that record what a call tells, and stop the loop at its
+/// end.
+call_handlers recording(
+    event::loop& owner, outcome& seen,
+    std::function<bool(const http1::response_head&)> belongs = {}) {
+    return {
+        std::move(belongs),
+        [&seen](http1::response_head& head) { seen.status = head.status; },
+        [&seen](std::string_view piece) { seen.body += piece; },
+        [&owner, &seen] {
+            seen.done = true;
+            owner.stop();
+        },
+        [&owner, &seen](call_failure why) {
+            seen.failed = true;
+            seen.why = why;
+            owner.stop();
+        }};
+}
+
 struct client {
     client()
         : server(owner)
@@ -76,18 +96,7 @@
         const auto running = call::start(
             pool, {"s", {"127.0.0.1", server.accepting.port()}},
             std::move(request), options,
-            {std::move(belongs),
-             [&](http1::response_head& head) { seen.status = head.status; },
-             [&](std::string_view piece) { seen.body += piece; },
-             [&] {
-                 seen.done = true;
-                 owner.stop();
-             },
-             [&](call_failure why) {
-                 seen.failed = true;
-                 seen.why = why;
-                 owner.stop();
-             }});
+            recording(owner, seen, std::move(belongs)));
         limit.start(test_limit, [&] { owner.stop(); });
         owner.run();
         limit.stop();
@@ -322,18 +331,7 @@
     outcome seen;
     const auto running = call::start(
         pool, {"s", {"127.0.0.1", accepting.port()}}, std::move(request), {},
-        {nullptr,
-         [&](http1::response_head& head) { seen.status = head.status; },
-         [](std::string_view) {},
-         [&] {
-             seen.done = true;
-             owner.stop();
-         },
-         [&](call_failure why) {
-             seen.failed = true;
-             seen.why = why;
-             owner.stop();
-         }});
+        recording(owner, seen));
     limit.start(test_limit, [&] { owner.stop(); });
     owner.run();
     return seen;
