--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -143,6 +143,14 @@
     return form_.direct_callers ? own_entry(instance) : entry_links_[instance];
 }
 
+base::address soak_system::readiness(std::size_t instance) const {
+    return {host(instance), static_cast<std::uint16_t>(port_ + 2)};
+}
+
+base::address soak_system::peers(std::size_t instance) const {
+    return {host(instance), port_};
+}
+
 base::address soak_system::own_entry(std::size_t instance) const {
     return {host(instance), static_cast<std::uint16_t>(port_ + 1)};
 }
@@ -212,17 +220,16 @@
 
 std::string soak_system::write_settings(std::size_t instance) const {
     std::string file = path(fmt::format("settings-{}", instance));
-    const auto readiness_port = static_cast<std::uint16_t>(port_ + 2);
     std::ofstream out(file);
     out << fmt::format(
         "node=e{}\nzone={}\nip={}\nlisten.front={}\nlisten.readiness={}\n"
-        "port_range={},{}\nseeds={}:1,{}:1\nlimits.memory_mb=110\n"
-        "limits.max_fds=900\nbounds.grace_s={}\nbounds.budget_extra=58\n"
+        "port_range={},{}\nseeds={}:1,{}:1\nlimits.memory_mb={}\n"
+        "limits.max_fds={}\nbounds.grace_s={}\nbounds.budget_extra=58\n"
         "platform.address={}\n",
         instance, data_centre(instance), host(instance),
         base::to_string(own_entry(instance)),
-        base::to_string({host(instance), readiness_port}), port_, port_ + 3,
-        host(0), host(1), form_.grace.count(),
+        base::to_string(readiness(instance)), port_, port_ + 3, host(0),
+        host(1), form_.memory_mb, form_.max_descriptors, form_.grace.count(),
         base::to_string(store_links_[instance]));
     if (form_.scarce_capacity)
         out << "contracts=base,pressure\n";
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -58,6 +58,9 @@
     std::chrono::seconds grace{4};
     /// Callers connect to instances themselves, not through a proxy.
     bool direct_callers = false;
+    /// Of the machine of each instance, as its settings say.
+    std::size_t memory_mb = 110;
+    std::size_t max_descriptors = 900;
 };
 
 /// Store, servers and instances on loopback. All end with the object. A proxy
@@ -112,6 +115,10 @@
     base::address store_address() const { return {"127.0.0.1", store_port_}; }
     /// @return where callers reach an instance.
     base::address entry(std::size_t instance) const;
+    /// @return where an instance tells whether it is ready.
+    base::address readiness(std::size_t instance) const;
+    /// @return where other instances call an instance.
+    base::address peers(std::size_t instance) const;
 
     /// @return what the servers have noted so far.
     server_notes notes() const;
