Trailers and chunk extensions without end do not fill an instance

Callers saw: twenty connections that send trailers without end behind a short chunked body end the instance, and all requests on it.

Cause: Beast's header limit holds for the head. Of the head of a chunk, with its extension, and of trailers it uses nothing before their end, and all readers kept what it had not used. `message_limits::header_bytes` bounds both now, in the parser that callers, peers, readiness and answers share.

This works because the parser alone knows whether bytes are of a body, and every reader passes through it.

--- a/libs/mintknotd-platform/http1/include/mintknot/http1/message_parser.hpp
+++ b/libs/mintknotd-platform/http1/include/mintknot/http1/message_parser.hpp
@@ -16,6 +16,8 @@
 
 /// Bounds of a message; a larger one is a parse_error.
 struct message_limits {
+    /// Of the head, of the head of each chunk, and of all trailers with the
+    /// head of the last chunk.
     std::size_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 4 * 1024 * 1024;
 };
@@ -49,7 +51,8 @@
     request_parser& operator=(const request_parser&) = delete;
 
     /// Consumes bytes. @return how many; offer the rest again with more
-    /// behind it. Bytes after the end of the message are never consumed.
+    /// behind it. Bytes after the end of the message are never consumed; of
+    /// the message itself, no more than message_limits::header_bytes are left.
     std::size_t put(std::string_view bytes, const body_sink& on_body);
 
     bool has_head() const noexcept;
--- a/libs/mintknotd-platform/http1/src/message_parser.cpp
+++ b/libs/mintknotd-platform/http1/src/message_parser.cpp
@@ -24,7 +24,8 @@
 template<bool is_request, class Head>
 class parser_core : public http::basic_parser<is_request> {
 public:
-    explicit parser_core(const message_limits& limits) {
+    explicit parser_core(const message_limits& limits)
+        : max_framing_bytes_(limits.header_bytes) {
         this->eager(true);
         this->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
             limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
@@ -48,9 +49,18 @@
                 break;
         }
         sink_ = nullptr;
+        bound_framing(bytes.size() - used);
         return used;
     }
 
+    /// Beast bounds the head only: it hands on nothing of the head of a chunk,
+    /// or of trailers, before it has found their end.
+    void bound_framing(std::size_t unused) {
+        if (this->is_header_done() && !this->is_done() &&
+            failure_ == parse_error::none && unused > max_framing_bytes_)
+            failure_ = parse_error::header_too_large;
+    }
+
     void note(const beast::error_code& code) {
         if (!code)
             return;
@@ -90,11 +100,15 @@
 protected:
     void on_field_impl(
         http::field, beast::string_view name, beast::string_view value,
-        beast::error_code&) override {
+        beast::error_code& code) override {
         // Trailers of a chunked body are dropped: they must not pass for
         // fields of the head.
-        if (this->is_header_done())
+        if (this->is_header_done()) {
+            trailer_bytes_ += name.size() + value.size();
+            if (trailer_bytes_ > max_framing_bytes_)
+                code = http::error::header_limit;
             return;
+        }
         head_.fields.push_back(
             {std::string(text_of(name)), std::string(text_of(value))});
     }
@@ -113,7 +127,11 @@
         return body.size();
     }
     void on_chunk_header_impl(
-        std::uint64_t, beast::string_view, beast::error_code&) override {}
+        std::uint64_t, beast::string_view extension,
+        beast::error_code& code) override {
+        if (extension.size() > max_framing_bytes_)
+            code = http::error::header_limit;
+    }
     std::size_t on_chunk_body_impl(
         std::uint64_t, beast::string_view body, beast::error_code&) override {
         if (sink_ != nullptr && *sink_)
@@ -124,6 +142,8 @@
 
 private:
     const body_sink* sink_ = nullptr;
+    std::size_t max_framing_bytes_;
+    std::size_t trailer_bytes_ = 0;
 };
 
 class request_core final : public parser_core<true, request_head> {
--- a/libs/mintknotd-platform/http1/tests/test_message_parser.cpp
+++ b/libs/mintknotd-platform/http1/tests/test_message_parser.cpp
@@ -57,6 +57,37 @@
     }
 }
 
+// Parts of a message that come without end were kept until memory ran out.
+Test(request_parser, bounds_what_comes_behind_the_head_without_end) {
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filling(300, 'a');
+    for (const std::string& endless :
+         {"4;" + filling, "2\r\nhi\r\n0;" + filling,
+          "2\r\nhi\r\n0\r\nX: " + filling, "2\r\nhi\r\n0\r\n" + filling})
+        for (const std::size_t step : {1, 7, 1000})
+            cr_assert(
+                parse_request(head + endless, step).error ==
+                parse_error::header_too_large);
+}
+
+Test(request_parser, bounds_whole_extensions_and_trailers) {
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filling(150, 'a');
+    const std::string trailers = "X: " + filling + "\r\nY: " + filling + "\r\n";
+    cr_assert(
+        error_of(head + "2;" + filling + filling + "\r\nhi\r\n0\r\n\r\n") ==
+        parse_error::header_too_large);
+    cr_assert(
+        error_of(head + "2\r\nhi\r\n0\r\n" + trailers + "\r\n") ==
+        parse_error::header_too_large);
+    const parsed inside = parse_request(
+        head + "2;" + filling + "\r\nhi\r\n0\r\nX: " + filling + "\r\n\r\n", 1);
+    cr_assert(inside.done);
+    cr_assert(inside.body == "hi");
+}
+
 // A bound of 2^32 wrapped round to nothing, and all requests were refused.
 Test(request_parser, a_large_bound_of_the_head_does_not_wrap_round) {
     request_parser parser({std::size_t{1} << 32, 0});
