A test of endless events waits for the events, not for a busy moment

`long_events::endless_events_of_many_streams_are_bounded_together` wanted to see twelve requests open at once, at a look every 2 ms. The engine now sends the long events once all twelve streams have begun, and the test counts what the engine got. All bounds are as they were, and the streams are certain to be open together now.

--- a/libs/mintknotd-platform/relay/tests/test_long_events.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_long_events.cpp
@@ -25,6 +25,20 @@
         };
 }
 
+/// As long_event(), but no long event comes before all streams have begun.
+script long_events_together(std::size_t streams, std::size_t bytes) {
+    using links = std::vector<event::connection_ptr>;
+    return [streams, bytes, begun = std::make_shared<links>()](
+               const received_request& to, const event::connection_ptr& link) {
+        link->write(stream_head(to) + http1::chunk(event_text(1)));
+        begun->push_back(link);
+        if (begun->size() < streams)
+            return;
+        for (const event::connection_ptr& each : *begun)
+            each->write(http1::chunk(std::string(bytes, 'x') + "\n\n"));
+    };
+}
+
 caller_view ask_for(std::size_t bytes) {
     relay_fixture f;
     f.add_server("p", "llm", traffic::engine_phase::prefill, good_prefill("k"));
@@ -53,19 +67,19 @@
     relay_fixture f;
     f.context.options.max_held_bytes = megabyte;
     f.add_server("p", "llm", traffic::engine_phase::prefill, good_prefill("k"));
-    f.add_server(
-        "d", "llm", traffic::engine_phase::decode, long_event(2 * megabyte));
+    scripted_server& engine = f.add_server(
+        "d", "llm", traffic::engine_phase::decode,
+        long_events_together(streams, 2 * megabyte));
     std::vector<event::connection_ptr> callers;
     for (int i = 0; i < streams; ++i)
         callers.push_back(f.connect_idle());
     for (const event::connection_ptr& caller : callers)
         caller->write(prompt("/stream/x", 10));
     std::size_t most = 0;
-    std::size_t sent = 0;
     f.run_until([&] {
         most = std::max(most, f.context.state.held_answers.bytes);
-        sent = std::max(sent, f.context.state.open_requests);
-        return sent == streams && f.context.state.open_requests == 0;
+        return engine.requests.size() == streams &&
+               f.context.state.open_requests == 0;
     });
     cr_assert(most > 0);
     cr_assert(most < 2 * megabyte);
