What callers' connections hold is counted where it grows; who stalls gives way

Callers saw: beside a crowd of bodies that are never finished an instance grows until its machine ends it, and until then ordinary requests are refused with memory_full while the crowd keeps what it holds.

Cause: the sum of bodies was asked for when a body was whole, and then the request at hand was refused, whoever held the memory. The room of refused bodies rested with their connections. A head of many short fields held twenty times its length, counted nowhere.

Change: one account of what connections hold (bytes not parsed, heads, bodies, bodies under way, answers not written), asked at each read, within the fifth of limits.memory_mb that bodies had. policy/caller_memory decides: small requests have a part of it for themselves; where there is none left, whoever is stalled and holds most gives way with 408, which is true, as nothing was sent on; else the one that asks is refused, as before.

It works because nothing is kept that was not asked for, and what has to go is chosen by what it holds and moves, not by who comes last.

--- a/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
@@ -46,6 +46,9 @@
     /// Begins to read, or hands the connection to another owner.
     void set_handlers(connection_handlers handlers);
 
+    /// @return false once its descriptor is free.
+    bool is_open() const noexcept;
+
     void write(std::string bytes);
     std::size_t queued_bytes() const noexcept;
     /// @return true if everything written has been handed to the system.
--- a/libs/mintknotd-platform/event/src/connection.cpp
+++ b/libs/mintknotd-platform/event/src/connection.cpp
@@ -71,6 +71,10 @@
     return impl_->peer;
 }
 
+bool connection::is_open() const noexcept {
+    return impl_->socket.is_open();
+}
+
 std::size_t connection::queued_bytes() const noexcept {
     return impl_->queued;
 }
--- a/libs/mintknotd-platform/http1/include/mintknot/http1/message.hpp
+++ b/libs/mintknotd-platform/http1/include/mintknot/http1/message.hpp
@@ -62,6 +62,10 @@
 std::optional<std::uint64_t>
 find_number(const field_list& fields, std::string_view name);
 
+/// @return about how much memory the fields take, which is many times their
+/// text if they are short.
+std::size_t held_bytes(const field_list& fields) noexcept;
+
 /// @return true if the text may be the value of a field: without control
 /// characters, with which a line could be added to a message.
 bool is_field_text(std::string_view text) noexcept;
--- a/libs/mintknotd-platform/http1/src/fields.cpp
+++ b/libs/mintknotd-platform/http1/src/fields.cpp
@@ -34,6 +34,13 @@
     return nullptr;
 }
 
+std::size_t held_bytes(const field_list& fields) noexcept {
+    std::size_t bytes = fields.capacity() * sizeof(field);
+    for (const field& entry : fields)
+        bytes += entry.name.size() + entry.value.size();
+    return bytes;
+}
+
 std::optional<std::uint64_t>
 find_number(const field_list& fields, std::string_view name) {
     const std::string* text = find_field(fields, name);
--- /dev/null
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/caller_memory.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// How much the connections of callers may hold together, and which of them
+/// give way to others.
+///
+/// Inputs: what each connection holds (bytes that are not parsed yet, a body,
+/// answers that the caller has not read) and what it has moved lately. Asked
+/// wherever a connection grows. Keeps callers that send much and never come to
+/// an end from filling the memory of the instance, or from taking up all its
+/// connections. A request that gives way has not run. Log events: `refused`
+/// with `memory_full`, `gave_way`.
+#ifndef MINTKNOT_POLICY_CALLER_MEMORY_HPP
+#define MINTKNOT_POLICY_CALLER_MEMORY_HPP
+
+#include <mintknot/base/time.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace mintknot::policy {
+
+/// What a connection costs beside the bytes that it holds.
+inline constexpr std::size_t connection_bytes = 2 * 1024;
+
+/// A request that holds more than this is large.
+inline constexpr std::size_t max_small_request_bytes = 64 * 1024;
+
+/// @return true if a connection may hold `own` bytes. A part of the whole is
+/// left to small requests, so that they have room beside large ones.
+/// @param all what all connections hold, with `own`.
+bool has_room(std::size_t own, std::size_t all, std::size_t max_bytes);
+
+/// What has been moved on a connection for one request, or for answers that its
+/// caller has not read yet.
+struct transfer_progress {
+    std::size_t bytes = 0;
+    double recent_bytes = 0.0; ///< Weighted down with their age.
+    base::steady_time updated{};
+};
+
+void note_transfer(
+    transfer_progress& progress, std::size_t bytes, base::steady_time now);
+
+/// @return true if little has been moved lately beside what was moved in all:
+/// two seconds after a transfer has come to a stop, or if one takes more than
+/// some ten seconds.
+bool is_stalled(const transfer_progress& progress, base::steady_time now);
+
+/// A connection that can be ended, as its request has not run or its answer has
+/// been written.
+struct held_connection {
+    std::size_t held_bytes = 0;
+    transfer_progress progress;
+};
+
+/// @return the connection that gives way to others: of those that are stalled,
+/// the one that holds most; nullopt if none is.
+std::optional<std::size_t> choose_to_give_way(
+    std::span<const held_connection> connections, base::steady_time now);
+
+} // namespace mintknot::policy
+
+#endif
--- a/libs/mintknotd-platform/policy/include/mintknot/policy/entry_check.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/entry_check.hpp
@@ -1,8 +1,9 @@
 /// @file
 /// Decides whether a completely received request is accepted, and routes it.
 ///
-/// Inputs: the active configuration, whether the instance is stopping, the size
-/// of all open request bodies on this instance, and the inputs of access.hpp.
+/// Inputs: the active configuration, whether the instance is stopping, and the
+/// inputs of access.hpp. Whether there is room for it is decided before, while
+/// it is read (caller_memory.hpp).
 /// A request refused here has not been executed. Log event: `refused`.
 #ifndef MINTKNOT_POLICY_ENTRY_CHECK_HPP
 #define MINTKNOT_POLICY_ENTRY_CHECK_HPP
@@ -23,8 +24,6 @@
     bool stopping = false;
     base::milliseconds since_stop{0}; ///< Only with `stopping`.
     base::milliseconds grace{0};      ///< Total duration of a stop.
-    std::size_t open_body_bytes = 0;  ///< Including this request.
-    std::size_t max_body_bytes = 0;
     configuration_freshness freshness;
 };
 
--- a/libs/mintknotd-platform/policy/src/entry_check.cpp
+++ b/libs/mintknotd-platform/policy/src/entry_check.cpp
@@ -54,8 +54,6 @@
                 request.age,
             conditions.since_stop, conditions.grace))
         return refuse_with_retry("stopping");
-    if (conditions.open_body_bytes > conditions.max_body_bytes)
-        return refuse_with_retry("memory_full");
     const auto service =
         config.services.find(traffic::choose_service(*route, draw));
     if (service == config.services.end())
--- a/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
+++ b/libs/mintknotd-platform/relay/include/mintknot/relay/router_state.hpp
@@ -49,7 +49,8 @@
 struct relay_options {
     std::string data_centre;
     std::size_t max_callers = 1500; ///< Maximum number of open connections.
-    std::size_t max_body_bytes = 24 * 1024 * 1024; ///< Over all requests.
+    /// Over all connections of callers; see policy::has_room().
+    std::size_t max_caller_bytes = 24 * 1024 * 1024;
     /// Of answers that are not whole yet; see policy::may_hold().
     std::size_t max_held_bytes = 12 * 1024 * 1024;
     /// See policy::configuration_freshness.
@@ -121,7 +122,7 @@
     std::size_t instances = 1;   ///< Upper bound for the number of instances.
     base::steady_time started{}; ///< When this instance started.
     std::size_t open_requests = 0;
-    std::size_t open_body_bytes = 0;
+    std::size_t caller_bytes = 0; ///< What connections of callers hold.
     policy::held_answers held_answers;
     bool stopping = false;
     base::steady_time stop_began{}; ///< Valid if `stopping`.
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -6,6 +6,8 @@
 #include <mintknot/http1/serialize.hpp>
 #include <mintknot/relay/load_shedder.hpp>
 
+#include <utility>
+
 namespace mintknot::relay {
 
 namespace {
@@ -19,16 +21,14 @@
 } // namespace
 
 caller_session::caller_session(
-    router_context& context, event::connection_ptr link,
-    std::function<void(caller_session*)> on_end)
+    router_context& context, event::connection_ptr link, session_owner owner)
     : context_(context)
     , link_(std::move(link))
-    , on_end_(std::move(on_end))
+    , owner_(std::move(owner))
+    , claim_(context.state.caller_bytes)
     , timer_(context.loop) {}
 
-caller_session::~caller_session() {
-    release_body();
-}
+caller_session::~caller_session() = default;
 
 void caller_session::start() {
     next_request();
@@ -40,6 +40,7 @@
              self->on_end(how);
          },
          [self = shared_from_this()] {
+             self->update_claim();
              if (self->exchange_ != nullptr)
                  self->exchange_->on_sink_writable();
          }});
@@ -59,7 +60,8 @@
     parser_ = std::make_unique<http1::request_parser>(
         http1::message_limits{bounds.header_bytes, bounds.body_bytes});
     head_seen_ = false;
-    body_.clear();
+    head_bytes_ = 0;
+    update_claim();
     arm_idle_timer();
 }
 
@@ -82,48 +84,61 @@
     });
 }
 
+void caller_session::begin_request() {
+    request_began_ = context_.loop.now();
+    progress_ = {};
+    arm_request_timer();
+}
+
 void caller_session::on_data(std::string_view bytes) {
     if (closed_)
         return;
-    if (idle()) {
-        request_began_ = context_.loop.now();
-        arm_request_timer();
-    }
-    pending_.append(bytes);
+    if (idle())
+        begin_request();
+    policy::note_transfer(progress_, bytes.size(), context_.loop.now());
     if (answering_) {
+        pending_.append(bytes);
         if (pending_.size() > max_pending_bytes)
             link_->pause_reading();
+        update_claim();
         return;
     }
+    if (pending_.empty()) {
+        parse(bytes);
+        return;
+    }
+    pending_.append(bytes);
     parse_pending();
 }
 
 void caller_session::parse_pending() {
-    while (!closed_ && !answering_ && !pending_.empty()) {
-        const std::size_t used =
-            parser_->put(pending_, [this](std::string_view piece) {
-                reserve_body(piece.size());
-                body_.append(piece);
-            });
-        pending_.erase(0, used);
-        if (!head_seen_ && parser_->has_head())
-            on_head();
+    const std::string received = std::exchange(pending_, std::string{});
+    parse(received);
+}
+
+void caller_session::parse(std::string_view received) {
+    while (!received.empty()) {
+        const std::size_t used = parser_->put(
+            received, [this](std::string_view piece) { body_.append(piece); });
+        received.remove_prefix(used);
         if (parser_->error() != http1::parse_error::none) {
             refuse_bad_request();
             return;
         }
-        if (parser_->done()) {
-            on_request();
-            continue;
-        }
-        if (used == 0)
-            return;
+        if (!head_seen_ && parser_->has_head())
+            on_head();
+        if (parser_->done() || used == 0)
+            break;
     }
+    pending_.assign(received);
+    if (claim_memory() && parser_->done())
+        on_request();
 }
 
 void caller_session::on_head() {
     head_seen_ = true;
     const http1::request_head& head = parser_->head();
+    head_bytes_ = head.target.size() + http1::held_bytes(head.fields);
     request_keep_alive_ = head.keep_alive;
     minor_version_ = head.minor_version;
     if (head.expects_continue && !parser_->done())
@@ -168,16 +183,6 @@
                : std::string{};
 }
 
-void caller_session::reserve_body(std::size_t bytes) {
-    reserved_body_ += bytes;
-    context_.state.open_body_bytes += bytes;
-}
-
-void caller_session::release_body() {
-    context_.state.open_body_bytes -= reserved_body_;
-    reserved_body_ = 0;
-}
-
 void caller_session::on_request() {
     context_.monitor.note_activity();
     timer_.stop();
@@ -200,9 +205,10 @@
         refuse_request(request, decision);
         return;
     }
+    answered_bytes_ = body_.size();
     if (!body_.empty())
-        request.body = std::make_shared<const std::string>(std::move(body_));
-    body_.clear();
+        request.body = std::make_shared<const std::string>(
+            std::exchange(body_, std::string{}));
     request.organisation = decision.organisation;
     exchange_ = make_exchange(
         context_, *this, std::move(request), config, *decision.route,
@@ -218,8 +224,6 @@
     conditions.since_stop = std::chrono::duration_cast<base::milliseconds>(
         context_.loop.now() - context_.state.stop_began);
     conditions.grace = context_.state.grace;
-    conditions.open_body_bytes = context_.state.open_body_bytes;
-    conditions.max_body_bytes = context_.options.max_body_bytes;
     conditions.freshness = configuration_freshness_of(context_);
     return conditions;
 }
@@ -232,6 +236,7 @@
                     {"status", std::int64_t{decision.status}},
                     {"target", request.head.target}});
     context_.metrics.count_request({"", std::string(decision.reason), {}, {}});
+    body_ = {};
     request_keep_alive_ = keep_alive();
     link_->write(serialize_refusal(
         context_, decision.status, request.terms.id, decision.reason,
@@ -246,8 +251,11 @@
 }
 
 void caller_session::answer_done() {
-    release_body();
+    answered_bytes_ = 0;
     ++answered_;
+    progress_ = {};
+    policy::note_transfer(
+        progress_, link_->queued_bytes(), context_.loop.now());
     if (!request_keep_alive_ || context_.state.stopping) {
         if (!pending_.empty())
             record_close(close_reason::behind_answer);
@@ -261,11 +269,10 @@
             return;
         self->answering_ = false;
         self->next_request();
-        if (!self->pending_.empty()) {
-            self->request_began_ = self->context_.loop.now();
-            self->arm_request_timer();
-        }
         self->link_->resume_reading();
+        if (self->pending_.empty())
+            return;
+        self->begin_request();
         self->parse_pending();
     });
 }
--- a/libs/mintknotd-platform/relay/src/caller_session.hpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.hpp
@@ -3,8 +3,11 @@
 #ifndef MINTKNOT_RELAY_CALLER_SESSION_HPP
 #define MINTKNOT_RELAY_CALLER_SESSION_HPP
 
+#include "memory_claim.hpp"
+
 #include <mintknot/event/connection.hpp>
 #include <mintknot/http1/message_parser.hpp>
+#include <mintknot/policy/caller_memory.hpp>
 #include <mintknot/policy/entry_check.hpp>
 #include <mintknot/relay/exchange.hpp>
 
@@ -25,6 +28,16 @@
 
 std::string_view to_string(close_reason reason) noexcept;
 
+class caller_session;
+
+/// What a session asks of the server that owns it.
+struct session_owner {
+    /// The session has ended; the call may destroy it.
+    std::function<void(caller_session&)> on_end;
+    /// The session holds more than there is room for: others may give way.
+    std::function<void(caller_session&)> make_room;
+};
+
 /// Reads requests from a connection and answers them strictly in order. Reading
 /// continues while a request is answered, up to a bounded number of buffered
 /// bytes, so that a disconnect of the caller is noticed immediately.
@@ -34,7 +47,7 @@
 public:
     caller_session(
         router_context& context, event::connection_ptr link,
-        std::function<void(caller_session*)> on_end);
+        session_owner owner);
     ~caller_session() override;
 
     void start();
@@ -45,6 +58,14 @@
     /// when the connection was accepted.
     base::steady_time idle_since() const noexcept { return idle_since_; }
     void close();
+    /// @return what it holds, and what it has moved lately, if it can be ended
+    /// in favour of others.
+    std::optional<policy::held_connection> may_give_way() const;
+    /// Refuses the request that is being read, or drops the answers that the
+    /// caller does not read.
+    void give_way();
+    std::size_t held_bytes() const noexcept { return claim_.bytes(); }
+    const event::connection_ptr& link() const noexcept { return link_; }
     /// Refuses the request under way if it can no longer be answered before
     /// the instance ends.
     void refuse_if_too_late();
@@ -63,6 +84,8 @@
 private:
     void on_data(std::string_view bytes);
     void on_end(event::connection_end how);
+    /// Parses what has been received but for what the parser cannot use yet.
+    void parse(std::string_view received);
     void parse_pending();
     void on_head();
     void on_request();
@@ -71,8 +94,18 @@
         int status, std::string_view reason,
         std::optional<base::milliseconds> retry_after);
     void refuse_bad_request();
-    void reserve_body(std::size_t bytes);
-    void release_body();
+    /// Brings what the connection holds into the account of all.
+    void update_claim();
+    /// Like update_claim(). @return false if there was no room, so that the
+    /// request was refused.
+    bool claim_memory();
+    /// Lets go of all that has been received. clear() would keep the room.
+    void release_buffers();
+    void begin_request();
+    void drop();
+    /// Tells the owner of the end once no function of the session runs.
+    void end_later();
+    void tell_end();
     void answer_done();
     void next_request();
     /// @return the ID of the request under way; empty if its head has not come.
@@ -92,7 +125,7 @@
 
     router_context& context_;
     event::connection_ptr link_;
-    std::function<void(caller_session*)> on_end_;
+    session_owner owner_;
     std::unique_ptr<http1::request_parser> parser_;
     std::string pending_; ///< Received but not yet parsed.
     std::string body_;
@@ -100,7 +133,10 @@
     bool answering_ = false; ///< A complete request is being answered.
     bool request_keep_alive_ = true;
     int minor_version_ = 1;
-    std::size_t reserved_body_ = 0;
+    memory_claim claim_;
+    std::size_t head_bytes_ = 0;     ///< Of the request under way.
+    std::size_t answered_bytes_ = 0; ///< Of its body while it is answered.
+    policy::transfer_progress progress_;
     std::size_t answered_ = 0; ///< Requests on this connection.
     std::string request_id_;   ///< Valid while `answering_`.
     base::steady_time request_began_;
--- a/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_answer.cpp
@@ -37,6 +37,7 @@
     link_->write(
         framing_ == http1::framing::chunked ? http1::chunk(bytes)
                                             : std::string(bytes));
+    update_claim();
 }
 
 void caller_session::end() {
@@ -57,10 +58,8 @@
         link_->reset();
     else
         link_->close();
-    context_.loop.post([self = shared_from_this()] {
-        self->exchange_.reset();
-        self->on_end_(self.get());
-    });
+    release_buffers();
+    end_later();
 }
 
 bool caller_session::congested() const {
--- a/libs/mintknotd-platform/relay/src/caller_session_close.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_close.cpp
@@ -49,17 +49,30 @@
         how == event::connection_end::orderly
             ? close_reason::caller_left
             : close_reason::connection_broken);
+    drop();
+}
+
+void caller_session::drop() {
     closed_ = true;
     timer_.stop();
     link_->abort();
+    release_buffers();
     context_.loop.post([self = shared_from_this()] {
         if (self->exchange_ != nullptr)
             self->exchange_->on_caller_disconnected();
-        self->exchange_.reset();
-        self->on_end_(self.get());
+        self->tell_end();
     });
 }
 
+void caller_session::end_later() {
+    context_.loop.post([self = shared_from_this()] { self->tell_end(); });
+}
+
+void caller_session::tell_end() {
+    exchange_.reset();
+    owner_.on_end(*this);
+}
+
 void caller_session::refuse_if_too_late() {
     if (!closed_ && answering_ && exchange_ != nullptr)
         exchange_->refuse_if_too_late();
@@ -81,10 +94,8 @@
     closed_ = true;
     timer_.stop();
     link_->close();
-    context_.loop.post([self = shared_from_this()] {
-        self->exchange_.reset();
-        self->on_end_(self.get());
-    });
+    release_buffers();
+    end_later();
 }
 
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -26,11 +26,40 @@
         }
         auto session = std::make_shared<caller_session>(
             context, std::move(link),
-            [this](caller_session* ended) { sessions.erase(ended); });
+            session_owner{
+                [this](caller_session& ended) { sessions.erase(&ended); },
+                [this](caller_session& needy) { make_room(needy); }});
         sessions.emplace(session.get(), session);
         session->start();
     }
 
+    /// Lets others give way until there is room for what a session holds.
+    void make_room(const caller_session& needy) {
+        while (!policy::has_room(
+            needy.held_bytes(), context.state.caller_bytes,
+            context.options.max_caller_bytes))
+            if (!end_stalled(needy))
+                return;
+    }
+
+    /// @return false if no session but the excepted one is stalled.
+    bool end_stalled(const caller_session& excepted) {
+        std::vector<std::shared_ptr<caller_session>> candidates;
+        std::vector<policy::held_connection> held;
+        for (const auto& [key, session] : sessions) {
+            const auto found = session->may_give_way();
+            if (!found || key == &excepted)
+                continue;
+            candidates.push_back(session);
+            held.push_back(*found);
+        }
+        const auto chosen =
+            policy::choose_to_give_way(held, context.loop.now());
+        if (chosen)
+            candidates[*chosen]->give_way();
+        return chosen.has_value();
+    }
+
     /// Makes room for a new connection, whose caller is waiting, by closing the
     /// one that has been idle longest.
     /// @return false if no connection is idle.
--- a/testing/crowds/src/crowd_plan.cpp
+++ b/testing/crowds/src/crowd_plan.cpp
@@ -173,6 +173,17 @@
     return plan;
 }
 
+crowd_plan heads_of_short_fields() {
+    crowd_plan plan;
+    plan.clients = 290;
+    std::string fields;
+    while (fields.size() < max_header_bytes - 256)
+        fields += "a:\r\n";
+    plan.opening = head(routed, fields + "Content-Length: 100\r\n");
+    plan.ending = "x";
+    return plan;
+}
+
 crowd_plan first_bytes_of_bodies() {
     crowd_plan plan;
     plan.clients = 400;
--- a/testing/crowds/src/crowd_plan.hpp
+++ b/testing/crowds/src/crowd_plan.hpp
@@ -56,6 +56,8 @@
 crowd_plan header_line_without_end();
 /// Heads just short of the limit, but for their end.
 crowd_plan unfinished_heads();
+/// Heads of as many fields as the limit allows, each with an unfinished body.
+crowd_plan heads_of_short_fields();
 /// More connections than an instance takes, each with the first byte of a body.
 crowd_plan first_bytes_of_bodies();
 
--- a/testing/crowds/tests/test_crowds.cpp
+++ b/testing/crowds/tests/test_crowds.cpp
@@ -118,6 +118,11 @@
     check(unfinished_heads());
 }
 
+// A head of many short fields holds many times its length.
+Test(crowds, heads_of_short_fields) {
+    check(heads_of_short_fields());
+}
+
 // Connections on which a body had begun shut out all others.
 Test(crowds, more_connections_than_an_instance_takes) {
     check(first_bytes_of_bodies());
