A request that has come to a stop gives its place to a new connection

Callers saw: with as many connections as an instance takes, each with the first byte of a body, all others are closed unread for up to 23 s.

Cause: only an idle connection gave way to a new one. Closed connections whose callers do not end theirs were not counted at all, so that descriptors and what they had not read had no bound.

Change: where none is idle, one that is stalled gives way (policy::choose_to_give_way), with 408. Closed connections count, with what they hold, until they are gone, and go first.

It works because places are given by what moves, and because whoever holds a descriptor is in the count.

--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -1,9 +1,11 @@
 #include <mintknot/relay/entry_server.hpp>
 
 #include "caller_session.hpp"
+#include "closing_connections.hpp"
 
 #include <mintknot/event/listener.hpp>
 
+#include <algorithm>
 #include <unordered_map>
 #include <vector>
 
@@ -16,8 +18,7 @@
 
     void accept(event::connection_ptr link) {
         context.monitor.note_activity();
-        if (sessions.size() >= context.options.max_callers &&
-            !close_longest_idle()) {
+        if (!has_place()) {
             // Closed without reading, so the caller can tell that no request
             // has run.
             link->abort();
@@ -27,28 +28,54 @@
         auto session = std::make_shared<caller_session>(
             context, std::move(link),
             session_owner{
-                [this](caller_session& ended) { sessions.erase(&ended); },
+                [this](caller_session& ended) { forget(ended); },
                 [this](caller_session& needy) { make_room(needy); }});
         sessions.emplace(session.get(), session);
         session->start();
     }
 
+    /// Makes place for a new connection, whose caller is waiting: those that
+    /// have been closed go first, then the one that has been idle longest, then
+    /// one that is stalled. @return false if there are none.
+    bool has_place() {
+        while (sessions.size() + closing.count() >=
+                   context.options.max_callers &&
+               open_sessions() + closing.count() >= context.options.max_callers)
+            if (!closing.end_longest() && !close_longest_idle() &&
+                !end_stalled(nullptr))
+                return false;
+        return true;
+    }
+
+    /// @return the number of sessions but for those that are about to be told
+    /// of as closed.
+    std::size_t open_sessions() const {
+        return static_cast<std::size_t>(std::count_if(
+            sessions.begin(), sessions.end(),
+            [](const auto& entry) { return !entry.second->closed(); }));
+    }
+
+    void forget(caller_session& ended) {
+        closing.add(ended.link(), context.loop.now());
+        sessions.erase(&ended);
+    }
+
     /// Lets others give way until there is room for what a session holds.
     void make_room(const caller_session& needy) {
         while (!policy::has_room(
             needy.held_bytes(), context.state.caller_bytes,
             context.options.max_caller_bytes))
-            if (!end_stalled(needy))
+            if (!closing.end_unread(context.loop.now()) && !end_stalled(&needy))
                 return;
     }
 
     /// @return false if no session but the excepted one is stalled.
-    bool end_stalled(const caller_session& excepted) {
+    bool end_stalled(const caller_session* excepted) {
         std::vector<std::shared_ptr<caller_session>> candidates;
         std::vector<policy::held_connection> held;
         for (const auto& [key, session] : sessions) {
             const auto found = session->may_give_way();
-            if (!found || key == &excepted)
+            if (!found || key == excepted)
                 continue;
             candidates.push_back(session);
             held.push_back(*found);
@@ -60,8 +87,6 @@
         return chosen.has_value();
     }
 
-    /// Makes room for a new connection, whose caller is waiting, by closing the
-    /// one that has been idle longest.
     /// @return false if no connection is idle.
     bool close_longest_idle() {
         std::shared_ptr<caller_session> longest;
@@ -95,6 +120,7 @@
     base::address where;
     std::unordered_map<caller_session*, std::shared_ptr<caller_session>>
         sessions;
+    closing_connections closing{context.state.caller_bytes};
 };
 
 entry_server::entry_server(router_context& context)
--- a/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
@@ -5,7 +5,10 @@
 
 #include <criterion/criterion.h>
 
+#include <filesystem>
+#include <iterator>
 #include <optional>
+#include <vector>
 
 using namespace mintknot;
 using namespace mintknot::relay;
@@ -22,6 +25,11 @@
     };
 }
 
+std::size_t open_descriptors() {
+    const std::filesystem::directory_iterator all("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 std::size_t count(const std::string& text, const std::string& part) {
     std::size_t found = 0;
     for (std::size_t at = text.find(part); at != std::string::npos;
@@ -167,6 +175,50 @@
     f.run_until([&] { return first_ended; });
 }
 
+// Connections on which a request had begun shut out all others.
+Test(entry_server, a_stalled_request_gives_its_place_to_a_new_caller) {
+    relay_fixture f;
+    f.add_server("i", "app", plain, echo_id());
+    f.context.options.max_callers = 1;
+    const event::connection_ptr stalled = f.connect_idle();
+    std::string seen;
+    stalled->set_handlers(
+        {[&](std::string_view bytes) { seen += bytes; },
+         [](event::connection_end) {}, nullptr});
+    stalled->write("POST /safe/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nx");
+    int status = 0;
+    while (status == 0)
+        status = f.ask(request("/unsafe/x")).status;
+    cr_assert(status == 200);
+    f.run_until([&] { return seen.starts_with("HTTP/1.1 408"); });
+}
+
+Test(entry_server, closed_connections_count_until_they_are_gone) {
+    relay_fixture f;
+    f.add_server("i", "app", plain, echo_id());
+    f.context.options.max_callers = 2;
+    cr_assert(f.ask(request("/unsafe/x")).status == 200);
+    f.run_until([&] { return f.entry->connections() == 0; });
+    const std::size_t before = open_descriptors();
+    std::vector<event::connection_ptr> callers;
+    std::size_t answered = 0;
+    for (int i = 0; i < 6; ++i) {
+        callers.push_back(f.connect_idle());
+        // They never end their own direction.
+        callers.back()->set_handlers(
+            {[&](std::string_view) { ++answered; },
+             [](event::connection_end) {}, nullptr});
+        callers.back()->write(request("/unsafe/x", "Connection: close\r\n"));
+        f.run_until([&] {
+            return answered == callers.size() && f.entry->connections() == 0;
+        });
+    }
+    const std::size_t at_the_instance =
+        open_descriptors() - before - callers.size();
+    cr_assert(at_the_instance <= f.context.options.max_callers);
+    cr_assert(f.context.state.caller_bytes <= 2 * policy::connection_bytes);
+}
+
 Test(entry_server, new_caller_is_rejected_if_no_caller_is_idle) {
     relay_fixture f;
     scripted_server& server = f.add_server(
