Pipelined requests wait until their caller has read its answers

Callers saw: clients that send requests one behind the other and never read fill the instance, and every request on it is lost with it.

Cause: the next request was read whether or not the answers before it were, and each answer let in 64 KiB more though more than that was waiting.

Change: a request is read once its caller has read its answers but for 64 KiB, and more is received only while no more than 64 KiB wait.

It works because a caller that does not read stops what it sends, by TCP itself.

--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -15,6 +15,9 @@
 /// Maximum number of buffered bytes after the current request. Beyond it the
 /// socket is not read, so that further bytes stay in the kernel.
 constexpr std::size_t max_pending_bytes = 64 * 1024;
+/// Maximum number of bytes of answers that the caller has not read, before its
+/// next request is read.
+constexpr std::size_t max_unread_bytes = 64 * 1024;
 /// Time allowed for a body, in addition to the time for the head.
 constexpr base::milliseconds body_timeout{20000};
 
@@ -39,11 +42,15 @@
          [self = shared_from_this()](event::connection_end how) {
              self->on_end(how);
          },
-         [self = shared_from_this()] {
-             self->update_claim();
-             if (self->exchange_ != nullptr)
-                 self->exchange_->on_sink_writable();
-         }});
+         [self = shared_from_this()] { self->on_drained(); }});
+}
+
+void caller_session::on_drained() {
+    update_claim();
+    if (exchange_ != nullptr)
+        exchange_->on_sink_writable();
+    else if (std::exchange(answers_unread_, false))
+        read_on();
 }
 
 bool caller_session::idle() const noexcept {
@@ -96,7 +103,7 @@
     if (idle())
         begin_request();
     policy::note_transfer(progress_, bytes.size(), context_.loop.now());
-    if (answering_) {
+    if (answering_ || answers_unread_) {
         pending_.append(bytes);
         if (pending_.size() > max_pending_bytes)
             link_->pause_reading();
@@ -269,12 +276,19 @@
             return;
         self->answering_ = false;
         self->next_request();
-        self->link_->resume_reading();
-        if (self->pending_.empty())
-            return;
-        self->begin_request();
-        self->parse_pending();
+        self->answers_unread_ = self->link_->queued_bytes() > max_unread_bytes;
+        if (!self->answers_unread_)
+            self->read_on();
     });
 }
 
+void caller_session::read_on() {
+    if (!closed_ && !pending_.empty()) {
+        begin_request();
+        parse_pending();
+    }
+    if (!closed_ && pending_.size() <= max_pending_bytes)
+        link_->resume_reading();
+}
+
 } // namespace mintknot::relay
--- a/libs/mintknotd-platform/relay/src/caller_session.hpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.hpp
@@ -84,6 +84,7 @@
 private:
     void on_data(std::string_view bytes);
     void on_end(event::connection_end how);
+    void on_drained();
     /// Parses what has been received but for what the parser cannot use yet.
     void parse(std::string_view received);
     void parse_pending();
@@ -108,6 +109,8 @@
     void tell_end();
     void answer_done();
     void next_request();
+    /// Goes on with what has come behind the last request.
+    void read_on();
     /// @return the ID of the request under way; empty if its head has not come.
     std::string current_request_id() const;
     void arm_idle_timer();
@@ -131,6 +134,8 @@
     std::string body_;
     bool head_seen_ = false;
     bool answering_ = false; ///< A complete request is being answered.
+    /// The next request is not read before the caller has read its answers.
+    bool answers_unread_ = false;
     bool request_keep_alive_ = true;
     int minor_version_ = 1;
     memory_claim claim_;
--- a/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <iterator>
 #include <optional>
@@ -53,6 +54,33 @@
     cr_assert(seen.text.find("\r\n\r\nb") < seen.text.find("\r\n\r\nc"));
 }
 
+// Answers to pipelined requests were queued without a bound.
+Test(entry_server, answers_that_are_not_read_hold_up_the_next_requests) {
+    constexpr int requests = 1'000'000;
+    constexpr int quiet_polls = 100;
+    constexpr std::size_t max_queued = 512 * 1024;
+    relay_fixture f;
+    const event::connection_ptr caller = f.connect_idle();
+    caller->set_handlers(
+        {[](std::string_view) {}, [](event::connection_end) {}, nullptr});
+    caller->pause_reading();
+    std::string all;
+    for (int i = 0; i < requests; ++i)
+        all += request("/other/x");
+    caller->write(all);
+    std::size_t max_held = 0;
+    std::size_t left = 0;
+    int quiet = 0;
+    f.run_until([&] {
+        max_held = std::max(max_held, f.context.state.caller_bytes);
+        quiet = caller->queued_bytes() == left ? quiet + 1 : 0;
+        left = caller->queued_bytes();
+        return quiet == quiet_polls;
+    });
+    cr_assert(max_held < max_queued, "%zu held, %zu left", max_held, left);
+    cr_assert(left > 0);
+}
+
 Test(entry_server, a_smuggled_request_reaches_no_server) {
     relay_fixture f;
     scripted_server& server = f.add_server("i", "app", plain, echo_id());
