Peers, balancers and metrics: requests wait until their answers are read

Callers saw: who reaches the port where readiness is told, or where peers call, fills the instance with requests whose answers it does not read, or with what it sends while an answer is waited for.

Cause: local_server answered every request at once into a queue without a bound, and kept what came behind a request that waits for its answer.

Change: as for callers, the next request is answered once the answers before it have been read but for 64 KiB, and no more than 64 KiB wait behind a request.

It works because what is not read stays with its sender.

--- a/libs/mintknotd-platform/relay/src/local_server.cpp
+++ b/libs/mintknotd-platform/relay/src/local_server.cpp
@@ -14,6 +14,12 @@
 constexpr std::size_t max_connections = 128;
 constexpr http1::message_limits request_limits{8 * 1024, 64 * 1024};
 constexpr base::milliseconds idle_timeout{30000};
+/// Maximum number of bytes behind the request that is answered; beyond it the
+/// socket is not read.
+constexpr std::size_t max_pending_bytes = 64 * 1024;
+/// Maximum number of bytes of answers that have not been read, before the next
+/// request is answered.
+constexpr std::size_t max_unread_bytes = 64 * 1024;
 
 } // namespace
 
@@ -55,7 +61,9 @@
              [self = shared_from_this(), state](event::connection_end) {
                  self->close_session(*state);
              },
-             nullptr});
+             [self = shared_from_this(), state] {
+                 self->process_pending(state);
+             }});
         start_idle_timer(*state);
     }
 
@@ -88,11 +96,21 @@
         state->reading = true;
         parse_requests(state);
         state->reading = false;
+        if (state->link == nullptr)
+            return;
+        if (state->pending.size() > max_pending_bytes)
+            state->link->pause_reading();
+        else
+            state->link->resume_reading();
+    }
+
+    static bool may_answer(const session& state) {
+        return state.link != nullptr && !state.answering &&
+               state.link->queued_bytes() <= max_unread_bytes;
     }
 
     void parse_requests(const std::shared_ptr<session>& state) {
-        while (state->link != nullptr && !state->answering &&
-               !state->pending.empty()) {
+        while (may_answer(*state) && !state->pending.empty()) {
             const std::size_t used =
                 state->parser->put(state->pending, nullptr);
             state->pending.erase(0, used);
