Bodies are not copied for each server that they are sent to

Callers saw: nothing yet; found by reading where the memory of callers goes. A body of a request under way is held once, and was copied into the queue of each connection to a server, where it stays while the server does not read: twice what the account counts.

Kept by a new test: nobody is asked by 100 to send a body that is refused at its head (entry_server::nobody_is_asked_for_a_body_...).

--- a/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
+++ b/libs/mintknotd-platform/event/include/mintknot/event/connection.hpp
@@ -14,6 +14,8 @@
 
 namespace mintknot::event {
 
+struct write_piece;
+
 /// How the other side ended a connection.
 enum class connection_end {
     orderly, ///< It has sent everything that it wanted to send.
@@ -50,6 +52,8 @@
     bool is_open() const noexcept;
 
     void write(std::string bytes);
+    /// Like write(std::string), without a copy of its own.
+    void write(std::shared_ptr<const std::string> bytes);
     std::size_t queued_bytes() const noexcept;
     /// @return true if everything written has been handed to the system.
     bool wrote_everything() const noexcept;
@@ -82,6 +86,7 @@
 private:
     void read_next();
     void on_readable();
+    void enqueue(write_piece piece);
     void write_next();
     void finish(connection_end how);
     void linger();
--- a/libs/mintknotd-platform/event/src/connection.cpp
+++ b/libs/mintknotd-platform/event/src/connection.cpp
@@ -138,8 +138,18 @@
 void connection::write(std::string bytes) {
     if (bytes.empty() || impl_->closing || !impl_->socket.is_open())
         return;
-    impl_->queued += bytes.size();
-    impl_->queue.push_back(std::move(bytes));
+    enqueue({std::move(bytes), nullptr});
+}
+
+void connection::write(std::shared_ptr<const std::string> bytes) {
+    if (bytes->empty() || impl_->closing || !impl_->socket.is_open())
+        return;
+    enqueue({{}, std::move(bytes)});
+}
+
+void connection::enqueue(write_piece piece) {
+    impl_->queued += piece.view().size();
+    impl_->queue.push_back(std::move(piece));
     if (!impl_->writing)
         write_next();
 }
@@ -147,7 +157,7 @@
 boost::system::error_code connection::impl::write_ready_bytes() {
     boost::system::error_code code;
     while (!queue.empty()) {
-        const std::string& front = queue.front();
+        const std::string_view front = queue.front().view();
         const std::size_t count = socket.write_some(
             asio::buffer(front.data() + front_sent, front.size() - front_sent),
             code);
--- a/libs/mintknotd-platform/event/src/connection_impl.hpp
+++ b/libs/mintknotd-platform/event/src/connection_impl.hpp
@@ -8,9 +8,23 @@
 #include <mintknot/event/connection.hpp>
 
 #include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
 
 namespace mintknot::event {
 
+/// Bytes that wait to be written: of their own, or shared with others.
+struct write_piece {
+    std::string_view view() const noexcept {
+        return shared == nullptr ? std::string_view(own)
+                                 : std::string_view(*shared);
+    }
+
+    std::string own;
+    std::shared_ptr<const std::string> shared;
+};
+
 struct connection::impl {
     impl(loop& owner_loop, boost::asio::ip::tcp::socket&& connected)
         : owner(owner_loop)
@@ -24,8 +38,8 @@
     boost::asio::ip::tcp::socket socket;
     connection_handlers handlers;
     base::address peer;
-    std::deque<std::string> queue;
-    std::size_t front_sent = 0; ///< Of the first queued string.
+    std::deque<write_piece> queue;
+    std::size_t front_sent = 0; ///< Of the first entry of the queue.
     std::size_t queued = 0;
     bool reading = false; ///< A wait is pending.
     bool paused = false;
--- a/libs/mintknotd-platform/event/tests/test_connection.cpp
+++ b/libs/mintknotd-platform/event/tests/test_connection.cpp
@@ -64,6 +64,29 @@
 
 } // namespace
 
+// A body was copied for each server that it was sent to.
+Test(connection, shared_bytes_are_written_without_a_copy) {
+    constexpr std::size_t size = 32 * 1024 * 1024;
+    pair_of_connections both;
+    const auto bytes = std::make_shared<const std::string>(size, 'b');
+    both.connected->write("head ");
+    both.connected->write(bytes);
+    cr_assert(both.connected->queued_bytes() > 0);
+    cr_assert(bytes.use_count() == 2);
+    std::string seen;
+    both.accepted->set_handlers(
+        {[&](std::string_view piece) {
+             seen += piece;
+             if (seen.size() == size + 5)
+                 both.owner.stop();
+         },
+         [](connection_end) {}, nullptr});
+    both.run();
+    cr_assert(seen == "head " + *bytes);
+    cr_assert(both.connected->wrote_everything());
+    cr_assert(bytes.use_count() == 1);
+}
+
 Test(connection, carries_bytes_and_an_orderly_end) {
     pair_of_connections both;
     std::string seen;
--- a/libs/mintknotd-platform/http1/include/mintknot/http1/serialize.hpp
+++ b/libs/mintknotd-platform/http1/include/mintknot/http1/serialize.hpp
@@ -5,13 +5,17 @@
 
 #include <mintknot/http1/message.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace mintknot::http1 {
 
-/// @return the head of a request with that body, ready to be sent. The
-/// framing fields are written here; the list must hold none.
+/// @return the head of a request with a body of that length, ready to be sent.
+/// The framing fields are written here; the list must hold none.
+std::string serialize_head(const request_head& head, std::size_t body_bytes);
+
+/// @return the same with the body behind it.
 std::string serialize(const request_head& head, std::string_view body);
 
 /// @return the head of an answer, framed as `head.body` says. The list must
--- a/libs/mintknotd-platform/http1/src/serialize.cpp
+++ b/libs/mintknotd-platform/http1/src/serialize.cpp
@@ -20,14 +20,19 @@
 
 } // namespace
 
-std::string serialize(const request_head& head, std::string_view body) {
+std::string serialize_head(const request_head& head, std::size_t body_bytes) {
     std::string out = fmt::format(
         "{} {} HTTP/1.{}\r\n", head.method, head.target, head.minor_version);
     append_fields(out, head.fields);
-    if (!body.empty() || method_has_body(head.method))
+    if (body_bytes > 0 || method_has_body(head.method))
         fmt::format_to(
-            std::back_inserter(out), "Content-Length: {}\r\n", body.size());
+            std::back_inserter(out), "Content-Length: {}\r\n", body_bytes);
     out += "\r\n";
+    return out;
+}
+
+std::string serialize(const request_head& head, std::string_view body) {
+    std::string out = serialize_head(head, body.size());
     out += body;
     return out;
 }
--- a/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_entry_server.cpp
@@ -131,6 +131,16 @@
             .status == 413);
 }
 
+Test(entry_server, nobody_is_asked_for_a_body_that_is_refused) {
+    relay_fixture f;
+    f.config.limits.body_bytes = 10;
+    f.configure();
+    const caller_view seen =
+        f.ask("POST /safe/ HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+              "Content-Length: 11\r\n\r\n");
+    cr_assert(seen.text.starts_with("HTTP/1.1 413"));
+}
+
 Test(entry_server, slow_header_times_out) {
     relay_fixture f;
     f.config.limits.header_timeout = base::milliseconds(50);
