mintknotd counts what requests hold as it is read

Callers saw: anybody, without a key, fills an instance by a line, a chunk or a body that does not end, or keeps all its threads by the first byte of a body.

Cause: the HTTP library reads a request whole before our code is asked. It does not bound a line nor, in chunks, a body, and nothing bounded the sum.

Change: socket_stream, by which the library reads plain connections, counts what a request has received in one account for each listener (caller.most_held_bytes, 64 MiB). No room: 503 with not_run. While room or threads are short, requests that have stopped or take long end with 408, and idle connections close.

It works because every byte passes the stream, whatever the library makes of it.

--- a/libs/mintknotd/config/include/mintknot/config/settings.hpp
+++ b/libs/mintknotd/config/include/mintknot/config/settings.hpp
@@ -25,6 +25,8 @@
     tls_settings tls;
     std::size_t most_open_requests = 512;
     std::size_t most_body_bytes = 4U * 1024 * 1024;
+    /// What all requests that are being read or answered may hold together.
+    std::size_t most_held_bytes = 64U * 1024 * 1024;
     /// How long a broken stream may be resumed before it is cancelled.
     base::milliseconds resume_grace{2000};
 };
--- a/libs/mintknotd/config/src/settings.cpp
+++ b/libs/mintknotd/config/src/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -16,6 +17,7 @@
 
 constexpr number_range milliseconds_range{1, 3'600'000};
 constexpr number_range body_range{1024, 1024LL * 1024 * 1024};
+constexpr number_range held_range{1024, 64LL * 1024 * 1024 * 1024};
 constexpr number_range open_range{1, 100000};
 constexpr number_range kept_range{1, 10'000'000};
 
@@ -33,6 +35,20 @@
     });
 }
 
+/// Without a value there is room for one body in chunks of a byte, which take
+/// six bytes for each, beside others.
+void read_held_bytes(json_reader& reader, caller_settings& caller) {
+    constexpr std::size_t bodies = 8;
+    caller.most_held_bytes =
+        std::max(caller.most_held_bytes, bodies * caller.most_body_bytes);
+    caller.most_held_bytes = read_size(
+        reader, "most_held_bytes", caller.most_held_bytes, held_range);
+    if (caller.most_held_bytes < 2 * caller.most_body_bytes)
+        reader.reject(
+            "most_held_bytes", fmt::format("{}", caller.most_held_bytes),
+            "at least twice most_body_bytes");
+}
+
 void read_caller(json_reader& reader, caller_settings& caller) {
     caller.listen = reader.required_address("listen");
     read_tls(reader, caller.tls);
@@ -40,6 +56,7 @@
         reader, "most_open_requests", caller.most_open_requests, open_range);
     caller.most_body_bytes = read_size(
         reader, "most_body_bytes", caller.most_body_bytes, body_range);
+    read_held_bytes(reader, caller);
     caller.resume_grace =
         reader.duration("resume_grace_ms", caller.resume_grace, {0, 600000});
 }
--- a/libs/mintknotd/daemon/src/daemon.cpp
+++ b/libs/mintknotd/daemon/src/daemon.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t changes_kept = 2000;
 constexpr std::size_t most_organisation_labels = 64;
 constexpr std::size_t most_operator_connections = 128;
+constexpr std::size_t most_operator_bytes = 64U * 1024 * 1024;
 /// Connections beyond the open requests: idle ones, and refusals.
 constexpr std::size_t spare_connections = 256;
 constexpr base::milliseconds longest_silence{5000};
@@ -41,6 +42,7 @@
     options.most_connections =
         2 * chosen.caller.most_open_requests + spare_connections;
     options.most_body_bytes = chosen.caller.most_body_bytes;
+    options.most_held_bytes = chosen.caller.most_held_bytes;
     options.certificate_file = chosen.caller.tls.certificate_file;
     options.private_key_file = chosen.caller.tls.private_key_file;
     return options;
@@ -49,6 +51,7 @@
 net::http_server_options operator_options(const config::settings& chosen) {
     net::http_server_options options;
     options.most_connections = most_operator_connections;
+    options.most_held_bytes = most_operator_bytes;
     options.certificate_file = chosen.operators.tls.certificate_file;
     options.private_key_file = chosen.operators.tls.private_key_file;
     return options;
--- a/libs/mintknotd/net/include/mintknot/net/http_server.hpp
+++ b/libs/mintknotd/net/include/mintknot/net/http_server.hpp
@@ -25,6 +25,9 @@
     std::size_t most_connections = 64;
     /// Longest body, in bytes; a longer one is refused with 413.
     std::size_t most_body_bytes = 8U * 1024 * 1024;
+    /// What all requests that are being read or answered may hold together, in
+    /// bytes as they come; over TLS it is not counted.
+    std::size_t most_held_bytes = 64U * 1024 * 1024;
     /// How long an idle connection is kept.
     std::chrono::seconds keep_alive{5};
     /// Longest wait for the next bytes of a call.
--- a/libs/mintknotd/net/src/half_close_server.cpp
+++ b/libs/mintknotd/net/src/half_close_server.cpp
@@ -22,7 +22,8 @@
         {std::chrono::ceil<base::milliseconds>(
              seconds(read_timeout_sec_) + microseconds(read_timeout_usec_)),
          std::chrono::ceil<base::milliseconds>(
-             seconds(write_timeout_sec_) + microseconds(write_timeout_usec_))});
+             seconds(write_timeout_sec_) + microseconds(write_timeout_usec_))},
+        room_);
     const base::milliseconds keep_alive = seconds(keep_alive_timeout_sec_);
     const auto next_call_comes = [&] {
         for (base::milliseconds idle{0}; idle < keep_alive; idle += stop_poll) {
@@ -30,6 +31,8 @@
                 return false;
             if (stream.has_input_within(stop_poll))
                 return true;
+            if (room_.connections_wait(base::steady_clock::now()))
+                return false;
         }
         return false;
     };
@@ -38,7 +41,8 @@
         bool closed = false;
         served = next_call_comes() &&
                  process_request(stream, left == 1, closed, nullptr);
-        if (!served || closed)
+        stream.end_request();
+        if (stream.write_refusal() || !served || closed)
             break;
     }
     shutdown(connection, SHUT_RDWR);
--- a/libs/mintknotd/net/src/half_close_server.hpp
+++ b/libs/mintknotd/net/src/half_close_server.hpp
@@ -4,6 +4,8 @@
 #ifndef MINTKNOT_NET_HALF_CLOSE_SERVER_HPP
 #define MINTKNOT_NET_HALF_CLOSE_SERVER_HPP
 
+#include "request_room.hpp"
+
 #include <httplib.h>
 
 namespace mintknot::net {
@@ -15,8 +17,15 @@
 /// Thread: process_and_close_socket() runs on the pool's threads, one a
 /// connection.
 class half_close_server final : public httplib::Server {
+public:
+    /// @param room must outlive the server.
+    explicit half_close_server(request_room& room)
+        : room_(room) {}
+
 private:
     bool process_and_close_socket(socket_t connection) override;
+
+    request_room& room_;
 };
 
 } // namespace mintknot::net
--- a/libs/mintknotd/net/src/http_server.cpp
+++ b/libs/mintknotd/net/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include <mintknot/net/http_server.hpp>
 
 #include "half_close_server.hpp"
+#include "request_room.hpp"
 
 #include <mintknot/base/log.hpp>
 #include <mintknot/net/elastic_pool.hpp>
@@ -22,16 +23,22 @@
 /// Adapts the growing pool to the library's interface.
 class pool_queue : public httplib::TaskQueue {
 public:
-    explicit pool_queue(std::size_t most_threads)
-        : pool_(most_threads) {}
+    pool_queue(std::size_t most_threads, request_room& room)
+        : pool_(most_threads)
+        , room_(room) {}
 
     void enqueue(std::function<void()> job) override {
-        pool_.submit(std::move(job));
+        room_.connection_waits(base::steady_clock::now());
+        pool_.submit([this, job = std::move(job)] {
+            room_.connection_is_served();
+            job();
+        });
     }
     void shutdown() override { pool_.shutdown(); }
 
 private:
     elastic_pool pool_;
+    request_room& room_;
 };
 
 /// @return true if the body ends where the library believes it to: it takes
@@ -71,9 +78,9 @@
 }
 
 std::unique_ptr<httplib::Server>
-make_server(const http_server_options& options) {
+make_server(const http_server_options& options, request_room& room) {
     if (options.certificate_file.empty())
-        return std::make_unique<half_close_server>();
+        return std::make_unique<half_close_server>(room);
     return std::make_unique<httplib::SSLServer>(
         options.certificate_file.c_str(), options.private_key_file.c_str());
 }
@@ -81,18 +88,22 @@
 } // namespace
 
 struct http_server::impl {
+    explicit impl(const http_server_options& options)
+        : room(options.most_held_bytes)
+        , server(make_server(options, room)) {}
+
+    request_room room;
     std::unique_ptr<httplib::Server> server;
     int listener = -1;
     std::thread acceptor;
 };
 
 http_server::http_server(const http_server_options& options)
-    : impl_(std::make_unique<impl>()) {
-    impl_->server = make_server(options);
+    : impl_(std::make_unique<impl>(options)) {
     httplib::Server& server = *impl_->server;
     const std::size_t most_threads = options.most_connections;
-    server.new_task_queue = [most_threads] {
-        return new pool_queue(most_threads); // The library deletes it.
+    server.new_task_queue = [most_threads, &room = impl_->room] {
+        return new pool_queue(most_threads, room); // The library deletes it.
     };
     server.set_tcp_nodelay(true);
     // The library's own choice, SO_REUSEPORT, would let two programs share a
