Large blocks of memory that are freed go back to the system

Callers saw: an instance that has refused a crowd stays as large as the crowd had made it, and a later one ends it.

Cause: the C library raises the size from which blocks are returned to that of the largest one freed; then bodies of some MB stay in the heap of each thread. Ruled out: that anything of ours holds them, as the same program with MALLOC_MMAP_THRESHOLD_ set holds 84 to 86 MB, three runs.

--- a/tools/mintknotd/main.cpp
+++ b/tools/mintknotd/main.cpp
@@ -1,4 +1,5 @@
 // mintknotd: the daemon on every entry instance.
+#include <mintknot/base/large_blocks.hpp>
 #include <mintknot/base/log.hpp>
 #include <mintknot/base/status_text.hpp>
 #include <mintknot/daemon/daemon.hpp>
@@ -86,6 +87,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    base::return_large_blocks();
     const sigset_t signals = block_signals();
     try {
         return serve(parse(argc, argv), signals);
