--- a/testing/crowds/src/crowd_plan.cpp
+++ b/testing/crowds/src/crowd_plan.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <iterator>
+
 namespace mintknot::crowds {
 
 namespace {
@@ -81,6 +83,32 @@
     return plan;
 }
 
+crowd_plan random_crowd(std::mt19937_64& random) {
+    constexpr crowd_plan (*plans[])() = {
+        trailers_without_end,
+        trailer_line_without_end,
+        unfinished_trailers,
+        chunk_extension_without_end,
+        unfinished_bodies_in_large_chunks,
+        unfinished_bodies_in_small_chunks,
+        unfinished_bodies_with_a_length,
+        half_bodies_with_a_length,
+        resting_connections_behind_bodies,
+        chunks_without_end,
+        announced_bodies_over_the_limit,
+        pipelined_requests_without_reading,
+        bytes_behind_a_request,
+        header_line_without_end,
+        unfinished_heads,
+        heads_of_short_fields,
+        first_bytes_of_bodies};
+    constexpr std::size_t min_clients = 10;
+    constexpr std::size_t max_clients = 60;
+    crowd_plan plan = sent_to(plans[random() % std::size(plans)](), unrouted);
+    plan.clients = min_clients + random() % (max_clients - min_clients + 1);
+    return plan;
+}
+
 crowd_plan trailers_without_end() {
     return endless(
         few_clients, short_body_and_last_chunk(),
--- a/testing/crowds/src/crowd_plan.hpp
+++ b/testing/crowds/src/crowd_plan.hpp
@@ -4,6 +4,7 @@
 #define MINTKNOT_CROWDS_CROWD_PLAN_HPP
 
 #include <cstddef>
+#include <random>
 #include <string>
 
 namespace mintknot::crowds {
@@ -26,6 +27,9 @@
 /// @return the plan, with requests to another path of a service.
 crowd_plan sent_to(crowd_plan plan, const std::string& path);
 
+/// @return one of the plans below, to no route and with fewer clients.
+crowd_plan random_crowd(std::mt19937_64& random);
+
 /// Fields of trailers that come without end behind a short chunked body.
 crowd_plan trailers_without_end();
 /// One line of a trailer that comes without end.
--- a/testing/soak/src/platform_soak_main.cpp
+++ b/testing/soak/src/platform_soak_main.cpp
@@ -123,6 +123,8 @@
         line);
     TCLAP::SwitchArg faulty(
         "", "faulty", "one answer of a server in four is faulty", line);
+    TCLAP::SwitchArg crowds(
+        "", "crowds", "clients come that do not keep to the limits", line);
     TCLAP::MultiArg<double> kills(
         "", "kill-half", "seconds after which half of the instances are killed",
         false, "S", line);
@@ -209,6 +211,7 @@
         options.foreign_rows = foreign_rows.getValue();
         options.answers_without_length = without_length.getValue();
         options.faulty_answers = faulty.getValue();
+        options.crowds = crowds.getValue();
         options.grace = std::chrono::seconds(grace.getValue());
         options.event_time = base::milliseconds(event_time.getValue());
         options.instance_kills = to_times(kills.getValue());
--- a/testing/soak/src/soak_run.cpp
+++ b/testing/soak/src/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak_run.hpp"
 
+#include "crowd_schedule.hpp"
 #include "processor_quota.hpp"
 #include "soak_clients.hpp"
 #include "soak_faults.hpp"
@@ -64,6 +65,7 @@
         , faults_(owner_, system_, kinds_of(options), options.seed)
         , cuts_(owner_, system_, cuts_of(options, system_.servers().size()))
         , schedule_(owner_, options, {system_, clients_, faults_})
+        , crowds_(owner_, system_, options.seed)
         , quota_(owner_, system_, options.processor_share)
         , poll_timer_(owner_) {}
 
@@ -94,8 +96,11 @@
         faults_.start();
         cuts_.start();
         schedule_.start();
+        if (options_.crowds)
+            crowds_.start();
         run_until([] { return false; }, options_.length);
         schedule_.stop();
+        crowds_.stop();
         quota_.stop();
         faults_.heal();
         cuts_.heal();
@@ -197,6 +202,8 @@
         result_.broken.insert(
             result_.broken.end(), faults_.own_ends().begin(),
             faults_.own_ends().end());
+        const std::vector<std::string> over = crowds_.broken();
+        result_.broken.insert(result_.broken.end(), over.begin(), over.end());
         result_.foreign_rows = schedule_.foreign_rows();
         result_.faults = faults_.notes();
         result_.cuts = cuts_.notes();
@@ -210,6 +217,7 @@
     fault_injector faults_;
     cut_schedule cuts_;
     soak_schedule schedule_;
+    crowd_schedule crowds_;
     processor_quota quota_;
     base::steady_time load_began_{};
     event::timer poll_timer_;
--- a/testing/soak/src/soak_run.hpp
+++ b/testing/soak/src/soak_run.hpp
@@ -90,6 +90,9 @@
     /// One answer of a server in four is faulty: no answer of HTTP, without a
     /// seal, cut by a reset, or without end.
     bool faulty_answers = false;
+    /// Crowds of clients that do not keep to the limits come one after another,
+    /// at random instances.
+    bool crowds = false;
     std::chrono::seconds grace{4}; ///< That an instance has to stop.
     bool keep_logs = false;        ///< Also where no promise was broken.
     /// Another writer puts malformed rows into the table of servers.
--- a/testing/soak/src/soak_system.hpp
+++ b/testing/soak/src/soak_system.hpp
@@ -115,11 +115,15 @@
     base::address store_address() const { return {"127.0.0.1", store_port_}; }
     /// @return where callers reach an instance.
     base::address entry(std::size_t instance) const;
+    /// @return where an instance itself listens for callers.
+    base::address own_entry(std::size_t instance) const;
     /// @return where an instance tells whether it is ready.
     base::address readiness(std::size_t instance) const;
     /// @return where other instances call an instance.
     base::address peers(std::size_t instance) const;
 
+    const group_form& form() const { return form_; }
+
     /// @return what the servers have noted so far.
     server_notes notes() const;
 
@@ -130,7 +134,6 @@
     base::address add_link(const std::string& name, const base::address& to);
     std::string host(std::size_t instance) const;
     char data_centre(std::size_t instance) const;
-    base::address own_entry(std::size_t instance) const;
     std::string write_settings(std::size_t instance) const;
     std::string path(const std::string& name) const;
 
