A larger receive buffer lasts as long as a request is read

A connection kept its 64 KiB of receive buffer, and held them in the account, while its request was answered, so that some 250 requests under way would have left others no room; and with them a request counted as large, which could refuse one that has room as a small one. Now the buffer becomes small again when the request is whole, and before anybody has to give way. A caller that has not read its answers is not held to the time for a head, either, before its next request is read.

--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -68,7 +68,6 @@
         http1::message_limits{bounds.header_bytes, bounds.body_bytes});
     head_seen_ = false;
     head_bytes_ = 0;
-    set_large_buffer(false);
     update_claim();
     arm_idle_timer();
 }
@@ -101,7 +100,7 @@
 void caller_session::on_data(std::string_view bytes) {
     if (closed_)
         return;
-    if (idle())
+    if (idle() && !answers_unread_)
         begin_request();
     policy::note_transfer(progress_, bytes.size(), context_.loop.now());
     if (answering_ || answers_unread_) {
@@ -195,6 +194,7 @@
     context_.monitor.note_activity();
     timer_.stop();
     answering_ = true;
+    set_large_buffer(false);
     caller_request request;
     request.head = std::move(parser_->head());
     request.terms = context_.protocol.read_request(request.head);
--- a/libs/mintknotd-platform/relay/src/caller_session_memory.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session_memory.cpp
@@ -44,12 +44,15 @@
 
 bool caller_session::claim_memory() {
     update_claim();
-    if (!has_room(0))
-        owner_.make_room(*this);
     if (has_room(0)) {
         enlarge_buffer();
         return true;
     }
+    set_large_buffer(false);
+    if (!has_room(0))
+        owner_.make_room(*this);
+    if (has_room(0))
+        return true;
     refuse(
         status_unavailable, "memory_full", policy::entry_refusal_retry_after);
     return false;
