--- a/libs/mintknotd-platform/relay/tests/server_scripts.cpp
+++ b/libs/mintknotd-platform/relay/tests/server_scripts.cpp
@@ -64,6 +64,12 @@
     };
 }
 
+script echo_id() {
+    return [](const received_request& to, const event::connection_ptr& link) {
+        link->write(answer_to(to, to.field("Id")));
+    };
+}
+
 script silent() {
     return [](const received_request&, const event::connection_ptr&) {};
 }
--- a/libs/mintknotd-platform/relay/tests/server_scripts.hpp
+++ b/libs/mintknotd-platform/relay/tests/server_scripts.hpp
@@ -32,6 +32,8 @@
 
 /// @return a server that rejects each request.
 script rejecting();
+/// @return a server that answers with the ID of each request.
+script echo_id();
 /// @return a server that never answers.
 script silent();
 
--- a/libs/mintknotd-platform/upstream/src/call.cpp
+++ b/libs/mintknotd-platform/upstream/src/call.cpp
@@ -1,9 +1,9 @@
 #include <mintknot/upstream/call.hpp>
 
 #include "keep_alive.hpp"
+#include "request_writer.hpp"
 
 #include <mintknot/http1/message_parser.hpp>
-#include <mintknot/http1/serialize.hpp>
 
 namespace mintknot::upstream {
 
@@ -13,9 +13,6 @@
 /// answers, answers to others, extensions of chunks. More are no answer.
 constexpr std::size_t max_bytes_without_progress = 256 * 1024;
 constexpr int status_switching_protocols = 101;
-/// A body up to this size is written together with its head, in one call of the
-/// system; a longer one is not copied for each server that it is sent to.
-constexpr std::size_t max_copied_bytes = 16 * 1024;
 
 } // namespace
 
@@ -92,18 +89,7 @@
         new_parser();
         was_sent = true;
         sent_at = pool.owner().now();
-        write_request();
-    }
-
-    void write_request() {
-        const std::string_view text =
-            request.body == nullptr ? std::string_view{} : *request.body;
-        if (text.size() <= max_copied_bytes) {
-            link->write(http1::serialize(request.head, text));
-            return;
-        }
-        link->write(http1::serialize_head(request.head, text.size()));
-        link->write(request.body);
+        write_request(*link, request);
     }
 
     void new_parser() {
--- a/testing/soak/src/soak_system.cpp
+++ b/testing/soak/src/soak_system.cpp
@@ -6,9 +6,7 @@
 
 #include <mintknot/event/datagrams.hpp>
 #include <mintknot/event/loop.hpp>
-#include <mintknot/upstream/call.hpp>
 
-#include <absl/strings/escaping.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -22,9 +20,7 @@
 
 using nlohmann::json;
 
-constexpr base::milliseconds call_limit{2000};
 constexpr std::size_t prefill_engines = 2;
-constexpr int status_ok = 200;
 /// Of the software of all engines at the start.
 constexpr const char* first_version = "v1";
 /// Where the link of a server leads before the server has started.
@@ -266,26 +262,11 @@
 }
 
 bool soak_system::rewrite_configuration() {
-    event::loop owner;
-    upstream::connection_pool pool(owner);
-    event::timer limit(owner);
-    const std::string text = configuration_text(
-        {configuration_, form_.scarce_capacity, form_.unused_routes});
-    bool done = false;
-    int status = 0;
-    const auto call = upstream::call::start(
-        pool, {"store", {"127.0.0.1", store_port_}},
-        put_request({"op", "config", text}), {},
-        {nullptr, [&](http1::response_head& head) { status = head.status; },
-         [](std::string_view) {},
-         [&] {
-             done = status == status_ok;
-             owner.stop();
-         },
-         [&](upstream::call_failure) { owner.stop(); }});
-    limit.start(call_limit, [&] { owner.stop(); });
-    owner.run();
-    return done;
+    return put_row(
+        store_address(),
+        {"op", "config",
+         configuration_text(
+             {configuration_, form_.scarce_capacity, form_.unused_routes})});
 }
 
 server_notes soak_system::notes() const {
--- a/testing/soak/src/store_requests.hpp
+++ b/testing/soak/src/store_requests.hpp
@@ -3,6 +3,7 @@
 #ifndef MINTKNOT_SOAK_STORE_REQUESTS_HPP
 #define MINTKNOT_SOAK_STORE_REQUESTS_HPP
 
+#include <mintknot/base/address.hpp>
 #include <mintknot/upstream/call.hpp>
 
 #include <string>
@@ -19,6 +20,10 @@
 /// @return a request that writes the row, whatever stands there.
 upstream::call_request put_request(const stored_row& row);
 
+/// Writes the row, and waits for the answer.
+/// @return false if the store did not take it.
+bool put_row(const base::address& store, const stored_row& row);
+
 } // namespace mintknot::soak
 
 #endif
