--- a/libs/mintknotd-platform/policy/include/mintknot/policy/caller_memory.hpp
+++ b/libs/mintknotd-platform/policy/include/mintknot/policy/caller_memory.hpp
@@ -11,6 +11,7 @@
 #ifndef MINTKNOT_POLICY_CALLER_MEMORY_HPP
 #define MINTKNOT_POLICY_CALLER_MEMORY_HPP
 
+#include <mintknot/base/request_memory.hpp>
 #include <mintknot/base/time.hpp>
 
 #include <cstddef>
@@ -28,13 +29,9 @@
 inline constexpr std::size_t receive_buffer_bytes = 16 * 1024;
 inline constexpr std::size_t large_receive_buffer_bytes = 64 * 1024;
 
-/// A request that holds more than this is large.
-inline constexpr std::size_t max_small_request_bytes = 64 * 1024;
-
-/// @return true if a connection may hold `own` bytes. A part of the whole is
-/// left to small requests, so that they have room beside large ones.
-/// @param all what all connections hold, with `own`.
-bool has_room(std::size_t own, std::size_t all, std::size_t max_bytes);
+/// Whether a connection may hold so much; asked with what all hold.
+using base::has_room;
+using base::max_small_request_bytes;
 
 /// @return true if a connection that holds `own` bytes gets the larger buffer.
 bool needs_large_receive_buffer(std::size_t own);
--- a/libs/mintknotd-platform/policy/src/caller_memory.cpp
+++ b/libs/mintknotd-platform/policy/src/caller_memory.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Of four parts of the whole, large requests may take three.
-constexpr std::size_t parts = 4;
-constexpr std::size_t parts_for_large_requests = 3;
 /// Within which the weight of moved bytes falls to 1/e.
 constexpr std::chrono::duration<double> recent_time{1.0};
 /// A transfer that has moved this many times what it has moved lately stalls.
@@ -23,12 +20,6 @@
 
 } // namespace
 
-bool has_room(std::size_t own, std::size_t all, std::size_t max_bytes) {
-    if (own <= max_small_request_bytes)
-        return all <= max_bytes;
-    return all <= max_bytes / parts * parts_for_large_requests;
-}
-
 bool needs_large_receive_buffer(std::size_t own) {
     return own > connection_bytes + receive_buffer_bytes / 2;
 }
--- a/libs/mintknotd/net/src/request_room.cpp
+++ b/libs/mintknotd/net/src/request_room.cpp
@@ -1,11 +1,11 @@
 #include "request_room.hpp"
 
+#include <mintknot/base/request_memory.hpp>
+
 namespace mintknot::net {
 
 namespace {
 
-constexpr std::size_t parts = 4;
-constexpr std::size_t parts_for_large_requests = 3;
 constexpr base::milliseconds longest_silence{2000};
 constexpr base::milliseconds longest_age{10000};
 /// A connection that a thread has been started for waits less.
@@ -15,12 +15,6 @@
 
 } // namespace
 
-bool has_room(std::size_t own, std::size_t all, std::size_t most_bytes) {
-    if (own <= most_small_request_bytes)
-        return all <= most_bytes;
-    return all <= most_bytes / parts * parts_for_large_requests;
-}
-
 bool gives_way(const request_progress& progress) {
     return progress.silent >= longest_silence || progress.age >= longest_age;
 }
@@ -28,7 +22,7 @@
 bool request_room::take(
     std::size_t held, std::size_t more, base::steady_time now) {
     const std::size_t all = held_.fetch_add(more) + more;
-    if (has_room(held + more, all, most_bytes_))
+    if (base::has_room(held + more, all, most_bytes_))
         return true;
     held_ -= more;
     last_refusal_ = now;
--- a/libs/mintknotd/net/src/request_room.hpp
+++ b/libs/mintknotd/net/src/request_room.hpp
@@ -10,14 +10,6 @@
 
 namespace mintknot::net {
 
-/// A request that holds more than this is large.
-inline constexpr std::size_t most_small_request_bytes = 64 * 1024;
-
-/// @return true if a request may hold `own` bytes. A quarter of the whole is
-/// left to small requests, so that they have room beside large ones.
-/// @param all what all requests hold, with `own`.
-bool has_room(std::size_t own, std::size_t all, std::size_t most_bytes);
-
 /// How a request that is being read has come along.
 struct request_progress {
     base::milliseconds silent{0}; ///< Since its last bytes.
--- a/libs/mintknotd/net/tests/test_request_room.cpp
+++ b/libs/mintknotd/net/tests/test_request_room.cpp
@@ -1,5 +1,6 @@
 #include "request_room.hpp"
 
+#include <mintknot/base/request_memory.hpp>
 #include <mintknot/net/http_client.hpp>
 #include <mintknot/net/http_server.hpp>
 
@@ -27,7 +28,7 @@
     cr_assert(!room.is_short(start));
     cr_assert(!room.take(mebibyte, 1, start));
     cr_assert(room.is_short(start + seconds(1)));
-    cr_assert(room.take(0, most_small_request_bytes, start));
+    cr_assert(room.take(0, base::max_small_request_bytes, start));
     room.give_back(6 * mebibyte);
     cr_assert(room.take(mebibyte, mebibyte, start));
     cr_assert(!room.is_short(start + seconds(10)));
@@ -36,7 +37,7 @@
 Test(request_room, a_refused_claim_holds_nothing) {
     request_room room(mebibyte);
     cr_assert(!room.take(0, 2 * mebibyte, start));
-    cr_assert(room.take(0, most_small_request_bytes, start));
+    cr_assert(room.take(0, base::max_small_request_bytes, start));
 }
 
 Test(request_room, it_is_short_while_a_connection_waits) {
