Known to be red: connections that send nothing to the ports of an instance

Found while reading for related paths: local_server lets in 128 connections and closes all others unread, however long the 128 have said nothing, so that a balancer takes the instance for not ready. Not mended here: on the peers' port it changes what very large groups do, and has to be played there first.

--- a/libs/mintknotd-platform/relay/tests/test_local_server.cpp
+++ b/libs/mintknotd-platform/relay/tests/test_local_server.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <vector>
 
 using namespace mintknot;
 using namespace mintknot::relay;
@@ -91,3 +92,41 @@
     cr_assert(caller.answered == 1);
     cr_assert(caller.link->queued_bytes() > 0);
 }
+
+// Connections that send nothing shut out balancers and peers for 30 s.
+Test(local_server, idle_connections_do_not_shut_out_others) {
+    constexpr int idle_connections = 200;
+    event::loop owner;
+    local_server server(
+        owner, synchronous_handler([](const http1::request_head&) {
+            return local_answer{200, "text/plain", "ready"};
+        }),
+        nullptr);
+    cr_assert(server.open({"127.0.0.1", 0}).ok());
+    const base::address where{"127.0.0.1", server.port()};
+    std::vector<event::connection_ptr> links;
+    std::string seen;
+    const auto ask = [&] {
+        links.back()->set_handlers(
+            {[&](std::string_view bytes) {
+                 seen += bytes;
+                 owner.stop();
+             },
+             [&](event::connection_end) { owner.stop(); }, nullptr});
+        links.back()->write("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    };
+    std::function<void()> connect_next = [&] {
+        event::connect(
+            owner, where, base::milliseconds(5000),
+            [&](event::connection_ptr opened, event::connect_result) {
+                links.push_back(std::move(opened));
+                if (links.size() > idle_connections)
+                    ask();
+                else
+                    connect_next();
+            });
+    };
+    connect_next();
+    owner.run();
+    cr_assert(seen.starts_with("HTTP/1.1 200"));
+}
