A crowd that is dropped while it connects is not used after its end

A client whose connection opened after its crowd had gone wrote what the plan of that crowd says; the soak drops crowds every 0.7 s, so that an instance that is slow to accept could have ended the soak itself. Such a client is done now, and its connection closes.

--- a/testing/crowds/src/crowd_clients.cpp
+++ b/testing/crowds/src/crowd_clients.cpp
@@ -34,7 +34,8 @@
             owner, where, connect_timeout,
             [this,
              added](event::connection_ptr link, event::connect_result result) {
-                if (result != event::connect_result::opened) {
+                // The crowd may be gone by now; its clients are done then.
+                if (result != event::connect_result::opened || added->done) {
                     end(*added);
                     return;
                 }
