--- a/libs/mintknotd-platform/event/src/connection.cpp
+++ b/libs/mintknotd-platform/event/src/connection.cpp
@@ -136,18 +136,16 @@
 }
 
 void connection::write(std::string bytes) {
-    if (bytes.empty() || impl_->closing || !impl_->socket.is_open())
-        return;
     enqueue({std::move(bytes), nullptr});
 }
 
 void connection::write(std::shared_ptr<const std::string> bytes) {
-    if (bytes->empty() || impl_->closing || !impl_->socket.is_open())
-        return;
     enqueue({{}, std::move(bytes)});
 }
 
 void connection::enqueue(write_piece piece) {
+    if (piece.view().empty() || impl_->closing || !impl_->socket.is_open())
+        return;
     impl_->queued += piece.view().size();
     impl_->queue.push_back(std::move(piece));
     if (!impl_->writing)
--- a/libs/mintknotd-platform/relay/src/caller_session.cpp
+++ b/libs/mintknotd-platform/relay/src/caller_session.cpp
@@ -2,6 +2,7 @@
 /// Reading of requests from a caller's connection.
 
 #include "caller_session.hpp"
+#include "pipeline_bounds.hpp"
 
 #include <mintknot/http1/serialize.hpp>
 #include <mintknot/relay/load_shedder.hpp>
@@ -12,12 +13,6 @@
 
 namespace {
 
-/// Maximum number of buffered bytes after the current request. Beyond it the
-/// socket is not read, so that further bytes stay in the kernel.
-constexpr std::size_t max_pending_bytes = 64 * 1024;
-/// Maximum number of bytes of answers that the caller has not read, before its
-/// next request is read.
-constexpr std::size_t max_unread_bytes = 64 * 1024;
 /// Time allowed for a body, in addition to the time for the head.
 constexpr base::milliseconds body_timeout{20000};
 
--- a/libs/mintknotd-platform/relay/src/entry_server.cpp
+++ b/libs/mintknotd-platform/relay/src/entry_server.cpp
@@ -40,15 +40,20 @@
     /// have been closed go first, then the one that has been idle longest, then
     /// one that is stalled. @return false if there are none.
     bool has_place() {
-        while (sessions.size() + closing.count() >=
-                   context.options.max_callers &&
-               open_sessions() + closing.count() >= context.options.max_callers)
+        while (is_full())
             if (!closing.end_longest() && !close_longest_idle() &&
                 !end_stalled(nullptr))
                 return false;
         return true;
     }
 
+    bool is_full() {
+        const std::size_t closed = closing.count();
+        // Counting the open ones takes a look at each session.
+        return sessions.size() + closed >= context.options.max_callers &&
+               open_sessions() + closed >= context.options.max_callers;
+    }
+
     /// @return the number of sessions but for those that are about to be told
     /// of as closed.
     std::size_t open_sessions() const {
--- a/libs/mintknotd-platform/relay/src/local_server.cpp
+++ b/libs/mintknotd-platform/relay/src/local_server.cpp
@@ -1,5 +1,7 @@
 #include <mintknot/relay/local_server.hpp>
 
+#include "pipeline_bounds.hpp"
+
 #include <mintknot/event/connection.hpp>
 #include <mintknot/event/listener.hpp>
 #include <mintknot/http1/message_parser.hpp>
@@ -14,12 +16,6 @@
 constexpr std::size_t max_connections = 128;
 constexpr http1::message_limits request_limits{8 * 1024, 64 * 1024};
 constexpr base::milliseconds idle_timeout{30000};
-/// Maximum number of bytes behind the request that is answered; beyond it the
-/// socket is not read.
-constexpr std::size_t max_pending_bytes = 64 * 1024;
-/// Maximum number of bytes of answers that have not been read, before the next
-/// request is answered.
-constexpr std::size_t max_unread_bytes = 64 * 1024;
 
 } // namespace
 
