--- a/testing/crowds/tests/test_crowds.cpp
+++ b/testing/crowds/tests/test_crowds.cpp
@@ -47,11 +47,15 @@
     const std::vector<std::string> requests = {
         request_head(fmt::format("Content-Length: {}\r\n", max_body_bytes)) +
             std::string(max_body_bytes, 'x'),
-        in_chunks(max_body_bytes, mebibyte), in_chunks(max_body_bytes, 1),
+        in_chunks(max_body_bytes, mebibyte),
+        in_chunks(max_body_bytes, 1),
         request_head(
             "X-Long: " + std::string(room, 'h') + "\r\nContent-Length: 0\r\n"),
         request_head("Transfer-Encoding: chunked\r\n") +
-            "2;extension=1\r\nhi\r\n0\r\nX-Trailer: t\r\n\r\n"};
+            "2;extension=1\r\nhi\r\n0\r\nX-Trailer: t\r\n\r\n",
+        request_head("Transfer-Encoding: chunked\r\n") +
+            "2;e=" + std::string(room, 'e') +
+            "\r\nhi\r\n0\r\nX-Trailer: " + std::string(room, 't') + "\r\n\r\n"};
     const std::vector<int> statuses = run_calm(requests, {});
     cr_assert(statuses.size() == requests.size());
     for (std::size_t i = 0; i < statuses.size(); ++i)
